--- /dev/null
+++ b/Makefile
@@ -0,0 +1,11 @@
+# Developers' and users' commands. `make help` lists them.
+.PHONY: help build generate
+
+help: ## list the commands
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
+
+build: ## build both binaries and the stand-ins into bin/
+	go build -o bin/ ./acaciawinchd ./acaciawinch ./standin/cmd/...
+
+generate: ## regenerate the committed drpc code (needs protoc)
+	cd wire/wirepb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire.proto
--- /dev/null
+++ b/core/config/config.go
@@ -0,0 +1,92 @@
+// Package config holds the configuration that operators declare: pipeline
+// templates and the parameters of each workspace.
+package config
+
+// StageKind tells how a stage is carried out by its service.
+type StageKind string
+
+// The kinds of stages.
+const (
+	// KindEngine is a generation stage on a model engine; its output is streamed.
+	KindEngine StageKind = "engine"
+	// KindPool is a stage on a stage pool: an encoder, retriever or reranker.
+	KindPool StageKind = "pool"
+	// KindService is a call of a plain service.
+	KindService StageKind = "service"
+)
+
+// Stage is one step of a pipeline. Its input is the output of the stage before,
+// or the request's body for the first.
+type Stage struct {
+	Name string `json:"name" toml:"name"`
+	// Service names the group of upstreams that carry out the stage.
+	Service string    `json:"service" toml:"service"`
+	Kind    StageKind `json:"kind" toml:"kind"`
+	// NonIdempotent marks a stage that must run at most once for a request.
+	NonIdempotent bool `json:"non_idempotent,omitempty" toml:"non_idempotent"`
+	// Model and Version name what an engine must have loaded; empty for others.
+	Model   string `json:"model,omitempty" toml:"model"`
+	Version string `json:"version,omitempty" toml:"version"`
+	// MaxTokens bounds the output of an engine stage.
+	MaxTokens int `json:"max_tokens,omitempty" toml:"max_tokens"`
+	// ExpectedMS is the declared median service time in milliseconds, used until
+	// a measured one is known.
+	ExpectedMS int `json:"expected_ms,omitempty" toml:"expected_ms"`
+}
+
+// Template is a pipeline of 3 to 6 stages.
+type Template struct {
+	Name string `json:"name" toml:"name"`
+	// DeadlineMS is the deadline of a request that names none, in milliseconds;
+	// MaxDeadlineMS caps what a request may name.
+	DeadlineMS    int     `json:"deadline_ms" toml:"deadline_ms"`
+	MaxDeadlineMS int     `json:"max_deadline_ms" toml:"max_deadline_ms"`
+	Stages        []Stage `json:"stages" toml:"stages"`
+}
+
+// StageParameters are what a workspace sets for one stage of one pipeline.
+// Empty fields keep the template's value.
+type StageParameters struct {
+	Pipeline  string `json:"pipeline" toml:"pipeline"`
+	Stage     string `json:"stage" toml:"stage"`
+	Model     string `json:"model,omitempty" toml:"model"`
+	Version   string `json:"version,omitempty" toml:"version"`
+	MaxTokens int    `json:"max_tokens,omitempty" toml:"max_tokens"`
+	// Prefix is put before the stage's input; engines cache it.
+	Prefix string `json:"prefix,omitempty" toml:"prefix"`
+}
+
+// Workspace is one customer's parameters.
+type Workspace struct {
+	Name string `json:"name" toml:"name"`
+	// Pipelines are the templates that the workspace may call.
+	Pipelines []string `json:"pipelines" toml:"pipelines"`
+	// Priority orders the queues of the upstreams; higher is served first.
+	Priority int `json:"priority,omitempty" toml:"priority"`
+	// Weight is the workspace's share among those of equal priority, at least 1.
+	Weight int `json:"weight" toml:"weight"`
+	// DeadlineMS replaces the templates' default deadline if not zero.
+	DeadlineMS int `json:"deadline_ms,omitempty" toml:"deadline_ms"`
+	// MaxInFlight bounds the workspace's requests in progress over the whole
+	// fleet; zero means no bound.
+	MaxInFlight int               `json:"max_in_flight,omitempty" toml:"max_in_flight"`
+	Stages      []StageParameters `json:"stages,omitempty" toml:"stages"`
+}
+
+// Model is a model version that the fleet should keep loaded.
+type Model struct {
+	Name    string `json:"name" toml:"name"`
+	Version string `json:"version" toml:"version"`
+	// Service names the engines that may load it.
+	Service string `json:"service" toml:"service"`
+	// Replicas is how many engines should hold it.
+	Replicas int `json:"replicas" toml:"replicas"`
+}
+
+// Templates is the part of the configuration that all workspaces share.
+type Templates struct {
+	Templates []Template `json:"templates" toml:"templates"`
+	Models    []Model    `json:"models,omitempty" toml:"models"`
+	// Drained names upstreams that operators have taken out.
+	Drained []string `json:"drained,omitempty" toml:"drained"`
+}
