--- /dev/null
+++ b/observe/metrics.go
@@ -0,0 +1,40 @@
+package observe
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often buffered counters reach the Prometheus reporter.
+const reportInterval = time.Second
+
+// Metrics is a process's root of metrics. It may be used by many goroutines.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter promreporter.Reporter
+}
+
+// NewMetrics returns metrics whose names begin with prefix.
+func NewMetrics(prefix string) *Metrics {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, reporter: reporter}
+}
+
+// Scope returns the root scope.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close reports what is buffered and stops the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
