--- /dev/null
+++ b/core/latency/estimate.go
@@ -0,0 +1,40 @@
+// Package latency turns the quantiles that sides report into what an entry
+// expects of a service: how a deadline is split over stages, when a hedge pays,
+// and how long a silence may last.
+package latency
+
+import "time"
+
+// Estimate is what is expected of one service. A zero duration is not known.
+type Estimate struct {
+	// Wait is the expected time in an upstream's queue.
+	Wait time.Duration
+	// ServiceP50 and ServiceP95 run from dispatch to the whole result.
+	ServiceP50, ServiceP95 time.Duration
+	// FirstP50 and FirstP95 run from dispatch to the first chunk.
+	FirstP50, FirstP95 time.Duration
+	// GapP95 is the time between two chunks.
+	GapP95 time.Duration
+	// Reporters is the number of upstreams that the estimate rests on.
+	Reporters int
+}
+
+// OrDeclared fills what is not known from a declared median service time.
+func (e Estimate) OrDeclared(median time.Duration) Estimate {
+	if e.ServiceP50 > 0 {
+		return e
+	}
+	e.ServiceP50 = median
+	e.ServiceP95 = median * declaredSpread
+	return e
+}
+
+// declaredSpread is the ratio of the 95th percentile to the median that is
+// assumed of a service of which only the median is declared.
+const declaredSpread = 2
+
+// need is the time that a stage takes in the median, its queue included.
+func (e Estimate) need() time.Duration { return e.Wait + e.ServiceP50 }
+
+// spread is how much longer than the median a slow call of the stage takes.
+func (e Estimate) spread() time.Duration { return max(0, e.ServiceP95-e.ServiceP50) }
--- /dev/null
+++ b/entry/route/prober.go
@@ -0,0 +1,31 @@
+package route
+
+import (
+	"context"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/wire/link"
+	"acaciawinch/wire/wirepb"
+)
+
+// Prober asks a side for its load. Errors are *fault.Error with step
+// "route.probe" or that of the dialing.
+type Prober interface {
+	Probe(ctx context.Context, addr string, request *wirepb.ProbeRequest) (*wirepb.ProbeReply, error)
+}
+
+// linkProber probes over the fleet's connections.
+type linkProber struct {
+	dialer *link.Dialer
+}
+
+// NewProber returns a Prober that uses the connections of dialer.
+func NewProber(dialer *link.Dialer) Prober { return linkProber{dialer: dialer} }
+
+// Probe implements Prober.
+func (p linkProber) Probe(ctx context.Context, addr string, request *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
+	conn := p.dialer.Conn(ctx, addr)
+	defer func() { _ = conn.Close() }()
+	reply, err := wirepb.NewDRPCSideClient(conn).Probe(ctx, request)
+	return reply, fault.Wrap(fault.Unavailable, "route.probe", addr, err)
+}
