--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Developers' and users' commands. `make help` lists them.
-.PHONY: help build test generate
+.PHONY: help build test docs generate
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -10,5 +10,8 @@
 test: ## formatter, linters and all tests with the race detector
 	scripts/test.sh
 
+docs: ## rewrite the pages that are made from the code
+	go run ./observe/cmd/events > docs/EVENTS.md
+
 generate: ## regenerate the committed drpc code (needs protoc, protoc-gen-go, protoc-gen-go-drpc)
 	cd wire/wirepb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire.proto
