Run the tests without cached results

A cached pass hid a changed page: go test does not track files outside a module, and docs/ lies outside all of them. With a row taken out of docs/EVENTS.md the run said ok (cached); with -count=1 TestPageHoldsTheCatalogue fails. Ruled out: the test itself.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,4 +23,4 @@
   names=$(cut -d, -f1 KNOWN-RED.txt | paste -sd '|')
   skip="^($names)$"
 fi
-go test -race -timeout 20m -skip "$skip" work
+go test -race -count=1 -timeout 20m -skip "$skip" work
