Give metrics names and a registry that Prometheus accepts

Cause: NewMetrics panicked, since tally's own cardinality metrics have dots in their names; and two Metrics in one process would have met in the default registry. Names are sanitized, cardinality metrics are left out, and each Metrics has its own registry. Seen by starting a side, which now serves /metrics.

--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -21,11 +22,13 @@
 
 // NewMetrics returns metrics whose names begin with prefix.
 func NewMetrics(prefix string) *Metrics {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: prometheus.NewRegistry()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      promreporter.DefaultSeparator,
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{scope: scope, closer: closer, reporter: reporter}
 }
