--- /dev/null
+++ b/acaciawinchd/command.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"acaciawinch/side"
+)
+
+// settingsError is an error in the settings: nothing was started.
+type settingsError struct{ err error }
+
+// Error implements error.
+func (e settingsError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e settingsError) Unwrap() error { return e.err }
+
+// sideCommand is `acaciawinchd side`.
+type sideCommand struct {
+	Config string `long:"config" required:"true" value-name:"FILE" description:"TOML settings of the side process"`
+}
+
+// Execute implements flags.Commander.
+func (c *sideCommand) Execute([]string) error {
+	settings := side.Defaults()
+	if err := loadSettings(c.Config, &settings); err != nil {
+		return settingsError{err}
+	}
+	ctx, stop := stopSignal()
+	defer stop()
+	return side.Run(ctx, settings)
+}
+
+// stopSignal returns a context that ends when the process is asked to stop. A
+// second signal ends the process at once, as the signal's default does.
+func stopSignal() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+// addCommands adds the roles to parser.
+func addCommands(parser *flags.Parser) {
+	mustAdd(parser, "side", "Run the side process of one upstream", &sideCommand{})
+}
+
+// mustAdd adds one command. It fails only on a wrong struct tag, which every
+// start of the program would show.
+func mustAdd(parser *flags.Parser, name, description string, data any) {
+	if _, err := parser.AddCommand(name, description, "", data); err != nil {
+		panic(err)
+	}
+}
