Add stand-ins of the platform and the upstreams

One small program plays the object API, the host list or an upstream (engine, pool worker, plain service), each with switches for its faults, and upstreams keep ledgers from which verdicts are taken.

--- /dev/null
+++ b/standin/pool/pool.go
@@ -0,0 +1,60 @@
+// Package pool is a stand-in worker of a stage pool or of a plain service: a
+// fixed number of calls at once, each of a fixed duration.
+package pool
+
+import (
+	"context"
+	"time"
+
+	"acaciawinch/standin/answer"
+	"acaciawinch/standin/upstream"
+)
+
+// Options configure a Pool.
+type Options struct {
+	Service  string
+	Capacity int
+	// Duration is the nominal time of one call.
+	Duration   time.Duration
+	Conditions *upstream.Conditions
+}
+
+// Pool implements upstream.Worker.
+type Pool struct {
+	options Options
+	slots   chan struct{}
+}
+
+// New returns a Pool.
+func New(o Options) *Pool {
+	return &Pool{options: o, slots: make(chan struct{}, o.Capacity)}
+}
+
+// Run implements upstream.Worker.
+func (p *Pool) Run(ctx context.Context, call upstream.Call, out upstream.Output) (uint64, error) {
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	defer func() { <-p.slots }()
+	out.Started()
+	if err := p.options.Conditions.Work(ctx, p.options.Duration); err != nil {
+		return 0, err
+	}
+	if err := out.Emit(answer.Simple(p.options.Service, call.Input)); err != nil {
+		return 1, err
+	}
+	return 1, nil
+}
+
+// Status implements upstream.Worker.
+func (p *Pool) Status() upstream.Status {
+	return upstream.Status{Capacity: p.options.Capacity, Models: []string{}}
+}
+
+// Order implements upstream.Worker: pools and plain services take no orders.
+func (p *Pool) Order(upstream.Order) error { return upstream.ErrNoOrders }
+
+// CacheEvents implements upstream.Worker: there is no cache.
+func (p *Pool) CacheEvents(uint64) []upstream.CacheEvent { return []upstream.CacheEvent{} }
