Claim stages that run at most once

core/claim is the pure protocol: a record per stage and key, and a machine that opens, reassigns, releases and looks at claims. Its comments argue why each step is safe. entry/claims drives it against the object API and the Resolve call of the side that a claim names.

The object's name is claims/<hash of workspace, pipeline, key>/<stage>, as a pipeline may hold more than one stage that runs once; so Look takes the stage too. Ask.Target is claims.Target rather than the router's choice, so that this package does not import the router. Ask carries BodyDigest, so that the same key with another body is refused, and Minted, so that not_run can be proved of the key while the store is down.

--- /dev/null
+++ b/core/claim/record.go
@@ -0,0 +1,177 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fault"
+)
+
+// Prefix is what the names of all claim objects begin with.
+const Prefix = "claims/"
+
+// digestBytes is how much of a SHA-256 is kept in names and digests.
+const digestBytes = 16
+
+// State tells how far a claimed stage is, as its record says.
+type State string
+
+// The states of a record.
+const (
+	// StateOpen: the attempt with the record's nonce may be dispatched or running.
+	StateOpen State = "open"
+	// StateDone: the attempt ran; the record holds the result or its digest.
+	StateDone State = "done"
+	// StateAbandoned: the attempt has not run and never will; the next asker may
+	// start another one.
+	StateAbandoned State = "abandoned"
+)
+
+// Identity names the claim and the request that it stands for.
+type Identity struct {
+	Workspace string `json:"workspace"`
+	Pipeline  string `json:"pipeline"`
+	// Key is the caller's idempotency key, or the request id if there was none.
+	Key   string `json:"key"`
+	Stage string `json:"stage"`
+	// BodyDigest is the digest of the request's body, by DigestBody.
+	BodyDigest string `json:"body_digest"`
+}
+
+// Target is the side process that an attempt is meant for.
+type Target struct {
+	Upstream core.UpstreamID `json:"upstream"`
+	// Addr is the IP:port of the side.
+	Addr        string           `json:"addr"`
+	Zone        string           `json:"zone"`
+	Incarnation core.Incarnation `json:"incarnation"`
+	// SideClockUS is the ticket: the side's own clock when it was chosen, in
+	// microseconds since the side started.
+	SideClockUS uint64 `json:"side_clock_us"`
+}
+
+// Record is the value of a claim object.
+type Record struct {
+	Identity
+	State State `json:"state"`
+	// Request and Attempt name the present attempt; Nonce tells it from all others.
+	Request core.RequestID `json:"request"`
+	Attempt uint32         `json:"attempt"`
+	Nonce   uint64         `json:"nonce"`
+	// Minted is set if the entry made the key itself.
+	Minted bool   `json:"minted,omitempty"`
+	Target Target `json:"target"`
+	// DispatchWithinMS is how soon after the write the owner means to dispatch.
+	// Another asker waits that long before it has the attempt refused.
+	DispatchWithinMS int64 `json:"dispatch_within_ms,omitempty"`
+	// Result is present exactly in StateDone.
+	Result *Result `json:"result,omitempty"`
+	// CreatedUnix is the first writer's wall clock in seconds. Only the expiry
+	// after a day reads it, so hosts' clocks may differ by minutes.
+	CreatedUnix int64 `json:"created_unix"`
+}
+
+// Result is the output of a claimed stage.
+type Result struct {
+	// Chunks are absent if they were larger than the bound; the side may still
+	// hold them.
+	Chunks [][]byte `json:"chunks,omitempty"`
+	// Count and Digest are those of the whole output.
+	Count  int    `json:"count"`
+	Digest string `json:"digest"`
+	// Omitted is set if the chunks were too large for the record.
+	Omitted bool `json:"omitted,omitempty"`
+}
+
+// NewResult returns the result of chunks, without the chunks if they hold more
+// than maxBytes.
+func NewResult(chunks [][]byte, maxBytes int) *Result {
+	result := &Result{Count: len(chunks), Digest: DigestChunks(chunks)}
+	size := 0
+	for _, chunk := range chunks {
+		size += len(chunk)
+	}
+	if size > maxBytes {
+		result.Omitted = true
+		return result
+	}
+	result.Chunks = chunks
+	return result
+}
+
+// Scope is the prefix of the names of all claims of one key.
+func Scope(workspace, pipeline, key string) string {
+	return Prefix + digestStrings(workspace, pipeline, key) + "/"
+}
+
+// Name returns the name of the claim object of one stage.
+func (id Identity) Name() string {
+	return Scope(id.Workspace, id.Pipeline, id.Key) + id.Stage
+}
+
+// AttemptKey returns the key of the present attempt.
+func (r Record) AttemptKey() core.AttemptKey {
+	return core.AttemptKey{Request: r.Request, Stage: r.Stage, Number: r.Attempt, Side: r.Target.Incarnation}
+}
+
+// DispatchWithin returns how soon after the write the owner means to dispatch.
+func (r Record) DispatchWithin() time.Duration {
+	return time.Duration(r.DispatchWithinMS) * time.Millisecond
+}
+
+// Encode returns the record as the value of its object.
+func (r Record) Encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "claim.encode", "", err)
+	}
+	return value, nil
+}
+
+// Decode reads a record. Errors have code Internal: only this package writes
+// claims.
+func Decode(value []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return Record{}, fault.Wrap(fault.Internal, "claim.decode", "", err)
+	}
+	return record, nil
+}
+
+// DigestBody returns the digest of a request's body.
+func DigestBody(body []byte) string {
+	return digestStrings(string(body))
+}
+
+// DigestChunks returns the digest of an output, over its bytes in order. It does
+// not depend on where the output was cut into chunks.
+func DigestChunks(chunks [][]byte) string {
+	digest := sha256.New()
+	for _, chunk := range chunks {
+		digest.Write(chunk)
+	}
+	return sum(digest)
+}
+
+// digestStrings hashes parts with their lengths, so that ("ab", "c") and
+// ("a", "bc") differ.
+func digestStrings(parts ...string) string {
+	digest := sha256.New()
+	for _, part := range parts {
+		length := uint64(len(part))
+		for shift := 0; shift < 64; shift += 8 {
+			digest.Write([]byte{byte(length >> shift)})
+		}
+		digest.Write([]byte(part))
+	}
+	return sum(digest)
+}
+
+// sum returns the kept part of a hash in hex.
+func sum(digest hash.Hash) string {
+	return hex.EncodeToString(digest.Sum(nil)[:digestBytes])
+}
--- /dev/null
+++ b/entry/claims/drive.go
@@ -0,0 +1,217 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/claim"
+	"acaciawinch/core/fault"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/wirepb"
+)
+
+// drive makes the calls of a machine until it has a verdict, and logs it.
+func (k *Keeper) drive(ctx context.Context, action string, machine *claim.Machine) (Held, error) {
+	name := machine.Next().Name
+	for {
+		step := machine.Next()
+		if step.Call == claim.CallNone {
+			break
+		}
+		if ctx.Err() != nil {
+			machine.GiveUp("the time allowed ran out")
+			break
+		}
+		if err := k.call(ctx, machine, step); err != nil {
+			k.log.Warn(event.ClaimRefused, observe.Fields{"action": action, "claim": name, "error": err.Error()})
+			return heldOf(machine.Verdict()), err
+		}
+	}
+	held := heldOf(machine.Verdict())
+	k.logVerdict(action, name, held)
+	return held, nil
+}
+
+// call makes one call of a machine and hands in the answer.
+func (k *Keeper) call(ctx context.Context, machine *claim.Machine, step claim.Step) error {
+	switch step.Call {
+	case claim.CallCreate, claim.CallUpdate:
+		answer, version, err := k.write(ctx, step)
+		if err != nil {
+			return err
+		}
+		return machine.Wrote(answer, version)
+	case claim.CallRead:
+		return k.read(ctx, machine, step)
+	case claim.CallWait:
+		wait(ctx, step.Wait)
+		return machine.Waited()
+	case claim.CallResolve:
+		return machine.Resolved(k.resolve(ctx, step.Record))
+	default:
+		return fault.New(fault.Internal, "claim.drive", "", "unknown call %d", step.Call)
+	}
+}
+
+// write makes one conditional write. The error is that of a record that can't
+// be encoded.
+func (k *Keeper) write(ctx context.Context, step claim.Step) (claim.WriteAnswer, uint64, error) {
+	value, err := step.Record.Encode()
+	if err != nil {
+		return 0, 0, err
+	}
+	var version uint64
+	if step.Call == claim.CallCreate {
+		version, err = k.objects.Create(ctx, step.Name, value)
+	} else {
+		version, err = k.objects.Update(ctx, step.Name, value, step.Version)
+	}
+	return writeAnswer(err), version, nil
+}
+
+// writeAnswer classifies a write's error. Whatever is not surely without effect
+// is ambiguous.
+func writeAnswer(err error) claim.WriteAnswer {
+	switch fault.CodeOf(err) {
+	case "":
+		return claim.WriteOK
+	case fault.Conflict, fault.NotFound:
+		return claim.WriteConflict
+	case fault.Unavailable, fault.Invalid:
+		return claim.WriteUnavailable
+	default:
+		return claim.WriteAmbiguous
+	}
+}
+
+// read reads the claim and hands in what was found.
+func (k *Keeper) read(ctx context.Context, machine *claim.Machine, step claim.Step) error {
+	object, err := k.objects.Get(ctx, step.Name)
+	if fault.Is(err, fault.NotFound) {
+		return machine.Missing()
+	}
+	if err != nil {
+		return machine.Unreadable()
+	}
+	record, err := claim.Decode(object.Value)
+	if err != nil {
+		return err
+	}
+	return machine.Found(record, object.Version)
+}
+
+// resolve asks the record's side what became of the record's attempt.
+func (k *Keeper) resolve(ctx context.Context, record claim.Record) claim.SideAnswer {
+	named := Claim{Record: record}
+	req := &wirepb.ResolveRequest{Key: named.AttemptKey(), Claim: named.ClaimKey()}
+	reply, err := k.resolver.Resolve(ctx, record.Target.Addr, req)
+	if err != nil {
+		k.log.Warn(event.ClaimSideUnreachable, observe.Fields{
+			"claim": record.Name(), "upstream": record.Target.Upstream, "addr": record.Target.Addr, "error": err.Error(),
+		})
+		return claim.SideAnswer{State: claim.SideUnreachable}
+	}
+	return claim.SideAnswer{
+		State:       sideStates[reply.State],
+		Incarnation: core.Incarnation(reply.Incarnation),
+		Chunks:      reply.Chunks,
+	}
+}
+
+// sideStates translates a side's answer. An answer that is not listed is the zero
+// state, which the protocol treats as gone.
+var sideStates = map[wirepb.ResolveState]claim.SideState{
+	wirepb.ResolveState_RESOLVE_DONE:    claim.SideDone,
+	wirepb.ResolveState_RESOLVE_RUNNING: claim.SideRunning,
+	wirepb.ResolveState_RESOLVE_NOT_RUN: claim.SideNotRun,
+	wirepb.ResolveState_RESOLVE_GONE:    claim.SideGone,
+	wirepb.ResolveState_RESOLVE_FAILED:  claim.SideFailed,
+}
+
+// Finish records the result of an attempt that ran. It belongs behind the
+// answer, off the critical path. The context bounds it. An error means that the
+// claim stays open; the side still holds the result for a time.
+func (k *Keeper) Finish(ctx context.Context, c Claim, chunks [][]byte) error {
+	finishing := claim.Finish(c.Record, c.Version, chunks, k.rules)
+	for {
+		step := finishing.Next()
+		if step.Call == claim.CallNone {
+			break
+		}
+		if err := k.finishCall(ctx, finishing, step); err != nil {
+			return err
+		}
+	}
+	err := finishing.Err()
+	if err != nil {
+		k.log.Warn(event.ClaimNotRecorded, observe.Fields{"claim": c.Record.Name(), "error": err.Error()})
+	}
+	return err
+}
+
+// finishCall makes one call of the recording and hands in the answer.
+func (k *Keeper) finishCall(ctx context.Context, finishing *claim.Finishing, step claim.Step) error {
+	if step.Call == claim.CallUpdate {
+		answer, _, err := k.write(ctx, step)
+		if err == nil {
+			finishing.Wrote(answer)
+		}
+		return err
+	}
+	object, err := k.objects.Get(ctx, step.Name)
+	if fault.Is(err, fault.NotFound) {
+		finishing.Missing()
+		return nil
+	}
+	if err != nil {
+		finishing.Unreadable()
+		return nil
+	}
+	record, err := claim.Decode(object.Value)
+	if err != nil {
+		return err
+	}
+	finishing.Found(record, object.Version)
+	return nil
+}
+
+// wait waits for d, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// heldOf returns the keeper's form of a verdict.
+func heldOf(v claim.Verdict) Held {
+	return Held{
+		Status:     v.Status,
+		Claim:      Claim{Record: v.Record, Version: v.Version},
+		Chunks:     v.Chunks,
+		Recorded:   v.Recorded,
+		KeyNotRun:  v.KeyNotRun,
+		RetryAfter: v.RetryAfter,
+		Reason:     v.Reason,
+	}
+}
+
+// logVerdict writes the line of one claim decision.
+func (k *Keeper) logVerdict(action, name string, held Held) {
+	record := held.Claim.Record
+	k.log.Event(event.ClaimDecided, observe.Fields{
+		"action":   action,
+		"claim":    name,
+		"status":   held.Status.String(),
+		"reason":   held.Reason,
+		"request":  record.Request,
+		"attempt":  record.Attempt,
+		"nonce":    record.Nonce,
+		"upstream": record.Target.Upstream,
+		"version":  held.Claim.Version,
+	})
+}
