--- /dev/null
+++ b/core/config/change.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"reflect"
+	"slices"
+
+	"acaciawinch/core"
+)
+
+// Change is what an operator wants to be different. Everything that it doesn't
+// name stays as it is.
+type Change struct {
+	PutTemplates     []Template
+	RemoveTemplates  []string
+	PutModels        []Model
+	RemoveModels     []Model
+	PutWorkspaces    []Workspace
+	RemoveWorkspaces []string
+	Drain            []string
+	Undrain          []string
+}
+
+// Item names one thing that a change can touch.
+type Item struct {
+	// Kind is "template", "model", "workspace" or "drained upstream".
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns the kind and the name.
+func (i Item) String() string { return i.Kind + " " + i.Name }
+
+// The kinds of items.
+const (
+	itemTemplate  = "template"
+	itemModel     = "model"
+	itemWorkspace = "workspace"
+	itemDrained   = "drained upstream"
+)
+
+// Change returns the snapshot with the change made, under a new revision and
+// change id. The templates and the shards of the touched workspaces must be
+// loaded. Nothing is validated.
+func (s *Snapshot) Change(c Change, revision core.Revision, id string) *Snapshot {
+	next := *s
+	next.revision, next.changeID = revision, id
+	if c.touchesTemplates() {
+		next.setTemplates(c.templates(s.templates))
+	}
+	next.edit(c.PutWorkspaces, c.RemoveWorkspaces)
+	return &next
+}
+
+// touchesTemplates tells whether anything but workspaces is touched.
+func (c Change) touchesTemplates() bool {
+	return len(c.PutTemplates)+len(c.RemoveTemplates)+len(c.PutModels)+len(c.RemoveModels)+len(c.Drain)+len(c.Undrain) > 0
+}
+
+// templates returns the edited shared part.
+func (c Change) templates(t Templates) Templates {
+	return Templates{
+		Templates: merge(t.Templates, c.PutTemplates, c.RemoveTemplates, func(x Template) string { return x.Name }),
+		Models:    merge(t.Models, c.PutModels, modelKeys(c.RemoveModels), Model.Key),
+		Drained:   merge(t.Drained, c.Drain, c.Undrain, func(name string) string { return name }),
+	}
+}
+
+// merge returns values without what is removed or replaced, and with what is put.
+func merge[T any](values, put []T, removed []string, key func(T) string) []T {
+	gone := map[string]bool{}
+	for _, name := range removed {
+		gone[name] = true
+	}
+	for _, value := range put {
+		gone[key(value)] = true
+	}
+	var merged []T
+	for _, value := range values {
+		if !gone[key(value)] {
+			merged = append(merged, value)
+		}
+	}
+	return append(merged, put...)
+}
+
+// modelKeys returns the keys of models.
+func modelKeys(models []Model) []string {
+	keys := make([]string, len(models))
+	for i, m := range models {
+		keys[i] = m.Key()
+	}
+	return keys
+}
+
+// Empty tells whether the change touches nothing.
+func (c Change) Empty() bool {
+	return !c.touchesTemplates() && len(c.PutWorkspaces)+len(c.RemoveWorkspaces) == 0
+}
+
+// Shards returns which shards the change touches, in order.
+func (c Change) Shards() []int {
+	var shards []int
+	for _, w := range c.PutWorkspaces {
+		shards = append(shards, ShardOf(w.Name))
+	}
+	for _, name := range c.RemoveWorkspaces {
+		shards = append(shards, ShardOf(name))
+	}
+	slices.Sort(shards)
+	return slices.Compact(shards)
+}
+
+// Compare returns the change that leads from one snapshot to another. Shards
+// that are not loaded on either side are left out.
+func Compare(from, to *Snapshot) Change {
+	c := Change{}
+	if from.templatesHash != to.templatesHash {
+		c.compareTemplates(from.templates, to.templates)
+	}
+	d := Delta{}
+	for i := range to.shards {
+		if from.shards[i].loaded && to.shards[i].loaded {
+			d.addShard(from.shards[i], to.shards[i])
+		}
+	}
+	c.PutWorkspaces, c.RemoveWorkspaces = d.Workspaces, d.Removed
+	return c
+}
+
+// compareTemplates adds what differs in the shared part.
+func (c *Change) compareTemplates(from, to Templates) {
+	templateName := func(t Template) string { return t.Name }
+	self := func(name string) string { return name }
+	c.PutTemplates = added(from.Templates, to.Templates, templateName)
+	c.RemoveTemplates = keys(absent(from.Templates, to.Templates, templateName), templateName)
+	c.PutModels = added(from.Models, to.Models, Model.Key)
+	c.RemoveModels = absent(from.Models, to.Models, Model.Key)
+	c.Drain = added(from.Drained, to.Drained, self)
+	c.Undrain = absent(from.Drained, to.Drained, self)
+}
+
+// added returns what is in to and not, or differently, in from.
+func added[T any](from, to []T, key func(T) string) []T {
+	var found []T
+	for _, value := range to {
+		old, ok := find(from, key(value), key)
+		if !ok || !reflect.DeepEqual(old, value) {
+			found = append(found, value)
+		}
+	}
+	return found
+}
+
+// absent returns what is in from and, under its key, not in to.
+func absent[T any](from, to []T, key func(T) string) []T {
+	var found []T
+	for _, value := range from {
+		if _, ok := find(to, key(value), key); !ok {
+			found = append(found, value)
+		}
+	}
+	return found
+}
+
+// keys returns the keys of values.
+func keys[T any](values []T, key func(T) string) []string {
+	var names []string
+	for _, value := range values {
+		names = append(names, key(value))
+	}
+	return names
+}
--- /dev/null
+++ b/core/config/keys.go
@@ -0,0 +1,39 @@
+package config
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"acaciawinch/core"
+)
+
+// Names of the objects that hold the configuration.
+const (
+	// HeadKey names the only configuration object that changes: the Head.
+	HeadKey = "config/head"
+	// PartPrefix begins the names of the immutable parts.
+	PartPrefix = "config/part/"
+	// ChangePrefix begins the names of the immutable copies of each head.
+	ChangePrefix = "config/change/"
+)
+
+// ShardCount is how many parts the workspaces are spread over: 18,000 workspaces
+// of some 400 bytes then make parts of about 110 kB, well below the 1 MB that
+// the object API holds.
+const ShardCount = 64
+
+// PartKey names the part with the given content hash.
+func PartKey(hash string) string { return PartPrefix + hash }
+
+// ChangeKey names the copy of the head that change id wrote for revision.
+// Writers that race for one revision have different ids, hence different keys.
+func ChangeKey(revision core.Revision, id string) string {
+	return fmt.Sprintf("%s%012d-%s", ChangePrefix, revision, id)
+}
+
+// ShardOf returns which shard holds the workspace.
+func ShardOf(workspace string) int {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(workspace))
+	return int(hash.Sum64() % ShardCount)
+}
--- /dev/null
+++ b/feed/state.go
@@ -0,0 +1,50 @@
+package feed
+
+import (
+	"slices"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+)
+
+// State is what a process knows of the fleet at one moment. It is never changed
+// and may be read by many goroutines.
+type State struct {
+	// Revision is that of the configuration in force; zero before the first one
+	// was accepted.
+	Revision core.Revision
+
+	config           *config.Snapshot
+	hosts            fleet.List
+	plan             placement.Plan
+	placementVersion uint64
+}
+
+// Template finds a pipeline template by name.
+func (s *State) Template(name string) (config.Template, bool) { return s.config.Template(name) }
+
+// Workspace finds a workspace by name. Side processes hold none.
+func (s *State) Workspace(name string) (config.Workspace, bool) { return s.config.Workspace(name) }
+
+// Models returns the model versions that the fleet should keep loaded.
+func (s *State) Models() []config.Model { return slices.Clone(s.config.Templates().Models) }
+
+// Templates returns the part of the configuration that all workspaces share. It
+// must not be changed.
+func (s *State) Templates() config.Templates { return s.config.Templates() }
+
+// Hosts returns the whole host list. It must not be changed.
+func (s *State) Hosts() []fleet.Host { return s.hosts.Hosts }
+
+// HostsVersion returns the version of the host list.
+func (s *State) HostsVersion() uint64 { return s.hosts.Version }
+
+// Placement returns the desired placement and the version of its object, which
+// is the fencing number of the orders that follow from it. The version is zero
+// while there is no placement.
+func (s *State) Placement() (placement.Plan, uint64) { return s.plan, s.placementVersion }
+
+// Drained tells whether operators have taken the upstream out.
+func (s *State) Drained(upstream string) bool { return s.config.Drained(upstream) }
