Add the trial harness, the caller, the verdicts and the demonstration

The harness starts the real binaries with generated settings on ports below the kernel's range for outgoing connections, and can kill, freeze, stop and cut them. Verdicts join the callers' records with the upstreams' ledgers by the digest of each stage's input, so that they don't rest on ids that the system chose. Request bodies must be unique for that; equal bodies count as one request asked again.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Developers' and users' commands. `make help` lists them.
-.PHONY: help build test docs generate
+.PHONY: help build test docs generate thin demo
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -10,6 +10,12 @@
 test: ## formatter, linters and all tests with the race detector
 	scripts/test.sh
 
+thin: build ## run one entry and one upstream per stage, and stream one request
+	bin/demo --bin bin --thin
+
+demo: build ## run the Institute's deployment and send requests of each kind
+	bin/demo --bin bin
+
 docs: ## rewrite the pages that are made from the code
 	go run ./observe/cmd/events > docs/EVENTS.md
 
--- /dev/null
+++ b/standin/caller/read.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/standin/answer"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 8 << 20
+
+// wholeAnswer is a JSON answer.
+type wholeAnswer struct {
+	RequestID    string       `json:"request_id"`
+	Outcome      core.Outcome `json:"outcome"`
+	Output       string       `json:"output"`
+	OutputBase64 []byte       `json:"output_base64"`
+	Chunks       int          `json:"chunks"`
+	Digest       string       `json:"digest"`
+}
+
+// problemDocument is a refusal or failure.
+type problemDocument struct {
+	Type         string       `json:"type"`
+	Detail       string       `json:"detail"`
+	Outcome      core.Outcome `json:"outcome"`
+	RequestID    string       `json:"request_id"`
+	Step         string       `json:"step"`
+	RetryAfterMS int64        `json:"retry_after_ms"`
+}
+
+// chunkEvent is the data of an event "chunk".
+type chunkEvent struct {
+	Index  uint64 `json:"index"`
+	Text   string `json:"text"`
+	Base64 []byte `json:"base64"`
+}
+
+// doneEvent is the data of the closing event "done".
+type doneEvent struct {
+	RequestID string       `json:"request_id"`
+	Outcome   core.Outcome `json:"outcome"`
+	Chunks    int          `json:"chunks"`
+	Digest    string       `json:"digest"`
+}
+
+// readWhole reads a JSON answer and checks it.
+func (c *Client) readWhole(body io.Reader, r Request, result *Result) {
+	var got wholeAnswer
+	if err := json.NewDecoder(body).Decode(&got); err != nil {
+		result.Verdict = Broken
+		result.Detail = err.Error()
+		return
+	}
+	result.RequestID = got.RequestID
+	result.Outcome = got.Outcome
+	output := got.OutputBase64
+	if output == nil {
+		output = []byte(got.Output)
+	}
+	result.Chunks = [][]byte{output}
+	if got.Digest != answer.Digest(output) {
+		result.Verdict = Mismatch
+		result.Detail = "the digest does not match the output"
+		return
+	}
+	c.check(r, result)
+}
+
+// readProblem reads a problem document.
+func readProblem(body io.Reader, result *Result) {
+	var got problemDocument
+	if err := json.NewDecoder(body).Decode(&got); err != nil {
+		result.Verdict = Broken
+		result.Detail = err.Error()
+		return
+	}
+	result.noteProblem(got)
+}
+
+// noteProblem records a problem document.
+func (r *Result) noteProblem(p problemDocument) {
+	r.Verdict = Problem
+	r.Outcome = p.Outcome
+	r.RequestID = p.RequestID
+	r.RetryAfter = time.Duration(p.RetryAfterMS) * time.Millisecond
+	r.Detail = strings.TrimSpace(p.Step + " " + p.Detail)
+}
+
+// event is one server-sent event.
+type event struct {
+	name string
+	data []byte
+}
+
+// readStream reads server-sent events up to the closing one and checks them.
+func (c *Client) readStream(body io.Reader, r Request, result *Result) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	last := result.Began
+	for {
+		e, ok := nextEvent(scanner)
+		if !ok {
+			result.Verdict = Cut
+			result.Detail = fmt.Sprintf("the stream ended behind %d chunks without its closing event", len(result.Chunks))
+			return
+		}
+		switch e.name {
+		case "chunk":
+			if !c.noteChunk(e, result) {
+				return
+			}
+			last = result.noteTime(last)
+		case "done":
+			c.noteDone(e, r, result)
+			return
+		case "problem":
+			readProblem(bytes.NewReader(e.data), result)
+			return
+		}
+	}
+}
+
+// nextEvent reads one event, or returns false at the end of the stream.
+func nextEvent(scanner *bufio.Scanner) (event, bool) {
+	var e event
+	for scanner.Scan() {
+		name, value, _ := strings.Cut(scanner.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "event":
+			e.name = value
+		case "data":
+			e.data = append(e.data, value...)
+		case "":
+			if e.name != "" {
+				return e, true
+			}
+		}
+	}
+	return event{}, false
+}
+
+// noteChunk records one chunk. It returns false if the chunk is out of order.
+func (c *Client) noteChunk(e event, result *Result) bool {
+	var chunk chunkEvent
+	err := json.Unmarshal(e.data, &chunk)
+	if err != nil || chunk.Index != uint64(len(result.Chunks)) {
+		result.Verdict = Mismatch
+		result.Detail = fmt.Sprintf("chunk %d came as number %d", chunk.Index, len(result.Chunks))
+		return false
+	}
+	data := chunk.Base64
+	if data == nil {
+		data = []byte(chunk.Text)
+	}
+	result.Chunks = append(result.Chunks, data)
+	if c.OnChunk != nil {
+		c.OnChunk(data)
+	}
+	return true
+}
+
+// noteTime records when a chunk came, last being when the one before did.
+func (r *Result) noteTime(last time.Time) time.Time {
+	now := time.Now()
+	if len(r.Chunks) == 1 {
+		r.First = now.Sub(r.Began)
+	} else {
+		r.Gaps = append(r.Gaps, now.Sub(last))
+	}
+	return now
+}
+
+// noteDone checks the closing event against the chunks.
+func (c *Client) noteDone(e event, r Request, result *Result) {
+	var done doneEvent
+	if err := json.Unmarshal(e.data, &done); err != nil {
+		result.Verdict = Cut
+		result.Detail = err.Error()
+		return
+	}
+	result.RequestID = done.RequestID
+	result.Outcome = done.Outcome
+	if done.Chunks != len(result.Chunks) || done.Digest != answer.Digest(answer.Join(result.Chunks)) {
+		result.Verdict = Mismatch
+		result.Detail = "the closing event does not match the chunks"
+		return
+	}
+	c.check(r, result)
+}
--- /dev/null
+++ b/standin/cmd/demo/demo.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+
+	"acaciawinch/core"
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/harness"
+	"acaciawinch/standin/verdict"
+)
+
+// demo is the demonstration's state. Its exchanges are guarded by mu.
+type demo struct {
+	fleet  *harness.Fleet
+	client *caller.Client
+
+	mu        sync.Mutex
+	exchanges []verdict.Exchange
+	failed    []string
+	number    int
+}
+
+// report prints one check and remembers a failed one.
+func (d *demo) report(ok bool, format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text := fmt.Sprintf(format, args...)
+	if ok {
+		fmt.Println("ok  ", text)
+		return
+	}
+	fmt.Println("FAIL", text)
+	d.failed = append(d.failed, text)
+}
+
+// failure returns an error that names the failed checks, or nil.
+func (d *demo) failure() error {
+	if len(d.failed) == 0 {
+		return nil
+	}
+	return errors.New("failed: " + strings.Join(d.failed, "; "))
+}
+
+// body returns a JSON body that no other request has.
+func (d *demo) body(question string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.number++
+	return fmt.Appendf(nil, `{"number":%d,"question":%q}`, d.number, question)
+}
+
+// entry returns the URL of an entry, by turns.
+func (d *demo) entry(i int) string {
+	return d.fleet.Entries[i%len(d.fleet.Entries)].URL
+}
+
+// send sends a request to an entry and records the exchange.
+func (d *demo) send(ctx context.Context, entry int, r caller.Request, bad bool) caller.Result {
+	result := d.client.Send(ctx, d.entry(entry), r)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.exchanges = append(d.exchanges, verdict.Exchange{Request: r, Result: result, Bad: bad})
+	return result
+}
+
+// thin sends one streamed request.
+func (d *demo) thin(ctx context.Context) {
+	d.stream(ctx)
+}
+
+// full sends requests of every kind.
+func (d *demo) full(ctx context.Context) {
+	d.idempotent(ctx)
+	d.nonIdempotent(ctx)
+	d.repeated(ctx)
+	id := d.stream(ctx)
+	d.refused(ctx)
+	d.explain(ctx, id)
+}
+
+// describeResult says in one line what a caller got.
+func describeResult(r caller.Result) string {
+	text := fmt.Sprintf("%s %s, %d in %d ms", r.Verdict, r.Outcome, r.Status, r.Latency.Milliseconds())
+	if r.Detail != "" {
+		text += ": " + r.Detail
+	}
+	return text
+}
+
+// answered tells whether a whole answer came back.
+func answered(r caller.Result) bool {
+	return r.Verdict == caller.Whole && r.Outcome == core.OutcomeAnswered
+}
+
+// stream streams one answer to the terminal and returns the request's id.
+func (d *demo) stream(ctx context.Context) string {
+	fmt.Print("a streamed answer: ")
+	d.client.OnChunk = func(chunk []byte) {
+		_, _ = os.Stdout.Write(chunk)
+	}
+	result := d.send(ctx, 0, caller.Request{
+		Workspace: "pensionistas",
+		Pipeline:  "consulta",
+		Body:      d.body("¿Cuándo vence mi bono?"),
+		Stream:    true,
+	}, false)
+	d.client.OnChunk = nil
+	fmt.Println()
+	d.report(answered(result), "streamed: %d chunks, the first after %d ms: %s",
+		len(result.Chunks), result.First.Milliseconds(), describeResult(result))
+	return result.RequestID
+}
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,155 @@
+// Command demo runs a deployment with real processes on one machine, sends
+// requests of each kind, stops everything gracefully and judges the trial by the
+// callers' and the upstreams' own records. It exits 1 on any violation.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/catalog"
+	"acaciawinch/standin/deployment"
+	"acaciawinch/standin/harness"
+	"acaciawinch/standin/verdict"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Time limits.
+const (
+	runTimeout  = 50 * time.Second
+	stopTimeout = 20 * time.Second
+)
+
+// reportLag is how late the upstreams report their load.
+const reportLag = 200 * time.Millisecond
+
+// options are the command line.
+type options struct {
+	Bin      string `long:"bin" description:"folder of the built binaries"`
+	Examples string `long:"examples" default:"examples" description:"folder of the example configurations"`
+	Thin     bool   `long:"thin" description:"run one entry and one upstream for each stage, and send one request"`
+	Keep     bool   `long:"keep" description:"keep the folder with settings, logs and ledgers"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run starts the deployment, carries out the demonstration and judges it.
+func run(ctx context.Context, o options) error {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	files := []string{
+		filepath.Join(o.Examples, "institute", "pipelines.toml"),
+		filepath.Join(o.Examples, "institute", "workspaces.toml"),
+	}
+	configuration, err := catalog.Load(files...)
+	if err != nil {
+		return err
+	}
+	fleet, err := harness.Start(ctx, harness.Options{
+		Deployment:    chosen(o),
+		Bin:           o.Bin,
+		Configuration: files,
+		ReportLag:     reportLag,
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Kill()
+	describe(fleet, time.Since(began))
+	d := &demo{fleet: fleet, client: caller.New(configuration)}
+	defer d.client.Close()
+	if o.Thin {
+		d.thin(ctx)
+	} else {
+		d.full(ctx)
+	}
+	return finish(fleet, d, o.Keep, began)
+}
+
+// chosen returns the deployment that the options name.
+func chosen(o options) deployment.Deployment {
+	if o.Thin {
+		return deployment.Thin()
+	}
+	return deployment.Institute()
+}
+
+// describe prints what runs.
+func describe(fleet *harness.Fleet, startup time.Duration) {
+	d := fleet.Options.Deployment
+	fmt.Printf("%s in %s: %d entries, %d upstreams each with its side, zones %v; ready after %.1f s\n",
+		d.Name, d.Region, len(fleet.Entries), len(fleet.Upstreams), d.Zones, startup.Seconds())
+}
+
+// finish stops all processes gracefully, judges the trial and prints a summary.
+func finish(fleet *harness.Fleet, d *demo, keep bool, began time.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	stopped := fleet.Stop(ctx)
+	d.report(stopped == nil, "every process stopped on SIGTERM with exit code 0")
+	records, err := fleet.Records()
+	if err != nil {
+		return err
+	}
+	summary := verdict.Judge(d.client, d.exchanges, records)
+	printSummary(summary, time.Since(began))
+	if failure := errors.Join(stopped, d.failure(), violation(summary)); failure != nil {
+		return fmt.Errorf("%w\nsettings, logs and ledgers: %s", failure, fleet.Dir)
+	}
+	if keep {
+		fmt.Println("settings, logs and ledgers:", fleet.Dir)
+		return nil
+	}
+	return fleet.RemoveDir()
+}
+
+// violation returns an error unless the summary is clean.
+func violation(s verdict.Summary) error {
+	if s.Clean() {
+		return nil
+	}
+	return errors.New("something happened that must never happen")
+}
+
+// printSummary prints the counts and every finding.
+func printSummary(s verdict.Summary, total time.Duration) {
+	fmt.Printf("\nby the callers' and the upstreams' own records:\n")
+	fmt.Printf("  sent %d: answered %d, refused %d, failed %d, unknown %d\n",
+		s.Sent, s.Answered, s.NotRun, s.Failed, s.Unknown)
+	fmt.Printf("  lost %d, doubled %d, crossed %d, stray %d, falsely not_run %d\n",
+		s.Lost, s.Doubled, s.Crossed, s.Stray, s.FalseNotRun)
+	for _, finding := range s.Findings {
+		fmt.Println("  !", finding)
+	}
+	fmt.Printf("took %.1f s\n", total.Seconds())
+}
--- /dev/null
+++ b/standin/cmd/demo/requests.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"acaciawinch/core"
+	"acaciawinch/standin/caller"
+)
+
+// roundsOfEachKind is how often each kind of good request is sent.
+const roundsOfEachKind = 12
+
+// oversizeBody is above every entry's limit on bodies.
+const oversizeBody = 8 << 20
+
+// pair names a workspace with one of its pipelines.
+type pair struct {
+	workspace string
+	pipeline  string
+}
+
+// Pairs of the Institute's configuration.
+var (
+	idempotentPairs = []pair{
+		{"pensionistas", "consulta"},
+		{"pensionistas", "vencimiento"},
+		{"ahorristas", "consulta"},
+		{"ahorristas", "vencimiento"},
+		{"sucursales", "sucursal"},
+		{"asesores", "consulta"},
+		{"avisos", "vencimiento"},
+	}
+	nonIdempotentPairs = []pair{
+		{"pensionistas", "redencion"},
+		{"ahorristas", "redencion"},
+		{"sucursales", "redencion"},
+		{"asesores", "aviso"},
+		{"avisos", "aviso"},
+	}
+)
+
+// together sends all requests at once, by turns through the entries, and
+// returns how many were answered whole, with the first other result.
+func (d *demo) together(ctx context.Context, requests []caller.Request) (int, string) {
+	results := make([]caller.Result, len(requests))
+	var group sync.WaitGroup
+	for i, request := range requests {
+		group.Go(func() { results[i] = d.send(ctx, i, request, false) })
+	}
+	group.Wait()
+	count := 0
+	other := ""
+	for _, result := range results {
+		if answered(result) {
+			count++
+		} else if other == "" {
+			other = "; other: " + describeResult(result)
+		}
+	}
+	return count, other
+}
+
+// requestsOf returns rounds of requests of each pair, keyed if key is not empty.
+func (d *demo) requestsOf(pairs []pair, key string) []caller.Request {
+	var requests []caller.Request
+	for round := range roundsOfEachKind {
+		for i, p := range pairs {
+			r := caller.Request{
+				Workspace: p.workspace,
+				Pipeline:  p.pipeline,
+				Body:      d.body("¿Qué dice mi cuenta?"),
+				Stream:    round%2 == 1,
+			}
+			if key != "" {
+				r.Key = fmt.Sprintf("%s-%d-%d", key, round, i)
+			}
+			requests = append(requests, r)
+		}
+	}
+	return requests
+}
+
+// idempotent sends idempotent requests through all entries.
+func (d *demo) idempotent(ctx context.Context) {
+	requests := d.requestsOf(idempotentPairs, "")
+	count, other := d.together(ctx, requests)
+	d.report(count == len(requests), "idempotent: %d of %d answered%s", count, len(requests), other)
+}
+
+// nonIdempotent sends requests whose pipelines have a non-idempotent stage.
+func (d *demo) nonIdempotent(ctx context.Context) {
+	requests := d.requestsOf(nonIdempotentPairs, "demo")
+	count, other := d.together(ctx, requests)
+	d.report(count == len(requests), "non-idempotent with a key: %d of %d answered%s", count, len(requests), other)
+}
+
+// repeated asks again with the same keys, each through another entry, both after
+// the answer and at the same time.
+func (d *demo) repeated(ctx context.Context) {
+	first := caller.Request{
+		Workspace: "pensionistas",
+		Pipeline:  "redencion",
+		Key:       "repeated-after",
+		Body:      d.body("Quiero redimir mi bono."),
+	}
+	d.send(ctx, 0, first, false)
+	again := d.send(ctx, 1, first, false)
+	d.report(answered(again), "repeated key through another entry: %s", describeResult(again))
+
+	second := first
+	second.Key = "repeated-beside"
+	second.Body = d.body("Quiero redimir mi otro bono.")
+	count, other := d.together(ctx, []caller.Request{second, second, second})
+	d.report(count == 3, "same key through three entries at once: %d of 3 answered%s", count, other)
+}
+
+// badRequest is a request that must be refused before any upstream sees it.
+type badRequest struct {
+	name    string
+	request caller.Request
+	status  int
+}
+
+// refused sends bad requests of every kind.
+func (d *demo) refused(ctx context.Context) {
+	for _, b := range d.badRequests() {
+		result := d.send(ctx, 0, b.request, true)
+		ok := result.Verdict == caller.Problem &&
+			result.Outcome == core.OutcomeNotRun && result.Status == b.status
+		d.report(ok, "refused, %s: %s", b.name, describeResult(result))
+	}
+}
+
+// badRequests returns one bad request of every kind.
+func (d *demo) badRequests() []badRequest {
+	good := func() caller.Request {
+		return caller.Request{
+			Workspace: "pensionistas",
+			Pipeline:  "consulta",
+			Body:      d.body("¿Cuándo vence mi bono?"),
+		}
+	}
+	badJSON := good()
+	badJSON.Body = bytes.TrimSuffix(badJSON.Body, []byte("}"))
+	unknownWorkspace := good()
+	unknownWorkspace.Workspace = "nobody"
+	unknownPipeline := good()
+	unknownPipeline.Pipeline = "nothing"
+	otherPipeline := good()
+	otherPipeline.Pipeline = "aviso"
+	oversize := good()
+	oversize.Body = d.body(strings.Repeat("a", oversizeBody))
+	method := good()
+	method.Method = http.MethodPut
+	noTime := good()
+	noTime.DeadlineMS = "0"
+	return []badRequest{
+		{"bad JSON", badJSON, http.StatusBadRequest},
+		{"unknown workspace", unknownWorkspace, http.StatusNotFound},
+		{"unknown pipeline", unknownPipeline, http.StatusNotFound},
+		{"another workspace's pipeline", otherPipeline, http.StatusNotFound},
+		{"oversize body", oversize, http.StatusRequestEntityTooLarge},
+		{"wrong method", method, http.StatusMethodNotAllowed},
+		{"deadline 0", noTime, http.StatusBadRequest},
+	}
+}
+
+// explain prints what the operators' command tells about one request.
+func (d *demo) explain(ctx context.Context, id string) {
+	output, err := d.fleet.Command(ctx, "explain", id)
+	d.report(err == nil && strings.Contains(output, id), "explain %s: %v", id, err)
+	fmt.Println(strings.TrimSpace(output))
+}
--- /dev/null
+++ b/standin/harness/files.go
@@ -0,0 +1,54 @@
+package harness
+
+import (
+	"encoding/json"
+	"os"
+
+	"acaciawinch/core/fleet"
+)
+
+// HostList returns the true host list.
+func (f *Fleet) HostList() fleet.List {
+	list := fleet.List{Version: 1}
+	for i, e := range f.Options.Deployment.EntryList() {
+		list.Hosts = append(list.Hosts, fleet.Host{
+			Name:   e.Name,
+			Role:   fleet.RoleEntry,
+			Zone:   e.Zone,
+			Region: f.Options.Deployment.Region,
+			Addr:   f.Entries[i].listen.fleet,
+		})
+	}
+	for _, u := range f.Upstreams {
+		list.Hosts = append(list.Hosts, fleet.Host{
+			Name:    u.Name,
+			Role:    fleet.RoleUpstream,
+			Service: u.Group.Service,
+			Zone:    u.Zone,
+			Region:  f.Options.Deployment.Region,
+			Addr:    u.listen.fleet,
+		})
+	}
+	return list
+}
+
+// writeHosts writes the first host list.
+func (f *Fleet) writeHosts() error {
+	data, err := json.MarshalIndent(f.HostList(), "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.settingsPath("hosts.json"), data, 0o600)
+}
+
+// writeCommand writes the settings of the operators' command.
+func (f *Fleet) writeCommand() error {
+	settings := commandSettings{
+		Platform: platformTable{Objects: f.objectsURL, Hosts: f.hostsURL},
+		Fleet:    fleetTable{Key: fleetKey},
+	}
+	for _, entry := range f.Entries {
+		settings.Entries.Admin = append(settings.Entries.Admin, entry.AdminURL)
+	}
+	return writeSettings(f.settingsPath("acaciawinch.toml"), settings, "")
+}
--- /dev/null
+++ b/standin/harness/prepare.go
@@ -0,0 +1,276 @@
+package harness
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"acaciawinch/standin/deployment"
+)
+
+// prepare lays out the folder, the addresses and the settings of a trial and
+// starts nothing but its relays.
+func prepare(options Options) (*Fleet, error) {
+	f := &Fleet{Options: options, Dir: options.Dir, ports: newPorts()}
+	steps := []func() error{
+		f.makeDirs,
+		f.preparePlatform,
+		f.prepareEntries,
+		f.prepareUpstreams,
+		f.writeHosts,
+		f.writeCommand,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			for _, relay := range f.relays {
+				relay.Close()
+			}
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// makeDirs makes the trial's folder with its parts.
+func (f *Fleet) makeDirs() error {
+	if f.Dir == "" {
+		dir, err := os.MkdirTemp("", "acaciawinch-trial-")
+		if err != nil {
+			return err
+		}
+		f.Dir = dir
+		f.temporary = true
+	}
+	for _, part := range []string{"settings", "logs", "ledgers"} {
+		if err := os.MkdirAll(filepath.Join(f.Dir, part), 0o755); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// binary returns the path of a built program.
+func (f *Fleet) binary(name string) string {
+	dir := f.Options.Bin
+	if dir == "" {
+		dir = os.Getenv(BinEnvironment)
+	}
+	if dir == "" {
+		dir = "bin"
+	}
+	return filepath.Join(dir, name)
+}
+
+// process returns a process that has not been started.
+func (f *Fleet) process(name, binary, readyURL string, args ...string) *Process {
+	return &Process{
+		Name:     name,
+		Log:      filepath.Join(f.Dir, "logs", name+".log"),
+		ReadyURL: readyURL,
+		path:     f.binary(binary),
+		args:     args,
+	}
+}
+
+// settingsPath returns the path of a process's settings.
+func (f *Fleet) settingsPath(name string) string {
+	return filepath.Join(f.Dir, "settings", name)
+}
+
+// addresses returns free addresses for a process's listeners.
+func (f *Fleet) addresses() (addresses, error) {
+	var a addresses
+	for _, address := range []*string{&a.callers, &a.fleet, &a.admin} {
+		var err error
+		if *address, err = f.ports.address(); err != nil {
+			return a, err
+		}
+	}
+	return a, nil
+}
+
+// relay returns a relay to target if wanted, and the address to dial.
+func (f *Fleet) relay(wanted bool, target string) (*Relay, string, error) {
+	if !wanted {
+		return nil, target, nil
+	}
+	address, err := f.ports.address()
+	if err != nil {
+		return nil, "", err
+	}
+	relay, err := NewRelay(address, target)
+	if err != nil {
+		return nil, "", err
+	}
+	f.relays = append(f.relays, relay)
+	return relay, address, nil
+}
+
+// preparePlatform lays out the object API and the host list.
+func (f *Fleet) preparePlatform() error {
+	objects, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	hosts, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	f.objectsURL = "http://" + objects
+	f.hostsURL = "http://" + hosts
+	f.Objects = f.process("objects", "standin", f.objectsURL+"/control/stats",
+		"objects", "--listen", objects)
+	f.Hosts = f.process("hosts", "standin", f.hostsURL+"/v1/hosts",
+		"hosts", "--listen", hosts, "--file", f.settingsPath("hosts.json"),
+		"--lag", f.Options.HostLag.String())
+	return nil
+}
+
+// prepareEntries lays out the entries.
+func (f *Fleet) prepareEntries() error {
+	for _, e := range f.Options.Deployment.EntryList() {
+		entry, err := f.prepareEntry(e)
+		if err != nil {
+			return err
+		}
+		f.Entries = append(f.Entries, entry)
+	}
+	return nil
+}
+
+// prepareEntry lays out one entry.
+func (f *Fleet) prepareEntry(e deployment.Entry) (*Entry, error) {
+	listen, err := f.addresses()
+	if err != nil {
+		return nil, err
+	}
+	entry := &Entry{AdminURL: "http://" + listen.admin}
+	var callers string
+	if entry.Callers, callers, err = f.relay(f.Options.Relays.Callers, listen.callers); err != nil {
+		return nil, err
+	}
+	entry.URL = "http://" + callers
+	if entry.Fleet, entry.listen.fleet, err = f.relay(f.Options.Relays.Fleet, listen.fleet); err != nil {
+		return nil, err
+	}
+	objects, err := f.objectsFor(&entry.Objects)
+	if err != nil {
+		return nil, err
+	}
+	path := f.settingsPath(e.Name + ".toml")
+	entry.Process = f.process(e.Name, "acaciawinchd", entry.AdminURL+"/readyz", "entry", "--config", path)
+	return entry, writeSettings(path, entrySettings{
+		Process:  f.processTable(e.Name, e.Zone),
+		Listen:   listenTable{Callers: listen.callers, Fleet: listen.fleet, Admin: listen.admin},
+		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
+		Fleet:    fleetTable{Key: fleetKey},
+	}, f.Options.EntrySettings)
+}
+
+// objectsFor returns the object API's URL for one process and sets its relay.
+func (f *Fleet) objectsFor(relay **Relay) (string, error) {
+	target := strings.TrimPrefix(f.objectsURL, "http://")
+	made, address, err := f.relay(f.Options.Relays.Objects, target)
+	*relay = made
+	return "http://" + address, err
+}
+
+// processTable returns the [process] table.
+func (f *Fleet) processTable(name, zone string) processTable {
+	level := f.Options.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	return processTable{Name: name, Zone: zone, Region: f.Options.Deployment.Region, LogLevel: level}
+}
+
+// prepareUpstreams lays out the workers with their sides.
+func (f *Fleet) prepareUpstreams() error {
+	for _, u := range f.Options.Deployment.Upstreams() {
+		upstream, err := f.prepareUpstream(u)
+		if err != nil {
+			return err
+		}
+		f.Upstreams = append(f.Upstreams, upstream)
+	}
+	return nil
+}
+
+// prepareUpstream lays out one worker with its side.
+func (f *Fleet) prepareUpstream(u deployment.Upstream) (*Upstream, error) {
+	worker, err := f.ports.address()
+	if err != nil {
+		return nil, err
+	}
+	listen, err := f.addresses()
+	if err != nil {
+		return nil, err
+	}
+	upstream := &Upstream{
+		Upstream:  u,
+		WorkerURL: "http://" + worker,
+		SideURL:   "http://" + listen.admin,
+		Ledger:    filepath.Join(f.Dir, "ledgers", u.Name+".ledger"),
+	}
+	upstream.Worker = f.process(u.Name, "standin", upstream.WorkerURL+"/v1/status",
+		f.workerArgs(u, worker, upstream.Ledger)...)
+	if upstream.Fleet, upstream.listen.fleet, err = f.relay(f.Options.Relays.Fleet, listen.fleet); err != nil {
+		return nil, err
+	}
+	return upstream, f.prepareSide(upstream, worker, listen)
+}
+
+// prepareSide lays out the side beside a worker.
+func (f *Fleet) prepareSide(u *Upstream, worker string, listen addresses) error {
+	var err error
+	if u.Link, worker, err = f.relay(f.Options.Relays.Upstreams, worker); err != nil {
+		return err
+	}
+	objects, err := f.objectsFor(&u.Objects)
+	if err != nil {
+		return err
+	}
+	name := "side-" + u.Name
+	path := f.settingsPath(name + ".toml")
+	u.Side = f.process(name, "acaciawinchd", u.SideURL+"/readyz", "side", "--config", path)
+	return writeSettings(path, sideSettings{
+		Process:  f.processTable(name, u.Zone),
+		Listen:   listenTable{Fleet: listen.fleet, Admin: listen.admin},
+		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
+		Fleet:    fleetTable{Key: fleetKey},
+		Upstream: upstreamTable{
+			Name:    u.Name,
+			Service: u.Group.Service,
+			Kind:    u.Group.Kind,
+			URL:     "http://" + worker,
+		},
+	}, f.Options.SideSettings)
+}
+
+// workerArgs returns the command line of a stand-in upstream.
+func (f *Fleet) workerArgs(u deployment.Upstream, listen, ledger string) []string {
+	fencing := "honour"
+	if u.Group.IgnoreFencing {
+		fencing = "ignore"
+	}
+	return []string{
+		"upstream",
+		"--listen", listen,
+		"--name", u.Name,
+		"--service", u.Group.Service,
+		"--kind", string(u.Group.Kind),
+		"--capacity", strconv.Itoa(u.Group.Capacity),
+		"--service-ms", decimal(u.Group.ServiceMS),
+		"--token-ms", decimal(u.Group.TokenMS),
+		"--first-ms", decimal(u.Group.FirstMS),
+		"--batch-slope", decimal(u.Group.BatchSlope),
+		"--fencing", fencing,
+		"--models", strings.Join(u.Group.Models, ","),
+		"--ledger", ledger,
+		"--report-lag", f.Options.ReportLag.String(),
+	}
+}
+
+// decimal formats a flag's value.
+func decimal(value float64) string { return strconv.FormatFloat(value, 'f', -1, 64) }
