Add a thin entry process

Callers' requests are validated, admitted, walked through their stages on the first choice of the router and answered as JSON or server-sent events with numbered chunks and a closing count and digest. A refusal is a problem document with its outcome.

--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/entry/admit"
+	"acaciawinch/entry/trace"
+)
+
+// Status is what /v1/status tells operators.
+type Status struct {
+	Name        string           `json:"name"`
+	Zone        string           `json:"zone"`
+	Region      string           `json:"region"`
+	Incarnation core.Incarnation `json:"incarnation"`
+	Ready       bool             `json:"ready"`
+	Revision    core.Revision    `json:"revision"`
+	Hosts       int              `json:"hosts"`
+	// PlacementVersion is the version of the placement object.
+	PlacementVersion uint64       `json:"placement_version"`
+	Requests         admit.Counts `json:"requests"`
+	// FleetReadBytes and FleetWrittenBytes count the traffic with other processes.
+	FleetReadBytes    uint64  `json:"fleet_read_bytes"`
+	FleetWrittenBytes uint64  `json:"fleet_written_bytes"`
+	UptimeSeconds     float64 `json:"uptime_seconds"`
+}
+
+// Timeouts of the admin listener.
+const (
+	adminHeaderTimeout = 5 * time.Second
+	adminStopTimeout   = time.Second
+)
+
+// adminOptions are what the admin handler serves.
+type adminOptions struct {
+	ready   func() bool
+	status  func() Status
+	explain func(ctx context.Context, id core.RequestID) (trace.Trace, bool)
+	metrics http.Handler
+}
+
+// newAdmin returns the handler of the admin listener.
+func newAdmin(opts adminOptions) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", opts.metrics)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !opts.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, opts.status())
+	})
+	mux.HandleFunc("GET /v1/explain/{id}", func(w http.ResponseWriter, r *http.Request) {
+		found, ok := opts.explain(r.Context(), core.RequestID(r.PathValue("id")))
+		if !ok {
+			http.Error(w, "no trace of this request is left", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, found)
+	})
+	return mux
+}
+
+// writeJSON answers with one JSON document.
+func writeJSON[T any](w http.ResponseWriter, value T) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the operator may be gone
+}
--- /dev/null
+++ b/entry/admit/listener.go
@@ -0,0 +1,55 @@
+package admit
+
+import (
+	"net"
+	"sync"
+)
+
+// LimitListener returns a listener that holds at most n open connections; more
+// wait in the system's accept queue.
+func LimitListener(listener net.Listener, n int) net.Listener {
+	return &limitListener{Listener: listener, slots: make(chan struct{}, n), closed: make(chan struct{})}
+}
+
+// limitListener takes a slot for each connection before it accepts.
+type limitListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, slots: l.slots}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// limitedConn gives its slot back when it is closed.
+type limitedConn struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { <-c.slots })
+	return err
+}
--- /dev/null
+++ b/entry/callers/submit.go
@@ -0,0 +1,124 @@
+package callers
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/entry/admit"
+	"acaciawinch/entry/pipeline"
+	"acaciawinch/entry/trace"
+)
+
+// When to ask again after a refusal at admission.
+const (
+	retryWhenFull     = time.Second
+	retryWhenDraining = time.Second
+	retryWhenStarting = 2 * time.Second
+)
+
+// submit admits and runs one request.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	started := s.opts.Now()
+	request, problem := s.validate(w, r)
+	if problem != nil {
+		s.refuse(w, r, *problem)
+		return
+	}
+	stream := strings.Contains(r.Header.Get("Accept"), "text/event-stream")
+	ticket, problem := s.enter(request, stream)
+	if problem != nil {
+		s.refuse(w, r, *problem)
+		return
+	}
+	defer ticket.Leave()
+	s.run(w, r, request, stream, started)
+}
+
+// enter takes a place at the gate.
+func (s *Server) enter(request pipeline.Request, stream bool) (*admit.Ticket, *Problem) {
+	state, _, _ := s.opts.State()
+	share := admit.Share(request.Workspace.MaxInFlight, s.opts.Name, state.Hosts())
+	ticket, refusal := s.opts.Gate.Enter(request.Workspace.Name, share, stream)
+	switch refusal {
+	case admit.Admitted:
+		return ticket, nil
+	case admit.WorkspaceFull:
+		p := refuse(http.StatusTooManyRequests, kindLimit, "admission.workspace", string(refusal)).retryAfter(retryWhenFull)
+		return nil, &p
+	case admit.Draining:
+		p := refuse(http.StatusServiceUnavailable, kindUnavailable, "admission.draining", string(refusal)).retryAfter(retryWhenDraining)
+		return nil, &p
+	}
+	p := refuse(http.StatusServiceUnavailable, kindOverload, "admission.limit", string(refusal)).retryAfter(retryWhenFull)
+	return nil, &p
+}
+
+// run carries out an admitted request and closes its answer.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, request pipeline.Request, stream bool, started time.Time) {
+	s.opts.Traces.Begin(trace.Trace{
+		RequestID:  request.ID,
+		Workspace:  request.Workspace.Name,
+		Pipeline:   request.Template.Name,
+		Revision:   request.Revision,
+		AdmittedAt: started,
+	})
+	s.opts.Journal.Admitted(request, stream)
+	w.Header().Set(headerRequestID, string(request.ID))
+	out := s.writer(w, request.ID, stream)
+	result := s.opts.Runner.Run(r.Context(), request, out.chunk)
+	delivered := out.delivered()
+	end := trace.End{
+		Outcome:  result.Outcome,
+		Step:     result.Step,
+		Detail:   result.Detail,
+		Chunks:   delivered.chunks,
+		Digest:   delivered.hex(),
+		Duration: s.opts.Now().Sub(started),
+	}
+	s.opts.Traces.End(request.ID, end)
+	s.opts.Journal.Ended(request, result, end)
+	if result.Outcome == core.OutcomeAnswered {
+		out.done(request.ID)
+		return
+	}
+	out.problem(problemOf(request.ID, result))
+}
+
+// writer returns the writer that the caller asked for.
+func (s *Server) writer(w http.ResponseWriter, id core.RequestID, stream bool) writer {
+	if stream {
+		return newStreamWriter(w, id)
+	}
+	return newJSONWriter(w)
+}
+
+// problemOf returns the problem document of a request that was given up.
+func problemOf(id core.RequestID, result pipeline.Result) Problem {
+	status, kind := http.StatusBadGateway, kindFailed
+	switch result.Cause {
+	case pipeline.CauseOverload:
+		status, kind = http.StatusServiceUnavailable, kindOverload
+	case pipeline.CauseUnavailable:
+		status, kind = http.StatusServiceUnavailable, kindUnavailable
+	case pipeline.CauseDeadline:
+		status, kind = http.StatusGatewayTimeout, kindDeadline
+	}
+	if result.Outcome == core.OutcomeUnknown {
+		kind = kindUnknown
+	}
+	p := refuse(status, kind, result.Step, result.Detail)
+	p.Outcome = result.Outcome
+	p.RequestID = id
+	if result.RetryAfter > 0 {
+		p = p.retryAfter(result.RetryAfter)
+	}
+	return p
+}
+
+// newID returns a new request id.
+func (s *Server) newID() core.RequestID {
+	return core.RequestID(fmt.Sprintf("%s-%016x", s.opts.Name, s.opts.NewID()))
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"acaciawinch/entry/admit"
+	"acaciawinch/entry/callers"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+)
+
+// Timeouts of the callers' listener.
+const (
+	callersHeaderTimeout = 5 * time.Second
+	callersReadTimeout   = 15 * time.Second
+	callersIdleTimeout   = 60 * time.Second
+	// refuseFor is how long a draining process goes on refusing new requests
+	// after its last one ended, so that the balancer sees that it isn't ready.
+	refuseFor = 500 * time.Millisecond
+)
+
+// servers are the two HTTP servers.
+type servers struct {
+	callers *http.Server
+	admin   *http.Server
+	open    listeners
+}
+
+// newServers builds the HTTP servers.
+func newServers(p *process, open listeners) *servers {
+	limits := p.settings.Limits
+	handler := callers.New(callers.Options{
+		Name:        p.settings.Process.Name,
+		State:       p.callersState,
+		Runner:      p.runner,
+		Finder:      p.finder,
+		Traces:      p.traces,
+		Gate:        p.gate,
+		BodyBytes:   limits.BodyBytes,
+		HeaderBytes: limits.HeaderBytes,
+		NewID:       rand.Uint64,
+		Now:         time.Now,
+		Journal:     journal{logger: p.logger, scope: p.metrics.Scope()},
+	})
+	open.callers = admit.LimitListener(open.callers, limits.Connections)
+	return &servers{
+		open: open,
+		callers: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: callersHeaderTimeout,
+			ReadTimeout:       callersReadTimeout,
+			IdleTimeout:       callersIdleTimeout,
+			// The handler refuses large headers itself, with a problem document.
+			MaxHeaderBytes: 2*limits.HeaderBytes + 4096,
+		},
+		admin: &http.Server{
+			ReadHeaderTimeout: adminHeaderTimeout,
+			Handler: newAdmin(adminOptions{
+				ready:   p.ready,
+				status:  p.status,
+				explain: p.finder.Trace,
+				metrics: p.metrics.Handler(),
+			}),
+		},
+	}
+}
+
+// serveAdmin serves operators until shutdown.
+func (s *servers) serveAdmin() error { return serveHTTP(s.admin, s.open.admin) }
+
+// serveCallers serves callers until shutdown.
+func (s *servers) serveCallers() error { return serveHTTP(s.callers, s.open.callers) }
+
+// serveHTTP serves until the server is shut down.
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// shutdown closes both servers. Answers that are being written are finished.
+func (s *servers) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx)
+	_ = s.admin.Shutdown(ctx)
+}
+
+// drain ends the admission of requests and waits until none is in flight, or the
+// bound passes. New requests are refused truthfully all the while.
+func (p *process) drain() {
+	idle := p.gate.Drain()
+	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.gate.Counts().InFlight})
+	bound := time.NewTimer(time.Duration(p.settings.Limits.DrainSeconds) * time.Second)
+	defer bound.Stop()
+	linger := time.NewTimer(refuseFor)
+	defer linger.Stop()
+	select {
+	case <-idle:
+	case <-bound.C:
+	}
+	<-linger.C
+}
+
+// ignoreCancelled returns err unless it only says that a context ended.
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"net/netip"
+
+	"acaciawinch/core/fault"
+)
+
+// settingsStep is the step of errors in the settings.
+const settingsStep = "settings.validate"
+
+// Settings are the entry's TOML settings. Every field has a default but those
+// marked required.
+type Settings struct {
+	Process  ProcessSettings  `toml:"process"`
+	Listen   ListenSettings   `toml:"listen"`
+	Platform PlatformSettings `toml:"platform"`
+	Fleet    FleetSettings    `toml:"fleet"`
+	Limits   LimitSettings    `toml:"limits"`
+	Routing  RoutingSettings  `toml:"routing"`
+	Feed     FeedSettings     `toml:"feed"`
+}
+
+// ProcessSettings say who and where this process is.
+type ProcessSettings struct {
+	// Name is the entry's name in the host list.
+	Name   string `toml:"name" required:"true"`
+	Zone   string `toml:"zone" required:"true"`
+	Region string `toml:"region"`
+	// LogLevel is debug, info, warn or error; info if empty.
+	LogLevel string `toml:"log_level"`
+}
+
+// ListenSettings are the IP:port addresses of the three listeners.
+type ListenSettings struct {
+	// Callers serves HTTP to callers.
+	Callers string `toml:"callers" required:"true"`
+	// Fleet serves drpc to other processes of the fleet.
+	Fleet string `toml:"fleet"`
+	// Admin serves health, metrics and explanations to operators.
+	Admin string `toml:"admin" required:"true"`
+}
+
+// PlatformSettings are the base URLs of the platform's services.
+type PlatformSettings struct {
+	Objects string `toml:"objects" required:"true"`
+	Hosts   string `toml:"hosts" required:"true"`
+}
+
+// FleetSettings are shared by all processes of one fleet.
+type FleetSettings struct {
+	// Key is sent with every call between processes.
+	Key string `toml:"key" required:"true"`
+}
+
+// LimitSettings bound what the entry holds at once.
+type LimitSettings struct {
+	// BodyBytes bounds a request's body; HeaderBytes the sum of its headers.
+	BodyBytes   int `toml:"body_bytes"`
+	HeaderBytes int `toml:"header_bytes"`
+	// Connections bounds the open connections of callers.
+	Connections int `toml:"connections"`
+	// InFlight bounds the requests in progress; Streams those of them that are
+	// answered by server-sent events.
+	InFlight int `toml:"in_flight"`
+	Streams  int `toml:"streams"`
+	// Traces is how many requests' traces are kept for explanations.
+	Traces int `toml:"traces"`
+	// DrainSeconds bounds how long a planned stop waits for requests in flight.
+	DrainSeconds int `toml:"drain_seconds"`
+}
+
+// RoutingSettings tune the choice of upstreams, retries and hedges.
+type RoutingSettings struct {
+	// Policy names how an upstream is chosen; see route.Settings.
+	Policy string `toml:"policy"`
+	// HedgePercent is the share of stage calls that may be hedged, and
+	// RetryPercent the share that may be retried, in percent.
+	HedgePercent float64 `toml:"hedge_percent"`
+	RetryPercent float64 `toml:"retry_percent"`
+}
+
+// FeedSettings tune the spreading of the fleet's state.
+type FeedSettings struct {
+	// RelaysPerZone is how many entries of a zone watch the platform.
+	RelaysPerZone int `toml:"relays_per_zone"`
+}
+
+// Default values and upper bounds of the settings.
+const (
+	defaultBodyBytes     = 1 << 20
+	defaultHeaderBytes   = 16 << 10
+	defaultConnections   = 4096
+	defaultInFlight      = 1024
+	defaultStreams       = 1024
+	defaultTraces        = 2000
+	defaultDrainSeconds  = 30
+	defaultHedgePercent  = 2
+	defaultRetryPercent  = 10
+	defaultRelaysPerZone = 2
+	maxBodyBytes         = 16 << 20
+	maxHeaderBytes       = 1 << 20
+	maxCount             = 1 << 20
+)
+
+// Defaults returns settings with every optional value filled in.
+func Defaults() Settings {
+	return Settings{
+		Process: ProcessSettings{LogLevel: "info"},
+		Limits: LimitSettings{
+			BodyBytes:    defaultBodyBytes,
+			HeaderBytes:  defaultHeaderBytes,
+			Connections:  defaultConnections,
+			InFlight:     defaultInFlight,
+			Streams:      defaultStreams,
+			Traces:       defaultTraces,
+			DrainSeconds: defaultDrainSeconds,
+		},
+		Routing: RoutingSettings{
+			HedgePercent: defaultHedgePercent,
+			RetryPercent: defaultRetryPercent,
+		},
+		Feed: FeedSettings{RelaysPerZone: defaultRelaysPerZone},
+	}
+}
+
+// bound is the range of one setting.
+type bound struct {
+	key      string
+	value    int
+	min, max int
+}
+
+// Validate checks the ranges. Errors have code Invalid and name the key.
+func (s Settings) Validate() error {
+	bounds := []bound{
+		{"limits.body_bytes", s.Limits.BodyBytes, 1, maxBodyBytes},
+		{"limits.header_bytes", s.Limits.HeaderBytes, 256, maxHeaderBytes},
+		{"limits.connections", s.Limits.Connections, 1, maxCount},
+		{"limits.in_flight", s.Limits.InFlight, 1, maxCount},
+		{"limits.streams", s.Limits.Streams, 1, maxCount},
+		{"limits.traces", s.Limits.Traces, 1, maxCount},
+		{"limits.drain_seconds", s.Limits.DrainSeconds, 1, 3600},
+		{"routing.hedge_percent", int(s.Routing.HedgePercent), 0, 100},
+		{"routing.retry_percent", int(s.Routing.RetryPercent), 0, 100},
+		{"feed.relays_per_zone", s.Feed.RelaysPerZone, 1, 100},
+	}
+	for _, b := range bounds {
+		if b.value < b.min || b.value > b.max {
+			return fault.New(fault.Invalid, settingsStep, "", "%s: %d is not within %d to %d", b.key, b.value, b.min, b.max)
+		}
+	}
+	addresses := []struct{ key, value string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.fleet", s.Listen.Fleet},
+		{"listen.admin", s.Listen.Admin},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fault.New(fault.Invalid, settingsStep, "", "%s: %q is not IP:port", a.key, a.value)
+		}
+	}
+	return nil
+}
