--- /dev/null
+++ b/acaciawinch/command.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/settings"
+)
+
+// Exit codes.
+const (
+	exitDone        = 0
+	exitFailed      = 1
+	exitBadInput    = 2
+	exitConflict    = 3
+	exitUnavailable = 4
+)
+
+// defaultTimeout bounds a whole command.
+const defaultTimeout = 30 * time.Second
+
+// options are the flags that every command has.
+type options struct {
+	Config  string        `long:"config" value-name:"FILE" default:"acaciawinch.toml" description:"TOML file with the settings of this command"`
+	Output  string        `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"time for the whole command"`
+}
+
+// env is what a command works with.
+type env struct {
+	ctx  context.Context
+	opts options
+	out  io.Writer
+}
+
+// exitError ends the command with a code. Its text was printed if printed is set.
+type exitError struct {
+	code    int
+	err     error
+	printed bool
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// badInput returns an error for what the operator must change.
+func badInput(err error) error { return &exitError{code: exitBadInput, err: err} }
+
+// run carries out one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	e := &env{ctx: ctx, out: stdout, opts: options{Timeout: defaultTimeout}}
+	err := e.parse(args)
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, help.Message)
+		return exitDone
+	}
+	var exit *exitError
+	if err != nil && !(errors.As(err, &exit) && exit.printed) {
+		fmt.Fprintln(stderr, err)
+	}
+	return exitCode(err)
+}
+
+// parse reads the flags and runs the named command.
+func (e *env) parse(args []string) error {
+	parser := flags.NewNamedParser("acaciawinch", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "operate an acaciawinch fleet"
+	if _, err := parser.AddGroup("Options", "", &e.opts); err != nil {
+		return err
+	}
+	for _, c := range commands(e) {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return err
+		}
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return badInput(fmt.Errorf("unexpected arguments %q", rest))
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, e.opts.Timeout)
+		defer cancel()
+		e.ctx = ctx
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	return err
+}
+
+// exitCode returns the code that err ends the command with.
+func exitCode(err error) int {
+	var exit *exitError
+	var usage *flags.Error
+	var problems settings.Problems
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &usage), errors.As(err, &problems):
+		return exitBadInput
+	}
+	switch fault.CodeOf(err) {
+	case fault.Invalid, fault.NotFound:
+		return exitBadInput
+	case fault.Conflict:
+		return exitConflict
+	case fault.Unavailable, fault.Ambiguous, fault.DeadlineExceeded, fault.Cancelled:
+		return exitUnavailable
+	}
+	return exitFailed
+}
+
+// commandSpec describes one command.
+type commandSpec struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+// commands returns all commands.
+func commands(e *env) []commandSpec {
+	return []commandSpec{
+		{"validate", "check declarations without applying them", "Checks the files together, as if nothing else were declared.", &validateCommand{env: e}},
+		{"apply", "make declarations the configuration in force", "Adds or replaces what the files declare; the rest stays unless --prune is given.", &applyCommand{env: e}},
+		{"get", "print the configuration", "Prints the configuration, as TOML that apply accepts or as JSON.", &getCommand{env: e}},
+		{"history", "list accepted changes", "Lists accepted changes, the latest first.", &historyCommand{env: e}},
+		{"rollback", "bring back an earlier configuration", "Accepts a new change with the content of an earlier revision.", &rollbackCommand{env: e}},
+	}
+}
--- /dev/null
+++ b/acaciawinch/history.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/config/accept"
+	"acaciawinch/feed/store"
+)
+
+// historyCommand lists accepted changes.
+type historyCommand struct {
+	env   *env
+	Limit int `long:"limit" default:"20" description:"how many changes are listed"`
+}
+
+// entry is one accepted change as history prints it.
+type entry struct {
+	Revision core.Revision `json:"revision"`
+	ChangeID string        `json:"change_id"`
+	Author   string        `json:"author"`
+	Note     string        `json:"note,omitempty"`
+	// Parts counts the parts that differ from the change before.
+	Parts int `json:"parts"`
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	api, err := c.env.objects()
+	if err != nil {
+		return err
+	}
+	reader := store.NewReader(api)
+	head, _, err := reader.Head(c.env.ctx)
+	if err != nil {
+		return err
+	}
+	var heads []config.Head
+	err = reader.Walk(c.env.ctx, head, func(h config.Head) bool {
+		heads = append(heads, h)
+		return len(heads) <= c.Limit
+	})
+	if err != nil {
+		return err
+	}
+	entries := entriesOf(heads, c.Limit)
+	return c.env.print(entries, historyText(entries))
+}
+
+// entriesOf returns at most limit entries; heads may hold one more, to compare
+// the last one with.
+func entriesOf(heads []config.Head, limit int) []entry {
+	entries := []entry{}
+	for i, head := range heads {
+		if i == limit {
+			break
+		}
+		before := config.Empty().Head("", "", "")
+		if i+1 < len(heads) {
+			before = heads[i+1]
+		}
+		entries = append(entries, entry{head.Revision, head.ChangeID, head.Author, head.Note, partsChanged(before, head)})
+	}
+	return entries
+}
+
+// partsChanged counts the parts in which two heads differ.
+func partsChanged(before, after config.Head) int {
+	changed := 0
+	if before.Templates != after.Templates {
+		changed++
+	}
+	for i := range after.Shards {
+		if before.Shards[i] != after.Shards[i] {
+			changed++
+		}
+	}
+	return changed
+}
+
+// historyText returns one line for each entry.
+func historyText(entries []entry) string {
+	lines := []string{fmt.Sprintf("%8s  %-36s  %-12s  %5s  %s", "REVISION", "CHANGE", "AUTHOR", "PARTS", "NOTE")}
+	for _, e := range entries {
+		lines = append(lines, fmt.Sprintf("%8d  %-36s  %-12s  %5d  %s", e.Revision, e.ChangeID, e.Author, e.Parts, e.Note))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// rollbackCommand brings back an earlier configuration.
+type rollbackCommand struct {
+	env  *env
+	Note string `long:"note" description:"why the change is made, for the history"`
+	Args struct {
+		Revision uint64 `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander. What drained upstreams the earlier
+// revision had is not brought back: a drain is about the present.
+func (c *rollbackCommand) Execute([]string) error {
+	api, err := c.env.objects()
+	if err != nil {
+		return err
+	}
+	present, head, err := snapshotAt(c.env.ctx, api, 0)
+	if err != nil {
+		return err
+	}
+	target, _, err := snapshotAt(c.env.ctx, api, core.Revision(c.Args.Revision))
+	if err != nil {
+		return err
+	}
+	change := config.Compare(present, target)
+	change.Drain, change.Undrain = nil, nil
+	note := c.Note
+	if note == "" {
+		note = fmt.Sprintf("rollback to revision %d", c.Args.Revision)
+	}
+	request := accept.Request{Note: note, Change: change, Base: &head}
+	return c.env.acceptChange(api, request, config.Problem.String)
+}
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -44,15 +44,15 @@
 func (s *Snapshot) Change(c Change, revision core.Revision, id string) *Snapshot {
 	next := *s
 	next.revision, next.changeID = revision, id
-	if c.touchesTemplates() {
+	if c.TouchesTemplates() {
 		next.setTemplates(c.templates(s.templates))
 	}
 	next.edit(c.PutWorkspaces, c.RemoveWorkspaces)
 	return &next
 }
 
-// touchesTemplates tells whether anything but workspaces is touched.
-func (c Change) touchesTemplates() bool {
+// TouchesTemplates tells whether anything but workspaces is touched.
+func (c Change) TouchesTemplates() bool {
 	return len(c.PutTemplates)+len(c.RemoveTemplates)+len(c.PutModels)+len(c.RemoveModels)+len(c.Drain)+len(c.Undrain) > 0
 }
 
@@ -94,7 +94,7 @@
 
 // Empty tells whether the change touches nothing.
 func (c Change) Empty() bool {
-	return !c.touchesTemplates() && len(c.PutWorkspaces)+len(c.RemoveWorkspaces) == 0
+	return !c.TouchesTemplates() && len(c.PutWorkspaces)+len(c.RemoveWorkspaces) == 0
 }
 
 // Shards returns which shards the change touches, in order.
@@ -170,3 +170,13 @@
 	}
 	return names
 }
+
+// Prune returns the change with the removal of every template, model and
+// workspace of s that it doesn't put.
+func (s *Snapshot) Prune(c Change) Change {
+	wanted := NewSnapshot(s.revision, s.changeID,
+		Templates{Templates: c.PutTemplates, Models: c.PutModels, Drained: s.templates.Drained}, c.PutWorkspaces)
+	removed := Compare(s, wanted)
+	c.RemoveTemplates, c.RemoveModels, c.RemoveWorkspaces = removed.RemoveTemplates, removed.RemoveModels, removed.RemoveWorkspaces
+	return c
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -23,15 +23,15 @@
 	Service string    `json:"service" toml:"service"`
 	Kind    StageKind `json:"kind" toml:"kind"`
 	// NonIdempotent marks a stage that must run at most once for a request.
-	NonIdempotent bool `json:"non_idempotent,omitempty" toml:"non_idempotent"`
+	NonIdempotent bool `json:"non_idempotent,omitempty" toml:"non_idempotent,omitempty"`
 	// Model and Version name what an engine must have loaded; empty for others.
-	Model   string `json:"model,omitempty" toml:"model"`
-	Version string `json:"version,omitempty" toml:"version"`
+	Model   string `json:"model,omitempty" toml:"model,omitempty"`
+	Version string `json:"version,omitempty" toml:"version,omitempty"`
 	// MaxTokens bounds the output of an engine stage.
-	MaxTokens int `json:"max_tokens,omitempty" toml:"max_tokens"`
+	MaxTokens int `json:"max_tokens,omitempty" toml:"max_tokens,omitempty"`
 	// ExpectedMS is the declared median service time in milliseconds, used until
 	// a measured one is known.
-	ExpectedMS int `json:"expected_ms,omitempty" toml:"expected_ms"`
+	ExpectedMS int `json:"expected_ms,omitempty" toml:"expected_ms,omitempty"`
 }
 
 // Template is a pipeline of 3 to 6 stages.
@@ -49,11 +49,11 @@
 type StageParameters struct {
 	Pipeline  string `json:"pipeline" toml:"pipeline"`
 	Stage     string `json:"stage" toml:"stage"`
-	Model     string `json:"model,omitempty" toml:"model"`
-	Version   string `json:"version,omitempty" toml:"version"`
-	MaxTokens int    `json:"max_tokens,omitempty" toml:"max_tokens"`
+	Model     string `json:"model,omitempty" toml:"model,omitempty"`
+	Version   string `json:"version,omitempty" toml:"version,omitempty"`
+	MaxTokens int    `json:"max_tokens,omitempty" toml:"max_tokens,omitempty"`
 	// Prefix is put before the stage's input; engines cache it.
-	Prefix string `json:"prefix,omitempty" toml:"prefix"`
+	Prefix string `json:"prefix,omitempty" toml:"prefix,omitempty"`
 }
 
 // Workspace is one customer's parameters.
@@ -62,15 +62,15 @@
 	// Pipelines are the templates that the workspace may call.
 	Pipelines []string `json:"pipelines" toml:"pipelines"`
 	// Priority orders the queues of the upstreams; higher is served first.
-	Priority int `json:"priority,omitempty" toml:"priority"`
+	Priority int `json:"priority,omitempty" toml:"priority,omitempty"`
 	// Weight is the workspace's share among those of equal priority, at least 1.
 	Weight int `json:"weight" toml:"weight"`
 	// DeadlineMS replaces the templates' default deadline if not zero.
-	DeadlineMS int `json:"deadline_ms,omitempty" toml:"deadline_ms"`
+	DeadlineMS int `json:"deadline_ms,omitempty" toml:"deadline_ms,omitempty"`
 	// MaxInFlight bounds the workspace's requests in progress over the whole
 	// fleet; zero means no bound.
-	MaxInFlight int               `json:"max_in_flight,omitempty" toml:"max_in_flight"`
-	Stages      []StageParameters `json:"stages,omitempty" toml:"stages"`
+	MaxInFlight int               `json:"max_in_flight,omitempty" toml:"max_in_flight,omitempty"`
+	Stages      []StageParameters `json:"stages,omitempty" toml:"stages,omitempty"`
 }
 
 // Model is a model version that the fleet should keep loaded.
@@ -86,7 +86,7 @@
 // Templates is the part of the configuration that all workspaces share.
 type Templates struct {
 	Templates []Template `json:"templates" toml:"templates"`
-	Models    []Model    `json:"models,omitempty" toml:"models"`
+	Models    []Model    `json:"models,omitempty" toml:"models,omitempty"`
 	// Drained names upstreams that operators have taken out.
-	Drained []string `json:"drained,omitempty" toml:"drained"`
+	Drained []string `json:"drained,omitempty" toml:"drained,omitempty"`
 }
--- /dev/null
+++ b/core/config/validate_stage.go
@@ -0,0 +1,80 @@
+package config
+
+import "fmt"
+
+// template checks one template.
+func (v *validator) template(t Template) {
+	v.begin(SectionTemplates, t.Name)
+	v.isName("name", t.Name)
+	v.inRange("max_deadline_ms", t.MaxDeadlineMS, 1, MaxDeadlineMS)
+	v.inRange("deadline_ms", t.DeadlineMS, 1, max(t.MaxDeadlineMS, 1))
+	if len(t.Stages) < MinStages || len(t.Stages) > MaxStages {
+		v.reject("stages", "must be %d to %d, are %d", MinStages, MaxStages, len(t.Stages))
+	}
+	seen := map[string]bool{}
+	expected := 0
+	for i, stage := range t.Stages {
+		key := fmt.Sprintf("stages[%d].", i)
+		if seen[stage.Name] {
+			v.reject(key+"name", "%q stands twice", stage.Name)
+		}
+		seen[stage.Name] = true
+		expected += stage.ExpectedMS
+		v.stage(key, stage)
+	}
+	if expected > t.DeadlineMS {
+		v.reject("deadline_ms", "is %d, but the stages are expected to take %d", t.DeadlineMS, expected)
+	}
+}
+
+// stage checks one stage of a template.
+func (v *validator) stage(key string, s Stage) {
+	v.isName(key+"name", s.Name)
+	v.isName(key+"service", s.Service)
+	v.inRange(key+"expected_ms", s.ExpectedMS, 0, MaxDeadlineMS)
+	switch s.Kind {
+	case KindEngine:
+		v.engineStage(key, s)
+	case KindPool, KindService:
+		v.plainStage(key, s)
+	default:
+		v.reject(key+"kind", "must be %q, %q or %q, is %q", KindEngine, KindPool, KindService, s.Kind)
+	}
+}
+
+// engineStage checks what only a stage on a model engine has.
+func (v *validator) engineStage(key string, s Stage) {
+	v.inRange(key+"max_tokens", s.MaxTokens, 1, MaxTokens)
+	v.isDeclared(key, s.Model, s.Version, s.Service)
+	if s.NonIdempotent {
+		v.reject(key+"non_idempotent", "a generation changes nothing and may be repeated; mark the stage of the service that acts")
+	}
+}
+
+// isDeclared rejects a model version that no engine is told to load.
+func (v *validator) isDeclared(key, model, version, service string) {
+	if model == "" {
+		v.reject(key+"model", "missing: an engine stage names its model")
+		return
+	}
+	if version == "" {
+		v.reject(key+"version", "missing: an engine stage names its model's version")
+		return
+	}
+	if m := (Model{Name: model, Version: version, Service: service}); !v.models[m.Key()] {
+		v.reject(key+"model", "%s is not among the declared models", m.Key())
+	}
+}
+
+// plainStage rejects what only engine stages may have.
+func (v *validator) plainStage(key string, s Stage) {
+	if s.Model != "" || s.Version != "" {
+		v.reject(key+"model", "only engine stages have a model")
+	}
+	if s.MaxTokens != 0 {
+		v.reject(key+"max_tokens", "only engine stages have a token limit")
+	}
+	if s.Kind == KindPool && s.NonIdempotent {
+		v.reject(key+"non_idempotent", "only service stages may be non-idempotent")
+	}
+}
--- a/feed/direct.go
+++ b/feed/direct.go
@@ -12,6 +12,7 @@
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fleet"
 	"acaciawinch/core/placement"
+	"acaciawinch/feed/store"
 )
 
 // planKey names the object that holds the desired placement.
@@ -73,14 +74,8 @@
 	if old := f.State(); old != nil {
 		known = old.config
 	}
-	object, err := f.opts.Objects.Get(ctx, config.HeadKey)
-	if fault.Is(err, fault.NotFound) {
-		return known, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	head, err := config.DecodeHead(object.Value)
+	reader := store.NewReader(f.opts.Objects)
+	head, _, err := reader.Head(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -91,16 +86,7 @@
 	if f.opts.Role != fleet.RoleEntry {
 		snapshot = snapshot.WithoutWorkspaces()
 	}
-	for _, hash := range snapshot.Missing() {
-		part, err := f.opts.Objects.Get(ctx, config.PartKey(hash))
-		if err != nil {
-			return nil, err
-		}
-		if snapshot, err = snapshot.WithPart(hash, part.Value); err != nil {
-			return nil, err
-		}
-	}
-	return snapshot, nil
+	return reader.Load(ctx, snapshot)
 }
 
 // readPlan returns the desired placement, with version zero if there is none.
--- /dev/null
+++ b/feed/store/store.go
@@ -0,0 +1,69 @@
+// Package store reads the configuration from the platform's object API.
+package store
+
+import (
+	"context"
+
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/platform/objects"
+)
+
+// Reader reads configuration objects. It may be used by many goroutines.
+type Reader struct {
+	api objects.API
+}
+
+// NewReader returns a Reader of api.
+func NewReader(api objects.API) Reader { return Reader{api: api} }
+
+// Head returns the head in force and its object's version. Before the first
+// change it is the empty configuration's, with version 0. One call.
+func (r Reader) Head(ctx context.Context) (config.Head, uint64, error) {
+	object, err := r.api.Get(ctx, config.HeadKey)
+	if fault.Is(err, fault.NotFound) {
+		return config.Empty().Head("", "", ""), 0, nil
+	}
+	if err != nil {
+		return config.Head{}, 0, err
+	}
+	head, err := config.DecodeHead(object.Value)
+	return head, object.Version, err
+}
+
+// Load returns the snapshot with all its parts. One call for each missing part.
+func (r Reader) Load(ctx context.Context, snapshot *config.Snapshot) (*config.Snapshot, error) {
+	for _, hash := range snapshot.Missing() {
+		object, err := r.api.Get(ctx, config.PartKey(hash))
+		if err != nil {
+			return nil, err
+		}
+		snapshot, err = snapshot.WithPart(hash, object.Value)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return snapshot, nil
+}
+
+// Copy returns the immutable copy of a head under its key. One call.
+func (r Reader) Copy(ctx context.Context, key string) (config.Head, error) {
+	object, err := r.api.Get(ctx, key)
+	if err != nil {
+		return config.Head{}, err
+	}
+	return config.DecodeHead(object.Value)
+}
+
+// Walk calls visit with head and each head before it, the latest first, until
+// visit returns false or the first change was visited. One call for each step.
+func (r Reader) Walk(ctx context.Context, head config.Head, visit func(config.Head) bool) error {
+	for head.Revision > 0 && visit(head) && head.Parent != "" {
+		older, err := r.Copy(ctx, head.Parent)
+		if err != nil {
+			return err
+		}
+		head = older
+	}
+	return nil
+}
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -102,7 +102,7 @@
 func (d *decoder) elements(key string, elements []map[string]toml.Primitive, dst reflect.Value) {
 	dst.Set(reflect.MakeSlice(dst.Type(), len(elements), len(elements)))
 	for i, element := range elements {
-		path := fmt.Sprintf("%s[%d]", key, i)
+		path := Element(key, i)
 		if d.isTableValue(path, element) {
 			d.table(path, element, dst.Index(i))
 		}
--- a/settings/lines.go
+++ b/settings/lines.go
@@ -118,3 +118,6 @@
 	}
 	return quote
 }
+
+// Element returns the key of element i of an array of tables.
+func Element(key string, i int) string { return fmt.Sprintf("%s[%d]", key, i) }
