--- /dev/null
+++ b/core/chart/chart_test.go
@@ -0,0 +1,107 @@
+package chart
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/fault"
+)
+
+// allNames are the charts that the system is designed around.
+var allNames = []string{"claim", "config_change", "process", "request", "stage_call", "upstream"}
+
+func TestChartsAreComplete(t *testing.T) {
+	_, err := loaded()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, Names(), allNames)
+}
+
+// TestWalk walks every chart: it reaches each state by events alone, takes each
+// transition, and fires each event in each state that does not allow it.
+func TestWalk(t *testing.T) {
+	for _, name := range Names() {
+		chart := MustLoad(name)
+		events := make(map[Event]bool)
+		for _, transition := range chart.Transitions {
+			events[transition.Event] = true
+		}
+		for _, state := range chart.States {
+			machine := reach(t, chart, state.Name)
+			assert.Equal(t, machine.Final(), state.Final)
+			for event := range events {
+				walk(t, chart, state.Name, event)
+			}
+		}
+	}
+}
+
+// walk fires one event in one state and compares with the chart's file.
+func walk(t *testing.T, chart *Chart, from State, event Event) {
+	t.Helper()
+	machine := reach(t, chart, from)
+	for _, transition := range chart.Transitions {
+		if transition.From == from && transition.Event == event {
+			assert.Assert(t, machine.Allows(event))
+			assert.NilError(t, machine.Fire(event))
+			assert.Equal(t, machine.State(), transition.To)
+			return
+		}
+	}
+	assert.Assert(t, !machine.Allows(event))
+	var refused *fault.Error
+	assert.Assert(t, errors.As(machine.Fire(event), &refused), "%s allows %s in %s", chart.Name, event, from)
+	assert.Equal(t, refused.Step, chart.Name+"."+string(from))
+	assert.Equal(t, refused.Peer, "peer-1")
+	assert.Equal(t, machine.State(), from)
+}
+
+// reach returns a machine that came to a state by a path of events.
+func reach(t *testing.T, chart *Chart, to State) *Machine {
+	t.Helper()
+	path, ok := chart.Path(to)
+	assert.Assert(t, ok)
+	machine := chart.Start("peer-1")
+	for _, event := range path {
+		assert.NilError(t, machine.Fire(event))
+	}
+	assert.Equal(t, machine.State(), to)
+	return machine
+}
+
+// TestBrokenChartsAreRefused shows that each rule of the check can fail.
+func TestBrokenChartsAreRefused(t *testing.T) {
+	head := "name = \"x\"\nmeans = \"m\"\ninitial = \"a\"\n"
+	stateA := "[[state]]\nname = \"a\"\nmeans = \"m\"\n"
+	stateB := "[[state]]\nname = \"b\"\nmeans = \"m\"\nfinal = true\n"
+	move := func(from, event, to string) string {
+		return "[[transition]]\nfrom = \"" + from + "\"\nevent = \"" + event + "\"\nto = \"" + to + "\"\nmeans = \"m\"\n"
+	}
+	good := head + stateA + stateB + move("a", "go", "b")
+	_, err := parse("x.toml", []byte(good))
+	assert.NilError(t, err)
+	broken := map[string]string{
+		"unknown key":           "colour = \"red\"\n" + good,
+		"the name is":           good[len("name = \"x\"\n"):],
+		"not a state":           head + stateB,
+		"stands twice":          good + stateA,
+		"names no state":        good + move("a", "jump", "c"),
+		"leaves the final":      good + move("b", "back", "a"),
+		"event \"go\" in state": good + move("a", "go", "a"),
+		"can't be reached":      good + "[[state]]\nname = \"c\"\nmeans = \"m\"\nfinal = true\n",
+		"nothing leaves it":     head + stateA,
+		"lacks an event":        good + move("a", "", "b"),
+		"lacks a name":          good + "[[state]]\nname = \"c\"\n",
+	}
+	for want, text := range broken {
+		_, err := parse("x.toml", []byte(text))
+		assert.ErrorContains(t, err, want)
+		assert.Assert(t, fault.Is(err, fault.Invalid))
+	}
+}
+
+func TestUnknownChart(t *testing.T) {
+	_, err := Load("absent")
+	assert.Assert(t, fault.Is(err, fault.NotFound))
+}
--- /dev/null
+++ b/core/chart/diagram.go
@@ -0,0 +1,38 @@
+package chart
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Diagram returns the chart as a Mermaid state diagram.
+func (c *Chart) Diagram() string {
+	var b strings.Builder
+	b.WriteString("stateDiagram-v2\n")
+	fmt.Fprintf(&b, "    [*] --> %s\n", c.Initial)
+	for _, t := range c.Transitions {
+		fmt.Fprintf(&b, "    %s --> %s: %s\n", t.From, t.To, t.Event)
+	}
+	for _, state := range c.States {
+		if state.Final {
+			fmt.Fprintf(&b, "    %s --> [*]\n", state.Name)
+		}
+	}
+	return b.String()
+}
+
+// Markdown returns the chart's section of docs/CHARTS.md: meaning, diagram and
+// tables of states and transitions.
+func (c *Chart) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n%s\n\n```mermaid\n%s```\n\n", c.Name, c.Means, c.Diagram())
+	b.WriteString("| state | meaning |\n|---|---|\n")
+	for _, state := range c.States {
+		fmt.Fprintf(&b, "| %s | %s |\n", state.Name, state.Means)
+	}
+	b.WriteString("\n| from | event | to | when |\n|---|---|---|---|\n")
+	for _, t := range c.Transitions {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", t.From, t.Event, t.To, t.Means)
+	}
+	return b.String()
+}
