--- a/acaciawinchd/command.go
+++ b/acaciawinchd/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"acaciawinch/entry"
 	"acaciawinch/side"
 )
 
@@ -35,6 +36,22 @@
 	return side.Run(ctx, settings)
 }
 
+// entryCommand is `acaciawinchd entry`.
+type entryCommand struct {
+	Config string `long:"config" required:"true" value-name:"FILE" description:"TOML settings of the entry process"`
+}
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	settings := entry.Defaults()
+	if err := loadSettings(c.Config, &settings); err != nil {
+		return settingsError{err}
+	}
+	ctx, stop := stopSignal()
+	defer stop()
+	return entry.Run(ctx, settings)
+}
+
 // stopSignal returns a context that ends when the process is asked to stop. A
 // second signal ends the process at once, as the signal's default does.
 func stopSignal() (context.Context, context.CancelFunc) {
@@ -45,6 +62,7 @@
 
 // addCommands adds the roles to parser.
 func addCommands(parser *flags.Parser) {
+	mustAdd(parser, "entry", "Run the entry process of an entry host", &entryCommand{})
 	mustAdd(parser, "side", "Run the side process of one upstream", &sideCommand{})
 }
 
