Apply a workspace's stage parameters and prefix in the thin pipeline

Templates' values were sent as they are, so that engines worked on the wrong input and every request of a workspace with a prefix got another's answer.

Run: make thin, one streamed request of 32 chunks verified byte by byte; it was reported as crossed before.

--- a/entry/pipeline/thin.go
+++ b/entry/pipeline/thin.go
@@ -38,6 +38,8 @@
 	deadline := time.Now().Add(request.Deadline)
 	input := request.Body
 	for i, stage := range request.Template.Stages {
+		stage, prefix := effective(request, stage)
+		input = append([]byte(prefix), input...)
 		chunks, err := r.stage(ctx, request, stage, input, time.Until(deadline))
 		if err != nil {
 			return Result{Outcome: core.OutcomeFailed, Cause: CauseFailed, Step: "stage." + stage.Name, Detail: err.Error()}
