--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/config"
+	"acaciawinch/standin/answer"
+	"acaciawinch/standin/catalog"
+)
+
+// testCatalog has one pipeline of one engine stage.
+var testCatalog = catalog.Catalog{
+	Templates: []config.Template{{
+		Name:   "p",
+		Stages: []config.Stage{{Name: "g", Service: "e", Kind: config.KindEngine, MaxTokens: 3}},
+	}},
+	Workspaces: []config.Workspace{{Name: "w"}},
+}
+
+// request is a request for the pipeline.
+var request = Request{Workspace: "w", Pipeline: "p", Body: []byte("{}"), Stream: true}
+
+// tokens returns the answer's chunks.
+func tokens() [][]byte {
+	return answer.Output(testCatalog.Templates[0].Stages[0], request.Body)
+}
+
+// stream writes chunks as events, and a closing event.
+func stream(chunks [][]byte, closing bool) string {
+	var text strings.Builder
+	for i, chunk := range chunks {
+		fmt.Fprintf(&text, "event: chunk\nid: %d\ndata: {\"index\":%d,\"text\":%q}\n\n", i, i, chunk)
+	}
+	if closing {
+		digest := answer.Digest(answer.Join(chunks))
+		fmt.Fprintf(&text, "event: done\ndata: {\"request_id\":\"r\",\"outcome\":\"answered\",\"chunks\":%d,\"digest\":%q}\n\n", len(chunks), digest)
+	}
+	return text.String()
+}
+
+// ask returns what the caller records about an answer.
+func ask(t *testing.T, r Request, contentType, text string) Result {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		_, _ = w.Write([]byte(text))
+	}))
+	defer server.Close()
+	client := New(testCatalog)
+	defer client.Close()
+	return client.Send(t.Context(), server.URL, r)
+}
+
+func TestStreamVerdicts(t *testing.T) {
+	good := tokens()
+	foreign := [][]byte{[]byte("x "), good[1], good[2]}
+	swapped := strings.Replace(stream(good, true), `"index":1`, `"index":2`, 1)
+	badDigest := strings.Replace(stream(good, true), `"digest":"`, `"digest":"0`, 1)
+	cases := []struct {
+		name string
+		text string
+		want Verdict
+	}{
+		{"whole", stream(good, true), Whole},
+		{"cut", stream(good, false), Cut},
+		{"short", stream(good[:2], true), Mismatch},
+		{"another request's", stream(foreign, true), Mismatch},
+		{"out of order", swapped, Mismatch},
+		{"digest", badDigest, Mismatch},
+		{"problem", stream(good[:1], false) + "event: problem\ndata: {\"outcome\":\"failed\"}\n\n", Problem},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			result := ask(t, request, "text/event-stream", c.text)
+			assert.Equal(t, result.Verdict, c.want, result.Detail)
+		})
+	}
+}
+
+func TestJSONVerdicts(t *testing.T) {
+	r := request
+	r.Stream = false
+	for _, whole := range []bool{true, false} {
+		output := answer.Join(tokens())
+		if !whole {
+			output = output[1:]
+		}
+		text, err := json.Marshal(wholeAnswer{Outcome: "answered", Output: string(output), Digest: answer.Digest(output)})
+		assert.NilError(t, err)
+		result := ask(t, r, "application/json", string(text))
+		assert.Equal(t, result.Verdict == Whole, whole)
+	}
+	result := ask(t, r, "application/problem+json", `{"outcome":"not_run","retry_after_ms":5}`)
+	assert.Equal(t, result.Verdict, Problem)
+	assert.Equal(t, result.RetryAfter.Milliseconds(), int64(5))
+}
+
+func TestNoAnswerIsBroken(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	result := New(testCatalog).Send(t.Context(), server.URL, request)
+	assert.Equal(t, result.Verdict, Broken)
+}
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -141,15 +141,21 @@
 	return errors.New("something happened that must never happen")
 }
 
-// printSummary prints the counts and every finding.
+// maxFindings bounds the findings that are printed.
+const maxFindings = 12
+
+// printSummary prints the counts and the first findings.
 func printSummary(s verdict.Summary, total time.Duration) {
 	fmt.Printf("\nby the callers' and the upstreams' own records:\n")
 	fmt.Printf("  sent %d: answered %d, refused %d, failed %d, unknown %d\n",
 		s.Sent, s.Answered, s.NotRun, s.Failed, s.Unknown)
 	fmt.Printf("  lost %d, doubled %d, crossed %d, stray %d, falsely not_run %d\n",
 		s.Lost, s.Doubled, s.Crossed, s.Stray, s.FalseNotRun)
-	for _, finding := range s.Findings {
+	for _, finding := range s.Findings[:min(len(s.Findings), maxFindings)] {
 		fmt.Println("  !", finding)
 	}
+	if rest := len(s.Findings) - maxFindings; rest > 0 {
+		fmt.Printf("  ! and %d more\n", rest)
+	}
 	fmt.Printf("took %.1f s\n", total.Seconds())
 }
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"acaciawinch/standin/answer"
+	"acaciawinch/standin/upstream"
+)
+
+// start returns an engine that ends with the test, and its switches.
+func start(t *testing.T, capacity int) (*Engine, *upstream.Conditions) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	conditions := upstream.NewConditions()
+	e := New(ctx, Options{
+		Capacity:      capacity,
+		TokenTime:     time.Millisecond,
+		HonourFencing: true,
+		Models:        []string{"m@1"},
+		CacheEntries:  2,
+		Conditions:    conditions,
+	})
+	return e, conditions
+}
+
+// run is one call in progress.
+type run struct {
+	started chan struct{}
+	chunks  chan []byte
+	done    chan error
+}
+
+// begin starts a call.
+func begin(ctx context.Context, e *Engine, call upstream.Call) *run {
+	call.Model, call.Version = "m", "1"
+	r := &run{
+		started: make(chan struct{}),
+		chunks:  make(chan []byte, call.MaxTokens+1),
+		done:    make(chan error, 1),
+	}
+	go func() {
+		_, err := e.Run(ctx, call, upstream.Output{
+			Started: func() { close(r.started) },
+			Emit: func(chunk []byte) error {
+				r.chunks <- chunk
+				return nil
+			},
+		})
+		close(r.chunks)
+		r.done <- err
+	}()
+	return r
+}
+
+// output waits for the end of a call and returns its joined chunks.
+func (r *run) output() []byte {
+	var chunks [][]byte
+	for chunk := range r.chunks {
+		chunks = append(chunks, chunk)
+	}
+	return answer.Join(chunks)
+}
+
+// expected returns the joined tokens from the given one on.
+func expected(input string, from, to int) []byte {
+	var all []byte
+	for i := from; i < to; i++ {
+		all = append(all, answer.Token([]byte(input), i)...)
+	}
+	return all
+}
+
+func TestBatchMembersGetTheirOwnTokens(t *testing.T) {
+	e, _ := start(t, 3)
+	var runs []*run
+	inputs := []string{"a", "b", "c", "d", "e"}
+	for _, input := range inputs {
+		runs = append(runs, begin(t.Context(), e, upstream.Call{Input: []byte(input), MaxTokens: 5}))
+	}
+	for i, r := range runs {
+		assert.Assert(t, bytes.Equal(r.output(), expected(inputs[i], 0, 5)))
+		assert.NilError(t, <-r.done)
+	}
+}
+
+func TestResumeSkipsWhatTheCallerHas(t *testing.T) {
+	e, _ := start(t, 1)
+	call := upstream.Call{Input: []byte("a"), MaxTokens: 4}
+	call.Resume = [][]byte{answer.Token(call.Input, 0), answer.Token(call.Input, 1)}
+	assert.Assert(t, bytes.Equal(begin(t.Context(), e, call).output(), expected("a", 2, 4)))
+	call.Resume = call.Resume[1:]
+	r := begin(t.Context(), e, call)
+	assert.Assert(t, errors.Is(<-r.done, upstream.ErrNotRun), "foreign chunks were taken")
+}
+
+func TestHigherPriorityIsAdmittedFirst(t *testing.T) {
+	e, conditions := start(t, 1)
+	conditions.Set(upstream.Control{Hang: true})
+	first := begin(t.Context(), e, upstream.Call{Input: []byte("a"), MaxTokens: 1})
+	<-first.started
+	low := begin(t.Context(), e, upstream.Call{Input: []byte("b"), MaxTokens: 1})
+	awaitWaiting(t, e, 1)
+	high := begin(t.Context(), e, upstream.Call{Input: []byte("c"), MaxTokens: 1, Priority: 1})
+	awaitWaiting(t, e, 2)
+	e.mu.Lock()
+	next := string(e.waiting[0].call.Input)
+	e.mu.Unlock()
+	assert.Equal(t, next, "c")
+	conditions.Set(upstream.Control{})
+	for _, r := range []*run{first, low, high} {
+		assert.NilError(t, <-r.done)
+	}
+}
+
+// awaitWaiting waits until so many calls wait.
+func awaitWaiting(t *testing.T, e *Engine, count int) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.waiting) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d calls wait", len(e.waiting))
+	}, poll.WithDelay(time.Millisecond))
+}
+
+func TestCancelFreesThePlaceInTheBatch(t *testing.T) {
+	e, _ := start(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	long := begin(ctx, e, upstream.Call{Input: []byte("a"), MaxTokens: 100_000})
+	<-long.started
+	next := begin(t.Context(), e, upstream.Call{Input: []byte("b"), MaxTokens: 1})
+	cancel()
+	assert.Assert(t, errors.Is(<-long.done, context.Canceled))
+	assert.Assert(t, bytes.Equal(next.output(), expected("b", 0, 1)))
+}
+
+func TestUnloadedModelIsNotRun(t *testing.T) {
+	e, _ := start(t, 1)
+	_, err := e.Run(t.Context(), upstream.Call{Model: "m", Version: "2", MaxTokens: 1}, upstream.Output{})
+	assert.Assert(t, errors.Is(err, upstream.ErrNotRun))
+	assert.NilError(t, e.Order(upstream.Order{Fencing: 1, Action: "load", Model: "m", Version: "2"}))
+	r := begin(t.Context(), e, upstream.Call{Input: []byte("a"), MaxTokens: 1})
+	assert.NilError(t, <-r.done)
+}
+
+func TestFencingIsHonouredOrIgnored(t *testing.T) {
+	for _, honour := range []bool{true, false} {
+		m := newModels(nil, 0, honour)
+		assert.NilError(t, m.order(upstream.Order{Fencing: 5, Action: "load", Model: "m", Version: "1"}))
+		err := m.order(upstream.Order{Fencing: 4, Action: "unload", Model: "m", Version: "1"})
+		assert.Equal(t, errors.Is(err, upstream.ErrStaleFencing), honour)
+		assert.Equal(t, m.loaded("m", "1"), honour)
+		assert.NilError(t, m.order(upstream.Order{Fencing: 5, Action: "load", Model: "m", Version: "1"}))
+	}
+}
+
+func TestCacheIsBoundedAndItsEventsLateWithGaps(t *testing.T) {
+	c := newCache(2, time.Second)
+	now := time.Unix(100, 0)
+	assert.Assert(t, !c.touch(1, now))
+	assert.Assert(t, !c.touch(2, now))
+	assert.Assert(t, c.touch(1, now))
+	assert.Assert(t, !c.touch(3, now)) // evicts 2, the least recently used
+	assert.Assert(t, c.touch(1, now))
+	assert.Assert(t, !c.touch(2, now)) // evicts 3
+	assert.Assert(t, !c.touch(4, now)) // evicts 1: the seventh event is lost
+	assert.Equal(t, len(c.events(0, now)), 0)
+	events := c.events(0, now.Add(time.Second))
+	assert.Equal(t, len(events), 7)
+	assert.Equal(t, events[6].Number, uint64(8))
+	assert.Equal(t, len(c.events(8, now.Add(time.Second))), 1)
+}
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -129,7 +129,7 @@
 }
 
 // start starts the platform, then the upstreams with their sides and the
-// entries, applies the configuration and waits until all are ready.
+// entries, waits until all are ready and applies the configuration.
 func (f *Fleet) start(ctx context.Context) error {
 	if err := startAll(ctx, []*Process{f.Objects, f.Hosts}); err != nil {
 		return err
@@ -139,19 +139,13 @@
 			return err
 		}
 	}
-	if err := f.apply(ctx); err != nil {
+	if err := awaitAll(ctx, f.own()); err != nil {
 		return err
 	}
-	return awaitAll(ctx, f.own())
-}
-
-// apply applies the configuration files, if there are any.
-func (f *Fleet) apply(ctx context.Context) error {
 	if len(f.Options.Configuration) == 0 {
 		return nil
 	}
-	_, err := f.Command(ctx, append([]string{"apply"}, f.Options.Configuration...)...)
-	return err
+	return f.Apply(ctx, f.Options.Configuration...)
 }
 
 // own returns all processes but the platform's: workers, sides, entries.
