--- a/core/latency/table.go
+++ b/core/latency/table.go
@@ -60,13 +60,14 @@
 	return merge(live)
 }
 
-// merge returns the weighted median of every field over reports.
+// merge returns the weighted median of every field over reports. A zero wait is
+// a fact; any other zero means that the side had no recent sample.
 func merge(reports []Report) Estimate {
 	median := func(field func(Report) time.Duration) time.Duration {
-		return weightedMedian(reports, field)
+		return weightedMedian(reports, field, false)
 	}
 	return Estimate{
-		Wait:       median(func(r Report) time.Duration { return r.Wait }),
+		Wait:       weightedMedian(reports, func(r Report) time.Duration { return r.Wait }, true),
 		ServiceP50: median(func(r Report) time.Duration { return r.ServiceP50 }),
 		ServiceP95: median(func(r Report) time.Duration { return r.ServiceP95 }),
 		FirstP50:   median(func(r Report) time.Duration { return r.FirstP50 }),
@@ -82,17 +83,18 @@
 	weight float64
 }
 
-// weightedMedian returns the smallest value below which half of the weight lies.
-// Upstreams that have finished nothing yet are left out.
-func weightedMedian(reports []Report, field func(Report) time.Duration) time.Duration {
+// weightedMedian returns the smallest value up to which half of the weight lies.
+// Zeros are left out unless they count.
+func weightedMedian(reports []Report, field func(Report) time.Duration, zeros bool) time.Duration {
 	var samples []sample
 	total := 0.0
 	for _, report := range reports {
-		if report.Finished == 0 {
+		value := field(report)
+		if value == 0 && !zeros {
 			continue
 		}
-		weight := float64(min(report.Finished, maxWeight))
-		samples = append(samples, sample{value: field(report), weight: weight})
+		weight := float64(min(report.Finished+1, maxWeight))
+		samples = append(samples, sample{value: value, weight: weight})
 		total += weight
 	}
 	slices.SortFunc(samples, func(a, b sample) int { return cmp.Compare(a.value, b.value) })
