Decide routing by probes at the moment of the decision

An immutable Picker is built from the host list, drains and placement; a Table holds what one entry learnt; a Policy says whom to ask and whom to take. probe2 asks two of the own zone (for a stage with a prefix the first two of its rendezvous ranking within the bound on load, and one at random), spills by wait, and goes on asking when answers are unusually slow or useless.

Quantiles of an upstream that finishes nothing fade towards the service's median, so a past straggler is tried again; failures cost the service's usual time, so failing fast never looks quick.

--- /dev/null
+++ b/core/routing/judge.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+)
+
+// Weights of the expected completion.
+const (
+	// tailWeight is how much of the distance from median to 95th percentile
+	// counts: a call meets the tail with its probability, not always.
+	tailWeight = 0.2
+	// occupancyWeight slows the service time with the work already held, since
+	// the reported quantiles lag behind the batch.
+	occupancyWeight = 0.25
+	// cachedShare is the part of the time to the first chunk that a cached
+	// prefix is expected to save. The report is a hint: it may be old.
+	cachedShare = 0.5
+	// maxFailureRatio bounds the penalty for failures.
+	maxFailureRatio = 0.95
+)
+
+// Weighed is an upstream that was considered for a decision.
+type Weighed struct {
+	Answer Answer
+	// Usable is false if the upstream can't take the work; Reason says why.
+	Usable bool
+	Reason string
+	// Expected is the time from dispatch to the whole result.
+	Expected time.Duration
+	// Wait is the part of it in the queue.
+	Wait time.Duration
+	// score orders the usable ones: Expected with its risks and hints.
+	score time.Duration
+}
+
+// judge weighs one answer.
+func (r *Round) judge(answer Answer) Weighed {
+	w := Weighed{Answer: answer}
+	if w.Reason = r.Query.Obstacle(answer); w.Reason != "" {
+		return w
+	}
+	service := r.serviceTime(answer)
+	w.Wait = r.wait(answer, service)
+	w.Expected = w.Wait + service + r.Table.distance(r.Picker.zone, answer.Upstream)
+	w.score = r.score(w, service)
+	w.Usable = r.Query.Remaining == 0 || w.Expected <= r.Query.Remaining
+	if !w.Usable {
+		w.Reason = fmt.Sprintf("needs %s of %s", round(w.Expected), round(r.Query.Remaining))
+	}
+	return w
+}
+
+// serviceTime returns how long the upstream is expected to work on the stage.
+// The reported median is over all lengths of answers, so where the length is
+// bounded, the first chunk and that many gaps may show that it takes less.
+func (r *Round) serviceTime(answer Answer) time.Duration {
+	load := answer.Load
+	usual := r.Table.progressOf(answer.Upstream.ID).blend(load.ServiceP50, r.Median, r.Now)
+	if r.Query.MaxTokens > 0 && load.FirstP50 > 0 && load.GapP95 > 0 {
+		bounded := load.FirstP50 + time.Duration(r.Query.MaxTokens-1)*load.GapP95
+		return min(usual, bounded)
+	}
+	return usual
+}
+
+// wait returns the time in the queue. Choices that this entry made since the
+// probe was sent are not in the side's figure; they take the free places first.
+func (r *Round) wait(answer Answer, service time.Duration) time.Duration {
+	load := answer.Load
+	unseen := r.Table.since(answer.Upstream.ID, answer.SentAt)
+	free := max(0, load.Capacity-load.InFlight-load.Queued)
+	waiting := max(0, unseen-free)
+	return load.Wait + time.Duration(waiting)*service/time.Duration(max(1, load.Capacity))
+}
+
+// score adds the risks and the hints to the expected time.
+func (r *Round) score(w Weighed, service time.Duration) time.Duration {
+	load := w.Answer.Load
+	progress := r.Table.progressOf(w.Answer.Upstream.ID)
+	tail := tailWeight * float64(max(0, load.ServiceP95-load.ServiceP50))
+	unseen := r.Table.since(w.Answer.Upstream.ID, w.Answer.SentAt)
+	held := load.occupancy() + float64(unseen)/float64(max(1, load.Capacity))
+	busy := occupancyWeight * held * float64(service)
+	failing := min(maxFailureRatio, progress.failureRatio(r.Now))
+	// A failed attempt costs another one of the usual length, however fast it
+	// failed: an upstream that fails at once must not look quick.
+	again := failing / (1 - failing) * float64(max(service, r.Median))
+	saved := 0.0
+	if w.Answer.PrefixCached {
+		saved = cachedShare * float64(load.FirstP50)
+	}
+	return w.Expected + time.Duration(tail+busy+again-saved)
+}
+
+// round shortens a duration for people.
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- /dev/null
+++ b/core/routing/picker.go
@@ -0,0 +1,144 @@
+package routing
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+)
+
+// Source is the state of the fleet from which a Picker is built.
+type Source struct {
+	// Zone and Region are the entry's own.
+	Zone, Region string
+	Hosts        []fleet.Host
+	// Drained tells whether operators have taken an upstream out.
+	Drained     func(upstream string) bool
+	Assignments []placement.Assignment
+}
+
+// Picker is an immutable snapshot of the upstreams that may get new work.
+type Picker struct {
+	zone     string
+	services map[string]*group
+	holders  map[holderKey]*group
+	byID     map[core.UpstreamID]Upstream
+	excluded int
+}
+
+// group is a set of upstreams by nearness.
+type group struct {
+	tiers [tierCount][]Upstream
+}
+
+// holderKey names the engines of a service that are assigned a model version.
+type holderKey struct {
+	service string
+	model   Model
+}
+
+// NewPicker returns the snapshot of source. Hosts that are leaving or drained
+// are left out: they get no new work from now on.
+func NewPicker(source Source) *Picker {
+	p := &Picker{
+		zone:     source.Zone,
+		services: make(map[string]*group),
+		holders:  make(map[holderKey]*group),
+		byID:     make(map[core.UpstreamID]Upstream),
+	}
+	for _, host := range source.Hosts {
+		p.addHost(source, host)
+	}
+	for _, assignment := range source.Assignments {
+		p.addAssignment(assignment)
+	}
+	return p
+}
+
+// addHost enters an upstream's host unless it must get no new work.
+func (p *Picker) addHost(source Source, host fleet.Host) {
+	if host.Role != fleet.RoleUpstream {
+		return
+	}
+	if host.Leaving || source.Drained(host.Name) {
+		p.excluded++
+		return
+	}
+	upstream := Upstream{
+		ID:      core.UpstreamID(host.Name),
+		Service: host.Service,
+		Addr:    host.Addr,
+		Zone:    host.Zone,
+		Region:  host.Region,
+		Tier:    tierOf(source, host),
+		hash:    xxhash.Sum64String(host.Name),
+	}
+	p.byID[upstream.ID] = upstream
+	addTo(p.services, host.Service, upstream)
+}
+
+// addAssignment enters an upstream as a holder of a model version.
+func (p *Picker) addAssignment(assignment placement.Assignment) {
+	upstream, ok := p.byID[assignment.Upstream]
+	if !ok {
+		return
+	}
+	model := Model{Name: assignment.Model, Version: assignment.Version}
+	addTo(p.holders, holderKey{service: upstream.Service, model: model}, upstream)
+}
+
+// addTo adds upstream to the group of key.
+func addTo[K comparable](groups map[K]*group, key K, upstream Upstream) {
+	g, ok := groups[key]
+	if !ok {
+		g = &group{}
+		groups[key] = g
+	}
+	g.tiers[upstream.Tier] = append(g.tiers[upstream.Tier], upstream)
+}
+
+// tierOf tells how near host is to the entry.
+func tierOf(source Source, host fleet.Host) Tier {
+	switch {
+	case host.Zone == source.Zone:
+		return OwnZone
+	case host.Region == source.Region:
+		return OwnRegion
+	default:
+		return OtherRegion
+	}
+}
+
+// Len returns how many upstreams may get new work.
+func (p *Picker) Len() int { return len(p.byID) }
+
+// Excluded returns how many upstreams are left out as leaving or drained.
+func (p *Picker) Excluded() int { return p.excluded }
+
+// Upstream returns the member with the name id.
+func (p *Picker) Upstream(id core.UpstreamID) (Upstream, bool) {
+	upstream, ok := p.byID[id]
+	return upstream, ok
+}
+
+// serviceGroup returns all upstreams of a service.
+func (p *Picker) serviceGroup(service string) *group {
+	if g, ok := p.services[service]; ok {
+		return g
+	}
+	return &group{}
+}
+
+// queryGroup returns the upstreams to try first: for an engine stage those that
+// the placement assigns the model, if there are any, else the whole service.
+// The placement is desired state and may run ahead of the engines, so a probe's
+// answer has the last word.
+func (p *Picker) queryGroup(q Query) *group {
+	if q.Engine {
+		if g, ok := p.holders[holderKey{service: q.Service, model: q.Model}]; ok {
+			return g
+		}
+	}
+	return p.serviceGroup(q.Service)
+}
--- /dev/null
+++ b/core/routing/rendezvous.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// boundFactor is how far above the mean an upstream's occupancy may lie before
+// a prefix's work goes to the next upstream of its ranking.
+const boundFactor = 1.25
+
+// prefixKey hashes what decides where a prompt prefix is warm.
+func prefixKey(q Query) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{q.Service, q.Model.Name, q.Model.Version} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	var prefix [8]byte
+	binary.LittleEndian.PutUint64(prefix[:], q.Prefix)
+	_, _ = d.Write(prefix[:])
+	return d.Sum64()
+}
+
+// rank orders upstreams by their rendezvous score for key, highest first. Every
+// entry computes the same order, and removing an upstream moves only the keys
+// that it led.
+func rank(key uint64, upstreams []Upstream) []Upstream {
+	type scored struct {
+		score    uint64
+		upstream Upstream
+	}
+	list := make([]scored, len(upstreams))
+	for i, upstream := range upstreams {
+		list[i] = scored{score: mix(key ^ upstream.hash), upstream: upstream}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.upstream.ID, b.upstream.ID))
+	})
+	ranked := make([]Upstream, len(list))
+	for i, s := range list {
+		ranked[i] = s.upstream
+	}
+	return ranked
+}
+
+// mix spreads the bits of x evenly (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// boundOf returns the most work that one upstream may hold after taking one
+// more, if total counts the work held by count upstreams before that. At least
+// one upstream is always below it, because it is above the mean.
+func boundOf(total float64, count int) float64 {
+	return math.Ceil(boundFactor * (total + 1) / float64(max(1, count)))
+}
+
+// firstWithin returns the first upstreams of a ranking, at most n, whose work
+// including one more stays within bound.
+func firstWithin(ranked []Upstream, n int, bound float64, work func(Upstream) float64) []Upstream {
+	var within []Upstream
+	for _, upstream := range ranked {
+		if len(within) == n {
+			break
+		}
+		if work(upstream)+1 <= bound {
+			within = append(within, upstream)
+		}
+	}
+	return within
+}
