Route with suspicion, zones, affinity and policies

The router sends the probes that the policy asks for in parallel, waits a few round trips after the first usable answer and no longer, and keeps late answers for the next decision. Suspected upstreams are probed in the background. Each decision is a log line with its alternatives.

--- /dev/null
+++ b/entry/route/convert.go
@@ -0,0 +1,79 @@
+package route
+
+import (
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/latency"
+	"acaciawinch/core/routing"
+	"acaciawinch/wire/wirepb"
+)
+
+// queryOf returns what core/routing asks for a need, remaining being left of it.
+func queryOf(need Need, remaining time.Duration) routing.Query {
+	return routing.Query{
+		Service:   need.Service,
+		Engine:    need.Kind == config.KindEngine,
+		Model:     routing.Model{Name: need.Model, Version: need.Version},
+		Prefix:    need.PrefixHash,
+		MaxTokens: need.MaxTokens,
+		Remaining: remaining,
+		Exclude:   need.Exclude,
+	}
+}
+
+// answerOf returns the answer that a reply to a probe is.
+func answerOf(upstream routing.Upstream, reply *wirepb.ProbeReply, sent time.Time, rtt time.Duration) routing.Answer {
+	return routing.Answer{
+		Upstream:     upstream,
+		Answered:     true,
+		Load:         loadOf(reply.GetLoad()),
+		Incarnation:  core.Incarnation(reply.GetIncarnation()),
+		ClockUS:      reply.GetSideClockUs(),
+		PrefixCached: reply.GetPrefixCached(),
+		SentAt:       sent,
+		RTT:          rtt,
+	}
+}
+
+// loadOf converts a load; nil is an empty one.
+func loadOf(load *wirepb.Load) routing.Load {
+	converted := routing.Load{
+		Queued:     int(load.GetQueued()),
+		InFlight:   int(load.GetInFlight()),
+		Capacity:   int(load.GetCapacity()),
+		Wait:       microseconds(load.GetWaitUs()),
+		ServiceP50: microseconds(load.GetServiceP50Us()),
+		ServiceP95: microseconds(load.GetServiceP95Us()),
+		FirstP50:   microseconds(load.GetFirstP50Us()),
+		GapP95:     microseconds(load.GetGapP95Us()),
+		Draining:   load.GetDraining(),
+		Stalled:    load.GetStalled(),
+		Finished:   load.GetFinished(),
+		Failed:     load.GetFailed(),
+	}
+	for _, model := range load.GetModels() {
+		converted.Models = append(converted.Models, routing.Model{Name: model.GetModel(), Version: model.GetVersion()})
+	}
+	return converted
+}
+
+// reportOf returns what a load tells about the service's latencies.
+func reportOf(load *wirepb.Load, now time.Time) latency.Report {
+	return latency.Report{
+		Estimate: latency.Estimate{
+			Wait:       microseconds(load.GetWaitUs()),
+			ServiceP50: microseconds(load.GetServiceP50Us()),
+			ServiceP95: microseconds(load.GetServiceP95Us()),
+			FirstP50:   microseconds(load.GetFirstP50Us()),
+			FirstP95:   microseconds(load.GetFirstP95Us()),
+			GapP95:     microseconds(load.GetGapP95Us()),
+		},
+		Finished: load.GetFinished(),
+		At:       now,
+	}
+}
+
+// microseconds converts a reported duration.
+func microseconds(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/entry/route/metrics.go
@@ -0,0 +1,44 @@
+package route
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"acaciawinch/core/routing"
+)
+
+// metrics counts what routing does.
+type metrics struct {
+	sent, answered, timedOut tally.Counter
+	// bytes counts the encoded messages of probes in both directions, without framing.
+	bytes    tally.Counter
+	choices  [3]tally.Counter
+	spills   tally.Counter
+	refusals tally.Counter
+	widened  tally.Counter
+	suspects tally.Gauge
+	latency  tally.Timer
+}
+
+// tierNames are the values of the tag zone.
+var tierNames = [...]string{routing.OwnZone: "own", routing.OwnRegion: "region", routing.OtherRegion: "other"}
+
+// newMetrics registers the metrics of a policy.
+func newMetrics(scope tally.Scope, policy string) *metrics {
+	scope = scope.SubScope("routing")
+	m := &metrics{
+		sent:     scope.Counter("probes_sent"),
+		answered: scope.Counter("probes_answered"),
+		timedOut: scope.Counter("probes_unanswered"),
+		bytes:    scope.Counter("probe_bytes"),
+		spills:   scope.Counter("spills"),
+		refusals: scope.Counter("refusals"),
+		widened:  scope.Counter("widened"),
+		suspects: scope.Gauge("suspected_upstreams"),
+		latency:  scope.Timer("choose_seconds"),
+	}
+	for tier, name := range tierNames {
+		tags := map[string]string{"policy": policy, "zone": name}
+		m.choices[tier] = scope.Tagged(tags).Counter("choices")
+	}
+	return m
+}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -18,6 +18,8 @@
 	Kind    config.StageKind
 	// Model and Version must be loaded; empty for stages that are no engine's.
 	Model, Version string
+	// MaxTokens bounds the answer's chunks, zero if unknown.
+	MaxTokens int
 	// PrefixHash is the hash of the prompt's prefix, zero if it has none.
 	PrefixHash uint64
 	// Remaining is the time left for the stage. Zero means no bound.
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -3,217 +3,216 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"acaciawinch/core"
-	"acaciawinch/core/fleet"
+	"acaciawinch/core/fault"
 	"acaciawinch/core/latency"
-	"acaciawinch/core/placement"
+	"acaciawinch/core/routing"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/wire/wirepb"
-
-	"github.com/uber-go/tally/v4"
 )
 
-// probeTimeout bounds each probe, connecting included.
-const probeTimeout = 25 * time.Millisecond
-
-// probesPerChoice is how many upstreams are asked for one decision.
-const probesPerChoice = 2
-
-// Fleet is the state of the fleet that routing reads. *feed.State satisfies it.
-type Fleet interface {
-	Hosts() []fleet.Host
-	Drained(upstream string) bool
-	Placement() (placement.Plan, uint64)
-}
-
-// Options are what a Router needs.
-type Options struct {
-	// Zone and Region are the entry's own.
-	Zone, Region string
-	// Fleet returns the present state, nil before the first is known.
-	Fleet func() Fleet
-	// Revision returns the configuration revision that probes carry.
-	Revision func() core.Revision
-	Prober   Prober
-	Logger   *observe.Logger
-	Scope    tally.Scope
-	Settings Settings
-	// Seed starts the random source.
-	Seed uint64
-}
-
 // Router chooses upstreams. It may be used by many goroutines.
 type Router struct {
-	opts Options
+	opts    Options
+	metrics *metrics
 
+	// mu guards all below. No I/O happens while it is held.
 	mu        sync.Mutex
+	policy    routing.Policy
 	random    *rand.Rand
+	fleet     Fleet
+	picker    *routing.Picker
+	table     *routing.Table
 	latencies *latency.Table
-	services  map[core.UpstreamID]string
 }
 
-// New returns a Router.
+// New returns a Router. Settings that Validate rejects fall back to the default policy.
 func New(opts Options) *Router {
+	opts = opts.complete()
+	policy, err := routing.NewPolicy(opts.Settings.Policy)
+	if err != nil {
+		policy, _ = routing.NewPolicy(routing.Probe2)
+	}
 	return &Router{
 		opts:      opts,
-		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
+		metrics:   newMetrics(opts.Scope, policy.Name()),
+		policy:    policy,
+		random:    rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		picker:    routing.NewPicker(routing.Source{}),
+		table:     routing.NewTable(),
 		latencies: latency.NewTable(),
-		services:  make(map[core.UpstreamID]string),
 	}
 }
 
-// Run probes suspected upstreams in the background until ctx ends.
-func (r *Router) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
-// answer is what one probed host said; reply is nil if it did not.
-type answer struct {
-	host  fleet.Host
-	reply *wirepb.ProbeReply
-}
-
-// Choose returns the upstream that is expected to finish first among a few that
-// are probed now. Errors: code Refused if none can carry out the stage in time
-// (see RetryAfter), Cancelled if ctx ended.
+// Choose returns the upstream that the policy takes for a stage. Each returned
+// Choice must be followed by one ObserveResult. Errors: code Refused if nobody
+// can carry out the stage in time (see RetryAfter), Cancelled or
+// DeadlineExceeded if ctx ended.
 func (r *Router) Choose(ctx context.Context, need Need) (Choice, error) {
-	hosts := r.sample(need)
-	answers := make([]answer, len(hosts))
-	var group errgroup.Group
-	for i, host := range hosts {
-		group.Go(func() error {
-			answers[i] = r.probe(ctx, host, need)
-			return nil
-		})
+	started := r.opts.Now()
+	var answers []routing.Answer
+	var decision routing.Decision
+	for number := 0; ; number++ {
+		ask := r.plan(need, started, number, answers)
+		if number > 0 && len(ask.Upstreams) == 0 {
+			r.settle(decision)
+			break
+		}
+		answers = append(answers, r.gather(ctx, need, ask)...)
+		if err := ctxFault(ctx, need.Service); err != nil {
+			return Choice{}, err
+		}
+		decision = r.decide(need, started, number, answers)
+		if !decision.Widen {
+			break
+		}
+		r.metrics.widened.Inc(1)
 	}
-	_ = group.Wait()
-	return r.decide(need, answers)
+	r.metrics.latency.Record(r.opts.Now().Sub(started))
+	return r.conclude(need, decision)
 }
 
-// sample draws the hosts to probe.
-func (r *Router) sample(need Need) []fleet.Host {
-	state := r.opts.Fleet()
-	if state == nil {
+// ctxFault returns why ctx ended, or nil.
+func ctxFault(ctx context.Context, service string) error {
+	switch ctx.Err() {
+	case nil:
 		return nil
+	case context.DeadlineExceeded:
+		return fault.New(fault.DeadlineExceeded, "route.choose", service, "the deadline passed before an upstream was chosen")
+	default:
+		return fault.New(fault.Cancelled, "route.choose", service, "the caller gave up")
 	}
-	var hosts []fleet.Host
-	for _, host := range state.Hosts() {
-		usable := host.Role == fleet.RoleUpstream && host.Service == need.Service &&
-			!host.Leaving && !state.Drained(host.Name) &&
-			!slices.Contains(need.Exclude, core.UpstreamID(host.Name))
-		if usable {
-			hosts = append(hosts, host)
-		}
-	}
+}
+
+// plan asks the policy whom to ask.
+func (r *Router) plan(need Need, started time.Time, number int, answers []routing.Answer) routing.Ask {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts[:min(len(hosts), probesPerChoice)]
+	r.refresh()
+	return r.policy.Ask(r.round(need, started, number, answers))
 }
 
-// probe asks one host and keeps its load.
-func (r *Router) probe(ctx context.Context, host fleet.Host, need Need) answer {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	request := &wirepb.ProbeRequest{PrefixHash: need.PrefixHash}
-	if r.opts.Revision != nil {
-		request.Revision = uint64(r.opts.Revision())
+// decide asks the policy whom to take, and settles a decision that stands before
+// the lock is released, so that the next decision sees it.
+func (r *Router) decide(need Need, started time.Time, number int, answers []routing.Answer) routing.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := r.policy.Decide(r.round(need, started, number, answers))
+	if !decision.Widen {
+		r.count(decision)
 	}
-	reply, err := r.opts.Prober.Probe(ctx, host.Addr, request)
-	if err != nil {
-		return answer{host: host}
+	return decision
+}
+
+// settle counts a decision that stands because there is nobody else to ask.
+func (r *Router) settle(decision routing.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(decision)
+}
+
+// count records the chosen upstream as holding one more attempt. The lock is held.
+func (r *Router) count(decision routing.Decision) {
+	if decision.OK {
+		r.table.Chosen(decision.Chosen.Answer.Upstream.ID, r.opts.Now())
 	}
-	r.observe(core.UpstreamID(host.Name), host.Service, reply.GetLoad())
-	return answer{host: host, reply: reply}
 }
 
-// decide picks the lowest expected completion.
-func (r *Router) decide(need Need, answers []answer) (Choice, error) {
-	var best Choice
-	var alternatives []Alternative
-	for _, a := range answers {
-		option := Choice{Upstream: core.UpstreamID(a.host.Name), Addr: a.host.Addr, Zone: a.host.Zone}
-		switch {
-		case a.reply == nil:
-			alternatives = append(alternatives, Alternative{Upstream: option.Upstream, Zone: option.Zone, Reason: "no answer"})
-			continue
-		case a.reply.GetLoad().GetDraining() || a.reply.GetLoad().GetStalled():
-			alternatives = append(alternatives, Alternative{Upstream: option.Upstream, Zone: option.Zone, Reason: "draining or stalled"})
-			continue
-		}
-		load := a.reply.GetLoad()
-		option.Incarnation = core.Incarnation(a.reply.GetIncarnation())
-		option.SideClockUS = a.reply.GetSideClockUs()
-		option.PrefixCached = a.reply.GetPrefixCached()
-		option.Expected = microseconds(load.GetWaitUs() + load.GetServiceP50Us())
-		option.Reason = "lowest expected completion"
-		if best.Upstream == "" || option.Expected < best.Expected {
-			best, option = option, best
-		}
-		if option.Upstream != "" {
-			alternatives = append(alternatives, Alternative{Upstream: option.Upstream, Zone: option.Zone, Expected: option.Expected, Reason: "slower"})
-		}
+// round returns what a policy reads. The lock is held.
+func (r *Router) round(need Need, started time.Time, number int, answers []routing.Answer) *routing.Round {
+	now := r.opts.Now()
+	remaining := need.Remaining
+	if remaining > 0 {
+		remaining = max(1, remaining-now.Sub(started))
+	}
+	return &routing.Round{
+		Query:   queryOf(need, remaining),
+		Picker:  r.picker,
+		Table:   r.table,
+		Random:  r.random,
+		Now:     now,
+		Median:  r.latencies.Estimate(need.Service, now).ServiceP50,
+		Number:  number,
+		Answers: answers,
 	}
-	if best.Upstream == "" {
-		return Choice{}, refuse(need.Service, time.Second, "no upstream of the service answers")
+}
+
+// refresh takes a new Picker if the state of the fleet changed. The lock is held.
+func (r *Router) refresh() {
+	state := r.opts.Fleet()
+	if state == nil || state == r.fleet {
+		return
 	}
-	best.Alternatives = alternatives
-	r.opts.Logger.Event(event.RouteChosen, observe.Fields{
-		"request": need.Request, "stage": need.Stage, "service": need.Service,
-		"upstream": best.Upstream, "zone": best.Zone, "expected_us": best.Expected.Microseconds(),
-		"policy": "probe2", "reason": best.Reason, "alternatives": alternatives,
+	plan, _ := state.Placement()
+	r.fleet = state
+	r.picker = routing.NewPicker(routing.Source{
+		Zone:        r.opts.Zone,
+		Region:      r.opts.Region,
+		Hosts:       state.Hosts(),
+		Drained:     state.Drained,
+		Assignments: plan.Assignments,
 	})
-	return best, nil
+	r.table.Keep(r.picker)
+	r.opts.Logger.Event(event.PickerBuilt, observe.Fields{
+		"upstreams": r.picker.Len(), "excluded": r.picker.Excluded(),
+	})
+}
+
+// conclude turns the decision that stands into a Choice or an error.
+func (r *Router) conclude(need Need, decision routing.Decision) (Choice, error) {
+	if !decision.OK {
+		r.refused(need, decision)
+		return Choice{}, refuse(need.Service, decision.RetryAfter, decision.Reason)
+	}
+	chosen := decision.Chosen.Answer
+	choice := Choice{
+		Upstream:     chosen.Upstream.ID,
+		Addr:         chosen.Upstream.Addr,
+		Zone:         chosen.Upstream.Zone,
+		Incarnation:  chosen.Incarnation,
+		SideClockUS:  chosen.ClockUS,
+		Expected:     decision.Chosen.Expected,
+		PrefixCached: chosen.PrefixCached,
+		Reason:       decision.Reason,
+		Alternatives: alternatives(decision.Others),
+	}
+	r.chosen(need, decision, choice)
+	return choice, nil
 }
 
 // ObserveLoad keeps a load that came with an answer of a side.
 func (r *Router) ObserveLoad(upstream core.UpstreamID, load *wirepb.Load) {
+	if load == nil {
+		return
+	}
+	now := r.opts.Now()
 	r.mu.Lock()
-	service := r.services[upstream]
-	r.mu.Unlock()
-	r.observe(upstream, service, load)
+	defer r.mu.Unlock()
+	member, ok := r.picker.Upstream(upstream)
+	if !ok {
+		return
+	}
+	r.table.Loaded(upstream, loadOf(load), now)
+	r.latencies.Observe(member.Service, upstream, reportOf(load, now))
 }
 
 // ObserveResult keeps how an attempt ended.
-func (r *Router) ObserveResult(Result) {}
-
-// Estimate returns what is expected of a service, from what its sides report.
-func (r *Router) Estimate(service string) latency.Estimate {
+func (r *Router) ObserveResult(result Result) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.latencies.Estimate(service, time.Now())
+	r.table.Ended(result.Upstream, result.Kind == ResultOK)
+	r.mu.Unlock()
+	if result.Kind == ResultSilent {
+		r.silent(result.Upstream, routing.SilentWork)
+	}
 }
 
-// observe stores a reported load.
-func (r *Router) observe(upstream core.UpstreamID, service string, load *wirepb.Load) {
-	if load == nil || service == "" {
-		return
-	}
-	report := latency.Report{
-		Estimate: latency.Estimate{
-			Wait:       microseconds(load.GetWaitUs()),
-			ServiceP50: microseconds(load.GetServiceP50Us()),
-			ServiceP95: microseconds(load.GetServiceP95Us()),
-			FirstP50:   microseconds(load.GetFirstP50Us()),
-			FirstP95:   microseconds(load.GetFirstP95Us()),
-			GapP95:     microseconds(load.GetGapP95Us()),
-		},
-		Finished: load.GetFinished(),
-		At:       time.Now(),
-	}
+// Estimate returns what is expected of a service, from what its sides report.
+func (r *Router) Estimate(service string) latency.Estimate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.services[upstream] = service
-	r.latencies.Observe(service, upstream, report)
+	return r.latencies.Estimate(service, r.opts.Now())
 }
-
-// microseconds converts a reported duration.
-func microseconds(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/entry/route/router_test.go
@@ -0,0 +1,176 @@
+package route_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/entry/route"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/wirepb"
+)
+
+// plain is a stage without a model.
+var plain = route.Need{Request: "entry-1-1", Stage: "generate", Service: "llm"}
+
+// TestChoiceCarriesTicketAndReasons takes the idle one of two and says why.
+func TestChoiceCarriesTicketAndReasons(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{})
+	f.sides.loads["a-0"].WaitUs = 500_000
+	choice, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, core.UpstreamID("a-1"))
+	assert.Equal(t, choice.Addr, "a-1")
+	assert.Equal(t, choice.Incarnation, core.Incarnation(7))
+	assert.Equal(t, choice.SideClockUS, uint64(99))
+	assert.Equal(t, choice.Expected, time.Millisecond)
+	want := []route.Alternative{{Upstream: "a-0", Zone: "a", Expected: 501 * time.Millisecond, Reason: "expected later"}}
+	assert.DeepEqual(t, choice.Alternatives, want)
+	line := f.log.of(t, event.RouteChosen)[0].Fields
+	assert.Equal(t, line.Upstream, "a-1")
+	assert.Equal(t, line.Policy, "probe2")
+	assert.DeepEqual(t, line.Alternatives, want)
+	assert.Equal(t, f.counter("routing.probes_sent"), int64(2))
+	assert.Equal(t, f.counter("routing.choices"), int64(1))
+	assert.Equal(t, f.Estimate("llm").ServiceP50, time.Millisecond)
+}
+
+// TestRefusalCarriesRetryAfter names the shortest wait.
+func TestRefusalCarriesRetryAfter(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{})
+	f.sides.loads["a-0"].WaitUs = 900_000
+	f.sides.loads["a-1"].WaitUs = 700_000
+	need := plain
+	need.Remaining = 100 * time.Millisecond
+	_, err := f.Choose(t.Context(), need)
+	assert.Assert(t, fault.Is(err, fault.Refused), "%v", err)
+	assert.Equal(t, route.RetryAfter(err), 700*time.Millisecond)
+	assert.Equal(t, len(f.log.of(t, event.RouteRefused)[0].Fields.Alternatives), 2)
+	assert.Equal(t, f.counter("routing.refusals"), int64(1))
+	need.Service = "nobody"
+	_, err = f.Choose(t.Context(), need)
+	assert.Assert(t, fault.Is(err, fault.Refused), "%v", err)
+}
+
+// TestCallerWhoGivesUpSuspectsNobody ends the wait and leaves the probe alone.
+func TestCallerWhoGivesUpSuspectsNobody(t *testing.T) {
+	f := newFixture(t, 1, route.Settings{ProbeTimeoutMS: 1000})
+	f.sides.silent["a-0"] = true
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := f.Choose(ctx, plain)
+		return err
+	})
+	eventually(t, func() bool { return f.sides.count("a-0") == 1 })
+	cancel()
+	assert.Assert(t, fault.Is(group.Wait(), fault.Cancelled))
+	assert.Equal(t, f.counter("routing.probes_unanswered"), int64(0))
+}
+
+// TestSilentSideDoesNotHoldUpADecision answers from the other one, though the
+// silent one's timeout is longer than this test may take.
+func TestSilentSideDoesNotHoldUpADecision(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{ProbeTimeoutMS: 1000})
+	f.sides.silent["a-0"] = true
+	choice, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, core.UpstreamID("a-1"))
+	assert.Equal(t, choice.Alternatives[0].Reason, "no answer")
+	assert.Equal(t, f.counter("routing.probes_unanswered"), int64(0), "the decision waited for the timeout")
+}
+
+// TestSuspectedSideComesBackInTheBackground without a request paying for it.
+func TestSuspectedSideComesBackInTheBackground(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{ProbeTimeoutMS: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return f.Run(ctx) })
+	f.sides.set(func() { f.sides.silent["a-0"] = true })
+	_, err := f.Choose(ctx, plain)
+	assert.NilError(t, err)
+	eventually(t, func() bool { return len(f.log.of(t, event.UpstreamSuspected)) > 0 })
+	asked := f.sides.count("a-0")
+	eventually(t, func() bool { return f.sides.count("a-0") > asked })
+	f.sides.set(func() { f.sides.silent["a-0"] = false })
+	eventually(t, func() bool { return len(f.log.of(t, event.UpstreamRecovered)) == 1 })
+	cancel()
+	assert.NilError(t, group.Wait())
+}
+
+// TestSilentAttemptIsAvoided sends the next attempts elsewhere.
+func TestSilentAttemptIsAvoided(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{})
+	f.sides.loads["a-1"].WaitUs = 3_000
+	choice, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, core.UpstreamID("a-0"))
+	f.ObserveResult(route.Result{Upstream: choice.Upstream, Stage: "generate", Kind: route.ResultSilent})
+	choice, err = f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, core.UpstreamID("a-1"))
+	assert.Equal(t, f.log.of(t, event.UpstreamSuspected)[0].Fields.Upstream, "a-0")
+}
+
+// TestLeavingAndDrainedGetNothingAtOnce follows the state of the fleet.
+func TestLeavingAndDrainedGetNothingAtOnce(t *testing.T) {
+	f := newFixture(t, 3, route.Settings{})
+	hosts := append([]fleet.Host(nil), f.state.hosts...)
+	hosts[0].Leaving = true
+	f.state = &fleetState{hosts: hosts, drained: "a-1"}
+	for range 20 {
+		choice, err := f.Choose(t.Context(), plain)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Upstream, core.UpstreamID("a-2"))
+	}
+	f.state = &fleetState{hosts: hosts[:1]}
+	_, err := f.Choose(t.Context(), plain)
+	assert.Assert(t, fault.Is(err, fault.Refused))
+	assert.Equal(t, f.sides.count("a-0")+f.sides.count("a-1"), 0)
+	assert.Equal(t, len(f.log.of(t, event.PickerBuilt)), 2)
+}
+
+// TestPiggybackedLoadSpeaksOfTheService feeds the estimate and the drains.
+func TestPiggybackedLoadSpeaksOfTheService(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{})
+	_, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	f.ObserveLoad("a-0", &wirepb.Load{Draining: true, ServiceP50Us: 9000, Finished: 500})
+	asked := f.sides.count("a-0")
+	_, err = f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Equal(t, f.sides.count("a-0"), asked)
+	assert.Equal(t, f.Estimate("llm").ServiceP50, 9*time.Millisecond)
+	f.ObserveLoad("unknown", &wirepb.Load{ServiceP50Us: 1})
+}
+
+// TestLeastLocalCountsAttemptsInFlight releases them with their results.
+func TestLeastLocalCountsAttemptsInFlight(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{Policy: "least_local"})
+	first, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	second, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	assert.Assert(t, first.Upstream != second.Upstream)
+	f.ObserveResult(route.Result{Upstream: first.Upstream, Kind: route.ResultOK})
+	for range 3 {
+		third, err := f.Choose(t.Context(), plain)
+		assert.NilError(t, err)
+		assert.Equal(t, third.Upstream, first.Upstream)
+		f.ObserveResult(route.Result{Upstream: first.Upstream, Kind: route.ResultCancelled})
+	}
+	assert.Equal(t, f.counter("routing.probes_sent"), int64(2), "the tickets are remembered")
+}
+
+// TestSettingsAreChecked names what is wrong.
+func TestSettingsAreChecked(t *testing.T) {
+	assert.NilError(t, route.DefaultSettings().Validate())
+	assert.ErrorContains(t, route.Settings{Policy: "best"}.Validate(), `policy: "best" is none of`)
+	assert.ErrorContains(t, route.Settings{ProbeTimeoutMS: 5000}.Validate(), "probe_timeout_ms")
+}
--- a/observe/event/routing.go
+++ b/observe/event/routing.go
@@ -7,9 +7,9 @@
 	RouteRefused = define(2002, "route_refused", "No upstream can carry out a stage in time.",
 		"request", "stage", "service", "retry_after_ms", "reason", "alternatives")
 	UpstreamSuspected = define(2003, "upstream_suspected", "An upstream did not answer; this entry avoids it for a while.",
-		"upstream", "cause", "strikes", "until_ms")
+		"upstream", "cause", "strikes", "avoid_for")
 	UpstreamRecovered = define(2004, "upstream_recovered", "A suspected upstream answered again.",
-		"upstream", "strikes")
+		"upstream")
 	PickerBuilt = define(2005, "picker_built", "The upstreams to choose from were taken from a new state of the fleet.",
 		"upstreams", "excluded")
 )
