Decide at the side what reaches its upstream

core/gate is the pure gate: a bounded queue with priority classes and weighted fair sharing by cost, admission by deadline, the table of claimed attempts with tombstones and horizon, drains, fencing, detection of stalled upstreams, load and costs by cause.

Weighed: start-time fair queueing against deficit round robin. Both bound the difference between two workspaces by one attempt of each; the former needs no quantum and lets a new workspace go first without one. The median of service times comes from the last 11 answers and from work that is already late, since at three calls a second a longer window hides a change of speed for many seconds.

The property test found two holes before it was green: a cancellation of a forgotten attempt left a tombstone that was then told as a proof, and low classes could starve a high one between them.

--- /dev/null
+++ b/core/gate/ask.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"time"
+
+	"acaciawinch/core"
+)
+
+// Ticket identifies a claimed attempt of a non-idempotent stage.
+type Ticket struct {
+	// Nonce is the attempt's random number, as in its claim object.
+	Nonce uint64
+	// Clock is the side's clock at the probe that came before the claim.
+	Clock time.Duration
+}
+
+// Ask is one attempt that asks to run.
+type Ask struct {
+	Key       core.AttemptKey
+	Workspace string
+	// Ticket is nil for an idempotent stage.
+	Ticket *Ticket
+	// Remaining is the time left for the stage.
+	Remaining time.Duration
+	// Priority is the class; it is clamped to MinPriority to MaxPriority.
+	Priority int
+	// Weight is the workspace's share, at least 1.
+	Weight int
+	// Cost is the expected work in the upstream's units: tokens, or 1.
+	Cost float64
+	// Model and Version name what the engine must hold; empty for others.
+	Model   string
+	Version string
+}
+
+// The range of priority classes.
+const (
+	MinPriority = -10
+	MaxPriority = 10
+)
+
+// Reason says why an attempt is refused. A refused attempt was not run and will
+// not be run.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonQueueFull      Reason = "queue_full"
+	ReasonDeadline       Reason = "deadline"
+	ReasonDraining       Reason = "draining"
+	ReasonIncarnation    Reason = "incarnation"
+	ReasonTombstone      Reason = "tombstone"
+	ReasonTicketExpired  Reason = "ticket_expired"
+	ReasonModelNotLoaded Reason = "model_not_loaded"
+	ReasonStalled        Reason = "stalled"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonUnknownAttempt Reason = "unknown_attempt"
+	ReasonInvalid        Reason = "invalid"
+	ReasonUpstream       Reason = "upstream_refused"
+)
+
+// Verdict is what becomes of an ask.
+type Verdict int
+
+// The verdicts.
+const (
+	// Admitted: the attempt waits for its turn.
+	Admitted Verdict = iota + 1
+	// Attached: the attempt is known; the asker follows it. It is not run again.
+	Attached
+	// Refused: the attempt was not run and will not be run.
+	Refused
+	// Gone: the attempt may have run, and its result is not kept. It is not run
+	// again.
+	Gone
+)
+
+// Decision is a verdict with its reason.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// RetryAfter is when the same ask may succeed here; zero if that is unknown.
+	RetryAfter time.Duration
+	// Detail explains the verdict to people.
+	Detail string
+	// Wait and Service are the estimates on which the verdict rests.
+	Wait    time.Duration
+	Service time.Duration
+	// Queued and Running are the counts before the verdict.
+	Queued  int
+	Running int
+}
+
+// ActionKind is what the runtime must do.
+type ActionKind int
+
+// The kinds of actions.
+const (
+	// ActionStart hands the attempt to the upstream.
+	ActionStart ActionKind = iota + 1
+	// ActionRefuse tells the readers of a waiting attempt that it is refused.
+	ActionRefuse
+	// ActionStop cancels the attempt at the upstream.
+	ActionStop
+	// ActionDrop drops the kept output; the attempt itself stays known.
+	ActionDrop
+	// ActionForget removes all that is kept of the attempt.
+	ActionForget
+)
+
+// Action is one step for the runtime. Actions are carried out in order.
+type Action struct {
+	Kind ActionKind
+	Key  core.AttemptKey
+	// Reason, RetryAfter and Detail describe a refusal.
+	Reason     Reason
+	RetryAfter time.Duration
+	Detail     string
+	// Cause says why an attempt is stopped.
+	Cause Cause
+	// Waited is how long a started attempt was in the queue.
+	Waited time.Duration
+}
--- /dev/null
+++ b/core/gate/submit_test.go
@@ -0,0 +1,130 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAttemptForAnotherIncarnationIsRefused(t *testing.T) {
+	b := newBench(t, Options{})
+	ask := b.claimed()
+	ask.Key.Side = incarnation + 1
+	d := b.submit(ask)
+	assert.Equal(t, d.Verdict, Refused)
+	assert.Equal(t, d.Reason, ReasonIncarnation)
+	assert.Equal(t, len(b.started), 0)
+}
+
+func TestWorkThatCanNotFinishInTimeIsRefusedWithRetryAfter(t *testing.T) {
+	b := newBench(t, Options{})
+	b.measure(5, ms(100))
+	for range 4 {
+		b.admit(b.ask("a"))
+	}
+	ask := b.ask("a")
+	ask.Remaining = ms(300)
+	d := b.submit(ask)
+	assert.Equal(t, d.Verdict, Refused)
+	assert.Equal(t, d.Reason, ReasonDeadline)
+	// One runs and three wait, 100 ms each, and the ask takes 100 ms itself.
+	assert.Equal(t, d.Wait, ms(400))
+	assert.Equal(t, d.RetryAfter, ms(200))
+}
+
+func TestDeadlineShorterThanServiceIsRefusedThoughTheQueueIsEmpty(t *testing.T) {
+	b := newBench(t, Options{})
+	b.measure(5, ms(100))
+	ask := b.ask("a")
+	ask.Remaining = ms(99)
+	d := b.submit(ask)
+	assert.Equal(t, d.Reason, ReasonDeadline)
+	assert.Equal(t, len(b.started), 5)
+}
+
+func TestQueuedWorkWhoseDeadlineBecameImpossibleIsRefusedAsNotRun(t *testing.T) {
+	b := newBench(t, Options{})
+	b.measure(5, ms(100))
+	b.admit(b.ask("a"))
+	waiting := b.ask("a")
+	waiting.Remaining = ms(250)
+	waiting.Ticket = &Ticket{Nonce: 1, Clock: b.now}
+	b.admit(waiting)
+	b.advance(ms(149))
+	assert.Equal(t, len(b.refused), 0)
+	b.advance(ms(2))
+	assert.Equal(t, b.refused[waiting.Key].Reason, ReasonDeadline)
+	state, _ := b.g.Resolve(b.now, waiting.Key, *waiting.Ticket)
+	assert.Equal(t, state, StateNotRun)
+}
+
+func TestModelThatIsNotLoadedIsRefused(t *testing.T) {
+	b := newBench(t, Options{})
+	b.g.ObserveReport(b.now, Report{Models: []string{"m@1"}})
+	ask := b.ask("a")
+	ask.Model, ask.Version = "m", "2"
+	assert.Equal(t, b.submit(ask).Reason, ReasonModelNotLoaded)
+	b.g.ObserveOrder(b.now, "m@2", true)
+	b.admit(ask)
+	// The report lags; the order's effect holds until it can be trusted.
+	b.g.ObserveReport(b.now, Report{Models: []string{"m@1"}})
+	assert.DeepEqual(t, b.g.Models(b.now), []string{"m@1", "m@2"})
+	b.advance(defaultModelLag)
+	assert.DeepEqual(t, b.g.Models(b.now), []string{"m@1"})
+}
+
+func TestDuplicateOfAKnownAttemptIsNeverRunAgain(t *testing.T) {
+	b := newBench(t, Options{})
+	ask := b.admit(b.claimed())
+	assert.Equal(t, b.submit(ask).Verdict, Attached)
+	b.done(ask.Key)
+	assert.Equal(t, b.submit(ask).Verdict, Attached)
+	b.g.Acknowledge(b.now, ask.Key)
+	b.advance(defaultKeepResult)
+	d := b.submit(ask)
+	assert.Equal(t, d.Verdict, Gone, "its output is dropped, and it did run: %+v", d)
+	assert.Equal(t, len(b.started), 1)
+}
+
+func TestSameAttemptUnderAnotherClaimIsNotRun(t *testing.T) {
+	b := newBench(t, Options{})
+	ask := b.admit(b.claimed())
+	other := ask
+	other.Ticket = &Ticket{Nonce: ask.Ticket.Nonce + 1, Clock: b.now}
+	assert.Equal(t, b.submit(other).Verdict, Gone)
+	state, _ := b.g.Resolve(b.now, ask.Key, *other.Ticket)
+	assert.Equal(t, state, StateGone)
+	assert.Equal(t, len(b.started), 1)
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	b := newBench(t, Options{MaxQueued: 3})
+	for range 4 {
+		b.admit(b.ask("a"))
+	}
+	d := b.submit(b.ask("a"))
+	assert.Equal(t, d.Reason, ReasonQueueFull)
+	assert.Equal(t, b.g.queue.size, 3)
+}
+
+func TestRefusedClaimIsNeverRunLater(t *testing.T) {
+	b := newBench(t, Options{})
+	b.g.SetDrain(b.now, DrainCall, true)
+	ask := b.claimed()
+	assert.Equal(t, b.submit(ask).Reason, ReasonDraining)
+	b.g.SetDrain(b.now, DrainCall, false)
+	d := b.submit(ask)
+	assert.Equal(t, d.Verdict, Refused)
+	assert.Equal(t, d.Reason, ReasonTombstone)
+}
+
+func TestTicketOlderThanItsLifetimeIsRefused(t *testing.T) {
+	b := newBench(t, Options{})
+	ask := b.claimed()
+	b.advance(defaultTicketLifetime + 1)
+	assert.Equal(t, b.submit(ask).Reason, ReasonTicketExpired)
+	ahead := b.claimed()
+	ahead.Ticket.Clock = b.now + time.Second
+	assert.Equal(t, b.submit(ahead).Reason, ReasonInvalid)
+}
