--- a/standin/harness/relay.go
+++ b/standin/harness/relay.go
@@ -58,6 +58,11 @@
 func (r *Relay) Break() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closeAll()
+}
+
+// closeAll closes all connections. The caller holds mu.
+func (r *Relay) closeAll() {
 	for conn := range r.conns {
 		conn.Close()
 	}
@@ -78,18 +83,17 @@
 	r.delay = d
 }
 
-// Heal ends all faults. Connections that lost bytes are closed: their ends
-// could not go on.
+// Heal ends all faults. Connections that lost bytes are closed first, so that
+// their ends never take what comes behind a gap for the whole.
 func (r *Relay) Heal() {
 	r.mu.Lock()
-	lossy := r.silent[ToTarget] || r.silent[FromTarget]
+	defer r.mu.Unlock()
+	if r.silent[ToTarget] || r.silent[FromTarget] {
+		r.closeAll()
+	}
 	r.cut = false
 	r.silent = [2]bool{}
 	r.delay = 0
-	r.mu.Unlock()
-	if lossy {
-		r.Break()
-	}
 }
 
 // Close ends the relay and its connections.
