--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,93 @@
+package claim_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/claim"
+	"acaciawinch/core/fault"
+)
+
+// ask returns an ask with a body and its random source.
+func ask(key, body string) (claim.Ask, *rand.Rand) {
+	id := claim.Identity{Workspace: "w", Pipeline: "p", Key: key, Stage: "s", BodyDigest: claim.DigestBody([]byte(body))}
+	target := claim.Target{Upstream: "u", Addr: "127.0.0.1:1", Incarnation: 7, SideClockUS: 3}
+	return claim.Ask{Identity: id, Request: "r", Attempt: 1, Target: target, NowUnix: 100}, rand.New(rand.NewPCG(1, 2))
+}
+
+// met returns a machine that met an existing claim and awaits the read.
+func met(t *testing.T, a claim.Ask, rng *rand.Rand) *claim.Machine {
+	t.Helper()
+	m := claim.Open(a, claim.DefaultRules(), rng)
+	assert.Equal(t, m.Next().Call, claim.CallCreate)
+	assert.NilError(t, m.Wrote(claim.WriteConflict, 0))
+	assert.Equal(t, m.Next().Call, claim.CallRead)
+	return m
+}
+
+func TestSameKeyWithAnotherBodyIsInvalid(t *testing.T) {
+	first, rng := ask("k", "body")
+	second, _ := ask("k", "other body")
+	assert.Equal(t, first.Name(), second.Name())
+	written := claim.Open(first, claim.DefaultRules(), rng).Next().Record
+	m := met(t, second, rng)
+	err := m.Found(written, 1)
+	assert.Assert(t, fault.Is(err, fault.Invalid))
+	assert.Equal(t, m.Next().Call, claim.CallNone)
+	assert.Equal(t, m.Verdict().Status, claim.Invalid)
+}
+
+func TestAnotherKeysRecordIsNeverTaken(t *testing.T) {
+	first, rng := ask("k", "body")
+	second, _ := ask("other", "body")
+	assert.Assert(t, first.Name() != second.Name())
+	done := claim.Open(first, claim.DefaultRules(), rng).Next().Record
+	done.State = claim.StateDone
+	done.Result = claim.NewResult([][]byte{[]byte("mine")}, 100)
+	m := met(t, second, rng)
+	assert.Assert(t, fault.Is(m.Found(done, 1), fault.Internal))
+	assert.Equal(t, len(m.Verdict().Chunks), 0)
+}
+
+func TestDeletedClaimIsUnknown(t *testing.T) {
+	a, rng := ask("k", "body")
+	other := a
+	other.Request = "r2"
+	written := claim.Open(other, claim.DefaultRules(), rng).Next().Record
+	m := met(t, a, rng)
+	assert.NilError(t, m.Found(written, 1))
+	assert.NilError(t, m.Waited())
+	assert.NilError(t, m.Resolved(claim.SideAnswer{State: claim.SideNotRun, Incarnation: 7}))
+	assert.NilError(t, m.Wrote(claim.WriteConflict, 0))
+	assert.NilError(t, m.Missing())
+	assert.Equal(t, m.Verdict().Status, claim.Unknown)
+}
+
+func TestAnswerThatIsNotAwaited(t *testing.T) {
+	a, rng := ask("k", "body")
+	m := claim.Open(a, claim.DefaultRules(), rng)
+	assert.Assert(t, fault.Is(m.Waited(), fault.Internal))
+	assert.Assert(t, fault.Is(m.Missing(), fault.Internal))
+	assert.Assert(t, fault.Is(m.Resolved(claim.SideAnswer{}), fault.Internal))
+	assert.NilError(t, m.Wrote(claim.WriteOK, 1))
+	assert.Equal(t, m.Verdict().Status, claim.Mine)
+	assert.Assert(t, fault.Is(m.Wrote(claim.WriteOK, 1), fault.Internal))
+}
+
+func TestRecordFitsTheStore(t *testing.T) {
+	rules := claim.DefaultRules()
+	a, rng := ask("k", "body")
+	record := claim.Open(a, rules, rng).Next().Record
+	record.Result = claim.NewResult([][]byte{make([]byte, rules.MaxResultBytes)}, rules.MaxResultBytes)
+	assert.Assert(t, !record.Result.Omitted)
+	value, err := record.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) < 1<<20)
+	back, err := claim.Decode(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, record)
+	larger := claim.NewResult([][]byte{make([]byte, rules.MaxResultBytes), {1}}, rules.MaxResultBytes)
+	assert.Assert(t, larger.Omitted && len(larger.Chunks) == 0 && larger.Count == 2)
+}
--- a/core/claim/inputs.go
+++ b/core/claim/inputs.go
@@ -1,31 +1,22 @@
 package claim
 
-import "acaciawinch/core/fault"
-
-// phase is the machine's state; the names are those of the claim chart.
-type phase string
-
-const (
-	phaseCreating phase = "creating"
-	phaseReading  phase = "reading"
-	phaseWaiting  phase = "waiting"
-	phaseAsking   phase = "asking"
-	phaseUpdating phase = "updating"
-	phaseEnded    phase = "ended"
+import (
+	"acaciawinch/core/chart"
+	"acaciawinch/core/fault"
 )
 
 // Wrote hands in the answer to a create or an update; version is the new one if
 // the write took effect.
 func (m *Machine) Wrote(answer WriteAnswer, version uint64) error {
-	switch m.phase {
-	case phaseCreating:
+	if err := m.await(stateCreating, stateUpdating); err != nil {
+		return err
+	}
+	if m.chart.State() == stateCreating {
 		m.created(answer, version)
-	case phaseUpdating:
+	} else {
 		m.updated(answer, version)
-	default:
-		return m.misuse("wrote")
 	}
-	return nil
+	return m.err
 }
 
 // created takes the answer to a create.
@@ -37,217 +28,223 @@
 func (m *Machine) created(answer WriteAnswer, version uint64) {
 	switch answer {
 	case WriteOK:
-		m.claimed(m.own, version)
+		m.see(m.first, version)
+		m.own(eventWritten)
+	case WriteConflict:
+		m.conflicted()
 	case WriteUnavailable:
-		m.storeDown("the store is unavailable")
+		m.loseStore()
 	default:
-		m.phase = phaseReading
+		m.lostAnswer = true
+		m.expose(m.first.Epoch)
+		m.fire(eventAmbiguous)
 	}
 }
 
 // updated takes the answer to an update.
 //
 // Safe: the update is conditional on the version under which the replaced nonce
-// was proved dead, so WriteOK means that nobody replaced it in between.
+// was proved dead, so WriteOK means that nobody replaced it in between. After a
+// conflict pending is kept: an earlier sending of the same update, whose answer
+// was lost, may be what changed the version.
 func (m *Machine) updated(answer WriteAnswer, version uint64) {
 	switch answer {
 	case WriteOK:
 		m.tookEffect(version)
-	case WriteUnavailable:
-		m.pending = nil
-		m.storeDown("the store is unavailable")
 	case WriteConflict:
-		// The condition failed. The write can still have taken effect if an earlier
-		// sending of it did, so pending is kept for the comparison of nonces.
-		m.phase = phaseReading
+		m.conflicted()
+	case WriteUnavailable:
+		m.loseStore()
 	default:
-		m.phase = phaseReading
+		m.lostAnswer = true
+		m.expose(m.pending.record.Epoch)
+		m.fire(eventAmbiguous)
 	}
 }
 
-// tookEffect ends with the pending update known to be in the object.
+// conflicted reads what the condition of a write met. Unless an earlier sending
+// of the write may have met itself, another request has the claim.
+func (m *Machine) conflicted() {
+	m.others = m.others || !m.lostAnswer
+	m.fire(eventConflict)
+}
+
+// tookEffect ends with the pending update known to be in the object, by the
+// answer to the update or by reading back its nonce.
 func (m *Machine) tookEffect(version uint64) {
-	record := m.pending.record
-	m.pending = nil
-	m.see(record, version)
-	if record.State == StateAbandoned {
-		m.end(phaseEnded, Verdict{Status: NotRun, KeyNotRun: true, Reason: "abandoned"})
-		return
+	m.see(m.pending.record, version)
+	reading := m.chart.State() == stateReading
+	retired := m.seen.State == StateAbandoned
+	switch {
+	case retired && reading:
+		m.end(eventClosed, Verdict{KeyNotRun: true})
+	case retired:
+		m.end(eventRetired, Verdict{KeyNotRun: true})
+	case reading:
+		m.own(eventOwnNonce)
+	default:
+		m.own(eventWritten)
 	}
-	m.claimed(record, version)
 }
 
-// claimed ends with the attempt owned.
-func (m *Machine) claimed(record Record, version uint64) {
-	m.see(record, version)
-	m.end(phaseEnded, Verdict{Status: Mine, KeyNotRun: true, Reason: "claimed"})
+// own ends with the attempt owned. The key is not told to be not run: while the
+// answer was on its way, another request may have had the attempt refused and
+// run its own. Release proves it.
+func (m *Machine) own(event chart.Event) {
+	m.end(event, Verdict{KeyNotRun: m.ask.Minted})
 }
 
 // Missing hands in that a read found no object.
 func (m *Machine) Missing() error {
-	if m.phase != phaseReading {
-		return m.misuse("missing")
+	if err := m.await(stateReading); err != nil {
+		return err
 	}
 	switch {
-	case m.goal == goalLook:
-		m.end(phaseEnded, Verdict{Status: Absent, Reason: "no claim"})
+	case m.goal == goalLook && !m.everSeen:
+		m.end(eventNoClaim, Verdict{})
 	case m.everSeen:
 		// It was there and expired: nothing is known of what its attempt did.
-		m.end(phaseEnded, Verdict{Status: Unknown, Reason: "the claim was deleted"})
+		m.end(eventExpired, Verdict{})
 	case m.tooManyReads():
-		m.storeDown("the claim could not be written")
+		m.loseStore()
 	default:
 		// The lost create has not taken effect yet. The same record is sent again:
 		// whichever of the two sendings arrives first, the nonce is the same.
-		m.phase = phaseCreating
+		m.fire(eventMissing)
 	}
-	return nil
+	return m.err
 }
 
 // Unreadable hands in that a read had no answer.
 func (m *Machine) Unreadable() error {
-	if m.phase != phaseReading {
-		return m.misuse("unreadable")
+	if err := m.await(stateReading); err != nil {
+		return err
 	}
-	m.storeDown("the claim could not be read")
-	return nil
+	m.loseStore()
+	return m.err
 }
 
 // Found hands in what a read found.
 func (m *Machine) Found(record Record, version uint64) error {
-	if m.phase != phaseReading {
-		return m.misuse("found")
-	}
-	if err := m.checkIdentity(record); err != nil {
+	if err := m.await(stateReading); err != nil {
 		return err
 	}
-	if m.stillPending(version) {
+	if problem := m.mismatch(record); problem != nil {
+		m.end(eventMismatch, Verdict{})
+		m.err = problem
+		return m.err
+	}
+	if m.pending != nil && m.pending.version == version {
 		m.resend()
-		return nil
+		return m.err
+	}
+	m.found(record, version)
+	return m.err
+}
+
+// found decides on a record that is not the one that a pending update replaces.
+func (m *Machine) found(record Record, version uint64) {
+	if m.pending != nil && record.Nonce == m.pending.record.Nonce && record.State != StateDone {
+		m.tookEffect(version)
+		return
 	}
+	m.pending = nil
 	m.see(record, version)
 	switch {
 	case record.State == StateDone:
 		m.foundDone(record)
-	case m.ownNonce(record):
-		m.foundOwn(record, version)
+	case m.exposed && record.Epoch > m.epoch:
+		m.foundLaterEpoch(record)
 	case record.State == StateAbandoned:
-		m.foundAbandoned(record)
+		m.foundAbandoned()
+	case record.Nonce == m.first.Nonce:
+		// Safe: nonces are random, so only this machine's create can have written
+		// it, and the read shows that it has not been replaced. If it is replaced
+		// after the read, its tombstone stands already and refuses the dispatch.
+		m.own(eventOwnNonce)
 	default:
 		m.foundOther()
 	}
-	return nil
 }
 
-// checkIdentity refuses a record of another key or body, so that no request ever
+// mismatch refuses a record of another key or body, so that no request ever
 // takes the result of another. The error has code Invalid if only the body
 // differs, which is the caller's mistake, and Internal if the name's hash met
 // two keys.
-func (m *Machine) checkIdentity(record Record) error {
+func (m *Machine) mismatch(record Record) error {
 	want := m.ask.Identity
-	have := record.Identity
 	if m.goal == goalLook && want.BodyDigest == "" {
-		want.BodyDigest = have.BodyDigest
+		want.BodyDigest = record.BodyDigest
 	}
-	if have == want {
+	if record.Identity == want {
 		return nil
 	}
-	m.end(phaseEnded, Verdict{Status: Unknown, Reason: "another request's claim"})
-	bodyOnly := have
-	bodyOnly.BodyDigest = want.BodyDigest
-	if bodyOnly == want {
+	want.BodyDigest = record.BodyDigest
+	if record.Identity == want {
 		return fault.New(fault.Invalid, "claim.reading", "", "the idempotency key was used with another body")
 	}
 	return fault.New(fault.Internal, "claim.reading", "", "the claim belongs to another key")
 }
 
-// stillPending tells whether the object still has the version on which an update
-// was conditional, so that the update has not taken effect yet.
-func (m *Machine) stillPending(version uint64) bool {
-	return m.pending != nil && m.pending.version == version
-}
-
-// resend sends a pending update again. Safe: it is the same record under the
-// same condition, so both sendings together take effect at most once.
+// resend sends a pending update again, because the object still has the version
+// on which it is conditional.
+//
+// Safe: it is the same record under the same condition, so both sendings
+// together take effect at most once.
 func (m *Machine) resend() {
 	if m.tooManyReads() {
-		m.pending = nil
-		m.storeDown("the claim could not be updated")
-		return
-	}
-	m.phase = phaseUpdating
-}
-
-// ownNonce tells whether the record carries a nonce that this machine wrote and
-// has not seen replaced.
-func (m *Machine) ownNonce(record Record) bool {
-	if m.pending != nil {
-		return record.Nonce == m.pending.record.Nonce
-	}
-	return m.rounds == 0 && m.own.Nonce != 0 && record.Nonce == m.own.Nonce
-}
-
-// foundOwn ends with a write whose answer was lost and which took effect.
-func (m *Machine) foundOwn(record Record, version uint64) {
-	if m.pending != nil {
-		m.tookEffect(version)
+		m.loseStore()
 		return
 	}
-	m.claimed(record, version)
+	m.fire(eventUnchanged)
 }
 
 // foundDone ends with a recorded result, or asks the side for one that was too
 // large for the record.
 func (m *Machine) foundDone(record Record) {
-	m.pending = nil
-	if record.Result != nil && record.Result.Omitted {
-		m.phase = phaseAsking
+	if record.Result == nil || record.Result.Omitted {
+		m.fire(eventOmitted)
 		return
 	}
-	verdict := Verdict{Status: Done, Recorded: true, Reason: "the result is recorded"}
-	if record.Result != nil {
-		verdict.Chunks = record.Result.Chunks
-	}
-	m.end(phaseEnded, verdict)
+	m.end(eventRecorded, Verdict{Recorded: true, Chunks: record.Result.Chunks})
+}
+
+// foundLaterEpoch ends an ask that may have had the claim when a look abandoned
+// it. The look has told its asker that the request will not run, so it must not,
+// even if a later request with the key has opened the claim again.
+func (m *Machine) foundLaterEpoch(record Record) {
+	m.end(eventClosed, Verdict{KeyNotRun: m.ask.Minted || record.State == StateAbandoned})
 }
 
 // foundAbandoned goes on from a claim whose last attempt was proved not run.
-//
-// Who doesn't want to run it has the verdict. Neither may an ask whose own
-// attempt was abandoned start another: it was abandoned by a look, which has told
-// its asker that this request will not run. A later ask with the key may.
-func (m *Machine) foundAbandoned(record Record) {
-	m.pending = nil
-	if m.goal != goalRun || record.Request == m.ask.Request {
-		m.end(phaseEnded, Verdict{Status: NotRun, KeyNotRun: true, Reason: "abandoned"})
+func (m *Machine) foundAbandoned() {
+	if m.goal != goalRun {
+		m.end(eventClosed, Verdict{KeyNotRun: true})
 		return
 	}
-	m.startUpdate(m.nextAttempt())
+	m.startUpdate(eventAbandoned, m.nextAttempt())
 }
 
 // foundOther waits before it asks the side of another request's open claim.
 func (m *Machine) foundOther() {
-	m.pending = nil
-	if m.goal == goalRelease {
-		m.end(phaseEnded, Verdict{Status: Unknown, Reason: "another request has replaced it"})
-		return
-	}
+	m.others = true
 	m.rounds++
-	if m.rounds > m.rules.MaxRounds || m.tooManyReads() {
-		m.end(phaseEnded, Verdict{Status: Unknown, RetryAfter: m.rules.RetryAfter, Reason: "other requests keep claiming it"})
+	spent := m.rounds > m.rules.MaxRounds || m.tooManyReads()
+	if spent || m.goal == goalRelease {
+		m.end(eventContended, Verdict{RetryAfter: m.rules.RetryAfter})
 		return
 	}
 	m.wait = m.patience()
-	m.phase = phaseWaiting
+	m.fire(eventOtherOpen)
 }
 
 // Waited hands in that the wait is over.
 func (m *Machine) Waited() error {
-	if m.phase != phaseWaiting {
-		return m.misuse("waited")
+	if err := m.await(stateWaiting); err != nil {
+		return err
 	}
-	m.phase = phaseAsking
-	return nil
+	m.fire(eventWaited)
+	return m.err
 }
 
 // tooManyReads counts a read against the bound.
--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"acaciawinch/core/fault"
+	"acaciawinch/core/chart"
 )
 
 // goal is what a machine was made for.
@@ -27,40 +27,52 @@
 	version uint64
 }
 
-// Machine carries one ask through the claim protocol. The driver makes the call
-// that Next returns and hands in the answer, until the call is CallNone. It does
-// no I/O and is for one goroutine.
+// Machine carries one ask through the claim chart. The driver makes the call that
+// Next returns and hands in the answer, until the call is CallNone. It does no
+// I/O and is for one goroutine.
 type Machine struct {
 	ask   Ask
 	rules Rules
 	rng   *rand.Rand
 	goal  goal
 
-	phase phase
-	// own is the record of this ask's first attempt, with the nonce that all its
-	// creates carry.
-	own Record
-	// seen is what the last read found, with its version.
+	chart *chart.Machine
+	trail []chart.Event
+	// err is the first breach of the chart or of the claim's identity.
+	err error
+
+	// first is the record of this ask's first attempt, with the nonce that all
+	// its creates carry.
+	first Record
+	// seen is what the claim object is known to have held, with its version.
 	seen        Record
 	seenVersion uint64
 	everSeen    bool
+	// others is set once another request is known to have written the claim.
+	others bool
 	// pending is the update whose effect is not known; nil if none.
 	pending *pendingWrite
+	// lostAnswer is set once an answer to the present write was lost.
+	lostAnswer bool
+	// exposed is set once a record of this ask may have been in the object, and
+	// epoch is the first in which that may have been.
+	exposed bool
+	epoch   uint64
 	// reads and rounds count against the bounds of the rules.
 	reads  int
 	rounds int
-	// wait is how long the present waiting phase lasts.
+	// wait is how long the present waiting lasts.
 	wait    time.Duration
 	verdict Verdict
 }
 
 // Open returns a machine that claims an attempt for ask. Randomness comes from
-// rng: nonces must not be guessable from earlier runs, so production seeds it
-// from the system's random source.
+// rng: nonces must differ from those of all other processes, so production seeds
+// it from the system's random source.
 func Open(ask Ask, rules Rules, rng *rand.Rand) *Machine {
 	m := newMachine(ask, rules, rng, goalRun)
-	m.own = ask.record(m.nonce())
-	m.phase = phaseCreating
+	m.first = ask.record(m.nonce())
+	m.fire(eventOpen)
 	return m
 }
 
@@ -74,9 +86,9 @@
 // machine goes on as one that met another request's claim.
 func Reassign(owned Record, version uint64, target Target, rules Rules, rng *rand.Rand) *Machine {
 	m := newMachine(askOf(owned, target), rules, rng, goalReassign)
-	m.ask.Attempt = owned.Attempt + 1
 	m.see(owned, version)
-	m.startUpdate(m.nextAttempt())
+	m.expose(owned.Epoch)
+	m.startUpdate(eventReplace, m.nextAttempt())
 	return m
 }
 
@@ -86,23 +98,23 @@
 func Release(owned Record, version uint64, rules Rules, rng *rand.Rand) *Machine {
 	m := newMachine(askOf(owned, owned.Target), rules, rng, goalRelease)
 	m.see(owned, version)
-	m.startUpdate(m.abandoned())
+	m.startUpdate(eventReplace, m.abandoned())
 	return m
 }
 
 // Look returns a machine that finds out what became of a claim, without a wish
 // to run it. An attempt that turns out not to have run is abandoned, so that the
-// verdict NotRun stays true: its owner's dispatch meets the side's tombstone, and
-// its owner's Reassign meets a newer version.
+// verdict NotRun stays true of the request that had claimed it: its dispatch
+// meets the side's tombstone, and its Reassign meets a newer version.
 func Look(id Identity, rules Rules, rng *rand.Rand) *Machine {
 	m := newMachine(Ask{Identity: id}, rules, rng, goalLook)
-	m.phase = phaseReading
+	m.fire(eventLook)
 	return m
 }
 
-// newMachine returns a machine without a phase.
+// newMachine returns a machine at the chart's start.
 func newMachine(ask Ask, rules Rules, rng *rand.Rand, g goal) *Machine {
-	return &Machine{ask: ask, rules: rules, rng: rng, goal: g}
+	return &Machine{ask: ask, rules: rules, rng: rng, goal: g, chart: claimChart.Start(ask.Name())}
 }
 
 // askOf returns the ask that an owned record came from, for another target.
@@ -110,7 +122,7 @@
 	return Ask{
 		Identity: owned.Identity,
 		Request:  owned.Request,
-		Attempt:  owned.Attempt,
+		Attempt:  owned.Attempt + 1,
 		Target:   target,
 		Minted:   owned.Minted,
 		NowUnix:  owned.CreatedUnix,
@@ -119,26 +131,37 @@
 
 // Next returns the call to make.
 func (m *Machine) Next() Step {
-	name := m.ask.Identity.Name()
-	switch m.phase {
-	case phaseCreating:
-		return Step{Call: CallCreate, Name: name, Record: m.own}
-	case phaseReading:
-		return Step{Call: CallRead, Name: name}
-	case phaseWaiting:
-		return Step{Call: CallWait, Name: name, Wait: m.wait}
-	case phaseAsking:
-		return Step{Call: CallResolve, Name: name, Record: m.seen}
-	case phaseUpdating:
-		return Step{Call: CallUpdate, Name: name, Record: m.pending.record, Version: m.pending.version}
-	default:
-		return Step{Call: CallNone, Name: name}
+	step := Step{Name: m.ask.Name()}
+	if m.err != nil {
+		return step
+	}
+	switch m.chart.State() {
+	case stateCreating:
+		step.Call = CallCreate
+		step.Record = m.first
+	case stateReading:
+		step.Call = CallRead
+	case stateWaiting:
+		step.Call = CallWait
+		step.Wait = m.wait
+	case stateAsking:
+		step.Call = CallResolve
+		step.Record = m.seen
+	case stateUpdating:
+		step.Call = CallUpdate
+		step.Record = m.pending.record
+		step.Version = m.pending.version
 	}
+	return step
 }
 
 // Verdict returns the verdict once Next returns CallNone.
 func (m *Machine) Verdict() Verdict { return m.verdict }
 
+// Err returns why there is no verdict once Next returns CallNone: Invalid if the
+// key was used with another body, Internal if a rule of the code was broken.
+func (m *Machine) Err() error { return m.err }
+
 // see remembers what the claim object holds.
 func (m *Machine) see(record Record, version uint64) {
 	m.seen = record
@@ -156,11 +179,13 @@
 }
 
 // nextAttempt returns the record that replaces the seen one by an attempt of
-// this ask. Each replacement gets a new nonce: the nonce of an update that lost
-// may have a tombstone already.
+// this ask. Each replacement gets a new nonce and attempt number: those of an
+// update that lost may have a tombstone already.
 func (m *Machine) nextAttempt() Record {
 	record := m.ask.record(m.nonce())
 	record.CreatedUnix = m.seen.CreatedUnix
+	record.Epoch = m.seen.Epoch
+	m.ask.Attempt++
 	return record
 }
 
@@ -170,15 +195,30 @@
 	record := m.seen
 	record.State = StateAbandoned
 	record.Nonce = m.nonce()
+	if m.goal == goalLook {
+		record.Epoch++
+	}
 	return record
 }
 
+// expose notes that a record of this ask may have been in the object.
+func (m *Machine) expose(epoch uint64) {
+	if !m.exposed {
+		m.exposed = true
+		m.epoch = epoch
+	}
+}
+
 // startUpdate makes the conditional update of the seen version the next call.
-func (m *Machine) startUpdate(record Record) {
+func (m *Machine) startUpdate(event chart.Event, record Record) {
 	m.pending = &pendingWrite{record: record, version: m.seenVersion}
-	m.phase = phaseUpdating
+	m.lostAnswer = false
+	m.fire(event)
 }
 
+// maxDoublings keeps the doubled patience far from overflow.
+const maxDoublings = 10
+
 // patience returns how long to wait before the side of the seen claim is asked.
 // The random part keeps two askers that displace each other from doing so in
 // step.
@@ -188,21 +228,3 @@
 	wait = max(wait, m.seen.DispatchWithin())
 	return min(wait, m.rules.MaxPatience)
 }
-
-// maxDoublings keeps the doubled patience far from overflow.
-const maxDoublings = 10
-
-// end reaches a verdict.
-func (m *Machine) end(p phase, v Verdict) {
-	m.phase = p
-	if v.Version == 0 && m.everSeen {
-		v.Record = m.seen
-		v.Version = m.seenVersion
-	}
-	m.verdict = v
-}
-
-// misuse is the error of an answer that the present phase does not await.
-func (m *Machine) misuse(input string) error {
-	return fault.New(fault.Internal, "claim."+string(m.phase), "", "the answer %q is not awaited", input)
-}
--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -65,6 +65,10 @@
 	// Minted is set if the entry made the key itself.
 	Minted bool   `json:"minted,omitempty"`
 	Target Target `json:"target"`
+	// Epoch rises with each time that a look abandons the claim. A request that
+	// had the claim in an earlier epoch may have been told to be not run, so it
+	// starts nothing.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// DispatchWithinMS is how soon after the write the owner means to dispatch.
 	// Another asker waits that long before it has the attempt refused.
 	DispatchWithinMS int64 `json:"dispatch_within_ms,omitempty"`
--- a/core/claim/resolve.go
+++ b/core/claim/resolve.go
@@ -2,28 +2,27 @@
 
 // Resolved hands in the side's answer about the seen attempt.
 func (m *Machine) Resolved(answer SideAnswer) error {
-	if m.phase != phaseAsking {
-		return m.misuse("resolved")
+	if err := m.await(stateAsking); err != nil {
+		return err
 	}
-	if m.seen.State == StateDone {
-		m.resolvedKept(answer)
-		return nil
-	}
-	switch m.believed(answer) {
-	case SideDone:
-		m.end(phaseEnded, Verdict{Status: Done, Chunks: answer.Chunks, Reason: "the side has the result"})
-	case SideRunning:
-		m.end(phaseEnded, Verdict{Status: Running, Reason: "the side runs it"})
-	case SideNotRun:
+	state := m.believed(answer)
+	switch {
+	case state == SideUnreachable:
+		m.end(eventSideUnreachable, Verdict{RetryAfter: m.rules.RetryAfter})
+	case m.seen.State == StateDone:
+		m.resolvedOmitted(state, answer.Chunks)
+	case state == SideDone:
+		m.end(eventSideDone, Verdict{Chunks: answer.Chunks})
+	case state == SideRunning:
+		m.end(eventSideRunning, Verdict{})
+	case state == SideNotRun:
 		m.resolvedNotRun()
-	case SideUnreachable:
-		m.end(phaseEnded, Verdict{Status: Unknown, RetryAfter: m.rules.RetryAfter, Reason: "the side can't be reached"})
-	case SideFailed:
-		m.end(phaseEnded, Verdict{Status: Unknown, Reason: "the upstream had it and gave no result"})
+	case state == SideFailed:
+		m.end(eventSideFailed, Verdict{})
 	default:
-		m.end(phaseEnded, Verdict{Status: Unknown, Reason: "the side that had it is gone"})
+		m.end(eventSideGone, Verdict{})
 	}
-	return nil
+	return m.err
 }
 
 // believed returns the answer's state, or SideGone if another incarnation than
@@ -47,49 +46,50 @@
 // that carried the old nonce: of all askers that got the same answer one wins.
 func (m *Machine) resolvedNotRun() {
 	if m.goal == goalLook {
-		m.startUpdate(m.abandoned())
+		m.startUpdate(eventSideNotRun, m.abandoned())
 		return
 	}
-	m.startUpdate(m.nextAttempt())
+	m.startUpdate(eventSideNotRun, m.nextAttempt())
 }
 
-// resolvedKept ends with a result that the record only has the digest of.
-func (m *Machine) resolvedKept(answer SideAnswer) {
-	intact := m.believed(answer) == SideDone && DigestChunks(answer.Chunks) == m.seen.Result.Digest
-	if intact {
-		m.end(phaseEnded, Verdict{Status: Done, Chunks: answer.Chunks, Recorded: true, Reason: "the side kept the result"})
+// resolvedOmitted ends with a result of which the record has only the digest.
+// Other chunks than those that were recorded are no result.
+func (m *Machine) resolvedOmitted(state SideState, chunks [][]byte) {
+	recorded := m.seen.Result
+	if state == SideDone && recorded != nil && DigestChunks(chunks) == recorded.Digest {
+		m.end(eventSideDone, Verdict{Chunks: chunks, Recorded: true})
 		return
 	}
-	verdict := Verdict{Status: Unknown, Reason: "it ran, and its result is no longer kept"}
-	if answer.State == SideUnreachable {
-		verdict.RetryAfter = m.rules.RetryAfter
-		verdict.Reason = "it ran, and the side with the result can't be reached"
-	}
-	m.end(phaseEnded, verdict)
+	m.end(eventResultLost, Verdict{})
 }
 
 // GiveUp ends the machine early, as when the request's deadline has passed. The
-// verdict is truthful at any phase, because the asker owns nothing yet.
-func (m *Machine) GiveUp(reason string) {
-	if m.phase == phaseEnded {
-		return
+// verdict is truthful in any state, because the asker owns nothing yet.
+func (m *Machine) GiveUp() {
+	state := m.chart.State()
+	switch {
+	case m.err != nil || m.chart.Final():
+	case state == stateWaiting || state == stateAsking || m.otherMayRun():
+		m.end(eventGaveUp, Verdict{RetryAfter: m.rules.RetryAfter})
+	default:
+		m.end(eventOutOfTime, Verdict{RetryAfter: m.rules.RetryAfter, KeyNotRun: m.ask.Minted})
 	}
-	m.storeDown(reason)
 }
 
-// storeDown ends without an attempt of this ask.
+// loseStore ends without an attempt of this ask because the store does not answer.
 //
 // This ask has started nothing and will start nothing: an update or create of
 // it that takes effect later leaves an open claim that nobody dispatches. What
-// another request with the same key did is a different question. It can be ruled
-// out only if no other request can have the key, or if the claim's attempt was
-// proved dead under a version that only this machine's write replaces.
-func (m *Machine) storeDown(reason string) {
-	verdict := Verdict{Status: Unavailable, RetryAfter: m.rules.RetryAfter, Reason: reason}
-	verdict.KeyNotRun = m.ask.Minted && !m.everSeen
-	if m.everSeen && m.goal == goalRun {
-		// Another request's claim exists, so its attempt may run.
-		verdict.Status = Unknown
+// another request with the same key did is a different question. It is ruled out
+// only if no other request can have the key.
+func (m *Machine) loseStore() {
+	if m.otherMayRun() {
+		m.end(eventLostSight, Verdict{RetryAfter: m.rules.RetryAfter})
+		return
 	}
-	m.end(phaseEnded, verdict)
+	m.end(eventStoreDown, Verdict{RetryAfter: m.rules.RetryAfter, KeyNotRun: m.ask.Minted})
 }
+
+// otherMayRun tells whether another request is known to have claimed the stage.
+// Only lookers write a minted key's claim besides its owner, and they run nothing.
+func (m *Machine) otherMayRun() bool { return m.others && !m.ask.Minted }
--- a/core/claim/step.go
+++ b/core/claim/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/chart"
 )
 
 // Status is the verdict of a claim.
@@ -22,11 +23,13 @@
 	// Unavailable: the store did not answer. The asker has started nothing and
 	// will start nothing.
 	Unavailable
-	// NotRun: proved that no attempt has run and none that was asked for before
-	// this verdict will; only a new request with the key may start one.
+	// NotRun: proved that neither the asker nor, for a look, the request named in
+	// the record has run it or ever will.
 	NotRun
 	// Absent: a look found no claim.
 	Absent
+	// Invalid: the claim is that of another body or key.
+	Invalid
 )
 
 var statusNames = map[Status]string{
@@ -37,6 +40,7 @@
 	Unavailable: "unavailable",
 	NotRun:      "not_run",
 	Absent:      "absent",
+	Invalid:     "invalid",
 }
 
 // String returns the verdict's name.
@@ -52,14 +56,15 @@
 	Chunks [][]byte
 	// Recorded tells, in Done, whether the claim object holds the result already.
 	Recorded bool
-	// KeyNotRun tells that no attempt of any request with this key has run. It
-	// can hold with Mine, NotRun and, for a key that the entry made itself, with
-	// Unavailable.
+	// KeyNotRun tells that no attempt of any request with this key had run at the
+	// moment that decided, and that those which had claimed it by then never will.
+	// It holds with NotRun and, for a key that the entry made itself, with Mine
+	// and Unavailable: then nobody else can have asked for it.
 	KeyNotRun bool
 	// RetryAfter tells when asking again is worth while; zero if it is not.
 	RetryAfter time.Duration
-	// Reason says in a few words how the verdict came about.
-	Reason string
+	// Trail is the events of the claim chart that led here, in order.
+	Trail []chart.Event
 }
 
 // Call is what the driver of a machine has to do next.
--- a/entry/claims/drive.go
+++ b/entry/claims/drive.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/chart"
 	"acaciawinch/core/claim"
 	"acaciawinch/core/fault"
 	"acaciawinch/observe"
@@ -21,7 +23,7 @@
 			break
 		}
 		if ctx.Err() != nil {
-			machine.GiveUp("the time allowed ran out")
+			machine.GiveUp()
 			break
 		}
 		if err := k.call(ctx, machine, step); err != nil {
@@ -196,10 +198,19 @@
 		Recorded:   v.Recorded,
 		KeyNotRun:  v.KeyNotRun,
 		RetryAfter: v.RetryAfter,
-		Reason:     v.Reason,
+		Reason:     reason(v.Trail),
 	}
 }
 
+// reason joins the events of the claim chart that led to a verdict.
+func reason(trail []chart.Event) string {
+	words := make([]string, len(trail))
+	for i, event := range trail {
+		words[i] = string(event)
+	}
+	return strings.Join(words, " ")
+}
+
 // logVerdict writes the line of one claim decision.
 func (k *Keeper) logVerdict(action, name string, held Held) {
 	record := held.Claim.Record
--- a/entry/claims/keeper.go
+++ b/entry/claims/keeper.go
@@ -25,6 +25,7 @@
 	Unavailable = claim.Unavailable
 	NotRun      = claim.NotRun
 	Absent      = claim.Absent
+	Invalid     = claim.Invalid
 )
 
 // Target is the side process that an attempt is meant for.
@@ -88,11 +89,14 @@
 	// Recorded tells, with Done, that the claim holds the result; if not, the
 	// caller should Finish.
 	Recorded bool
-	// KeyNotRun tells that no request with this key has run the stage.
+	// KeyNotRun tells that no request with this key had run the stage when this
+	// was decided. Without it, not_run is true of this request only: say unknown
+	// if the caller gave the key, because an earlier request may have run.
 	KeyNotRun bool
 	// RetryAfter tells when asking again is worth while; zero if it is not.
 	RetryAfter time.Duration
-	Reason     string
+	// Reason is the events of the claim chart that led here.
+	Reason string
 }
 
 // Addr returns the IP:port of the side to attach to with Running.
