Stop the demonstration with streams in flight; let work times vary

A planned stop with nothing in flight proves little, so nine streams are begun before it and must come back whole.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -29,6 +29,8 @@
 	Stream bool
 	// Method is POST if empty.
 	Method string
+	// OnChunk, if set, is called with each chunk of a stream as it arrives.
+	OnChunk func(chunk []byte)
 }
 
 // Verdict tells what came back.
@@ -74,8 +76,6 @@
 type Client struct {
 	http    *http.Client
 	catalog catalog.Catalog
-	// OnChunk, if set, is called with each chunk of a stream as it arrives.
-	OnChunk func(chunk []byte)
 }
 
 // idleConnections is how many idle connections a client keeps to one entry.
--- a/standin/caller/read.go
+++ b/standin/caller/read.go
@@ -114,7 +114,7 @@
 		}
 		switch e.name {
 		case "chunk":
-			if !c.noteChunk(e, result) {
+			if !noteChunk(e, r, result) {
 				return
 			}
 			last = result.noteTime(last)
@@ -149,7 +149,7 @@
 }
 
 // noteChunk records one chunk. It returns false if the chunk is out of order.
-func (c *Client) noteChunk(e event, result *Result) bool {
+func noteChunk(e event, r Request, result *Result) bool {
 	var chunk chunkEvent
 	err := json.Unmarshal(e.data, &chunk)
 	if err != nil || chunk.Index != uint64(len(result.Chunks)) {
@@ -162,8 +162,8 @@
 		data = []byte(chunk.Text)
 	}
 	result.Chunks = append(result.Chunks, data)
-	if c.OnChunk != nil {
-		c.OnChunk(data)
+	if r.OnChunk != nil {
+		r.OnChunk(data)
 	}
 	return true
 }
--- a/standin/cmd/demo/demo.go
+++ b/standin/cmd/demo/demo.go
@@ -100,16 +100,13 @@
 // stream streams one answer to the terminal and returns the request's id.
 func (d *demo) stream(ctx context.Context) string {
 	fmt.Print("a streamed answer: ")
-	d.client.OnChunk = func(chunk []byte) {
-		_, _ = os.Stdout.Write(chunk)
-	}
 	result := d.send(ctx, 0, caller.Request{
 		Workspace: "pensionistas",
 		Pipeline:  "consulta",
 		Body:      d.body("¿Cuándo vence mi bono?"),
 		Stream:    true,
+		OnChunk:   func(chunk []byte) { _, _ = os.Stdout.Write(chunk) },
 	}, false)
-	d.client.OnChunk = nil
 	fmt.Println()
 	d.report(answered(result), "streamed: %d chunks, the first after %d ms: %s",
 		len(result.Chunks), result.First.Milliseconds(), describeResult(result))
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -93,7 +93,11 @@
 	} else {
 		d.full(ctx)
 	}
-	return finish(fleet, d, o.Keep, began)
+	awaitStreams := func() {}
+	if !o.Thin {
+		awaitStreams = d.beginStreams(ctx)
+	}
+	return finish(fleet, d, awaitStreams, o.Keep, began)
 }
 
 // chosen returns the deployment that the options name.
@@ -112,10 +116,11 @@
 }
 
 // finish stops all processes gracefully, judges the trial and prints a summary.
-func finish(fleet *harness.Fleet, d *demo, keep bool, began time.Time) error {
+func finish(fleet *harness.Fleet, d *demo, awaitStreams func(), keep bool, began time.Time) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	stopped := fleet.Stop(ctx)
+	awaitStreams()
 	d.report(stopped == nil, "every process stopped on SIGTERM with exit code 0")
 	records, err := fleet.Records()
 	if err != nil {
--- a/standin/cmd/demo/requests.go
+++ b/standin/cmd/demo/requests.go
@@ -15,8 +15,8 @@
 // roundsOfEachKind is how often each kind of good request is sent.
 const roundsOfEachKind = 12
 
-// oversizeBody is above every entry's limit on bodies.
-const oversizeBody = 8 << 20
+// oversizeBody is above the entries' default limit on bodies, which is 1 MiB.
+const oversizeBody = 1<<20 + 1<<10
 
 // pair names a workspace with one of its pipelines.
 type pair struct {
@@ -173,6 +173,45 @@
 // explain prints what the operators' command tells about one request.
 func (d *demo) explain(ctx context.Context, id string) {
 	output, err := d.fleet.Command(ctx, "explain", id)
-	d.report(err == nil && strings.Contains(output, id), "explain %s: %v", id, err)
+	if err != nil {
+		d.report(false, "explain %s: %v", id, err)
+		return
+	}
+	d.report(strings.Contains(output, id), "explain %s:", id)
 	fmt.Println(strings.TrimSpace(output))
 }
+
+// streamsAtStop is how many streams are in flight when the planned stop begins.
+const streamsAtStop = 9
+
+// beginStreams starts streams through all entries and waits until each has its
+// first chunk, or its end. The returned function waits for all ends.
+func (d *demo) beginStreams(ctx context.Context) (wait func()) {
+	var begun, ended sync.WaitGroup
+	results := make([]caller.Result, streamsAtStop)
+	for i := range results {
+		begun.Add(1)
+		first := sync.OnceFunc(begun.Done)
+		ended.Go(func() {
+			defer first()
+			results[i] = d.send(ctx, i, caller.Request{
+				Workspace: "pensionistas",
+				Pipeline:  "consulta",
+				Body:      d.body("¿Cuándo vence mi bono?"),
+				Stream:    true,
+				OnChunk:   func([]byte) { first() },
+			}, false)
+		})
+	}
+	begun.Wait()
+	return func() {
+		ended.Wait()
+		count := 0
+		for _, result := range results {
+			if answered(result) {
+				count++
+			}
+		}
+		d.report(count == len(results), "streams in flight at the planned stop: %d of %d answered whole", count, len(results))
+	}
+}
--- a/standin/cmd/standin/upstream.go
+++ b/standin/cmd/standin/upstream.go
@@ -22,6 +22,7 @@
 	TokenMS    float64       `long:"token-ms" default:"2" description:"an engine's time of one step of a batch of one"`
 	FirstMS    float64       `long:"first-ms" default:"20" description:"an engine's time of one uncached prompt"`
 	BatchSlope float64       `long:"batch-slope" default:"0.1" description:"part of token-ms that each further batch member adds"`
+	Spread     float64       `long:"spread" default:"0" description:"part of service-ms and first-ms that varies from call to call, 0 to 1"`
 	Fencing    string        `long:"fencing" choice:"honour" choice:"ignore" default:"honour"`
 	Models     string        `long:"models" description:"loaded from the start: model@version,…"`
 	LoadMS     float64       `long:"load-ms" default:"100" description:"time of loading one model version"`
@@ -57,6 +58,7 @@
 			Service:    c.Service,
 			Capacity:   c.Capacity,
 			Duration:   milliseconds(c.ServiceMS),
+			Spread:     upstream.NewSpread(c.Spread, c.Name),
 			Conditions: conditions,
 		})
 	}
@@ -70,6 +72,7 @@
 		LoadTime:      milliseconds(c.LoadMS),
 		CacheEntries:  c.CacheSize,
 		CacheLag:      c.CacheLag,
+		Spread:        upstream.NewSpread(c.Spread, c.Name),
 		Conditions:    conditions,
 	})
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -24,6 +24,8 @@
 	FirstMS float64
 	// BatchSlope is the part of TokenMS that each further batch member adds.
 	BatchSlope float64
+	// Spread is the part of ServiceMS and FirstMS that varies from call to call.
+	Spread float64
 	// IgnoreFencing makes the engines obey orders with old fencing numbers.
 	IgnoreFencing bool
 	// Models are loaded from the start, as "model@version".
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -34,7 +34,9 @@
 	// CacheEntries bounds the prefix cache.
 	CacheEntries int
 	// CacheLag is how late cache events are.
-	CacheLag   time.Duration
+	CacheLag time.Duration
+	// Spread draws the times of prompts around FirstTime.
+	Spread     *upstream.Spread
 	Conditions *upstream.Conditions
 }
 
@@ -198,7 +200,7 @@
 
 // prefill returns how long the prompt of a call takes, and caches its prefix.
 func (e *Engine) prefill(prefix uint64) time.Duration {
-	duration := e.options.FirstTime
+	duration := e.options.Spread.Draw(e.options.FirstTime)
 	if control, _ := e.options.Conditions.Get(); control.SlowFactor > 0 {
 		duration = time.Duration(float64(duration) * control.SlowFactor)
 	}
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -265,6 +265,7 @@
 		"--token-ms", decimal(u.Group.TokenMS),
 		"--first-ms", decimal(u.Group.FirstMS),
 		"--batch-slope", decimal(u.Group.BatchSlope),
+		"--spread", decimal(u.Group.Spread),
 		"--fencing", fencing,
 		"--models", strings.Join(u.Group.Models, ","),
 		"--ledger", ledger,
--- a/standin/pool/pool.go
+++ b/standin/pool/pool.go
@@ -15,7 +15,9 @@
 	Service  string
 	Capacity int
 	// Duration is the nominal time of one call.
-	Duration   time.Duration
+	Duration time.Duration
+	// Spread draws the times of calls around Duration.
+	Spread     *upstream.Spread
 	Conditions *upstream.Conditions
 }
 
@@ -39,7 +41,7 @@
 	}
 	defer func() { <-p.slots }()
 	out.Started()
-	if err := p.options.Conditions.Work(ctx, p.options.Duration); err != nil {
+	if err := p.options.Conditions.Work(ctx, p.options.Spread.Draw(p.options.Duration)); err != nil {
 		return 0, err
 	}
 	if err := out.Emit(answer.Simple(p.options.Service, call.Input)); err != nil {
