--- a/acaciawinch/apply.go
+++ b/acaciawinch/apply.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if err := declared.check(config.Repeated(declared.shared(), declared.Workspaces)); err != nil {
+	if err := declared.check(declared.change().Repeated()); err != nil {
 		return err
 	}
 	api, err := c.env.objects()
--- a/core/config/accept/merge.go
+++ b/core/config/accept/merge.go
@@ -101,6 +101,11 @@
 // merge makes the change on the head. Base, mine and theirs are compared item by
 // item: what only one side touched is taken from it.
 func (m *Machine) merge() {
+	if problems := m.request.Change.Repeated(); len(problems) > 0 {
+		m.result.Problems = problems
+		m.end(Invalid, "the change names something twice")
+		return
+	}
 	m.mine = config.Compare(m.base, m.base.Change(m.request.Change, m.base.Revision(), m.request.ChangeID))
 	theirs := config.Compare(m.base, m.head)
 	if overlap := config.Overlap(m.mine, theirs); len(overlap) > 0 {
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -28,10 +28,10 @@
 	Model   string `json:"model,omitempty" toml:"model,omitempty"`
 	Version string `json:"version,omitempty" toml:"version,omitempty"`
 	// MaxTokens bounds the output of an engine stage.
-	MaxTokens int `json:"max_tokens,omitempty" toml:"max_tokens,omitempty"`
+	MaxTokens int `json:"max_tokens,omitempty" toml:"max_tokens,omitzero"`
 	// ExpectedMS is the declared median service time in milliseconds, used until
 	// a measured one is known.
-	ExpectedMS int `json:"expected_ms,omitempty" toml:"expected_ms,omitempty"`
+	ExpectedMS int `json:"expected_ms,omitempty" toml:"expected_ms,omitzero"`
 }
 
 // Template is a pipeline of 3 to 6 stages.
@@ -51,7 +51,7 @@
 	Stage     string `json:"stage" toml:"stage"`
 	Model     string `json:"model,omitempty" toml:"model,omitempty"`
 	Version   string `json:"version,omitempty" toml:"version,omitempty"`
-	MaxTokens int    `json:"max_tokens,omitempty" toml:"max_tokens,omitempty"`
+	MaxTokens int    `json:"max_tokens,omitempty" toml:"max_tokens,omitzero"`
 	// Prefix is put before the stage's input; engines cache it.
 	Prefix string `json:"prefix,omitempty" toml:"prefix,omitempty"`
 }
@@ -62,14 +62,14 @@
 	// Pipelines are the templates that the workspace may call.
 	Pipelines []string `json:"pipelines" toml:"pipelines"`
 	// Priority orders the queues of the upstreams; higher is served first.
-	Priority int `json:"priority,omitempty" toml:"priority,omitempty"`
+	Priority int `json:"priority,omitempty" toml:"priority,omitzero"`
 	// Weight is the workspace's share among those of equal priority, at least 1.
 	Weight int `json:"weight" toml:"weight"`
 	// DeadlineMS replaces the templates' default deadline if not zero.
-	DeadlineMS int `json:"deadline_ms,omitempty" toml:"deadline_ms,omitempty"`
+	DeadlineMS int `json:"deadline_ms,omitempty" toml:"deadline_ms,omitzero"`
 	// MaxInFlight bounds the workspace's requests in progress over the whole
 	// fleet; zero means no bound.
-	MaxInFlight int               `json:"max_in_flight,omitempty" toml:"max_in_flight,omitempty"`
+	MaxInFlight int               `json:"max_in_flight,omitempty" toml:"max_in_flight,omitzero"`
 	Stages      []StageParameters `json:"stages,omitempty" toml:"stages,omitempty"`
 }
 
--- /dev/null
+++ b/core/config/delta_test.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fault"
+)
+
+// drawConfiguration draws templates, drained upstreams and workspaces out of few
+// names, so that two drawn ones have much in common.
+func drawConfiguration(t *rapid.T, revision core.Revision) *Snapshot {
+	var templates Templates
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 3, rapid.ID).Draw(t, "templates") {
+		templates.Templates = append(templates.Templates, Template{Name: name, DeadlineMS: rapid.IntRange(1, 2).Draw(t, "deadline")})
+	}
+	templates.Drained = rapid.SliceOfN(rapid.SampledFrom([]string{"u", "v"}), 0, 3).Draw(t, "drained")
+	var workspaces []Workspace
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 99), 0, 30, rapid.ID).Draw(t, "workspaces") {
+		workspaces = append(workspaces, Workspace{Name: fmt.Sprint("w", i), Weight: rapid.IntRange(1, 2).Draw(t, "weight")})
+	}
+	return NewSnapshot(revision, fmt.Sprint("change-", revision), templates, workspaces)
+}
+
+// carried returns the delta as it is after a journey as JSON.
+func carried(t *rapid.T, d Delta) Delta {
+	data, err := json.Marshal(d)
+	assert.NilError(t, err)
+	var received Delta
+	assert.NilError(t, json.Unmarshal(data, &received))
+	return received
+}
+
+func TestADeltaLeadsToTheFullState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawConfiguration(t, 1), drawConfiguration(t, 2)
+		delta, err := from.Apply(carried(t, Between(from, to)))
+		assert.NilError(t, err)
+		full, err := (*Snapshot)(nil).Apply(carried(t, Between(nil, to)))
+		assert.NilError(t, err)
+		assert.Equal(t, string(encode(delta.Head("", "", ""))), string(encode(to.Head("", "", ""))))
+		assert.Equal(t, string(encode(full.Head("", "", ""))), string(encode(to.Head("", "", ""))))
+		assert.Assert(t, Compare(delta, to).Empty())
+	})
+}
+
+func TestADeltaToAnotherStateIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, other, to := drawConfiguration(t, 1), drawConfiguration(t, 1), drawConfiguration(t, 2)
+		next, err := other.Apply(Between(from, to))
+		if err == nil {
+			assert.Assert(t, Compare(next, to).Empty(), "a wrong state was taken for the right one")
+			return
+		}
+		assert.Equal(t, fault.CodeOf(err), fault.Conflict)
+	})
+}
+
+func TestAChangeFoundByCompareLeadsThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawConfiguration(t, 1), drawConfiguration(t, 2)
+		assert.Equal(t, from.Change(Compare(from, to), 2, "c").Digest(), to.Digest())
+	})
+}
+
+func TestPartsAndHeadLeadToTheSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawConfiguration(t, 1), drawConfiguration(t, 2)
+		head, err := DecodeHead(to.Head("p", "a", "n").Encode())
+		assert.NilError(t, err)
+		loaded := Outline(head, from)
+		for _, part := range to.PartsSince(from) {
+			next, err := loaded.WithPart(part.Hash, part.Data)
+			if !fault.Is(err, fault.NotFound) {
+				assert.NilError(t, err)
+				loaded = next
+			}
+		}
+		assert.Equal(t, len(loaded.Missing()), 0)
+		assert.Assert(t, Compare(loaded, to).Empty())
+		assert.Equal(t, loaded.Digest(), to.Digest())
+	})
+}
+
+func TestAPartWithOtherBytesIsRefused(t *testing.T) {
+	s := NewSnapshot(1, "c", soundTemplates(), nil)
+	outline := Outline(s.Head("", "", ""), Empty())
+	_, err := outline.WithPart(outline.TemplatesMissing(), []byte(`{"templates":null}`))
+	assert.Equal(t, fault.CodeOf(err), fault.Invalid)
+}
+
+func TestSnapshotsShareUntouchedShards(t *testing.T) {
+	s := NewSnapshot(1, "c", Templates{}, []Workspace{{Name: "a"}, {Name: "b"}})
+	next := s.Change(Change{PutWorkspaces: []Workspace{{Name: "a", Weight: 2}}}, 2, "d")
+	assert.Assert(t, s.shards[ShardOf("b")] == next.shards[ShardOf("b")])
+	old, _ := s.Workspace("a")
+	assert.Equal(t, old.Weight, 0)
+}
--- a/core/config/overlap.go
+++ b/core/config/overlap.go
@@ -9,33 +9,33 @@
 // "" if it is removed.
 type edit map[Item]string
 
-// edits returns what the change does, by item.
+// remove notes that items are removed.
+func (e edit) remove(kind string, names []string) {
+	for _, name := range names {
+		e[Item{kind, name}] = ""
+	}
+}
+
+// edits returns what the change does, by item. As in Snapshot.Change, what is
+// both removed and put is put.
 func (c Change) edits() edit {
 	e := edit{}
+	e.remove(itemTemplate, c.RemoveTemplates)
+	e.remove(itemModel, modelKeys(c.RemoveModels))
+	e.remove(itemWorkspace, c.RemoveWorkspaces)
+	e.remove(itemDrained, c.Undrain)
 	for _, t := range c.PutTemplates {
 		e[Item{itemTemplate, t.Name}] = string(encode(t))
 	}
-	for _, name := range c.RemoveTemplates {
-		e[Item{itemTemplate, name}] = ""
-	}
 	for _, m := range c.PutModels {
 		e[Item{itemModel, m.Key()}] = string(encode(m))
 	}
-	for _, m := range c.RemoveModels {
-		e[Item{itemModel, m.Key()}] = ""
-	}
 	for _, w := range c.PutWorkspaces {
 		e[Item{itemWorkspace, w.Name}] = string(encode(w))
 	}
-	for _, name := range c.RemoveWorkspaces {
-		e[Item{itemWorkspace, name}] = ""
-	}
 	for _, name := range c.Drain {
 		e[Item{itemDrained, name}] = "drained"
 	}
-	for _, name := range c.Undrain {
-		e[Item{itemDrained, name}] = ""
-	}
 	return e
 }
 
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -60,11 +60,12 @@
 	return v.problems
 }
 
-// Repeated returns a problem for each name that is declared twice.
-func Repeated(templates Templates, workspaces []Workspace) []Problem {
-	v := newValidator(templates)
+// Repeated returns a problem for each name that the change puts twice: which of
+// the two is meant can't be known.
+func (c Change) Repeated() []Problem {
+	v := newValidator(Templates{Templates: c.PutTemplates, Models: c.PutModels, Drained: c.Drain})
 	v.names()
-	v.unique(SectionWorkspaces, keys(workspaces, workspaceName))
+	v.unique(SectionWorkspaces, keys(c.PutWorkspaces, workspaceName))
 	return v.problems
 }
 
