--- a/standin/cmd/standin/platform.go
+++ b/standin/cmd/standin/platform.go
@@ -13,11 +13,13 @@
 // objectsCommand runs the object API.
 type objectsCommand struct {
 	Listen string `long:"listen" required:"true" description:"IP:port"`
+	Reads  int    `long:"reads-per-second" default:"0" description:"bound of reads and watches; 0 is none"`
+	Writes int    `long:"writes-per-second" default:"0" description:"bound of writes; 0 is none"`
 }
 
 // Execute implements flags.Commander.
 func (c *objectsCommand) Execute([]string) error {
-	server := objectstore.NewServer()
+	server := objectstore.NewServer(objectstore.Limits{ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes})
 	return serve(c.Listen, server, server.Stop)
 }
 
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -14,6 +14,7 @@
 
 	"acaciawinch/standin/deployment"
 	"acaciawinch/standin/ledger"
+	"acaciawinch/standin/objectstore"
 )
 
 // BinEnvironment names the environment variable with the folder of the binaries.
@@ -32,6 +33,8 @@
 	// HostLag and ReportLag are how late the host list and the load reports are.
 	HostLag   time.Duration
 	ReportLag time.Duration
+	// Objects bounds the calls that the object API takes.
+	Objects objectstore.Limits
 	// Relays puts a relay into each connection kind that is set.
 	Relays Relays
 	// EntrySettings and SideSettings are further TOML tables.
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -120,7 +120,9 @@
 	f.objectsURL = "http://" + objects
 	f.hostsURL = "http://" + hosts
 	f.Objects = f.process("objects", "standin", f.objectsURL+"/control/stats",
-		"objects", "--listen", objects)
+		"objects", "--listen", objects,
+		"--reads-per-second", strconv.Itoa(f.Options.Objects.ReadsPerSecond),
+		"--writes-per-second", strconv.Itoa(f.Options.Objects.WritesPerSecond))
 	f.Hosts = f.process("hosts", "standin", f.hostsURL+"/v1/hosts",
 		"hosts", "--listen", hosts, "--file", f.settingsPath("hosts.json"),
 		"--lag", f.Options.HostLag.String())
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -87,6 +87,16 @@
 // PID returns the process id of the last run.
 func (p *Process) PID() int { return p.current().command.Process.Pid }
 
+// Restart kills the process, if it runs, starts it again and waits until it is
+// ready.
+func (p *Process) Restart(ctx context.Context) error {
+	p.Kill()
+	if err := p.Start(); err != nil {
+		return err
+	}
+	return p.AwaitReady(ctx)
+}
+
 // signal sends a signal to the process, if it runs.
 func (p *Process) signal(s syscall.Signal) error {
 	if !p.Running() {
--- a/standin/objectstore/faults.go
+++ b/standin/objectstore/faults.go
@@ -3,8 +3,26 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
+// Limits bound the calls that the object API takes. Zero means no bound.
+type Limits struct {
+	// ReadsPerSecond counts reads and watches together, as the platform does.
+	ReadsPerSecond  int
+	WritesPerSecond int
+}
+
+// limiter returns the limiter of one bound, which lets a second's calls come at
+// once, or nil if there is none.
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
 // Control is the body of POST /control. It replaces all switches.
 type Control struct {
 	// Down makes every call fail with 503 and without effect.
@@ -22,6 +40,8 @@
 	Watches uint64 `json:"watches"`
 	// Waiting is how many watches wait now.
 	Waiting int `json:"waiting"`
+	// Limited counts the calls refused because a rate was passed.
+	Limited uint64 `json:"limited"`
 }
 
 // faults holds the switches and the counts. It may be used by many goroutines.
--- a/standin/objectstore/objectstore_test.go
+++ b/standin/objectstore/objectstore_test.go
@@ -23,7 +23,7 @@
 
 // newClient starts a stand-in that ends with the test.
 func newClient(t *testing.T) *client {
-	server := NewServer()
+	server := NewServer(Limits{})
 	listening := httptest.NewServer(server)
 	t.Cleanup(func() {
 		server.Stop()
@@ -184,6 +184,21 @@
 	assert.Equal(t, len(result.Changes), 1)
 }
 
+func TestCallsAboveTheBoundHaveNoEffect(t *testing.T) {
+	server := NewServer(Limits{WritesPerSecond: 1})
+	statuses := map[int]int{}
+	for i := range 50 {
+		request := httptest.NewRequest(http.MethodPut, fmt.Sprintf("/v1/objects/%d", i), nil)
+		request.Header.Set("If-None-Match", "*")
+		answer := httptest.NewRecorder()
+		server.ServeHTTP(answer, request)
+		statuses[answer.Code]++
+	}
+	assert.Assert(t, statuses[http.StatusServiceUnavailable] > 0, "nothing was refused")
+	assert.Equal(t, statuses[http.StatusOK], len(server.store.List("", "", 0)))
+	assert.Equal(t, statuses[http.StatusServiceUnavailable], int(server.faults.snapshot().Limited))
+}
+
 func TestListPages(t *testing.T) {
 	c := newClient(t)
 	for _, key := range []string{"a/1", "a/2", "a/3", "b/1"} {
--- a/standin/objectstore/server.go
+++ b/standin/objectstore/server.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"acaciawinch/standin/internal/jsonhttp"
 )
 
@@ -28,13 +30,15 @@
 }
 
 // NewServer returns a server over an empty store.
-func NewServer() *Server {
+func NewServer(limits Limits) *Server {
 	s := &Server{store: NewStore(), faults: newFaults(), mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET /v1/objects/{key...}", s.guard(s.get))
-	s.mux.HandleFunc("PUT /v1/objects/{key...}", s.guard(s.put))
-	s.mux.HandleFunc("DELETE /v1/objects/{key...}", s.guard(s.delete))
-	s.mux.HandleFunc("GET /v1/list", s.guard(s.list))
-	s.mux.HandleFunc("GET /v1/watch", s.guard(s.watch))
+	reads := limiter(limits.ReadsPerSecond)
+	writes := limiter(limits.WritesPerSecond)
+	s.mux.HandleFunc("GET /v1/objects/{key...}", s.guard(reads, s.get))
+	s.mux.HandleFunc("PUT /v1/objects/{key...}", s.guard(writes, s.put))
+	s.mux.HandleFunc("DELETE /v1/objects/{key...}", s.guard(writes, s.delete))
+	s.mux.HandleFunc("GET /v1/list", s.guard(reads, s.list))
+	s.mux.HandleFunc("GET /v1/watch", s.guard(reads, s.watch))
 	s.mux.HandleFunc("POST /control", s.control)
 	s.mux.HandleFunc("GET /control/stats", s.stats)
 	return s
@@ -46,8 +50,8 @@
 // Stop ends the waiting watches, so that a planned stop need not wait for them.
 func (s *Server) Stop() { s.faults.set(Control{Down: true}) }
 
-// guard adds the delay and the outage to a handler.
-func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+// guard adds the delay, the outage and the bound on calls to a handler.
+func (s *Server) guard(bound *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !pause(r.Context(), s.faults.delay()) {
 			return
@@ -56,6 +60,11 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
+		if bound != nil && !bound.Allow() {
+			s.faults.count(func(c *Stats) { c.Limited++ })
+			http.Error(w, "too many calls", http.StatusServiceUnavailable)
+			return
+		}
 		next(w, r)
 	}
 }
