Run the gate in the side process

The side keeps attempts with their output until acknowledged or aged, so that a reader may come back at any chunk; it cancels at the upstream what the gate says, answers Resolve, follows host list, drains and placement, gives orders to its engine with the placement object's version as fencing number, and stops gracefully. A result that was sent whole does not hold up a planned stop unless it is claimed.

--- a/acaciawinchd/command.go
+++ b/acaciawinchd/command.go
@@ -8,6 +8,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"acaciawinch/entry"
+	"acaciawinch/settings"
 	"acaciawinch/side"
 )
 
@@ -27,13 +28,13 @@
 
 // Execute implements flags.Commander.
 func (c *sideCommand) Execute([]string) error {
-	settings := side.Defaults()
-	if err := loadSettings(c.Config, &settings); err != nil {
+	loaded := side.Defaults()
+	if err := settings.Load(c.Config, &loaded); err != nil {
 		return settingsError{err}
 	}
 	ctx, stop := stopSignal()
 	defer stop()
-	return side.Run(ctx, settings)
+	return side.Run(ctx, loaded)
 }
 
 // entryCommand is `acaciawinchd entry`.
@@ -43,13 +44,13 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	settings := entry.Defaults()
-	if err := loadSettings(c.Config, &settings); err != nil {
+	loaded := entry.Defaults()
+	if err := settings.Load(c.Config, &loaded); err != nil {
 		return settingsError{err}
 	}
 	ctx, stop := stopSignal()
 	defer stop()
-	return entry.Run(ctx, settings)
+	return entry.Run(ctx, loaded)
 }
 
 // stopSignal returns a context that ends when the process is asked to stop. A
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -164,7 +164,8 @@
 func (g *Gate) refuseHopeless(now time.Duration) {
 	pace := g.pace(now)
 	for _, r := range g.queue.all() {
-		if now+pace.service(r.cost) <= r.deadline && now < r.deadline {
+		hopeless := now+pace.service(r.cost) > r.deadline && !g.options.FIFO
+		if now < r.deadline && !hopeless {
 			continue
 		}
 		g.refuseQueued(now, r, Decision{
--- a/core/gate/load.go
+++ b/core/gate/load.go
@@ -61,12 +61,14 @@
 // Unsettled returns how many attempts wait or run.
 func (g *Gate) Unsettled() int { return g.queue.size + len(g.running) }
 
-// Unacknowledged returns how many outputs are kept for a caller that has not
-// acknowledged them.
+// Unacknowledged returns how many outputs are kept for a caller that may still
+// need them: those that are not acknowledged, except idempotent ones that were
+// sent whole.
 func (g *Gate) Unacknowledged() int {
 	count := 0
 	for _, r := range g.results {
-		if r.kept && !r.charged && r.phase == phaseDone {
+		sent := r.delivered && !r.claimed()
+		if r.kept && !r.charged && r.phase == phaseDone && !sent {
 			count++
 		}
 	}
--- a/core/gate/options.go
+++ b/core/gate/options.go
@@ -15,6 +15,9 @@
 	// Capacity is how many attempts the upstream runs at once; zero waits for
 	// the upstream's own report.
 	Capacity int
+	// FIFO serves in order of arrival, without bound, classes, sharing or
+	// admission by deadline. It is a baseline for measurements.
+	FIFO bool
 	// MaxQueued bounds the attempts that wait.
 	MaxQueued int
 	// StarvationTurns is how often in a row a waiting class can be passed over.
@@ -48,16 +51,18 @@
 	// with one attempt; the wait doubles with each failure.
 	TrialMin time.Duration
 	TrialMax time.Duration
-	// ModelLag is how long an order's effect overrides the upstream's report of
-	// its models, which lags.
+	// ModelLag is how long the taking away of a model overrides the upstream's
+	// report, which lags.
 	ModelLag time.Duration
 }
 
+// DefaultTicketLifetime is the age at which a ticket is refused.
+const DefaultTicketLifetime = 60 * time.Second
+
 // Defaults of Options.
 const (
 	defaultMaxQueued       = 256
 	defaultStarvationTurns = 8
-	defaultTicketLifetime  = 60 * time.Second
 	defaultKeepResult      = 10 * time.Second
 	defaultKeepClaimed     = 10 * time.Minute
 	defaultMaxClaimed      = 20_000
@@ -78,7 +83,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxQueued, defaultMaxQueued)
 	setDefault(&o.StarvationTurns, defaultStarvationTurns)
-	setDefault(&o.TicketLifetime, defaultTicketLifetime)
+	setDefault(&o.TicketLifetime, DefaultTicketLifetime)
 	setDefault(&o.KeepResult, defaultKeepResult)
 	setDefault(&o.KeepClaimed, defaultKeepClaimed)
 	setDefault(&o.MaxClaimed, defaultMaxClaimed)
--- a/core/gate/record.go
+++ b/core/gate/record.go
@@ -25,6 +25,8 @@
 type record struct {
 	key       core.AttemptKey
 	workspace string
+	// model is "model@version", empty if the upstream is no engine.
+	model string
 	// ticket is nil for an idempotent attempt.
 	ticket *Ticket
 	// mark is set on a tombstone of an attempt of which only the key is known, so
--- a/core/gate/state.go
+++ b/core/gate/state.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"fmt"
+
 	"acaciawinch/core/chart"
 )
 
@@ -73,3 +75,14 @@
 		g.fire(eventEmptied)
 	}
 }
+
+// Why says why the upstream is in its present state.
+func (g *Gate) Why() string {
+	switch g.State() {
+	case stateConnecting, stateStalled:
+		return g.upstream.describe()
+	case stateDraining, stateDrained:
+		return fmt.Sprint(g.drain.sources)
+	}
+	return "the upstream answers"
+}
--- a/core/gate/submit.go
+++ b/core/gate/submit.go
@@ -108,6 +108,9 @@
 
 // fit admits ask if it can be finished in time and finds a place in the queue.
 func (g *Gate) fit(now time.Duration, ask Ask) Decision {
+	if g.options.FIFO {
+		return Decision{Verdict: Admitted}
+	}
 	priority := clampPriority(ask.Priority)
 	wait := g.wait(now, ask.Workspace, priority)
 	service := g.pace(now).service(ask.Cost)
@@ -146,6 +149,9 @@
 // until Watch is called.
 func (g *Gate) enqueue(now time.Duration, ask Ask) {
 	r := newRecord(ask)
+	if g.options.FIFO {
+		r.workspace, r.priority = "", 0
+	}
 	g.sequence++
 	r.sequence = g.sequence
 	r.phase = phaseQueued
@@ -161,6 +167,7 @@
 	return &record{
 		key:       ask.Key,
 		workspace: ask.Workspace,
+		model:     modelName(ask.Model, ask.Version),
 		ticket:    ask.Ticket,
 		priority:  clampPriority(ask.Priority),
 		weight:    max(1, ask.Weight),
--- a/core/gate/upstream.go
+++ b/core/gate/upstream.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Report is an upstream's own report of its state.
 type Report struct {
@@ -41,8 +38,8 @@
 	capacity int
 	known    bool
 	models   []string
-	// ordered holds the effects of recent orders.
-	ordered []orderEffect
+	// unloads holds the models that orders are taking away.
+	unloads []unload
 	// missing counts the reports in a row that failed.
 	missing int
 	stall   stallKind
@@ -55,12 +52,11 @@
 	trying    bool
 }
 
-// orderEffect is a model that an order loaded or unloaded, until the upstream's
-// report can be trusted to show it.
-type orderEffect struct {
-	model  string
-	loaded bool
-	until  time.Duration
+// unload is a model that an order takes away, until the upstream's report can be
+// trusted to show it.
+type unload struct {
+	model string
+	until time.Duration
 }
 
 // ObserveReport notes a report of the upstream.
@@ -197,32 +193,3 @@
 	}
 	return string(u.stall)
 }
-
-// ObserveOrder notes that the engine carried out an order.
-func (g *Gate) ObserveOrder(now time.Duration, model string, loaded bool) {
-	u := &g.upstream
-	u.ordered = slices.DeleteFunc(u.ordered, func(e orderEffect) bool { return e.model == model })
-	u.ordered = append(u.ordered, orderEffect{model: model, loaded: loaded, until: now + g.options.ModelLag})
-}
-
-// Models returns what the engine holds, by its report and recent orders.
-func (g *Gate) Models(now time.Duration) []string {
-	u := &g.upstream
-	u.ordered = slices.DeleteFunc(u.ordered, func(e orderEffect) bool { return e.until <= now })
-	models := slices.Clone(u.models)
-	for _, e := range u.ordered {
-		models = slices.DeleteFunc(models, func(m string) bool { return m == e.model })
-		if e.loaded {
-			models = append(models, e.model)
-		}
-	}
-	return models
-}
-
-// holds tells whether the engine holds a model version, as far as is known.
-func (g *Gate) holds(now time.Duration, model, version string) bool {
-	if model == "" || !g.upstream.known {
-		return true
-	}
-	return slices.Contains(g.Models(now), model+"@"+version)
-}
--- a/side/admin.go
+++ b/side/admin.go
@@ -3,18 +3,110 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
+
+	"acaciawinch/core/gate"
 )
 
 // Status is the answer of GET /v1/status.
 type Status struct {
-	Upstream    string `json:"upstream"`
-	Service     string `json:"service"`
-	Incarnation uint64 `json:"incarnation"`
-	Queued      uint32 `json:"queued"`
-	InFlight    uint32 `json:"in_flight"`
-	Capacity    uint32 `json:"capacity"`
-	Draining    bool   `json:"draining"`
-	Stalled     bool   `json:"stalled"`
+	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
+	Zone     string `json:"zone"`
+	// Process and State are the states by the charts of process and upstream.
+	Process string `json:"process"`
+	State   string `json:"state"`
+	Why     string `json:"why"`
+	// Incarnation is in decimal: JSON numbers don't hold it in all languages.
+	Incarnation string             `json:"incarnation"`
+	Revision    uint64             `json:"revision"`
+	ClockMS     int64              `json:"clock_ms"`
+	Load        LoadStatus         `json:"load"`
+	Drain       []gate.DrainSource `json:"drain_sources"`
+	Fencing     uint64             `json:"fencing"`
+	// Costs is the work charged to each cause.
+	Costs  []gate.Charge `json:"costs"`
+	Memory MemoryStatus  `json:"memory"`
+	// FleetBytesRead and FleetBytesWritten count the traffic with other processes.
+	FleetBytesRead    uint64 `json:"fleet_bytes_read"`
+	FleetBytesWritten uint64 `json:"fleet_bytes_written"`
+}
+
+// LoadStatus is the upstream's load. Times are in milliseconds.
+type LoadStatus struct {
+	Queued       int      `json:"queued"`
+	InFlight     int      `json:"in_flight"`
+	Capacity     int      `json:"capacity"`
+	WaitMS       int64    `json:"wait_ms"`
+	ServiceP50MS int64    `json:"service_p50_ms"`
+	ServiceP95MS int64    `json:"service_p95_ms"`
+	FirstP95MS   int64    `json:"first_p95_ms"`
+	GapP95MS     int64    `json:"gap_p95_ms"`
+	Draining     bool     `json:"draining"`
+	Stalled      bool     `json:"stalled"`
+	Models       []string `json:"models"`
+	Finished     uint64   `json:"finished"`
+	Failed       uint64   `json:"failed"`
+}
+
+// MemoryStatus is what the side remembers.
+type MemoryStatus struct {
+	Attempts  int `json:"attempts"`
+	KeptBytes int `json:"kept_bytes"`
+	// HorizonMS is the horizon on the side's clock, -1 if nothing was forgotten.
+	HorizonMS int64 `json:"horizon_ms"`
+}
+
+// status returns the present status.
+func (p *process) status() Status {
+	s := Status{
+		Upstream:          p.settings.Upstream.Name,
+		Service:           p.settings.Upstream.Service,
+		Zone:              p.settings.Process.Zone,
+		Process:           string(p.life.state()),
+		Incarnation:       strconv.FormatUint(uint64(p.incarnation), 10),
+		Revision:          uint64(p.revision()),
+		FleetBytesRead:    p.rpc.Traffic().Read() + p.dialer.Traffic().Read(),
+		FleetBytesWritten: p.rpc.Traffic().Written() + p.dialer.Traffic().Written(),
+	}
+	p.keeper.read(func(now time.Duration) { fillStatus(&s, now, p.keeper.gate) })
+	return s
+}
+
+// fillStatus adds what the gate knows.
+func fillStatus(s *Status, now time.Duration, g *gate.Gate) {
+	s.State = string(g.State())
+	s.Why = g.Why()
+	s.ClockMS = now.Milliseconds()
+	s.Load = loadStatus(g.Load(now))
+	s.Drain = g.DrainSources()
+	s.Fencing = g.Fencing()
+	s.Costs = g.Charges()
+	memory := g.Memory()
+	s.Memory = MemoryStatus{Attempts: memory.Attempts, KeptBytes: memory.KeptBytes, HorizonMS: -1}
+	if memory.Horizon >= 0 {
+		s.Memory.HorizonMS = memory.Horizon.Milliseconds()
+	}
+}
+
+// loadStatus returns a load as the status shows it.
+func loadStatus(load gate.Load) LoadStatus {
+	return LoadStatus{
+		Queued:       load.Queued,
+		InFlight:     load.InFlight,
+		Capacity:     load.Capacity,
+		WaitMS:       load.Wait.Milliseconds(),
+		ServiceP50MS: load.ServiceP50.Milliseconds(),
+		ServiceP95MS: load.ServiceP95.Milliseconds(),
+		FirstP95MS:   load.FirstP95.Milliseconds(),
+		GapP95MS:     load.GapP95.Milliseconds(),
+		Draining:     load.Draining,
+		Stalled:      load.Stalled,
+		Models:       load.Models,
+		Finished:     load.Finished,
+		Failed:       load.Failed,
+	}
 }
 
 // adminOptions are what the admin paths read.
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -2,33 +2,67 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"acaciawinch/core"
+	"acaciawinch/platform/upstream"
 	"acaciawinch/wire/wirepb"
 )
 
 // attempt is one attempt with the output that is kept of it. Readers follow it
 // from any chunk; it outlives their streams.
 type attempt struct {
-	key    core.AttemptKey
-	cancel context.CancelFunc
+	key core.AttemptKey
+	// ctx ends when the attempt is to be cancelled at the upstream.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
+	call    upstream.Call
 	started *wirepb.Started
 	chunks  [][]byte
+	bytes   int
+	digest  *xxhash.Digest
 	// end is the closing event, nil while the attempt goes on.
 	end *wirepb.RunEvent
 	// changed is closed and replaced with each change of the fields above.
 	changed chan struct{}
-	digest  *xxhash.Digest
 }
 
 // newAttempt returns an attempt that has not started.
-func newAttempt(key core.AttemptKey, cancel context.CancelFunc) *attempt {
-	return &attempt{key: key, cancel: cancel, changed: make(chan struct{}), digest: xxhash.New()}
+func newAttempt(key core.AttemptKey, call upstream.Call) *attempt {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &attempt{
+		key:     key,
+		ctx:     ctx,
+		cancel:  cancel,
+		call:    call,
+		changed: make(chan struct{}),
+		digest:  xxhash.New(),
+	}
+}
+
+// stop cancels the attempt at the upstream.
+func (a *attempt) stop(cause string) { a.cancel(errors.New(cause)) }
+
+// stopCause returns the cause given to stop.
+func (a *attempt) stopCause() string {
+	if cause := context.Cause(a.ctx); cause != nil {
+		return cause.Error()
+	}
+	return ""
+}
+
+// takeCall returns the call and lets go of its input.
+func (a *attempt) takeCall() upstream.Call {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	call := a.call
+	a.call = upstream.Call{}
+	return call
 }
 
 // notify wakes the readers. The caller holds mu.
@@ -45,17 +79,33 @@
 	a.notify()
 }
 
-// add keeps one chunk of output.
-func (a *attempt) add(chunk []byte) {
+// add keeps one chunk of output and returns the size of all.
+func (a *attempt) add(chunk []byte) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.chunks = append(a.chunks, chunk)
+	a.bytes += len(chunk)
 	a.digest.Write(chunk)
 	a.notify()
+	return a.bytes
+}
+
+// size returns the number and the bytes of the chunks so far.
+func (a *attempt) size() (chunks, bytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.chunks), a.bytes
+}
+
+// output returns the chunks so far and their digest.
+func (a *attempt) output() ([][]byte, uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.chunks, a.digest.Sum64()
 }
 
-// finish sets the closing event. A second call has no effect: the first ending
-// is the one that readers may have seen.
+// finish sets the closing event. A second call has no effect: readers may have
+// seen the first.
 func (a *attempt) finish(end *wirepb.RunEvent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -68,57 +118,11 @@
 
 // done returns the closing event of a whole output.
 func (a *attempt) done(cost uint64, load *wirepb.Load) *wirepb.RunEvent {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	chunks, digest := a.output()
 	return &wirepb.RunEvent{Key: keyMessage(a.key), Event: &wirepb.RunEvent_Done{Done: &wirepb.Done{
-		Chunks: uint64(len(a.chunks)),
-		Digest: a.digest.Sum64(),
+		Chunks: uint64(len(chunks)),
+		Digest: digest,
 		Cost:   cost,
 		Load:   load,
 	}}}
 }
-
-// view is what a reader sees of an attempt at one moment.
-type view struct {
-	started *wirepb.Started
-	chunks  [][]byte
-	end     *wirepb.RunEvent
-	changed <-chan struct{}
-}
-
-// look returns the present view.
-func (a *attempt) look() view {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return view{started: a.started, chunks: a.chunks, end: a.end, changed: a.changed}
-}
-
-// follow sends the attempt's events from chunk `from` on until its end, or until
-// ctx ends or send fails.
-func (a *attempt) follow(ctx context.Context, from uint64, send func(*wirepb.RunEvent) error) error {
-	next := int(from)
-	told := false
-	for {
-		now := a.look()
-		if now.started != nil && !told {
-			told = true
-			if err := send(&wirepb.RunEvent{Key: keyMessage(a.key), Event: &wirepb.RunEvent_Started{Started: now.started}}); err != nil {
-				return err
-			}
-		}
-		for ; next < len(now.chunks); next++ {
-			chunk := &wirepb.Chunk{Index: uint64(next), Data: now.chunks[next]}
-			if err := send(&wirepb.RunEvent{Key: keyMessage(a.key), Event: &wirepb.RunEvent_Chunk{Chunk: chunk}}); err != nil {
-				return err
-			}
-		}
-		if now.end != nil {
-			return send(now.end)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-now.changed:
-		}
-	}
-}
--- a/side/message.go
+++ b/side/message.go
@@ -2,11 +2,49 @@
 
 import (
 	"fmt"
+	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/gate"
+	"acaciawinch/platform/upstream"
 	"acaciawinch/wire/wirepb"
 )
 
+// reasonMessages are the gate's reasons as messages name them. A refusal by the
+// upstream itself has no name of its own.
+var reasonMessages = map[gate.Reason]wirepb.RefusalReason{
+	gate.ReasonQueueFull:      wirepb.RefusalReason_REFUSAL_QUEUE_FULL,
+	gate.ReasonDeadline:       wirepb.RefusalReason_REFUSAL_DEADLINE,
+	gate.ReasonDraining:       wirepb.RefusalReason_REFUSAL_DRAINING,
+	gate.ReasonIncarnation:    wirepb.RefusalReason_REFUSAL_INCARNATION,
+	gate.ReasonTombstone:      wirepb.RefusalReason_REFUSAL_TOMBSTONE,
+	gate.ReasonTicketExpired:  wirepb.RefusalReason_REFUSAL_TICKET_EXPIRED,
+	gate.ReasonModelNotLoaded: wirepb.RefusalReason_REFUSAL_MODEL_NOT_LOADED,
+	gate.ReasonStalled:        wirepb.RefusalReason_REFUSAL_STALLED,
+	gate.ReasonCancelled:      wirepb.RefusalReason_REFUSAL_CANCELLED,
+	gate.ReasonUnknownAttempt: wirepb.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT,
+	gate.ReasonInvalid:        wirepb.RefusalReason_REFUSAL_INVALID,
+	gate.ReasonUpstream:       wirepb.RefusalReason_REFUSAL_UNSPECIFIED,
+}
+
+// causes are the reasons of cancellations as costs name them.
+var causes = map[wirepb.CancelReason]gate.Cause{
+	wirepb.CancelReason_CANCEL_UNSPECIFIED: gate.CauseCallerGone,
+	wirepb.CancelReason_CANCEL_HEDGE_LOST:  gate.CauseHedgeLost,
+	wirepb.CancelReason_CANCEL_DEADLINE:    gate.CauseDeadline,
+	wirepb.CancelReason_CANCEL_CALLER_GONE: gate.CauseCallerGone,
+	wirepb.CancelReason_CANCEL_SUPERSEDED:  gate.CauseSuperseded,
+}
+
+// states are the gate's answers to Resolve as messages name them.
+var states = map[gate.State]wirepb.ResolveState{
+	gate.StateDone:    wirepb.ResolveState_RESOLVE_DONE,
+	gate.StateRunning: wirepb.ResolveState_RESOLVE_RUNNING,
+	gate.StateNotRun:  wirepb.ResolveState_RESOLVE_NOT_RUN,
+	gate.StateGone:    wirepb.ResolveState_RESOLVE_GONE,
+	gate.StateFailed:  wirepb.ResolveState_RESOLVE_FAILED,
+}
+
 // keyOf returns the attempt that a message names; a missing key is the zero key.
 func keyOf(m *wirepb.AttemptKey) core.AttemptKey {
 	return core.AttemptKey{
@@ -27,6 +65,52 @@
 	}
 }
 
+// ticketOf returns the ticket of a claim, or nil if there is none.
+func ticketOf(claim *wirepb.ClaimKey) *gate.Ticket {
+	if claim == nil {
+		return nil
+	}
+	return &gate.Ticket{
+		Nonce: claim.GetNonce(),
+		Clock: time.Duration(claim.GetSideClockUs()) * time.Microsecond,
+	}
+}
+
+// askOf returns what a Run message asks of the gate. Cost is in tokens for an
+// engine, of which a resumed attempt has fewer left, and 1 for all others.
+func askOf(request *wirepb.RunRequest, engine bool) gate.Ask {
+	cost := 1
+	if engine {
+		cost = max(1, int(request.GetMaxTokens())-len(request.GetResume()))
+	}
+	return gate.Ask{
+		Key:       keyOf(request.GetKey()),
+		Workspace: request.GetWorkspace(),
+		Ticket:    ticketOf(request.GetClaim()),
+		Remaining: time.Duration(request.GetRemainingMs()) * time.Millisecond,
+		Priority:  int(request.GetPriority()),
+		Weight:    int(request.GetWeight()),
+		Cost:      float64(cost),
+		Model:     request.GetModel(),
+		Version:   request.GetVersion(),
+	}
+}
+
+// callOf returns the upstream's call of an attempt.
+func callOf(key core.AttemptKey, request *wirepb.RunRequest) upstream.Call {
+	return upstream.Call{
+		ID:        callID(key),
+		Workspace: request.GetWorkspace(),
+		Model:     request.GetModel(),
+		Version:   request.GetVersion(),
+		Prefix:    request.GetPrefixHash(),
+		Priority:  int(request.GetPriority()),
+		MaxTokens: int(request.GetMaxTokens()),
+		Input:     request.GetInput(),
+		Resume:    request.GetResume(),
+	}
+}
+
 // callID is the name of an attempt at the upstream.
 func callID(key core.AttemptKey) string {
 	return fmt.Sprintf("%s/%s/%d", key.Request, key.Stage, key.Number)
@@ -41,3 +125,27 @@
 func failedEvent(key core.AttemptKey, failed *wirepb.Failed) *wirepb.RunEvent {
 	return &wirepb.RunEvent{Key: keyMessage(key), Event: &wirepb.RunEvent_Failed{Failed: failed}}
 }
+
+// loadMessage returns the message of a load.
+func loadMessage(load gate.Load) *wirepb.Load {
+	models := make([]*wirepb.LoadedModel, 0, len(load.Models))
+	for _, name := range load.Models {
+		models = append(models, modelMessage(name))
+	}
+	return &wirepb.Load{
+		Queued:       uint32(load.Queued),
+		InFlight:     uint32(load.InFlight),
+		Capacity:     uint32(load.Capacity),
+		WaitUs:       uint64(load.Wait.Microseconds()),
+		ServiceP50Us: uint64(load.ServiceP50.Microseconds()),
+		ServiceP95Us: uint64(load.ServiceP95.Microseconds()),
+		FirstP50Us:   uint64(load.FirstP50.Microseconds()),
+		FirstP95Us:   uint64(load.FirstP95.Microseconds()),
+		GapP95Us:     uint64(load.GapP95.Microseconds()),
+		Draining:     load.Draining,
+		Stalled:      load.Stalled,
+		Models:       models,
+		Finished:     load.Finished,
+		Failed:       load.Failed,
+	}
+}
--- a/side/run.go
+++ b/side/run.go
@@ -2,98 +2,104 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"acaciawinch/core"
 	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
-	"acaciawinch/platform/upstream"
-	"acaciawinch/wire/link"
-	"acaciawinch/wire/wirepb"
-)
-
-// Timeouts of the admin listener.
-const (
-	adminHeaderTimeout = 5 * time.Second
-	adminStopTimeout   = time.Second
 )
 
 // Run is the side process: it serves until ctx ends, then stops gracefully and
 // returns nil. An error means that it could not start or go on.
 func Run(ctx context.Context, settings Settings) error {
-	logger, err := observe.NewLogger(os.Stderr, settings.Process.Name, settings.Process.LogLevel)
+	p, err := newProcess(settings)
 	if err != nil {
-		return fault.Wrap(fault.Invalid, "side.log", "", err)
+		return err
 	}
-	metrics := observe.NewMetrics("acaciawinch_side")
-	defer metrics.Close()
-	fleetListener, err := net.Listen("tcp", settings.Listen.Fleet)
+	defer p.close()
+	listeners, err := listen(settings.Listen)
 	if err != nil {
-		return fault.Wrap(fault.Unavailable, "side.listen", settings.Listen.Fleet, err)
+		return err
+	}
+	p.logger.Event(event.ProcessStarted, observe.Fields{
+		"role":        string(fleet.RoleUpstream),
+		"name":        settings.Process.Name,
+		"zone":        settings.Process.Zone,
+		"incarnation": uint64(p.incarnation),
+	})
+	if err := p.serve(ctx, listeners); err != nil {
+		_ = p.life.fire(eventFail)
+		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
+		return err
 	}
-	adminListener, err := net.Listen("tcp", settings.Listen.Admin)
+	p.logger.Event(event.ProcessStopped, observe.Fields{"reason": "signal"})
+	return nil
+}
+
+// listeners are the process's open listeners.
+type listeners struct {
+	fleet net.Listener
+	admin net.Listener
+}
+
+// listen opens the listeners. Errors have code Unavailable and step "side.listen".
+func listen(settings ListenSettings) (listeners, error) {
+	const step = "side.listen"
+	fleetListener, err := net.Listen("tcp", settings.Fleet)
 	if err != nil {
-		fleetListener.Close()
-		return fault.Wrap(fault.Unavailable, "side.listen", settings.Listen.Admin, err)
+		return listeners{}, fault.Wrap(fault.Unavailable, step, settings.Fleet, err)
 	}
-	server := &Server{
-		incarnation: core.Incarnation(rand.Uint64()),
-		start:       time.Now(),
-		client:      upstream.NewHTTP(settings.Upstream.Name, settings.Upstream.URL),
-		slots:       make(chan struct{}, thinCapacity),
-		base:        context.WithoutCancel(ctx),
-		attempts:    make(map[core.AttemptKey]*attempt),
+	adminListener, err := net.Listen("tcp", settings.Admin)
+	if err != nil {
+		_ = fleetListener.Close()
+		return listeners{}, fault.Wrap(fault.Unavailable, step, settings.Admin, err)
 	}
-	rpc := link.NewServer(settings.Fleet.Key)
-	if err := wirepb.DRPCRegisterSide(rpc.Mux(), server); err != nil {
-		return fault.Wrap(fault.Internal, "side.register", "", err)
+	return listeners{fleet: fleetListener, admin: adminListener}, nil
+}
+
+// serve runs all parts until ctx ends and the planned stop is over. The parts live
+// on their own context: while the process drains, it still answers.
+func (p *process) serve(ctx context.Context, open listeners) error {
+	if err := p.life.fire(eventOpened); err != nil {
+		return err
 	}
-	admin := &http.Server{
-		ReadHeaderTimeout: adminHeaderTimeout,
-		Handler: newAdmin(adminOptions{
-			ready:   func() bool { return ctx.Err() == nil },
-			metrics: metrics.Handler(),
-			status: func() Status {
-				return Status{Upstream: settings.Upstream.Name, Service: settings.Upstream.Service, Incarnation: uint64(server.incarnation)}
-			},
-		}),
+	base, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, parts := errgroup.WithContext(base)
+	group.Go(func() error { return unlessDone(parts, p.rpc.Serve(parts, open.fleet)) })
+	group.Go(func() error { return serveAdmin(parts, p.admin(), open.admin) })
+	group.Go(func() error { return p.keeper.run(parts) })
+	group.Go(func() error { return p.keeper.watchReports(parts, p.synced) })
+	group.Go(func() error { return unlessDone(parts, p.feed.Run(parts)) })
+	group.Go(func() error { return watchFleet(parts, p.feed, p.keeper, p.orders) })
+	group.Go(func() error { return p.meter.run(parts) })
+	if p.orders != nil {
+		group.Go(func() error { return p.orders.run(parts) })
+		group.Go(func() error { return p.keeper.watchCache(parts) })
 	}
-	logger.Event(event.ProcessStarted, observe.Fields{
-		"role":        "side",
-		"name":        settings.Process.Name,
-		"zone":        settings.Process.Zone,
-		"incarnation": uint64(server.incarnation),
-	})
-	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return rpc.Serve(groupCtx, fleetListener) })
-	group.Go(func() error { return serveAdmin(admin, adminListener) })
 	group.Go(func() error {
-		<-groupCtx.Done()
-		stopCtx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
-		defer cancel()
-		return admin.Shutdown(stopCtx)
+		defer end()
+		return p.awaitStop(ctx, parts)
 	})
-	err = group.Wait()
+	return group.Wait()
+}
+
+// unlessDone returns err, or nil if ctx has ended: what breaks then was ended.
+func unlessDone(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		logger.Event(event.ProcessStopped, observe.Fields{"reason": "signal"})
 		return nil
 	}
 	return err
 }
 
-// serveAdmin serves until the server is shut down.
-func serveAdmin(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+// serveAdmin serves the admin paths until ctx ends.
+func serveAdmin(ctx context.Context, handler http.Handler, listener net.Listener) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return unlessDone(ctx, server.Serve(listener))
 }
--- a/side/settings.go
+++ b/side/settings.go
@@ -1,13 +1,15 @@
 package side
 
 import (
-	"net"
+	"errors"
+	"net/netip"
 	"net/url"
 	"slices"
 	"time"
 
 	"acaciawinch/core/config"
-	"acaciawinch/core/fault"
+	"acaciawinch/core/gate"
+	"acaciawinch/settings"
 )
 
 // Settings are a side process's TOML settings.
@@ -37,6 +39,7 @@
 
 // PlatformSettings are the base URLs of the platform's services.
 type PlatformSettings struct {
+	// Objects may be empty: a side learns the fleet's state from the entries.
 	Objects string `toml:"objects"`
 	Hosts   string `toml:"hosts" required:"true"`
 }
@@ -58,12 +61,25 @@
 	Capacity int `toml:"capacity"`
 }
 
+// The disciplines of the queue.
+const (
+	// DisciplineFair is the gate's own: see package core/gate.
+	DisciplineFair = "fair"
+	// DisciplineFIFO serves all in order of arrival, without bound or admission by
+	// deadline: a baseline for measurements.
+	DisciplineFIFO = "fifo"
+)
+
 // QueueSettings bound the queue.
 type QueueSettings struct {
+	// Discipline is fair or fifo.
+	Discipline string `toml:"discipline"`
 	// MaxQueued bounds the attempts that wait.
 	MaxQueued int `toml:"max_queued"`
 	// MaxInputBytes bounds the input of one attempt.
 	MaxInputBytes int `toml:"max_input_bytes"`
+	// MaxOutputBytes bounds the output of one attempt.
+	MaxOutputBytes int `toml:"max_output_bytes"`
 }
 
 // ResultSettings bound what is kept of finished attempts.
@@ -87,6 +103,7 @@
 	defaultLogLevel      = "info"
 	defaultMaxQueued     = 256
 	defaultMaxInputBytes = 1 << 20
+	defaultMaxOutput     = 4 << 20
 	defaultKeep          = 10 * time.Second
 	defaultKeepClaimed   = 10 * time.Minute
 	defaultMaxClaimed    = 20_000
@@ -99,8 +116,10 @@
 	return Settings{
 		Process: ProcessSettings{LogLevel: defaultLogLevel},
 		Queue: QueueSettings{
-			MaxQueued:     defaultMaxQueued,
-			MaxInputBytes: defaultMaxInputBytes,
+			Discipline:     DisciplineFair,
+			MaxQueued:      defaultMaxQueued,
+			MaxInputBytes:  defaultMaxInputBytes,
+			MaxOutputBytes: defaultMaxOutput,
 		},
 		Results: ResultSettings{
 			KeepMS:        int(defaultKeep / time.Millisecond),
@@ -112,52 +131,77 @@
 	}
 }
 
-// settingsStep is the step of errors in the settings.
-const settingsStep = "settings.validate"
-
-// kinds are the kinds of upstreams that a side serves.
-var kinds = []config.StageKind{config.KindEngine, config.KindPool, config.KindService}
-
-// Validate checks the ranges. The error names the first key that is wrong.
-func (s Settings) Validate() error {
-	checks := []error{
-		checkAddr("listen.fleet", s.Listen.Fleet),
-		checkAddr("listen.admin", s.Listen.Admin),
-		checkURL("platform.hosts", s.Platform.Hosts),
-		checkURL("upstream.url", s.Upstream.URL),
-		checkRange("upstream.capacity", s.Upstream.Capacity, 0, 100_000),
-		checkRange("queue.max_queued", s.Queue.MaxQueued, 1, 1_000_000),
-		checkRange("queue.max_input_bytes", s.Queue.MaxInputBytes, 1, 64<<20),
-		checkRange("results.keep_ms", s.Results.KeepMS, 100, 3_600_000),
-		checkRange("results.keep_claimed_ms", s.Results.KeepClaimedMS, 100, 86_400_000),
-		checkRange("results.max_claimed", s.Results.MaxClaimed, 1, 10_000_000),
-		checkRange("results.grace_ms", s.Results.GraceMS, 0, 600_000),
-		checkRange("results.stop_ms", s.Results.StopMS, 1, 3_600_000),
-	}
-	for _, err := range checks {
-		if err != nil {
-			return err
-		}
-	}
-	if !slices.Contains(kinds, s.Upstream.Kind) {
-		return fault.New(fault.Invalid, settingsStep, "", "upstream.kind: %q is none of engine, pool, service", s.Upstream.Kind)
-	}
-	return nil
+// The ranges of the settings.
+const (
+	maxCapacity    = 100_000
+	maxQueuedLimit = 100_000
+	maxBytesLimit  = 64 << 20
+	maxKeepMS      = 86_400_000
+	maxRemembered  = 10_000_000
+	maxGraceMS     = 600_000
+	maxStopMS      = 3_600_000
+)
+
+// Validate implements settings.Validator.
+func (s ListenSettings) Validate() error {
+	return errors.Join(checkAddr("fleet", s.Fleet), checkAddr("admin", s.Admin))
+}
+
+// Validate implements settings.Validator.
+func (s ProcessSettings) Validate() error {
+	return checkOneOf("log_level", s.LogLevel, []string{"debug", "info", "warn", "error"})
+}
+
+// Validate implements settings.Validator.
+func (s PlatformSettings) Validate() error {
+	return errors.Join(checkURL("objects", s.Objects), checkURL("hosts", s.Hosts))
+}
+
+// Validate implements settings.Validator.
+func (s UpstreamSettings) Validate() error {
+	kinds := []config.StageKind{config.KindEngine, config.KindPool, config.KindService}
+	return errors.Join(
+		checkURL("url", s.URL),
+		checkOneOf("kind", s.Kind, kinds),
+		checkRange("capacity", s.Capacity, 0, maxCapacity),
+	)
+}
+
+// Validate implements settings.Validator.
+func (s QueueSettings) Validate() error {
+	return errors.Join(
+		checkOneOf("discipline", s.Discipline, []string{DisciplineFair, DisciplineFIFO}),
+		checkRange("max_queued", s.MaxQueued, 1, maxQueuedLimit),
+		checkRange("max_input_bytes", s.MaxInputBytes, 1, maxBytesLimit),
+		checkRange("max_output_bytes", s.MaxOutputBytes, 1, maxBytesLimit),
+	)
+}
+
+// Validate implements settings.Validator.
+func (s ResultSettings) Validate() error {
+	lifetime := int(gate.DefaultTicketLifetime / time.Millisecond)
+	return errors.Join(
+		checkRange("keep_ms", s.KeepMS, 100, maxKeepMS),
+		checkRange("keep_claimed_ms", s.KeepClaimedMS, lifetime+1, maxKeepMS),
+		checkRange("max_claimed", s.MaxClaimed, 1, maxRemembered),
+		checkRange("grace_ms", s.GraceMS, 1, maxGraceMS),
+		checkRange("stop_ms", s.StopMS, 1, maxStopMS),
+	)
 }
 
 // checkAddr checks that text is an IP and a port.
 func checkAddr(key, text string) error {
-	if _, err := net.ResolveTCPAddr("tcp", text); err != nil || text == "" {
-		return fault.New(fault.Invalid, settingsStep, "", "%s: %q is not IP:port", key, text)
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return settings.Invalid(key, "%q is not IP:port", text)
 	}
 	return nil
 }
 
-// checkURL checks that text is an http base URL.
+// checkURL checks that text is an http base URL, or empty.
 func checkURL(key, text string) error {
 	parsed, err := url.Parse(text)
-	if err != nil || parsed.Scheme == "" || parsed.Host == "" {
-		return fault.New(fault.Invalid, settingsStep, "", "%s: %q is not a URL", key, text)
+	if text != "" && (err != nil || parsed.Scheme != "http" || parsed.Host == "") {
+		return settings.Invalid(key, "%q is not an http URL", text)
 	}
 	return nil
 }
@@ -165,7 +209,15 @@
 // checkRange checks that value lies between low and high, both included.
 func checkRange(key string, value, low, high int) error {
 	if value < low || value > high {
-		return fault.New(fault.Invalid, settingsStep, "", "%s: %d is not within %d to %d", key, value, low, high)
+		return settings.Invalid(key, "%d is not within %d to %d", value, low, high)
+	}
+	return nil
+}
+
+// checkOneOf checks that value is one of allowed.
+func checkOneOf[T ~string](key string, value T, allowed []T) error {
+	if !slices.Contains(allowed, value) {
+		return settings.Invalid(key, "%q is none of %v", value, allowed)
 	}
 	return nil
 }
