Measure both deployments under load and faults

An open-loop load on the real processes, for each case under the product's policy and the baselines with the same arrivals. Cost comes from the upstreams' ledgers, set against what the callers got; processor time from the kernel; control traffic from the processes' own counters.

Faults begin in second 3 and requests are judged from second 5 on.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Developers' and users' commands. `make help` lists them.
-.PHONY: help build test docs generate thin demo
+.PHONY: help build test docs generate thin demo bench
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -16,6 +16,9 @@
 demo: build ## run the Institute's deployment and send requests of each kind
 	bin/demo --bin bin
 
+bench: build ## offer load to both deployments under our policy and the baselines; writes docs/measurements/
+	bin/bench load --out docs/measurements
+
 docs: ## rewrite the pages that are made from the code
 	go run ./observe/cmd/events > docs/EVENTS.md
 
--- /dev/null
+++ b/standin/bench/report/report_test.go
@@ -0,0 +1,89 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/bench/account"
+	"acaciawinch/standin/bench/scene"
+	"acaciawinch/standin/load"
+)
+
+// trialOf returns a trial with an attainment.
+func trialOf(name, policy string, attainment float64) Trial {
+	t := Trial{Size: "s", Case: name, Policy: policy, Capacity: 100, Engine: "llm"}
+	t.Judged.Attainment = attainment
+	t.Others.Attainment = attainment
+	t.Goodput = 100 * attainment
+	return t
+}
+
+// met returns the checks' verdicts by target.
+func met(r Run) map[string]bool {
+	verdicts := map[string]bool{}
+	for _, c := range r.Checks() {
+		verdicts[c.Case+": "+c.Target] = c.Met
+	}
+	return verdicts
+}
+
+func TestTargetsAreJudged(t *testing.T) {
+	straggler := trialOf(scene.Straggler, scene.Ours, 0.995)
+	straggler.Stages = []account.Stage{{Service: "llm", Extra: 0.03}}
+	overload := trialOf(scene.Overload, scene.Ours, 0.94)
+	overload.Judged.Refusal = load.Quantiles{Count: 9, P99: 49}
+	broken := trialOf(scene.Burst, scene.Ours, 0.985)
+	broken.Violations = 1
+	got := met(Run{Trials: []Trial{
+		trialOf(scene.Steady, scene.Ours, 0.9991), trialOf(scene.Steady, "random", 1),
+		straggler, trialOf(scene.Straggler, "random", 0.99),
+		trialOf(scene.Capacity, scene.Ours, 1),
+		overload,
+		broken,
+	}})
+	clean := "nothing lost, doubled, crossed or falsely not run"
+	assert.DeepEqual(t, got, map[string]bool{
+		"steady: attainment at least 99.9%":                        true,
+		"steady: attainment ahead of random":                       false,
+		"steady: " + clean:                                         true,
+		"straggler: attainment from 2 s on at least 99.0%":         true,
+		"straggler: under 3% extra generation passes":              false,
+		"straggler: attainment ahead of random":                    true,
+		"straggler: " + clean:                                      true,
+		"capacity: " + clean:                                       true,
+		"overload: refusals under 50 ms":                           true,
+		"overload: at least 95% of capacity's goodput":             false,
+		"overload: " + clean:                                       true,
+		"burst: attainment of the other workspaces at least 99.0%": false,
+		"burst: " + clean:                                          false,
+	})
+}
+
+func TestEqualIsAheadOnlyAtTheTop(t *testing.T) {
+	for attainment, want := range map[float64]bool{1: true, 0.9995: false} {
+		got := met(Run{Trials: []Trial{
+			trialOf(scene.Steady, scene.Ours, attainment),
+			trialOf(scene.Steady, "random", attainment),
+		}})
+		assert.Equal(t, got["steady: attainment ahead of random"], want)
+	}
+}
+
+func TestTablesHaveARowForEachPolicy(t *testing.T) {
+	run := Run{Trials: []Trial{trialOf(scene.Rack, scene.Ours, 1), trialOf(scene.Rack, "random", 0.5)}}
+	tables := run.Tables()
+	assert.Equal(t, len(tables), 6)
+	var text, page strings.Builder
+	for _, table := range tables {
+		for _, row := range table.Rows {
+			assert.Equal(t, len(row), len(table.Header), table.Title)
+		}
+		assert.NilError(t, table.WriteText(&text))
+		assert.NilError(t, table.WriteMarkdown(&page))
+	}
+	assert.Equal(t, len(tables[1].Rows), 2)
+	assert.Assert(t, strings.Contains(text.String(), "50.00%"))
+	assert.Assert(t, strings.Contains(page.String(), "| random | 0.00 | 0 | 50.00% |"), page.String())
+}
--- /dev/null
+++ b/standin/bench/scene/case.go
@@ -0,0 +1,168 @@
+package scene
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Fault is what befalls the upstreams at a case's time At.
+type Fault string
+
+// The faults.
+const (
+	NoFault Fault = ""
+	// Slow makes one engine ten times slow.
+	Slow Fault = "slow"
+	// FreezeUpstream stops one engine with SIGSTOP.
+	FreezeUpstream Fault = "freeze_upstream"
+	// FreezeSide stops the side process beside one engine with SIGSTOP.
+	FreezeSide Fault = "freeze_side"
+	// KillRack kills all upstreams of one zone with their sides at once.
+	KillRack Fault = "kill_rack"
+)
+
+// SlowFactor is how much slower a straggler is.
+const SlowFactor = 10
+
+// Case is one course of load and faults.
+type Case struct {
+	Name string
+	// Title says what happens, for tables and plots.
+	Title    string
+	Duration time.Duration
+	// Load is the offered load as part of the engines' capacity.
+	Load float64
+	// Burst multiplies the load of the large workspace from At on; 0 for none.
+	Burst float64
+	Fault Fault
+	// At is when the burst or the fault begins.
+	At time.Duration
+	// From is from when on requests are judged.
+	From time.Duration
+}
+
+// Loads, as parts of the engines' capacity, and times of the cases.
+const (
+	steadyLoad     = 0.6
+	fullLoad       = 1.0
+	overLoad       = 1.5
+	burstFactor    = 10
+	warmup         = 2 * time.Second
+	faultAt        = 3 * time.Second
+	settle         = 2 * time.Second
+	steadyDuration = 18 * time.Second
+	faultDuration  = 11 * time.Second
+	loadDuration   = 12 * time.Second
+)
+
+// Names of the cases that targets refer to.
+const (
+	Steady         = "steady"
+	Burst          = "burst"
+	Straggler      = "straggler"
+	FrozenUpstream = "frozen-upstream"
+	FrozenSide     = "frozen-side"
+	Rack           = "rack"
+	Capacity       = "capacity"
+	Overload       = "overload"
+)
+
+// Cases returns all cases.
+func Cases() []Case {
+	return []Case{
+		{Name: Steady, Title: "steady load", Duration: steadyDuration, Load: steadyLoad, From: warmup},
+		{Name: Burst, Title: "one large workspace at 10 times its share", Duration: loadDuration, Load: steadyLoad,
+			Burst: burstFactor, At: faultAt, From: faultAt},
+		faulty(Straggler, "one engine 10 times slow", Slow),
+		faulty(FrozenUpstream, "one engine frozen", FreezeUpstream),
+		faulty(FrozenSide, "the side of one engine frozen", FreezeSide),
+		faulty(Rack, "all upstreams of one zone killed", KillRack),
+		{Name: Capacity, Title: "load at capacity", Duration: loadDuration, Load: fullLoad, From: warmup},
+		{Name: Overload, Title: "overload of 1.5 times capacity", Duration: loadDuration, Load: overLoad, From: warmup},
+	}
+}
+
+// faulty returns a case of steady load with a fault, judged from 2 s behind it.
+func faulty(name, title string, fault Fault) Case {
+	return Case{
+		Name:     name,
+		Title:    title,
+		Duration: faultDuration,
+		Load:     steadyLoad,
+		Fault:    fault,
+		At:       faultAt,
+		From:     faultAt + settle,
+	}
+}
+
+// Policy is one way of deciding that is compared.
+type Policy struct {
+	Name  string
+	Title string
+	// Entry and Side are settings tables, in TOML.
+	Entry string
+	Side  string
+}
+
+// Ours is the name of the product's own policy.
+const Ours = "probe2"
+
+// Policies returns the product's own policy and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{
+			Name:  Ours,
+			Title: "ours: two choices by probes, fair queue, hedges",
+			Entry: "[routing]\npolicy = \"probe2\"\n",
+		},
+		{
+			Name:  "random",
+			Title: "random choice, fair queue, hedges",
+			Entry: "[routing]\npolicy = \"random\"\n",
+		},
+		{
+			Name:  "round_robin",
+			Title: "round robin, no hedges, unbounded FIFO queue",
+			Entry: "[routing]\npolicy = \"round_robin\"\nhedge_percent = 0.0\n",
+			Side:  "[queue]\ndiscipline = \"fifo\"\nmax_queued = 1000000\n",
+		},
+	}
+}
+
+// named is what can be selected by name.
+type named interface {
+	Size | Case | Policy
+}
+
+// Select returns those of all whose names stand in the comma-separated list, in
+// the order of all; an empty list selects all. It fails for an unknown name.
+func Select[T named](all []T, list string, name func(T) string) ([]T, error) {
+	if list == "" {
+		return all, nil
+	}
+	wanted := map[string]bool{}
+	for _, n := range strings.Split(list, ",") {
+		wanted[strings.TrimSpace(n)] = true
+	}
+	var chosen []T
+	for _, item := range all {
+		if wanted[name(item)] {
+			chosen = append(chosen, item)
+			delete(wanted, name(item))
+		}
+	}
+	for n := range wanted {
+		return nil, fmt.Errorf("there is no %q", n)
+	}
+	return chosen, nil
+}
+
+// Scaled returns the case with another duration. The parts before the judged
+// time stay, so that a short run still shows the fault.
+func (c Case) Scaled(duration time.Duration) Case {
+	if duration > 0 {
+		c.Duration = max(duration, c.From+time.Second)
+	}
+	return c
+}
--- /dev/null
+++ b/standin/cmd/bench/load.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"acaciawinch/standin/bench/plots"
+	"acaciawinch/standin/bench/report"
+	"acaciawinch/standin/bench/scene"
+	"acaciawinch/standin/bench/trial"
+)
+
+// loadCommand runs the cases of load and faults.
+type loadCommand struct {
+	Bin      string `long:"bin" default:"bin" description:"folder of the built binaries"`
+	Examples string `long:"examples" default:"examples" description:"folder of the example configurations"`
+	Sizes    string `long:"sizes" description:"which sizes, separated by commas; all if empty"`
+	Cases    string `long:"cases" description:"which cases, separated by commas; all if empty"`
+	Policies string `long:"policies" description:"which policies, separated by commas; all if empty"`
+	Seconds  int    `long:"seconds" description:"length of each case, in place of its own"`
+	Seed     uint64 `long:"seed" default:"1" description:"fixes the arrivals"`
+	Out      string `long:"out" description:"folder for the JSON, the plots and the page; none if empty"`
+	Keep     bool   `long:"keep" description:"keep the folders with settings, logs and ledgers"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	ctx, stop := stopSignals()
+	defer stop()
+	plan, err := c.plan()
+	if err != nil {
+		return err
+	}
+	run := report.Run{
+		Began:   time.Now().UTC().Truncate(time.Second),
+		Command: "bench " + strings.Join(os.Args[1:], " "),
+		Cores:   runtime.NumCPU(),
+	}
+	var failures []error
+	for _, o := range plan {
+		result, err := c.trial(ctx, o)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		run.Trials = append(run.Trials, result)
+	}
+	return errors.Join(append(failures, c.publish(run))...)
+}
+
+// publish prints the tables and writes the files.
+func (c *loadCommand) publish(run report.Run) error {
+	for _, table := range run.Tables() {
+		if err := table.WriteText(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if c.Out == "" {
+		return nil
+	}
+	return write(run, c.Out)
+}
+
+// plan returns the trials in order: the policies of a case run one after the
+// other, so that the machine's other work meets them alike.
+func (c *loadCommand) plan() ([]trial.Options, error) {
+	sizes, err := scene.Select(scene.Sizes(), c.Sizes, func(s scene.Size) string { return s.Name })
+	if err != nil {
+		return nil, err
+	}
+	cases, err := scene.Select(scene.Cases(), c.Cases, func(c scene.Case) string { return c.Name })
+	if err != nil {
+		return nil, err
+	}
+	policies, err := scene.Select(scene.Policies(), c.Policies, func(p scene.Policy) string { return p.Name })
+	if err != nil {
+		return nil, err
+	}
+	var plan []trial.Options
+	for _, size := range sizes {
+		for _, one := range cases {
+			for _, policy := range policies {
+				plan = append(plan, trial.Options{
+					Bin:      c.Bin,
+					Examples: c.Examples,
+					Size:     size,
+					Case:     one.Scaled(time.Duration(c.Seconds) * time.Second),
+					Policy:   policy,
+					Seed:     c.Seed,
+					Keep:     c.Keep,
+				})
+			}
+		}
+	}
+	return plan, nil
+}
+
+// trial runs one trial and prints a line about it.
+func (c *loadCommand) trial(ctx context.Context, o trial.Options) (report.Trial, error) {
+	began := time.Now()
+	result, dir, err := trial.Run(ctx, o)
+	if err != nil {
+		note("%s, %s, %s: %v (folder %s)", o.Size.Name, o.Case.Name, o.Policy.Name, err, dir)
+		return report.Trial{}, err
+	}
+	note("%-13s %-15s %-11s attained %6.2f%% of %4d, others %6.2f%%, in time %5.1f/s, extra passes %5.2f%%, idle %3.0f%%, violations %d, %4.1f s %s",
+		result.Size, result.Case, result.Policy, 100*result.Judged.Attainment, result.Judged.Sent,
+		100*result.Others.Attainment, result.Goodput, 100*result.Generation().Extra,
+		100*result.Nodes.IdleShare, result.Violations, time.Since(began).Seconds(), dir)
+	return result, nil
+}
+
+// jsonName is the file of a run's results.
+const jsonName = "bench.json"
+
+// write writes the JSON, the plots and the page into a folder.
+func write(run report.Run, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(run, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, jsonName), append(data, '\n'), 0o644); err != nil {
+		return err
+	}
+	return plots.Draw(run, dir)
+}
--- a/standin/harness/control.go
+++ b/standin/harness/control.go
@@ -61,6 +61,13 @@
 	return send(ctx, http.MethodPost, u.WorkerURL+"/control", control, nil)
 }
 
+// Status returns what the stand-in upstream reports, with its lag.
+func (u *Upstream) Status(ctx context.Context) (upstream.Status, error) {
+	var status upstream.Status
+	err := send(ctx, http.MethodGet, u.WorkerURL+"/v1/status", nil, &status)
+	return status, err
+}
+
 // send sends body as JSON, unless it is nil, and decodes the answer into answer,
 // unless that is nil. It fails unless the answer's status is 200.
 func send(ctx context.Context, method, url string, body, answer any) error {
