--- a/standin/harness/process_test.go
+++ b/standin/harness/process_test.go
@@ -105,18 +105,6 @@
 	assert.NilError(t, process.AwaitReady(t.Context()))
 }
 
-func TestUsageOfALiveProcess(t *testing.T) {
-	process := newProcess(t, modeServe)
-	assert.NilError(t, process.AwaitReady(t.Context()))
-	usage, err := process.Usage()
-	assert.NilError(t, err)
-	// A Go program holds at least a megabyte, and this one far less than 4 GiB.
-	assert.Assert(t, usage.Resident > 1<<20 && usage.Resident < 1<<32, "%d", usage.Resident)
-	process.Kill()
-	_, err = process.Usage()
-	assert.Assert(t, err != nil)
-}
-
 func TestFailedProcessIsNoticedBeforeTheDeadline(t *testing.T) {
 	process := newProcess(t, modeFail)
 	assert.ErrorContains(t, process.AwaitReady(t.Context()), "ended")
