Simulate many entries before the same upstreams

Round robin starts at a random place per entry: started in step it was a herd of its own, an unfair baseline.

--- a/core/routing/blind.go
+++ b/core/routing/blind.go
@@ -26,13 +26,12 @@
 
 // Ask implements Policy.
 func (b blind) Ask(r *Round) Ask {
-	g := r.Picker.queryGroup(r.Query)
 	var candidates []Upstream
 	for tier := range tierCount {
-		candidates = append(candidates, r.eligible(g, tier)...)
+		candidates = append(candidates, r.Eligible(tier)...)
 	}
 	if len(candidates) == 0 {
-		candidates = r.sample(r.avoided(r.Picker.serviceGroup(r.Query.Service)), 1)
+		candidates = r.Sample(r.avoided(r.Picker.serviceGroup(r.Query.Service)), 1)
 	}
 	if len(candidates) == 0 {
 		return Ask{}
@@ -58,15 +57,20 @@
 }
 
 // pickRandom draws one candidate.
-func pickRandom(r *Round, candidates []Upstream) { r.sample(candidates, 1) }
+func pickRandom(r *Round, candidates []Upstream) { r.Sample(candidates, 1) }
 
-// newRoundRobin returns a pick that goes through each service's candidates in turn.
+// newRoundRobin returns a pick that goes through each service's candidates in
+// turn. It starts anywhere, or all entries would go round in step.
 func newRoundRobin() pick {
 	turns := make(map[string]int)
 	return func(r *Round, candidates []Upstream) {
 		slices.SortFunc(candidates, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-		turn := turns[r.Query.Service] % len(candidates)
-		turns[r.Query.Service]++
+		turn, ok := turns[r.Query.Service]
+		if !ok {
+			turn = r.Random.IntN(len(candidates))
+		}
+		turns[r.Query.Service] = turn + 1
+		turn %= len(candidates)
 		candidates[0], candidates[turn] = candidates[turn], candidates[0]
 	}
 }
@@ -74,7 +78,7 @@
 // pickLeastLocal takes the candidate with the fewest attempts of this entry,
 // drawing between equals.
 func pickLeastLocal(r *Round, candidates []Upstream) {
-	r.sample(candidates, len(candidates))
+	r.Sample(candidates, len(candidates))
 	slices.SortStableFunc(candidates, func(a, b Upstream) int {
 		return cmp.Compare(r.Table.InFlight(a.ID), r.Table.InFlight(b.ID))
 	})
--- a/core/routing/decide.go
+++ b/core/routing/decide.go
@@ -21,9 +21,9 @@
 	defaultRetryAfter = time.Second
 )
 
-// decideByScore takes the usable answer with the lowest score, or for a stage
+// DecideByScore takes the usable answer with the lowest score, or for a stage
 // with a prefix the warm one if it is nearly as good.
-func (r *Round) decideByScore() Decision {
+func (r *Round) DecideByScore() Decision {
 	weighed := r.judgeAll()
 	best := bestOf(weighed)
 	if best < 0 {
--- /dev/null
+++ b/core/routing/herd/entry.go
@@ -0,0 +1,75 @@
+package herd
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"acaciawinch/core/routing"
+)
+
+// entry is one entry process: its own knowledge and nothing shared but the
+// host list.
+type entry struct {
+	policy routing.Policy
+	picker *routing.Picker
+	table  *routing.Table
+	random *rand.Rand
+	// load returns what an upstream reports now.
+	load   func(routing.Upstream) routing.Load
+	probes int
+}
+
+// choose takes one decision at now.
+func (e *entry) choose(now time.Time, query routing.Query) routing.Upstream {
+	round := &routing.Round{
+		Query:  query,
+		Picker: e.picker,
+		Table:  e.table,
+		Random: e.random,
+		Now:    now,
+		Median: service,
+	}
+	var decision routing.Decision
+	for {
+		ask := e.policy.Ask(round)
+		if round.Number > 0 && len(ask.Upstreams) == 0 {
+			break
+		}
+		for _, upstream := range ask.Background {
+			e.probe(now, upstream)
+		}
+		for _, upstream := range ask.Upstreams {
+			round.Answers = append(round.Answers, e.answer(now, upstream, ask))
+		}
+		decision = e.policy.Decide(round)
+		if !decision.Widen {
+			break
+		}
+		round.Number++
+	}
+	chosen := decision.Chosen.Answer.Upstream
+	e.table.Chosen(chosen.ID, now)
+	return chosen
+}
+
+// answer returns what is remembered of an upstream if ask allows that, else the
+// answer to a probe.
+func (e *entry) answer(now time.Time, upstream routing.Upstream, ask routing.Ask) routing.Answer {
+	if known, ok := e.table.Remembered(upstream.ID, now, ask.Age, ask.Uses); ok {
+		return known
+	}
+	return e.probe(now, upstream)
+}
+
+// probe asks an upstream.
+func (e *entry) probe(now time.Time, upstream routing.Upstream) routing.Answer {
+	e.probes++
+	return e.tell(now, upstream)
+}
+
+// tell gives the entry an upstream's present load.
+func (e *entry) tell(now time.Time, upstream routing.Upstream) routing.Answer {
+	answer := routing.Answer{Upstream: upstream, Answered: true, Load: e.load(upstream), SentAt: now}
+	e.table.Answered(answer, now)
+	return answer
+}
--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -122,6 +122,15 @@
 	return upstream, ok
 }
 
+// Service returns the upstreams of a service, nearest tier first.
+func (p *Picker) Service(service string) []Upstream {
+	var all []Upstream
+	for _, tier := range p.serviceGroup(service).tiers {
+		all = append(all, tier...)
+	}
+	return all
+}
+
 // serviceGroup returns all upstreams of a service.
 func (p *Picker) serviceGroup(service string) *group {
 	if g, ok := p.services[service]; ok {
--- a/core/routing/policy.go
+++ b/core/routing/policy.go
@@ -99,7 +99,13 @@
 	return false
 }
 
-// eligible returns the upstreams of a tier that may be asked now.
+// Eligible returns the upstreams of a tier that may be asked for the query now:
+// those that are neither suspected nor known to refuse.
+func (r *Round) Eligible(tier Tier) []Upstream {
+	return r.eligible(r.Picker.queryGroup(r.Query), tier)
+}
+
+// eligible returns the upstreams of a tier of g that may be asked now.
 func (r *Round) eligible(g *group, tier Tier) []Upstream {
 	return r.filter(g.tiers[tier], func(u Upstream) bool {
 		return !r.Table.Suspected(u.ID) && !r.Table.refusing(u.ID, r.Now)
@@ -130,8 +136,8 @@
 	return list
 }
 
-// sample draws at most n upstreams from list, whose order it changes.
-func (r *Round) sample(list []Upstream, n int) []Upstream {
+// Sample draws at most n upstreams from list, whose order it changes.
+func (r *Round) Sample(list []Upstream, n int) []Upstream {
 	n = min(n, len(list))
 	for i := range n {
 		j := i + r.Random.IntN(len(list)-i)
--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -25,10 +25,9 @@
 	if r.Number > 0 {
 		return probe2{}.Ask(r)
 	}
-	g := r.Picker.queryGroup(r.Query)
 	var pooled, fresh []Upstream
 	for _, tier := range []Tier{OwnZone, OwnRegion} {
-		for _, u := range r.eligible(g, tier) {
+		for _, u := range r.Eligible(tier) {
 			if _, ok := r.Table.Remembered(u.ID, r.Now, poolAge, poolUses); ok {
 				pooled = append(pooled, u)
 			} else {
@@ -39,7 +38,7 @@
 			break
 		}
 	}
-	background := r.sample(fresh, poolProbes)
+	background := r.Sample(fresh, poolProbes)
 	if len(pooled) == 0 {
 		return Ask{Upstreams: r.firstChoices()}
 	}
@@ -48,7 +47,7 @@
 
 // Decide implements Policy.
 func (probePool) Decide(r *Round) Decision {
-	d := r.decideByScore()
+	d := r.DecideByScore()
 	d.Widen = r.Number+1 < steps && r.unsatisfied(d)
 	return d
 }
--- a/core/routing/probe2.go
+++ b/core/routing/probe2.go
@@ -43,23 +43,22 @@
 
 // Decide implements Policy.
 func (probe2) Decide(r *Round) Decision {
-	d := r.decideByScore()
+	d := r.DecideByScore()
 	d.Widen = r.Number+1 < steps && r.unsatisfied(d)
 	return d
 }
 
 // firstChoices draws from the own zone and fills up from farther tiers.
 func (r *Round) firstChoices() []Upstream {
-	g := r.Picker.queryGroup(r.Query)
-	own := r.eligible(g, OwnZone)
+	own := r.Eligible(OwnZone)
 	var list []Upstream
 	if r.hasAffinity() {
 		list = r.warmFirst(own)
 	} else {
-		list = r.sample(own, choices)
+		list = r.Sample(own, choices)
 	}
 	for tier := OwnRegion; tier < tierCount && len(list) < choices; tier++ {
-		list = append(list, r.sample(r.eligible(g, tier), choices-len(list))...)
+		list = append(list, r.Sample(r.Eligible(tier), choices-len(list))...)
 	}
 	if len(list) == 0 {
 		return r.lastResort()
@@ -76,14 +75,13 @@
 			rest = append(rest, u)
 		}
 	}
-	return append(list, r.sample(rest, 1)...)
+	return append(list, r.Sample(rest, 1)...)
 }
 
 // widerChoices draws again from the own zone and from the own region.
 func (r *Round) widerChoices() []Upstream {
-	g := r.Picker.queryGroup(r.Query)
-	list := r.sample(r.eligible(g, OwnZone), wideChoices)
-	list = append(list, r.sample(r.eligible(g, OwnRegion), wideChoices)...)
+	list := r.Sample(r.Eligible(OwnZone), wideChoices)
+	list = append(list, r.Sample(r.Eligible(OwnRegion), wideChoices)...)
 	if len(list) == 0 {
 		return r.lastResort()
 	}
@@ -94,17 +92,16 @@
 // placement does not name, and, if nobody was found so far, from those that are
 // avoided.
 func (r *Round) lastResort() []Upstream {
-	g := r.Picker.queryGroup(r.Query)
 	all := r.Picker.serviceGroup(r.Query.Service)
-	list := r.sample(r.eligible(g, OtherRegion), wideChoices)
+	list := r.Sample(r.Eligible(OtherRegion), wideChoices)
 	for tier := range tierCount {
 		if len(list) < wideChoices {
 			unnamed := r.without(r.eligible(all, tier), list)
-			list = append(list, r.sample(unnamed, wideChoices-len(list))...)
+			list = append(list, r.Sample(unnamed, wideChoices-len(list))...)
 		}
 	}
 	if len(list) == 0 && !r.found() {
-		list = r.sample(r.avoided(all), lastChoices)
+		list = r.Sample(r.avoided(all), lastChoices)
 	}
 	return list
 }
