Choose no engine that reports nothing loaded

The side process reports its engine's models and counts as stalled until it has heard of them, so an empty list means an empty engine. The property over all policies got this case and was seen failing with the earlier benefit of the doubt.

--- a/core/routing/property_test.go
+++ b/core/routing/property_test.go
@@ -77,7 +77,7 @@
 			name := fmt.Sprint("u", i)
 			host := fleet.Host{Name: name, Role: fleet.RoleUpstream, Service: "llm", Zone: zone, Region: "r", Addr: name}
 			trouble := rapid.SampledFrom([]string{"", "", "leaving", "drained", "excluded", "entry", "other service",
-				"draining", "stalled", "no model", "silent"}).Draw(t, "trouble")
+				"draining", "stalled", "no model", "nothing loaded", "silent"}).Draw(t, "trouble")
 			switch trouble {
 			case "leaving":
 				host.Leaving = true
@@ -107,6 +107,9 @@
 			if bad[u.ID] == "no model" {
 				load.Models = []Model{{Name: "m", Version: "2"}}
 			}
+			if bad[u.ID] == "nothing loaded" {
+				load.Models = nil
+			}
 			return Answer{Upstream: u, Answered: bad[u.ID] != "silent", Load: load}
 		}
 		for range 4 {
--- a/core/routing/upstream.go
+++ b/core/routing/upstream.go
@@ -55,11 +55,9 @@
 }
 
 // holds tells whether the engine reports the model as loaded. A model without a
-// version is held in any version, and the empty model by everybody. A side that
-// reports no model at all has not heard from its engine yet and gets the benefit
-// of the doubt: its gate refuses truthfully.
+// version is held in any version, and the empty model by everybody.
 func (l Load) holds(model Model) bool {
-	return model.Name == "" || len(l.Models) == 0 || slices.ContainsFunc(l.Models, func(loaded Model) bool {
+	return model.Name == "" || slices.ContainsFunc(l.Models, func(loaded Model) bool {
 		return loaded.Name == model.Name && (model.Version == "" || loaded.Version == model.Version)
 	})
 }
