Feed the fleet's state through relays

Entries that the host list makes relays watch the platform and push deltas to all other processes; heartbeats begin at relays only, so that entries which follow each other in a circle fall silent. What a process holds only rises in version, whoever brings it. A fresh process learns the revision in force from one read and the content from entries. A relay watches the parts of a change too, so it holds the configuration when the head moves.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -2,21 +2,62 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"acaciawinch/core"
-	"acaciawinch/core/fault"
-	"acaciawinch/wire/wirepb"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/relay"
+	"acaciawinch/feed/store"
+	"acaciawinch/platform/objects"
 )
 
+// historyLength is how many configurations a process keeps, to make deltas from.
+const historyLength = 64
+
 // Feed keeps one process's State up to date. It may be used by many goroutines.
 type Feed struct {
-	opts  Options
-	state atomic.Pointer[State]
+	opts    Options
+	timing  Timing
+	objects objects.API
+	reader  store.Reader
+	meters  *meters
+
+	// state is what the process may act on: nil until the first whole state.
+	state   atomic.Pointer[State]
+	changed *signal
+	// pulse is sent when a heartbeat is due to this process's subscribers.
+	pulse *signal
+	// wanted holds the newest revision seen in a message and not yet pulled.
+	wanted chan sighting
+	// direct is set while a process that is no relay reads the platform itself.
+	direct atomic.Bool
+	// aloneBegan is sent when direct is set; lastRead is when a direct read
+	// succeeded last, in Unix nanoseconds.
+	aloneBegan *signal
+	lastRead   atomic.Int64
+	// lastBeat is when a heartbeat of an origin came, in Unix nanoseconds.
+	lastBeat atomic.Int64
 
-	mu      sync.Mutex
-	changed chan struct{}
+	// mu guards held, history, started and provider.
+	mu sync.Mutex
+	// held is all that is known, also before the process may act on it.
+	held    State
+	history []*config.Snapshot
+	started bool
+	// provider is the name of the entry whose feed is followed.
+	provider string
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	encodings  encodings
+	hostHealth health
 }
 
 // New returns a Feed that holds nothing until Run.
@@ -24,7 +65,19 @@
 	if opts.RelaysPerZone == 0 {
 		opts.RelaysPerZone = DefaultRelaysPerZone
 	}
-	return &Feed{opts: opts, changed: make(chan struct{})}
+	f := &Feed{
+		opts:       opts,
+		timing:     opts.Timing.withDefaults(),
+		meters:     newMeters(opts.Metrics),
+		changed:    newSignal(),
+		pulse:      newSignal(),
+		wanted:     make(chan sighting, 1),
+		aloneBegan: newSignal(),
+		random:     newRandom(opts.Seed),
+	}
+	f.objects = &countedStore{API: opts.Objects, feed: f}
+	f.reader = store.NewReader(f.objects)
+	return f
 }
 
 // State returns the present state, or nil before the first one.
@@ -32,35 +85,56 @@
 
 // Changed returns a channel that is closed at the next change of the state. To
 // miss none, a caller takes the channel first and the state then.
-func (f *Feed) Changed() <-chan struct{} {
+func (f *Feed) Changed() <-chan struct{} { return f.changed.wait() }
+
+// Run keeps the state up to date until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	if !f.start(ctx) {
+		return nil
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.follow(ctx) })
+	group.Go(func() error { return f.readAlone(ctx) })
+	group.Go(func() error { return f.catchUp(ctx) })
+	if f.opts.Role == fleet.RoleEntry {
+		group.Go(func() error { return f.duty(ctx) })
+		group.Go(func() error { return f.beat(ctx) })
+	}
+	return group.Wait()
+}
+
+// revision returns that of the configuration held, also before the start.
+func (f *Feed) revision() core.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.changed
+	return f.held.Revision
 }
 
-// NoteRevision tells that a message of the peer carried a revision. If it is
-// above the process's own, the feed catches up at once.
-func (f *Feed) NoteRevision(revision core.Revision, peerAddr string) {}
+// hosts returns the hosts known, also before the start.
+func (f *Feed) hosts() []fleet.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held.hosts.Hosts
+}
 
-// Subscribe serves the feed of this entry to another process.
-func (f *Feed) Subscribe(req *wirepb.SubscribeRequest, stream wirepb.DRPCEntry_SubscribeStream) error {
-	return fault.New(fault.Unavailable, "feed.subscribe", req.Process, "not served yet")
+// isRelay tells whether this process is a relay by the host list that it holds.
+func (f *Feed) isRelay() bool {
+	return f.opts.Role == fleet.RoleEntry && relay.IsRelay(f.opts.Name, f.hosts(), f.opts.RelaysPerZone)
 }
 
-// edit replaces the state by what change returns for a copy of it, and tells all
-// who wait. Only one edit runs at a time.
-func (f *Feed) edit(change func(*State)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	next := State{}
-	if old := f.state.Load(); old != nil {
-		next = *old
-	}
-	change(&next)
-	f.state.Store(&next)
-	close(f.changed)
-	f.changed = make(chan struct{})
+// isOrigin tells whether this process sends heartbeats of its own. Any other
+// entry passes on those of the origin that it follows, so entries that follow
+// each other in a circle fall silent and move on.
+func (f *Feed) isOrigin() bool { return f.isRelay() || f.readsAlone() }
+
+// isFed tells whether following this process makes sense: it is an origin, or
+// heard of one lately.
+func (f *Feed) isFed() bool {
+	return f.isOrigin() || time.Since(time.Unix(0, f.lastBeat.Load())) < f.timing.Silence
 }
 
-// Run keeps the state up to date until ctx ends.
-func (f *Feed) Run(ctx context.Context) error { return f.readDirectly(ctx) }
+// order returns whose feeds this process may follow, the best first.
+func (f *Feed) order() []fleet.Host {
+	self := relay.Subscriber{Name: f.opts.Name, Zone: f.opts.Zone, Region: f.opts.Region}
+	return self.Order(f.hosts(), f.opts.RelaysPerZone)
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,294 @@
+package feed
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+	"acaciawinch/wire/link"
+	"acaciawinch/wire/wirepb"
+)
+
+func TestAChangeReachesAllWhileOnlyRelaysWatch(t *testing.T) {
+	f, nodes := started(t)
+	relays, others := f.relays(nodes)
+	assert.Equal(t, len(relays), 2)
+	f.await("every relay waits in two watches", func() bool { return f.store.watches() == 4 })
+	f.await("everybody follows an entry", func() bool {
+		for _, n := range nodes {
+			if n.feed.Stats().Provider == "" {
+				return false
+			}
+		}
+		return true
+	})
+	var reads uint64
+	for _, n := range nodes {
+		reads += n.feed.Stats().StoreReads
+	}
+
+	c := workspaces(1, 7)
+	c.Drain = []string{"u1"}
+	revision := f.change(c)
+	f.awaitRevision(revision, nodes...)
+	for _, n := range nodes {
+		assert.Assert(t, n.feed.State().Drained("u1"))
+		w, found := n.feed.State().Workspace("w0")
+		assert.Equal(t, found, n.host.Role == fleet.RoleEntry)
+		assert.Equal(t, w.Weight == 7, found)
+		reads -= n.feed.Stats().StoreReads
+	}
+	assert.Equal(t, reads, uint64(0), "the watch brings head and parts, so a change costs no read")
+	for _, n := range others {
+		assert.Equal(t, n.feed.Stats().StoreWatches, uint64(0), n.host.Name)
+	}
+}
+
+func TestPlacementReachesAllWithTheObjectsVersion(t *testing.T) {
+	f, nodes := started(t)
+	f.place(9)
+	for _, n := range nodes {
+		f.await("placement", func() bool {
+			plan, version := n.feed.State().Placement()
+			return plan.Sequence == 9 && version == f.store.objects[planKey].Version
+		})
+	}
+}
+
+func TestALeavingHostReachesAll(t *testing.T) {
+	f, nodes := started(t)
+	f.listed(fleet.Host{Name: "u9", Role: fleet.RoleUpstream, Leaving: true})
+	for _, n := range nodes {
+		f.await("host list", func() bool { return len(n.feed.State().Hosts()) == 11 })
+	}
+}
+
+func TestAChangeReachesAllThoughRelaysAreKilled(t *testing.T) {
+	f, nodes := started(t)
+	relays, others := f.relays(nodes)
+	for _, n := range relays {
+		n.kill()
+	}
+	revision := f.change(workspaces(1, 2))
+	f.awaitRevision(revision, others...)
+	for _, n := range relays {
+		f.unlist(n.host.Name)
+	}
+	f.await("other entries became relays", func() bool { return f.store.watches() == 4 })
+	f.awaitRevision(f.change(workspaces(1, 3)), others...)
+}
+
+func TestAChangeReachesAllThoughRelaysAreFrozen(t *testing.T) {
+	f, nodes := started(t)
+	relays, others := f.relays(nodes)
+	for _, n := range relays {
+		n.frozen.close()
+	}
+	f.awaitRevision(f.change(workspaces(1, 2)), others...)
+}
+
+func TestEntriesThatFollowEachOtherDoNotKeepEachOtherAlive(t *testing.T) {
+	f, nodes := started(t)
+	relays, others := f.relays(nodes)
+	f.store.setDown(true)
+	for _, n := range relays {
+		n.kill()
+	}
+	f.await("everybody is alone", func() bool {
+		for _, n := range others {
+			if n.host.Role == fleet.RoleEntry && !n.feed.Stats().Direct {
+				return false
+			}
+		}
+		return true
+	})
+	revision := f.change(workspaces(1, 2))
+	f.store.setDown(false)
+	f.awaitRevision(revision, others...)
+}
+
+func TestAFreshProcessStartsFromEntriesWhileTheStoreIsDown(t *testing.T) {
+	f, nodes := started(t)
+	f.awaitRevision(f.change(workspaces(1, 5)), nodes...)
+	f.store.setDown(true)
+	fresh := f.start("e9", "z0", fleet.RoleEntry)
+	side := f.start("s9", "z1", fleet.RoleUpstream)
+	f.awaitRevision(2, fresh, side)
+	w, _ := fresh.feed.State().Workspace("w0")
+	assert.Equal(t, w.Weight, 5)
+	assert.Equal(t, len(fresh.feed.State().config.Workspaces()), 50)
+	assert.Equal(t, fresh.feed.Stats().Fulls, uint64(1))
+}
+
+// staleFeed returns a feed that holds a snapshot, and never learns more.
+func staleFeed(name string, snapshot *config.Snapshot) *Feed {
+	feed := New(Options{Name: name, Role: fleet.RoleEntry, Timing: fastTiming})
+	feed.takeConfig(snapshot, "test")
+	feed.takeHosts(fleet.List{Version: 1}, "test")
+	feed.begin("test")
+	return feed
+}
+
+func TestAFreshProcessDoesNotStartWithLessThanTheStoreSays(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(workspaces(3, 1))
+	stale := staleFeed("e0", f.snapshot)
+	peer := &node{handler: stale.Subscribe}
+	f.serve(peer, f.prepareHost("e0", "z0"))
+	f.change(workspaces(3, 2))
+	fresh := New(Options{Name: "e1", Zone: "z0", Role: fleet.RoleEntry, Objects: f.store, Hosts: f.hosts,
+		Dialer: link.NewDialer(testKey), Timing: fastTiming})
+	assert.Assert(t, fresh.start(context.Background()))
+	assert.Equal(t, fresh.State().Revision, f.snapshot.Revision())
+}
+
+func TestAnEntryThatIsNotFedSaysSo(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(workspaces(1, 1))
+	stream := &recordingStream{}
+	err := staleFeed("e0", f.snapshot).Subscribe(&wirepb.SubscribeRequest{}, stream)
+	assert.Equal(t, fault.CodeOf(err), fault.Unavailable)
+	assert.Assert(t, stream.sent[0].GetConfig().GetFull(), "its state is sent all the same")
+	assert.Assert(t, stream.sent[len(stream.sent)-1].GetHeartbeat())
+}
+
+// recordingStream keeps what is sent.
+type recordingStream struct {
+	wirepb.DRPCEntry_SubscribeStream
+	sent []*wirepb.FleetUpdate
+}
+
+// Context implements drpc.Stream. It has ended.
+func (s *recordingStream) Context() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// Send implements wirepb.DRPCEntry_SubscribeStream.
+func (s *recordingStream) Send(update *wirepb.FleetUpdate) error {
+	s.sent = append(s.sent, update)
+	return nil
+}
+
+func TestAnEntryWithoutAStateServesNobody(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.setDown(true)
+	a, b := f.start("e0", "z0", fleet.RoleEntry), f.start("e1", "z0", fleet.RoleEntry)
+	err := a.feed.Subscribe(&wirepb.SubscribeRequest{}, nil)
+	assert.Equal(t, fault.CodeOf(err), fault.Unavailable)
+	f.change(workspaces(1, 1))
+	f.store.setDown(false)
+	f.awaitRevision(1, a, b)
+}
+
+func TestARevisionSeenInAMessageIsPulled(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(workspaces(1, 1))
+	feed := staleFeed("e0", f.snapshot)
+	feed.objects.(*countedStore).API = f.store
+	revision := f.change(workspaces(1, 2))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- feed.catchUp(ctx) }()
+	feed.NoteRevision(revision, "127.0.0.1:1")
+	f.await("the revision", func() bool { return feed.State().Revision == revision })
+	assert.Equal(t, feed.Stats().CatchUps, uint64(1))
+	stop()
+	assert.NilError(t, <-done)
+}
+
+func TestAMismatchedDigestLeadsToTheFullState(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(workspaces(5, 1))
+	run := f.prepare("e0", "z0", fleet.RoleEntry)
+	follower := f.prepare("e1", "z9", fleet.RoleUpstream)
+	liar := run()
+	f.awaitRevision(1, liar)
+	asked := make(chan uint64, 100)
+	liar.handler = func(req *wirepb.SubscribeRequest, stream wirepb.DRPCEntry_SubscribeStream) error {
+		asked <- req.GetRevision()
+		return liar.feed.Subscribe(req, &lyingStream{stream})
+	}
+	side := follower()
+	f.awaitRevision(1, side)
+	revision := f.change(config.Change{Drain: []string{"u"}})
+	f.awaitRevision(revision, side)
+	assert.Assert(t, side.feed.State().Drained("u"))
+	last := uint64(1)
+	for range len(asked) {
+		last = <-asked
+	}
+	assert.Equal(t, last, uint64(0), "the full state was not asked for")
+}
+
+// lyingStream spoils every delta, but not a full state.
+type lyingStream struct {
+	wirepb.DRPCEntry_SubscribeStream
+}
+
+// Send implements wirepb.DRPCEntry_SubscribeStream.
+func (s *lyingStream) Send(update *wirepb.FleetUpdate) error {
+	if c := update.GetConfig(); c != nil && !c.GetFull() {
+		update = &wirepb.FleetUpdate{Config: &wirepb.ConfigUpdate{Revision: c.GetRevision(), ChangeId: c.GetChangeId(), Digest: c.GetDigest()}}
+	}
+	return s.DRPCEntry_SubscribeStream.Send(update)
+}
+
+// largeWorkspaces returns a change that puts as many workspaces as the largest
+// fleet has, of some 400 bytes each.
+func largeWorkspaces() config.Change {
+	c := workspaces(18_000, 1)
+	for i := range c.PutWorkspaces {
+		c.PutWorkspaces[i].Stages = []config.StageParameters{{Pipeline: "p", Stage: "s", Prefix: strings.Repeat("x", 300)}}
+	}
+	return c
+}
+
+func TestAWholeFleetOfWorkspacesIsSentInManyMessages(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(largeWorkspaces())
+	relay := f.prepare("e0", "z0", fleet.RoleEntry)
+	fresh := f.prepare("e1", "z0", fleet.RoleEntry)
+	first := relay()
+	f.awaitRevision(1, first)
+	f.store.setDown(true)
+	second := fresh()
+	f.awaitRevision(1, second)
+	assert.Equal(t, second.feed.State().config.Digest(), f.snapshot.Digest())
+}
+
+func TestNoSourceSetsAProcessBack(t *testing.T) {
+	feed := New(Options{Role: fleet.RoleEntry, Timing: fastTiming})
+	at := func(revision, weight int) *config.Snapshot {
+		return config.Empty().Change(workspaces(1, weight), core.Revision(revision), "")
+	}
+	feed.takeConfig(at(5, 5), "a")
+	feed.takeHosts(fleet.List{Version: 5}, "a")
+	feed.takePlacement(placement.Plan{Sequence: 5}, 5, "a")
+	feed.begin("test")
+	changed := feed.Changed()
+	for _, older := range []int{1, 4, 5} {
+		feed.takeConfig(at(older, older+10), "b")
+		feed.takeHosts(fleet.List{Version: uint64(older), Hosts: []fleet.Host{{}}}, "b")
+		feed.takePlacement(placement.Plan{Sequence: 1}, uint64(older), "b")
+	}
+	state := feed.State()
+	w, _ := state.Workspace("w0")
+	plan, version := state.Placement()
+	assert.Equal(t, w.Weight, 5)
+	assert.Equal(t, len(state.Hosts()), 0)
+	assert.Equal(t, plan.Sequence+version, uint64(10))
+	select {
+	case <-changed:
+		t.Error("an older state was published")
+	default:
+	}
+}
--- a/feed/options.go
+++ b/feed/options.go
@@ -10,9 +10,9 @@
 	"acaciawinch/wire/link"
 )
 
-// DefaultRelaysPerZone is how many entries of a zone watch the platform. Two
-// survive the loss of one without a gap.
-const DefaultRelaysPerZone = 2
+// DefaultRelaysPerZone is how many entries of a zone watch the platform. At 11
+// zones this makes 44 relays with 88 waiting calls, and some 32 subscribers each.
+const DefaultRelaysPerZone = 4
 
 // Options are what a Feed works with.
 type Options struct {
@@ -32,6 +32,8 @@
 	Dialer        *link.Dialer
 	Logger        *observe.Logger
 	Metrics       tally.Scope
+	// Timing may be zero.
+	Timing Timing
 	// Seed starts the random source of the waits between tries.
 	Seed uint64
 }
--- /dev/null
+++ b/feed/relay.go
@@ -0,0 +1,65 @@
+package feed
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+)
+
+// duty makes this entry a relay for as long as the host list says so.
+func (f *Feed) duty(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := f.changed.wait()
+		if f.isRelay() {
+			f.log(event.RelayBegan, observe.Fields{"reason": "among the best of its zone by the host list"})
+			f.relay(ctx)
+			f.log(event.RelayEnded, observe.Fields{"reason": "the host list changed, or the process stops"})
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// relay watches the platform until this entry is no relay any more, or ctx ends.
+func (f *Feed) relay(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return f.watchConfig(ctx) })
+	group.Go(func() error { return f.watchPlacement(ctx) })
+	group.Go(func() error { return f.pollHosts(ctx) })
+	for ctx.Err() == nil {
+		changed := f.changed.wait()
+		if !f.isRelay() {
+			stop()
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	_ = group.Wait()
+}
+
+// pollHosts reads the host list again and again.
+func (f *Feed) pollHosts(ctx context.Context) error {
+	for failures := 0; ctx.Err() == nil; {
+		wait := f.jitter(f.timing.HostsPoll)
+		if err := f.readHosts(ctx); err != nil {
+			failures++
+			wait = f.backoff(failures)
+		} else {
+			failures = 0
+		}
+		pause(ctx, wait)
+	}
+	return nil
+}
--- /dev/null
+++ b/feed/serve.go
@@ -0,0 +1,126 @@
+package feed
+
+import (
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/wire/wirepb"
+)
+
+// maxSubscribers bounds how many processes follow one entry: a fleet in which
+// all relays but one are gone for a moment.
+const maxSubscribers = 2048
+
+// Subscribe serves the feed of this entry to another process until the stream
+// ends. The first heartbeat follows what the subscriber lacked at the beginning;
+// an entry that is not fed itself ends the stream behind it, with Unavailable.
+func (f *Feed) Subscribe(req *wirepb.SubscribeRequest, stream wirepb.DRPCEntry_SubscribeStream) error {
+	if f.State() == nil {
+		return fault.New(fault.Unavailable, "feed.subscribe", f.opts.Name, "this entry has no state yet")
+	}
+	if f.meters.subscribers.Load() >= maxSubscribers {
+		return fault.New(fault.Unavailable, "feed.subscribe", f.opts.Name, "this entry has enough subscribers")
+	}
+	f.meters.subscribed(1)
+	defer f.meters.subscribed(-1)
+	f.NoteRevision(core.Revision(req.GetRevision()), "")
+	s := &session{feed: f, stream: stream, scope: req.GetScope(), revision: core.Revision(req.GetRevision()),
+		hosts: req.GetHostsVersion(), placement: req.GetPlacementVersion()}
+	return s.run()
+}
+
+// session is one subscriber, as the entry sees it.
+type session struct {
+	feed   *Feed
+	stream wirepb.DRPCEntry_SubscribeStream
+	scope  wirepb.FeedScope
+	// revision, hosts and placement are what the subscriber holds; sent is the
+	// configuration that this session sent last.
+	revision  core.Revision
+	sent      *config.Snapshot
+	hosts     uint64
+	placement uint64
+}
+
+// run sends each change and each heartbeat until the stream ends.
+func (s *session) run() error {
+	beat := true
+	for {
+		changed, pulse := s.feed.changed.wait(), s.feed.pulse.wait()
+		if err := s.send(s.feed.State(), beat); err != nil {
+			return err
+		}
+		if !s.feed.isFed() {
+			return fault.New(fault.Unavailable, "feed.subscribe", s.feed.opts.Name, "this entry is not fed itself")
+		}
+		select {
+		case <-changed:
+			beat = false
+		case <-pulse:
+			beat = true
+		case <-s.stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// send sends what the subscriber lacks.
+func (s *session) send(state *State, beat bool) error {
+	updates, err := s.lacking(state)
+	if err != nil {
+		return err
+	}
+	if beat {
+		updates = append(updates, &wirepb.FleetUpdate{Heartbeat: true})
+	}
+	for _, update := range updates {
+		if err := s.stream.Send(update); err != nil {
+			return fault.Wrap(fault.Unavailable, "feed.send", s.feed.opts.Name, err)
+		}
+	}
+	return nil
+}
+
+// lacking returns the messages that bring the subscriber to state.
+func (s *session) lacking(state *State) ([]*wirepb.FleetUpdate, error) {
+	var updates []*wirepb.FleetUpdate
+	if state.Revision > s.revision || (s.sent == nil && s.revision == 0) {
+		configs, err := s.feed.encodings.between(s.before(), state.config, s.scope)
+		if err != nil {
+			return nil, err
+		}
+		for _, update := range configs {
+			updates = append(updates, &wirepb.FleetUpdate{Config: update})
+		}
+		s.revision, s.sent = state.Revision, state.config
+	}
+	if state.hosts.Version > s.hosts {
+		hosts, err := encodeHosts(state.hosts)
+		if err != nil {
+			return nil, err
+		}
+		updates = append(updates, &wirepb.FleetUpdate{Hosts: hosts})
+		s.hosts = state.hosts.Version
+	}
+	if state.placementVersion > s.placement {
+		plan, err := encodePlacement(state.plan, state.placementVersion)
+		if err != nil {
+			return nil, err
+		}
+		updates = append(updates, &wirepb.FleetUpdate{Placement: plan})
+		s.placement = state.placementVersion
+	}
+	return updates, nil
+}
+
+// before returns the configuration that the subscriber holds, or nil if it must
+// get everything.
+func (s *session) before() *config.Snapshot {
+	if s.sent != nil {
+		return s.sent
+	}
+	if s.revision == 0 {
+		return nil
+	}
+	return s.feed.earlier(uint64(s.revision))
+}
--- /dev/null
+++ b/feed/signal.go
@@ -0,0 +1,27 @@
+package feed
+
+import "sync"
+
+// signal wakes everybody who waits for it, each time that it is sent.
+type signal struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// newSignal returns a signal that has not been sent.
+func newSignal() *signal { return &signal{next: make(chan struct{})} }
+
+// wait returns a channel that is closed when the signal is sent next.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
+// send wakes all who wait.
+func (s *signal) send() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.next)
+	s.next = make(chan struct{})
+}
--- a/feed/state.go
+++ b/feed/state.go
@@ -16,8 +16,10 @@
 	// was accepted.
 	Revision core.Revision
 
-	config           *config.Snapshot
-	hosts            fleet.List
+	config *config.Snapshot
+	hosts  fleet.List
+	// hostsKnown is set once any host list was read.
+	hostsKnown       bool
 	plan             placement.Plan
 	placementVersion uint64
 }
--- a/feed/store/store.go
+++ b/feed/store/store.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
 	"acaciawinch/platform/objects"
@@ -31,15 +33,28 @@
 	return head, object.Version, err
 }
 
+// loadsAtOnce bounds the calls of one Load that wait at the same time.
+const loadsAtOnce = 16
+
 // Load returns the snapshot with all its parts. One call for each missing part.
 func (r Reader) Load(ctx context.Context, snapshot *config.Snapshot) (*config.Snapshot, error) {
-	for _, hash := range snapshot.Missing() {
-		object, err := r.api.Get(ctx, config.PartKey(hash))
-		if err != nil {
-			return nil, err
-		}
-		snapshot, err = snapshot.WithPart(hash, object.Value)
-		if err != nil {
+	hashes := snapshot.Missing()
+	parts := make([][]byte, len(hashes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(loadsAtOnce)
+	for i, hash := range hashes {
+		group.Go(func() error {
+			object, err := r.api.Get(ctx, config.PartKey(hash))
+			parts[i] = object.Value
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i, hash := range hashes {
+		var err error
+		if snapshot, err = snapshot.WithPart(hash, parts[i]); err != nil {
 			return nil, err
 		}
 	}
--- /dev/null
+++ b/feed/wire.go
@@ -0,0 +1,187 @@
+package feed
+
+import (
+	"encoding/json"
+	"sync"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+	"acaciawinch/wire/wirepb"
+)
+
+// chunkBytes bounds the workspaces in one message. A delta that is larger comes
+// as several ConfigUpdates; all but the last have digest 0.
+const chunkBytes = 256 << 10
+
+// encodeDelta returns the messages of a delta.
+func encodeDelta(d config.Delta) ([]*wirepb.ConfigUpdate, error) {
+	first := &wirepb.ConfigUpdate{Revision: uint64(d.Revision), ChangeId: d.ChangeID, Full: d.Full, RemovedWorkspaces: d.Removed}
+	if d.Templates != nil {
+		data, err := json.Marshal(d.Templates)
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, "feed.encode", "", err)
+		}
+		first.Templates = data
+	}
+	updates, size := []*wirepb.ConfigUpdate{first}, 0
+	for _, w := range d.Workspaces {
+		data, err := json.Marshal(w)
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, "feed.encode", "", err)
+		}
+		if size+len(data) > chunkBytes {
+			updates = append(updates, &wirepb.ConfigUpdate{Revision: uint64(d.Revision), ChangeId: d.ChangeID})
+			size = 0
+		}
+		size += len(data)
+		last := updates[len(updates)-1]
+		last.Workspaces = append(last.Workspaces, data)
+	}
+	updates[len(updates)-1].Digest = d.Digest
+	return updates, nil
+}
+
+// assembler puts the messages of one delta together.
+type assembler struct {
+	delta config.Delta
+	begun bool
+}
+
+// add takes one message. It returns the delta once it is whole.
+func (a *assembler) add(update *wirepb.ConfigUpdate) (config.Delta, bool, error) {
+	if !a.begun {
+		a.delta = config.Delta{Revision: core.Revision(update.GetRevision()), ChangeID: update.GetChangeId(),
+			Full: update.GetFull(), Removed: update.GetRemovedWorkspaces()}
+		a.begun = true
+	}
+	if uint64(a.delta.Revision) != update.GetRevision() {
+		return config.Delta{}, false, fault.New(fault.Invalid, "feed.decode", "", "revision %d began within revision %d", update.GetRevision(), a.delta.Revision)
+	}
+	if err := a.parse(update); err != nil {
+		return config.Delta{}, false, fault.Wrap(fault.Invalid, "feed.decode", "", err)
+	}
+	if update.GetDigest() == 0 {
+		return config.Delta{}, false, nil
+	}
+	a.begun = false
+	a.delta.Digest = update.GetDigest()
+	return a.delta, true, nil
+}
+
+// parse adds the JSON parts of one message.
+func (a *assembler) parse(update *wirepb.ConfigUpdate) error {
+	if data := update.GetTemplates(); data != nil {
+		a.delta.Templates = &config.Templates{}
+		if err := json.Unmarshal(data, a.delta.Templates); err != nil {
+			return err
+		}
+	}
+	for _, data := range update.GetWorkspaces() {
+		var w config.Workspace
+		if err := json.Unmarshal(data, &w); err != nil {
+			return err
+		}
+		a.delta.Workspaces = append(a.delta.Workspaces, w)
+	}
+	return nil
+}
+
+// encodeHosts returns the message of a host list.
+func encodeHosts(list fleet.List) (*wirepb.HostsUpdate, error) {
+	update := &wirepb.HostsUpdate{Version: list.Version}
+	for _, host := range list.Hosts {
+		data, err := json.Marshal(host)
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, "feed.encode", "", err)
+		}
+		update.Hosts = append(update.Hosts, data)
+	}
+	return update, nil
+}
+
+// decodeHosts reads the message of a host list.
+func decodeHosts(update *wirepb.HostsUpdate) (fleet.List, error) {
+	list := fleet.List{Version: update.GetVersion(), Hosts: make([]fleet.Host, len(update.GetHosts()))}
+	for i, data := range update.GetHosts() {
+		if err := json.Unmarshal(data, &list.Hosts[i]); err != nil {
+			return fleet.List{}, fault.Wrap(fault.Invalid, "feed.decode", "", err)
+		}
+	}
+	return list, nil
+}
+
+// encodePlacement returns the message of a placement.
+func encodePlacement(plan placement.Plan, version uint64) (*wirepb.PlacementUpdate, error) {
+	data, err := json.Marshal(plan)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "feed.encode", "", err)
+	}
+	return &wirepb.PlacementUpdate{Version: version, Plan: data}, nil
+}
+
+// encodings keeps the messages that lead to the newest configuration, as most
+// subscribers come from the same one before it.
+type encodings struct {
+	mu    sync.Mutex
+	to    core.Revision
+	cache map[encodingKey][]*wirepb.ConfigUpdate
+}
+
+// encodingKey tells where a delta begins and for whom it is. The revision 0 of
+// a subscriber that holds nothing stands for the full state.
+type encodingKey struct {
+	from  core.Revision
+	scope wirepb.FeedScope
+}
+
+// between returns the messages that lead from one snapshot, or nil, to another.
+func (e *encodings) between(from, to *config.Snapshot, scope wirepb.FeedScope) ([]*wirepb.ConfigUpdate, error) {
+	key := encodingKey{scope: scope}
+	if from != nil && from.Revision() == 0 {
+		from = nil
+	}
+	if from != nil {
+		key.from = from.Revision()
+	}
+	if cached := e.lookup(key, to.Revision()); cached != nil {
+		return cached, nil
+	}
+	if scope == wirepb.FeedScope_FEED_SIDE {
+		to = to.WithoutWorkspaces()
+		if from != nil {
+			from = from.WithoutWorkspaces()
+		}
+	}
+	updates, err := encodeDelta(config.Between(from, to))
+	if err != nil {
+		return nil, err
+	}
+	e.store(key, to.Revision(), updates)
+	return updates, nil
+}
+
+// lookup returns kept messages, or nil.
+func (e *encodings) lookup(key encodingKey, to core.Revision) []*wirepb.ConfigUpdate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.to != to {
+		return nil
+	}
+	return e.cache[key]
+}
+
+// store keeps messages. Those that lead to an older configuration are dropped.
+func (e *encodings) store(key encodingKey, to core.Revision, updates []*wirepb.ConfigUpdate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.to > to {
+		return
+	}
+	if e.to < to || e.cache == nil {
+		e.to, e.cache = to, map[encodingKey][]*wirepb.ConfigUpdate{}
+	}
+	e.cache[key] = updates
+}
