--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -22,7 +22,8 @@
 
 // options are the subcommands.
 type options struct {
-	Load loadCommand `command:"load" description:"offer load to both deployments, under each policy"`
+	Load   loadCommand   `command:"load" description:"offer load to both deployments, under each policy"`
+	Spread spreadCommand `command:"spread" description:"time accepted changes until they are in force in a large fleet"`
 }
 
 func main() {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -26,6 +26,9 @@
 	BatchSlope float64
 	// Spread is the part of ServiceMS and FirstMS that varies from call to call.
 	Spread float64
+	// Shared lets all sides of the group stand before one worker process, for trials
+	// of many processes without load.
+	Shared bool
 	// IgnoreFencing makes the engines obey orders with old fencing numbers.
 	IgnoreFencing bool
 	// Models are loaded from the start, as "model@version".
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -8,6 +8,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -156,11 +157,13 @@
 	return append(append(f.workers(), f.sides()...), f.entries()...)
 }
 
-// workers returns the stand-in upstreams.
+// workers returns the stand-in upstreams, each once.
 func (f *Fleet) workers() []*Process {
 	var all []*Process
 	for _, u := range f.Upstreams {
-		all = append(all, u.Worker)
+		if !slices.Contains(all, u.Worker) {
+			all = append(all, u.Worker)
+		}
 	}
 	return all
 }
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -201,28 +201,39 @@
 
 // prepareUpstream lays out one worker with its side.
 func (f *Fleet) prepareUpstream(u deployment.Upstream) (*Upstream, error) {
-	worker, err := f.ports.address()
-	if err != nil {
-		return nil, err
-	}
 	listen, err := f.addresses()
 	if err != nil {
 		return nil, err
 	}
-	upstream := &Upstream{
-		Upstream:  u,
-		WorkerURL: "http://" + worker,
-		SideURL:   "http://" + listen.admin,
-		Ledger:    filepath.Join(f.Dir, "ledgers", u.Name+".ledger"),
+	upstream := &Upstream{Upstream: u, SideURL: "http://" + listen.admin}
+	if err := f.prepareWorker(upstream); err != nil {
+		return nil, err
 	}
-	upstream.Worker = f.process(u.Name, "standin", upstream.WorkerURL+"/v1/status",
-		f.workerArgs(u, worker, upstream.Ledger)...)
 	if upstream.Fleet, upstream.listen.fleet, err = f.relay(f.Options.Relays.Fleet, listen.fleet); err != nil {
 		return nil, err
 	}
+	worker := strings.TrimPrefix(upstream.WorkerURL, "http://")
 	return upstream, f.prepareSide(upstream, worker, listen)
 }
 
+// prepareWorker lays out the worker of an upstream, or gives it that of the
+// group's first one if the group shares it.
+func (f *Fleet) prepareWorker(u *Upstream) error {
+	if first := f.Service(u.Group.Service); u.Group.Shared && len(first) > 0 {
+		u.Worker, u.WorkerURL, u.Ledger = first[0].Worker, first[0].WorkerURL, first[0].Ledger
+		return nil
+	}
+	address, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	u.WorkerURL = "http://" + address
+	u.Ledger = filepath.Join(f.Dir, "ledgers", u.Name+".ledger")
+	u.Worker = f.process(u.Name, "standin", u.WorkerURL+"/v1/status",
+		f.workerArgs(u.Upstream, address, u.Ledger)...)
+	return nil
+}
+
 // prepareSide lays out the side beside a worker.
 func (f *Fleet) prepareSide(u *Upstream, worker string, listen addresses) error {
 	var err error
