Let any entry propose the placement

entry/place drives the rounds of core/placement: a lease in lease/placement renewed every 5 s, the plan in placement/plan under the condition of the version read. Engines are those of a service that has models; each is asked by Probe, at most 64 a round, first where a load is unfinished or the side is silent. An engine silent for 30 s loses its models, a load unfinished for 5 minutes is placed elsewhere. Each change is a log line with the engines weighed and the reason. Who does not hold the lease looks at it the less often the farther down it ranks. The holder also does the duties that it is given, such as the expiry of claims.

Run: go test -race ./entry/place. Seen red with the bound on loads lifted, with a store that ignores conditions, and with silent engines never given up.

--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -56,6 +56,9 @@
 // Next returns the call to make.
 func (r *Round) Next() RoundStep { return r.step }
 
+// Present returns the plan in force, once it was read.
+func (r *Round) Present() Plan { return r.present }
+
 // Decisions returns what a written plan changes and why.
 func (r *Round) Decisions() []Decision { return r.decisions }
 
--- /dev/null
+++ b/entry/place/place_test.go
@@ -0,0 +1,307 @@
+package place
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+	"acaciawinch/observe"
+	"acaciawinch/platform/objects"
+	"acaciawinch/wire/wirepb"
+)
+
+// quick makes rounds short. No test asserts on them.
+var quick = Settings{MaxLoads: 1, ModelsPerEngine: 1, RoundMS: 10, LeaseMS: 100, GraceMS: 50, LoadMS: 60000}
+
+// store is an object API in memory. Before is called ahead of each write and may
+// block it or make it fail.
+type store struct {
+	objects.API
+	mu      sync.Mutex
+	values  map[string]objects.Object
+	version uint64
+	before  func(key string) error
+}
+
+// newStore returns an empty store.
+func newStore() *store { return &store{values: make(map[string]objects.Object)} }
+
+// Get implements objects.API.
+func (s *store) Get(_ context.Context, key string) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.values[key]
+	if !ok {
+		return objects.Object{}, fault.New(fault.NotFound, "test.get", key, "")
+	}
+	return object, nil
+}
+
+// Create implements objects.API.
+func (s *store) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	return s.Update(ctx, key, value, 0)
+}
+
+// Update implements objects.API; version zero means that there must be no object.
+func (s *store) Update(_ context.Context, key string, value []byte, version uint64) (uint64, error) {
+	s.mu.Lock()
+	before := s.before
+	s.mu.Unlock()
+	if before != nil {
+		if err := before(key); err != nil {
+			return 0, err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values[key].Version != version {
+		return 0, fault.New(fault.Conflict, "test.update", key, "")
+	}
+	s.version++
+	s.values[key] = objects.Object{Key: key, Value: value, Version: s.version}
+	return s.version, nil
+}
+
+// plan returns the plan in force.
+func (s *store) plan() placement.Plan {
+	var plan placement.Plan
+	if object, err := s.Get(context.Background(), placement.PlanKey); err == nil {
+		_ = json.Unmarshal(object.Value, &plan)
+	}
+	return plan
+}
+
+// fleetUnderTest is a set of engines that load what the plan tells them, each
+// load taking one question, and a host list.
+type fleetUnderTest struct {
+	store *store
+	mu    sync.Mutex
+	hosts []fleet.Host
+	// silent are the engines whose sides do not answer.
+	silent map[string]bool
+	loaded map[string][]placement.ModelVersion
+	// most is the most loads that were unfinished at once.
+	most int
+}
+
+// newFleetUnderTest returns engines of one service in two zones.
+func newFleetUnderTest(engines int) *fleetUnderTest {
+	f := &fleetUnderTest{store: newStore(), silent: make(map[string]bool), loaded: make(map[string][]placement.ModelVersion)}
+	for i := range engines {
+		name := fmt.Sprintf("llm-%d", i)
+		f.hosts = append(f.hosts, fleet.Host{Name: name, Role: fleet.RoleUpstream, Service: "llm", Zone: fmt.Sprint(i % 2), Addr: name})
+	}
+	return f
+}
+
+// Probe implements Prober.
+func (f *fleetUnderTest) Probe(_ context.Context, addr string, _ *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent[addr] {
+		return nil, fault.New(fault.Unavailable, "test.probe", addr, "")
+	}
+	reply := &wirepb.ProbeReply{Load: &wirepb.Load{}}
+	for _, m := range f.loaded[addr] {
+		reply.Load.Models = append(reply.Load.Models, &wirepb.LoadedModel{Model: m.Model, Version: m.Version})
+	}
+	f.load(addr)
+	return reply, nil
+}
+
+// load brings an engine in line with the plan and counts unfinished loads.
+func (f *fleetUnderTest) load(addr string) {
+	unfinished := 0
+	var own []placement.ModelVersion
+	for _, a := range f.store.plan().Assignments {
+		if !slices.Contains(f.loaded[string(a.Upstream)], a.Holds()) {
+			unfinished++
+		}
+		if string(a.Upstream) == addr {
+			own = append(own, a.Holds())
+		}
+	}
+	f.most = max(f.most, unfinished)
+	f.loaded[addr] = own
+}
+
+// facts implements Options.Facts.
+func (f *fleetUnderTest) facts() (Facts, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Facts{
+		Revision: 1,
+		Models:   []config.Model{{Name: "m", Version: "1", Service: "llm", Replicas: 3}},
+		Hosts:    slices.Clone(f.hosts),
+		Drained:  func(string) bool { return false },
+	}, true
+}
+
+// start runs a proposer and returns how to end it.
+func (f *fleetUnderTest) start(t *testing.T, name string, api objects.API) (stop func()) {
+	t.Helper()
+	logger, err := observe.NewLogger(io.Discard, name, "info")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	proposer := New(Options{Self: name, Objects: api, Prober: f, Log: logger, Facts: f.facts, Settings: quick})
+	done := make(chan error, 1)
+	go func() { done <- proposer.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// serving tells whether all three replicas are loaded on engines that answer.
+func (f *fleetUnderTest) serving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, a := range f.store.plan().Assignments {
+		if !f.silent[string(a.Upstream)] && slices.Contains(f.loaded[string(a.Upstream)], a.Holds()) {
+			count++
+		}
+	}
+	return count == 3
+}
+
+func TestPlacesInWavesAndReplacesASilentEngine(t *testing.T) {
+	f := newFleetUnderTest(5)
+	f.start(t, "entry-a", f.store)
+	f.start(t, "entry-b", f.store)
+	eventually(t, "three replicas serve", f.serving)
+	f.mu.Lock()
+	assert.Equal(t, f.most, 1, "loads at once")
+	silent := f.store.plan().Assignments[0].Upstream
+	f.silent[string(silent)] = true
+	f.mu.Unlock()
+	eventually(t, "the silent engine is replaced", f.serving)
+}
+
+func TestAnotherEntryTakesOver(t *testing.T) {
+	f := newFleetUnderTest(4)
+	stop := f.start(t, "entry-a", f.store)
+	eventually(t, "three replicas serve", f.serving)
+	f.start(t, "entry-b", f.store)
+	stop()
+	eventually(t, "entry-b plans", func() bool { return f.store.plan().Proposer == "entry-b" })
+	f.mu.Lock()
+	gone := f.store.plan().Assignments[0].Upstream
+	f.hosts = slices.DeleteFunc(f.hosts, func(h fleet.Host) bool { return core.UpstreamID(h.Name) == gone })
+	f.mu.Unlock()
+	eventually(t, "the gone engine is replaced", func() bool {
+		return f.serving() && f.store.plan().Assignments[0].Upstream != gone
+	})
+}
+
+// TestPausedHolderWritesTooLate holds up a holder's first plan until another
+// process has taken the lease and planned.
+func TestPausedHolderWritesTooLate(t *testing.T) {
+	f := newFleetUnderTest(4)
+	paused, resume, refused := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	slow := &pausingStore{store: f.store, paused: paused, resume: resume, refused: refused}
+	f.start(t, "entry-a", slow)
+	<-paused
+	f.start(t, "entry-b", f.store)
+	eventually(t, "entry-b plans", func() bool { return f.store.plan().Proposer == "entry-b" })
+	close(resume)
+	assert.Assert(t, fault.Is(<-refused, fault.Conflict))
+	assert.Equal(t, f.store.plan().Proposer, "entry-b")
+}
+
+// pausingStore holds up the first write of the plan.
+type pausingStore struct {
+	*store
+	once           sync.Once
+	paused, resume chan struct{}
+	refused        chan error
+}
+
+// Create implements objects.API.
+func (s *pausingStore) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	if key != placement.PlanKey {
+		return s.store.Create(ctx, key, value)
+	}
+	s.once.Do(func() {
+		close(s.paused)
+		<-s.resume
+	})
+	version, err := s.store.Create(ctx, key, value)
+	select {
+	case s.refused <- err:
+	default:
+	}
+	return version, err
+}
+
+func TestStoreOutage(t *testing.T) {
+	f := newFleetUnderTest(4)
+	asked := make(chan struct{}, 1)
+	f.store.before = func(key string) error {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return fault.New(fault.Unavailable, "test.update", key, "down")
+	}
+	f.start(t, "entry-a", f.store)
+	<-asked
+	<-asked
+	f.store.mu.Lock()
+	f.store.before = nil
+	f.store.mu.Unlock()
+	eventually(t, "three replicas serve", f.serving)
+}
+
+func TestSettings(t *testing.T) {
+	assert.NilError(t, Settings{}.Validate())
+	assert.ErrorContains(t, Settings{RoundMS: 5000, LeaseMS: 6000}.Validate(), "lease_ms")
+	assert.ErrorContains(t, Settings{MaxLoads: -1}.Validate(), "max_loads")
+}
+
+// TestManyEnginesAreAskedInTurn bounds the questions of one round and asks first
+// where something is unfinished.
+func TestManyEnginesAreAskedInTurn(t *testing.T) {
+	settings := quick
+	settings.ProbesPerRound = 2
+	e := newEngines(settings)
+	f := newFleetUnderTest(5)
+	facts, _ := f.facts()
+	e.update(facts)
+	asked := make(map[string]int)
+	for range 5 {
+		for _, host := range e.toAsk(placement.Plan{}) {
+			asked[host.Name]++
+			e.note(time.Duration(len(asked)), core.UpstreamID(host.Name), &wirepb.ProbeReply{})
+		}
+	}
+	assert.Equal(t, len(asked), 5)
+	unfinished := placement.Plan{Assignments: []placement.Assignment{{Upstream: "llm-4", Model: "m", Version: "1"}}}
+	assert.Equal(t, e.toAsk(unfinished)[0].Name, "llm-4")
+}
--- /dev/null
+++ b/entry/place/proposer.go
@@ -0,0 +1,205 @@
+package place
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/placement"
+	"acaciawinch/feed"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/objects"
+	"acaciawinch/wire/wirepb"
+)
+
+// Bounds of a round's calls, and of the pauses between rounds.
+const (
+	probeTimeout    = 500 * time.Millisecond
+	probesAtOnce    = 16
+	storeTimeout    = 2 * time.Second
+	releaseTimeout  = 500 * time.Millisecond
+	maxRankedRounds = 12
+	jitterPercent   = 20
+)
+
+// Prober asks a side for its load. Errors mean that there was no answer.
+type Prober interface {
+	Probe(ctx context.Context, addr string, request *wirepb.ProbeRequest) (*wirepb.ProbeReply, error)
+}
+
+// Options are the parts of a Proposer.
+type Options struct {
+	// Self is the entry's name in the host list.
+	Self    string
+	Objects objects.API
+	Prober  Prober
+	Log     *observe.Logger
+	// Facts returns what the feed knows, or false while it knows nothing.
+	Facts    func() (Facts, bool)
+	Settings Settings
+	// Duties are done after each round by the holder of the lease.
+	Duties []func(context.Context)
+}
+
+// FactsOf returns the facts of a feed's state, and false for the nil state.
+func FactsOf(state *feed.State) (Facts, bool) {
+	if state == nil {
+		return Facts{}, false
+	}
+	return Facts{
+		Revision: state.Revision,
+		Models:   state.Models(),
+		Hosts:    state.Hosts(),
+		Drained:  state.Drained,
+	}, true
+}
+
+// Proposer takes part in placement. Run is its only goroutine.
+type Proposer struct {
+	options Options
+	start   time.Time
+	term    uint64
+	lease   *placement.Lease
+	engines *engines
+	holding bool
+	// short are the shortages that the log has reported, with their reasons.
+	short map[placement.Assignment]string
+}
+
+// New returns a Proposer that does nothing until Run.
+func New(opts Options) *Proposer {
+	opts.Settings = opts.Settings.orDefault()
+	term := rand.Uint64()
+	return &Proposer{
+		options: opts,
+		start:   time.Now(),
+		term:    term,
+		lease:   placement.NewLease(opts.Self, term, milliseconds(opts.Settings.LeaseMS)),
+		engines: newEngines(opts.Settings),
+		short:   make(map[placement.Assignment]string),
+	}
+}
+
+// Run takes part until ctx ends, then gives the lease up if it holds it. It
+// returns nil.
+func (p *Proposer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if facts, ok := p.options.Facts(); ok {
+			p.round(ctx, facts)
+		}
+		p.wait(ctx)
+	}
+	p.release(context.WithoutCancel(ctx))
+	return nil
+}
+
+// now returns the process's own monotonic clock.
+func (p *Proposer) now() time.Duration { return time.Since(p.start) }
+
+// wait waits until the next round. Who does not hold the lease looks at it the
+// less often the farther down it ranks, so that a fleet of hundreds of entries
+// spends a few reads a second on it.
+func (p *Proposer) wait(ctx context.Context) {
+	pause := milliseconds(p.options.Settings.RoundMS)
+	if !p.lease.Holds(p.now()) {
+		pause *= time.Duration(1 + min(p.rank(), maxRankedRounds))
+	}
+	pause += pause * time.Duration(rand.IntN(jitterPercent)) / 100
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// rank returns how many other entries come before this one, by a hash of their
+// names.
+func (p *Proposer) rank() int {
+	facts, ok := p.options.Facts()
+	if !ok {
+		return 0
+	}
+	own := rankOf(p.options.Self)
+	before := 0
+	for _, host := range facts.Hosts {
+		if host.Role == fleet.RoleEntry && !host.Leaving && rankOf(host.Name) > own {
+			before++
+		}
+	}
+	return before
+}
+
+// rankOf is the hash by which entries are ranked.
+func rankOf(name string) uint64 { return xxhash.Sum64String(placement.LeaseKey + "\x00" + name) }
+
+// round drives one round and, if this process holds the lease, its duties.
+func (p *Proposer) round(ctx context.Context, facts Facts) {
+	round := placement.NewRound(p.lease)
+	for ctx.Err() == nil {
+		step := round.Next()
+		if step.Call == placement.RoundEnd {
+			break
+		}
+		p.call(ctx, round, step, facts)
+	}
+	p.noteLease()
+	if !p.holding {
+		return
+	}
+	for _, duty := range p.options.Duties {
+		duty(ctx)
+	}
+}
+
+// noteLease logs that the lease was taken or lost.
+func (p *Proposer) noteLease() {
+	holds := p.lease.Holds(p.now())
+	switch {
+	case holds && !p.holding:
+		p.options.Log.Event(event.PlacementLeaseTaken, observe.Fields{"term": p.term})
+	case !holds && p.holding:
+		p.options.Log.Warn(event.PlacementLeaseLost, observe.Fields{"term": p.term})
+	}
+	p.holding = holds
+}
+
+// gather asks the engines' sides and hands in what the plan follows from.
+func (p *Proposer) gather(ctx context.Context, round *placement.Round, facts Facts) {
+	p.engines.update(facts)
+	hosts := p.engines.toAsk(round.Present())
+	replies := p.probe(ctx, hosts, facts.Revision)
+	for i, host := range hosts {
+		p.engines.note(p.now(), core.UpstreamID(host.Name), replies[i])
+	}
+	p.logSilent(hosts)
+	p.logStuck(p.engines.watchLoads(p.now(), round.Present()))
+	now := p.now()
+	round.Gathered(now, p.engines.input(now, facts, p.options.Self))
+}
+
+// probe asks hosts, a few at a time; a missing answer is nil.
+func (p *Proposer) probe(ctx context.Context, hosts []fleet.Host, revision core.Revision) []*wirepb.ProbeReply {
+	replies := make([]*wirepb.ProbeReply, len(hosts))
+	var group errgroup.Group
+	group.SetLimit(probesAtOnce)
+	for i, host := range hosts {
+		group.Go(func() error {
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			reply, err := p.options.Prober.Probe(probeCtx, host.Addr, &wirepb.ProbeRequest{Revision: uint64(revision)})
+			if err == nil {
+				replies[i] = reply
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return replies
+}
--- /dev/null
+++ b/entry/place/store.go
@@ -0,0 +1,109 @@
+package place
+
+import (
+	"context"
+	"encoding/json"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/placement"
+)
+
+// call makes one call of a round and hands in the answer.
+func (p *Proposer) call(ctx context.Context, round *placement.Round, step placement.RoundStep, facts Facts) {
+	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	switch step.Call {
+	case placement.RoundReadLease:
+		p.readLease(storeCtx, round)
+	case placement.RoundWriteLease:
+		p.writeLease(storeCtx, round, step)
+	case placement.RoundReadPlan:
+		p.readPlan(storeCtx, round)
+	case placement.RoundGather:
+		p.gather(ctx, round, facts)
+	case placement.RoundWritePlan:
+		p.writePlan(storeCtx, round, step)
+	}
+}
+
+// readLease reads the lease object.
+func (p *Proposer) readLease(ctx context.Context, round *placement.Round) {
+	object, err := p.options.Objects.Get(ctx, placement.LeaseKey)
+	if fault.Is(err, fault.NotFound) {
+		round.LeaseAbsent(p.now())
+		return
+	}
+	var record placement.LeaseRecord
+	if err != nil || json.Unmarshal(object.Value, &record) != nil {
+		round.Unreadable()
+		return
+	}
+	round.LeaseFound(p.now(), record, object.Version)
+}
+
+// writeLease takes or renews the lease.
+func (p *Proposer) writeLease(ctx context.Context, round *placement.Round, step placement.RoundStep) {
+	before := p.now()
+	version, err := p.write(ctx, placement.LeaseKey, step.Lease, step.Version)
+	switch fault.CodeOf(err) {
+	case "":
+		round.LeaseWritten(before, version)
+	case fault.Conflict, fault.NotFound, fault.Unavailable:
+		round.NotWritten()
+	default:
+		round.LeaseLost(before)
+	}
+}
+
+// readPlan reads the plan in force.
+func (p *Proposer) readPlan(ctx context.Context, round *placement.Round) {
+	object, err := p.options.Objects.Get(ctx, placement.PlanKey)
+	if fault.Is(err, fault.NotFound) {
+		round.PlanRead(placement.Plan{}, 0)
+		return
+	}
+	var plan placement.Plan
+	if err != nil || json.Unmarshal(object.Value, &plan) != nil {
+		round.Unreadable()
+		return
+	}
+	round.PlanRead(plan, object.Version)
+}
+
+// writePlan puts a plan in force. A lost answer needs no more than the next
+// round, which reads what is in force.
+func (p *Proposer) writePlan(ctx context.Context, round *placement.Round, step placement.RoundStep) {
+	version, err := p.write(ctx, placement.PlanKey, step.Plan, step.Version)
+	if err != nil {
+		p.logNotWritten(step.Plan, err)
+		round.NotWritten()
+		return
+	}
+	p.logWritten(step.Plan, version, round.Decisions())
+	round.PlanWritten()
+}
+
+// write creates the object if version is zero, else updates that version.
+func (p *Proposer) write(ctx context.Context, key string, value any, version uint64) (uint64, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return 0, fault.Wrap(fault.Internal, "place.encode", "", err)
+	}
+	if version == 0 {
+		return p.options.Objects.Create(ctx, key, encoded)
+	}
+	return p.options.Objects.Update(ctx, key, encoded, version)
+}
+
+// release gives the lease up, so that another entry need not wait for its end.
+func (p *Proposer) release(ctx context.Context) {
+	step := p.lease.Release()
+	if !step.Write {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	// A failure costs the next holder one lease time, no more.
+	_, _ = p.write(ctx, placement.LeaseKey, step.Record, step.Version)
+	p.noteLease()
+}
