Write the page of measurements from the runs' results

The page and the plots come from the JSON alone, so that both commands, or a later change of the tables, rewrite all of it. The processors that a trial uses stand beside the machine's idle share: other work on the machine shows.

Run: go test ./standin/bench/...

--- a/standin/bench/report/report.go
+++ b/standin/bench/report/report.go
@@ -61,8 +61,11 @@
 type Nodes struct {
 	// IdleShare is the part of the machine's processors that stayed idle.
 	IdleShare float64 `json:"idle_share"`
-	Entry     Role    `json:"entry"`
-	Side      Role    `json:"side"`
+	// TrialCores is how many processors all processes of the trial used on
+	// average, the stand-ins and the load generator included.
+	TrialCores float64 `json:"trial_cores"`
+	Entry      Role    `json:"entry"`
+	Side       Role    `json:"side"`
 }
 
 // Role is the mean spending of one process of a role.
--- a/standin/bench/trial/snapshot.go
+++ b/standin/bench/trial/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +20,8 @@
 	machine usage.Machine
 	entries []node
 	sides   []node
+	// others are the processor seconds of the stand-ins and of the load generator.
+	others []float64
 }
 
 // node is one process's part of a snapshot. Processes that are gone or don't
@@ -29,10 +33,18 @@
 	status   nodeStatus
 }
 
-// nodeStatus is the part of a process's status that the bench reads.
+// nodeStatus is the part of a process's status that the bench reads. Entries and
+// sides name the traffic differently.
 type nodeStatus struct {
-	FleetReadBytes    uint64 `json:"fleet_read_bytes"`
-	FleetWrittenBytes uint64 `json:"fleet_written_bytes"`
+	EntryRead    uint64 `json:"fleet_read_bytes"`
+	EntryWritten uint64 `json:"fleet_written_bytes"`
+	SideRead     uint64 `json:"fleet_bytes_read"`
+	SideWritten  uint64 `json:"fleet_bytes_written"`
+}
+
+// fleetBytes returns the traffic with other processes of the fleet so far.
+func (s nodeStatus) fleetBytes() float64 {
+	return float64(s.EntryRead + s.EntryWritten + s.SideRead + s.SideWritten)
 }
 
 // snapshot reads the machine and all processes.
@@ -46,6 +58,7 @@
 		machine: machine,
 		entries: make([]node, len(r.fleet.Entries)),
 		sides:   make([]node, len(r.fleet.Upstreams)),
+		others:  r.others(),
 	}
 	var group errgroup.Group
 	for i, entry := range r.fleet.Entries {
@@ -63,6 +76,38 @@
 	return s, group.Wait()
 }
 
+// others reads the processor time of the stand-ins and of the load generator,
+// zero for those that are gone.
+func (r *run) others() []float64 {
+	pids := []int{os.Getpid(), r.fleet.Objects.PID(), r.fleet.Hosts.PID()}
+	for _, u := range r.fleet.Upstreams {
+		pids = append(pids, u.Worker.PID())
+	}
+	times := make([]float64, len(pids))
+	for i, pid := range pids {
+		reading, err := usage.OfProcess(pid)
+		if err == nil {
+			times[i] = reading.CPUSeconds
+		}
+	}
+	return times
+}
+
+// cores returns how many processors all processes that lived on used on average.
+func cores(before, after snapshot, seconds float64) float64 {
+	total := 0.0
+	for i := range after.others {
+		total += max(0, after.others[i]-before.others[i])
+	}
+	earlier := slices.Concat(before.entries, before.sides)
+	for i, n := range slices.Concat(after.entries, after.sides) {
+		if n.ok {
+			total += n.reading.CPUSeconds - earlier[i].reading.CPUSeconds
+		}
+	}
+	return total / seconds
+}
+
 // read reads one process.
 func read(ctx context.Context, process *harness.Process, adminURL string) node {
 	if !process.Running() {
@@ -87,9 +132,10 @@
 func nodes(before, after snapshot) report.Nodes {
 	seconds := after.at.Sub(before.at).Seconds()
 	return report.Nodes{
-		IdleShare: after.machine.IdleShare(before.machine),
-		Entry:     role(before.entries, after.entries, seconds),
-		Side:      role(before.sides, after.sides, seconds),
+		IdleShare:  after.machine.IdleShare(before.machine),
+		TrialCores: cores(before, after, seconds),
+		Entry:      role(before.entries, after.entries, seconds),
+		Side:       role(before.sides, after.sides, seconds),
 	}
 }
 
@@ -124,8 +170,7 @@
 func addNode(sum *report.Role, before, after node) {
 	sum.CoreShare += after.reading.CPUSeconds - before.reading.CPUSeconds
 	sum.ResidentBytes += float64(after.reading.ResidentBytes)
-	sum.FleetBytes += float64(after.status.FleetReadBytes - before.status.FleetReadBytes)
-	sum.FleetBytes += float64(after.status.FleetWrittenBytes - before.status.FleetWrittenBytes)
+	sum.FleetBytes += after.status.fleetBytes() - before.status.fleetBytes()
 	for name, value := range after.counters {
 		if !strings.HasPrefix(name, ownCounters) {
 			continue
--- /dev/null
+++ b/standin/bench/trial/trial_test.go
@@ -0,0 +1,76 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core"
+	"acaciawinch/standin/bench/account"
+	"acaciawinch/standin/bench/report"
+	"acaciawinch/standin/bench/usage"
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/load"
+)
+
+// recordOf returns a record of a request due at a time, with its latency.
+func recordOf(at, latency time.Duration, workspace string, verdict caller.Verdict) load.Record {
+	return load.Record{
+		Arrival: load.Arrival{At: at, Deadline: time.Second, Request: caller.Request{Workspace: workspace}},
+		Result:  caller.Result{Verdict: verdict, RequestID: "r-" + workspace + at.String(), Outcome: core.OutcomeNotRun},
+		Latency: latency,
+	}
+}
+
+// records are one answer in time, a late one, a refusal, and an answer that is
+// complete after the load.
+var records = []load.Record{
+	recordOf(0, 500*time.Millisecond, "a", caller.Whole),
+	recordOf(1500*time.Millisecond, 1100*time.Millisecond, "b", caller.Whole),
+	recordOf(2100*time.Millisecond, 10*time.Millisecond, "a", caller.Problem),
+	recordOf(2900*time.Millisecond, 900*time.Millisecond, "b", caller.Whole),
+}
+
+func TestRecordsAreJudgedByTheTimeTheyAreDue(t *testing.T) {
+	assert.Equal(t, len(dueFrom(records, 1500*time.Millisecond)), 3)
+	assert.Equal(t, len(without(records, "a")), 2)
+}
+
+func TestGoodputCountsCompletionsInTime(t *testing.T) {
+	assert.Equal(t, goodput(records, 0, 3*time.Second), 1.0/3)
+	assert.Equal(t, goodput(records, 0, 4*time.Second), 2.0/4)
+	assert.Equal(t, goodput(records, time.Second, 3*time.Second), 0.0)
+}
+
+func TestSeriesAndFates(t *testing.T) {
+	assert.DeepEqual(t, series(records, 3*time.Second), []report.Second{
+		{Offered: 1, Attained: 1}, {Offered: 1}, {Offered: 2, Attained: 1},
+	})
+	assert.DeepEqual(t, fates(records), map[string]account.Fate{
+		"r-a0s": account.Attained, "r-b1.5s": account.Late, "r-a2.1s": account.Unanswered, "r-b2.9s": account.Attained,
+	})
+	assert.DeepEqual(t, problems(records), map[string]int{"late": 1, "not_run problem": 1})
+}
+
+func TestMeansLeaveOutProcessesThatAreGone(t *testing.T) {
+	of := func(cpu float64, bytes uint64, probes float64) node {
+		return node{
+			ok:       true,
+			reading:  usage.Reading{CPUSeconds: cpu, ResidentBytes: 10},
+			counters: map[string]float64{"acaciawinch_entry_routing_probe_bytes": probes, "go_threads": 9},
+			status:   nodeStatus{EntryRead: bytes},
+		}
+	}
+	before := snapshot{entries: []node{of(1, 100, 0), of(1, 100, 0)}, others: []float64{5, 5}}
+	after := snapshot{entries: []node{of(3, 500, 80), {}}, others: []float64{6, 0}}
+	got := role(before.entries, after.entries, 2)
+	assert.DeepEqual(t, got, report.Role{
+		CoreShare:     1,
+		ResidentBytes: 10,
+		FleetBytes:    200,
+		ProbeBytes:    40,
+		Counters:      map[string]float64{"acaciawinch_entry_routing_probe_bytes": 80},
+	})
+	assert.Equal(t, cores(before, after, 2), 1.5)
+}
--- a/standin/cmd/bench/load.go
+++ b/standin/cmd/bench/load.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"acaciawinch/standin/bench/plots"
 	"acaciawinch/standin/bench/report"
 	"acaciawinch/standin/bench/scene"
 	"acaciawinch/standin/bench/trial"
@@ -59,7 +58,10 @@
 	if err := printTables(run.Tables()); err != nil || c.Out == "" {
 		return err
 	}
-	return write(run, c.Out)
+	if err := writeJSON(filepath.Join(c.Out, jsonName), run); err != nil {
+		return err
+	}
+	return writePage(c.Out)
 }
 
 // plan returns the trials in order: the policies of a case run one after the
@@ -114,14 +116,6 @@
 // jsonName is the file of a run's results.
 const jsonName = "bench.json"
 
-// write writes the JSON, the plots and the page into a folder.
-func write(run report.Run, dir string) error {
-	if err := writeJSON(filepath.Join(dir, jsonName), run); err != nil {
-		return err
-	}
-	return plots.Draw(run, dir)
-}
-
 // writeJSON writes results to a file, and makes its folder.
 func writeJSON[T any](path string, results T) error {
 	data, err := json.Marshal(results)
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -24,6 +24,7 @@
 type options struct {
 	Load   loadCommand   `command:"load" description:"offer load to both deployments, under each policy"`
 	Spread spreadCommand `command:"spread" description:"time accepted changes until they are in force in a large fleet"`
+	Page   pageCommand   `command:"page" description:"write the page and the plots from earlier results"`
 }
 
 func main() {
--- a/standin/cmd/bench/spread.go
+++ b/standin/cmd/bench/spread.go
@@ -42,7 +42,10 @@
 	if err := printTables(result.Tables()); err != nil || c.Out == "" {
 		return err
 	}
-	return writeJSON(filepath.Join(c.Out, spreadName), result)
+	if err := writeJSON(filepath.Join(c.Out, spreadName), result); err != nil {
+		return err
+	}
+	return writePage(c.Out)
 }
 
 // printTables writes tables to the standard output.
