--- a/entry/place/proposer.go
+++ b/entry/place/proposer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,8 +44,6 @@
 	// Facts returns what the feed knows, or false while it knows nothing.
 	Facts    func() (Facts, bool)
 	Settings Settings
-	// Duties are done after each round by the holder of the lease.
-	Duties []func(context.Context)
 }
 
 // FactsOf returns the facts of a feed's state, and false for the nil state.
@@ -60,14 +59,16 @@
 	}, true
 }
 
-// Proposer takes part in placement. Run is its only goroutine.
+// Proposer takes part in placement. Run is its only goroutine; Holding may be
+// called by others.
 type Proposer struct {
 	options Options
 	start   time.Time
 	term    uint64
 	lease   *placement.Lease
 	engines *engines
-	holding bool
+	// holding is what the last round found; other goroutines read it.
+	holding atomic.Bool
 	// short are the shortages that the log has reported, with their reasons.
 	short map[placement.Assignment]string
 }
@@ -150,24 +151,23 @@
 		p.call(ctx, round, step, facts)
 	}
 	p.noteLease()
-	if !p.holding {
-		return
-	}
-	for _, duty := range p.options.Duties {
-		duty(ctx)
-	}
 }
 
+// Holding tells whether this process held the lease after its last round. Duties
+// that only save effort, such as the expiry of claims, go with it. It may be
+// called from any goroutine.
+func (p *Proposer) Holding() bool { return p.holding.Load() }
+
 // noteLease logs that the lease was taken or lost.
 func (p *Proposer) noteLease() {
 	holds := p.lease.Holds(p.now())
+	held := p.holding.Swap(holds)
 	switch {
-	case holds && !p.holding:
+	case holds && !held:
 		p.options.Log.Event(event.PlacementLeaseTaken, observe.Fields{"term": p.term})
-	case !holds && p.holding:
+	case !holds && held:
 		p.options.Log.Warn(event.PlacementLeaseLost, observe.Fields{"term": p.term})
 	}
-	p.holding = holds
 }
 
 // gather asks the engines' sides and hands in what the plan follows from.
--- a/observe/event/claim.go
+++ b/observe/event/claim.go
@@ -15,6 +15,6 @@
 		"The result of a claimed attempt could not be written to its claim.",
 		"claim", "error")
 	ClaimsExpired = define(4005, "claims_expired",
-		"One pass over old claims ended.",
+		"One pass over all claims ended; those older than the retention were deleted.",
 		"listed", "deleted", "failed")
 )
