--- a/acaciawinch/command.go
+++ b/acaciawinch/command.go
@@ -37,6 +37,8 @@
 	ctx  context.Context
 	opts options
 	out  io.Writer
+	// errOut takes what is no result.
+	errOut io.Writer
 }
 
 // exitError ends the command with a code. Its text was printed if printed is set.
@@ -57,7 +59,7 @@
 
 // run carries out one command line and returns the exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	e := &env{ctx: ctx, out: stdout, opts: options{Timeout: defaultTimeout}}
+	e := &env{ctx: ctx, out: stdout, errOut: stderr, opts: options{Timeout: defaultTimeout}}
 	err := e.parse(args)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
@@ -83,7 +85,9 @@
 			return err
 		}
 	}
+	understood := false
 	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		understood = true
 		if len(rest) > 0 {
 			return badInput(fmt.Errorf("unexpected arguments %q", rest))
 		}
@@ -93,6 +97,10 @@
 		return command.Execute(rest)
 	}
 	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	if err != nil && !understood && !errors.As(err, &usage) {
+		return badInput(fmt.Errorf("wrong argument: %w", err))
+	}
 	return err
 }
 
@@ -134,5 +142,10 @@
 		{"get", "print the configuration", "Prints the configuration, as TOML that apply accepts or as JSON.", &getCommand{env: e}},
 		{"history", "list accepted changes", "Lists accepted changes, the latest first.", &historyCommand{env: e}},
 		{"rollback", "bring back an earlier configuration", "Accepts a new change with the content of an earlier revision.", &rollbackCommand{env: e}},
+		{"status", "show what is in force at the store and at entries", "Asks the store and the entries that the settings name.", &statusCommand{env: e}},
+		{"explain", "tell what was decided about a request and why", "Asks entries for the trace of a recent request.", &explainCommand{env: e}},
+		{"drain", "take an upstream out of service", "Ends new work at the upstream; what is in flight finishes.", &drainCommand{env: e}},
+		{"undrain", "put a drained upstream back", "Allows new work at the upstream again.", &drainCommand{env: e, resume: true}},
+		{"charts", "print the state charts", "Prints the state charts as Markdown with Mermaid diagrams.", &chartsCommand{env: e}},
 	}
 }
--- /dev/null
+++ b/acaciawinch/command_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// bench runs command lines against a fake store.
+type bench struct {
+	t      *testing.T
+	store  *fakeStore
+	config string
+	dir    string
+}
+
+// newBench returns a bench with a settings file.
+func newBench(t *testing.T, more string) *bench {
+	store, url := newFakeStore(t)
+	b := &bench{t: t, store: store, dir: t.TempDir()}
+	b.config = b.file("acaciawinch.toml", fmt.Sprintf("[platform]\nobjects = %q\n%s", url, more))
+	return b
+}
+
+// file writes a file and returns its path.
+func (b *bench) file(name, text string) string {
+	path := filepath.Join(b.dir, name)
+	assert.NilError(b.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// run runs a command line and returns its code and all that it printed.
+func (b *bench) run(args ...string) (int, string) {
+	var out, errOut bytes.Buffer
+	code := run(context.Background(), append([]string{"--config", b.config}, args...), &out, &errOut)
+	return code, out.String() + errOut.String()
+}
+
+// expect runs a command line and checks its code and a part of what it printed.
+func (b *bench) expect(code int, text string, args ...string) string {
+	b.t.Helper()
+	got, printed := b.run(args...)
+	assert.Equal(b.t, got, code, printed)
+	assert.Assert(b.t, strings.Contains(printed, text), "%q is not in:\n%s", text, printed)
+	return printed
+}
+
+// examples returns the files of an example deployment.
+func examples(name string) []string {
+	return []string{"../examples/" + name + "/pipelines.toml", "../examples/" + name + "/workspaces.toml"}
+}
+
+// weighted returns a file that declares one workspace of the Institute.
+func (b *bench) weighted(weight int) string {
+	return b.file(fmt.Sprintf("w%d.toml", weight),
+		fmt.Sprintf("[[workspaces]]\nname = \"asesores\"\npipelines = [\"consulta\"]\nweight = %d\n", weight))
+}
+
+func TestBothExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"institute", "cascade-grind"} {
+		newBench(t, "").expect(exitDone, "valid", append([]string{"validate"}, examples(name)...)...)
+	}
+}
+
+func TestApplyGetHistoryAndRollback(t *testing.T) {
+	b := newBench(t, "")
+	apply := append([]string{"apply", "--note", "first"}, examples("institute")...)
+	b.expect(exitDone, "accepted as revision 1", apply...)
+	b.expect(exitDone, "unchanged: revision 1", apply...)
+	b.expect(exitDone, "accepted as revision 2", "apply", b.weighted(4))
+	b.expect(exitDone, "weight = 4", "get", "--workspace", "asesores")
+	b.expect(exitDone, "weight = 2", "get", "--workspace", "asesores", "--revision", "1")
+	b.expect(exitDone, "accepted as revision 3", "rollback", "1")
+	b.expect(exitDone, "weight = 2", "get", "--workspace", "asesores")
+	b.expect(exitDone, "rollback to revision 1", "history")
+
+	whole := b.file("whole.toml", b.expect(exitDone, "# revision 3", "get"))
+	b.expect(exitDone, "unchanged", "apply", "--prune", whole)
+	b.expect(exitDone, "workspace pensionistas", "apply", "--prune", examples("institute")[0], b.weighted(5))
+	b.expect(exitBadInput, "no workspace", "get", "--workspace", "pensionistas")
+}
+
+func TestAConflictNamesWhatChanged(t *testing.T) {
+	b := newBench(t, "")
+	b.expect(exitDone, "accepted", append([]string{"apply"}, examples("institute")...)...)
+	b.expect(exitDone, "accepted", "apply", b.weighted(4))
+	printed := b.expect(exitConflict, "conflict with revision 2", "apply", "--base", "1", b.weighted(5))
+	assert.Assert(t, strings.Contains(printed, "workspace asesores"), printed)
+}
+
+func TestBadInputNamesFileLineAndKey(t *testing.T) {
+	b := newBench(t, "")
+	b.expect(exitBadInput, "w0.toml:4: workspaces[0].weight: must be 1 to 1000, is 0", "validate", b.weighted(0))
+	b.expect(exitBadInput, "w0.toml:4: workspaces[0].weight: must be 1 to 1000, is 0", "apply", examples("institute")[0], b.weighted(0))
+	twice := b.file("twice.toml", "[[workspaces]]\nname = \"a\"\n[[workspaces]]\nname = \"a\"\n")
+	b.expect(exitBadInput, "twice.toml:4: workspaces[1].name: stands twice", "apply", twice)
+	b.expect(exitBadInput, "unknown.toml:1: pipes: unknown key", "apply", b.file("unknown.toml", "pipes = 1\n"))
+	b.expect(exitBadInput, "no such file", "apply", "absent.toml")
+	b.expect(exitBadInput, "there is no revision 9", "get", "--revision", "9")
+	b.expect(exitBadInput, "Unknown command", "nothing")
+	b.expect(exitBadInput, "unexpected arguments", "history", "more")
+	b.expect(exitBadInput, "wrong argument", "rollback", "x")
+	b.config = b.file("broken.toml", "[platform]\nobject = \"x\"\n")
+	b.expect(exitBadInput, "broken.toml:2: platform.object: unknown key", "get")
+}
+
+func TestALostAnswerIsSettled(t *testing.T) {
+	for name, lose := range map[string]func(*fakeStore){
+		"after the write": func(s *fakeStore) { s.loseHead = true },
+		"before it":       func(s *fakeStore) { s.dropHead = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "")
+			b.store.change(lose)
+			b.expect(exitDone, "accepted as revision 1", append([]string{"apply"}, examples("institute")...)...)
+		})
+	}
+}
+
+func TestAStoreThatIsDownIsReported(t *testing.T) {
+	b := newBench(t, "")
+	b.store.change(func(s *fakeStore) { s.down = true })
+	b.expect(exitUnavailable, "unavailable", "get")
+	b.expect(exitUnavailable, "not accepted", "--timeout", "300ms", "apply", b.weighted(1))
+}
+
+func TestDrainAndUndrainAreChanges(t *testing.T) {
+	b := newBench(t, "")
+	b.expect(exitDone, "drained upstream tesoreria-1", "drain", "tesoreria-1")
+	b.expect(exitDone, "# drained: tesoreria-1", "get")
+	b.expect(exitDone, "accepted as revision 2", "undrain", "tesoreria-1")
+	b.expect(exitDone, "drain tesoreria-1", "history")
+}
+
+func TestADrainOfAnUnknownUpstreamIsRefused(t *testing.T) {
+	hosts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"version":1,"hosts":[]}`))
+	}))
+	defer hosts.Close()
+	b := newBench(t, fmt.Sprintf("hosts = %q\n", hosts.URL))
+	b.expect(exitBadInput, `no upstream "tesoreria-9"`, "drain", "tesoreria-9")
+	b.expect(exitDone, "unchanged", "undrain", "tesoreria-9")
+}
+
+// newEntry serves the admin paths of an entry that knows one request.
+func newEntry(t *testing.T) string {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"name":"entry-1","zone":"z","ready":true,"revision":7,"hosts":3,"placement_version":2}`))
+	})
+	mux.HandleFunc("/v1/explain/entry-1-ab", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"request_id":"entry-1-ab","outcome":"answered","decisions":[{"event":2001,"name":"route_chosen",` +
+			`"stage":"encode","attempt":1,"upstream":"u1","reason":"least wait","alternatives":[{"upstream":"u2","reason":"slower"}]}]}`))
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestStatusAndExplainAskEntries(t *testing.T) {
+	entry := newEntry(t)
+	b := newBench(t, fmt.Sprintf("[entries]\nadmin = [%q]\n", entry))
+	b.expect(exitDone, "entry-1 (z): ready true, revision 7, hosts 3, placement 2", "status")
+	printed := b.expect(exitDone, "route_chosen  encode/1  u1: least wait", "explain", "entry-1-ab")
+	assert.Assert(t, strings.Contains(printed, "not u2: slower"), printed)
+	b.expect(exitBadInput, "not found", "explain", "entry-1-none")
+
+	b = newBench(t, fmt.Sprintf("[entries]\nadmin = [%q, \"http://127.0.0.1:1\"]\n", entry))
+	b.expect(exitUnavailable, "revision 7", "status")
+	b.expect(exitUnavailable, "unavailable", "explain", "entry-1-none")
+	b = newBench(t, "")
+	b.expect(exitBadInput, "entries.admin: missing", "status")
+}
+
+func TestEveryCommandThatPrintsHasJSON(t *testing.T) {
+	b := newBench(t, fmt.Sprintf("[entries]\nadmin = [%q]\n", newEntry(t)))
+	for _, args := range [][]string{
+		append([]string{"validate"}, examples("institute")...), append([]string{"apply"}, examples("institute")...),
+		{"get"}, {"history"}, {"rollback", "1"}, {"status"}, {"explain", "entry-1-ab"}, {"charts"}, {"undrain", "u"},
+	} {
+		var out, errOut bytes.Buffer
+		code := run(context.Background(), append([]string{"--config", b.config, "--output", "json"}, args...), &out, &errOut)
+		assert.Equal(t, code, exitDone, errOut.String())
+		assert.Assert(t, json.Valid(out.Bytes()), "%v printed %s", args, out.String())
+	}
+}
--- /dev/null
+++ b/acaciawinch/explain.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strings"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/entry/trace"
+)
+
+// explainCommand tells what was decided about a request, and why.
+type explainCommand struct {
+	env  *env
+	Args struct {
+		Request string `positional-arg-name:"REQUEST" required:"yes"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander. Each entry finds the requests of every
+// other one, so the first that answers is enough.
+func (c *explainCommand) Execute([]string) error {
+	admins, err := c.env.admins("explain")
+	if err != nil {
+		return err
+	}
+	var lastError error
+	for _, admin := range admins {
+		answer, err := ask(c.env.ctx, "explain", admin, "/v1/explain/"+url.PathEscape(c.Args.Request))
+		if err != nil {
+			lastError = worse(lastError, err)
+			continue
+		}
+		return c.show(answer)
+	}
+	return lastError
+}
+
+// worse returns an entry's failure to answer before another's word that it
+// doesn't know the request: that one might.
+func worse(a, b error) error {
+	if a == nil || fault.Is(a, fault.NotFound) {
+		return b
+	}
+	return a
+}
+
+// show prints one trace.
+func (c *explainCommand) show(answer json.RawMessage) error {
+	var found trace.Trace
+	if err := json.Unmarshal(answer, &found); err != nil {
+		return fault.Wrap(fault.Internal, "explain", "", err)
+	}
+	return c.env.print(answer, traceText(found))
+}
+
+// traceText returns a trace as lines.
+func traceText(t trace.Trace) string {
+	lines := []string{
+		fmt.Sprintf("request %s: %s", t.RequestID, t.Outcome),
+		fmt.Sprintf("  workspace %s, pipeline %s, revision %d, admitted %s, took %.1f ms",
+			t.Workspace, t.Pipeline, t.Revision, t.AdmittedAt.Format("2006-01-02 15:04:05.000"), milliseconds(t.DurationUS)),
+	}
+	if t.Detail != "" {
+		lines = append(lines, fmt.Sprintf("  given up at %s: %s", t.Step, t.Detail))
+	}
+	if t.Chunks > 0 {
+		lines = append(lines, fmt.Sprintf("  %d chunks, digest %s", t.Chunks, t.Digest))
+	}
+	for _, decision := range t.Decisions {
+		lines = append(lines, decisionText(decision)...)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// decisionText returns one line for a decision and one for each alternative.
+func decisionText(d trace.Decision) []string {
+	line := fmt.Sprintf("%9.1f ms  %d %s", milliseconds(d.AtUS), d.Event, d.Name)
+	if d.Stage != "" {
+		line += fmt.Sprintf("  %s/%d", d.Stage, d.Attempt)
+	}
+	if d.Upstream != "" {
+		line += "  " + string(d.Upstream)
+	}
+	lines := []string{line + ": " + d.Reason}
+	for _, other := range d.Alternatives {
+		lines = append(lines, fmt.Sprintf("%14snot %s: %s", "", other.Upstream, other.Reason))
+	}
+	return lines
+}
+
+// milliseconds converts microseconds.
+func milliseconds(us int64) float64 { return float64(us) / 1000 }
--- /dev/null
+++ b/acaciawinch/store_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// fakeStore serves the object API from memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	values  map[string][]byte
+	version map[string]uint64
+	// loseHead makes the answer to the next write of the head be lost, after the
+	// write took effect or, with dropHead, before it.
+	loseHead bool
+	dropHead bool
+	down     bool
+}
+
+// newFakeStore returns an empty store and its URL.
+func newFakeStore(t *testing.T) (*fakeStore, string) {
+	s := &fakeStore{values: map[string][]byte{}, version: map[string]uint64{}}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+// ServeHTTP implements http.Handler.
+func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	switch {
+	case s.down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method == http.MethodGet:
+		s.get(w, key)
+	default:
+		s.put(w, r, key)
+	}
+}
+
+// get answers a read.
+func (s *fakeStore) get(w http.ResponseWriter, key string) {
+	if s.version[key] == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Object-Version", strconv.FormatUint(s.version[key], 10))
+	_, _ = w.Write(s.values[key])
+}
+
+// put answers a conditional write.
+func (s *fakeStore) put(w http.ResponseWriter, r *http.Request, key string) {
+	body, _ := io.ReadAll(r.Body)
+	isHead := key == "config/head"
+	if isHead && s.dropHead {
+		s.dropHead = false
+		panic(http.ErrAbortHandler)
+	}
+	condition := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if condition != "" && condition != strconv.FormatUint(s.version[key], 10) || condition == "" && s.version[key] != 0 {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.values[key] = body
+	s.version[key]++
+	if isHead && s.loseHead {
+		s.loseHead = false
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Object-Version", strconv.FormatUint(s.version[key], 10))
+}
+
+// change changes the store's behaviour.
+func (s *fakeStore) change(edit func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(s)
+}
