--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -177,6 +177,9 @@
 	b = newBench(t, fmt.Sprintf("[entries]\nadmin = [%q, \"http://127.0.0.1:1\"]\n", entry))
 	b.expect(exitUnavailable, "revision 7", "status")
 	b.expect(exitUnavailable, "unavailable", "explain", "entry-1-none")
+	b = newBench(t, fmt.Sprintf("[entries]\nadmin = [\"http://127.0.0.1:1\", %q]\n", entry))
+	b.expect(exitUnavailable, "unavailable", "explain", "entry-1-none")
+	b.expect(exitDone, "route_chosen", "explain", "entry-1-ab")
 	b = newBench(t, "")
 	b.expect(exitBadInput, "entries.admin: missing", "status")
 }
