Go on without late probes, and take their answers all the same

On a busy host 53 probes of a demonstration run passed 25 ms, each followed by an answer: a timeout is a reason to decide without the upstream, not to stop listening. A probe now may take four times its timeout; the upstream is suspected at the timeout and cleared by the late answer. If nobody at all has answered, the decision waits for the open probes before it refuses.

GOMAXPROCS=4 go test -race ./entry/route passes. Seen failing without the suspicion at the timeout, without the timeout, without the last wait, without the wait after the first answer, and without the caller's end.

--- a/entry/route/background.go
+++ b/entry/route/background.go
@@ -12,9 +12,8 @@
 // Suspected upstreams whose time has come are probed at this pace, at most ten
 // a second, so that a whole zone gone costs an entry little.
 const (
-	backgroundInterval  = 100 * time.Millisecond
-	backgroundPerTick   = 1
-	backgroundAllowance = 75 * time.Millisecond
+	backgroundInterval = 100 * time.Millisecond
+	backgroundPerTick  = 1
 )
 
 // Run probes suspected upstreams in the background, so that they come back
@@ -34,13 +33,11 @@
 	}
 }
 
-// probeDue starts probes of suspected upstreams. They get more time than a
-// decision has: a slow answer proves life as well.
+// probeDue starts probes of suspected upstreams.
 func (r *Router) probeDue(ctx context.Context, probes *errgroup.Group) {
 	for _, upstream := range r.due() {
-		timeout := r.timeout(upstream) + backgroundAllowance
 		probes.Go(func() error {
-			r.probe(context.WithoutCancel(ctx), timeout, upstream, 0)
+			r.probe(context.WithoutCancel(ctx), upstream, 0)
 			return nil
 		})
 	}
--- /dev/null
+++ b/entry/route/inquiry.go
@@ -0,0 +1,111 @@
+package route
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"acaciawinch/core/routing"
+)
+
+// After a first usable answer the others get a few round trips more and no
+// longer: an upstream that is gone must not cost each decision a whole timeout.
+const (
+	lingerRTTs = 4
+	minLinger  = 2 * time.Millisecond
+	maxLinger  = 10 * time.Millisecond
+)
+
+// maxAsked bounds the open probes of one decision; no policy comes near it.
+const maxAsked = 64
+
+// indexed is an answer and its place in the inquiry.
+type indexed struct {
+	place  int
+	answer routing.Answer
+}
+
+// inquiry is what one decision asks of the upstreams, over all its steps.
+type inquiry struct {
+	router *Router
+	need   Need
+	// answers are in the order of the questions; who has not answered yet counts
+	// as unanswered.
+	answers []routing.Answer
+	// replies has room for all open probes, so that none waits for a reader.
+	replies chan indexed
+	// open counts the probes that may still be answered.
+	open int
+}
+
+// newInquiry returns an inquiry that has asked nobody yet.
+func newInquiry(router *Router, need Need) *inquiry {
+	return &inquiry{router: router, need: need, replies: make(chan indexed, maxAsked)}
+}
+
+// ask starts what a policy asks for, and waits as long as one step may take.
+// Answers that come later are taken in the next step.
+func (q *inquiry) ask(ctx context.Context, ask routing.Ask) {
+	for _, upstream := range ask.Background {
+		q.router.start(ctx, q.need, upstream, func(routing.Answer) {})
+	}
+	known := false
+	for _, answer := range q.router.remembered(ask) {
+		known = known || answer.Answered
+		q.add(ctx, answer)
+	}
+	if known {
+		return
+	}
+	timer := time.NewTimer(q.router.longest(ask.Upstreams))
+	defer timer.Stop()
+	q.await(ctx, timer.C)
+}
+
+// add takes a remembered answer, or probes for one.
+func (q *inquiry) add(ctx context.Context, answer routing.Answer) {
+	place := len(q.answers)
+	q.answers = append(q.answers, answer)
+	if answer.Answered || q.open == maxAsked {
+		return
+	}
+	q.open++
+	q.router.start(ctx, q.need, answer.Upstream, func(a routing.Answer) {
+		q.replies <- indexed{place: place, answer: a}
+	})
+}
+
+// answered tells whether anybody has answered.
+func (q *inquiry) answered() bool {
+	return slices.ContainsFunc(q.answers, func(a routing.Answer) bool { return a.Answered })
+}
+
+// await takes answers until all have come, until a while after the first usable
+// one, until timeout (never if nil), or until ctx ends.
+func (q *inquiry) await(ctx context.Context, timeout <-chan time.Time) {
+	query := queryOf(q.need, 0)
+	var linger <-chan time.Time
+	for q.open > 0 {
+		select {
+		case reply := <-q.replies:
+			q.open--
+			q.answers[reply.place] = reply.answer
+			if linger == nil && query.Obstacle(reply.answer) == "" {
+				timer := time.NewTimer(lingerFor(reply.answer.RTT))
+				defer timer.Stop()
+				linger = timer.C
+			}
+		case <-linger:
+			return
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// lingerFor returns how long to wait on after an answer that took rtt.
+func lingerFor(rtt time.Duration) time.Duration {
+	return min(maxLinger, max(minLinger, lingerRTTs*rtt))
+}
--- a/entry/route/metrics.go
+++ b/entry/route/metrics.go
@@ -8,7 +8,8 @@
 
 // metrics counts what routing does.
 type metrics struct {
-	sent, answered, timedOut tally.Counter
+	// late probes passed their timeout; some are answered all the same.
+	sent, answered, late, unanswered tally.Counter
 	// bytes counts the encoded messages of probes in both directions, without framing.
 	bytes    tally.Counter
 	choices  [3]tally.Counter
@@ -26,15 +27,16 @@
 func newMetrics(scope tally.Scope, policy string) *metrics {
 	scope = scope.SubScope("routing")
 	m := &metrics{
-		sent:     scope.Counter("probes_sent"),
-		answered: scope.Counter("probes_answered"),
-		timedOut: scope.Counter("probes_unanswered"),
-		bytes:    scope.Counter("probe_bytes"),
-		spills:   scope.Counter("spills"),
-		refusals: scope.Counter("refusals"),
-		widened:  scope.Counter("widened"),
-		suspects: scope.Gauge("suspected_upstreams"),
-		latency:  scope.Timer("choose_seconds"),
+		sent:       scope.Counter("probes_sent"),
+		answered:   scope.Counter("probes_answered"),
+		late:       scope.Counter("probes_late"),
+		unanswered: scope.Counter("probes_unanswered"),
+		bytes:      scope.Counter("probe_bytes"),
+		spills:     scope.Counter("spills"),
+		refusals:   scope.Counter("refusals"),
+		widened:    scope.Counter("widened"),
+		suspects:   scope.Gauge("suspected_upstreams"),
+		latency:    scope.Timer("choose_seconds"),
 	}
 	for tier, name := range tierNames {
 		tags := map[string]string{"policy": policy, "zone": name}
--- a/entry/route/probe.go
+++ b/entry/route/probe.go
@@ -11,46 +11,23 @@
 	"acaciawinch/wire/wirepb"
 )
 
-// After a first usable answer the others get a few round trips more and no
-// longer: an upstream that is gone must not cost each decision a whole timeout.
-const (
-	lingerRTTs = 4
-	minLinger  = 2 * time.Millisecond
-	maxLinger  = 10 * time.Millisecond
-)
+// lateFactor times its timeout is how long a probe may go on. When the timeout
+// passes, the decision goes on without it and the upstream is suspected; an
+// answer that still comes takes the suspicion back, so that a host which is
+// merely busy is not avoided for long.
+const lateFactor = 4
 
 // farProbeAllowance is added to the timeout for an upstream of another region
 // to which no distance is measured yet.
 const farProbeAllowance = 200 * time.Millisecond
 
-// indexed is an answer and its place in the question.
-type indexed struct {
-	place  int
-	answer routing.Answer
-}
-
-// gather returns the answers of the upstreams that ask names, in their order,
-// and starts its background probes. Who has not answered in time counts as
-// unanswered; a late answer is still kept for the next decision.
-func (r *Router) gather(ctx context.Context, need Need, ask routing.Ask) []routing.Answer {
-	for _, upstream := range ask.Background {
-		r.start(ctx, need, upstream, func(routing.Answer) {})
-	}
-	answers := r.remembered(ask)
-	replies := make(chan indexed, len(answers))
-	waiting := 0
-	for i, answer := range answers {
-		if answer.Answered {
-			continue
-		}
-		waiting++
-		r.start(ctx, need, answer.Upstream, func(a routing.Answer) { replies <- indexed{place: i, answer: a} })
+// longest returns the longest of the timeouts of some upstreams.
+func (r *Router) longest(upstreams []routing.Upstream) time.Duration {
+	timeout := time.Duration(0)
+	for _, upstream := range upstreams {
+		timeout = max(timeout, r.timeout(upstream))
 	}
-	if waiting < len(answers) {
-		return answers
-	}
-	r.await(ctx, need, answers, replies)
-	return answers
+	return timeout
 }
 
 // remembered returns one answer for each upstream of ask: what is remembered of
@@ -69,40 +46,12 @@
 	return answers
 }
 
-// await fills answers from replies until all have come, until a while after the
-// first usable one, or until ctx ends.
-func (r *Router) await(ctx context.Context, need Need, answers []routing.Answer, replies <-chan indexed) {
-	query := queryOf(need, 0)
-	var linger <-chan time.Time
-	for range answers {
-		select {
-		case reply := <-replies:
-			answers[reply.place] = reply.answer
-			if linger == nil && query.Obstacle(reply.answer) == "" {
-				timer := time.NewTimer(lingerFor(reply.answer.RTT))
-				defer timer.Stop()
-				linger = timer.C
-			}
-		case <-linger:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// lingerFor returns how long to wait on after an answer that took rtt.
-func lingerFor(rtt time.Duration) time.Duration {
-	return min(maxLinger, max(minLinger, lingerRTTs*rtt))
-}
-
-// start probes one upstream in a goroutine of its own, which ends by the probe's
-// timeout, and hands on the answer. The probe outlives ctx, so that a caller who
+// start probes one upstream in a goroutine of its own, which ends soon after the
+// probe's timeout, and hands on the answer. The probe outlives ctx, so that a caller who
 // gives up doesn't make the upstream look silent.
 func (r *Router) start(ctx context.Context, need Need, upstream routing.Upstream, done func(routing.Answer)) {
 	ctx = context.WithoutCancel(ctx)
-	timeout := r.timeout(upstream)
-	go func() { done(r.probe(ctx, timeout, upstream, need.PrefixHash)) }()
+	go func() { done(r.probe(ctx, upstream, need.PrefixHash)) }()
 }
 
 // timeout bounds a probe by the way to the upstream.
@@ -118,15 +67,18 @@
 }
 
 // probe asks one upstream's side and keeps what came of it.
-func (r *Router) probe(ctx context.Context, timeout time.Duration, upstream routing.Upstream, prefix uint64) routing.Answer {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (r *Router) probe(ctx context.Context, upstream routing.Upstream, prefix uint64) routing.Answer {
+	timeout := r.timeout(upstream)
+	ctx, cancel := context.WithTimeout(ctx, lateFactor*timeout)
 	defer cancel()
+	late := time.AfterFunc(timeout, func() { r.late(upstream.ID) })
+	defer late.Stop()
 	request := &wirepb.ProbeRequest{Revision: uint64(r.opts.Revision()), PrefixHash: prefix}
 	sent := r.opts.Now()
 	r.metrics.sent.Inc(1)
 	reply, err := r.opts.Prober.Probe(ctx, upstream.Addr, request)
 	if err != nil {
-		r.metrics.timedOut.Inc(1)
+		r.metrics.unanswered.Inc(1)
 		r.silent(upstream.ID, routing.SilentProbe)
 		return routing.Answer{Upstream: upstream, SentAt: sent}
 	}
@@ -138,6 +90,12 @@
 	return answer
 }
 
+// late keeps that a probe was not answered within its timeout.
+func (r *Router) late(upstream core.UpstreamID) {
+	r.metrics.late.Inc(1)
+	r.silent(upstream, routing.SilentProbe)
+}
+
 // answered keeps an answer.
 func (r *Router) answered(answer routing.Answer, load *wirepb.Load) {
 	now := r.opts.Now()
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -54,28 +54,44 @@
 // DeadlineExceeded if ctx ended.
 func (r *Router) Choose(ctx context.Context, need Need) (Choice, error) {
 	started := r.opts.Now()
-	var answers []routing.Answer
+	inquiry := newInquiry(r, need)
 	var decision routing.Decision
-	for number := 0; ; number++ {
-		ask := r.plan(need, started, number, answers)
+	for number := 0; ctx.Err() == nil; number++ {
+		ask := r.plan(need, started, number, inquiry.answers)
 		if number > 0 && len(ask.Upstreams) == 0 {
-			r.settle(decision)
 			break
 		}
-		answers = append(answers, r.gather(ctx, need, ask)...)
-		if err := ctxFault(ctx, need.Service); err != nil {
-			return Choice{}, err
-		}
-		decision = r.decide(need, started, number, answers)
+		inquiry.ask(ctx, ask)
+		decision = r.decide(need, started, number, inquiry.answers)
 		if !decision.Widen {
 			break
 		}
 		r.metrics.widened.Inc(1)
 	}
+	decision = r.settle(ctx, inquiry, started, decision)
 	r.metrics.latency.Record(r.opts.Now().Sub(started))
+	if err := ctxFault(ctx, need.Service); err != nil && !decision.OK {
+		return Choice{}, err
+	}
 	return r.conclude(need, decision)
 }
 
+// lastStep is the number of a step after which no policy asks for another.
+const lastStep = 1000
+
+// settle returns the decision that stands when nobody else can be asked. If
+// nobody has answered yet, it first gives the open probes the rest of their
+// time: on a busy host a late answer is better than a refusal.
+func (r *Router) settle(ctx context.Context, inquiry *inquiry, started time.Time, decision routing.Decision) routing.Decision {
+	if decision.OK && !decision.Widen {
+		return decision
+	}
+	if !inquiry.answered() {
+		inquiry.await(ctx, nil)
+	}
+	return r.decide(inquiry.need, started, lastStep, inquiry.answers)
+}
+
 // ctxFault returns why ctx ended, or nil.
 func ctxFault(ctx context.Context, service string) error {
 	switch ctx.Err() {
@@ -96,8 +112,8 @@
 	return r.policy.Ask(r.round(need, started, number, answers))
 }
 
-// decide asks the policy whom to take, and settles a decision that stands before
-// the lock is released, so that the next decision sees it.
+// decide asks the policy whom to take. A choice that stands is counted before the
+// lock is released, so that the next decision sees it.
 func (r *Router) decide(need Need, started time.Time, number int, answers []routing.Answer) routing.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,13 +124,6 @@
 	return decision
 }
 
-// settle counts a decision that stands because there is nobody else to ask.
-func (r *Router) settle(decision routing.Decision) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.count(decision)
-}
-
 // count records the chosen upstream as holding one more attempt. The lock is held.
 func (r *Router) count(decision routing.Decision) {
 	if decision.OK {
