Play the claim protocol against the real gate as well

The sides of the property test are now either the model, which the mutations need, or core/gate with bounds so small that it queues, refuses, evicts and forgets within an interleaving. An owner whose waiting attempt is refused reassigns it.

Found on the way: the first attempt of an ask and its first takeover had the same attempt number; takeovers now begin at the next one, so that a side never meets one key under two nonces.

--- a/core/claim/actor_test.go
+++ b/core/claim/actor_test.go
@@ -167,7 +167,9 @@
 	case claim.Done:
 		a.checkResult(verdict.Chunks)
 	case claim.Running:
-		if len(ran) == 0 {
+		// The real gate has a queue: there, running includes waiting.
+		_, queues := a.w.side(verdict.Record.Target).(*gateSide)
+		if len(ran) == 0 && !queues {
 			a.w.fail("%s was told running, but nothing ran", a.ask.Request)
 		}
 	}
@@ -203,18 +205,21 @@
 		a.silent = true
 		switch a.w.pick("dispatch fate", 3) {
 		case 0:
-			a.w.run(a.owned)
+			a.w.side(a.owned.Target).run(a.w, a.owned)
 		case 1:
 			sent := a.owned
 			a.w.late = append(a.w.late, message{run: &sent})
 		}
 		return
 	}
-	if a.w.run(a.owned) {
+	switch a.w.side(a.owned.Target).run(a.w, a.owned) {
+	case admitted:
 		a.running = true
-		return
+	case refused:
+		a.reassign()
+	default:
+		a.over = true
 	}
-	a.reassign()
 }
 
 // reassign follows a proof that the owned attempt has not run.
@@ -242,14 +247,16 @@
 
 // await takes the result of the running attempt once the side has it.
 func (a *actor) await() {
-	known, ok := a.w.side(a.owned.Target).seen[a.owned.Nonce]
-	switch {
-	case !ok || known.failed:
-		a.over = true
-	case known.done:
+	switch a.w.side(a.owned.Target).follow(a.owned) {
+	case claim.SideRunning:
+	case claim.SideNotRun:
+		a.reassign()
+	case claim.SideDone:
 		a.running = false
-		a.checkResult(resultOf(known.record))
-		a.finish = claim.Finish(a.owned, a.version, resultOf(known.record), rules)
+		a.checkResult(resultOf(a.owned))
+		a.finish = claim.Finish(a.owned, a.version, resultOf(a.owned), rules)
+	default:
+		a.over = true
 	}
 }
 
--- /dev/null
+++ b/core/claim/gate_test.go
@@ -0,0 +1,133 @@
+package claim_test
+
+import (
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/claim"
+	"acaciawinch/core/gate"
+)
+
+// gateSide is a side whose decisions are the real gate's. One tick is a
+// millisecond of the gate's clock.
+type gateSide struct {
+	incarnation core.Incarnation
+	gate        *gate.Gate
+	now         time.Duration
+	records     map[core.AttemptKey]claim.Record
+	running     []core.AttemptKey
+}
+
+// newGateSide returns a gate whose memory is so small that it forgets within an
+// interleaving.
+func newGateSide(incarnation core.Incarnation) sideProcess {
+	s := &gateSide{incarnation: incarnation, now: time.Millisecond, records: make(map[core.AttemptKey]claim.Record)}
+	s.gate = gate.New(gate.Options{
+		Upstream:       "u",
+		Incarnation:    incarnation,
+		Capacity:       1,
+		TicketLifetime: ticketLifetime * time.Millisecond,
+		KeepResult:     2 * time.Millisecond,
+		KeepClaimed:    (ticketLifetime + 2) * time.Millisecond,
+		MaxClaimed:     3,
+		MaxQueued:      2,
+		ClaimedOverrun: time.Hour,
+		StallMin:       time.Hour,
+		StallMax:       time.Hour,
+	})
+	s.gate.ObserveReport(s.now, gate.Report{})
+	return s
+}
+
+// id implements sideProcess.
+func (s *gateSide) id() core.Incarnation { return s.incarnation }
+
+// clock implements sideProcess.
+func (s *gateSide) clock() uint64 { return uint64(s.now.Microseconds()) }
+
+// ticketOf returns the gate's form of a claim's ticket.
+func ticketOf(record claim.Record) gate.Ticket {
+	clock := time.Duration(record.Target.SideClockUS) * time.Microsecond
+	return gate.Ticket{Nonce: record.Nonce, Clock: clock}
+}
+
+// run implements sideProcess.
+func (s *gateSide) run(w *world, record claim.Record) fate {
+	ticket := ticketOf(record)
+	key := record.AttemptKey()
+	decision := s.gate.Submit(s.now, gate.Ask{
+		Key: key, Workspace: "w", Ticket: &ticket, Remaining: time.Hour, Weight: 1, Cost: 1,
+	})
+	switch decision.Verdict {
+	case gate.Admitted:
+		s.records[key] = record
+	case gate.Refused:
+		return refused
+	default:
+		return unclear
+	}
+	s.advance(w)
+	return admitted
+}
+
+// advance carries out the gate's actions.
+func (s *gateSide) advance(w *world) {
+	for _, action := range s.gate.Advance(s.now) {
+		switch action.Kind {
+		case gate.ActionStart:
+			s.running = append(s.running, action.Key)
+			w.execute(s.records[action.Key])
+		case gate.ActionDrop, gate.ActionForget:
+			w.lossy = true
+		}
+	}
+	if err := s.gate.Fault(); err != nil {
+		w.fail("gate: %v", err)
+	}
+}
+
+// resolve implements sideProcess.
+func (s *gateSide) resolve(w *world, record claim.Record) claim.SideAnswer {
+	state, _ := s.gate.Resolve(s.now, record.AttemptKey(), ticketOf(record))
+	s.advance(w)
+	answer := claim.SideAnswer{Incarnation: s.incarnation, State: sideStates[state]}
+	if state == gate.StateDone {
+		answer.Chunks = resultOf(s.records[record.AttemptKey()])
+	}
+	return answer
+}
+
+// sideStates translates the gate's answers.
+var sideStates = map[gate.State]claim.SideState{
+	gate.StateDone:    claim.SideDone,
+	gate.StateRunning: claim.SideRunning,
+	gate.StateNotRun:  claim.SideNotRun,
+	gate.StateFailed:  claim.SideFailed,
+	gate.StateGone:    claim.SideGone,
+}
+
+// tick implements sideProcess.
+func (s *gateSide) tick(ticks uint64) { s.now += time.Duration(ticks) * time.Millisecond }
+
+// evict implements sideProcess: the gate forgets by its own bounds.
+func (s *gateSide) evict(w *world) { s.advance(w) }
+
+// end implements sideProcess.
+func (s *gateSide) end(w *world, failed bool) {
+	kind := gate.EndDone
+	if failed {
+		kind = gate.EndFailed
+		w.lossy = w.lossy || len(s.running) > 0
+	}
+	for _, key := range s.running {
+		s.gate.Finish(s.now, key, gate.Ending{Kind: kind, Cost: 1, Bytes: 1})
+	}
+	s.running = nil
+	s.advance(w)
+}
+
+// follow implements sideProcess.
+func (s *gateSide) follow(record claim.Record) claim.SideState {
+	state, _ := s.gate.Resolve(s.now, record.AttemptKey(), ticketOf(record))
+	return sideStates[state]
+}
--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -73,6 +73,7 @@
 func Open(ask Ask, rules Rules, rng *rand.Rand) *Machine {
 	m := newMachine(ask, rules, rng, goalRun)
 	m.first = ask.record(m.nonce())
+	m.ask.Attempt++
 	m.fire(eventOpen)
 	return m
 }
--- a/core/claim/property_test.go
+++ b/core/claim/property_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"acaciawinch/core"
 	"acaciawinch/core/chart"
 	"acaciawinch/core/claim"
 )
@@ -24,8 +25,8 @@
 
 // play runs one interleaving with faults, then one without until all is quiet,
 // and returns what was violated.
-func play(pick chooser, broken mutation) *world {
-	w := newWorld(pick, broken)
+func play(pick chooser, broken mutation, newSide func(core.Incarnation) sideProcess) *world {
+	w := newWorld(pick, broken, newSide)
 	actors := []*actor{newActor(w)}
 	for range stepsPerWorld {
 		if w.problem != "" {
@@ -45,11 +46,14 @@
 	case n == 1 && w.started < asksPerWorld:
 		actors = append(actors, newActor(w))
 	case n == 2:
-		w.tick(uint64(w.pick("ticks", ticketLifetime)) + 1)
+		ticks := uint64(w.pick("ticks", ticketLifetime)) + 1
+		for _, s := range w.sides {
+			s.tick(ticks)
+		}
 	case n == 3:
 		w.finishRuns(w.sides[w.pick("side", 2)])
 	case n == 4:
-		w.evict(w.sides[w.pick("side", 2)])
+		w.sides[w.pick("side", 2)].evict(w)
 	case n == 5 && w.pick("restart", 4) == 0:
 		w.restart(w.pick("side", 2))
 	case n == 6:
@@ -103,17 +107,24 @@
 	}
 }
 
-// TestAtMostOnce plays interleavings of entries, store and sides. It checks in
-// each that no key runs twice, that whoever was told not_run never ran, before or
-// after, that results go to their own key, and that all ends when faults stop.
+// TestAtMostOnce plays interleavings of entries, store and sides, once with a
+// model of the sides and once with the real gate. It checks in each that no key
+// runs twice, that whoever was told not_run never ran, before or after, that
+// results go to their own key, and that all ends when faults stop.
 func TestAtMostOnce(t *testing.T) {
+	t.Run("model", func(t *testing.T) { checkCoverage(t, playMany(t, newModel)) })
+	t.Run("gate", func(t *testing.T) { playMany(t, newGateSide) })
+}
+
+// playMany plays the interleavings and returns the transitions that were taken.
+func playMany(t *testing.T, newSide func(core.Incarnation) sideProcess) map[string]bool {
+	t.Helper()
 	assert.NilError(t, flag.Set("rapid.checks", strconv.Itoa(interleavings)))
 	assert.NilError(t, flag.Set("rapid.seed", "1"))
 	taken := make(map[string]bool)
 	ran, played := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
-		w := play(pick, none)
+		w := play(func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }, none, newSide)
 		if w.problem != "" {
 			t.Fatal(w.problem)
 		}
@@ -126,7 +137,7 @@
 	t.Logf("%d interleavings, %d keys ran", played, ran)
 	assert.Assert(t, played >= interleavings)
 	assert.Assert(t, ran > interleavings/2, "too few worlds run anything")
-	checkCoverage(t, taken)
+	return taken
 }
 
 // elsewhere are transitions that other tests take: they need a deleted or a
@@ -156,7 +167,7 @@
 		t.Run(names[broken], func(t *testing.T) {
 			for seed := range uint64(mutationSearch) {
 				rng := rand.New(rand.NewPCG(seed, 1))
-				w := play(func(_ string, n int) int { return rng.IntN(n) }, broken)
+				w := play(func(_ string, n int) int { return rng.IntN(n) }, broken, newModel)
 				if w.problem != "" {
 					t.Logf("interleaving %d: %s", seed, w.problem)
 					return
--- a/core/claim/world_test.go
+++ b/core/claim/world_test.go
@@ -46,6 +46,33 @@
 	run   *claim.Record
 }
 
+// fate is what became of a dispatched message.
+type fate int
+
+const (
+	// admitted: the side runs the attempt.
+	admitted fate = iota + 1
+	// refused: proved not run.
+	refused
+	// unclear: the side proves nothing.
+	unclear
+)
+
+// sideProcess is a side: the model below, or the real gate.
+type sideProcess interface {
+	// id and clock are what a probe tells.
+	id() core.Incarnation
+	clock() uint64
+	run(w *world, record claim.Record) fate
+	resolve(w *world, record claim.Record) claim.SideAnswer
+	// tick moves the clock, evict drops old results, end ends what runs.
+	tick(ticks uint64)
+	evict(w *world)
+	end(w *world, failed bool)
+	// follow tells how far an admitted attempt is.
+	follow(record claim.Record) claim.SideState
+}
+
 // attempt is one claimed attempt as a side knows it.
 type attempt struct {
 	record claim.Record
@@ -57,7 +84,7 @@
 // side is a model of a side process: the rules that core/claim's safety rests on.
 type side struct {
 	incarnation core.Incarnation
-	clock       uint64
+	now         uint64
 	seen        map[uint64]*attempt
 	tombstones  map[uint64]uint64
 	horizon     uint64
@@ -71,7 +98,9 @@
 	down    bool
 	objects map[string]object
 	version uint64
-	sides   []*side
+	sides   []sideProcess
+	// newSide makes a side with an empty table.
+	newSide func(core.Incarnation) sideProcess
 	late    []message
 	// ledger is what ran, by key.
 	ledger map[string][]core.RequestID
@@ -85,8 +114,9 @@
 }
 
 // newWorld returns a world without asks.
-func newWorld(pick chooser, broken mutation) *world {
+func newWorld(pick chooser, broken mutation, newSide func(core.Incarnation) sideProcess) *world {
 	w := &world{
+		newSide:   newSide,
 		pick:      pick,
 		broken:    broken,
 		objects:   make(map[string]object),
@@ -100,9 +130,9 @@
 	return w
 }
 
-// newSide returns a side with an empty table.
-func newSide(incarnation core.Incarnation) *side {
-	return &side{incarnation: incarnation, clock: 1, seen: make(map[uint64]*attempt), tombstones: make(map[uint64]uint64)}
+// newModel returns a model of a side with an empty table.
+func newModel(incarnation core.Incarnation) sideProcess {
+	return &side{incarnation: incarnation, now: 1, seen: make(map[uint64]*attempt), tombstones: make(map[uint64]uint64)}
 }
 
 // fail notes the first violation.
@@ -163,7 +193,7 @@
 }
 
 // side returns the side process at a target's address, whatever its incarnation.
-func (w *world) side(target claim.Target) *side {
+func (w *world) side(target claim.Target) sideProcess {
 	if target.Addr == "side-0" {
 		return w.sides[0]
 	}
@@ -174,27 +204,31 @@
 func (w *world) probe(i int) claim.Target {
 	s := w.sides[i]
 	addr := fmt.Sprintf("side-%d", i)
-	return claim.Target{Upstream: core.UpstreamID(addr), Addr: addr, Incarnation: s.incarnation, SideClockUS: s.clock}
+	return claim.Target{Upstream: core.UpstreamID(addr), Addr: addr, Incarnation: s.id(), SideClockUS: s.clock()}
 }
 
-// run is what a side does with a dispatched attempt. It tells whether the
-// attempt was admitted.
-func (w *world) run(record claim.Record) bool {
-	s := w.side(record.Target)
+// id implements sideProcess.
+func (s *side) id() core.Incarnation { return s.incarnation }
+
+// clock implements sideProcess.
+func (s *side) clock() uint64 { return s.now }
+
+// run implements sideProcess.
+func (s *side) run(w *world, record claim.Record) fate {
 	_, dead := s.tombstones[record.Nonce]
 	_, seen := s.seen[record.Nonce]
-	expired := s.clock > record.Target.SideClockUS+ticketLifetime
+	expired := s.now > record.Target.SideClockUS+ticketLifetime
 	switch {
 	case record.Target.Incarnation != s.incarnation && w.broken != noRunIncarnation:
-		return false
-	case dead, seen:
-		return false
-	case expired && w.broken != noTicket:
-		return false
+		return refused
+	case dead, expired && w.broken != noTicket:
+		return refused
+	case seen:
+		return unclear
 	}
-	s.seen[record.Nonce] = &attempt{record: record, at: s.clock}
+	s.seen[record.Nonce] = &attempt{record: record, at: s.now}
 	w.execute(record)
-	return true
+	return admitted
 }
 
 // execute notes an execution at the upstream and checks what must hold of it.
@@ -208,12 +242,16 @@
 	}
 }
 
-// resolve is what a side answers about an attempt.
+// resolve asks a side about an attempt.
 func (w *world) resolve(record claim.Record) claim.SideAnswer {
 	if w.chance("unreachable", 8) {
 		return claim.SideAnswer{State: claim.SideUnreachable}
 	}
-	s := w.side(record.Target)
+	return w.side(record.Target).resolve(w, record)
+}
+
+// resolve implements sideProcess.
+func (s *side) resolve(w *world, record claim.Record) claim.SideAnswer {
 	answer := claim.SideAnswer{Incarnation: s.incarnation}
 	if w.broken == noResolveIncarnation {
 		answer.Incarnation = record.Target.Incarnation
@@ -235,7 +273,7 @@
 	default:
 		answer.State = claim.SideNotRun
 		if w.broken != noTombstone {
-			s.tombstones[record.Nonce] = s.clock
+			s.tombstones[record.Nonce] = s.now
 		}
 	}
 	return answer
@@ -246,39 +284,29 @@
 	return [][]byte{[]byte(record.Key), []byte(":" + string(record.Request))}
 }
 
-// tick moves the sides' clocks and evicts what they need not keep.
-func (w *world) tick(ticks uint64) {
-	for _, s := range w.sides {
-		s.clock += ticks
-		for nonce, at := range s.tombstones {
-			if s.clock > at+ticketLifetime {
-				delete(s.tombstones, nonce)
-			}
+// tick implements sideProcess.
+func (s *side) tick(ticks uint64) {
+	s.now += ticks
+	for nonce, at := range s.tombstones {
+		if s.now > at+ticketLifetime {
+			delete(s.tombstones, nonce)
 		}
 	}
 }
 
-// evict drops a side's finished results, which moves its horizon.
-func (w *world) evict(s *side) {
+// evict implements sideProcess. Dropping a result moves the horizon.
+func (s *side) evict(w *world) {
 	for nonce, known := range s.seen {
-		if known.done && s.clock > known.at+ticketLifetime {
+		if known.done && s.now > known.at+ticketLifetime {
 			delete(s.seen, nonce)
-			s.horizon = s.clock
+			s.horizon = s.now
 			w.lossy = true
 		}
 	}
 }
 
-// restart replaces a side by a new incarnation that knows nothing.
-func (w *world) restart(i int) {
-	w.sides[i] = newSide(w.sides[i].incarnation + 10)
-	w.lossy = true
-}
-
-// finishRuns ends the executions at a side, or fails them: they ran and have no
-// result.
-func (w *world) finishRuns(s *side) {
-	failed := w.chance("failed", 6)
+// end implements sideProcess.
+func (s *side) end(w *world, failed bool) {
 	for _, known := range s.seen {
 		if !known.done && failed {
 			known.failed = true
@@ -288,6 +316,30 @@
 	}
 }
 
+// follow implements sideProcess.
+func (s *side) follow(record claim.Record) claim.SideState {
+	known, ok := s.seen[record.Nonce]
+	switch {
+	case !ok:
+		return claim.SideGone
+	case known.failed:
+		return claim.SideFailed
+	case known.done:
+		return claim.SideDone
+	default:
+		return claim.SideRunning
+	}
+}
+
+// finishRuns ends what runs at a side, or fails it: it ran and has no result.
+func (w *world) finishRuns(s sideProcess) { s.end(w, w.chance("failed", 6)) }
+
+// restart replaces a side by a new incarnation that knows nothing.
+func (w *world) restart(i int) {
+	w.sides[i] = w.newSide(w.sides[i].id() + 10)
+	w.lossy = true
+}
+
 // deliver hands a held-back message to its receiver.
 func (w *world) deliver(i int) {
 	m := w.late[i]
@@ -296,5 +348,5 @@
 		w.apply(*m.write)
 		return
 	}
-	w.run(*m.run)
+	w.side(m.run.Target).run(w, *m.run)
 }
