--- a/core/routing/decide_test.go
+++ b/core/routing/decide_test.go
@@ -209,6 +209,20 @@
 	}
 }
 
+// TestColdServiceIsSpreadByWork orders upstreams before any service time is known.
+func TestColdServiceIsSpreadByWork(t *testing.T) {
+	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
+	w.reply = func(u Upstream) Answer {
+		load := Load{Capacity: 4}
+		if u.ID == "a-0" {
+			load.InFlight = 2
+		}
+		return Answer{Upstream: u, Answered: true, Load: load}
+	}
+	assert.Equal(t, w.choose(plain).Chosen.Answer.Upstream.ID, core.UpstreamID("a-1"))
+	assert.Equal(t, w.choose(plain).Chosen.Answer.Upstream.ID, core.UpstreamID("a-1"))
+}
+
 // TestDrainingUpstreamIsNotAskedAgainAtOnce remembers what a side said of itself.
 func TestDrainingUpstreamIsNotAskedAgainAtOnce(t *testing.T) {
 	w := newWorld(Probe2, 1, hostsIn("a", 3)...)
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -16,6 +16,9 @@
 	// cachedShare is the part of the time to the first chunk that a cached
 	// prefix is expected to save. The report is a hint: it may be old.
 	cachedShare = 0.5
+	// assumedService orders upstreams by the work they hold while nobody knows how
+	// long the service takes.
+	assumedService = 50 * time.Millisecond
 	// maxFailureRatio bounds the penalty for failures.
 	maxFailureRatio = 0.95
 )
@@ -71,7 +74,7 @@
 	unseen := r.Table.since(answer.Upstream.ID, answer.SentAt)
 	free := max(0, load.Capacity-load.InFlight-load.Queued)
 	waiting := max(0, unseen-free)
-	return load.Wait + time.Duration(waiting)*service/time.Duration(max(1, load.Capacity))
+	return load.Wait + time.Duration(waiting)*orAssumed(service)/time.Duration(max(1, load.Capacity))
 }
 
 // score adds the risks and the hints to the expected time.
@@ -81,7 +84,7 @@
 	tail := tailWeight * float64(max(0, load.ServiceP95-load.ServiceP50))
 	unseen := r.Table.since(w.Answer.Upstream.ID, w.Answer.SentAt)
 	held := load.occupancy() + float64(unseen)/float64(max(1, load.Capacity))
-	busy := occupancyWeight * held * float64(service)
+	busy := occupancyWeight * held * float64(orAssumed(service))
 	failing := min(maxFailureRatio, progress.failureRatio(r.Now))
 	// A failed attempt costs another one of the usual length, however fast it
 	// failed: an upstream that fails at once must not look quick.
@@ -93,5 +96,13 @@
 	return w.Expected + time.Duration(tail+busy+again-saved)
 }
 
+// orAssumed returns service, or an assumption if it is not known.
+func orAssumed(service time.Duration) time.Duration {
+	if service == 0 {
+		return assumedService
+	}
+	return service
+}
+
 // round shortens a duration for people.
 func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- a/entry/route/inquiry.go
+++ b/entry/route/inquiry.go
@@ -12,8 +12,8 @@
 // longer: an upstream that is gone must not cost each decision a whole timeout.
 const (
 	lingerRTTs = 4
-	minLinger  = 2 * time.Millisecond
-	maxLinger  = 10 * time.Millisecond
+	minLinger  = 5 * time.Millisecond
+	maxLinger  = 15 * time.Millisecond
 )
 
 // maxAsked bounds the open probes of one decision; no policy comes near it.
