Strike relays before and at the accept, and count from the head's write

A kill after the operator's command had returned came too late: the change was everywhere by then (0.02 to 0.07 s). Relays are now killed or frozen before the accept, or killed as soon as the object API has counted the head's write, with the host list still naming them; time counts from that write.

--- a/standin/bench/report/spread.go
+++ b/standin/bench/report/spread.go
@@ -34,8 +34,8 @@
 type Condition struct {
 	Name          string  `json:"name"`
 	TargetSeconds float64 `json:"target_seconds"`
-	// Seconds are the times from when the operator's command returned until every
-	// process had the change; SecondsFromStart count from the command's start.
+	// Seconds are the times from when the head was written until every process had
+	// the change; SecondsFromStart count from the start of the operator's command.
 	Seconds          []float64 `json:"seconds"`
 	SecondsFromStart []float64 `json:"seconds_from_start"`
 	// Missing names a process that did not come to have a change in time.
--- a/standin/bench/spread/await.go
+++ b/standin/bench/spread/await.go
@@ -18,7 +18,7 @@
 	admin   string
 }
 
-// targets returns all entries and sides that run.
+// targets returns all entries and sides that run and are not frozen.
 func (m *measurement) targets() []target {
 	var all []target
 	for _, entry := range m.fleet.Entries {
@@ -29,7 +29,7 @@
 	}
 	running := all[:0]
 	for _, t := range all {
-		if t.process.Running() {
+		if t.process.Running() && !m.frozen[t.process] {
 			running = append(running, t)
 		}
 	}
--- a/standin/bench/spread/condition.go
+++ b/standin/bench/spread/condition.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"acaciawinch/core"
 	"acaciawinch/core/relay"
 	"acaciawinch/standin/bench/report"
+	"acaciawinch/standin/harness"
 	"acaciawinch/standin/objectstore"
 )
 
@@ -14,11 +14,14 @@
 type condition struct {
 	name   string
 	target time.Duration
-	// before and after happen right before and right after the accept; end
-	// happens when the change is in force, and undoes them.
-	before, after, end func(ctx context.Context, m *measurement) error
+	// before happens before the operator's command starts, at as soon as the head
+	// is written, and end when the change is in force: it undoes the others.
+	before, at, end step
 }
 
+// step is a part of a condition.
+type step func(ctx context.Context, m *measurement) error
+
 // Settings of the conditions.
 const (
 	plainTarget = 2 * time.Second
@@ -32,7 +35,7 @@
 	settleTime = 3 * time.Second
 )
 
-// conditions returns all conditions in order. Those that kill come last.
+// conditions returns all conditions in order.
 func conditions() []condition {
 	return []condition{
 		{name: "nothing wrong", target: plainTarget},
@@ -42,24 +45,22 @@
 			before: setStore(objectstore.Control{DelayMS: slowStore}),
 			end:    setStore(objectstore.Control{}),
 		},
-		{
-			name:   "store down for 3 s right behind the accept",
-			target: killTarget,
-			after:  outageBehind,
-			end:    setStore(objectstore.Control{}),
-		},
-		{name: "one relay killed at the accept", target: killTarget, after: killOne, end: restart},
-		{name: "all relays of one zone killed at the accept", target: killTarget, after: killZone, end: restart},
+		{name: "store down for 3 s as soon as the head is written", target: killTarget, at: storeDown, end: setStore(objectstore.Control{})},
+		{name: "one relay killed as the head is written", target: killTarget, at: killRelays(1), end: restart},
+		{name: "one relay killed before the accept", target: killTarget, before: killRelays(1), end: restart},
+		{name: "all relays of a zone killed before the accept", target: killTarget, before: killRelays(relaysPerZone), end: restart},
+		{name: "one relay frozen before the accept", target: killTarget, before: freezeRelays(1), end: wake},
+		{name: "all relays of a zone frozen before the accept", target: killTarget, before: freezeRelays(relaysPerZone), end: wake},
 	}
 }
 
 // setStore returns a step that sets the store's fault switches.
-func setStore(control objectstore.Control) func(context.Context, *measurement) error {
+func setStore(control objectstore.Control) step {
 	return func(ctx context.Context, m *measurement) error { return m.fleet.SetObjects(ctx, control) }
 }
 
-// outageBehind takes the store down, and brings it back after a while.
-func outageBehind(ctx context.Context, m *measurement) error {
+// storeDown takes the store down, and brings it back after a while.
+func storeDown(ctx context.Context, m *measurement) error {
 	if err := m.fleet.SetObjects(ctx, objectstore.Control{Down: true}); err != nil {
 		return err
 	}
@@ -70,22 +71,53 @@
 	return nil
 }
 
-// killOne kills the first relay of the first zone.
-func killOne(_ context.Context, m *measurement) error { return m.killRelays(1) }
+// killRelays returns a step that kills the first relays of the first zone. The
+// host list goes on naming them.
+func killRelays(count int) step {
+	return func(_ context.Context, m *measurement) error {
+		for _, entry := range m.relays(count) {
+			entry.Kill()
+		}
+		return nil
+	}
+}
+
+// freezeRelays returns a step that stops the first relays of the first zone with
+// SIGSTOP: their connections stay open.
+func freezeRelays(count int) step {
+	return func(_ context.Context, m *measurement) error {
+		for _, entry := range m.relays(count) {
+			if err := entry.Freeze(); err != nil {
+				return err
+			}
+			m.frozen[entry.Process] = true
+		}
+		return nil
+	}
+}
 
-// killZone kills all relays of the first zone.
-func killZone(_ context.Context, m *measurement) error { return m.killRelays(relaysPerZone) }
+// wake wakes the frozen processes.
+func wake(_ context.Context, m *measurement) error {
+	for process := range m.frozen {
+		if err := process.Wake(); err != nil {
+			return err
+		}
+		delete(m.frozen, process)
+	}
+	return nil
+}
 
-// killRelays kills the first relays of the first zone.
-func (m *measurement) killRelays(count int) error {
+// relays returns the first relays of the first zone.
+func (m *measurement) relays(count int) []*harness.Entry {
+	var found []*harness.Entry
 	for _, host := range relay.Relays(m.fleet.HostList().Hosts, relaysPerZone)[:count] {
 		for _, entry := range m.fleet.Entries {
 			if entry.Name == host.Name {
-				entry.Kill()
+				found = append(found, entry)
 			}
 		}
 	}
-	return nil
+	return found
 }
 
 // restart starts the killed entries again.
@@ -127,60 +159,3 @@
 	result.CallsPerSecond = float64(after.Reads+after.Writes-before.Reads-before.Writes) / time.Since(began).Seconds()
 	return result, nil
 }
-
-// once makes one change and waits until it is in force everywhere.
-func (m *measurement) once(ctx context.Context, c condition, result *report.Condition) error {
-	path, err := m.next()
-	if err != nil {
-		return err
-	}
-	if err := do(ctx, m, c.before); err != nil {
-		return err
-	}
-	began := time.Now()
-	revision, err := m.fleet.Accept(ctx, path)
-	if err != nil {
-		return err
-	}
-	accepted := time.Now()
-	if err := do(ctx, m, c.after); err != nil {
-		return err
-	}
-	if err := m.note(ctx, revision, began, accepted, result); err != nil {
-		return err
-	}
-	if err := do(ctx, m, c.end); err != nil {
-		return err
-	}
-	return m.settle(ctx)
-}
-
-// note waits for the change and adds its times.
-func (m *measurement) note(ctx context.Context, revision core.Revision, began, accepted time.Time, result *report.Condition) error {
-	times, err := awaitAll(ctx, m.targets(), revision, forceTimeout)
-	if err != nil {
-		result.Missing = err.Error()
-		return nil
-	}
-	result.Seconds = append(result.Seconds, times.last(accepted).Seconds())
-	result.SecondsFromStart = append(result.SecondsFromStart, times.last(began).Seconds())
-	return nil
-}
-
-// settle waits between two changes.
-func (m *measurement) settle(ctx context.Context) error {
-	select {
-	case <-time.After(settleTime):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// do carries out a step if there is one.
-func do(ctx context.Context, m *measurement, step func(context.Context, *measurement) error) error {
-	if step == nil {
-		return nil
-	}
-	return step(ctx, m)
-}
--- a/standin/bench/spread/spread.go
+++ b/standin/bench/spread/spread.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"acaciawinch/core"
 	"acaciawinch/core/config"
 	"acaciawinch/standin/bench/report"
 	"acaciawinch/standin/bench/usage"
@@ -51,8 +52,11 @@
 	fleet   *harness.Fleet
 	// dir holds the operators' files.
 	dir string
-	// change counts the changes made so far.
-	change int
+	// change counts the changes made so far; revision is that of the last.
+	change   int
+	revision core.Revision
+	// frozen holds the processes that are stopped by SIGSTOP.
+	frozen map[*harness.Process]bool
 }
 
 // Run starts the fleet and measures under each condition.
@@ -77,7 +81,7 @@
 			_ = fleet.RemoveDir() // the result does not depend on it
 		}
 	}()
-	m := &measurement{options: o, fleet: fleet, dir: dir}
+	m := &measurement{options: o, fleet: fleet, dir: dir, frozen: map[*harness.Process]bool{}}
 	return m.run(ctx)
 }
 
@@ -130,12 +134,12 @@
 		return err
 	}
 	began := time.Now()
-	revision, err := m.fleet.Accept(ctx, path)
+	m.revision, err = m.fleet.Accept(ctx, path)
 	if err != nil {
 		return err
 	}
 	accepted := time.Now()
-	times, err := awaitAll(ctx, m.targets(), revision, startTimeout)
+	times, err := awaitAll(ctx, m.targets(), m.revision, startTimeout)
 	if err != nil {
 		return err
 	}
--- a/standin/bench/spread/spread_test.go
+++ b/standin/bench/spread/spread_test.go
@@ -32,7 +32,7 @@
 
 func TestConditionsUndoWhatTheyDo(t *testing.T) {
 	for _, c := range conditions() {
-		changes := c.before != nil || c.after != nil
+		changes := c.before != nil || c.at != nil
 		assert.Equal(t, c.end != nil, changes, c.name)
 		assert.Assert(t, c.target > 0, c.name)
 	}
