--- a/core/chart/diagram.go
+++ b/core/chart/diagram.go
@@ -36,3 +36,15 @@
 	}
 	return b.String()
 }
+
+// Page returns docs/CHARTS.md: all charts by name.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# State charts\n\n")
+	b.WriteString("The files are in core/chart/charts and are part of the binaries, which interpret them.\n")
+	b.WriteString("An event that a chart does not allow is an error with step and peer.\n")
+	for _, name := range Names() {
+		b.WriteString("\n" + MustLoad(name).Markdown())
+	}
+	return b.String()
+}
