--- a/core/config/accept/accept_test.go
+++ b/core/config/accept/accept_test.go
@@ -366,7 +366,7 @@
 func TestALostAnswerIsSettledBehindLaterChanges(t *testing.T) {
 	s := quiet(t)
 	machine := New(Request{ChangeID: "mine", Change: config.Change{Drain: []string{"u"}}})
-	for machine.step != stepMoveHead {
+	for machine.state.State() != stateAccepting {
 		machine.Handle(s.apply(machine.Next()))
 	}
 	s.apply(machine.Next())
--- a/core/config/accept/machine.go
+++ b/core/config/accept/machine.go
@@ -3,29 +3,57 @@
 import (
 	"fmt"
 
+	"acaciawinch/core/chart"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
 )
 
-// step is where a run stands.
-type step string
+// changeChart is interpreted by every run; it is the page of what may follow what.
+var changeChart = chart.MustLoad("config_change")
 
-// The steps of a run.
+// The chart's states in which a run makes calls.
 const (
-	stepReadHead    step = "read_head"
-	stepLoad        step = "load"
-	stepWriteParts  step = "write_parts"
-	stepWriteChange step = "write_change"
-	stepMoveHead    step = "move_head"
-	stepSettle      step = "settle"
-	stepWalk        step = "walk"
-	stepDone        step = "done"
+	stateReading    chart.State = "reading"
+	stateChecking   chart.State = "checking"
+	stateWriting    chart.State = "writing"
+	stateAccepting  chart.State = "accepting"
+	stateConfirming chart.State = "confirming"
 )
 
+// The chart's events.
+const (
+	eventHeadRead     chart.Event = "head_read"
+	eventValid        chart.Event = "valid"
+	eventNothingNew   chart.Event = "nothing_new"
+	eventInvalid      chart.Event = "invalid"
+	eventOverlap      chart.Event = "overlap"
+	eventPartsWritten chart.Event = "parts_written"
+	eventWritten      chart.Event = "written"
+	eventUnsettled    chart.Event = "unsettled"
+	eventOwnChange    chart.Event = "own_change"
+	eventUnmoved      chart.Event = "unmoved"
+	eventOtherChange  chart.Event = "other_change"
+	eventOvertaken    chart.Event = "overtaken"
+	eventStoreDown    chart.Event = "store_down"
+	eventAmbiguous    chart.Event = "ambiguous"
+	eventBroken       chart.Event = "broken"
+)
+
+// outcomes are what the chart's final states mean to the operator.
+var outcomes = map[chart.State]Outcome{
+	"accepted":    Accepted,
+	"unchanged":   Unchanged,
+	"conflict":    Conflict,
+	"rejected":    Invalid,
+	"unavailable": Unavailable,
+	"unknown":     Ambiguous,
+	"failed":      Failed,
+}
+
 // Machine is one run of the protocol. It is not safe for concurrent use.
 type Machine struct {
 	request Request
-	step    step
+	state   *chart.Machine
 	// failures counts the calls in a row that failed; moves the updates sent of
 	// the present next; rebases how often another operator was first; walked the
 	// copies read in the present walk.
@@ -47,19 +75,21 @@
 	parts []config.Part
 	// unsettled is set once an update of the head to next may have taken effect.
 	unsettled bool
-	// cursor is the next copy to read in a walk.
+	// cursor is what is read next while confirming: the head, then older copies.
 	cursor string
 
 	result Result
+	// fired, if set, is told of each event that the chart allowed.
+	fired func(chart.State, chart.Event)
 }
 
 // New returns a run of the request.
 func New(request Request) *Machine {
-	return &Machine{request: request, step: stepReadHead, result: Result{ChangeID: request.ChangeID}}
+	return &Machine{request: request, state: changeChart.Start(config.HeadKey), result: Result{ChangeID: request.ChangeID}}
 }
 
 // Result returns the end of the run, and whether it has ended.
-func (m *Machine) Result() (Result, bool) { return m.result, m.step == stepDone }
+func (m *Machine) Result() (Result, bool) { return m.result, m.result.Outcome != "" }
 
 // Next returns the call to carry out. It must not be called after the end.
 func (m *Machine) Next() Action {
@@ -68,27 +98,34 @@
 	return action
 }
 
-// action returns the call of the present step.
+// action returns the call that the present state makes.
 func (m *Machine) action() Action {
-	switch m.step {
-	case stepReadHead, stepSettle:
+	switch m.state.State() {
+	case stateReading:
 		return Action{Kind: ActionGet, Key: config.HeadKey}
-	case stepLoad:
+	case stateChecking:
 		hash, _ := m.missing()
 		return Action{Kind: ActionGet, Key: config.PartKey(hash)}
-	case stepWriteParts:
-		return Action{Kind: ActionCreate, Key: config.PartKey(m.parts[0].Hash), Value: m.parts[0].Data}
-	case stepWriteChange:
-		return Action{Kind: ActionCreate, Key: m.next.Key(), Value: m.next.Encode()}
-	case stepMoveHead:
+	case stateWriting:
+		return m.writeNext()
+	case stateAccepting:
 		return m.moveHead()
-	case stepWalk:
+	case stateConfirming:
 		return Action{Kind: ActionGet, Key: m.cursor}
 	default:
 		panic("accept: Next after the end")
 	}
 }
 
+// writeNext returns the write of the next part, or of the copy of the head when
+// no part is left.
+func (m *Machine) writeNext() Action {
+	if len(m.parts) > 0 {
+		return Action{Kind: ActionCreate, Key: config.PartKey(m.parts[0].Hash), Value: m.parts[0].Data}
+	}
+	return Action{Kind: ActionCreate, Key: m.next.Key(), Value: m.next.Encode()}
+}
+
 // moveHead returns the conditional write that accepts the change.
 func (m *Machine) moveHead() Action {
 	if m.version == 0 {
@@ -99,8 +136,9 @@
 
 // Handle takes the reply to the call that Next returned.
 func (m *Machine) Handle(reply Reply) {
-	if m.step == stepMoveHead && reply.Code != "" {
-		m.moveFailed(reply)
+	state := m.state.State()
+	if state == stateAccepting {
+		m.moved(reply)
 		return
 	}
 	if failedForNow(reply.Code) {
@@ -108,21 +146,15 @@
 		return
 	}
 	m.failures = 0
-	switch m.step {
-	case stepReadHead:
+	switch state {
+	case stateReading:
 		m.headRead(reply)
-	case stepLoad:
+	case stateChecking:
 		m.partRead(reply)
-	case stepWriteParts:
-		m.partWritten(reply)
-	case stepWriteChange:
-		m.changeWritten(reply)
-	case stepMoveHead:
-		m.accepted()
-	case stepSettle:
-		m.settle(reply)
-	case stepWalk:
-		m.walk(reply)
+	case stateWriting:
+		m.written(reply)
+	case stateConfirming:
+		m.confirm(reply)
 	}
 }
 
@@ -145,64 +177,67 @@
 
 // GiveUp ends the run, for instance because the operator's time is over.
 func (m *Machine) GiveUp() {
-	if m.step != stepDone {
-		m.giveUp("given up at step " + string(m.step))
+	if m.result.Outcome == "" {
+		m.giveUp("given up while " + string(m.state.State()))
 	}
 }
 
 // giveUp ends the run with what is known: only an unsettled update can have
 // accepted the change.
 func (m *Machine) giveUp(detail string) {
-	outcome := Unavailable
 	if m.unsettled {
-		outcome = Ambiguous
+		m.fire(eventAmbiguous, detail)
+		return
 	}
-	m.end(outcome, detail)
-}
-
-// end closes the run.
-func (m *Machine) end(outcome Outcome, detail string) {
-	m.result.Outcome, m.result.Detail = outcome, detail
-	m.step = stepDone
+	m.fire(eventStoreDown, detail)
 }
 
 // broken ends the run because the store holds what the protocol never writes.
 // An unsettled update stays ambiguous.
 func (m *Machine) broken(format string, args ...any) {
+	detail := fmt.Sprintf(format, args...)
 	if m.unsettled {
-		m.end(Ambiguous, fmt.Sprintf(format, args...))
+		m.fire(eventAmbiguous, detail)
 		return
 	}
-	m.end(Failed, fmt.Sprintf(format, args...))
+	m.fire(eventBroken, detail)
 }
 
-// partWritten goes on to the next part. Conflict means that the part exists,
-// with the same content, as its name is the content's hash.
-func (m *Machine) partWritten(reply Reply) {
-	if reply.Code == fault.Invalid || reply.Code == fault.NotFound {
-		m.broken("the store refuses part %s: %s", m.parts[0].Hash, reply.Detail)
+// fire takes an event of the chart. In a final state the run ends with the
+// detail. An event that the chart doesn't allow ends it too: what the code holds
+// of the run is then not to be trusted.
+func (m *Machine) fire(event chart.Event, detail string) {
+	from := m.state.State()
+	if err := m.state.Fire(event); err != nil {
+		m.result.Outcome, m.result.Detail = Failed, err.Error()
 		return
 	}
-	m.parts = m.parts[1:]
-	if len(m.parts) == 0 {
-		m.step = stepWriteChange
+	if m.fired != nil {
+		m.fired(from, event)
+	}
+	if m.state.Final() {
+		m.result.Outcome, m.result.Detail = outcomes[m.state.State()], detail
 	}
 }
 
-// changeWritten goes on to the head. Conflict means that this run wrote the copy
-// before and lost the answer: nobody else has its change id.
-func (m *Machine) changeWritten(reply Reply) {
+// written goes on behind a part or the copy of the head. Conflict means that the
+// object exists with the same content: a part is named by its content, and nobody
+// else has this run's change id in the name of a copy.
+func (m *Machine) written(reply Reply) {
 	if reply.Code == fault.Invalid || reply.Code == fault.NotFound {
-		m.broken("the store refuses the copy of the head: %s", reply.Detail)
+		m.broken("the store refuses %s: %s", m.writeNext().Key, reply.Detail)
+		return
+	}
+	if len(m.parts) > 0 {
+		m.parts = m.parts[1:]
 		return
 	}
-	m.step = stepMoveHead
+	m.fire(eventPartsWritten, "")
 }
 
-// accepted ends the run well.
-func (m *Machine) accepted() {
-	m.unsettled = false
+// accepted notes what the run achieved.
+func (m *Machine) accepted(event chart.Event) {
 	m.result.Revision = m.next.Revision
 	m.result.Items = m.mine.Items()
-	m.end(Accepted, "")
+	m.fire(event, "")
 }
--- a/core/config/accept/merge.go
+++ b/core/config/accept/merge.go
@@ -20,7 +20,7 @@
 	m.headRaw, m.version = head, version
 	m.setBase(head)
 	m.head = config.Outline(head, m.known())
-	m.step = stepLoad
+	m.fire(eventHeadRead, "")
 	m.load()
 }
 
@@ -80,7 +80,7 @@
 	}
 	m.use(&m.base, hash, reply.Value)
 	m.use(&m.head, hash, reply.Value)
-	if m.step == stepLoad {
+	if m.result.Outcome == "" {
 		m.load()
 	}
 }
@@ -103,7 +103,7 @@
 func (m *Machine) merge() {
 	if problems := m.request.Change.Repeated(); len(problems) > 0 {
 		m.result.Problems = problems
-		m.end(Invalid, "the change names something twice")
+		m.fire(eventInvalid, "the change names something twice")
 		return
 	}
 	m.mine = config.Compare(m.base, m.base.Change(m.request.Change, m.base.Revision(), m.request.ChangeID))
@@ -116,7 +116,7 @@
 	next := m.head.Change(m.mine, m.head.Revision()+1, m.request.ChangeID)
 	if next.Digest() == m.head.Digest() {
 		m.result.Revision = m.head.Revision()
-		m.end(Unchanged, "")
+		m.fire(eventNothingNew, "")
 		return
 	}
 	if problems := next.Validate(); len(problems) > 0 {
@@ -130,7 +130,7 @@
 func (m *Machine) clash(format string, args ...any) {
 	other := m.headRaw
 	m.result.Other = &other
-	m.end(Conflict, fmt.Sprintf(format, args...))
+	m.fire(eventOverlap, fmt.Sprintf(format, args...))
 }
 
 // rejected ends the run because the merged configuration breaks rules. If the
@@ -139,7 +139,7 @@
 	m.result.Problems = problems
 	alone := m.base.Change(m.mine, m.base.Revision(), m.request.ChangeID)
 	if m.head.Revision() == m.base.Revision() || len(alone.Validate()) > 0 {
-		m.end(Invalid, "the configuration would break rules")
+		m.fire(eventInvalid, "the configuration would break rules")
 		return
 	}
 	m.result.Items = theirs.Items()
@@ -154,8 +154,5 @@
 	}
 	m.next = next.Head(parent, m.request.Author, m.request.Note)
 	m.parts = next.PartsSince(m.head)
-	m.step = stepWriteParts
-	if len(m.parts) == 0 {
-		m.step = stepWriteChange
-	}
+	m.fire(eventValid, "")
 }
--- a/core/config/accept/settle.go
+++ b/core/config/accept/settle.go
@@ -5,12 +5,15 @@
 	"acaciawinch/core/fault"
 )
 
-// moveFailed handles an update of the head that didn't plainly succeed. Whatever
-// the reason, the head itself tells how it stands: it is read next.
-func (m *Machine) moveFailed(reply Reply) {
+// moved handles the answer to an update of the head. Unless it plainly succeeded,
+// the head itself tells how it stands: it is read next.
+func (m *Machine) moved(reply Reply) {
 	m.moves++
 	m.failures = 0
 	switch reply.Code {
+	case "":
+		m.accepted(eventWritten)
+		return
 	case fault.Conflict:
 		// The head moved, perhaps by an earlier copy of this very update.
 	case fault.Unavailable:
@@ -21,11 +24,16 @@
 	default:
 		m.unsettled = true
 	}
-	m.step = stepSettle
+	m.cursor, m.walked = config.HeadKey, 0
+	m.fire(eventUnsettled, "")
 }
 
-// settle compares the head with what this run tried to replace.
-func (m *Machine) settle(reply Reply) {
+// confirm takes the head, or one of the copies behind it.
+func (m *Machine) confirm(reply Reply) {
+	if m.cursor != config.HeadKey {
+		m.walk(reply)
+		return
+	}
 	head, version, ok := m.parseHead(reply)
 	if !ok {
 		return
@@ -34,7 +42,6 @@
 		m.sendAgain()
 		return
 	}
-	m.walked = 0
 	m.compare(head)
 }
 
@@ -44,7 +51,7 @@
 		m.giveUp("the head could not be moved")
 		return
 	}
-	m.step = stepMoveHead
+	m.fire(eventUnmoved, "")
 }
 
 // compare looks for this run's change at its revision in the chain of heads.
@@ -52,9 +59,8 @@
 	switch {
 	case head.Revision > m.next.Revision && head.Parent != "":
 		m.cursor = head.Parent
-		m.step = stepWalk
 	case head.Revision == m.next.Revision && head.ChangeID == m.request.ChangeID:
-		m.accepted()
+		m.accepted(eventOwnChange)
 	case head.Revision == m.next.Revision:
 		m.lost()
 	default:
@@ -84,10 +90,10 @@
 	m.moves = 0
 	m.rebases++
 	if m.rebases > MaxRebases {
-		m.end(Conflict, "other operators were first too often")
+		m.fire(eventOvertaken, "other operators were first too often")
 		return
 	}
-	m.step = stepReadHead
+	m.fire(eventOtherChange, "")
 }
 
 // parseHead reads a reply to a read of the head. Version is 0 if there is none.
