Count claims' verdicts and calls, and show what placement does

Metrics by tally: verdicts by action and status, store writes and reads, Resolve calls; whether the lease is held, assignments, unfinished loads, plans written and too late, probes. A nil scope drops them.

Run: go test ./entry/claims ./entry/place.

--- a/entry/claims/drive.go
+++ b/entry/claims/drive.go
@@ -32,12 +32,14 @@
 		}
 	}
 	held := heldOf(machine.Verdict())
+	k.metrics.decided(action, held.Status)
 	k.logVerdict(action, name, held)
 	return held, nil
 }
 
 // call makes one call of a machine and hands in the answer.
 func (k *Keeper) call(ctx context.Context, machine *claim.Machine, step claim.Step) error {
+	k.metrics.called(step.Call)
 	switch step.Call {
 	case claim.CallCreate, claim.CallUpdate:
 		answer, version, err := k.write(ctx, step)
@@ -155,6 +157,7 @@
 
 // finishCall makes one call of the recording and hands in the answer.
 func (k *Keeper) finishCall(ctx context.Context, finishing *claim.Finishing, step claim.Step) error {
+	k.metrics.called(step.Call)
 	if step.Call == claim.CallUpdate {
 		answer, _, err := k.write(ctx, step)
 		if err == nil {
--- a/entry/claims/keeper.go
+++ b/entry/claims/keeper.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"acaciawinch/core"
 	"acaciawinch/core/claim"
 	"acaciawinch/observe"
@@ -113,6 +115,8 @@
 	Objects  objects.API
 	Resolver Resolver
 	Log      *observe.Logger
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
 	// Rules are the bounds of the protocol; zero means claim.DefaultRules.
 	Rules claim.Rules
 	// Rand draws nonces; nil means one seeded from the system's random source.
@@ -126,6 +130,7 @@
 	objects  objects.API
 	resolver Resolver
 	log      *observe.Logger
+	metrics  *metrics
 	rules    claim.Rules
 	now      func() time.Time
 
@@ -139,6 +144,7 @@
 		objects:  opts.Objects,
 		resolver: opts.Resolver,
 		log:      opts.Log,
+		metrics:  newMetrics(opts.Scope),
 		rules:    opts.Rules,
 		now:      opts.Now,
 		rng:      opts.Rand,
--- a/entry/place/log.go
+++ b/entry/place/log.go
@@ -13,6 +13,7 @@
 
 // logWritten writes a line for the plan and one for each of its decisions.
 func (p *Proposer) logWritten(plan placement.Plan, version uint64, decisions []placement.Decision) {
+	p.metrics.plans.Inc(1)
 	loads := 0
 	for _, d := range decisions {
 		if d.Action == placement.ActionLoad {
@@ -66,6 +67,7 @@
 
 // logNotWritten writes the line of a plan that did not take effect.
 func (p *Proposer) logNotWritten(plan placement.Plan, err error) {
+	p.metrics.late.Inc(1)
 	p.options.Log.Warn(event.PlacementNotWritten, observe.Fields{"sequence": plan.Sequence, "error": err.Error()})
 }
 
--- /dev/null
+++ b/entry/place/metrics.go
@@ -0,0 +1,37 @@
+package place
+
+import "github.com/uber-go/tally/v4"
+
+// metrics shows what the proposer does.
+type metrics struct {
+	// holding is 1 while this process holds the lease.
+	holding tally.Gauge
+	// assignments and unfinished are those of the last plan that it read.
+	assignments, unfinished tally.Gauge
+	plans, late, probes     tally.Counter
+}
+
+// newMetrics registers the metrics below scope; a nil scope drops them.
+func newMetrics(scope tally.Scope) *metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	scope = scope.SubScope("placement")
+	return &metrics{
+		holding:     scope.Gauge("holding"),
+		assignments: scope.Gauge("assignments"),
+		unfinished:  scope.Gauge("unfinished_loads"),
+		plans:       scope.Counter("plans_written"),
+		late:        scope.Counter("plans_not_written"),
+		probes:      scope.Counter("probes"),
+	}
+}
+
+// hold shows whether this process holds the lease.
+func (m *metrics) hold(holds bool) {
+	value := 0.0
+	if holds {
+		value = 1
+	}
+	m.holding.Update(value)
+}
--- a/entry/place/proposer.go
+++ b/entry/place/proposer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"acaciawinch/core"
@@ -41,6 +42,8 @@
 	Objects objects.API
 	Prober  Prober
 	Log     *observe.Logger
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
 	// Facts returns what the feed knows, or false while it knows nothing.
 	Facts    func() (Facts, bool)
 	Settings Settings
@@ -67,6 +70,7 @@
 	term    uint64
 	lease   *placement.Lease
 	engines *engines
+	metrics *metrics
 	// holding is what the last round found; other goroutines read it.
 	holding atomic.Bool
 	// short are the shortages that the log has reported, with their reasons.
@@ -83,6 +87,7 @@
 		term:    term,
 		lease:   placement.NewLease(opts.Self, term, milliseconds(opts.Settings.LeaseMS)),
 		engines: newEngines(opts.Settings),
+		metrics: newMetrics(opts.Scope),
 		short:   make(map[placement.Assignment]string),
 	}
 }
@@ -162,6 +167,7 @@
 func (p *Proposer) noteLease() {
 	holds := p.lease.Holds(p.now())
 	held := p.holding.Swap(holds)
+	p.metrics.hold(holds)
 	switch {
 	case holds && !held:
 		p.options.Log.Event(event.PlacementLeaseTaken, observe.Fields{"term": p.term})
@@ -180,12 +186,15 @@
 	}
 	p.logSilent(hosts)
 	p.logStuck(p.engines.watchLoads(p.now(), round.Present()))
+	p.metrics.assignments.Update(float64(len(round.Present().Assignments)))
+	p.metrics.unfinished.Update(float64(len(p.engines.waiting)))
 	now := p.now()
 	round.Gathered(now, p.engines.input(now, facts, p.options.Self))
 }
 
 // probe asks hosts, a few at a time; a missing answer is nil.
 func (p *Proposer) probe(ctx context.Context, hosts []fleet.Host, revision core.Revision) []*wirepb.ProbeReply {
+	p.metrics.probes.Inc(int64(len(hosts)))
 	replies := make([]*wirepb.ProbeReply, len(hosts))
 	var group errgroup.Group
 	group.SetLimit(probesAtOnce)
