Decide each request by a pure state machine

core/request takes events with their times and returns actions: choose, run, hedge, attach, resolve, cancel, claim, emit and one answer. Stages and requests follow the stage_call and request charts; a move that a chart does not allow gives the request up.

Weighed: telling not_run as soon as a refusal is decided, or only once the cancelled attempts are known to be over at their sides.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -136,10 +136,7 @@
 
 // Release ends a claim of which no Run was sent or every Run was refused; the
 // answer is Released.
-type Release struct {
-	Attempt AttemptID
-	Stage   int
-}
+type Release struct{ Stage int }
 
 // Finish records the stage's result in the claim; the answer is Finished.
 type Finish struct {
@@ -174,6 +171,8 @@
 	NoteKept     NoteKind = "kept_result"
 	NoteLeft     NoteKind = "left"
 	NoteSettling NoteKind = "settling"
+	// NoteBug: a state chart was violated.
+	NoteBug NoteKind = "bug"
 )
 
 // GiveUpCause classifies why a request was given up.
--- a/core/request/event.go
+++ b/core/request/event.go
@@ -162,7 +162,7 @@
 }
 
 // Released is the answer to Release.
-type Released struct{ Attempt AttemptID }
+type Released struct{ Stage int }
 
 // CallerGone tells that nobody waits for the answer any more.
 type CallerGone struct{}
--- /dev/null
+++ b/core/request/giveup.go
@@ -0,0 +1,230 @@
+package request
+
+import (
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/chart"
+)
+
+// ending is why a request is given up.
+type ending struct {
+	cause      GiveUpCause
+	step       string
+	detail     string
+	retryAfter time.Duration
+	// settleUntil bounds the wait for proof that nothing starts later.
+	settleUntil time.Time
+}
+
+// eventOf returns a chart event by name.
+func eventOf(name string) chart.Event { return chart.Event(name) }
+
+// giveUp withdraws everything and answers the caller, at once or as soon as the
+// cancelled attempts have settled.
+func (m *Machine) giveUp(e ending) {
+	if m.ending != nil || m.answered {
+		return
+	}
+	e.settleUntil = m.now.Add(m.rules.SettleBound)
+	if e.cause != GiveUpCallerGone && m.deadline.Before(e.settleUntil) {
+		e.settleUntil = m.deadline
+	}
+	m.ending = &e
+	reason := cancelReasonOf(e.cause)
+	for _, a := range m.attempts {
+		m.withdraw(a, reason, e.detail)
+	}
+	m.releaseUnused()
+	m.trySettle()
+	if !m.answered {
+		m.do(Note{Stage: min(m.current, len(m.stages)-1), Kind: NoteSettling, Reason: "waiting for proof that nothing starts later"})
+	}
+}
+
+// cancelReasonOf returns what the passes of a given-up request are charged to.
+func cancelReasonOf(cause GiveUpCause) CancelReason {
+	switch cause {
+	case GiveUpDeadline, GiveUpOverload:
+		return CancelDeadline
+	case GiveUpCallerGone:
+		return CancelCallerGone
+	}
+	return CancelSuperseded
+}
+
+// withdraw ends one attempt of a request or stage that is not wanted any more.
+//
+// A claimed attempt that has started is not cancelled: it would be neither run
+// nor not run. It goes on, and its result is recorded for whoever asks again
+// with the key. An attempt of another request is none of ours to cancel.
+func (m *Machine) withdraw(a *attempt, reason CancelReason, detail string) {
+	switch {
+	case a.state == choosing || a.state == ready:
+		m.end(a, EndCancelled, "")
+	case a.state == claiming:
+		// The verdict will come; claimedLate acts on it.
+		m.report(a, EndCancelled, "")
+	case !a.live():
+	case !a.stage.spec.NonIdempotent:
+		m.cancel(a, reason, EndCancelled, detail)
+	case a.foreign || a.started || a.state == resolving:
+		a.stage.claim.mayHaveRun = true
+	default:
+		m.cancel(a, reason, EndCancelled, detail)
+	}
+}
+
+// releaseUnused releases the claims under which nothing was dispatched.
+func (m *Machine) releaseUnused() {
+	for _, s := range m.stages {
+		m.release(s)
+	}
+}
+
+// onCancelled takes the side's word on a cancelled attempt.
+func (m *Machine) onCancelled(e Cancelled) {
+	a := m.find(e.Attempt)
+	if a == nil || a.state != cancelling {
+		return
+	}
+	if !a.stage.spec.NonIdempotent {
+		if e.Confirmed {
+			a.loose = false
+			a.started = a.started || e.Started
+			a.state = ended
+			m.trySettle()
+		}
+		return
+	}
+	m.settled(a, e.Confirmed && !e.Started && !a.started)
+}
+
+// settled ends a cancelled attempt. Proved tells that it has not run and won't.
+func (m *Machine) settled(a *attempt, proved bool) {
+	a.state = ended
+	s := a.stage
+	if s.spec.NonIdempotent {
+		if proved {
+			a.loose = false
+			s.claim.used = false
+			m.release(s)
+		} else {
+			s.claim.mayHaveRun = true
+		}
+	}
+	m.trySettle()
+}
+
+// trySettle answers the caller if nothing is left to wait for.
+func (m *Machine) trySettle() {
+	if m.ending == nil || m.answered {
+		return
+	}
+	if m.unsettled() && m.now.Before(m.ending.settleUntil) {
+		return
+	}
+	m.answerGivenUp()
+}
+
+// unsettled tells whether proof may still come that changes the outcome: of a
+// claimed attempt that was cancelled, or, for a refusal, of any.
+func (m *Machine) unsettled() bool {
+	if m.mayHaveRun() {
+		return false
+	}
+	for _, a := range m.attempts {
+		if a.state != cancelling {
+			continue
+		}
+		if a.stage.spec.NonIdempotent || m.ending.refusal() {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal tells whether the request was refused rather than failed.
+func (e *ending) refusal() bool {
+	return e.cause == GiveUpOverload || e.cause == GiveUpUnavailable || e.cause == GiveUpConflict
+}
+
+// answerGivenUp tells the caller the truth as far as it is proved.
+func (m *Machine) answerGivenUp() {
+	outcome := m.outcome()
+	m.endStages()
+	m.fireLifeEnd(outcome)
+	m.answered = true
+	m.do(Answer{
+		Outcome:    outcome,
+		Cause:      m.ending.cause,
+		Step:       m.ending.step,
+		Detail:     m.ending.detail,
+		RetryAfter: m.ending.retryAfter,
+	})
+}
+
+// outcome returns the strongest outcome that is proved.
+func (m *Machine) outcome() core.Outcome {
+	loose, started := false, false
+	for _, a := range m.attempts {
+		if a.state == cancelling && a.stage.spec.NonIdempotent {
+			// The side did not say in time whether the attempt had started.
+			a.stage.claim.mayHaveRun = true
+		}
+		loose = loose || a.loose
+		started = started || a.started
+	}
+	switch {
+	case m.mayHaveRun():
+		return core.OutcomeUnknown
+	case m.emitted > 0:
+		return core.OutcomeFailed
+	case loose:
+		return core.OutcomeFailed
+	case m.ending.refusal() || !started:
+		return core.OutcomeNotRun
+	}
+	return core.OutcomeFailed
+}
+
+// endStages moves the stages that are not over to the end of their charts.
+func (m *Machine) endStages() {
+	for _, s := range m.stages {
+		switch {
+		case s.call.Final():
+		case s.claim.mayHaveRun && s.call.Allows("abandon"):
+			m.fire(s, "abandon")
+		default:
+			m.fire(s, "give_up")
+		}
+	}
+}
+
+// fireLifeEnd moves the request to the end of its chart.
+func (m *Machine) fireLifeEnd(outcome core.Outcome) {
+	event := "failed"
+	switch outcome {
+	case core.OutcomeNotRun:
+		event = "refused"
+	case core.OutcomeUnknown:
+		event = "lost_track"
+	}
+	m.fireLife(eventOf(event))
+}
+
+// followUntil returns how long claimed attempts are followed behind the answer.
+func (m *Machine) followUntil() time.Time { return m.deadline.Add(m.rules.FollowGrace) }
+
+// endFollowing stops following claimed attempts. Their sides keep the results,
+// and the claims name the sides.
+func (m *Machine) endFollowing() {
+	if m.now.Before(m.followUntil()) {
+		return
+	}
+	for _, a := range m.attempts {
+		if a.live() {
+			m.end(a, EndSilent, "")
+		}
+	}
+}
--- /dev/null
+++ b/core/request/machine_test.go
@@ -0,0 +1,55 @@
+package request
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"acaciawinch/core"
+)
+
+// maxSteps is more than any request takes.
+const maxSteps = 2000
+
+// TestRandomOrders drives requests through random fates of their attempts, with
+// events late, twice, out of order and lost, and checks what must always hold.
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stages := rapid.IntRange(1, 5).Draw(t, "stages")
+		claimed := rapid.IntRange(-1, stages-1).Draw(t, "claimed")
+		w := newWorld(t, stages, claimed)
+		gone := w.dice.IntN(500)
+		for i := 0; i < maxSteps && (!w.m.Over() || len(w.pool) > 0); i++ {
+			if i == gone {
+				w.handle(CallerGone{})
+			}
+			w.step()
+		}
+		w.check(claimed)
+	})
+}
+
+// check checks a request that is over against the truth.
+func (w *world) check(claimed int) {
+	assert.Assert(w.t, w.m.Over(), "the request never ends")
+	assert.Equal(w.t, w.answers, 1)
+	assert.Assert(w.t, !w.answerAt.After(w.deadline), "the answer came %s late", w.answerAt.Sub(w.deadline))
+	for i, chunk := range w.emitted {
+		assert.Assert(w.t, bytes.Equal(chunk, chunkOf(len(w.stages)-1, i)))
+	}
+	assert.Assert(w.t, w.ran[claimed] <= 1, "the non-idempotent stage ran twice")
+	switch w.answer.Outcome {
+	case core.OutcomeAnswered:
+		assert.Equal(w.t, len(w.emitted), chunksPerStage)
+	case core.OutcomeNotRun:
+		assert.Equal(w.t, len(w.emitted), 0)
+		assert.Equal(w.t, w.ran[claimed], 0)
+		assert.Equal(w.t, len(w.late), 0, "a stage started behind not_run")
+	case core.OutcomeFailed:
+		assert.Equal(w.t, w.ran[claimed], 0)
+	case core.OutcomeUnknown:
+		assert.Assert(w.t, claimed >= 0)
+	}
+}
--- a/core/request/plan.go
+++ b/core/request/plan.go
@@ -12,6 +12,8 @@
 	Service string
 	// NonIdempotent marks a stage that must run at most once.
 	NonIdempotent bool
+	// Resumable marks a stage whose upstreams go on behind the chunks at hand.
+	Resumable bool
 	// Declared is the template's median service time, used until one is measured.
 	Declared time.Duration
 }
@@ -19,6 +21,9 @@
 // Plan is what a request asks for. It doesn't change.
 type Plan struct {
 	Stages []Stage
+	// Minted is set if the entry made the idempotency key itself. Nobody else can
+	// ask with it, so an unused claim need not be released.
+	Minted bool
 	// Deadline is the time allowed from the start.
 	Deadline time.Duration
 }
--- /dev/null
+++ b/core/request/scenario_test.go
@@ -0,0 +1,230 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core"
+	"acaciawinch/core/latency"
+)
+
+// fixed is a Knowledge with one estimate for all services and full budgets,
+// unless it is empty.
+type fixed struct{ empty bool }
+
+func (fixed) Estimate(string) latency.Estimate {
+	return latency.Estimate{ServiceP50: 50 * time.Millisecond, ServiceP95: 80 * time.Millisecond, FirstP95: 60 * time.Millisecond, GapP95: 10 * time.Millisecond}
+}
+func (k fixed) RetryBudget(string) Budget { return k }
+func (k fixed) HedgeBudget(string) Budget { return k }
+func (fixed) Deposit(time.Time)           {}
+func (k fixed) Withdraw(time.Time) bool   { return !k.empty }
+
+// script drives a machine by hand.
+type script struct {
+	t   *testing.T
+	m   *Machine
+	now time.Time
+	all []Action
+}
+
+// begin starts a request of the given stages under a deadline of one second.
+func begin(t *testing.T, know Knowledge, stages ...Stage) *script {
+	s := &script{t: t, now: time.Unix(1000, 0)}
+	s.m = New("e-1", Plan{Stages: stages, Deadline: time.Second}, know, DefaultRules())
+	s.all = s.m.Start(s.now)
+	return s
+}
+
+// tell hands in events at the present time.
+func (s *script) tell(events ...Event) {
+	for _, e := range events {
+		s.all = append(s.all, s.m.Handle(s.now, e)...)
+	}
+}
+
+// wait lets time pass, with a tick at each wish of the machine.
+func (s *script) wait(d time.Duration) {
+	end := s.now.Add(d)
+	for wake := s.m.Wake(); !s.m.Answered() && !wake.After(end); wake = s.m.Wake() {
+		s.now = wake
+		s.tell(Tick{})
+	}
+	s.now = end
+	s.tell(Tick{})
+}
+
+// all returns the actions of one type so far.
+func all[T Action](s *script) []T {
+	var found []T
+	for _, a := range s.all {
+		if one, ok := a.(T); ok {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+// done returns the closing event of an attempt with the given chunks.
+func done(id AttemptID, chunks ...string) Done {
+	digest := xxhash.New()
+	for _, c := range chunks {
+		digest.WriteString(c)
+	}
+	return Done{Attempt: id, Chunks: uint64(len(chunks)), Digest: digest.Sum64()}
+}
+
+// outcome returns the only answer.
+func (s *script) outcome() Answer {
+	s.t.Helper()
+	answers := all[Answer](s)
+	assert.Equal(s.t, len(answers), 1)
+	return answers[0]
+}
+
+var (
+	cheap    = Stage{Name: "encode", Service: "encoders"}
+	generate = Stage{Name: "generate", Service: "llm", Resumable: true}
+	pay      = Stage{Name: "pay", Service: "tesoreria", NonIdempotent: true}
+)
+
+func TestRefusesWhatCannotMakeIt(t *testing.T) {
+	slow := Stage{Name: "x", Service: "x"}
+	s := begin(t, fixed{}, slow, slow)
+	s.m = New("e-1", Plan{Stages: []Stage{slow, slow}, Deadline: 99 * time.Millisecond}, fixed{}, DefaultRules())
+	s.all = s.m.Start(s.now)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	assert.Equal(t, len(all[Choose](s)), 0)
+}
+
+func TestHedgeWinsAndLoserIsCancelled(t *testing.T) {
+	s := begin(t, fixed{}, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Started{Attempt: 0})
+	s.wait(59 * time.Millisecond)
+	assert.Equal(t, len(all[Choose](s)), 1)
+	s.wait(2 * time.Millisecond)
+	hedge := all[Choose](s)[1]
+	assert.Assert(t, hedge.Hedge)
+	assert.DeepEqual(t, hedge.Exclude, []core.UpstreamID{"a"})
+	s.tell(Chosen{Attempt: 1, Upstream: "b"}, Chunk{Attempt: 1, Index: 0, Data: []byte("x")})
+	assert.DeepEqual(t, all[Cancel](s), []Cancel{{Attempt: 0, Reason: CancelHedgeLost, Detail: "another attempt went ahead"}})
+	s.tell(Chunk{Attempt: 0, Index: 0, Data: []byte("y")}, done(1, "x"))
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeAnswered)
+	assert.Equal(t, len(all[Emit](s)), 1)
+}
+
+func TestClaimedStageIsNeverHedgedOrLeft(t *testing.T) {
+	s := begin(t, fixed{}, pay)
+	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine}, Started{Attempt: 0})
+	s.wait(900 * time.Millisecond)
+	assert.Equal(t, len(all[Run](s)), 1)
+	assert.Equal(t, len(all[Choose](s)), 1)
+	s.wait(100 * time.Millisecond)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeUnknown)
+	assert.Equal(t, len(all[Cancel](s)), 0)
+}
+
+func TestStalledStreamIsResumedElsewhere(t *testing.T) {
+	s := begin(t, fixed{}, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Started{Attempt: 0}, Chunk{Attempt: 0, Index: 0, Data: []byte("x")})
+	s.wait(latency.GapBound(fixed{}.Estimate("")))
+	assert.Equal(t, all[Cancel](s)[0].Reason, CancelSuperseded)
+	s.tell(Chosen{Attempt: 1, Upstream: "b"})
+	run := all[Run](s)[1]
+	assert.Equal(t, run.Cause, CauseResume)
+	assert.Equal(t, run.Resume, 1)
+	s.tell(Chunk{Attempt: 1, Index: 0, Data: []byte("y")}, done(1, "y"))
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeAnswered)
+	assert.Equal(t, len(all[Emit](s)), 2)
+}
+
+func TestSilentSideIsLeft(t *testing.T) {
+	s := begin(t, fixed{}, cheap, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"})
+	s.wait(DefaultRules().PingAfter)
+	s.tell(Pinged{Attempt: 0})
+	assert.Equal(t, all[Cancel](s)[0].Reason, CancelSuperseded)
+	last := all[Choose](s)[len(all[Choose](s))-1]
+	assert.Assert(t, !last.Hedge)
+}
+
+func TestSilentSideIsKeptWithoutBudget(t *testing.T) {
+	s := begin(t, fixed{empty: true}, cheap)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"})
+	s.wait(DefaultRules().PingAfter)
+	s.tell(Pinged{Attempt: 0})
+	assert.Equal(t, len(all[Cancel](s)), 0)
+	s.tell(Chunk{Attempt: 0, Index: 0, Data: []byte("x")}, done(0, "x"))
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeAnswered)
+}
+
+func TestFrozenClaimedSideIsUnknownWithinPatience(t *testing.T) {
+	s := begin(t, fixed{}, pay)
+	s.m = New("e-1", Plan{Stages: []Stage{pay}, Deadline: time.Minute}, fixed{}, DefaultRules())
+	s.all = s.m.Start(s.now)
+	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine}, Started{Attempt: 0})
+	began := s.now
+	for i := 0; i < 100 && !s.m.Answered(); i++ {
+		s.wait(DefaultRules().PingAfter)
+		s.tell(Pinged{Attempt: 0})
+	}
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeUnknown)
+	assert.Assert(t, s.now.Sub(began) <= DefaultRules().ClaimedPatience+2*DefaultRules().PingAfter)
+	assert.Equal(t, len(all[Run](s)), 1)
+}
+
+func TestCorruptOutputIsNotUsed(t *testing.T) {
+	s := begin(t, fixed{}, cheap, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Chunk{Attempt: 0, Index: 0, Data: []byte("x")}, done(0, "y"))
+	assert.Equal(t, len(all[Acknowledge](s)), 0)
+	s.tell(Chosen{Attempt: 1, Upstream: "b"})
+	assert.Equal(t, all[Run](s)[1].Resume, 0)
+	s.tell(Chunk{Attempt: 1, Index: 0, Data: []byte("z")}, done(1, "z"))
+	assert.DeepEqual(t, s.m.Output(0), [][]byte{[]byte("z")})
+}
+
+func TestKeptResultIsNotRunAgain(t *testing.T) {
+	s := begin(t, fixed{}, cheap, pay, generate)
+	s.tell(Chosen{Attempt: 1, Upstream: "b"}, Chosen{Attempt: 0, Upstream: "a"})
+	kept := [][]byte{[]byte("paid")}
+	s.tell(Claimed{Attempt: 0, Status: ClaimDone, Chunks: kept})
+	assert.DeepEqual(t, s.m.Output(1), kept)
+	assert.Equal(t, all[Cancel](s)[0].Stage, 0)
+	assert.Equal(t, len(all[Finish](s)), 1)
+	s.tell(Chosen{Attempt: 2, Upstream: "c"})
+	assert.Equal(t, all[Run](s)[1].Stage, 2)
+	s.tell(Chunk{Attempt: 2, Index: 0, Data: []byte("x")}, done(2, "x"), Finished{Attempt: 0, Recorded: true})
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeAnswered)
+	assert.Assert(t, s.m.Over())
+}
+
+func TestStoreDownIsNotRun(t *testing.T) {
+	s := begin(t, fixed{}, cheap, pay)
+	s.tell(Chosen{Attempt: 1, Upstream: "b"}, Chosen{Attempt: 0, Upstream: "a"})
+	s.tell(Claimed{Attempt: 0, Status: ClaimUnavailable, Detail: "down"})
+	assert.Equal(t, len(all[Answer](s)), 0, "the encoder may still start")
+	s.tell(Cancelled{Attempt: 1, Confirmed: true, Started: true})
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+}
+
+func TestClaimedAttemptNotStartedByTheDeadlineIsNotRun(t *testing.T) {
+	s := begin(t, fixed{}, pay)
+	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine})
+	s.wait(time.Second - DefaultRules().SettleMargin)
+	assert.Equal(t, all[Cancel](s)[0].Reason, CancelDeadline)
+	s.tell(Cancelled{Attempt: 0, Confirmed: true})
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	assert.Equal(t, len(all[Release](s)), 1)
+}
+
+func TestLaterFailureBehindClaimedStageIsUnknown(t *testing.T) {
+	s := begin(t, fixed{empty: true}, pay, generate)
+	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine})
+	s.tell(Chunk{Attempt: 0, Index: 0, Data: []byte("p")}, done(0, "p"), Finished{Attempt: 0, Recorded: true})
+	assert.Equal(t, len(all[Acknowledge](s)), 1)
+	s.tell(Chosen{Attempt: 1}, Failed{Attempt: 1, Detail: "broke"})
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeUnknown)
+}
