Let the gate's ticks not wake themselves

Cause: each step that leaves work unsettled signals the ticker, and the ticker's own step did so too, so that a side with work in flight advanced its gate without any pause. A profile of an engine's side under steady load had 62% of its time in that loop, 48% in quantiles. Ruled out: the relaying of tokens (5% in system calls). A signal now only brings the next tick nearer.

--- a/side/keeper.go
+++ b/side/keeper.go
@@ -154,6 +154,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-k.busy:
+			// The step that signalled has advanced the gate, so that only the next
+			// tick must come sooner. The ticks below signal as well.
+			timer.Reset(busyTick)
+			continue
 		case <-timer.C:
 		}
 		unsettled := 0
