Print the page of state charts from the charts

docs/CHARTS.md is written by make docs from the embedded files, and a test keeps the two equal. The line in the Makefile is the only change outside core/chart and docs. Run: go test ./core/chart; red before make docs.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 docs: ## rewrite the pages that are made from the code
 	go run ./observe/cmd/events > docs/EVENTS.md
+	go run ./core/chart/cmd/charts > docs/CHARTS.md
 
 generate: ## regenerate the committed drpc code (needs protoc, protoc-gen-go, protoc-gen-go-drpc)
 	cd wire/wirepb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire.proto
--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -105,3 +106,9 @@
 	_, err := Load("absent")
 	assert.Assert(t, fault.Is(err, fault.NotFound))
 }
+
+func TestPageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CHARTS.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), Page(), "run make docs")
+}
