Name the line of an entry's setting that is out of range

The entry's settings reported one problem, without its line; they now return key errors as the side's do. The number of relays of a zone must be the same in all processes, so its default comes from the feed (it was 2 here and 4 in sides).

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,14 +1,13 @@
 package entry
 
 import (
+	"errors"
 	"net/netip"
 
-	"acaciawinch/core/fault"
+	"acaciawinch/feed"
+	"acaciawinch/settings"
 )
 
-// settingsStep is the step of errors in the settings.
-const settingsStep = "settings.validate"
-
 // Settings are the entry's TOML settings. Every field has a default but those
 // marked required.
 type Settings struct {
@@ -88,19 +87,18 @@
 
 // Default values and upper bounds of the settings.
 const (
-	defaultBodyBytes     = 1 << 20
-	defaultHeaderBytes   = 16 << 10
-	defaultConnections   = 4096
-	defaultInFlight      = 1024
-	defaultStreams       = 1024
-	defaultTraces        = 2000
-	defaultDrainSeconds  = 30
-	defaultHedgePercent  = 2
-	defaultRetryPercent  = 10
-	defaultRelaysPerZone = 2
-	maxBodyBytes         = 16 << 20
-	maxHeaderBytes       = 1 << 20
-	maxCount             = 1 << 20
+	defaultBodyBytes    = 1 << 20
+	defaultHeaderBytes  = 16 << 10
+	defaultConnections  = 4096
+	defaultInFlight     = 1024
+	defaultStreams      = 1024
+	defaultTraces       = 2000
+	defaultDrainSeconds = 30
+	defaultHedgePercent = 2
+	defaultRetryPercent = 10
+	maxBodyBytes        = 16 << 20
+	maxHeaderBytes      = 1 << 20
+	maxCount            = 1 << 20
 )
 
 // Defaults returns settings with every optional value filled in.
@@ -120,7 +118,7 @@
 			HedgePercent: defaultHedgePercent,
 			RetryPercent: defaultRetryPercent,
 		},
-		Feed: FeedSettings{RelaysPerZone: defaultRelaysPerZone},
+		Feed: FeedSettings{RelaysPerZone: feed.DefaultRelaysPerZone},
 	}
 }
 
@@ -131,8 +129,9 @@
 	min, max int
 }
 
-// Validate checks the ranges. Errors have code Invalid and name the key.
+// Validate implements settings.Validator.
 func (s Settings) Validate() error {
+	var problems []error
 	bounds := []bound{
 		{"limits.body_bytes", s.Limits.BodyBytes, 1, maxBodyBytes},
 		{"limits.header_bytes", s.Limits.HeaderBytes, 256, maxHeaderBytes},
@@ -147,7 +146,7 @@
 	}
 	for _, b := range bounds {
 		if b.value < b.min || b.value > b.max {
-			return fault.New(fault.Invalid, settingsStep, "", "%s: %d is not within %d to %d", b.key, b.value, b.min, b.max)
+			problems = append(problems, settings.Invalid(b.key, "%d is not within %d to %d", b.value, b.min, b.max))
 		}
 	}
 	addresses := []struct{ key, value string }{
@@ -157,8 +156,8 @@
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return fault.New(fault.Invalid, settingsStep, "", "%s: %q is not IP:port", a.key, a.value)
+			problems = append(problems, settings.Invalid(a.key, "%q is not IP:port", a.value))
 		}
 	}
-	return nil
+	return errors.Join(problems...)
 }
