Add the fault matrix

Each cell runs a deployment of its own, 16 processes of the real binaries, lets one request stand at one step, makes one fault happen, asks again with the request's key through another entry, ends the fault and asks again. The verdict comes from the callers' and the stand-in upstreams' records.

A step is hit by holding its message, never by a pause: package tap speaks the sides' drpc service both ways and holds a Run, an event or an acknowledgement on its way; package storetap does the same for calls of the object API; work at an upstream is held by the stand-in's own switch. The tap also plays a side that answers late, twice, out of order or to another request, and a network that delivers a Run after its sender is gone.

Additions to the harness and the caller, whose owner is working on them: Options.Intercept puts something before a listener; Idle tells whether a process has work; Request.BeforeBody holds a body until the entry reads it.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"acaciawinch/core"
@@ -31,6 +32,9 @@
 	Method string
 	// OnChunk, if set, is called with each chunk of a stream as it arrives.
 	OnChunk func(chunk []byte)
+	// BeforeBody, if set, is called when the entry has begun to read the body,
+	// which is sent once it returns.
+	BeforeBody func() `json:"-"`
 }
 
 // Verdict tells what came back.
@@ -81,9 +85,15 @@
 // idleConnections is how many idle connections a client keeps to one entry.
 const idleConnections = 256
 
+// continueTimeout bounds how long a body that the entry must ask for is held back.
+const continueTimeout = 30 * time.Second
+
 // New returns a client whose answers are checked under the configuration c.
 func New(c catalog.Catalog) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost:   idleConnections,
+		ExpectContinueTimeout: continueTimeout,
+	}
 	return &Client{http: &http.Client{Transport: transport}, catalog: c}
 }
 
@@ -116,6 +126,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.BeforeBody != nil {
+		request.Body = &heldBody{Reader: bytes.NewReader(r.Body), before: r.BeforeBody}
+		request.Header.Set("Expect", "100-continue")
+	}
 	request.Header.Set("Content-Type", "application/json")
 	if r.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Key)
@@ -175,3 +189,19 @@
 	}
 	return answer.Expected(template, workspace, r.Body), true
 }
+
+// heldBody is a body whose first read waits for before.
+type heldBody struct {
+	*bytes.Reader
+	before func()
+	once   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *heldBody) Read(buffer []byte) (int, error) {
+	b.once.Do(b.before)
+	return b.Reader.Read(buffer)
+}
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error { return nil }
--- /dev/null
+++ b/standin/cmd/faults/main.go
@@ -0,0 +1,88 @@
+// Command faults runs the fault matrix and prints it as a table. It exits 1 if
+// any cell found a violation.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"acaciawinch/standin/faults"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// options are the command line.
+type options struct {
+	Bin      string `long:"bin" default:"bin" description:"folder of the built binaries"`
+	Fault    string `long:"fault" description:"only faults whose name contains this"`
+	Step     string `long:"step" description:"only steps whose name contains this"`
+	Parallel int    `long:"parallel" default:"3" description:"cells at a time, 16 processes each"`
+	Page     string `long:"page" description:"write the page to this file"`
+	Commit   string `long:"commit" default:"unknown" description:"commit that the binaries were built from"`
+	Verbose  bool   `long:"verbose" description:"print each cell as it ends"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "faults:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run plays the chosen cells and reports on them.
+func run(ctx context.Context, o options) error {
+	began := time.Now()
+	cells := faults.Filter(faults.Cells(), o.Fault, o.Step)
+	reports := faults.Run(ctx, o.Bin, cells, o.Parallel, func(r faults.Report) { printCell(r, o.Verbose) })
+	page := faults.Page{Reports: reports, Commit: o.Commit, Took: time.Since(began)}
+	fmt.Print(page.Table())
+	fmt.Println(page.Summary())
+	if o.Page != "" {
+		if err := os.WriteFile(o.Page, []byte(page.Markdown()), 0o644); err != nil {
+			return err
+		}
+	}
+	if failed := page.Failed(); failed > 0 {
+		return fmt.Errorf("%d cells found violations", failed)
+	}
+	return nil
+}
+
+// printCell prints a cell that failed, or any cell if verbose.
+func printCell(r faults.Report, verbose bool) {
+	if r.Passed() && (!verbose || r.Excluded != "") {
+		return
+	}
+	word := "ok  "
+	if !r.Passed() {
+		word = "FAIL"
+	}
+	fmt.Printf("%s %s / %s: first %s, last %s, %d ms, %+v\n", word, r.Fault, r.Step, r.First, r.Last, r.TookMS, r.Counts)
+	for _, finding := range r.Findings {
+		fmt.Println("     !", finding)
+	}
+	if !r.Passed() {
+		fmt.Println("     settings, logs and ledgers:", r.Dir)
+	}
+}
--- /dev/null
+++ b/standin/faults/cell.go
@@ -0,0 +1,263 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/harness"
+)
+
+// errNotGraceful tells that a planned stop did not end with code 0 in time.
+var errNotGraceful = errors.New("the planned stop was not graceful")
+
+// Report is the verdict on one cell.
+type Report struct {
+	Fault string `json:"fault"`
+	Step  string `json:"step"`
+	// Excluded says why the cell can't apply; then nothing was run.
+	Excluded string `json:"excluded,omitempty"`
+	// First is what the first request's caller got, and Last what it got by
+	// asking again with its key when the fault was over.
+	First    string    `json:"first,omitempty"`
+	Last     string    `json:"last,omitempty"`
+	Counts   Counts    `json:"counts"`
+	Findings []Finding `json:"findings,omitempty"`
+	// Runs counts the tries; more than one if the step was missed.
+	Runs   int    `json:"runs"`
+	TookMS int64  `json:"took_ms"`
+	Dir    string `json:"-"`
+}
+
+// Passed tells whether nothing was violated.
+func (r Report) Passed() bool { return len(r.Findings) == 0 }
+
+// Cell is one fault at one step, or a course of its own.
+type Cell struct {
+	Fault string
+	Step  string
+	// Excluded says why the cell can't apply.
+	Excluded string
+	// Needs are the options of the site.
+	Needs siteOptions
+	// run plays the cell on a site and returns what it found.
+	run func(ctx context.Context, s *Site, report *Report) error
+}
+
+// cellTimeout bounds one run of a cell.
+const cellTimeout = 60 * time.Second
+
+// maxRuns is how often a cell is run if its step is missed.
+const maxRuns = 4
+
+// Play runs a cell on deployments of its own until its step was not missed.
+func (c Cell) Play(ctx context.Context, bin string) Report {
+	report := Report{Fault: c.Fault, Step: c.Step, Excluded: c.Excluded}
+	if c.Excluded != "" {
+		return report
+	}
+	began := time.Now()
+	for report.Runs = 1; ; report.Runs++ {
+		again := c.playOnce(ctx, bin, &report)
+		if !again || report.Runs == maxRuns {
+			break
+		}
+	}
+	report.TookMS = time.Since(began).Milliseconds()
+	return report
+}
+
+// playOnce runs a cell once. It returns true if the step was missed.
+func (c Cell) playOnce(ctx context.Context, bin string, report *Report) bool {
+	ctx, cancel := context.WithTimeout(ctx, cellTimeout)
+	defer cancel()
+	report.Findings = nil
+	needs := c.Needs
+	needs.Bin = bin
+	site, err := newSite(ctx, needs)
+	if err != nil {
+		report.Findings = []Finding{{Reached, err.Error()}}
+		return false
+	}
+	err = c.run(ctx, site, report)
+	missed := errors.Is(err, errMissed)
+	if err != nil {
+		report.Findings = append(report.Findings, Finding{Reached, err.Error()})
+	}
+	site.Close(!report.Passed())
+	report.Dir = site.Fleet.Dir
+	return missed
+}
+
+// requestCell returns the cell of a fault at a step of a request.
+func requestCell(f Fault, step Step) Cell {
+	return Cell{
+		Fault:    f.Name,
+		Step:     step.Name,
+		Excluded: f.Excludes(step),
+		Needs:    f.Needs,
+		run: func(ctx context.Context, s *Site, report *Report) error {
+			return playRequest(ctx, &Scene{Site: s, Step: step}, f, report)
+		},
+	}
+}
+
+// playRequest lets a request run into a fault, asks again with its key and
+// judges all.
+func playRequest(ctx context.Context, s *Scene, f Fault, report *Report) error {
+	site := s.Site
+	request := site.newRequest()
+	if f.prepare != nil {
+		if err := f.prepare(ctx, s); err != nil {
+			return err
+		}
+	}
+	first, err := reach(ctx, s, &request)
+	if err != nil {
+		return err
+	}
+	if err := f.inject(ctx, s); err != nil {
+		return fmt.Errorf("inject: %w", err)
+	}
+	s.armed.resume(ctx)
+	if !f.HoldOn {
+		s.armed.release()
+	}
+	exchange := Exchange{Request: request}
+	if f.EntryGone {
+		exchange.Excused = f.Name
+		site.askUntilSettled(ctx, 1, request, 0)
+	} else {
+		<-first.done
+	}
+	s.armed.release()
+	healed := f.heal(ctx, s)
+	<-first.done
+	exchange.Result = first.result
+	exchange.Revision = s.revisionOf(f, first.result)
+	site.record(exchange)
+	last, settled := finish(ctx, s, f, request, exchange.Revision)
+	report.First, report.Last = outcomeOf(first.result), outcomeOf(last)
+	return conclude(s, f, exchange, last, errors.Join(healed, settled), report)
+}
+
+// reach sends the request and waits until it stands at the step.
+func reach(ctx context.Context, s *Scene, request *caller.Request) (*pending, error) {
+	var err error
+	if s.armed, err = s.Step.arm(ctx, s.Site, request); err != nil {
+		return nil, err
+	}
+	first := s.Site.send(ctx, 0, *request, 0)
+	name, err := s.armed.reached(ctx, first)
+	if err != nil {
+		return nil, err
+	}
+	s.Upstream = s.Site.Fleet.Upstream(name)
+	if s.Upstream == nil {
+		return nil, fmt.Errorf("the step is at %q, which is no upstream", name)
+	}
+	return first, nil
+}
+
+// revisionOf returns the configuration that the first answer follows. A request
+// that was not admitted when the change was made may follow either.
+func (s *Scene) revisionOf(f Fault, result caller.Result) int {
+	if f.Name == configurationFault && s.Step.Kind == kindAdmission && result.Verdict == caller.Mismatch {
+		return 1
+	}
+	return 0
+}
+
+// finish asks again with the key, then with a new one through each entry, when
+// the fault is over, and waits until nothing is in flight.
+func finish(ctx context.Context, s *Scene, f Fault, request caller.Request, revision int) (caller.Result, error) {
+	site := s.Site
+	last := site.askUntilSettled(ctx, 1, request, revision)
+	for entry := range site.Fleet.Entries {
+		probe := site.newRequest()
+		result := site.askUntilSettled(ctx, entry, probe, site.revision(f))
+		if result.Verdict != caller.Whole {
+			return last, fmt.Errorf("%w: through %s: %s", errNotRecovered, site.Fleet.Entries[entry].Name, outcomeOf(result))
+		}
+	}
+	return last, site.settle(ctx)
+}
+
+// errNotRecovered tells that requests are not answered after the fault.
+var errNotRecovered = errors.New("not recovered")
+
+// configurationFault is the fault behind which the second configuration holds.
+const configurationFault = "configuration changed midway"
+
+// revision returns the configuration in force behind a fault.
+func (s *Site) revision(f Fault) int {
+	if f.Name == configurationFault {
+		return 1
+	}
+	return 0
+}
+
+// settleTimeout bounds the wait until nothing is in flight.
+const settleTimeout = 10 * time.Second
+
+// settle waits until every execution that began has ended, unless its upstream
+// was killed meanwhile.
+func (s *Site) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	return harness.Await(ctx, "executions go on", func(ctx context.Context) error {
+		for _, entry := range s.Fleet.Entries {
+			if err := entry.Idle(ctx); err != nil {
+				return err
+			}
+		}
+		for _, u := range s.Fleet.Upstreams {
+			if err := u.Idle(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// outcomeOf says in a word what a caller got.
+func outcomeOf(r caller.Result) string {
+	if r.Verdict == caller.Problem {
+		return string(r.Outcome)
+	}
+	return string(r.Verdict)
+}
+
+// conclude judges the cell.
+func conclude(s *Scene, f Fault, first Exchange, last caller.Result, problem error, report *Report) error {
+	records, err := s.Site.Fleet.Records()
+	if err != nil {
+		return err
+	}
+	j := newJudge(s.Site.catalogs, records)
+	j.exchanges(s.Site.exchanges)
+	j.unknowns(s.Site.exchanges, mayBeUnknown(f, s.Step))
+	if f.Planned && first.Result.Verdict != caller.Whole {
+		j.find(NotCut, "%s", describe(first))
+	}
+	switch {
+	case errors.Is(problem, errNotGraceful):
+		j.find(NotCut, "%v", problem)
+	case problem != nil:
+		j.find(Recovers, "%v", problem)
+	case last.Verdict != caller.Whole && last.Outcome != core.OutcomeUnknown:
+		j.find(Recovers, "the key gets no answer: %s %s", outcomeOf(last), last.Detail)
+	}
+	report.Counts = j.counts
+	report.Findings = append(report.Findings, j.findings...)
+	return nil
+}
+
+// mayBeUnknown tells whether a fault at a step can hide for good whether the
+// claimed stage ran.
+func mayBeUnknown(f Fault, step Step) bool {
+	return f.Touch&(touchSide|touchUpstream|touchLink) != 0 && step.Stage == stagePay
+}
--- /dev/null
+++ b/standin/faults/site.go
@@ -0,0 +1,253 @@
+package faults
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"acaciawinch/core/config"
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/catalog"
+	"acaciawinch/standin/deployment"
+	"acaciawinch/standin/faults/hold"
+	"acaciawinch/standin/faults/storetap"
+	"acaciawinch/standin/faults/tap"
+	"acaciawinch/standin/harness"
+	"acaciawinch/standin/ledger"
+	"acaciawinch/standin/upstream"
+)
+
+//go:embed configuration/*.toml
+var configurations embed.FS
+
+// Names of the matrix's configuration.
+const (
+	workspace = "pensionistas"
+	pipeline  = "pago"
+
+	stageEncode  = "encode"
+	stagePay     = "pay"
+	stageConfirm = "confirm"
+)
+
+// services are the services of the stages.
+var services = map[string]string{
+	stageEncode:  "encoders",
+	stagePay:     "tesoreria",
+	stageConfirm: "asistente-llm",
+}
+
+// matrixDeployment has two of everything that a request needs.
+func matrixDeployment() deployment.Deployment {
+	return deployment.Deployment{
+		Name:    "faults",
+		Region:  "sierra-norte",
+		Zones:   []string{"sala-inaquito", "sala-carcelen"},
+		Entries: 2,
+		Groups: []deployment.Group{
+			{Service: services[stageEncode], Kind: config.KindPool, Workers: 2, Capacity: 4, ServiceMS: 4},
+			{Service: services[stagePay], Kind: config.KindService, Workers: 2, Capacity: 4, ServiceMS: 4},
+			{
+				Service:    services[stageConfirm],
+				Kind:       config.KindEngine,
+				Workers:    2,
+				Capacity:   8,
+				TokenMS:    12,
+				FirstMS:    20,
+				BatchSlope: 0.1,
+				Models:     []string{"asistente@3.2"},
+			},
+		},
+	}
+}
+
+// siteOptions select what stands between the processes of a site.
+type siteOptions struct {
+	// Bin is the folder of the binaries.
+	Bin string
+	// UpstreamRelays puts relays between sides and their upstreams.
+	UpstreamRelays bool
+	// HostLag is how late the host list is.
+	HostLag time.Duration
+	// IgnoreFencing makes the engines obey old orders.
+	IgnoreFencing bool
+	// EntrySettings and SideSettings are further TOML tables.
+	EntrySettings string
+	SideSettings  string
+}
+
+// Site is the deployment of one cell with what the trial put into it.
+type Site struct {
+	Fleet *harness.Fleet
+	// Sides holds the messages of all entries to all sides, Store the calls of
+	// all processes to the object API.
+	Sides *tap.Board
+	Store *storetap.Board
+
+	taps      map[string]*tap.Tap
+	storeTaps []*storetap.Tap
+	files     [2]string
+	catalogs  [2]catalog.Catalog
+
+	mu        sync.Mutex
+	controls  map[string]upstream.Control
+	exchanges []Exchange
+	number    int
+}
+
+// reportLag is how late the upstreams report their load.
+const reportLag = 50 * time.Millisecond
+
+// newSite starts a deployment with the first configuration in force.
+func newSite(ctx context.Context, o siteOptions) (*Site, error) {
+	s := &Site{
+		Sides:    hold.NewBoard[tap.Message](),
+		Store:    hold.NewBoard[storetap.Message](),
+		taps:     map[string]*tap.Tap{},
+		controls: map[string]upstream.Control{},
+	}
+	dir, err := os.MkdirTemp("", "acaciawinch-faults-")
+	if err != nil {
+		return nil, err
+	}
+	if err := s.writeConfigurations(dir); err != nil {
+		return nil, err
+	}
+	d := matrixDeployment()
+	for i := range d.Groups {
+		d.Groups[i].IgnoreFencing = o.IgnoreFencing
+	}
+	s.Fleet, err = harness.Start(ctx, harness.Options{
+		Deployment:    d,
+		Bin:           o.Bin,
+		Dir:           dir,
+		Configuration: s.files[:1],
+		HostLag:       o.HostLag,
+		ReportLag:     reportLag,
+		Relays:        harness.Relays{Upstreams: o.UpstreamRelays},
+		EntrySettings: o.EntrySettings,
+		SideSettings:  o.SideSettings,
+		Intercept:     s.intercept,
+	})
+	if err != nil {
+		s.closeTaps()
+		return nil, err
+	}
+	return s, nil
+}
+
+// writeConfigurations writes the operators' files of the matrix.
+func (s *Site) writeConfigurations(dir string) error {
+	for i, name := range []string{"first.toml", "second.toml"} {
+		data, err := configurations.ReadFile("configuration/" + name)
+		if err != nil {
+			return err
+		}
+		s.files[i] = filepath.Join(dir, name)
+		if err := os.WriteFile(s.files[i], data, 0o600); err != nil {
+			return err
+		}
+		if s.catalogs[i], err = catalog.Load(s.files[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// intercept stands before sides and before the object API.
+func (s *Site) intercept(link harness.Link, name, address, target string) (string, error) {
+	if link == harness.LinkObjects {
+		t, err := storetap.New(name, address, target, s.Store)
+		if err != nil {
+			return "", err
+		}
+		s.storeTaps = append(s.storeTaps, t)
+		return address, nil
+	}
+	t, err := tap.New(name, address, target, s.Sides)
+	if err != nil {
+		return "", err
+	}
+	s.taps[name] = t
+	return address, nil
+}
+
+// Close kills all processes and removes the folder, or keeps it if keep is set.
+func (s *Site) Close(keep bool) {
+	s.Sides.Close()
+	s.Store.Close()
+	s.Fleet.Kill()
+	s.closeTaps()
+	if !keep {
+		os.RemoveAll(s.Fleet.Dir)
+	}
+}
+
+// closeTaps ends all taps.
+func (s *Site) closeTaps() {
+	for _, t := range s.taps {
+		t.Refuse()
+	}
+	for _, t := range s.storeTaps {
+		t.Close()
+	}
+}
+
+// control changes the switches of one stand-in upstream.
+func (s *Site) control(ctx context.Context, name string, change func(*upstream.Control)) error {
+	s.mu.Lock()
+	control := s.controls[name]
+	change(&control)
+	s.controls[name] = control
+	s.mu.Unlock()
+	return s.Fleet.Upstream(name).Set(ctx, control)
+}
+
+// hang stops or resumes the work of all upstreams of a service that run.
+func (s *Site) hang(ctx context.Context, service string, hanging bool) error {
+	var failures []error
+	for _, u := range s.Fleet.Service(service) {
+		err := s.control(ctx, u.Name, func(c *upstream.Control) { c.Hang = hanging })
+		failures = append(failures, err)
+	}
+	return errors.Join(failures...)
+}
+
+// awaitRecord waits until a ledger holds a matching record, and returns it.
+func (s *Site) awaitRecord(ctx context.Context, what string, match func(ledger.Record) bool) (ledger.Record, error) {
+	var found ledger.Record
+	err := harness.Await(ctx, what, func(context.Context) error {
+		records, err := s.Fleet.Records()
+		if err != nil {
+			return err
+		}
+		for _, r := range records {
+			if match(r) {
+				found = r
+				return nil
+			}
+		}
+		return errors.New("no such record")
+	})
+	return found, err
+}
+
+// newRequest returns a request that no other one is like.
+func (s *Site) newRequest() caller.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	return caller.Request{
+		Workspace:  workspace,
+		Pipeline:   pipeline,
+		Key:        fmt.Sprintf("key-%d", s.number),
+		DeadlineMS: fmt.Sprint(deadline.Milliseconds()),
+		Body:       fmt.Appendf(nil, `{"number":%d,"pago":"bono"}`, s.number),
+		Stream:     true,
+	}
+}
--- /dev/null
+++ b/standin/faults/step.go
@@ -0,0 +1,268 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"acaciawinch/core/claim"
+	"acaciawinch/standin/answer"
+	"acaciawinch/standin/caller"
+	"acaciawinch/standin/faults/storetap"
+	"acaciawinch/standin/faults/tap"
+	"acaciawinch/standin/ledger"
+)
+
+// Kind groups steps by what is on its way.
+type Kind int
+
+// The kinds of steps.
+const (
+	// kindAdmission: the entry reads the request's body.
+	kindAdmission Kind = iota
+	// kindDispatch: a Run is on its way to a side.
+	kindDispatch
+	// kindFlight: an upstream works.
+	kindFlight
+	// kindAnswer: events are on their way to the entry.
+	kindAnswer
+	// kindClaim: a claim is on its way to the object API, or its answer back.
+	kindClaim
+	// kindAcknowledge: an acknowledgement is on its way to a side.
+	kindAcknowledge
+)
+
+// Step is a point in a request's life.
+type Step struct {
+	Name  string
+	Kind  Kind
+	Stage string
+	// arm prepares the site so that the request stops at the step.
+	arm func(ctx context.Context, s *Site, r *caller.Request) (*armed, error)
+}
+
+// armed is a step that waits for its request.
+type armed struct {
+	// reached waits until the request is at the step and returns the name of the
+	// upstream whose side it is at.
+	reached func(ctx context.Context, p *pending) (string, error)
+	// resume lets upstreams work again; release lets messages go on.
+	resume  func(ctx context.Context)
+	release func()
+}
+
+// errMissed tells that a request had passed a step before it was noticed. The
+// cell is run again.
+var errMissed = errors.New("the step was missed")
+
+// steps returns the steps of a request in their order.
+func steps() []Step {
+	return []Step{
+		{Name: "admission", Kind: kindAdmission, Stage: stageEncode, arm: armAdmission},
+		{Name: "encode before", Kind: kindDispatch, Stage: stageEncode, arm: armMessage(tap.Run, stageEncode)},
+		{Name: "encode flight", Kind: kindFlight, Stage: stageEncode, arm: armFlight(stageEncode)},
+		{Name: "encode answer", Kind: kindAnswer, Stage: stageEncode, arm: armMessage(tap.Done, stageEncode)},
+		{Name: "claim sent", Kind: kindClaim, Stage: stagePay, arm: armClaim(storetap.Before)},
+		{Name: "claim written", Kind: kindClaim, Stage: stagePay, arm: armClaim(storetap.After)},
+		{Name: "pay before", Kind: kindDispatch, Stage: stagePay, arm: armMessage(tap.Run, stagePay)},
+		{Name: "pay flight", Kind: kindFlight, Stage: stagePay, arm: armFlight(stagePay)},
+		{Name: "pay answer", Kind: kindAnswer, Stage: stagePay, arm: armMessage(tap.Done, stagePay)},
+		{Name: "acknowledge", Kind: kindAcknowledge, Stage: stagePay, arm: armMessage(tap.Acknowledge, stagePay)},
+		{Name: "confirm before", Kind: kindDispatch, Stage: stageConfirm, arm: armMessage(tap.Run, stageConfirm)},
+		{Name: "confirm flight", Kind: kindFlight, Stage: stageConfirm, arm: armFlight(stageConfirm)},
+		{Name: "first token", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(1)},
+		{Name: "mid-stream", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(6)},
+		{Name: "closing event", Kind: kindAnswer, Stage: stageConfirm, arm: armMessage(tap.Done, stageConfirm)},
+	}
+}
+
+// nothing is a resume that has nothing to do.
+func nothing(context.Context) {}
+
+// ended is the error of a request that ended before its step.
+func ended(p *pending) error {
+	return fmt.Errorf("the request ended before the step: %s %s %s", p.result.Verdict, p.result.Outcome, p.result.Detail)
+}
+
+// armAdmission stops the request while the entry reads its body. The upstream is
+// one that could serve the first stage.
+func armAdmission(_ context.Context, s *Site, r *caller.Request) (*armed, error) {
+	reading := make(chan struct{})
+	open := make(chan struct{})
+	r.BeforeBody = func() {
+		close(reading)
+		<-open
+	}
+	return &armed{
+		reached: func(ctx context.Context, p *pending) (string, error) {
+			select {
+			case <-reading:
+				return s.Fleet.Service(services[stageEncode])[0].Name, nil
+			case <-p.done:
+				return "", ended(p)
+			case <-ctx.Done():
+				return "", ctx.Err()
+			}
+		},
+		resume:  nothing,
+		release: sync.OnceFunc(func() { close(open) }),
+	}, nil
+}
+
+// armMessage stops the first message of a stage at a point.
+func armMessage(point tap.Point, stage string) func(context.Context, *Site, *caller.Request) (*armed, error) {
+	return func(_ context.Context, s *Site, _ *caller.Request) (*armed, error) {
+		h := s.Sides.Hold(func(m tap.Message) bool { return m.Point == point && m.Stage == stage })
+		return &armed{
+			reached: func(ctx context.Context, p *pending) (string, error) {
+				select {
+				case m := <-h.Hit():
+					return m.Upstream, nil
+				case <-p.done:
+					return awaitAfterEnd(ctx, p, point, h.Hit())
+				case <-ctx.Done():
+					return "", ctx.Err()
+				}
+			},
+			resume:  nothing,
+			release: h.Release,
+		}, nil
+	}
+}
+
+// awaitAfterEnd waits for a message of a request that has ended: only an
+// acknowledgement may come behind the answer.
+func awaitAfterEnd(ctx context.Context, p *pending, point tap.Point, hit <-chan tap.Message) (string, error) {
+	if point != tap.Acknowledge {
+		return "", ended(p)
+	}
+	ctx, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
+	defer cancel()
+	select {
+	case m := <-hit:
+		return m.Upstream, nil
+	case <-ctx.Done():
+		return "", errors.New("no acknowledgement came")
+	}
+}
+
+// acknowledgeTimeout bounds the wait for an acknowledgement behind the answer.
+const acknowledgeTimeout = 5 * time.Second
+
+// armFlight stops the upstreams of a stage at their work.
+func armFlight(stage string) func(context.Context, *Site, *caller.Request) (*armed, error) {
+	return func(ctx context.Context, s *Site, r *caller.Request) (*armed, error) {
+		if err := s.hang(ctx, services[stage], true); err != nil {
+			return nil, err
+		}
+		digest := s.digestOf(*r, stage)
+		return &armed{
+			reached: func(ctx context.Context, p *pending) (string, error) {
+				record, err := s.awaitRecord(ctx, stage+" has not started", func(r ledger.Record) bool {
+					return r.Event == ledger.Start && r.InputDigest == digest
+				})
+				return record.Upstream, err
+			},
+			// A dead upstream can't be told, and need not be.
+			resume:  func(ctx context.Context) { _ = s.hang(ctx, services[stage], false) },
+			release: func() {},
+		}, nil
+	}
+}
+
+// digestOf returns the digest of a stage's input under the first configuration.
+func (s *Site) digestOf(r caller.Request, stage string) string {
+	steps, _ := caller.New(s.catalogs[0]).Expected(r)
+	for _, step := range steps {
+		if step.Stage.Name == stage {
+			return answer.Digest(step.Input)
+		}
+	}
+	return ""
+}
+
+// claimPath is where the object API has the claims.
+const claimPath = "/v1/objects/" + claim.Prefix
+
+// armClaim stops the first write of a claim, before or behind its effect. The
+// upstream is the one that the claim names.
+func armClaim(point storetap.Point) func(context.Context, *Site, *caller.Request) (*armed, error) {
+	return func(_ context.Context, s *Site, _ *caller.Request) (*armed, error) {
+		h := s.Store.Hold(func(m storetap.Message) bool {
+			return m.Point == point && m.Method == http.MethodPut && strings.HasPrefix(m.Path, claimPath)
+		})
+		return &armed{
+			reached: func(ctx context.Context, p *pending) (string, error) {
+				select {
+				case m := <-h.Hit():
+					var record claim.Record
+					err := json.Unmarshal(m.Body, &record)
+					return string(record.Target.Upstream), err
+				case <-p.done:
+					return "", ended(p)
+				case <-ctx.Done():
+					return "", ctx.Err()
+				}
+			},
+			resume:  nothing,
+			release: h.Release,
+		}, nil
+	}
+}
+
+// armChunk stops a stream once the caller has index chunks, and with it the
+// engine, so that its work is still open.
+func armChunk(index uint64) func(context.Context, *Site, *caller.Request) (*armed, error) {
+	return func(_ context.Context, s *Site, r *caller.Request) (*armed, error) {
+		h := s.Sides.Hold(func(m tap.Message) bool {
+			return m.Point == tap.Chunk && m.Stage == stageConfirm && m.Chunk == index
+		})
+		digest := s.digestOf(*r, stageConfirm)
+		return &armed{
+			reached: func(ctx context.Context, p *pending) (string, error) {
+				select {
+				case m := <-h.Hit():
+					return m.Upstream, s.stopEngine(ctx, p, digest, int(index))
+				case <-p.done:
+					return "", ended(p)
+				case <-ctx.Done():
+					return "", ctx.Err()
+				}
+			},
+			resume:  func(ctx context.Context) { _ = s.hang(ctx, services[stageConfirm], false) },
+			release: h.Release,
+		}, nil
+	}
+}
+
+// stopEngine stops the engines in the middle of a stream of which the caller has
+// count chunks. It fails with errMissed if the work has ended already.
+func (s *Site) stopEngine(ctx context.Context, p *pending, digest string, count int) error {
+	if err := s.hang(ctx, services[stageConfirm], true); err != nil {
+		return err
+	}
+	for received := 0; received < count; {
+		select {
+		case received = <-p.chunks:
+		case <-p.done:
+			return ended(p)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	records, err := s.Fleet.Records()
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		if r.Event == ledger.End && r.InputDigest == digest {
+			return errMissed
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/faults/tap/tamper.go
@@ -0,0 +1,76 @@
+package tap
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"acaciawinch/wire/wirepb"
+)
+
+// Tamper returns what is sent in the place of one event of a stream.
+type Tamper func(*wirepb.RunEvent) []*wirepb.RunEvent
+
+// NewTamper returns the Tamper of one stream.
+type NewTamper func() Tamper
+
+// unchanged passes an event on.
+func unchanged(event *wirepb.RunEvent) []*wirepb.RunEvent {
+	return []*wirepb.RunEvent{event}
+}
+
+// Twice sends every event twice.
+func Twice() Tamper {
+	return func(event *wirepb.RunEvent) []*wirepb.RunEvent {
+		return []*wirepb.RunEvent{event, event}
+	}
+}
+
+// Swapped sends chunks in pairs, the later one first, and Done before the chunk
+// that it closes.
+func Swapped() Tamper {
+	var kept *wirepb.RunEvent
+	return func(event *wirepb.RunEvent) []*wirepb.RunEvent {
+		if kept == nil && event.GetChunk() != nil {
+			kept = event
+			return nil
+		}
+		if kept == nil {
+			return []*wirepb.RunEvent{event}
+		}
+		pair := []*wirepb.RunEvent{event, kept}
+		kept = nil
+		return pair
+	}
+}
+
+// foreignData is what no stage ever gives.
+const foreignData = "of another request"
+
+// Foreign sends, before each event, the like of it that belongs to another
+// request, to another stage, to another attempt and to another incarnation.
+func Foreign() Tamper {
+	return func(event *wirepb.RunEvent) []*wirepb.RunEvent {
+		changes := []func(*wirepb.AttemptKey){
+			func(k *wirepb.AttemptKey) { k.RequestId += "f" },
+			func(k *wirepb.AttemptKey) { k.Stage += "f" },
+			func(k *wirepb.AttemptKey) { k.Attempt++ },
+			func(k *wirepb.AttemptKey) { k.SideIncarnation++ },
+		}
+		var all []*wirepb.RunEvent
+		for _, change := range changes {
+			all = append(all, foreign(event, change))
+		}
+		return append(all, event)
+	}
+}
+
+// foreign returns a changed copy of an event with other data.
+func foreign(event *wirepb.RunEvent, change func(*wirepb.AttemptKey)) *wirepb.RunEvent {
+	clone := proto.CloneOf(event)
+	if clone.Key != nil {
+		change(clone.Key)
+	}
+	if chunk := clone.GetChunk(); chunk != nil {
+		chunk.Data = []byte(foreignData)
+	}
+	return clone
+}
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -43,8 +43,26 @@
 	SideSettings  string
 	// LogLevel is the processes' log level; empty means info.
 	LogLevel string
+	// Intercept, if set, puts something of the trial's own before a listener.
+	Intercept Intercept
 }
 
+// Link names the connections that Intercept can stand in.
+type Link string
+
+// The links.
+const (
+	// LinkSide: from entries to the drpc listener of a side, named by its upstream.
+	LinkSide Link = "side"
+	// LinkObjects: from the named entry or side process to the object API.
+	LinkObjects Link = "objects"
+)
+
+// Intercept is asked for what stands before target, the IP:port that it may
+// listen on being address. It returns the address to dial: target if nothing
+// stands there.
+type Intercept func(link Link, name, address, target string) (string, error)
+
 // Relays selects the connections that go through relays.
 type Relays struct {
 	// Fleet: from any process to an entry's or a side's drpc listener.
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -107,6 +107,18 @@
 	return relay, address, nil
 }
 
+// intercept returns the address to dial for target.
+func (f *Fleet) intercept(link Link, name, target string) (string, error) {
+	if f.Options.Intercept == nil {
+		return target, nil
+	}
+	address, err := f.ports.address()
+	if err != nil {
+		return "", err
+	}
+	return f.Options.Intercept(link, name, address, target)
+}
+
 // preparePlatform lays out the object API and the host list.
 func (f *Fleet) preparePlatform() error {
 	objects, err := f.ports.address()
@@ -156,7 +168,7 @@
 	if entry.Fleet, entry.listen.fleet, err = f.relay(f.Options.Relays.Fleet, listen.fleet); err != nil {
 		return nil, err
 	}
-	objects, err := f.objectsFor(&entry.Objects)
+	objects, err := f.objectsFor(e.Name, &entry.Objects)
 	if err != nil {
 		return nil, err
 	}
@@ -171,8 +183,11 @@
 }
 
 // objectsFor returns the object API's URL for one process and sets its relay.
-func (f *Fleet) objectsFor(relay **Relay) (string, error) {
-	target := strings.TrimPrefix(f.objectsURL, "http://")
+func (f *Fleet) objectsFor(name string, relay **Relay) (string, error) {
+	target, err := f.intercept(LinkObjects, name, strings.TrimPrefix(f.objectsURL, "http://"))
+	if err != nil {
+		return "", err
+	}
 	made, address, err := f.relay(f.Options.Relays.Objects, target)
 	*relay = made
 	return "http://" + address, err
@@ -209,7 +224,11 @@
 	if err := f.prepareWorker(upstream); err != nil {
 		return nil, err
 	}
-	if upstream.Fleet, upstream.listen.fleet, err = f.relay(f.Options.Relays.Fleet, listen.fleet); err != nil {
+	side, err := f.intercept(LinkSide, u.Name, listen.fleet)
+	if err != nil {
+		return nil, err
+	}
+	if upstream.Fleet, upstream.listen.fleet, err = f.relay(f.Options.Relays.Fleet, side); err != nil {
 		return nil, err
 	}
 	worker := strings.TrimPrefix(upstream.WorkerURL, "http://")
@@ -240,11 +259,11 @@
 	if u.Link, worker, err = f.relay(f.Options.Relays.Upstreams, worker); err != nil {
 		return err
 	}
-	objects, err := f.objectsFor(&u.Objects)
+	name := "side-" + u.Name
+	objects, err := f.objectsFor(name, &u.Objects)
 	if err != nil {
 		return err
 	}
-	name := "side-" + u.Name
 	path := f.settingsPath(name + ".toml")
 	u.Side = f.process(name, "acaciawinchd", u.SideURL+"/readyz", "side", "--config", path)
 	return writeSettings(path, sideSettings{
