See stragglers by their chunks, and wait as long as answers take

Late first chunks and gaps now raise the expected time in their measure, and reported times fade only while the upstream holds no work.

go test ./core/routing/... and GOMAXPROCS=4 go test -race ./entry/route pass; each new test was seen failing with its mechanism taken away (chunks ignored, only first, only gaps, no threshold, fading under work, no deviation, least not kept, mean not followed).

--- a/core/routing/decide_test.go
+++ b/core/routing/decide_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core"
+	"acaciawinch/core/latency"
 )
 
 // plain is a stage without a model.
@@ -100,7 +101,7 @@
 // TestFailingFastIsNotQuick avoids an upstream that fails at once.
 func TestFailingFastIsNotQuick(t *testing.T) {
 	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
-	w.median = 100 * ms
+	w.usual.ServiceP50 = 100 * ms
 	w.reply = func(u Upstream) Answer {
 		load := idle()
 		load.Finished = 40
@@ -118,7 +119,7 @@
 // TestIdleStragglerIsTriedAgain forgets old service times of an upstream without work.
 func TestIdleStragglerIsTriedAgain(t *testing.T) {
 	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
-	w.median = 100 * ms
+	w.usual.ServiceP50 = 100 * ms
 	w.reply = func(u Upstream) Answer {
 		load := idle()
 		load.Finished = 40
@@ -134,6 +135,35 @@
 	assert.Equal(t, w.choose(plain).Chosen.Answer.Upstream.ID, core.UpstreamID("a-1"))
 }
 
+// TestLateChunksShowAStraggler before its whole answers do, and while it works.
+func TestLateChunksShowAStraggler(t *testing.T) {
+	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
+	w.usual = latency.Estimate{ServiceP50: 100 * ms, FirstP50: 20 * ms, GapP95: 10 * ms}
+	late := Load{}
+	w.reply = func(u Upstream) Answer {
+		load := idle()
+		load.GapP95 = 10 * ms
+		load.InFlight = 2
+		if u.ID == "a-1" {
+			load.FirstP50 += late.FirstP50
+			load.GapP95 += late.GapP95
+			load.InFlight = 1
+		}
+		return Answer{Upstream: u, Answered: true, Load: load}
+	}
+	chosen := func() core.UpstreamID {
+		w.now = w.now.Add(time.Minute)
+		return w.choose(plain).Chosen.Answer.Upstream.ID
+	}
+	assert.Equal(t, chosen(), core.UpstreamID("a-1"))
+	late = Load{FirstP50: 200 * ms}
+	assert.Equal(t, chosen(), core.UpstreamID("a-0"))
+	late = Load{GapP95: 100 * ms}
+	assert.Equal(t, chosen(), core.UpstreamID("a-0"))
+	late = Load{GapP95: 5 * ms}
+	assert.Equal(t, chosen(), core.UpstreamID("a-1"))
+}
+
 // TestRefusalNamesTheSmallestWait refuses what nobody can finish in time.
 func TestRefusalNamesTheSmallestWait(t *testing.T) {
 	w := newWorld(Probe2, 1, append(hostsIn("a", 2), hostsIn("b", 2)...)...)
@@ -268,7 +298,7 @@
 // TestUnusuallySlowAnswersMakeItAskMore leaves two stragglers in the own zone.
 func TestUnusuallySlowAnswersMakeItAskMore(t *testing.T) {
 	w := newWorld(Probe2, 1, append(hostsIn("a", 2), hostsIn("b", 2)...)...)
-	w.median = 100 * ms
+	w.usual.ServiceP50 = 100 * ms
 	w.reply = func(u Upstream) Answer {
 		load := idle()
 		load.Finished = 10
--- a/core/routing/driver_test.go
+++ b/core/routing/driver_test.go
@@ -7,6 +7,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fleet"
+	"acaciawinch/core/latency"
 	"acaciawinch/core/placement"
 )
 
@@ -22,7 +23,7 @@
 	policy Policy
 	random *rand.Rand
 	now    time.Time
-	median time.Duration
+	usual  latency.Estimate
 	// reply returns what an upstream answers now; not answered means silence.
 	reply func(Upstream) Answer
 	// asked lists all upstreams that were probed.
@@ -127,6 +128,6 @@
 func (w *world) round(q Query, number int, answers []Answer) *Round {
 	return &Round{
 		Query: q, Picker: w.picker, Table: w.table, Random: w.random,
-		Now: w.now, Median: w.median, Number: number, Answers: answers,
+		Now: w.now, Usual: w.usual, Number: number, Answers: answers,
 	}
 }
--- a/core/routing/failures.go
+++ b/core/routing/failures.go
@@ -51,15 +51,18 @@
 	return p.ratio * halved(now.Sub(p.moved), failureHalfLife)
 }
 
-// blend moves a reported service time of an upstream that has finished nothing
-// for long towards what its service usually takes. Without it a straggler that
-// gets no work would keep its bad figures for ever and never be tried again.
-func (p *progress) blend(reported, usual time.Duration, now time.Time) time.Duration {
-	if reported == 0 || usual == 0 {
-		return max(reported, usual)
+// blend moves a service time of an upstream that holds no work and has finished
+// nothing for long towards what its service usually takes. Without it a straggler
+// that gets no work would keep its bad figures and never be tried again.
+func (p *progress) blend(load Load, slow, usual time.Duration, now time.Time) time.Duration {
+	if slow == 0 || usual == 0 {
+		return max(slow, usual)
+	}
+	if load.Queued+load.InFlight > 0 {
+		return slow
 	}
 	share := halved(now.Sub(p.moved), quantileHalfLife)
-	return usual + time.Duration(share*float64(reported-usual))
+	return usual + time.Duration(share*float64(slow-usual))
 }
 
 // halved returns 1 at age zero and half as much after each half-life.
--- a/core/routing/herd/entry.go
+++ b/core/routing/herd/entry.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"acaciawinch/core/latency"
 	"acaciawinch/core/routing"
 )
 
@@ -27,7 +28,7 @@
 		Table:  e.table,
 		Random: e.random,
 		Now:    now,
-		Median: service,
+		Usual:  latency.Estimate{ServiceP50: service},
 	}
 	var decision routing.Decision
 	for {
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -19,6 +19,9 @@
 	// assumedService orders upstreams by the work they hold while nobody knows how
 	// long the service takes.
 	assumedService = 50 * time.Millisecond
+	// slowedFactor is how many times later than usual an upstream's chunks must be
+	// for its whole answers to be expected later in the same measure.
+	slowedFactor = 2
 	// maxFailureRatio bounds the penalty for failures.
 	maxFailureRatio = 0.95
 )
@@ -59,12 +62,33 @@
 // bounded, the first chunk and that many gaps may show that it takes less.
 func (r *Round) serviceTime(answer Answer) time.Duration {
 	load := answer.Load
-	usual := r.Table.progressOf(answer.Upstream.ID).blend(load.ServiceP50, r.Median, r.Now)
+	reported := max(load.ServiceP50, r.slowed(load))
+	service := r.Table.progressOf(answer.Upstream.ID).blend(load, reported, r.Usual.ServiceP50, r.Now)
 	if r.Query.MaxTokens > 0 && load.FirstP50 > 0 && load.GapP95 > 0 {
 		bounded := load.FirstP50 + time.Duration(r.Query.MaxTokens-1)*load.GapP95
-		return min(usual, bounded)
+		return min(service, bounded)
 	}
-	return usual
+	return service
+}
+
+// slowed returns the usual service time times the factor by which the upstream's
+// chunks are later than the service's, or zero if they are not much later. Chunks
+// show a straggler within seconds, while its median of whole answers still stands
+// on old ones, or on none if all callers give up before the end.
+func (r *Round) slowed(load Load) time.Duration {
+	factor := max(ratio(load.FirstP50, r.Usual.FirstP50), ratio(load.GapP95, r.Usual.GapP95))
+	if factor < slowedFactor {
+		return 0
+	}
+	return time.Duration(factor * float64(r.Usual.ServiceP50))
+}
+
+// ratio returns a over b, or zero if either is not known.
+func ratio(a, b time.Duration) float64 {
+	if a == 0 || b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
 }
 
 // wait returns the time in the queue. Choices that this entry made since the
@@ -88,7 +112,7 @@
 	failing := min(maxFailureRatio, progress.failureRatio(r.Now))
 	// A failed attempt costs another one of the usual length, however fast it
 	// failed: an upstream that fails at once must not look quick.
-	again := failing / (1 - failing) * float64(max(service, r.Median))
+	again := failing / (1 - failing) * float64(max(service, r.Usual.ServiceP50))
 	saved := 0.0
 	if w.Answer.PrefixCached {
 		saved = cachedShare * float64(load.FirstP50)
--- a/core/routing/policy.go
+++ b/core/routing/policy.go
@@ -6,6 +6,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fault"
+	"acaciawinch/core/latency"
 )
 
 // Round is all that a policy reads for one step of one decision.
@@ -15,8 +16,8 @@
 	Table  *Table
 	Random *rand.Rand
 	Now    time.Time
-	// Median is the usual service time over the service's upstreams, zero if unknown.
-	Median time.Duration
+	// Usual is what is expected of the service over all its upstreams.
+	Usual latency.Estimate
 	// Number counts the steps of the decision from zero.
 	Number int
 	// Answers are those of all steps so far.
--- a/core/routing/probe2.go
+++ b/core/routing/probe2.go
@@ -122,7 +122,8 @@
 		return true
 	}
 	chosen := d.Chosen
-	slow := r.Median > 0 && chosen.Expected > slowFactor*r.Median+spillMargin
+	usual := r.Usual.ServiceP50
+	slow := usual > 0 && chosen.Expected > slowFactor*usual+spillMargin
 	wait := chosen.Wait > r.awayLatency()+spillMargin
 	return slow || wait
 }
--- a/core/routing/suspicion_test.go
+++ b/core/routing/suspicion_test.go
@@ -120,3 +120,23 @@
 	assert.Assert(t, !w.table.Suspected("a-0"))
 	assert.Assert(t, w.table.Suspected("a-1"))
 }
+
+// TestPatienceFollowsTheHostsLoad grows with late answers and shrinks again.
+func TestPatienceFollowsTheHostsLoad(t *testing.T) {
+	table := NewTable()
+	assert.Equal(t, table.Patience("a"), time.Duration(0))
+	after := func(count int, rtts ...time.Duration) time.Duration {
+		for i := range count {
+			table.observeRTT("a", rtts[i%len(rtts)])
+		}
+		return table.Patience("a")
+	}
+	calm := after(100, ms, ms+ms/10)
+	assert.Assert(t, calm < 3*ms/2, "%s", calm)
+	busy := after(100, 2*ms, 40*ms)
+	assert.Assert(t, busy > 40*ms, "%s", busy)
+	assert.Assert(t, table.RTT("a") < 3*ms, "the distance is not the load")
+	steady := after(100, 30*ms)
+	assert.Assert(t, steady >= 30*ms && steady < 35*ms, "%s", steady)
+	assert.Assert(t, after(100, ms) < 3*ms/2)
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -24,7 +24,7 @@
 // concurrent use.
 type Table struct {
 	known map[core.UpstreamID]*knowledge
-	rtts  map[string]time.Duration
+	paths map[string]path
 }
 
 // knowledge is what is known of one upstream.
@@ -46,7 +46,7 @@
 func NewTable() *Table {
 	return &Table{
 		known: make(map[core.UpstreamID]*knowledge),
-		rtts:  make(map[string]time.Duration),
+		paths: make(map[string]path),
 	}
 }
 
--- a/entry/route/inquiry.go
+++ b/entry/route/inquiry.go
@@ -8,12 +8,12 @@
 	"acaciawinch/core/routing"
 )
 
-// After a first usable answer the others get a few round trips more and no
-// longer: an upstream that is gone must not cost each decision a whole timeout.
+// After a first usable answer the others get as long as answers take at present,
+// within these bounds: an upstream that is gone must not cost each decision a
+// whole timeout, and on busy hosts the first to answer is not the best.
 const (
-	lingerRTTs = 4
-	minLinger  = 5 * time.Millisecond
-	maxLinger  = 15 * time.Millisecond
+	minLinger = 5 * time.Millisecond
+	maxLinger = 25 * time.Millisecond
 )
 
 // maxAsked bounds the open probes of one decision; no policy comes near it.
@@ -91,7 +91,7 @@
 			q.open--
 			q.answers[reply.place] = reply.answer
 			if linger == nil && query.Obstacle(reply.answer) == "" {
-				timer := time.NewTimer(lingerFor(reply.answer.RTT))
+				timer := time.NewTimer(q.router.lingerFor(reply.answer.Upstream))
 				defer timer.Stop()
 				linger = timer.C
 			}
@@ -105,7 +105,7 @@
 	}
 }
 
-// lingerFor returns how long to wait on after an answer that took rtt.
-func lingerFor(rtt time.Duration) time.Duration {
-	return min(maxLinger, max(minLinger, lingerRTTs*rtt))
+// lingerFor returns how long to wait on after an answer of upstream.
+func (r *Router) lingerFor(upstream routing.Upstream) time.Duration {
+	return min(maxLinger, max(minLinger, r.patience(upstream)))
 }
--- a/entry/route/probe.go
+++ b/entry/route/probe.go
@@ -11,11 +11,15 @@
 	"acaciawinch/wire/wirepb"
 )
 
-// lateFactor times its timeout is how long a probe may go on. When the timeout
-// passes, the decision goes on without it and the upstream is suspected; an
-// answer that still comes takes the suspicion back, so that a host which is
-// merely busy is not avoided for long.
-const lateFactor = 4
+// Factors of a probe's configured timeout. When its timeout passes, the decision
+// goes on without it and the upstream is suspected. The timeout is longer while
+// the zone's answers are slow, up to patientFactor. The probe itself goes on up
+// to lateFactor: an answer that still comes takes the suspicion back, so that a
+// host which is merely busy is not avoided for long.
+const (
+	patientFactor = 2
+	lateFactor    = 4
+)
 
 // farProbeAllowance is added to the timeout for an upstream of another region
 // to which no distance is measured yet.
@@ -54,22 +58,35 @@
 	go func() { done(r.probe(ctx, upstream, need.PrefixHash)) }()
 }
 
-// timeout bounds a probe by the way to the upstream.
-func (r *Router) timeout(upstream routing.Upstream) time.Duration {
-	timeout := time.Duration(r.opts.Settings.ProbeTimeoutMS) * time.Millisecond
+// base returns the configured timeout of a probe and twice the way there.
+func (r *Router) base(upstream routing.Upstream) time.Duration {
+	configured := time.Duration(r.opts.Settings.ProbeTimeoutMS) * time.Millisecond
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rtt := r.table.RTT(upstream.Zone)
 	if rtt == 0 && upstream.Tier == routing.OtherRegion {
-		return timeout + farProbeAllowance
+		return configured + farProbeAllowance
 	}
-	return timeout + 2*rtt
+	return configured + 2*rtt
+}
+
+// timeout bounds a probe by the way to the upstream and the load there.
+func (r *Router) timeout(upstream routing.Upstream) time.Duration {
+	base := r.base(upstream)
+	return max(base, min(r.patience(upstream), patientFactor*base))
+}
+
+// patience returns how long an answer from the upstream's zone may well take.
+func (r *Router) patience(upstream routing.Upstream) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Patience(upstream.Zone)
 }
 
 // probe asks one upstream's side and keeps what came of it.
 func (r *Router) probe(ctx context.Context, upstream routing.Upstream, prefix uint64) routing.Answer {
 	timeout := r.timeout(upstream)
-	ctx, cancel := context.WithTimeout(ctx, lateFactor*timeout)
+	ctx, cancel := context.WithTimeout(ctx, lateFactor*r.base(upstream))
 	defer cancel()
 	late := time.AfterFunc(timeout, func() { r.late(upstream.ID) })
 	defer late.Stop()
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -144,7 +144,7 @@
 		Table:   r.table,
 		Random:  r.random,
 		Now:     now,
-		Median:  r.latencies.Estimate(need.Service, now).ServiceP50,
+		Usual:   r.latencies.Estimate(need.Service, now),
 		Number:  number,
 		Answers: answers,
 	}
