Walk requests through their stages by the state machine

The runtime carries out core/request's actions: a goroutine for each stream and call, posts to one loop for each request. What is left to do behind the answer, such as recording the result of a claimed stage, goes on in the background, and a planned stop waits for it. The process follows the process chart; placement and the expiry of claims run in every entry.

route.Silent tells a refusal because nobody answered from one because nobody was fit: only the first is worth asking again at once.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -9,6 +9,7 @@
 	"acaciawinch/core"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/trace"
+	"acaciawinch/feed"
 )
 
 // Status is what /v1/status tells operators.
@@ -21,8 +22,11 @@
 	Revision    core.Revision    `json:"revision"`
 	Hosts       int              `json:"hosts"`
 	// PlacementVersion is the version of the placement object.
-	PlacementVersion uint64       `json:"placement_version"`
-	Requests         admit.Counts `json:"requests"`
+	PlacementVersion uint64 `json:"placement_version"`
+	// PlacementLease is set while this process does the work of placement.
+	PlacementLease bool         `json:"placement_lease"`
+	Feed           feed.Stats   `json:"feed"`
+	Requests       admit.Counts `json:"requests"`
 	// FleetReadBytes and FleetWrittenBytes count the traffic with other processes.
 	FleetReadBytes    uint64  `json:"fleet_read_bytes"`
 	FleetWrittenBytes uint64  `json:"fleet_written_bytes"`
--- a/entry/callers/problem.go
+++ b/entry/callers/problem.go
@@ -40,6 +40,7 @@
 	kindUnavailable = "unavailable"
 	kindFailed      = "failed"
 	kindDeadline    = "deadline"
+	kindKeyReused   = "key-reused"
 	kindUnknown     = "outcome-unknown"
 )
 
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/request"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
 	"acaciawinch/entry/trace"
@@ -22,19 +23,19 @@
 // submit admits and runs one request.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	started := s.opts.Now()
-	request, problem := s.validate(w, r)
+	admitted, problem := s.validate(w, r)
 	if problem != nil {
 		s.refuse(w, r, *problem)
 		return
 	}
 	stream := strings.Contains(r.Header.Get("Accept"), "text/event-stream")
-	ticket, problem := s.enter(request, stream)
+	ticket, problem := s.enter(admitted, stream)
 	if problem != nil {
 		s.refuse(w, r, *problem)
 		return
 	}
 	defer ticket.Leave()
-	s.run(w, r, request, stream, started)
+	s.run(w, r, admitted, stream, started)
 }
 
 // enter takes a place at the gate.
@@ -99,11 +100,13 @@
 func problemOf(id core.RequestID, result pipeline.Result) Problem {
 	status, kind := http.StatusBadGateway, kindFailed
 	switch result.Cause {
-	case pipeline.CauseOverload:
+	case request.GiveUpOverload:
 		status, kind = http.StatusServiceUnavailable, kindOverload
-	case pipeline.CauseUnavailable:
+	case request.GiveUpUnavailable:
 		status, kind = http.StatusServiceUnavailable, kindUnavailable
-	case pipeline.CauseDeadline:
+	case request.GiveUpConflict:
+		status, kind = http.StatusUnprocessableEntity, kindKeyReused
+	case request.GiveUpDeadline:
 		status, kind = http.StatusGatewayTimeout, kindDeadline
 	}
 	if result.Outcome == core.OutcomeUnknown {
--- a/entry/callers/validate.go
+++ b/entry/callers/validate.go
@@ -44,7 +44,8 @@
 		return pipeline.Request{}, problem
 	}
 	id := s.newID()
-	if key == "" {
+	minted := key == ""
+	if minted {
 		key = string(id)
 	}
 	return pipeline.Request{
@@ -53,6 +54,7 @@
 		Template:  template,
 		Revision:  revision,
 		Key:       key,
+		Minted:    minted,
 		Deadline:  deadline,
 		Body:      body,
 	}, nil
--- a/entry/pipeline/types.go
+++ b/entry/pipeline/types.go
@@ -3,10 +3,16 @@
 package pipeline
 
 import (
+	"context"
 	"time"
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
+	"acaciawinch/core/latency"
+	"acaciawinch/core/request"
+	"acaciawinch/entry/claims"
+	"acaciawinch/entry/route"
+	"acaciawinch/wire/wirepb"
 )
 
 // Request is one admitted request.
@@ -17,8 +23,9 @@
 	// Revision is the configuration under which the request was admitted; it is
 	// kept to its end.
 	Revision core.Revision
-	// Key is the caller's idempotency key, or the request's id if it gave none.
-	Key string
+	// Key is the caller's idempotency key, or the request's id if Minted.
+	Key    string
+	Minted bool
 	// Deadline is the time allowed from admission.
 	Deadline time.Duration
 	Body     []byte
@@ -28,7 +35,7 @@
 type Result struct {
 	Outcome core.Outcome
 	// Cause classifies a request that was given up; empty if it was answered.
-	Cause Cause
+	Cause request.GiveUpCause
 	// Step and Detail say where and why the request was given up.
 	Step   string
 	Detail string
@@ -36,23 +43,22 @@
 	RetryAfter time.Duration
 }
 
-// Cause says why a request was given up.
-type Cause string
-
-// The causes of giving up.
-const (
-	// CauseOverload: no upstream would have made it in time.
-	CauseOverload Cause = "overload"
-	// CauseDeadline: the deadline passed.
-	CauseDeadline Cause = "deadline"
-	// CauseUnavailable: the platform's store can't hold the claim.
-	CauseUnavailable Cause = "unavailable"
-	// CauseFailed: stages failed and no retry was left.
-	CauseFailed Cause = "failed"
-	// CauseCallerGone: nobody waits for the answer.
-	CauseCallerGone Cause = "caller_gone"
-)
-
 // Emit delivers one chunk of the answer to the caller; chunks come in order from
 // index zero. An error means that the caller is gone.
 type Emit func(index uint64, data []byte) error
+
+// Router chooses upstreams; *route.Router is one.
+type Router interface {
+	Choose(ctx context.Context, need route.Need) (route.Choice, error)
+	ObserveLoad(upstream core.UpstreamID, load *wirepb.Load)
+	ObserveResult(result route.Result)
+	Estimate(service string) latency.Estimate
+}
+
+// Claims keeps the claims of non-idempotent stages; *claims.Keeper is one.
+type Claims interface {
+	Open(ctx context.Context, ask claims.Ask) (claims.Held, error)
+	Reassign(ctx context.Context, owned claims.Claim, target claims.Target) (claims.Held, error)
+	Release(ctx context.Context, owned claims.Claim) (claims.Held, error)
+	Finish(ctx context.Context, c claims.Claim, chunks [][]byte) error
+}
--- /dev/null
+++ b/entry/process.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/budget"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/entry/admit"
+	"acaciawinch/entry/callers"
+	"acaciawinch/entry/claims"
+	"acaciawinch/entry/pipeline"
+	"acaciawinch/entry/place"
+	"acaciawinch/entry/route"
+	"acaciawinch/entry/trace"
+	"acaciawinch/feed"
+	"acaciawinch/observe"
+	"acaciawinch/platform/hosts"
+	"acaciawinch/platform/objects"
+	"acaciawinch/wire/link"
+	"acaciawinch/wire/wirepb"
+)
+
+// metricsPrefix begins the names of the entry's metrics.
+const metricsPrefix = "acaciawinch_entry"
+
+// process holds the parts of one entry process.
+type process struct {
+	settings    Settings
+	incarnation core.Incarnation
+	started     time.Time
+	life        *lifecycle
+	logger      *observe.Logger
+	metrics     *observe.Metrics
+	dialer      *link.Dialer
+	rpc         *link.Server
+	feed        *feed.Feed
+	router      *route.Router
+	keeper      *claims.Keeper
+	sweeper     *claims.Sweeper
+	proposer    *place.Proposer
+	runner      *pipeline.Runner
+	gate        *admit.Gate
+	traces      *trace.Ring
+	finder      *finder
+}
+
+// newProcess wires the parts together. It starts nothing.
+func newProcess(settings Settings) (*process, error) {
+	logger, err := observe.NewLogger(os.Stderr, settings.Process.Name, settings.Process.LogLevel)
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, "entry.log", "", err)
+	}
+	p := &process{
+		settings:    settings,
+		incarnation: core.Incarnation(rand.Uint64()),
+		started:     time.Now(),
+		life:        newLifecycle(settings.Process.Name),
+		logger:      logger,
+		metrics:     observe.NewMetrics(metricsPrefix),
+		dialer:      link.NewDialer(settings.Fleet.Key),
+		rpc:         link.NewServer(settings.Fleet.Key),
+		gate:        admit.NewGate(admit.Limits{InFlight: settings.Limits.InFlight, Streams: settings.Limits.Streams}),
+		traces:      trace.NewRing(settings.Limits.Traces),
+	}
+	store := objects.NewClient(settings.Platform.Objects)
+	p.addFeed(store)
+	p.addRouter()
+	p.addClaims(store)
+	p.addPlacement(store)
+	p.addRunner()
+	p.finder = &finder{
+		name:   settings.Process.Name,
+		state:  p.feed.State,
+		traces: p.traces,
+		dialer: p.dialer,
+		looker: p.keeper,
+	}
+	if err := wirepb.DRPCRegisterEntry(p.rpc.Mux(), &fleetServer{feed: p.feed, traces: p.traces}); err != nil {
+		return nil, fault.Wrap(fault.Internal, "entry.register", "", err)
+	}
+	return p, nil
+}
+
+// addFeed adds the copy of the fleet's state.
+func (p *process) addFeed(store objects.API) {
+	p.feed = feed.New(feed.Options{
+		Name:          p.settings.Process.Name,
+		Zone:          p.settings.Process.Zone,
+		Region:        p.settings.Process.Region,
+		Role:          fleet.RoleEntry,
+		RelaysPerZone: p.settings.Feed.RelaysPerZone,
+		Objects:       store,
+		Hosts:         hosts.NewClient(p.settings.Platform.Hosts),
+		Dialer:        p.dialer,
+		Logger:        p.logger,
+		Metrics:       p.metrics.Scope(),
+		Seed:          rand.Uint64(),
+	})
+}
+
+// addRouter adds the choice of upstreams.
+func (p *process) addRouter() {
+	p.router = route.New(route.Options{
+		Zone:         p.settings.Process.Zone,
+		Region:       p.settings.Process.Region,
+		Fleet:        p.fleetState,
+		Revision:     p.revision,
+		NoteRevision: p.feed.NoteRevision,
+		Prober:       route.NewProber(p.dialer),
+		Logger:       p.logger,
+		Scope:        p.metrics.Scope(),
+		Settings:     p.settings.Routing.route(),
+		Seed:         rand.Uint64(),
+	})
+}
+
+// addClaims adds the keeping and the expiry of claims.
+func (p *process) addClaims(store objects.API) {
+	p.keeper = claims.New(claims.Options{
+		Objects:  store,
+		Resolver: claims.SideResolver{Dialer: p.dialer},
+		Log:      p.logger,
+		Scope:    p.metrics.Scope(),
+	})
+	p.sweeper = claims.NewSweeper(claims.SweeperOptions{
+		Objects: store,
+		Log:     p.logger,
+		Holding: func() bool { return p.proposer.Holding() },
+	})
+}
+
+// addPlacement adds the part in the placement of models.
+func (p *process) addPlacement(store objects.API) {
+	p.proposer = place.New(place.Options{
+		Self:     p.settings.Process.Name,
+		Objects:  store,
+		Prober:   route.NewProber(p.dialer),
+		Log:      p.logger,
+		Scope:    p.metrics.Scope(),
+		Facts:    func() (place.Facts, bool) { return place.FactsOf(p.feed.State()) },
+		Settings: p.settings.Placement,
+	})
+}
+
+// addRunner adds the walk of requests through their stages.
+func (p *process) addRunner() {
+	retry, hedge := budget.DefaultRetry, budget.DefaultHedge
+	retry.Ratio = p.settings.Routing.RetryPercent / 100
+	hedge.Ratio = p.settings.Routing.HedgePercent / 100
+	p.runner = pipeline.NewRunner(pipeline.Options{
+		Router:       p.router,
+		Claims:       p.keeper,
+		Dialer:       p.dialer,
+		Record:       pipeline.Recorder{Logger: p.logger, Traces: p.traces, Scope: p.metrics.Scope()},
+		Revision:     p.revision,
+		NoteRevision: p.feed.NoteRevision,
+		Retry:        retry,
+		Hedge:        hedge,
+	})
+}
+
+// fleetState returns the state for the router, nil before the first.
+func (p *process) fleetState() route.Fleet {
+	state := p.feed.State()
+	if state == nil {
+		return nil
+	}
+	return state
+}
+
+// revision returns the configuration revision in force here.
+func (p *process) revision() core.Revision {
+	state := p.feed.State()
+	if state == nil {
+		return 0
+	}
+	return state.Revision
+}
+
+// callersState returns the state for the admission of requests.
+func (p *process) callersState() (callers.State, core.Revision, bool) {
+	state := p.feed.State()
+	if state == nil {
+		return nil, 0, false
+	}
+	return state, state.Revision, true
+}
+
+// status tells operators what the process holds.
+func (p *process) status() Status {
+	status := Status{
+		Name:              p.settings.Process.Name,
+		Zone:              p.settings.Process.Zone,
+		Region:            p.settings.Process.Region,
+		Incarnation:       p.incarnation,
+		Ready:             p.life.ready(),
+		Revision:          p.revision(),
+		Requests:          p.gate.Counts(),
+		Feed:              p.feed.Stats(),
+		PlacementLease:    p.proposer.Holding(),
+		FleetReadBytes:    p.dialer.Traffic().Read() + p.rpc.Traffic().Read(),
+		FleetWrittenBytes: p.dialer.Traffic().Written() + p.rpc.Traffic().Written(),
+		UptimeSeconds:     time.Since(p.started).Seconds(),
+	}
+	if state := p.feed.State(); state != nil {
+		status.Hosts = len(state.Hosts())
+		_, status.PlacementVersion = state.Placement()
+	}
+	return status
+}
+
+// close frees what the process holds.
+func (p *process) close() {
+	_ = p.dialer.Close()
+	_ = p.metrics.Close()
+}
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,7 +176,7 @@
 func (r *Router) conclude(need Need, decision routing.Decision) (Choice, error) {
 	if !decision.OK {
 		r.refused(need, decision)
-		return Choice{}, refuse(need.Service, decision.RetryAfter, decision.Reason)
+		return Choice{}, refuse(need.Service, decision.RetryAfter, nobodyAnswered(decision.Others), decision.Reason)
 	}
 	chosen := decision.Chosen.Answer
 	choice := Choice{
@@ -193,6 +194,11 @@
 	return choice, nil
 }
 
+// nobodyAnswered tells whether all that were asked were silent.
+func nobodyAnswered(asked []routing.Weighed) bool {
+	return !slices.ContainsFunc(asked, func(w routing.Weighed) bool { return w.Answer.Answered })
+}
+
 // ObserveLoad keeps a load that came with an answer of a side.
 func (r *Router) ObserveLoad(upstream core.UpstreamID, load *wirepb.Load) {
 	if load == nil {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -61,7 +61,7 @@
 		admin: &http.Server{
 			ReadHeaderTimeout: adminHeaderTimeout,
 			Handler: newAdmin(adminOptions{
-				ready:   p.ready,
+				ready:   p.life.ready,
 				status:  p.status,
 				explain: p.finder.Trace,
 				metrics: p.metrics.Handler(),
@@ -93,20 +93,31 @@
 	_ = s.admin.Shutdown(ctx)
 }
 
-// drain ends the admission of requests and waits until none is in flight, or the
-// bound passes. New requests are refused truthfully all the while.
-func (p *process) drain() {
+// drain ends the admission of requests and waits until none is in flight and
+// nothing is left to be recorded of any, or the bound passes. New requests are
+// refused truthfully all the while.
+func (p *process) drain() error {
+	if err := p.life.fire(eventStop); err != nil {
+		return err
+	}
 	idle := p.gate.Drain()
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.gate.Counts().InFlight})
-	bound := time.NewTimer(time.Duration(p.settings.Limits.DrainSeconds) * time.Second)
-	defer bound.Stop()
+	bound := time.Duration(p.settings.Limits.DrainSeconds) * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
 	linger := time.NewTimer(refuseFor)
 	defer linger.Stop()
 	select {
 	case <-idle:
-	case <-bound.C:
+	case <-ctx.Done():
+	}
+	p.runner.Wait(ctx)
+	end := eventEmptied
+	if ctx.Err() != nil {
+		end = eventExpired
 	}
 	<-linger.C
+	return p.life.fire(end)
 }
 
 // ignoreCancelled returns err unless it only says that a context ended.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/netip"
 
+	"acaciawinch/entry/place"
+	"acaciawinch/entry/route"
 	"acaciawinch/feed"
 	"acaciawinch/settings"
 )
@@ -11,13 +13,14 @@
 // Settings are the entry's TOML settings. Every field has a default but those
 // marked required.
 type Settings struct {
-	Process  ProcessSettings  `toml:"process"`
-	Listen   ListenSettings   `toml:"listen"`
-	Platform PlatformSettings `toml:"platform"`
-	Fleet    FleetSettings    `toml:"fleet"`
-	Limits   LimitSettings    `toml:"limits"`
-	Routing  RoutingSettings  `toml:"routing"`
-	Feed     FeedSettings     `toml:"feed"`
+	Process   ProcessSettings  `toml:"process"`
+	Listen    ListenSettings   `toml:"listen"`
+	Platform  PlatformSettings `toml:"platform"`
+	Fleet     FleetSettings    `toml:"fleet"`
+	Limits    LimitSettings    `toml:"limits"`
+	Routing   RoutingSettings  `toml:"routing"`
+	Feed      FeedSettings     `toml:"feed"`
+	Placement place.Settings   `toml:"placement"`
 }
 
 // ProcessSettings say who and where this process is.
@@ -71,14 +74,23 @@
 
 // RoutingSettings tune the choice of upstreams, retries and hedges.
 type RoutingSettings struct {
-	// Policy names how an upstream is chosen; see route.Settings.
-	Policy string `toml:"policy"`
+	// Policy and ProbeTimeoutMS are those of route.Settings.
+	Policy         string `toml:"policy"`
+	ProbeTimeoutMS int    `toml:"probe_timeout_ms"`
 	// HedgePercent is the share of stage calls that may be hedged, and
 	// RetryPercent the share that may be retried, in percent.
 	HedgePercent float64 `toml:"hedge_percent"`
 	RetryPercent float64 `toml:"retry_percent"`
 }
 
+// route returns the part that the router reads.
+func (s RoutingSettings) route() route.Settings {
+	return route.Settings{Policy: s.Policy, ProbeTimeoutMS: s.ProbeTimeoutMS}
+}
+
+// Validate implements settings.Validator.
+func (s RoutingSettings) Validate() error { return s.route().Validate() }
+
 // FeedSettings tune the spreading of the fleet's state.
 type FeedSettings struct {
 	// RelaysPerZone is how many entries of a zone watch the platform.
@@ -118,7 +130,8 @@
 			HedgePercent: defaultHedgePercent,
 			RetryPercent: defaultRetryPercent,
 		},
-		Feed: FeedSettings{RelaysPerZone: feed.DefaultRelaysPerZone},
+		Placement: place.DefaultSettings(),
+		Feed:      FeedSettings{RelaysPerZone: feed.DefaultRelaysPerZone},
 	}
 }
 
