--- a/standin/bench/report/spread.go
+++ b/standin/bench/report/spread.go
@@ -25,7 +25,10 @@
 
 // Rest is what one process spends while nothing happens.
 type Rest struct {
-	CoreShare       float64 `json:"core_share"`
+	CoreShare float64 `json:"core_share"`
+	// FleetBytes is the traffic with other processes of the fleet per second, in
+	// both directions.
+	FleetBytes      float64 `json:"fleet_bytes_per_second"`
 	ResidentBytes   float64 `json:"resident_bytes"`
 	LargestResident float64 `json:"largest_resident_bytes"`
 }
@@ -67,11 +70,11 @@
 	const megabyte = 1 << 20
 	rest := Table{
 		Title:  fmt.Sprintf("%d entries and %d sides at rest, %d workspaces", s.Entries, s.Sides, s.Workspaces),
-		Header: []string{"role", "core", "MB", "largest MB", "store reads/s", "store writes/s", "watches", "machine idle"},
+		Header: []string{"role", "core", "fleet B/s", "MB", "largest MB", "store reads/s", "store writes/s", "watches", "machine idle"},
 		Rows: [][]string{
-			{"entry", percent(s.RestEntry.CoreShare), number(s.RestEntry.ResidentBytes / megabyte),
+			{"entry", percent(s.RestEntry.CoreShare), ms(s.RestEntry.FleetBytes), number(s.RestEntry.ResidentBytes / megabyte),
 				number(s.RestEntry.LargestResident / megabyte), number(s.RestReads), number(s.RestWrites), fmt.Sprint(s.Watches), percent(s.Idle)},
-			{"side", percent(s.RestSide.CoreShare), number(s.RestSide.ResidentBytes / megabyte),
+			{"side", percent(s.RestSide.CoreShare), ms(s.RestSide.FleetBytes), number(s.RestSide.ResidentBytes / megabyte),
 				number(s.RestSide.LargestResident / megabyte), "", "", "", ""},
 		},
 	}
--- a/standin/bench/spread/change.go
+++ b/standin/bench/spread/change.go
@@ -94,8 +94,13 @@
 	if _, err := awaitAll(ctx, m.targets(), m.revision, forceTimeout); err != nil {
 		return err
 	}
+	return pause(ctx, settleTime)
+}
+
+// pause waits, or fails if ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
 	select {
-	case <-time.After(settleTime):
+	case <-time.After(d):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/standin/bench/spread/spent.go
+++ b/standin/bench/spread/spent.go
@@ -23,6 +23,7 @@
 type roleSpent struct {
 	count    int
 	cpu      float64
+	bytes    float64
 	resident int
 	largest  int
 }
@@ -35,16 +36,16 @@
 	}
 	s := spent{at: time.Now(), machine: machineNow(), stats: stats}
 	for _, entry := range m.fleet.Entries {
-		s.entry.add(entry.Process)
+		s.entry.add(ctx, entry.Process, entry.AdminURL)
 	}
 	for _, u := range m.fleet.Upstreams {
-		s.side.add(u.Side)
+		s.side.add(ctx, u.Side, u.SideURL)
 	}
 	return s, nil
 }
 
 // add adds one process, if it runs.
-func (r *roleSpent) add(p *harness.Process) {
+func (r *roleSpent) add(ctx context.Context, p *harness.Process, adminURL string) {
 	if !p.Running() {
 		return
 	}
@@ -52,7 +53,12 @@
 	if err != nil {
 		return
 	}
+	bytes, err := usage.FleetBytes(ctx, adminURL)
+	if err != nil {
+		return
+	}
 	r.count++
+	r.bytes += bytes
 	r.cpu += reading.CPUSeconds
 	r.resident += reading.ResidentBytes
 	r.largest = max(r.largest, reading.ResidentBytes)
@@ -66,6 +72,7 @@
 	count := float64(r.count)
 	return report.Rest{
 		CoreShare:       (r.cpu - earlier.cpu) / (count * seconds),
+		FleetBytes:      (r.bytes - earlier.bytes) / (count * seconds),
 		ResidentBytes:   float64(r.resident) / count,
 		LargestResident: float64(r.largest),
 	}
--- a/standin/bench/spread/spread.go
+++ b/standin/bench/spread/spread.go
@@ -150,14 +150,15 @@
 
 // rest counts what the fleet spends without any change.
 func (m *measurement) rest(ctx context.Context, result *report.Spread) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
 	before, err := m.spent(ctx)
 	if err != nil {
 		return err
 	}
-	select {
-	case <-time.After(idleTime):
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := pause(ctx, idleTime); err != nil {
+		return err
 	}
 	after, err := m.spent(ctx)
 	if err != nil {
--- a/standin/bench/trial/snapshot.go
+++ b/standin/bench/trial/snapshot.go
@@ -30,21 +30,8 @@
 	ok       bool
 	reading  usage.Reading
 	counters map[string]float64
-	status   nodeStatus
-}
-
-// nodeStatus is the part of a process's status that the bench reads. Entries and
-// sides name the traffic differently.
-type nodeStatus struct {
-	EntryRead    uint64 `json:"fleet_read_bytes"`
-	EntryWritten uint64 `json:"fleet_written_bytes"`
-	SideRead     uint64 `json:"fleet_bytes_read"`
-	SideWritten  uint64 `json:"fleet_bytes_written"`
-}
-
-// fleetBytes returns the traffic with other processes of the fleet so far.
-func (s nodeStatus) fleetBytes() float64 {
-	return float64(s.EntryRead + s.EntryWritten + s.SideRead + s.SideWritten)
+	// fleetBytes is the traffic with other processes of the fleet so far.
+	fleetBytes float64
 }
 
 // snapshot reads the machine and all processes.
@@ -121,11 +108,11 @@
 	if err != nil {
 		return node{}
 	}
-	n := node{ok: true, reading: reading, counters: counters}
-	if err := usage.Status(ctx, adminURL, &n.status); err != nil {
+	bytes, err := usage.FleetBytes(ctx, adminURL)
+	if err != nil {
 		return node{}
 	}
-	return n
+	return node{ok: true, reading: reading, counters: counters, fleetBytes: bytes}
 }
 
 // nodes works out what the processes spent between two snapshots.
@@ -170,7 +157,7 @@
 func addNode(sum *report.Role, before, after node) {
 	sum.CoreShare += after.reading.CPUSeconds - before.reading.CPUSeconds
 	sum.ResidentBytes += float64(after.reading.ResidentBytes)
-	sum.FleetBytes += after.status.fleetBytes() - before.status.fleetBytes()
+	sum.FleetBytes += after.fleetBytes - before.fleetBytes
 	for name, value := range after.counters {
 		if !strings.HasPrefix(name, ownCounters) {
 			continue
--- a/standin/bench/trial/trial_test.go
+++ b/standin/bench/trial/trial_test.go
@@ -54,12 +54,12 @@
 }
 
 func TestMeansLeaveOutProcessesThatAreGone(t *testing.T) {
-	of := func(cpu float64, bytes uint64, probes float64) node {
+	of := func(cpu, bytes, probes float64) node {
 		return node{
-			ok:       true,
-			reading:  usage.Reading{CPUSeconds: cpu, ResidentBytes: 10},
-			counters: map[string]float64{"acaciawinch_entry_routing_probe_bytes": probes, "go_threads": 9},
-			status:   nodeStatus{EntryRead: bytes},
+			ok:         true,
+			reading:    usage.Reading{CPUSeconds: cpu, ResidentBytes: 10},
+			counters:   map[string]float64{"acaciawinch_entry_routing_probe_bytes": probes, "go_threads": 9},
+			fleetBytes: bytes,
 		}
 	}
 	before := snapshot{entries: []node{of(1, 100, 0), of(1, 100, 0)}, others: []float64{5, 5}}
--- a/standin/bench/usage/usage.go
+++ b/standin/bench/usage/usage.go
@@ -97,6 +97,23 @@
 	return json.NewDecoder(response.Body).Decode(into)
 }
 
+// traffic is the part of a process's status that tells its traffic. Entries and
+// sides name it differently.
+type traffic struct {
+	EntryRead    uint64 `json:"fleet_read_bytes"`
+	EntryWritten uint64 `json:"fleet_written_bytes"`
+	SideRead     uint64 `json:"fleet_bytes_read"`
+	SideWritten  uint64 `json:"fleet_bytes_written"`
+}
+
+// FleetBytes returns a process's traffic with other processes of the fleet so
+// far, in both directions.
+func FleetBytes(ctx context.Context, adminURL string) (float64, error) {
+	var t traffic
+	err := Status(ctx, adminURL, &t)
+	return float64(t.EntryRead + t.EntryWritten + t.SideRead + t.SideWritten), err
+}
+
 // Metrics returns the sums of a process's counters and gauges by name, over all
 // their tags.
 func Metrics(ctx context.Context, adminURL string) (map[string]float64, error) {
--- a/standin/bench/usage/usage_test.go
+++ b/standin/bench/usage/usage_test.go
@@ -27,6 +27,21 @@
 	assert.ErrorContains(t, Status(t.Context(), server.URL, &sums), "404")
 }
 
+func TestTrafficIsReadOfBothRoles(t *testing.T) {
+	for text, want := range map[string]float64{
+		`{"fleet_read_bytes":3,"fleet_written_bytes":4}`: 7,
+		`{"fleet_bytes_read":5,"fleet_bytes_written":6}`: 11,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, text)
+		}))
+		got, err := FleetBytes(t.Context(), server.URL)
+		server.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+}
+
 func TestOwnProcessIsRead(t *testing.T) {
 	reading, err := OfProcess(os.Getpid())
 	assert.NilError(t, err)
