Leave a zone whose relays fall silent, and work out a process's place once

Two entries of a zone that fall silent make it suspect: the next one is asked elsewhere, and the zone is tried again after a while by one entry at a time.

Which entries are relays, and the order of providers, are worked out for each host list and no longer for each heartbeat to each subscriber.

Run: go test ./feed passes. Seen red with no suspicion, and with a suspect zone refused even as the last one.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -44,7 +44,10 @@
 	// lastBeat is when a heartbeat of an origin came, in Unix nanoseconds.
 	lastBeat atomic.Int64
 
-	// mu guards held, history, started and provider.
+	// relaying is set while this process is a relay by the host list that it holds.
+	relaying atomic.Bool
+
+	// mu guards held, history, started, provider and providers.
 	mu sync.Mutex
 	// held is all that is known, also before the process may act on it.
 	held    State
@@ -52,6 +55,8 @@
 	started bool
 	// provider is the name of the entry whose feed is followed.
 	provider string
+	// providers are the entries that this process may follow, the best first.
+	providers []fleet.Host
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -110,17 +115,18 @@
 	return f.held.Revision
 }
 
-// hosts returns the hosts known, also before the start.
-func (f *Feed) hosts() []fleet.Host {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.held.hosts.Hosts
+// place works out this process's place among the hosts that it holds. The caller
+// holds mu. Each heartbeat to each subscriber asks for it, so it is worked out once
+// for each host list.
+func (f *Feed) place() {
+	hosts := f.held.hosts.Hosts
+	f.relaying.Store(f.opts.Role == fleet.RoleEntry && relay.IsRelay(f.opts.Name, hosts, f.opts.RelaysPerZone))
+	self := relay.Subscriber{Name: f.opts.Name, Zone: f.opts.Zone, Region: f.opts.Region}
+	f.providers = self.Order(hosts, f.opts.RelaysPerZone)
 }
 
 // isRelay tells whether this process is a relay by the host list that it holds.
-func (f *Feed) isRelay() bool {
-	return f.opts.Role == fleet.RoleEntry && relay.IsRelay(f.opts.Name, f.hosts(), f.opts.RelaysPerZone)
-}
+func (f *Feed) isRelay() bool { return f.relaying.Load() }
 
 // isOrigin tells whether this process sends heartbeats of its own. Any other
 // entry passes on those of the origin that it follows, so entries that follow
@@ -133,8 +139,10 @@
 	return f.isOrigin() || time.Since(time.Unix(0, f.lastBeat.Load())) < f.timing.Silence
 }
 
-// order returns whose feeds this process may follow, the best first.
+// order returns whose feeds this process may follow, the best first. It must not
+// be changed.
 func (f *Feed) order() []fleet.Host {
-	self := relay.Subscriber{Name: f.opts.Name, Zone: f.opts.Zone, Region: f.opts.Region}
-	return self.Order(f.hosts(), f.opts.RelaysPerZone)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.providers
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -94,6 +94,30 @@
 	f.awaitRevision(f.change(workspaces(1, 2)), others...)
 }
 
+func TestAZoneWhoseEntriesFallSilentIsLeftForAnother(t *testing.T) {
+	var list fleet.List
+	for _, name := range []string{"near1", "near2", "near3", "far"} {
+		host := fleet.Host{Name: name, Role: fleet.RoleEntry, Zone: "z0"}
+		if name == "far" {
+			host.Zone = "z1"
+		}
+		list.Hosts = append(list.Hosts, host)
+	}
+	feed := New(Options{Name: "s", Zone: "z0", Role: fleet.RoleUpstream, RelaysPerZone: 3})
+	feed.takeHosts(list, "test")
+	w := newFollower(feed)
+	silent := fault.New(fault.DeadlineExceeded, "test", "", "silent")
+	var asked []string
+	for range 3 {
+		host, _ := w.best()
+		asked = append(asked, host.Zone)
+		w.avoid(host, silent)
+	}
+	assert.DeepEqual(t, asked, []string{"z0", "z0", "z1"})
+	last, found := w.best()
+	assert.Assert(t, found && last.Zone == "z0", "a suspect zone is better than nothing")
+}
+
 func TestEntriesThatFollowEachOtherDoNotKeepEachOtherAlive(t *testing.T) {
 	f, nodes := started(t)
 	relays, others := f.relays(nodes)
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -25,19 +25,31 @@
 	feed *Feed
 	// avoided holds the entries whose feeds failed.
 	avoided map[string]avoidance
+	// suspect holds by zone how many feeds fell silent one after the other, and
+	// until when no other entry of the zone is asked for that reason.
+	suspect map[string]avoidance
 	// failures counts the feeds that failed since the last heartbeat.
 	failures int
 }
 
+// silencesOfZone is how many silent entries make a zone suspect: the next one is
+// asked elsewhere, since each more would cost another silence limit.
+const silencesOfZone = 2
+
 // avoidance is how long an entry is not asked, after so many failures in a row.
 type avoidance struct {
 	until    time.Time
 	failures int
 }
 
+// newFollower returns a follower that avoids nobody.
+func newFollower(f *Feed) *follower {
+	return &follower{feed: f, avoided: map[string]avoidance{}, suspect: map[string]avoidance{}}
+}
+
 // follow keeps this process on a feed until ctx ends.
 func (f *Feed) follow(ctx context.Context) error {
-	w := &follower{feed: f, avoided: map[string]avoidance{}}
+	w := newFollower(f)
 	for ctx.Err() == nil {
 		host, found := w.best()
 		if !found || w.failures >= triesBeforeAlone {
@@ -51,14 +63,24 @@
 	return nil
 }
 
-// best returns the first entry of the order that is not avoided.
+// best returns the first entry of the order that is not avoided, if possible in
+// a zone that is not suspect.
 func (w *follower) best() (fleet.Host, bool) {
 	now := time.Now()
-	for _, host := range w.feed.order() {
-		if now.After(w.avoided[host.Name].until) {
+	var inSuspectZone *fleet.Host
+	order := w.feed.order()
+	for i, host := range order {
+		switch {
+		case now.Before(w.avoided[host.Name].until):
+		case now.After(w.suspect[host.Zone].until):
 			return host, true
+		case inSuspectZone == nil:
+			inSuspectZone = &order[i]
 		}
 	}
+	if inSuspectZone != nil {
+		return *inSuspectZone, true
+	}
 	return fleet.Host{}, false
 }
 
@@ -114,6 +136,7 @@
 	w.feed.direct.Store(false)
 	w.feed.lastBeat.Store(time.Now().UnixNano())
 	delete(w.avoided, host.Name)
+	delete(w.suspect, host.Zone)
 	if !w.feed.isOrigin() {
 		w.feed.pulse.send()
 	}
@@ -127,12 +150,26 @@
 func (w *follower) avoid(host fleet.Host, err error) {
 	f := w.feed
 	w.failures++
+	if fault.Is(err, fault.DeadlineExceeded) {
+		w.suspectZone(host.Zone)
+	}
 	failures := w.avoided[host.Name].failures + 1
 	wait := f.jitter(doubled(f.timing.Avoid, failures-1, f.timing.LongestAvoid))
 	w.avoided[host.Name] = avoidance{until: time.Now().Add(wait), failures: failures}
 	f.warn(event.FeedProviderLost, observe.Fields{"provider": host.Name, "error": err.Error(), "avoid_ms": wait.Milliseconds()})
 }
 
+// suspectZone counts an entry of the zone that fell silent.
+func (w *follower) suspectZone(zone string) {
+	silences := w.suspect[zone].failures + 1
+	suspicion := avoidance{failures: silences}
+	if silences >= silencesOfZone {
+		wait := doubled(w.feed.timing.Avoid, silences-silencesOfZone, w.feed.timing.LongestAvoid)
+		suspicion.until = time.Now().Add(w.feed.jitter(wait))
+	}
+	w.suspect[zone] = suspicion
+}
+
 // alone is called while no entry can be followed. A relay relies on its watches;
 // any other process begins to read the platform itself.
 func (w *follower) alone(ctx context.Context) {
--- a/feed/hold.go
+++ b/feed/hold.go
@@ -39,6 +39,7 @@
 		return
 	}
 	f.held.hosts, f.held.hostsKnown = list, true
+	f.place()
 	f.log(event.HostsChanged, observe.Fields{"version": list.Version, "hosts": len(list.Hosts), "leaving": leaving(list), "source": source})
 	f.publish()
 }
