Keep streams in flight longer than a stop may linger; one key runs once

A short stream ends within the time that an entry goes on refusing requests, so that a stop that waits for nothing passed. The streams now last two seconds.

--- a/standin/cmd/demo/requests.go
+++ b/standin/cmd/demo/requests.go
@@ -10,6 +10,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/standin/caller"
+	"acaciawinch/standin/upstream"
 )
 
 // roundsOfEachKind is how often each kind of good request is sent.
@@ -181,12 +182,31 @@
 	fmt.Println(strings.TrimSpace(output))
 }
 
-// streamsAtStop is how many streams are in flight when the planned stop begins.
-const streamsAtStop = 9
+// The streams in flight when the planned stop begins: how many there are, and
+// how much slower the engines then are. A stream lasts about two seconds, longer
+// than anything by which an entry might let a short one end without waiting.
+const (
+	streamsAtStop    = 9
+	slowdownAtStop   = 15
+	deadlineAtStopMS = "5000"
+)
+
+// slowEngines makes the engines slower.
+func (d *demo) slowEngines(ctx context.Context) error {
+	for _, u := range d.fleet.Service("asistente-llm") {
+		if err := u.Set(ctx, upstream.Control{SlowFactor: slowdownAtStop}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // beginStreams starts streams through all entries and waits until each has its
 // first chunk, or its end. The returned function waits for all ends.
 func (d *demo) beginStreams(ctx context.Context) (wait func()) {
+	if err := d.slowEngines(ctx); err != nil {
+		d.report(false, "slow the engines down: %v", err)
+	}
 	var begun, ended sync.WaitGroup
 	results := make([]caller.Result, streamsAtStop)
 	for i := range results {
@@ -195,11 +215,12 @@
 		ended.Go(func() {
 			defer first()
 			results[i] = d.send(ctx, i, caller.Request{
-				Workspace: "pensionistas",
-				Pipeline:  "consulta",
-				Body:      d.body("¿Cuándo vence mi bono?"),
-				Stream:    true,
-				OnChunk:   func([]byte) { first() },
+				Workspace:  "pensionistas",
+				Pipeline:   "consulta",
+				DeadlineMS: deadlineAtStopMS,
+				Body:       d.body("¿Cuándo vence mi bono?"),
+				Stream:     true,
+				OnChunk:    func([]byte) { first() },
 			}, false)
 		})
 	}
--- a/standin/trials/trials_test.go
+++ b/standin/trials/trials_test.go
@@ -164,15 +164,25 @@
 	assert.Equal(t, tr.judge().NotRun, 5)
 }
 
+// slowTokenMS makes a stream of 32 tokens last about two seconds: longer than
+// anything by which an entry might let a short one end without waiting for it.
+const slowTokenMS = 60
+
 func TestPlannedStopCutsNoStream(t *testing.T) {
 	const streams = 4
-	tr := start(t, deployment.Thin())
+	slow := deployment.Thin()
+	for i := range slow.Groups {
+		slow.Groups[i].TokenMS = slowTokenMS
+		slow.Groups[i].BatchSlope = 0
+	}
+	tr := start(t, slow)
 	var begun, ended sync.WaitGroup
 	for range streams {
 		begun.Add(1)
 		first := sync.OnceFunc(begun.Done)
 		r := tr.request("pensionistas", "consulta")
 		r.Stream = true
+		r.DeadlineMS = "5000"
 		r.OnChunk = func([]byte) { first() }
 		ended.Go(func() {
 			defer first()
@@ -184,3 +194,22 @@
 	ended.Wait()
 	assert.Equal(t, tr.judge().Answered, streams)
 }
+
+func TestOneKeyThroughAllEntriesRunsOnce(t *testing.T) {
+	small := deployment.Institute()
+	for i := range small.Groups {
+		small.Groups[i].Workers = 2
+	}
+	tr := start(t, small)
+	r := tr.request("pensionistas", "redencion")
+	r.Key = "one"
+	var group sync.WaitGroup
+	for entry := range tr.fleet.Entries {
+		group.Go(func() { tr.send(entry, r, false) })
+	}
+	group.Wait()
+	again := tr.send(0, r, false)
+	assert.Equal(t, again.Verdict, caller.Whole, again.Detail)
+	tr.stop()
+	assert.Equal(t, tr.judge().Answered, len(tr.fleet.Entries)+1)
+}
