Balance by the whole backlog, not by a newcomer's wait

The order now counts the time for all that waits; whether a request can make it still counts only its own wait.

go test ./core/routing passes; the new test was seen failing with the order and with the spill by the newcomer's wait.

--- a/core/routing/decide_test.go
+++ b/core/routing/decide_test.go
@@ -43,6 +43,26 @@
 	assert.Assert(t, d.OK && !d.Spilled, "the other zone is worse")
 }
 
+// TestBurstIsSpreadByItsBacklog though a fair queue lets a newcomer in at once.
+func TestBurstIsSpreadByItsBacklog(t *testing.T) {
+	w := newWorld(Probe2, 1, append(hostsIn("a", 2), hostsIn("b", 2)...)...)
+	queued := map[string]int{"a": 16, "b": 4}
+	w.reply = func(u Upstream) Answer {
+		load := idle()
+		load.InFlight, load.Queued = 4, queued[u.Zone]
+		if u.Zone == "a" {
+			load.ServiceP50 = 50 * ms
+		}
+		return Answer{Upstream: u, Answered: true, Load: load}
+	}
+	q := Query{Service: "llm", Remaining: 300 * ms}
+	d := w.choose(q)
+	assert.Assert(t, d.OK, "a backlog alone refuses nobody")
+	assert.Equal(t, d.Chosen.Answer.Upstream.Zone, "b")
+	queued["b"] = 40
+	assert.Assert(t, w.choose(q).OK, "a backlog alone refuses nobody")
+}
+
 // TestZoneWithOneUpstreamStillHasTwoChoices fills up from the region.
 func TestZoneWithOneUpstreamStillHasTwoChoices(t *testing.T) {
 	w := newWorld(Probe2, 1, append(hostsIn("a", 1), hostsIn("b", 2)...)...)
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -34,8 +34,11 @@
 	Reason string
 	// Expected is the time from dispatch to the whole result.
 	Expected time.Duration
-	// Wait is the part of it in the queue.
+	// Wait is the part of it in the queue, for a workspace that has nothing there.
 	Wait time.Duration
+	// Backlog is how long the upstream needs for all that waits there. It says
+	// more than Wait when a workspace's burst waits behind its own work.
+	Backlog time.Duration
 	// score orders the usable ones: Expected with its risks and hints.
 	score time.Duration
 }
@@ -47,7 +50,7 @@
 		return w
 	}
 	service := r.serviceTime(answer)
-	w.Wait = r.wait(answer, service)
+	w.Wait, w.Backlog = r.waits(answer, service)
 	w.Expected = w.Wait + service + r.Table.distance(r.Picker.zone, answer.Upstream)
 	w.score = r.score(w, service)
 	w.Usable = r.Query.Remaining == 0 || w.Expected <= r.Query.Remaining
@@ -91,14 +94,17 @@
 	return float64(a) / float64(b)
 }
 
-// wait returns the time in the queue. Choices that this entry made since the
-// probe was sent are not in the side's figure; they take the free places first.
-func (r *Round) wait(answer Answer, service time.Duration) time.Duration {
+// waits returns the time in the queue and the time for the whole queue. Choices
+// that this entry made since the probe was sent are not in the side's figures;
+// they take the free places first.
+func (r *Round) waits(answer Answer, service time.Duration) (wait, backlog time.Duration) {
 	load := answer.Load
 	unseen := r.Table.since(answer.Upstream.ID, answer.SentAt)
 	free := max(0, load.Capacity-load.InFlight-load.Queued)
 	waiting := max(0, unseen-free)
-	return load.Wait + time.Duration(waiting)*orAssumed(service)/time.Duration(max(1, load.Capacity))
+	each := orAssumed(service) / time.Duration(max(1, load.Capacity))
+	wait = load.Wait + time.Duration(waiting)*each
+	return wait, max(wait, time.Duration(load.Queued+waiting)*each)
 }
 
 // score adds the risks and the hints to the expected time.
@@ -117,7 +123,7 @@
 	if w.Answer.PrefixCached {
 		saved = cachedShare * float64(load.FirstP50)
 	}
-	return w.Expected + time.Duration(tail+busy+again-saved)
+	return w.Expected - w.Wait + w.Backlog + time.Duration(tail+busy+again-saved)
 }
 
 // orAssumed returns service, or an assumption if it is not known.
--- a/core/routing/probe2.go
+++ b/core/routing/probe2.go
@@ -124,7 +124,7 @@
 	chosen := d.Chosen
 	usual := r.Usual.ServiceP50
 	slow := usual > 0 && chosen.Expected > slowFactor*usual+spillMargin
-	wait := chosen.Wait > r.awayLatency()+spillMargin
+	wait := chosen.Backlog > r.awayLatency()+spillMargin
 	return slow || wait
 }
 
