--- a/standin/cmd/demo/demo.go
+++ b/standin/cmd/demo/demo.go
@@ -18,6 +18,7 @@
 type demo struct {
 	fleet  *harness.Fleet
 	client *caller.Client
+	pairs  pairs
 
 	mu        sync.Mutex
 	exchanges []verdict.Exchange
@@ -46,12 +47,16 @@
 	return errors.New("failed: " + strings.Join(d.failed, "; "))
 }
 
-// body returns a JSON body that no other request has.
-func (d *demo) body(question string) []byte {
+// request returns a request of a pair with a body that no other one has.
+func (d *demo) request(p pair) caller.Request {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.number++
-	return fmt.Appendf(nil, `{"number":%d,"question":%q}`, d.number, question)
+	return caller.Request{
+		Workspace: p.workspace,
+		Pipeline:  p.pipeline,
+		Body:      fmt.Appendf(nil, `{"number":%d,"text":"demonstration"}`, d.number),
+	}
 }
 
 // entry returns the URL of an entry, by turns.
@@ -100,13 +105,10 @@
 // stream streams one answer to the terminal and returns the request's id.
 func (d *demo) stream(ctx context.Context) string {
 	fmt.Print("a streamed answer: ")
-	result := d.send(ctx, 0, caller.Request{
-		Workspace: "pensionistas",
-		Pipeline:  "consulta",
-		Body:      d.body("¿Cuándo vence mi bono?"),
-		Stream:    true,
-		OnChunk:   func(chunk []byte) { _, _ = os.Stdout.Write(chunk) },
-	}, false)
+	r := d.request(d.pairs.idempotent[0])
+	r.Stream = true
+	r.OnChunk = func(chunk []byte) { _, _ = os.Stdout.Write(chunk) }
+	result := d.send(ctx, 0, r, false)
 	fmt.Println()
 	d.report(answered(result), "streamed: %d chunks, the first after %d ms: %s",
 		len(result.Chunks), result.First.Milliseconds(), describeResult(result))
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -41,6 +41,7 @@
 type options struct {
 	Bin      string `long:"bin" description:"folder of the built binaries"`
 	Examples string `long:"examples" default:"examples" description:"folder of the example configurations"`
+	Name     string `long:"deployment" choice:"institute" choice:"cascade-grind" default:"institute"`
 	Thin     bool   `long:"thin" description:"run one entry and one upstream for each stage, and send one request"`
 	Keep     bool   `long:"keep" description:"keep the folder with settings, logs and ledgers"`
 }
@@ -68,8 +69,8 @@
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	files := []string{
-		filepath.Join(o.Examples, "institute", "pipelines.toml"),
-		filepath.Join(o.Examples, "institute", "workspaces.toml"),
+		filepath.Join(o.Examples, o.Name, "pipelines.toml"),
+		filepath.Join(o.Examples, o.Name, "workspaces.toml"),
 	}
 	configuration, err := catalog.Load(files...)
 	if err != nil {
@@ -86,7 +87,7 @@
 	}
 	defer fleet.Kill()
 	describe(fleet, time.Since(began))
-	d := &demo{fleet: fleet, client: caller.New(configuration)}
+	d := &demo{fleet: fleet, client: caller.New(configuration), pairs: pairsOf(configuration)}
 	defer d.client.Close()
 	if o.Thin {
 		d.thin(ctx)
@@ -102,8 +103,11 @@
 
 // chosen returns the deployment that the options name.
 func chosen(o options) deployment.Deployment {
-	if o.Thin {
+	switch {
+	case o.Thin:
 		return deployment.Thin()
+	case o.Name == "cascade-grind":
+		return deployment.CascadeGrind()
 	}
 	return deployment.Institute()
 }
--- a/standin/cmd/demo/requests.go
+++ b/standin/cmd/demo/requests.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"acaciawinch/core"
+	"acaciawinch/core/config"
 	"acaciawinch/standin/caller"
 	"acaciawinch/standin/upstream"
 )
@@ -19,32 +20,6 @@
 // oversizeBody is above the entries' default limit on bodies, which is 1 MiB.
 const oversizeBody = 1<<20 + 1<<10
 
-// pair names a workspace with one of its pipelines.
-type pair struct {
-	workspace string
-	pipeline  string
-}
-
-// Pairs of the Institute's configuration.
-var (
-	idempotentPairs = []pair{
-		{"pensionistas", "consulta"},
-		{"pensionistas", "vencimiento"},
-		{"ahorristas", "consulta"},
-		{"ahorristas", "vencimiento"},
-		{"sucursales", "sucursal"},
-		{"asesores", "consulta"},
-		{"avisos", "vencimiento"},
-	}
-	nonIdempotentPairs = []pair{
-		{"pensionistas", "redencion"},
-		{"ahorristas", "redencion"},
-		{"sucursales", "redencion"},
-		{"asesores", "aviso"},
-		{"avisos", "aviso"},
-	}
-)
-
 // together sends all requests at once, by turns through the entries, and
 // returns how many were answered whole, with the first other result.
 func (d *demo) together(ctx context.Context, requests []caller.Request) (int, string) {
@@ -67,16 +42,12 @@
 }
 
 // requestsOf returns rounds of requests of each pair, keyed if key is not empty.
-func (d *demo) requestsOf(pairs []pair, key string) []caller.Request {
+func (d *demo) requestsOf(kind []pair, key string) []caller.Request {
 	var requests []caller.Request
 	for round := range roundsOfEachKind {
-		for i, p := range pairs {
-			r := caller.Request{
-				Workspace: p.workspace,
-				Pipeline:  p.pipeline,
-				Body:      d.body("¿Qué dice mi cuenta?"),
-				Stream:    round%2 == 1,
-			}
+		for i, p := range kind {
+			r := d.request(p)
+			r.Stream = round%2 == 1
 			if key != "" {
 				r.Key = fmt.Sprintf("%s-%d-%d", key, round, i)
 			}
@@ -88,14 +59,14 @@
 
 // idempotent sends idempotent requests through all entries.
 func (d *demo) idempotent(ctx context.Context) {
-	requests := d.requestsOf(idempotentPairs, "")
+	requests := d.requestsOf(d.pairs.idempotent, "")
 	count, other := d.together(ctx, requests)
 	d.report(count == len(requests), "idempotent: %d of %d answered%s", count, len(requests), other)
 }
 
 // nonIdempotent sends requests whose pipelines have a non-idempotent stage.
 func (d *demo) nonIdempotent(ctx context.Context) {
-	requests := d.requestsOf(nonIdempotentPairs, "demo")
+	requests := d.requestsOf(d.pairs.nonIdempotent, "demo")
 	count, other := d.together(ctx, requests)
 	d.report(count == len(requests), "non-idempotent with a key: %d of %d answered%s", count, len(requests), other)
 }
@@ -103,19 +74,14 @@
 // repeated asks again with the same keys, each through another entry, both after
 // the answer and at the same time.
 func (d *demo) repeated(ctx context.Context) {
-	first := caller.Request{
-		Workspace: "pensionistas",
-		Pipeline:  "redencion",
-		Key:       "repeated-after",
-		Body:      d.body("Quiero redimir mi bono."),
-	}
+	first := d.request(d.pairs.nonIdempotent[0])
+	first.Key = "repeated-after"
 	d.send(ctx, 0, first, false)
 	again := d.send(ctx, 1, first, false)
 	d.report(answered(again), "repeated key through another entry: %s", describeResult(again))
 
-	second := first
+	second := d.request(d.pairs.nonIdempotent[0])
 	second.Key = "repeated-beside"
-	second.Body = d.body("Quiero redimir mi otro bono.")
 	count, other := d.together(ctx, []caller.Request{second, second, second})
 	d.report(count == 3, "same key through three entries at once: %d of 3 answered%s", count, other)
 }
@@ -139,23 +105,16 @@
 
 // badRequests returns one bad request of every kind.
 func (d *demo) badRequests() []badRequest {
-	good := func() caller.Request {
-		return caller.Request{
-			Workspace: "pensionistas",
-			Pipeline:  "consulta",
-			Body:      d.body("¿Cuándo vence mi bono?"),
-		}
-	}
+	good := func() caller.Request { return d.request(d.pairs.idempotent[0]) }
 	badJSON := good()
 	badJSON.Body = bytes.TrimSuffix(badJSON.Body, []byte("}"))
 	unknownWorkspace := good()
 	unknownWorkspace.Workspace = "nobody"
 	unknownPipeline := good()
 	unknownPipeline.Pipeline = "nothing"
-	otherPipeline := good()
-	otherPipeline.Pipeline = "aviso"
+	foreign := d.request(d.pairs.foreign)
 	oversize := good()
-	oversize.Body = d.body(strings.Repeat("a", oversizeBody))
+	oversize.Body = append(oversize.Body, bytes.Repeat([]byte{' '}, oversizeBody)...)
 	method := good()
 	method.Method = http.MethodPut
 	noTime := good()
@@ -164,7 +123,7 @@
 		{"bad JSON", badJSON, http.StatusBadRequest},
 		{"unknown workspace", unknownWorkspace, http.StatusNotFound},
 		{"unknown pipeline", unknownPipeline, http.StatusNotFound},
-		{"another workspace's pipeline", otherPipeline, http.StatusNotFound},
+		{"another workspace's pipeline", foreign, http.StatusNotFound},
 		{"oversize body", oversize, http.StatusRequestEntityTooLarge},
 		{"wrong method", method, http.StatusMethodNotAllowed},
 		{"deadline 0", noTime, http.StatusBadRequest},
@@ -193,7 +152,10 @@
 
 // slowEngines makes the engines slower.
 func (d *demo) slowEngines(ctx context.Context) error {
-	for _, u := range d.fleet.Service("asistente-llm") {
+	for _, u := range d.fleet.Upstreams {
+		if u.Group.Kind != config.KindEngine {
+			continue
+		}
 		if err := u.Set(ctx, upstream.Control{SlowFactor: slowdownAtStop}); err != nil {
 			return err
 		}
@@ -214,14 +176,11 @@
 		first := sync.OnceFunc(begun.Done)
 		ended.Go(func() {
 			defer first()
-			results[i] = d.send(ctx, i, caller.Request{
-				Workspace:  "pensionistas",
-				Pipeline:   "consulta",
-				DeadlineMS: deadlineAtStopMS,
-				Body:       d.body("¿Cuándo vence mi bono?"),
-				Stream:     true,
-				OnChunk:    func([]byte) { first() },
-			}, false)
+			r := d.request(d.pairs.idempotent[0])
+			r.DeadlineMS = deadlineAtStopMS
+			r.Stream = true
+			r.OnChunk = func([]byte) { first() }
+			results[i] = d.send(ctx, i, r, false)
 		})
 	}
 	begun.Wait()
