--- a/feed/feed.go
+++ b/feed/feed.go
@@ -17,7 +17,8 @@
 	"acaciawinch/platform/objects"
 )
 
-// historyLength is how many configurations a process keeps, to make deltas from.
+// historyLength is how many configurations, and how many host lists, a process
+// keeps to make deltas from.
 const historyLength = 64
 
 // Feed keeps one process's State up to date. It may be used by many goroutines.
@@ -47,12 +48,13 @@
 	// relaying is set while this process is a relay by the host list that it holds.
 	relaying atomic.Bool
 
-	// mu guards held, history, started, provider and providers.
+	// mu guards what follows up to providers.
 	mu sync.Mutex
 	// held is all that is known, also before the process may act on it.
-	held    State
-	history []*config.Snapshot
-	started bool
+	held        State
+	history     []*config.Snapshot
+	hostHistory []fleet.List
+	started     bool
 	// provider is the name of the entry whose feed is followed.
 	provider string
 	// providers are the entries that this process may follow, the best first.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -289,6 +289,17 @@
 	assert.Equal(t, second.feed.State().config.Digest(), f.snapshot.Digest())
 }
 
+func TestAHostListChangeThatBeginsElsewhereIsAskedAnew(t *testing.T) {
+	feed := New(Options{Role: fleet.RoleEntry, Timing: fastTiming})
+	feed.takeHosts(fleet.List{Version: 3, Hosts: []fleet.Host{{Name: "a"}, {Name: "b"}}}, "test")
+	r := &receiver{feed: feed}
+	assert.Equal(t, r.takeHosts(&wirepb.HostsUpdate{Version: 5, Base: 4, Removed: []string{"a"}}), errAgain)
+	assert.NilError(t, r.takeHosts(&wirepb.HostsUpdate{Version: 3, Base: 2, Removed: []string{"a"}}))
+	assert.Equal(t, len(feed.heldHosts().Hosts), 2)
+	assert.NilError(t, r.takeHosts(&wirepb.HostsUpdate{Version: 4, Base: 3, Removed: []string{"a"}}))
+	assert.DeepEqual(t, feed.heldHosts().Hosts, []fleet.Host{{Name: "b"}})
+}
+
 func TestNoSourceSetsAProcessBack(t *testing.T) {
 	feed := New(Options{Role: fleet.RoleEntry, Timing: fastTiming})
 	at := func(revision, weight int) *config.Snapshot {
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -99,7 +99,7 @@
 		err = r.run(ctx)
 	}
 	f.setProvider("")
-	if ctx.Err() != nil || errors.Is(err, errBetter) {
+	if ctx.Err() != nil || errors.Is(err, errBetter) || errors.Is(err, errAgain) {
 		return
 	}
 	w.avoid(host, err)
--- a/feed/hold.go
+++ b/feed/hold.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"acaciawinch/core/config"
@@ -22,10 +23,7 @@
 		return
 	}
 	f.held.config, f.held.Revision = snapshot, snapshot.Revision()
-	f.history = append(f.history, snapshot)
-	if len(f.history) > historyLength {
-		f.history = append(f.history[:0:0], f.history[1:]...)
-	}
+	f.history = remember(f.history, snapshot)
 	f.meters.configApplied(snapshot.Revision(), time.Now())
 	f.log(event.ConfigInForce, observe.Fields{"revision": snapshot.Revision(), "change_id": snapshot.ChangeID(), "source": source})
 	f.publish()
@@ -38,12 +36,22 @@
 	if f.held.hostsKnown && list.Version <= f.held.hosts.Version {
 		return
 	}
+	list = list.Sorted()
 	f.held.hosts, f.held.hostsKnown = list, true
+	f.hostHistory = remember(f.hostHistory, list)
 	f.place()
 	f.log(event.HostsChanged, observe.Fields{"version": list.Version, "hosts": len(list.Hosts), "leaving": leaving(list), "source": source})
 	f.publish()
 }
 
+// remember appends to a history, from which the oldest is dropped if it is full.
+func remember[T any](history []T, value T) []T {
+	if len(history) == historyLength {
+		history = slices.Clone(history[1:])
+	}
+	return append(history, value)
+}
+
 // leaving counts the hosts that are about to go.
 func leaving(list fleet.List) int {
 	count := 0
@@ -108,6 +116,26 @@
 	return nil
 }
 
+// heldHosts returns the host list held, also before the start.
+func (f *Feed) heldHosts() fleet.List {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held.hosts
+}
+
+// earlierHosts returns the host list of a version, or an empty one if it is not
+// kept any more.
+func (f *Feed) earlierHosts(version uint64) fleet.List {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, list := range f.hostHistory {
+		if list.Version == version {
+			return list
+		}
+	}
+	return fleet.List{}
+}
+
 // log writes an event if the feed has a logger.
 func (f *Feed) log(e event.Event, fields observe.Fields) {
 	if f.opts.Logger != nil {
--- a/feed/receive.go
+++ b/feed/receive.go
@@ -18,6 +18,9 @@
 // errEnough ends a receive whose caller has what it wants.
 var errEnough = errors.New("enough")
 
+// errAgain ends a receive that must begin anew with what the process holds now.
+var errAgain = errors.New("this process has moved on by another source")
+
 // receiver follows the feed of one entry.
 type receiver struct {
 	feed *Feed
@@ -93,11 +96,9 @@
 		}
 	}
 	if hosts := update.GetHosts(); hosts != nil {
-		list, err := decodeHosts(hosts)
-		if err != nil {
+		if err := r.takeHosts(hosts); err != nil {
 			return err
 		}
-		r.feed.takeHosts(list, r.host.Name)
 	}
 	if plan := update.GetPlacement(); plan != nil {
 		if err := r.takePlacement(plan); err != nil {
@@ -151,6 +152,24 @@
 	r.feed.meters.deltas.add()
 }
 
+// takeHosts takes a change of the host list. If it begins at another list than
+// the present, because another source was faster, the feed is asked anew.
+func (r *receiver) takeHosts(update *wirepb.HostsUpdate) error {
+	delta, err := decodeHosts(update)
+	if err != nil {
+		return err
+	}
+	held := r.feed.heldHosts()
+	if delta.Base != 0 && delta.Base != held.Version {
+		if delta.Version <= held.Version {
+			return nil
+		}
+		return errAgain
+	}
+	r.feed.takeHosts(held.Apply(delta), r.host.Name)
+	return nil
+}
+
 // takePlacement takes a placement.
 func (r *receiver) takePlacement(update *wirepb.PlacementUpdate) error {
 	var plan placement.Plan
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -4,6 +4,7 @@
 	"acaciawinch/core"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -34,11 +35,12 @@
 	feed   *Feed
 	stream wirepb.DRPCEntry_SubscribeStream
 	scope  wirepb.FeedScope
-	// revision, hosts and placement are what the subscriber holds; sent is the
-	// configuration that this session sent last.
+	// revision, hosts and placement are what the subscriber holds; sent and
+	// sentHosts are what this session sent last.
 	revision  core.Revision
 	sent      *config.Snapshot
 	hosts     uint64
+	sentHosts fleet.List
 	placement uint64
 }
 
@@ -95,12 +97,12 @@
 		s.revision, s.sent = state.Revision, state.config
 	}
 	if state.hosts.Version > s.hosts {
-		hosts, err := encodeHosts(state.hosts)
+		hosts, err := encodeHosts(fleet.Between(s.hostsBefore(), state.hosts))
 		if err != nil {
 			return nil, err
 		}
 		updates = append(updates, &wirepb.FleetUpdate{Hosts: hosts})
-		s.hosts = state.hosts.Version
+		s.hosts, s.sentHosts = state.hosts.Version, state.hosts
 	}
 	if state.placementVersion > s.placement {
 		plan, err := encodePlacement(state.plan, state.placementVersion)
@@ -124,3 +126,12 @@
 	}
 	return s.feed.earlier(uint64(s.revision))
 }
+
+// hostsBefore returns the host list that the subscriber holds, or an empty one if
+// it must get everything.
+func (s *session) hostsBefore() fleet.List {
+	if s.sentHosts.Version != 0 {
+		return s.sentHosts
+	}
+	return s.feed.earlierHosts(s.hosts)
+}
--- a/feed/wire.go
+++ b/feed/wire.go
@@ -89,10 +89,10 @@
 	return nil
 }
 
-// encodeHosts returns the message of a host list.
-func encodeHosts(list fleet.List) (*wirepb.HostsUpdate, error) {
-	update := &wirepb.HostsUpdate{Version: list.Version}
-	for _, host := range list.Hosts {
+// encodeHosts returns the message of a change of the host list.
+func encodeHosts(d fleet.Delta) (*wirepb.HostsUpdate, error) {
+	update := &wirepb.HostsUpdate{Version: d.Version, Base: d.Base, Removed: d.Removed}
+	for _, host := range d.Changed {
 		data, err := json.Marshal(host)
 		if err != nil {
 			return nil, fault.Wrap(fault.Internal, "feed.encode", "", err)
@@ -102,15 +102,16 @@
 	return update, nil
 }
 
-// decodeHosts reads the message of a host list.
-func decodeHosts(update *wirepb.HostsUpdate) (fleet.List, error) {
-	list := fleet.List{Version: update.GetVersion(), Hosts: make([]fleet.Host, len(update.GetHosts()))}
+// decodeHosts reads the message of a change of the host list.
+func decodeHosts(update *wirepb.HostsUpdate) (fleet.Delta, error) {
+	d := fleet.Delta{Version: update.GetVersion(), Base: update.GetBase(), Removed: update.GetRemoved(),
+		Changed: make([]fleet.Host, len(update.GetHosts()))}
 	for i, data := range update.GetHosts() {
-		if err := json.Unmarshal(data, &list.Hosts[i]); err != nil {
-			return fleet.List{}, fault.Wrap(fault.Invalid, "feed.decode", "", err)
+		if err := json.Unmarshal(data, &d.Changed[i]); err != nil {
+			return fleet.Delta{}, fault.Wrap(fault.Invalid, "feed.decode", "", err)
 		}
 	}
-	return list, nil
+	return d, nil
 }
 
 // encodePlacement returns the message of a placement.
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,9 +53,16 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// get answers GET /v1/hosts.
-func (s *Server) get(w http.ResponseWriter, _ *http.Request) {
-	jsonhttp.Write(w, http.StatusOK, s.visible.Get())
+// get answers GET /v1/hosts, without a body if the reader has the list already.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	list := s.visible.Get()
+	tag := strconv.Quote(strconv.FormatUint(list.Version, 10))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, list)
 }
 
 // replace answers PUT /control/hosts.
