--- /dev/null
+++ b/standin/hostlist/hostlist_test.go
@@ -0,0 +1,57 @@
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/fleet"
+)
+
+// initial is a list of two hosts.
+var initial = fleet.List{Hosts: []fleet.Host{{Name: "a"}, {Name: "b"}}}
+
+// do calls the server and returns the status and body.
+func do(s *Server, method, path, body string) (int, string) {
+	answer := httptest.NewRecorder()
+	s.ServeHTTP(answer, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return answer.Code, answer.Body.String()
+}
+
+// visible returns the list that readers see.
+func visible(t *testing.T, s *Server) fleet.List {
+	_, body := do(s, http.MethodGet, "/v1/hosts", "")
+	var list fleet.List
+	assert.NilError(t, json.Unmarshal([]byte(body), &list))
+	return list
+}
+
+func TestChangesRaiseTheVersion(t *testing.T) {
+	s := NewServer(initial, 0)
+	first := visible(t, s)
+	status, _ := do(s, http.MethodPost, "/control/leaving", `{"name":"b","leaving":true}`)
+	assert.Equal(t, status, http.StatusOK)
+	second := visible(t, s)
+	assert.Assert(t, second.Version > first.Version)
+	assert.Assert(t, second.Hosts[1].Leaving && !second.Hosts[0].Leaving)
+	assert.Assert(t, !initial.Hosts[1].Leaving, "the first list was changed in place")
+	status, _ = do(s, http.MethodPost, "/control/remove", `{"name":"a"}`)
+	assert.Equal(t, status, http.StatusOK)
+	third := visible(t, s)
+	assert.Equal(t, len(third.Hosts), 1)
+	assert.Equal(t, third.Hosts[0].Name, "b")
+	status, _ = do(s, http.MethodPost, "/control/remove", `{"name":"a"}`)
+	assert.Equal(t, status, http.StatusNotFound)
+}
+
+func TestReadersSeeTheOldListWithinTheLag(t *testing.T) {
+	s := NewServer(initial, time.Hour)
+	status, _ := do(s, http.MethodPut, "/control/hosts", `{"hosts":[]}`)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, len(visible(t, s).Hosts), 2)
+}
