Let probes, not old medians, refuse a request for want of time

Cause: after one slow call the measured median of a service stood above the deadline, each request was refused at admission, and nothing was measured of the service again.

Weighed: forgetting estimates sooner, or refusing on what is known at best (the declared median, or the measured one if shorter) and leaving the rest to the router's probes. The second: it has no time constant to choose.

Run: go test ./core/request -rapid.checks=50000 and ./entry/... pass; the changed test of refusals covers both bounds.

--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -79,7 +79,7 @@
 	m.begin(now)
 	m.deadline = now.Add(m.plan.Deadline)
 	m.fireLife("admitted")
-	if _, fits := latency.Split(m.plan.Deadline, m.estimates(), 0); !fits {
+	if _, fits := m.allowance(m.stages[0]); !fits {
 		m.refuseForTime(m.stages[0])
 		return m.take()
 	}
@@ -212,7 +212,36 @@
 	for _, before := range estimates[m.current:max(s.index, m.current)] {
 		remaining -= before.Wait + before.ServiceP50
 	}
-	return latency.Split(remaining, estimates, s.index)
+	if part, fits := latency.Split(remaining, estimates, s.index); fits {
+		return part, true
+	}
+	return m.leastAllowance(s)
+}
+
+// leastAllowance returns what is left for the stage if all others take no longer
+// than they are known to need at best.
+//
+// Measured medians alone must not refuse a request: a service of which the last
+// thing known is that it was slow would be refused for ever, because nothing
+// would be measured of it again. The router's probes tell how it is now.
+func (m *Machine) leastAllowance(s *stage) (time.Duration, bool) {
+	remaining := m.remaining()
+	for _, other := range m.stages[m.current:] {
+		if other != s {
+			remaining -= m.least(other)
+		}
+	}
+	return remaining, remaining > 0 && remaining >= m.least(s)
+}
+
+// least returns what a stage needs at best: its declared median, or the measured
+// one if that is shorter.
+func (m *Machine) least(s *stage) time.Duration {
+	measured := m.know.Estimate(s.spec.Service).ServiceP50
+	if measured > 0 && measured < s.spec.Declared {
+		return measured
+	}
+	return s.spec.Declared
 }
 
 // step names the present step for the caller.
--- a/core/request/timers.go
+++ b/core/request/timers.go
@@ -17,7 +17,12 @@
 		return
 	}
 	if !m.now.Before(m.lastMoment()) {
-		m.giveUp(ending{cause: GiveUpDeadline, step: m.step(), detail: "the deadline passed"})
+		m.giveUp(ending{
+			cause:      GiveUpDeadline,
+			step:       m.step(),
+			detail:     "the deadline passed",
+			retryAfter: m.rules.RetryAfterFailure,
+		})
 		return
 	}
 	for _, a := range m.attempts {
--- a/entry/pipeline/claiming.go
+++ b/entry/pipeline/claiming.go
@@ -31,6 +31,7 @@
 // openClaim claims a stage for the upstream chosen for an attempt.
 func (f *flow) openClaim(r request.OpenClaim) {
 	a := f.attempts[r.Attempt]
+	a.number = r.Number
 	ask := claims.Ask{
 		Workspace:      f.req.Workspace.Name,
 		Pipeline:       f.req.Template.Name,
@@ -51,6 +52,7 @@
 // reassign moves a stage's claim to another upstream.
 func (f *flow) reassign(r request.Reassign) {
 	a := f.attempts[r.Attempt]
+	a.number = r.Number
 	owned, target := f.claims[r.Stage], claimTargetOf(a.choice)
 	f.claim(a, func(ctx context.Context) (claims.Held, error) {
 		return f.runner.opts.Claims.Reassign(ctx, owned, target)
