Read and write the parts of a change together, and only those that matter

A drain read every shard, as it touches the part that templates are in; only templates and models can break a workspace, so it reads two objects now. Parts never change, so the machine tells which calls may be made at once, and the command makes 16 at a time.

Run: go test ./core/config/... ./acaciawinch passes. Seen red with all shards always read, and never read.

--- a/acaciawinch/accept.go
+++ b/acaciawinch/accept.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"os/user"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"acaciawinch/core/config"
 	"acaciawinch/core/config/accept"
@@ -34,8 +36,12 @@
 	return e.report(result, located)
 }
 
+// callsAtOnce bounds the calls that are carried out together.
+const callsAtOnce = 16
+
 // drive carries out the machine's calls until it ends or ctx does.
 func drive(ctx context.Context, api objects.API, machine *accept.Machine) {
+	replies := map[string]accept.Reply{}
 	for {
 		if _, ended := machine.Result(); ended {
 			return
@@ -45,8 +51,36 @@
 			machine.GiveUp()
 			return
 		}
-		machine.Handle(carryOut(ctx, api, action))
+		if ahead := machine.Ahead(); len(replies) == 0 && len(ahead) > 1 {
+			replies = carryOutAll(ctx, api, ahead)
+		}
+		reply, made := replies[action.Key]
+		if !made {
+			reply = carryOut(ctx, api, action)
+		}
+		delete(replies, action.Key)
+		machine.Handle(reply)
+	}
+}
+
+// carryOutAll makes calls on different keys, some at once, and returns the replies
+// by key.
+func carryOutAll(ctx context.Context, api objects.API, actions []accept.Action) map[string]accept.Reply {
+	var mu sync.Mutex
+	replies := map[string]accept.Reply{}
+	var group errgroup.Group
+	group.SetLimit(callsAtOnce)
+	for _, action := range actions {
+		group.Go(func() error {
+			reply := carryOut(ctx, api, action)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[action.Key] = reply
+			return nil
+		})
 	}
+	_ = group.Wait()
+	return replies
 }
 
 // wait sleeps before a call that follows failed ones. It returns false if ctx ended.
@@ -122,6 +156,9 @@
 	return exitFailed
 }
 
+// itemsShown bounds the items in a text; the JSON holds all.
+const itemsShown = 40
+
 // describe returns the text of a result.
 func describe(result accept.Result, located func(config.Problem) string) string {
 	var lines []string
@@ -139,7 +176,11 @@
 	default:
 		lines = append(lines, string(result.Outcome)+": "+result.Detail)
 	}
-	for _, item := range result.Items {
+	for i, item := range result.Items {
+		if i == itemsShown {
+			lines = append(lines, fmt.Sprintf("  and %d more", len(result.Items)-itemsShown))
+			break
+		}
 		lines = append(lines, "  "+item.String())
 	}
 	for _, problem := range result.Problems {
--- a/core/config/accept/accept_test.go
+++ b/core/config/accept/accept_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -385,3 +386,40 @@
 	assert.Equal(t, result.Outcome, Accepted)
 	assert.Equal(t, result.Revision, core.Revision(2))
 }
+
+// reads runs a request on a quiet store and returns the keys that it read. It
+// checks that what may be called ahead begins with the call that is next.
+func reads(t *testing.T, s *fakeStore, request Request) []string {
+	machine := New(request)
+	var keys []string
+	for {
+		result, done := machine.Result()
+		if done {
+			assert.Equal(t, result.Outcome, Accepted, result.Detail)
+			return keys
+		}
+		action := machine.Next()
+		if ahead := machine.Ahead(); len(ahead) > 0 {
+			assert.Equal(t, ahead[0].Key, action.Key)
+		}
+		if action.Kind == ActionGet {
+			keys = append(keys, action.Key)
+		}
+		machine.Handle(s.apply(action))
+	}
+}
+
+func TestAChangeReadsOnlyWhatItCanBreak(t *testing.T) {
+	s := quiet(t)
+	for i := range 20 {
+		c := config.Change{PutWorkspaces: []config.Workspace{workspace(fmt.Sprint("w", i), 1, "p")}}
+		assert.Equal(t, drive(s, Request{ChangeID: fmt.Sprint("w", i), Change: c}).Outcome, Accepted)
+	}
+	shards := len(headOf(t, s).Shards) - strings.Count(string(headOf(t, s).Encode()), `""`)
+	drain := config.Change{Drain: []string{"u"}}
+	assert.Equal(t, len(reads(t, s, Request{ChangeID: "drain", Change: drain})), 2, "head and templates")
+	one := config.Change{PutWorkspaces: []config.Workspace{workspace("w1", 2, "p")}}
+	assert.Equal(t, len(reads(t, s, Request{ChangeID: "one", Change: one})), 3, "head, templates and a shard")
+	shape := config.Change{PutTemplates: []config.Template{template("p", 2000)}}
+	assert.Equal(t, len(reads(t, s, Request{ChangeID: "shape", Change: shape})), 2+shards, "head, templates and all shards")
+}
--- a/core/config/accept/machine.go
+++ b/core/config/accept/machine.go
@@ -104,8 +104,7 @@
 	case stateReading:
 		return Action{Kind: ActionGet, Key: config.HeadKey}
 	case stateChecking:
-		hash, _ := m.missing()
-		return Action{Kind: ActionGet, Key: config.PartKey(hash)}
+		return readPart(m.missing()[0])
 	case stateWriting:
 		return m.writeNext()
 	case stateAccepting:
@@ -117,11 +116,37 @@
 	}
 }
 
+// readPart returns the read of a part.
+func readPart(hash string) Action { return Action{Kind: ActionGet, Key: config.PartKey(hash)} }
+
+// writePart returns the write of a part.
+func writePart(part config.Part) Action {
+	return Action{Kind: ActionCreate, Key: config.PartKey(part.Hash), Value: part.Data}
+}
+
+// Ahead returns the calls of the present step that may be carried out together,
+// Next's among them. Their replies are handed to Handle as Next asks for them.
+// Only calls on parts are returned: these never change, so the order is free.
+func (m *Machine) Ahead() []Action {
+	var actions []Action
+	switch m.state.State() {
+	case stateChecking:
+		for _, hash := range m.missing() {
+			actions = append(actions, readPart(hash))
+		}
+	case stateWriting:
+		for _, part := range m.parts {
+			actions = append(actions, writePart(part))
+		}
+	}
+	return actions
+}
+
 // writeNext returns the write of the next part, or of the copy of the head when
 // no part is left.
 func (m *Machine) writeNext() Action {
 	if len(m.parts) > 0 {
-		return Action{Kind: ActionCreate, Key: config.PartKey(m.parts[0].Hash), Value: m.parts[0].Data}
+		return writePart(m.parts[0])
 	}
 	return Action{Kind: ActionCreate, Key: m.next.Key(), Value: m.next.Encode()}
 }
--- a/core/config/accept/merge.go
+++ b/core/config/accept/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
@@ -46,36 +47,40 @@
 
 // load goes on to the merge if nothing is missing.
 func (m *Machine) load() {
-	if hash, _ := m.missing(); hash == "" {
+	if len(m.missing()) == 0 {
 		m.merge()
 	}
 }
 
-// missing returns the hash of a part that the merge needs, and which snapshot
-// needs it. It needs the templates and the touched shards of base and head, and
-// if templates change every workspace of the head, to validate it against them.
-func (m *Machine) missing() (string, **config.Snapshot) {
-	for _, snapshot := range []**config.Snapshot{&m.base, &m.head} {
-		if hash := (*snapshot).TemplatesMissing(); hash != "" {
-			return hash, snapshot
+// missing returns the hashes of the parts that the merge needs: the templates and
+// the touched shards of base and head, and if templates or models change every
+// workspace of the head, to validate it against them.
+func (m *Machine) missing() []string {
+	var hashes []string
+	need := func(hash string) {
+		if hash != "" && !slices.Contains(hashes, hash) {
+			hashes = append(hashes, hash)
 		}
+	}
+	for _, snapshot := range []*config.Snapshot{m.base, m.head} {
+		need(snapshot.TemplatesMissing())
 		for _, shard := range m.request.Change.Shards() {
-			if hash := (*snapshot).ShardMissing(shard); hash != "" {
-				return hash, snapshot
-			}
+			need(snapshot.ShardMissing(shard))
 		}
 	}
-	if hashes := m.head.Missing(); m.request.Change.TouchesTemplates() && len(hashes) > 0 {
-		return hashes[0], &m.head
+	if m.request.Change.TouchesTemplates() {
+		for _, hash := range m.head.Missing() {
+			need(hash)
+		}
 	}
-	return "", nil
+	return hashes
 }
 
 // partRead takes a part that the merge needs.
 func (m *Machine) partRead(reply Reply) {
-	hash, snapshot := m.missing()
+	hash := m.missing()[0]
 	if reply.Code != "" {
-		m.broken("part %s of revision %d can't be read: %s", hash, (*snapshot).Revision(), reply.Detail)
+		m.broken("part %s can't be read: %s", hash, reply.Detail)
 		return
 	}
 	m.use(&m.base, hash, reply.Value)
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -44,16 +44,22 @@
 func (s *Snapshot) Change(c Change, revision core.Revision, id string) *Snapshot {
 	next := *s
 	next.revision, next.changeID = revision, id
-	if c.TouchesTemplates() {
+	if c.touchesShared() {
 		next.setTemplates(c.templates(s.templates))
 	}
 	next.edit(c.PutWorkspaces, c.RemoveWorkspaces)
 	return &next
 }
 
-// TouchesTemplates tells whether anything but workspaces is touched.
+// TouchesTemplates tells whether templates or models are touched, which
+// workspaces refer to.
 func (c Change) TouchesTemplates() bool {
-	return len(c.PutTemplates)+len(c.RemoveTemplates)+len(c.PutModels)+len(c.RemoveModels)+len(c.Drain)+len(c.Undrain) > 0
+	return len(c.PutTemplates)+len(c.RemoveTemplates)+len(c.PutModels)+len(c.RemoveModels) > 0
+}
+
+// touchesShared tells whether anything but workspaces is touched.
+func (c Change) touchesShared() bool {
+	return c.TouchesTemplates() || len(c.Drain)+len(c.Undrain) > 0
 }
 
 // templates returns the edited shared part.
@@ -94,7 +100,7 @@
 
 // Empty tells whether the change touches nothing.
 func (c Change) Empty() bool {
-	return !c.TouchesTemplates() && len(c.PutWorkspaces)+len(c.RemoveWorkspaces) == 0
+	return !c.touchesShared() && len(c.PutWorkspaces)+len(c.RemoveWorkspaces) == 0
 }
 
 // Shards returns which shards the change touches, in order.
