--- a/standin/bench/trial/gather.go
+++ b/standin/bench/trial/gather.go
@@ -1,7 +1,10 @@
 package trial
 
 import (
+	"fmt"
+	"strings"
 	"time"
+	"unicode"
 
 	"acaciawinch/standin/bench/account"
 	"acaciawinch/standin/bench/report"
@@ -117,10 +120,28 @@
 	counts := map[string]int{}
 	for _, record := range records {
 		if record.Result.Verdict != caller.Whole {
-			counts[string(record.Result.Outcome)+" "+string(record.Result.Verdict)]++
+			counts[told(record.Result)]++
 		} else if !record.Attained() {
 			counts["late"]++
 		}
 	}
 	return counts
 }
+
+// maxTold bounds the text of what a caller was told.
+const maxTold = 100
+
+// told returns what a caller was told, without the numbers that differ from one
+// request to the next.
+func told(result caller.Result) string {
+	detail := strings.Map(func(r rune) rune {
+		if unicode.IsDigit(r) {
+			return '#'
+		}
+		return r
+	}, result.Detail)
+	if len(detail) > maxTold {
+		detail = detail[:maxTold]
+	}
+	return fmt.Sprintf("%s %s: %s", result.Verdict, result.Outcome, detail)
+}
--- a/standin/bench/trial/trial_test.go
+++ b/standin/bench/trial/trial_test.go
@@ -18,7 +18,7 @@
 func recordOf(at, latency time.Duration, workspace string, verdict caller.Verdict) load.Record {
 	return load.Record{
 		Arrival: load.Arrival{At: at, Deadline: time.Second, Request: caller.Request{Workspace: workspace}},
-		Result:  caller.Result{Verdict: verdict, RequestID: "r-" + workspace + at.String(), Outcome: core.OutcomeNotRun},
+		Result:  caller.Result{Verdict: verdict, RequestID: "r-" + workspace + at.String(), Outcome: core.OutcomeNotRun, Detail: "wait 7 ms"},
 		Latency: latency,
 	}
 }
@@ -50,7 +50,7 @@
 	assert.DeepEqual(t, fates(records), map[string]account.Fate{
 		"r-a0s": account.Attained, "r-b1.5s": account.Late, "r-a2.1s": account.Unanswered, "r-b2.9s": account.Attained,
 	})
-	assert.DeepEqual(t, problems(records), map[string]int{"late": 1, "not_run problem": 1})
+	assert.DeepEqual(t, problems(records), map[string]int{"late": 1, "problem not_run: wait # ms": 1})
 }
 
 func TestMeansLeaveOutProcessesThatAreGone(t *testing.T) {
