Admit only what fits with twice its expected wait

Cause: the gate admitted up to the very edge of the deadline, and whatever came later and was served first pushed the admitted out again, after seconds in the queue, when nothing else could be tried. Ruled out: a wrong estimate of the queue itself (admitted at 2165 ms expected wait with 2984 ms left and 667 ms of service, evicted after 2290 ms behind higher classes).

Twice the expected wait must now fit. The queue of an overloaded engine is shorter by half; it never runs dry, so goodput stays. Retry-After counts how much shorter the queue must become.

--- a/core/gate/submit.go
+++ b/core/gate/submit.go
@@ -106,6 +106,11 @@
 	return Decision{}, true
 }
 
+// waitMargin multiplies the expected wait before it is set against the deadline:
+// attempts that come later may be served first, and an attempt that is refused
+// now can still go elsewhere, while one that is refused in the queue cannot.
+const waitMargin = 2
+
 // fit admits ask if it can be finished in time and finds a place in the queue.
 func (g *Gate) fit(now time.Duration, ask Ask) Decision {
 	if g.options.FIFO {
@@ -120,8 +125,8 @@
 		d.Detail = "the deadline is shorter than the service time"
 		return d
 	}
-	if late := wait + service - ask.Remaining; late > 0 {
-		d.Verdict, d.Reason, d.RetryAfter = Refused, ReasonDeadline, late
+	if late := waitMargin*wait + service - ask.Remaining; late > 0 {
+		d.Verdict, d.Reason, d.RetryAfter = Refused, ReasonDeadline, late/waitMargin
 		d.Detail = "the queue is longer than the deadline"
 		return d
 	}
