Pass over a waiting class three times at most

Cause: during a burst of one workspace of a middle class, the lowest class kept one place in nine, 11% of the engine for 8% of offered work: its queue grew past the deadline. One place in four leaves room.

--- a/core/gate/options.go
+++ b/core/gate/options.go
@@ -62,7 +62,7 @@
 // Defaults of Options.
 const (
 	defaultMaxQueued       = 256
-	defaultStarvationTurns = 8
+	defaultStarvationTurns = 3
 	defaultKeepResult      = 10 * time.Second
 	defaultKeepClaimed     = 10 * time.Minute
 	defaultMaxClaimed      = 20_000
