--- a/core/latency/estimate.go
+++ b/core/latency/estimate.go
@@ -33,6 +33,19 @@
 // assumed of a service of which only the median is declared.
 const declaredSpread = 2
 
+// ForTokens returns the estimate for an answer of at most count chunks. The
+// service's quantiles are over answers of all lengths; the first chunk and that
+// many gaps may show that this one takes less. A count of zero is no bound.
+func (e Estimate) ForTokens(count int) Estimate {
+	if count <= 0 || e.FirstP50 == 0 || e.GapP95 == 0 {
+		return e
+	}
+	gaps := time.Duration(count-1) * e.GapP95
+	e.ServiceP50 = min(e.ServiceP50, e.FirstP50+gaps)
+	e.ServiceP95 = min(e.ServiceP95, max(e.FirstP50, e.FirstP95)+gaps)
+	return e
+}
+
 // need is the time that a stage takes in the median, its queue included.
 func (e Estimate) need() time.Duration { return e.Wait + e.ServiceP50 }
 
--- a/core/latency/latency_test.go
+++ b/core/latency/latency_test.go
@@ -111,3 +111,15 @@
 	assert.Equal(t, latency.FirstBound(latency.Estimate{FirstP95: 440 * ms}), 1760*ms)
 	assert.Equal(t, latency.GapBound(latency.Estimate{GapP95: 100 * ms}), 400*ms)
 }
+
+// TestForTokensOnlyShortens bounds an answer by its length.
+func TestForTokensOnlyShortens(t *testing.T) {
+	e := steady(900*ms, 1800*ms)
+	assert.Equal(t, e.ForTokens(4), e, "nothing is known of chunks")
+	e.FirstP50, e.FirstP95, e.GapP95 = 100*ms, 200*ms, 30*ms
+	short := e.ForTokens(11)
+	assert.Equal(t, short.ServiceP50, 400*ms)
+	assert.Equal(t, short.ServiceP95, 500*ms)
+	assert.Equal(t, e.ForTokens(1000), e)
+	assert.Equal(t, e.ForTokens(0), e)
+}
--- a/core/routing/decide_test.go
+++ b/core/routing/decide_test.go
@@ -159,7 +159,7 @@
 func TestLateChunksShowAStraggler(t *testing.T) {
 	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
 	w.usual = latency.Estimate{ServiceP50: 100 * ms, FirstP50: 20 * ms, GapP95: 10 * ms}
-	late := Load{}
+	late := latency.Estimate{}
 	w.reply = func(u Upstream) Answer {
 		load := idle()
 		load.GapP95 = 10 * ms
@@ -176,11 +176,11 @@
 		return w.choose(plain).Chosen.Answer.Upstream.ID
 	}
 	assert.Equal(t, chosen(), core.UpstreamID("a-1"))
-	late = Load{FirstP50: 200 * ms}
+	late = latency.Estimate{FirstP50: 200 * ms}
 	assert.Equal(t, chosen(), core.UpstreamID("a-0"))
-	late = Load{GapP95: 100 * ms}
+	late = latency.Estimate{GapP95: 100 * ms}
 	assert.Equal(t, chosen(), core.UpstreamID("a-0"))
-	late = Load{GapP95: 5 * ms}
+	late = latency.Estimate{GapP95: 5 * ms}
 	assert.Equal(t, chosen(), core.UpstreamID("a-1"))
 }
 
--- a/core/routing/driver_test.go
+++ b/core/routing/driver_test.go
@@ -64,7 +64,8 @@
 
 // idle returns the load of an upstream without work.
 func idle() Load {
-	return Load{Capacity: 4, ServiceP50: 100 * ms, ServiceP95: 150 * ms, FirstP50: 20 * ms}
+	times := latency.Estimate{ServiceP50: 100 * ms, ServiceP95: 150 * ms, FirstP50: 20 * ms}
+	return Load{Capacity: 4, Estimate: times}
 }
 
 // hostsIn returns upstreams of the service "llm" in a zone of region r.
--- a/core/routing/herd/server.go
+++ b/core/routing/herd/server.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"acaciawinch/core/latency"
 	"acaciawinch/core/routing"
 )
 
@@ -55,13 +56,11 @@
 		wait = time.Duration(len(s.queue)+1) * s.mean / capacity
 	}
 	return routing.Load{
-		Queued:     len(s.queue),
-		InFlight:   s.running,
-		Capacity:   capacity,
-		Wait:       wait,
-		ServiceP50: s.mean,
-		ServiceP95: s.mean * exponentialTail,
-		Finished:   s.finished,
+		Estimate: latency.Estimate{Wait: wait, ServiceP50: s.mean, ServiceP95: s.mean * exponentialTail},
+		Queued:   len(s.queue),
+		InFlight: s.running,
+		Capacity: capacity,
+		Finished: s.finished,
 	}
 }
 
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -61,17 +61,12 @@
 }
 
 // serviceTime returns how long the upstream is expected to work on the stage.
-// The reported median is over all lengths of answers, so where the length is
-// bounded, the first chunk and that many gaps may show that it takes less.
 func (r *Round) serviceTime(answer Answer) time.Duration {
 	load := answer.Load
 	reported := max(load.ServiceP50, r.slowed(load))
-	service := r.Table.progressOf(answer.Upstream.ID).blend(load, reported, r.Usual.ServiceP50, r.Now)
-	if r.Query.MaxTokens > 0 && load.FirstP50 > 0 && load.GapP95 > 0 {
-		bounded := load.FirstP50 + time.Duration(r.Query.MaxTokens-1)*load.GapP95
-		return min(service, bounded)
-	}
-	return service
+	times := load.Estimate
+	times.ServiceP50 = r.Table.progressOf(answer.Upstream.ID).blend(load, reported, r.Usual.ServiceP50, r.Now)
+	return times.ForTokens(r.Query.MaxTokens).ServiceP50
 }
 
 // slowed returns the usual service time times the factor by which the upstream's
--- a/core/routing/upstream.go
+++ b/core/routing/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/latency"
 )
 
 // Tier tells how near an upstream is to the entry.
@@ -38,18 +39,12 @@
 
 // Load is what a side reported about its upstream.
 type Load struct {
+	// Estimate is of the upstream's own recent work. Its ServiceP50 and ServiceP95
+	// are zero if the side has no recent sample.
+	latency.Estimate
 	Queued, InFlight, Capacity int
-	// Wait is the expected time in the side's queue.
-	Wait time.Duration
-	// ServiceP50 and ServiceP95 run from dispatch to the whole result; zero if
-	// the side has no recent sample.
-	ServiceP50, ServiceP95 time.Duration
-	// FirstP50 runs from dispatch to the first chunk.
-	FirstP50 time.Duration
-	// GapP95 is the time between two chunks.
-	GapP95            time.Duration
-	Draining, Stalled bool
-	Models            []Model
+	Draining, Stalled          bool
+	Models                     []Model
 	// Finished and Failed count attempts since the side started.
 	Finished, Failed uint64
 }
--- a/entry/route/convert.go
+++ b/entry/route/convert.go
@@ -40,39 +40,36 @@
 // loadOf converts a load; nil is an empty one.
 func loadOf(load *wirepb.Load) routing.Load {
 	converted := routing.Load{
-		Queued:     int(load.GetQueued()),
-		InFlight:   int(load.GetInFlight()),
-		Capacity:   int(load.GetCapacity()),
+		Estimate: estimateOf(load),
+		Queued:   int(load.GetQueued()),
+		InFlight: int(load.GetInFlight()),
+		Capacity: int(load.GetCapacity()),
+		Draining: load.GetDraining(),
+		Stalled:  load.GetStalled(),
+		Finished: load.GetFinished(),
+		Failed:   load.GetFailed(),
+	}
+	for _, model := range load.GetModels() {
+		converted.Models = append(converted.Models, routing.Model{Name: model.GetModel(), Version: model.GetVersion()})
+	}
+	return converted
+}
+
+// estimateOf returns the reported times.
+func estimateOf(load *wirepb.Load) latency.Estimate {
+	return latency.Estimate{
 		Wait:       microseconds(load.GetWaitUs()),
 		ServiceP50: microseconds(load.GetServiceP50Us()),
 		ServiceP95: microseconds(load.GetServiceP95Us()),
 		FirstP50:   microseconds(load.GetFirstP50Us()),
+		FirstP95:   microseconds(load.GetFirstP95Us()),
 		GapP95:     microseconds(load.GetGapP95Us()),
-		Draining:   load.GetDraining(),
-		Stalled:    load.GetStalled(),
-		Finished:   load.GetFinished(),
-		Failed:     load.GetFailed(),
-	}
-	for _, model := range load.GetModels() {
-		converted.Models = append(converted.Models, routing.Model{Name: model.GetModel(), Version: model.GetVersion()})
 	}
-	return converted
 }
 
 // reportOf returns what a load tells about the service's latencies.
 func reportOf(load *wirepb.Load, now time.Time) latency.Report {
-	return latency.Report{
-		Estimate: latency.Estimate{
-			Wait:       microseconds(load.GetWaitUs()),
-			ServiceP50: microseconds(load.GetServiceP50Us()),
-			ServiceP95: microseconds(load.GetServiceP95Us()),
-			FirstP50:   microseconds(load.GetFirstP50Us()),
-			FirstP95:   microseconds(load.GetFirstP95Us()),
-			GapP95:     microseconds(load.GetGapP95Us()),
-		},
-		Finished: load.GetFinished(),
-		At:       now,
-	}
+	return latency.Report{Estimate: estimateOf(load), Finished: load.GetFinished(), At: now}
 }
 
 // microseconds converts a reported duration.
