--- a/acaciawinch/history.go
+++ b/acaciawinch/history.go
@@ -16,8 +16,8 @@
 	Limit int `long:"limit" default:"20" description:"how many changes are listed"`
 }
 
-// entry is one accepted change as history prints it.
-type entry struct {
+// pastChange is one accepted change as history prints it.
+type pastChange struct {
 	Revision core.Revision `json:"revision"`
 	ChangeID string        `json:"change_id"`
 	Author   string        `json:"author"`
@@ -51,8 +51,8 @@
 
 // entriesOf returns at most limit entries; heads may hold one more, to compare
 // the last one with.
-func entriesOf(heads []config.Head, limit int) []entry {
-	entries := []entry{}
+func entriesOf(heads []config.Head, limit int) []pastChange {
+	entries := []pastChange{}
 	for i, head := range heads {
 		if i == limit {
 			break
@@ -61,7 +61,7 @@
 		if i+1 < len(heads) {
 			before = heads[i+1]
 		}
-		entries = append(entries, entry{head.Revision, head.ChangeID, head.Author, head.Note, partsChanged(before, head)})
+		entries = append(entries, pastChange{head.Revision, head.ChangeID, head.Author, head.Note, partsChanged(before, head)})
 	}
 	return entries
 }
@@ -81,7 +81,7 @@
 }
 
 // historyText returns one line for each entry.
-func historyText(entries []entry) string {
+func historyText(entries []pastChange) string {
 	lines := []string{fmt.Sprintf("%8s  %-36s  %-12s  %5s  %s", "REVISION", "CHANGE", "AUTHOR", "PARTS", "NOTE")}
 	for _, e := range entries {
 		lines = append(lines, fmt.Sprintf("%8d  %-36s  %-12s  %5d  %s", e.Revision, e.ChangeID, e.Author, e.Parts, e.Note))
