Try a service again that was slow when last measured

If no queue is to blame and the declared median fits, the stage is now tried all the same, under the retry budget.

A bound on silence also leaves room for a second attempt: at most a third of the time left, but never less than twice the usual high quantile.

Seen red: the new scenarios without the trial and without the share of time.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -24,7 +24,7 @@
 type Choose struct {
 	Attempt AttemptID
 	Stage   int
-	// Remaining is the time left for the stage.
+	// Remaining is the time left for the stage; zero sets no bound.
 	Remaining time.Duration
 	// Exclude names upstreams not to choose.
 	Exclude []core.UpstreamID
@@ -171,6 +171,8 @@
 	NoteKept     NoteKind = "kept_result"
 	NoteLeft     NoteKind = "left"
 	NoteSettling NoteKind = "settling"
+	// NoteTrial: a stage is tried although upstreams are said to be too slow.
+	NoteTrial NoteKind = "trial"
 	// NoteBug: a state chart was violated.
 	NoteBug NoteKind = "bug"
 )
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -50,6 +50,8 @@
 	refusals   int
 	chooses    int
 	hedged     bool
+	// trial is set once upstreams are asked without a bound on their time.
+	trial      bool
 	exclude    []core.UpstreamID
 	retryAfter time.Duration
 
--- a/core/request/plan.go
+++ b/core/request/plan.go
@@ -78,6 +78,9 @@
 	// of a service answers.
 	ChooseTries   int
 	ChooseBackoff time.Duration
+	// TrialWait is the longest wait that a refusal for want of time may tell of for
+	// the stage to be tried all the same.
+	TrialWait time.Duration
 	// StayFor is how long a silent attempt is kept when the retry budget is empty.
 	StayFor time.Duration
 	// MaxPending bounds the chunks held out of order.
@@ -102,6 +105,7 @@
 		ResolveBackoff:    50 * time.Millisecond,
 		ChooseTries:       3,
 		ChooseBackoff:     40 * time.Millisecond,
+		TrialWait:         100 * time.Millisecond,
 		StayFor:           250 * time.Millisecond,
 		MaxPending:        64,
 		RetryAfterFailure: time.Second,
--- a/core/request/scenario_test.go
+++ b/core/request/scenario_test.go
@@ -110,6 +110,24 @@
 	assert.Equal(t, all[Choose](s)[0].Remaining, 51*time.Millisecond)
 }
 
+func TestSlowMeasureIsTriedAgain(t *testing.T) {
+	declared := Stage{Name: "x", Service: "x", Declared: 60 * time.Millisecond}
+	slow := NotChosen{Attempt: 0, RetryAfter: DefaultRules().TrialWait}
+	s := begin(t, fixed{}, declared)
+	s.tell(slow)
+	assert.Equal(t, all[Choose](s)[1].Remaining, time.Duration(0))
+	s.tell(slow)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	s = begin(t, fixed{empty: true}, declared)
+	s.tell(slow)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	queue := slow
+	queue.RetryAfter++
+	s = begin(t, fixed{}, declared)
+	s.tell(queue)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+}
+
 func TestHedgeWinsAndLoserIsCancelled(t *testing.T) {
 	s := begin(t, fixed{}, generate)
 	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Started{Attempt: 0})
@@ -151,6 +169,21 @@
 	assert.Equal(t, len(all[Emit](s)), 2)
 }
 
+// unmeasured knows nothing of any service.
+type unmeasured struct{ fixed }
+
+func (unmeasured) Estimate(string) latency.Estimate { return latency.Estimate{} }
+
+func TestSilenceLeavesRoomForAnotherAttempt(t *testing.T) {
+	s := begin(t, unmeasured{}, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Started{Attempt: 0})
+	s.wait(300 * time.Millisecond)
+	assert.Equal(t, len(all[Cancel](s)), 0)
+	s.wait(40 * time.Millisecond)
+	assert.Equal(t, len(all[Cancel](s)), 1)
+	assert.Equal(t, len(all[Choose](s)), 2)
+}
+
 func TestSilentSideIsLeft(t *testing.T) {
 	s := begin(t, fixed{}, cheap, generate)
 	s.tell(Chosen{Attempt: 0, Upstream: "a"})
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -37,6 +37,9 @@
 		m.refuseForTime(a.stage)
 		return
 	}
+	if a.stage.trial {
+		allowance = 0
+	}
 	m.do(Choose{
 		Attempt:   a.id,
 		Stage:     a.stage.index,
@@ -134,6 +137,10 @@
 		s.chooses++
 		s.exclude = nil
 		m.choose(a, m.rules.ChooseBackoff)
+	case m.mayTry(s, e):
+		s.trial = true
+		m.note(a, NoteTrial, e.Detail)
+		m.choose(a, 0)
 	default:
 		m.end(a, EndCancelled, "")
 		m.fire(s, "no_upstream")
@@ -155,6 +162,18 @@
 	return e.Silent || len(s.exclude) > 0
 }
 
+// mayTry tells whether a stage that upstreams are said to be too slow for is tried
+// all the same. If no queue is to blame, the only ground is what was measured
+// last; if every request were refused for it, nothing would be measured again.
+// The retry budget bounds the trials.
+func (m *Machine) mayTry(s *stage, e NotChosen) bool {
+	if s.trial || e.Silent || e.RetryAfter > m.rules.TrialWait || s.spec.Declared == 0 {
+		return false
+	}
+	_, fits := m.leastAllowance(s)
+	return fits && m.know.RetryBudget(s.spec.Service).Withdraw(m.now)
+}
+
 // hedge starts a second attempt beside a slow first one, if the budget allows it
 // and it can still be in time.
 func (m *Machine) hedge(a *attempt) {
--- a/core/request/timers.go
+++ b/core/request/timers.go
@@ -61,10 +61,12 @@
 	if a.stage.spec.NonIdempotent || a.state != sent || !a.started {
 		return time.Time{}, "", false
 	}
-	estimate := m.estimate(a.stage)
-	due, reason := a.startedAt.Add(latency.FirstBound(estimate)), "no first chunk within the bound"
+	e := m.estimate(a.stage)
+	bound := m.withRoomForAnother(latency.FirstBound(e), max(e.FirstP95, e.ServiceP95), a.startedAt)
+	due, reason := a.startedAt.Add(bound), "no first chunk within the bound"
 	if a.output.next > 0 {
-		due, reason = a.chunkAt.Add(latency.GapBound(estimate)), "no further chunk within the bound"
+		bound = m.withRoomForAnother(latency.GapBound(e), e.GapP95, a.chunkAt)
+		due, reason = a.chunkAt.Add(bound), "no further chunk within the bound"
 	}
 	if due.Before(a.stayUntil) {
 		due = a.stayUntil
@@ -72,6 +74,21 @@
 	return due, reason, true
 }
 
+// withRoomForAnother shortens a bound on silence that began at since, so that a
+// second attempt still fits before the deadline, but not so far that a call which
+// is merely slow, as some are known to be, counts as silent.
+func (m *Machine) withRoomForAnother(bound, usual time.Duration, since time.Time) time.Duration {
+	room := m.deadline.Sub(since) / shareOfSilence
+	return min(bound, max(room, slowFactor*usual, m.rules.StayFor))
+}
+
+// The longest share of the time left that is spent on silence, and how many times
+// the usual high quantile is still a slow call.
+const (
+	shareOfSilence = 3
+	slowFactor     = 2
+)
+
 // lastMoment returns when the request is given up for its deadline. While a
 // claimed attempt has not started it is a little earlier, so that the side can
 // still prove that it never will.
--- a/entry/pipeline/act.go
+++ b/entry/pipeline/act.go
@@ -74,7 +74,7 @@
 		if !f.pause(a.After) {
 			return
 		}
-		ctx, cancel := context.WithTimeout(f.ctx, a.Remaining)
+		ctx, cancel := context.WithDeadline(f.ctx, f.record.deadline)
 		defer cancel()
 		choice, err := f.runner.opts.Router.Choose(ctx, need)
 		if err != nil {
--- a/entry/pipeline/record.go
+++ b/entry/pipeline/record.go
@@ -153,6 +153,7 @@
 	request.NoteKept:     event.ResultKept,
 	request.NoteLeft:     event.AttemptLeft,
 	request.NoteSettling: event.RequestSettling,
+	request.NoteTrial:    event.StageTried,
 	request.NoteBug:      event.ChartViolated,
 }
 
--- a/observe/event/request.go
+++ b/observe/event/request.go
@@ -34,6 +34,8 @@
 		"request", "stage", "attempt", "upstream", "reason")
 	RequestSettling = define(1116, "request_settling", "A request is given up; its answer waits for proof that nothing starts later.",
 		"request", "stage", "attempt", "upstream", "reason")
+	StageTried = define(1118, "stage_tried", "A stage is tried although its upstreams were slow when last measured.",
+		"request", "stage", "attempt", "upstream", "reason")
 	ChartViolated = define(1117, "chart_violated", "A request made a move that its state chart does not allow, and is given up.",
 		"request", "stage", "attempt", "upstream", "reason")
 )
