Own the ports of a trial as long as it lives

Ports now come from lanes of 100, each owned by listening on its first port until the trial has ended. The operators' command can be intercepted like the processes.

--- a/standin/harness/files.go
+++ b/standin/harness/files.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 
 	"acaciawinch/core/fleet"
 )
@@ -43,8 +44,12 @@
 
 // writeCommand writes the settings of the operators' command.
 func (f *Fleet) writeCommand() error {
+	objects, err := f.intercept(LinkObjects, OperatorsCommand, strings.TrimPrefix(f.objectsURL, "http://"))
+	if err != nil {
+		return err
+	}
 	settings := commandSettings{
-		Platform: platformTable{Objects: f.objectsURL, Hosts: f.hostsURL},
+		Platform: platformTable{Objects: "http://" + objects, Hosts: f.hostsURL},
 		Fleet:    fleetTable{Key: fleetKey},
 	}
 	for _, entry := range f.Entries {
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -50,11 +50,15 @@
 // Link names the connections that Intercept can stand in.
 type Link string
 
+// OperatorsCommand is the name of the operators' command on its links.
+const OperatorsCommand = "acaciawinch"
+
 // The links.
 const (
 	// LinkSide: from entries to the drpc listener of a side, named by its upstream.
 	LinkSide Link = "side"
-	// LinkObjects: from the named entry or side process to the object API.
+	// LinkObjects: from the named entry or side process, or from the operators'
+	// command, to the object API.
 	LinkObjects Link = "objects"
 )
 
@@ -286,6 +290,7 @@
 	for _, relay := range f.relays {
 		relay.Close()
 	}
+	f.ports.Close()
 }
 
 // RemoveDir removes the folder if Start made it.
--- a/standin/harness/ports.go
+++ b/standin/harness/ports.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,32 +16,69 @@
 	lastPort  = 31000
 )
 
-// ports hands out free ports of 127.0.0.1, each once.
+// lanePorts is how many ports one lane has.
+const lanePorts = 100
+
+// ports hands out free ports of 127.0.0.1, each once. It takes them from lanes,
+// and owns a lane by listening on its first port: a port whose process has been
+// killed must not go to another trial before the process starts again.
 type ports struct {
-	mu   sync.Mutex
-	next int
+	mu    sync.Mutex
+	lanes []net.Listener
+	next  int
+	end   int
 }
 
-// newPorts starts at a random port, so that trials side by side seldom meet.
-func newPorts() *ports {
-	return &ports{next: firstPort + rand.IntN(lastPort-firstPort)}
-}
+// newPorts returns ports without a lane.
+func newPorts() *ports { return &ports{} }
 
 // address returns a free address, IP:port.
 func (p *ports) address() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for range lastPort - firstPort {
+	for {
+		if p.next == p.end {
+			if err := p.takeLane(); err != nil {
+				return "", err
+			}
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", p.next)
 		p.next++
-		if p.next == lastPort {
-			p.next = firstPort
-		}
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		return address, listener.Close()
 	}
-	return "", fmt.Errorf("no free port between %d and %d", firstPort, lastPort)
+}
+
+// takeLane takes a lane that no other trial owns, from a random one on.
+func (p *ports) takeLane() error {
+	count := (lastPort - firstPort) / lanePorts
+	first := rand.IntN(count)
+	for i := range count {
+		port := firstPort + (first+i)%count*lanePorts
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		p.lanes = append(p.lanes, listener)
+		p.next = port + 1
+		p.end = port + lanePorts
+		return nil
+	}
+	return fmt.Errorf("no free port between %d and %d", firstPort, lastPort)
+}
+
+// Close gives the lanes back. The trial's processes must have ended.
+func (p *ports) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var failures []error
+	for _, lane := range p.lanes {
+		failures = append(failures, lane.Close())
+	}
+	p.lanes = nil
+	p.next = p.end
+	return errors.Join(failures...)
 }
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -26,6 +26,7 @@
 			for _, relay := range f.relays {
 				relay.Close()
 			}
+			f.ports.Close()
 			return nil, err
 		}
 	}
