--- a/standin/faults/cell.go
+++ b/standin/faults/cell.go
@@ -139,7 +139,7 @@
 	exchange.Result = first.result
 	exchange.Revision = s.revisionOf(f, first.result)
 	site.record(exchange)
-	last, settled := finish(ctx, s, f, request, exchange.Revision)
+	last, settled := finish(ctx, s, f, request)
 	report.First, report.Last = outcomeOf(first.result), outcomeOf(last)
 	return conclude(s, f, exchange, last, errors.Join(healed, settled), report)
 }
@@ -150,6 +150,7 @@
 	if s.armed, err = s.Step.arm(ctx, s.Site, request); err != nil {
 		return nil, err
 	}
+	s.Entry = s.Site.Fleet.Entries[0]
 	first := s.Site.send(ctx, 0, *request, 0)
 	name, err := s.armed.reached(ctx, first)
 	if err != nil {
@@ -173,9 +174,9 @@
 
 // finish asks again with the key, then with a new one through each entry, when
 // the fault is over, and waits until nothing is in flight.
-func finish(ctx context.Context, s *Scene, f Fault, request caller.Request, revision int) (caller.Result, error) {
+func finish(ctx context.Context, s *Scene, f Fault, request caller.Request) (caller.Result, error) {
 	site := s.Site
-	last := site.askUntilSettled(ctx, 1, request, revision)
+	last := site.askUntilSettled(ctx, 1, request, site.revision(f))
 	for entry := range site.Fleet.Entries {
 		probe := site.newRequest()
 		result := site.askUntilSettled(ctx, entry, probe, site.revision(f))
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -29,7 +29,9 @@
 	Step Step
 	// Upstream is the one whose side the request is at.
 	Upstream *harness.Upstream
-	armed    *armed
+	// Entry is the one that the request was sent to, or that the step is at.
+	Entry *harness.Entry
+	armed *armed
 }
 
 // Fault is something that happens at a step.
@@ -56,9 +58,6 @@
 	heal   func(ctx context.Context, s *Scene) error
 }
 
-// entry returns the entry that the request was sent to.
-func (s *Scene) entry() *harness.Entry { return s.Site.Fleet.Entries[0] }
-
 // tap returns the tap before the side that the request is at.
 func (s *Scene) tap() *tap.Tap { return s.Site.taps[s.Upstream.Name] }
 
@@ -78,12 +77,12 @@
 
 // killEntry ends the entry with SIGKILL.
 func killEntry(_ context.Context, s *Scene) error {
-	s.entry().Kill()
+	s.Entry.Kill()
 	return nil
 }
 
 // startEntry starts the entry again.
-func startEntry(ctx context.Context, s *Scene) error { return restart(ctx, s.entry().Process) }
+func startEntry(ctx context.Context, s *Scene) error { return restart(ctx, s.Entry.Process) }
 
 // killSide ends the side with SIGKILL. Dialling it fails from then on.
 func killSide(_ context.Context, s *Scene) error {
@@ -126,7 +125,7 @@
 }
 
 // Choices of a process.
-func entryProcess(s *Scene) *harness.Process  { return s.entry().Process }
+func entryProcess(s *Scene) *harness.Process  { return s.Entry.Process }
 func sideProcess(s *Scene) *harness.Process   { return s.Upstream.Side }
 func workerProcess(s *Scene) *harness.Process { return s.Upstream.Worker }
 
@@ -147,7 +146,7 @@
 
 // stoppedEntry waits for the entry's end and starts it again.
 func stoppedEntry(ctx context.Context, s *Scene) error {
-	if err := awaitStop(ctx, s.entry().Process); err != nil {
+	if err := awaitStop(ctx, s.Entry.Process); err != nil {
 		return fmt.Errorf("%w: %w", errNotGraceful, err)
 	}
 	return startEntry(ctx, s)
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"acaciawinch/core/config"
 	"acaciawinch/standin/caller"
 	"acaciawinch/standin/catalog"
@@ -210,12 +212,14 @@
 
 // hang stops or resumes the work of all upstreams of a service that run.
 func (s *Site) hang(ctx context.Context, service string, hanging bool) error {
-	var failures []error
+	var group errgroup.Group
 	for _, u := range s.Fleet.Service(service) {
-		err := s.control(ctx, u.Name, func(c *upstream.Control) { c.Hang = hanging })
-		failures = append(failures, err)
+		// All at once: one that is frozen must not hold up the others.
+		group.Go(func() error {
+			return s.control(ctx, u.Name, func(c *upstream.Control) { c.Hang = hanging })
+		})
 	}
-	return errors.Join(failures...)
+	return group.Wait()
 }
 
 // awaitRecord waits until a ledger holds a matching record, and returns it.
--- a/standin/faults/step.go
+++ b/standin/faults/step.go
@@ -35,6 +35,16 @@
 	kindClaim
 	// kindAcknowledge: an acknowledgement is on its way to a side.
 	kindAcknowledge
+	// kindAccept: an operator's change is on its way to the object API.
+	kindAccept
+	// kindSpread: a change was accepted and is on its way to all processes.
+	kindSpread
+	// kindPlan: a placement plan is on its way to the object API.
+	kindPlan
+	// kindOrder: a side gave its engine an order.
+	kindOrder
+	// kindDrain: an upstream is being drained.
+	kindDrain
 )
 
 // Step is a point in a request's life.
@@ -75,8 +85,8 @@
 		{Name: "acknowledge", Kind: kindAcknowledge, Stage: stagePay, arm: armMessage(tap.Acknowledge, stagePay)},
 		{Name: "confirm before", Kind: kindDispatch, Stage: stageConfirm, arm: armMessage(tap.Run, stageConfirm)},
 		{Name: "confirm flight", Kind: kindFlight, Stage: stageConfirm, arm: armFlight(stageConfirm)},
-		{Name: "first token", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(1)},
-		{Name: "mid-stream", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(6)},
+		{Name: "first token", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(2, 1)},
+		{Name: "mid-stream", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(6, 5)},
 		{Name: "closing event", Kind: kindAnswer, Stage: stageConfirm, arm: armMessage(tap.Done, stageConfirm)},
 	}
 }
@@ -215,9 +225,9 @@
 	}
 }
 
-// armChunk stops a stream once the caller has index chunks, and with it the
-// engine, so that its work is still open.
-func armChunk(index uint64) func(context.Context, *Site, *caller.Request) (*armed, error) {
+// armChunk stops a stream at the chunk with number index, once the caller has
+// count chunks, and with it the engine, so that its work is still open.
+func armChunk(index uint64, count int) func(context.Context, *Site, *caller.Request) (*armed, error) {
 	return func(_ context.Context, s *Site, r *caller.Request) (*armed, error) {
 		h := s.Sides.Hold(func(m tap.Message) bool {
 			return m.Point == tap.Chunk && m.Stage == stageConfirm && m.Chunk == index
@@ -227,7 +237,7 @@
 			reached: func(ctx context.Context, p *pending) (string, error) {
 				select {
 				case m := <-h.Hit():
-					return m.Upstream, s.stopEngine(ctx, p, digest, int(index))
+					return m.Upstream, s.stopEngine(ctx, p, digest, count)
 				case <-p.done:
 					return "", ended(p)
 				case <-ctx.Done():
