Send a heartbeat that falls together with a change

A session woken by a change took a heartbeat of the same moment for sent. Heartbeats are counted now. Under changes faster than heartbeats a subscriber could have taken a fed entry for one that is not.

--- a/feed/serve.go
+++ b/feed/serve.go
@@ -26,7 +26,7 @@
 	defer f.meters.subscribed(-1)
 	f.NoteRevision(core.Revision(req.GetRevision()), "")
 	s := &session{feed: f, stream: stream, scope: req.GetScope(), revision: core.Revision(req.GetRevision()),
-		hosts: req.GetHostsVersion(), placement: req.GetPlacementVersion()}
+		hosts: req.GetHostsVersion(), placement: req.GetPlacementVersion(), pulses: f.pulse.count()}
 	return s.run()
 }
 
@@ -42,14 +42,15 @@
 	hosts     uint64
 	sentHosts fleet.List
 	placement uint64
+	// pulses is how many heartbeats of this process the session has passed on.
+	pulses uint64
 }
 
 // run sends each change and each heartbeat until the stream ends.
 func (s *session) run() error {
-	beat := true
-	for {
+	for first := true; ; first = false {
 		changed, pulse := s.feed.changed.wait(), s.feed.pulse.wait()
-		if err := s.send(s.feed.State(), beat); err != nil {
+		if err := s.send(s.feed.State(), s.beats() || first); err != nil {
 			return err
 		}
 		if !s.feed.isFed() {
@@ -57,15 +58,22 @@
 		}
 		select {
 		case <-changed:
-			beat = false
 		case <-pulse:
-			beat = true
 		case <-s.stream.Context().Done():
 			return nil
 		}
 	}
 }
 
+// beats tells whether a heartbeat is due: one was since the last call. It is
+// counted, so that a heartbeat that falls together with a change isn't lost.
+func (s *session) beats() bool {
+	count := s.feed.pulse.count()
+	due := count != s.pulses
+	s.pulses = count
+	return due
+}
+
 // send sends what the subscriber lacks.
 func (s *session) send(state *State, beat bool) error {
 	updates, err := s.lacking(state)
--- a/feed/signal.go
+++ b/feed/signal.go
@@ -6,6 +6,7 @@
 type signal struct {
 	mu   sync.Mutex
 	next chan struct{}
+	sent uint64
 }
 
 // newSignal returns a signal that has not been sent.
@@ -24,4 +25,12 @@
 	defer s.mu.Unlock()
 	close(s.next)
 	s.next = make(chan struct{})
+	s.sent++
+}
+
+// count returns how often the signal was sent.
+func (s *signal) count() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
 }
