--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,10 +35,14 @@
 	values  map[string]objects.Object
 	version uint64
 	before  func(key string) error
+	// refused holds a token once the condition of a plan did not hold.
+	refused chan struct{}
 }
 
 // newStore returns an empty store.
-func newStore() *store { return &store{values: make(map[string]objects.Object)} }
+func newStore() *store {
+	return &store{values: make(map[string]objects.Object), refused: make(chan struct{}, 1)}
+}
 
 // Get implements objects.API.
 func (s *store) Get(_ context.Context, key string) (objects.Object, error) {
@@ -68,6 +73,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Version != version {
+		if key == placement.PlanKey {
+			s.noteRefused()
+		}
 		return 0, fault.New(fault.Conflict, "test.update", key, "")
 	}
 	s.version++
@@ -75,6 +83,14 @@
 	return s.version, nil
 }
 
+// noteRefused leaves a token if there is none.
+func (s *store) noteRefused() {
+	select {
+	case s.refused <- struct{}{}:
+	default:
+	}
+}
+
 // plan returns the plan in force.
 func (s *store) plan() placement.Plan {
 	var plan placement.Plan
@@ -151,12 +167,12 @@
 }
 
 // start runs a proposer and returns how to end it.
-func (f *fleetUnderTest) start(t *testing.T, name string, api objects.API) (stop func()) {
+func (f *fleetUnderTest) start(t *testing.T, name string) (stop func()) {
 	t.Helper()
 	logger, err := observe.NewLogger(io.Discard, name, "info")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	proposer := New(Options{Self: name, Objects: api, Prober: f, Log: logger, Facts: f.facts, Settings: quick})
+	proposer := New(Options{Self: name, Objects: f.store, Prober: f, Log: logger, Facts: f.facts, Settings: quick})
 	done := make(chan error, 1)
 	go func() { done <- proposer.Run(ctx) }()
 	stop = sync.OnceFunc(func() {
@@ -193,8 +209,8 @@
 
 func TestPlacesInWavesAndReplacesASilentEngine(t *testing.T) {
 	f := newFleetUnderTest(5)
-	f.start(t, "entry-a", f.store)
-	f.start(t, "entry-b", f.store)
+	f.start(t, "entry-a")
+	f.start(t, "entry-b")
 	eventually(t, "three replicas serve", f.serving)
 	f.mu.Lock()
 	assert.Equal(t, f.most, 1, "loads at once")
@@ -206,9 +222,9 @@
 
 func TestAnotherEntryTakesOver(t *testing.T) {
 	f := newFleetUnderTest(4)
-	stop := f.start(t, "entry-a", f.store)
+	stop := f.start(t, "entry-a")
 	eventually(t, "three replicas serve", f.serving)
-	f.start(t, "entry-b", f.store)
+	f.start(t, "entry-b")
 	stop()
 	eventually(t, "entry-b plans", func() bool { return f.store.plan().Proposer == "entry-b" })
 	f.mu.Lock()
@@ -224,42 +240,24 @@
 // process has taken the lease and planned.
 func TestPausedHolderWritesTooLate(t *testing.T) {
 	f := newFleetUnderTest(4)
-	paused, resume, refused := make(chan struct{}), make(chan struct{}), make(chan error, 1)
-	slow := &pausingStore{store: f.store, paused: paused, resume: resume, refused: refused}
-	f.start(t, "entry-a", slow)
+	paused, resume := make(chan struct{}), make(chan struct{})
+	var first atomic.Bool
+	f.store.before = func(key string) error {
+		if key == placement.PlanKey && first.CompareAndSwap(false, true) {
+			close(paused)
+			<-resume
+		}
+		return nil
+	}
+	f.start(t, "entry-a")
 	<-paused
-	f.start(t, "entry-b", f.store)
+	f.start(t, "entry-b")
 	eventually(t, "entry-b plans", func() bool { return f.store.plan().Proposer == "entry-b" })
 	close(resume)
-	assert.Assert(t, fault.Is(<-refused, fault.Conflict))
+	eventually(t, "the late plan is refused", func() bool { return len(f.store.refused) > 0 })
 	assert.Equal(t, f.store.plan().Proposer, "entry-b")
 }
 
-// pausingStore holds up the first write of the plan.
-type pausingStore struct {
-	*store
-	once           sync.Once
-	paused, resume chan struct{}
-	refused        chan error
-}
-
-// Create implements objects.API.
-func (s *pausingStore) Create(ctx context.Context, key string, value []byte) (uint64, error) {
-	if key != placement.PlanKey {
-		return s.store.Create(ctx, key, value)
-	}
-	s.once.Do(func() {
-		close(s.paused)
-		<-s.resume
-	})
-	version, err := s.store.Create(ctx, key, value)
-	select {
-	case s.refused <- err:
-	default:
-	}
-	return version, err
-}
-
 func TestStoreOutage(t *testing.T) {
 	f := newFleetUnderTest(4)
 	asked := make(chan struct{}, 1)
@@ -270,7 +268,7 @@
 		}
 		return fault.New(fault.Unavailable, "test.update", key, "down")
 	}
-	f.start(t, "entry-a", f.store)
+	f.start(t, "entry-a")
 	<-asked
 	<-asked
 	f.store.mu.Lock()
