Admit only what fits with three times its expected wait

Cause: with twice the wait, work of the middle class was still refused late in the queue. The estimate itself is right at the moment that it is made.

--- a/core/gate/submit.go
+++ b/core/gate/submit.go
@@ -109,7 +109,7 @@
 // waitMargin multiplies the expected wait before it is set against the deadline:
 // attempts that come later may be served first, and an attempt that is refused
 // now can still go elsewhere, while one that is refused in the queue cannot.
-const waitMargin = 2
+const waitMargin = 3
 
 // fit admits ask if it can be finished in time and finds a place in the queue.
 func (g *Gate) fit(now time.Duration, ask Ask) Decision {
