Start admitted work before its last moment passes

Weighed: counting the higher classes' arrival rates into the estimate (needs rates that change within a burst); a larger margin (refuses more than need be). A waiting attempt whose last moment to start is a quarter of its service time away now goes first, charged to its workspace.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -83,7 +83,7 @@
 // dispatch starts waiting attempts while the upstream has room.
 func (g *Gate) dispatch(now time.Duration) {
 	for len(g.running) < g.room(now) {
-		r := g.queue.pop()
+		r := g.next(now)
 		if r == nil {
 			return
 		}
