--- a/settings/lines.go
+++ b/settings/lines.go
@@ -63,10 +63,13 @@
 	return l
 }
 
-// note keeps the first line of a key and of the tables that a dotted key opens.
+// note keeps the first line of a key, and of the tables around it unless they
+// have a line of their own already.
 func (l *Lines) note(key string, line int) {
-	if _, ok := l.at[key]; !ok {
-		l.at[key] = line
+	for ; key != ""; key = parent(key) {
+		if _, ok := l.at[key]; !ok {
+			l.at[key] = line
+		}
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -65,6 +65,12 @@
 			"f.toml:5: stages[1].name: missing"},
 		{"text in a long string is no key", "[listen]\ncallers = \"\"\"\nport = 1\n\"\"\"\nbacklog = 0",
 			"f.toml:5: listen.backlog: must be 1 to 100, is 0"},
+		{"dotted key", "peers = []\n\nlisten.backlog = 5", "f.toml:3: listen.callers: missing"},
+		{"inline table", "peers = []\nlisten = { callers = \"a\", port = 1 }",
+			"f.toml:2: listen.port: unknown key; known here are backlog, callers"},
+		{"quoted header", "[\"listen\"]\nbacklog = 5", "f.toml:1: listen.callers: missing"},
+		{"comment behind a header", "[listen] # where\nbacklog = 5 # many\ncallers = \"a # b\"\nport = 1",
+			"f.toml:4: listen.port: unknown key; known here are backlog, callers"},
 		{"all problems at once", "peers = 1\n[listen]\nbacklog = \"many\"\nport = 1",
 			"f.toml:1: peers: must be of type array, is integer\n" +
 				"f.toml:2: listen.callers: missing\n" +
