--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -20,6 +20,10 @@
 	retryWhenStarting = 2 * time.Second
 )
 
+// writeGrace is how long after its deadline a request's answer may still be
+// written.
+const writeGrace = 2 * time.Second
+
 // submit admits and runs one request.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	started := s.opts.Now()
@@ -68,6 +72,11 @@
 	})
 	s.opts.Journal.Admitted(request, stream)
 	w.Header().Set(headerRequestID, string(request.ID))
+	control := http.NewResponseController(w)
+	// A caller that stops reading must not hold the request beyond its time. Not
+	// every ResponseWriter supports deadlines; the server's own does.
+	_ = control.SetWriteDeadline(started.Add(request.Deadline + writeGrace))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	out := s.writer(w, request.ID, stream)
 	result := s.opts.Runner.Run(r.Context(), request, out.chunk)
 	delivered := out.delivered()
--- a/entry/find.go
+++ b/entry/find.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/config"
 	"acaciawinch/core/fleet"
 	"acaciawinch/entry/claims"
 	"acaciawinch/entry/trace"
-	"acaciawinch/feed"
 	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
@@ -26,10 +26,16 @@
 	Look(ctx context.Context, workspace, pipeline, key, stage string) (claims.Held, error)
 }
 
+// fleetView is the state of the fleet that a look-up reads; *feed.State is one.
+type fleetView interface {
+	Hosts() []fleet.Host
+	Template(name string) (config.Template, bool)
+}
+
 // finder finds traces here or at the entry that a request id names.
 type finder struct {
 	name   string
-	state  func() *feed.State
+	state  func() fleetView
 	traces *trace.Ring
 	dialer *link.Dialer
 	looker looker
--- a/entry/process.go
+++ b/entry/process.go
@@ -74,7 +74,7 @@
 	p.addRunner()
 	p.finder = &finder{
 		name:   settings.Process.Name,
-		state:  p.feed.State,
+		state:  p.fleetView,
 		traces: p.traces,
 		dialer: p.dialer,
 		looker: p.keeper,
@@ -172,6 +172,15 @@
 	return state
 }
 
+// fleetView returns the state for look-ups, nil before the first.
+func (p *process) fleetView() fleetView {
+	state := p.feed.State()
+	if state == nil {
+		return nil
+	}
+	return state
+}
+
 // revision returns the configuration revision in force here.
 func (p *process) revision() core.Revision {
 	state := p.feed.State()
