--- a/entry/route/router_test.go
+++ b/entry/route/router_test.go
@@ -202,6 +202,35 @@
 	assert.Equal(t, f.counter("routing.probes_sent"), int64(2), "the tickets are remembered")
 }
 
+// TestEveryPolicyRunsThroughTheRouter and none chooses the drained one.
+func TestEveryPolicyRunsThroughTheRouter(t *testing.T) {
+	for _, policy := range []string{"probe2", "probe_pool", "random", "round_robin", "least_local"} {
+		f := newFixture(t, 4, route.Settings{Policy: policy})
+		f.sides.loads["a-1"].Draining = true
+		for range 30 {
+			choice, err := f.Choose(t.Context(), plain)
+			assert.NilError(t, err, policy)
+			assert.Assert(t, choice.Upstream != "a-1", policy)
+			f.ObserveResult(route.Result{Upstream: choice.Upstream, Kind: route.ResultOK})
+		}
+		lines := f.log.of(t, event.RouteChosen)
+		assert.Equal(t, len(lines), 30, policy)
+		assert.Equal(t, lines[0].Fields.Policy, policy)
+	}
+}
+
+// TestPoolProbesInTheBackground fills the pool beside its decisions.
+func TestPoolProbesInTheBackground(t *testing.T) {
+	f := newFixture(t, 8, route.Settings{Policy: "probe_pool"})
+	_, err := f.Choose(t.Context(), plain)
+	assert.NilError(t, err)
+	f.sides.set(func() { f.sides.hold = make(chan struct{}) })
+	defer close(f.sides.hold)
+	_, err = f.Choose(t.Context(), plain)
+	assert.NilError(t, err, "a pooled answer needs no probe")
+	eventually(t, func() bool { return f.counter("routing.probes_sent") == 4 })
+}
+
 // TestSettingsAreChecked names what is wrong.
 func TestSettingsAreChecked(t *testing.T) {
 	assert.NilError(t, route.DefaultSettings().Validate())
