Show relays and whom entries follow in status; test racing operators

Six operators who add different workspaces at once all succeed; seen red with a lost race taken for a conflict.

--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -97,6 +98,24 @@
 	assert.Assert(t, strings.Contains(printed, "workspace asesores"), printed)
 }
 
+func TestRacingOperatorsOfDifferentThingsAllSucceed(t *testing.T) {
+	b := newBench(t, "")
+	b.expect(exitDone, "accepted", append([]string{"apply"}, examples("institute")...)...)
+	var group sync.WaitGroup
+	const operators = 6
+	codes := make([]int, operators)
+	for i := range operators {
+		file := b.file(fmt.Sprintf("own%d.toml", i), fmt.Sprintf("[[workspaces]]\nname = \"own-%d\"\npipelines = [\"consulta\"]\nweight = 1\n", i))
+		group.Go(func() { codes[i], _ = b.run("apply", file) })
+	}
+	group.Wait()
+	assert.DeepEqual(t, codes, make([]int, operators))
+	b.expect(exitDone, fmt.Sprintf("# revision %d,", 1+operators), "get")
+	for i := range operators {
+		b.expect(exitDone, "weight = 1", "get", "--workspace", fmt.Sprintf("own-%d", i))
+	}
+}
+
 func TestBadInputNamesFileLineAndKey(t *testing.T) {
 	b := newBench(t, "")
 	b.expect(exitBadInput, "w0.toml:4: workspaces[0].weight: must be 1 to 1000, is 0", "validate", b.weighted(0))
@@ -155,7 +174,7 @@
 func newEntry(t *testing.T) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(`{"name":"entry-1","zone":"z","ready":true,"revision":7,"hosts":3,"placement_version":2}`))
+		_, _ = w.Write([]byte(`{"name":"entry-1","zone":"z","ready":true,"revision":7,"hosts":3,"placement_version":2,"feed":{"relay":true,"subscribers":4}}`))
 	})
 	mux.HandleFunc("/v1/explain/entry-1-ab", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"request_id":"entry-1-ab","outcome":"answered","decisions":[{"event":2001,"name":"route_chosen",` +
@@ -169,7 +188,7 @@
 func TestStatusAndExplainAskEntries(t *testing.T) {
 	entry := newEntry(t)
 	b := newBench(t, fmt.Sprintf("[entries]\nadmin = [%q]\n", entry))
-	b.expect(exitDone, "entry-1 (z): ready true, revision 7, hosts 3, placement 2", "status")
+	b.expect(exitDone, "entry-1 (z): ready true, revision 7, hosts 3, placement 2, relay to 4", "status")
 	printed := b.expect(exitDone, "route_chosen  encode/1  u1: least wait", "explain", "entry-1-ab")
 	assert.Assert(t, strings.Contains(printed, "not u2: slower"), printed)
 	b.expect(exitBadInput, "not found", "explain", "entry-1-none")
--- a/acaciawinch/status.go
+++ b/acaciawinch/status.go
@@ -8,6 +8,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fault"
+	"acaciawinch/feed"
 	"acaciawinch/feed/store"
 )
 
@@ -45,6 +46,25 @@
 	Revision         core.Revision `json:"revision"`
 	Hosts            int           `json:"hosts"`
 	PlacementVersion uint64        `json:"placement_version"`
+	PlacementLease   bool          `json:"placement_lease"`
+	Feed             feed.Stats    `json:"feed"`
+}
+
+// text returns one line.
+func (s shownStatus) text() string {
+	line := fmt.Sprintf("%s (%s): ready %t, revision %d, hosts %d, placement %d", s.Name, s.Zone, s.Ready, s.Revision, s.Hosts, s.PlacementVersion)
+	if s.PlacementLease {
+		line += ", holds the placement lease"
+	}
+	switch {
+	case s.Feed.Relay:
+		line += fmt.Sprintf(", relay to %d", s.Feed.Subscribers)
+	case s.Feed.Direct:
+		line += ", reads the platform itself"
+	case s.Feed.Provider != "":
+		line += ", follows " + s.Feed.Provider
+	}
+	return line
 }
 
 // Execute implements flags.Commander.
@@ -120,9 +140,7 @@
 			lines = append(lines, entry.Admin+": "+entry.Error)
 			continue
 		}
-		shown := entry.shown
-		lines = append(lines, fmt.Sprintf("%s (%s): ready %t, revision %d, hosts %d, placement %d",
-			shown.Name, shown.Zone, shown.Ready, shown.Revision, shown.Hosts, shown.PlacementVersion))
+		lines = append(lines, entry.shown.text())
 	}
 	return strings.Join(lines, "\n")
 }
