Begin a round of placement when the facts change

The holder no longer waits for its next round: a change of the feed's state brings one after a fiftieth of the round's time. A process without facts waits for the first ones. Outside entry/place one line of the entry's wiring hands the feed's channel in.

An engine that holds a model already is now said to be assigned it, not to load it, and a lease given up at a planned stop says so.

--- a/core/placement/input.go
+++ b/core/placement/input.go
@@ -48,8 +48,10 @@
 
 // The actions.
 const (
-	// ActionLoad: the engine is told to hold the model version from now on.
+	// ActionLoad: the engine is told to load the model version.
 	ActionLoad Action = "load"
+	// ActionAssign: the engine holds the model version already and is told to keep it.
+	ActionAssign Action = "assign"
 	// ActionDrop: the engine no longer has to hold it.
 	ActionDrop Action = "drop"
 	// ActionDefer: the load waits for a later wave.
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -113,7 +113,7 @@
 		f.held[chosen.Upstream]++
 		added = append(added, chosen)
 		decisions = append(decisions, Decision{
-			Action:       ActionLoad,
+			Action:       f.actionFor(chosen),
 			Assignment:   chosen,
 			Reason:       f.reason(chosen, replicas),
 			Alternatives: ranked[1:],
@@ -155,15 +155,19 @@
 	return names
 }
 
+// actionFor returns whether a new assignment needs a load.
+func (f *fleet) actionFor(chosen Assignment) Action {
+	if f.loaded(chosen) {
+		return ActionAssign
+	}
+	return ActionLoad
+}
+
 // reason says why an engine was chosen.
 func (f *fleet) reason(chosen Assignment, replicas []Assignment) string {
 	zone := f.zoneOf(chosen)
-	held := "not loaded"
-	if f.loaded(chosen) {
-		held = "loaded already"
-	}
-	return fmt.Sprintf("zone %s has %d replicas, the engine holds %d, %s",
-		zone, f.perZone(replicas)[zone], f.held[chosen.Upstream]-1, held)
+	return fmt.Sprintf("zone %s has %d replicas, the engine is assigned %d others",
+		zone, f.perZone(replicas)[zone], f.held[chosen.Upstream]-1)
 }
 
 // weight is the rendezvous hash of an assignment.
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -103,19 +103,28 @@
 // fleetUnderTest is a set of engines that load what the plan tells them, each
 // load taking one question, and a host list.
 type fleetUnderTest struct {
-	store *store
-	mu    sync.Mutex
-	hosts []fleet.Host
+	store    *store
+	settings Settings
+	mu       sync.Mutex
+	hosts    []fleet.Host
 	// silent are the engines whose sides do not answer.
 	silent map[string]bool
 	loaded map[string][]placement.ModelVersion
 	// most is the most loads that were unfinished at once.
 	most int
+	// changed is closed when the hosts change.
+	changed chan struct{}
 }
 
 // newFleetUnderTest returns engines of one service in two zones.
 func newFleetUnderTest(engines int) *fleetUnderTest {
-	f := &fleetUnderTest{store: newStore(), silent: make(map[string]bool), loaded: make(map[string][]placement.ModelVersion)}
+	f := &fleetUnderTest{
+		store:    newStore(),
+		silent:   make(map[string]bool),
+		loaded:   make(map[string][]placement.ModelVersion),
+		changed:  make(chan struct{}),
+		settings: quick,
+	}
 	for i := range engines {
 		name := fmt.Sprintf("llm-%d", i)
 		f.hosts = append(f.hosts, fleet.Host{Name: name, Role: fleet.RoleUpstream, Service: "llm", Zone: fmt.Sprint(i % 2), Addr: name})
@@ -154,6 +163,22 @@
 	f.loaded[addr] = own
 }
 
+// next implements Options.Changed.
+func (f *fleetUnderTest) next() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// remove takes an engine off the host list.
+func (f *fleetUnderTest) remove(gone core.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = slices.DeleteFunc(f.hosts, func(h fleet.Host) bool { return core.UpstreamID(h.Name) == gone })
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // facts implements Options.Facts.
 func (f *fleetUnderTest) facts() (Facts, bool) {
 	f.mu.Lock()
@@ -172,7 +197,7 @@
 	logger, err := observe.NewLogger(io.Discard, name, "info")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	proposer := New(Options{Self: name, Objects: f.store, Prober: f, Log: logger, Facts: f.facts, Settings: quick})
+	proposer := New(Options{Self: name, Objects: f.store, Prober: f, Log: logger, Facts: f.facts, Changed: f.next, Settings: f.settings})
 	done := make(chan error, 1)
 	go func() { done <- proposer.Run(ctx) }()
 	stop = sync.OnceFunc(func() {
@@ -227,10 +252,8 @@
 	f.start(t, "entry-b")
 	stop()
 	eventually(t, "entry-b plans", func() bool { return f.store.plan().Proposer == "entry-b" })
-	f.mu.Lock()
 	gone := f.store.plan().Assignments[0].Upstream
-	f.hosts = slices.DeleteFunc(f.hosts, func(h fleet.Host) bool { return core.UpstreamID(h.Name) == gone })
-	f.mu.Unlock()
+	f.remove(gone)
 	eventually(t, "the gone engine is replaced", func() bool {
 		return f.serving() && f.store.plan().Assignments[0].Upstream != gone
 	})
@@ -258,6 +281,20 @@
 	assert.Equal(t, f.store.plan().Proposer, "entry-b")
 }
 
+// TestChangeDoesNotWaitForTheRound has rounds of a minute, so that only the
+// change can be what brings the next one in time.
+func TestChangeDoesNotWaitForTheRound(t *testing.T) {
+	f := newFleetUnderTest(4)
+	f.settings.RoundMS, f.settings.LeaseMS, f.settings.MaxLoads = 60_000, 120_000, 3
+	f.start(t, "entry-a")
+	eventually(t, "a plan", func() bool { return len(f.store.plan().Assignments) == 3 })
+	gone := f.store.plan().Assignments[0].Upstream
+	f.remove(gone)
+	eventually(t, "a plan without the engine", func() bool {
+		return !slices.ContainsFunc(f.store.plan().Assignments, func(a placement.Assignment) bool { return a.Upstream == gone })
+	})
+}
+
 func TestStoreOutage(t *testing.T) {
 	f := newFleetUnderTest(4)
 	asked := make(chan struct{}, 1)
--- a/entry/place/proposer.go
+++ b/entry/place/proposer.go
@@ -28,6 +28,8 @@
 	releaseTimeout  = 500 * time.Millisecond
 	maxRankedRounds = 12
 	jitterPercent   = 20
+	// settleShare is the part of a round's time that a change waits for others.
+	settleShare = 50
 )
 
 // Prober asks a side for its load. Errors mean that there was no answer.
@@ -45,7 +47,10 @@
 	// Scope takes the metrics; nil drops them.
 	Scope tally.Scope
 	// Facts returns what the feed knows, or false while it knows nothing.
-	Facts    func() (Facts, bool)
+	Facts func() (Facts, bool)
+	// Changed returns a channel that is closed when the facts change next, so that
+	// the holder need not wait for its next round; nil if there is none.
+	Changed  func() <-chan struct{}
 	Settings Settings
 }
 
@@ -96,10 +101,12 @@
 // returns nil.
 func (p *Proposer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if facts, ok := p.options.Facts(); ok {
+		changed := p.changed()
+		facts, ok := p.options.Facts()
+		if ok {
 			p.round(ctx, facts)
 		}
-		p.wait(ctx)
+		p.wait(ctx, ok, changed)
 	}
 	p.release(context.WithoutCancel(ctx))
 	return nil
@@ -108,21 +115,50 @@
 // now returns the process's own monotonic clock.
 func (p *Proposer) now() time.Duration { return time.Since(p.start) }
 
-// wait waits until the next round. Who does not hold the lease looks at it the
-// less often the farther down it ranks, so that a fleet of hundreds of entries
-// spends a few reads a second on it.
-func (p *Proposer) wait(ctx context.Context) {
-	pause := milliseconds(p.options.Settings.RoundMS)
-	if !p.lease.Holds(p.now()) {
-		pause *= time.Duration(1 + min(p.rank(), maxRankedRounds))
+// changed returns the channel of the next change, nil if there is none.
+func (p *Proposer) changed() <-chan struct{} {
+	if p.options.Changed == nil {
+		return nil
+	}
+	return p.options.Changed()
+}
+
+// wait waits until the next round. The holder also goes on when the facts have
+// changed, though not at once, since changes often come together. While nothing
+// is known every process waits for the first facts.
+func (p *Proposer) wait(ctx context.Context, known bool, changed <-chan struct{}) {
+	if known && !p.Holding() {
+		changed = nil
 	}
-	pause += pause * time.Duration(rand.IntN(jitterPercent)) / 100
-	timer := time.NewTimer(pause)
+	timer := time.NewTimer(p.pause())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-changed:
+		settle(ctx, milliseconds(p.options.Settings.RoundMS)/settleShare)
+	}
+}
+
+// settle waits for d, or until ctx ends.
+func settle(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// pause returns the time until the next round if nothing changes. Who does not
+// hold the lease looks at it the less often the farther down it ranks, so that a
+// fleet of hundreds of entries spends a few reads a second on it.
+func (p *Proposer) pause() time.Duration {
+	pause := milliseconds(p.options.Settings.RoundMS)
+	if !p.Holding() {
+		pause *= time.Duration(1 + min(p.rank(), maxRankedRounds))
 	}
+	return pause + pause*time.Duration(rand.IntN(jitterPercent))/100
 }
 
 // rank returns how many other entries come before this one, by a hash of their
@@ -155,7 +191,7 @@
 		}
 		p.call(ctx, round, step, facts)
 	}
-	p.noteLease()
+	p.noteLease("not renewed in time")
 }
 
 // Holding tells whether this process held the lease after its last round. Duties
@@ -163,8 +199,8 @@
 // called from any goroutine.
 func (p *Proposer) Holding() bool { return p.holding.Load() }
 
-// noteLease logs that the lease was taken or lost.
-func (p *Proposer) noteLease() {
+// noteLease logs that the lease was taken, or lost and why.
+func (p *Proposer) noteLease(why string) {
 	holds := p.lease.Holds(p.now())
 	held := p.holding.Swap(holds)
 	p.metrics.hold(holds)
@@ -172,7 +208,7 @@
 	case holds && !held:
 		p.options.Log.Event(event.PlacementLeaseTaken, observe.Fields{"term": p.term})
 	case !holds && held:
-		p.options.Log.Warn(event.PlacementLeaseLost, observe.Fields{"term": p.term})
+		p.options.Log.Event(event.PlacementLeaseLost, observe.Fields{"term": p.term, "reason": why})
 	}
 }
 
--- a/entry/place/store.go
+++ b/entry/place/store.go
@@ -48,6 +48,7 @@
 	switch fault.CodeOf(err) {
 	case "":
 		round.LeaseWritten(before, version)
+		p.noteLease("")
 	case fault.Conflict, fault.NotFound, fault.Unavailable:
 		round.NotWritten()
 	default:
@@ -105,5 +106,5 @@
 	defer cancel()
 	// A failure costs the next holder one lease time, no more.
 	_, _ = p.write(ctx, placement.LeaseKey, step.Record, step.Version)
-	p.noteLease()
+	p.noteLease("the process stops")
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -142,6 +142,7 @@
 		Log:      p.logger,
 		Scope:    p.metrics.Scope(),
 		Facts:    func() (place.Facts, bool) { return place.FactsOf(p.feed.State()) },
+		Changed:  p.feed.Changed,
 		Settings: p.settings.Placement,
 	})
 }
--- a/observe/event/placement.go
+++ b/observe/event/placement.go
@@ -3,9 +3,9 @@
 // Events of the placement of models on engines: 6000 to 6999.
 var (
 	PlacementLeaseTaken = define(6001, "placement_lease_taken",
-		"This process holds the placement lease now.", "term", "version")
+		"This process holds the placement lease now.", "term")
 	PlacementLeaseLost = define(6002, "placement_lease_lost",
-		"This process no longer holds the placement lease.", "term")
+		"This process no longer holds the placement lease.", "term", "reason")
 	PlacementWritten = define(6003, "placement_written",
 		"A plan is in force.", "sequence", "version", "revision", "assignments", "loads", "reason")
 	PlacementDecided = define(6004, "placement_decided",
