--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -36,7 +36,7 @@
 
 // testFleet is a store, a host list and processes on loopback.
 type testFleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *fakeStore
 	hosts *fakeHosts
 	nodes map[string]*node
@@ -48,6 +48,7 @@
 type node struct {
 	host   fleet.Host
 	feed   *Feed
+	server *link.Server
 	stop   context.CancelFunc
 	done   chan struct{}
 	frozen *gate
@@ -56,7 +57,7 @@
 }
 
 // newTestFleet returns a fleet without processes and an empty configuration.
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t testing.TB) *testFleet {
 	f := &testFleet{t: t, store: newFakeStore(), hosts: &fakeHosts{}, nodes: map[string]*node{}, snapshot: config.Empty()}
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
@@ -152,6 +153,7 @@
 	n.feed = New(Options{Name: host.Name, Zone: host.Zone, Region: host.Region, Role: host.Role, RelaysPerZone: 1,
 		Objects: f.store, Hosts: f.hosts, Dialer: dialer, Timing: fastTiming, Seed: uint64(len(f.nodes))})
 	server := link.NewServer(testKey)
+	n.server = server
 	assert.NilError(f.t, wirepb.DRPCRegisterEntry(server.Mux(), n))
 	go func() {
 		defer close(n.done)
