--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +15,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"acaciawinch/wire/link"
+	"acaciawinch/wire/wirepb"
 )
 
 // bench runs command lines against a fake store.
@@ -170,6 +174,46 @@
 	b.expect(exitDone, "unchanged", "undrain", "tesoreria-9")
 }
 
+// drainedSide is a side that notes which drains it was told.
+type drainedSide struct {
+	wirepb.DRPCSideUnimplementedServer
+	told chan bool
+}
+
+// Drain implements wirepb.DRPCSideServer.
+func (s *drainedSide) Drain(_ context.Context, req *wirepb.DrainRequest) (*wirepb.DrainReply, error) {
+	s.told <- !req.GetResume()
+	return &wirepb.DrainReply{}, nil
+}
+
+// newSide serves a side of the fleet with key "k" and returns its address.
+func newSide(t *testing.T, side *drainedSide) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := link.NewServer("k")
+	assert.NilError(t, wirepb.DRPCRegisterSide(server.Mux(), side))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+func TestADrainTellsTheSideAlsoWhileTheStoreIsDown(t *testing.T) {
+	side := &drainedSide{told: make(chan bool, 1)}
+	address := newSide(t, side)
+	hosts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"version":1,"hosts":[{"name":"tesoreria-1","role":"upstream","addr":%q}]}`, address)
+	}))
+	defer hosts.Close()
+	b := newBench(t, fmt.Sprintf("hosts = %q\n[fleet]\nkey = \"k\"\n", hosts.URL))
+	b.expect(exitDone, "the side of tesoreria-1 was told", "drain", "tesoreria-1")
+	assert.Equal(t, <-side.told, true)
+	b.store.change(func(s *fakeStore) { s.down = true })
+	b.expect(exitUnavailable, "the side of tesoreria-1 was told", "--timeout", "300ms", "undrain", "tesoreria-1")
+	assert.Equal(t, <-side.told, false)
+}
+
 // newEntry serves the admin paths of an entry that knows one request.
 func newEntry(t *testing.T) string {
 	mux := http.NewServeMux()
