End a drain only after its end was accepted

An undrain told the side before the change was accepted, so that with the store down the side would take work while the drain was still in force.

Run: go test ./acaciawinch passes; seen red with the side told first.

--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -207,10 +207,18 @@
 	}))
 	defer hosts.Close()
 	b := newBench(t, fmt.Sprintf("hosts = %q\n[fleet]\nkey = \"k\"\n", hosts.URL))
+	down := func(down bool) { b.store.change(func(s *fakeStore) { s.down = down }) }
+	down(true)
+	b.expect(exitUnavailable, "the side of tesoreria-1 was told", "--timeout", "300ms", "drain", "tesoreria-1")
+	assert.Equal(t, <-side.told, true)
+	down(false)
 	b.expect(exitDone, "the side of tesoreria-1 was told", "drain", "tesoreria-1")
 	assert.Equal(t, <-side.told, true)
-	b.store.change(func(s *fakeStore) { s.down = true })
-	b.expect(exitUnavailable, "the side of tesoreria-1 was told", "--timeout", "300ms", "undrain", "tesoreria-1")
+	down(true)
+	b.expect(exitUnavailable, "not accepted", "--timeout", "300ms", "undrain", "tesoreria-1")
+	assert.Equal(t, len(side.told), 0, "an undrain that was not accepted was carried out")
+	down(false)
+	b.expect(exitDone, "the side of tesoreria-1 was told", "undrain", "tesoreria-1")
 	assert.Equal(t, <-side.told, false)
 }
 
--- a/acaciawinch/drain.go
+++ b/acaciawinch/drain.go
@@ -30,8 +30,9 @@
 }
 
 // Execute implements flags.Commander. The configuration makes the drain last and
-// tells everybody; the call to the side makes it hold at once. If the store is
-// down, the call alone still ends new work at the upstream.
+// tells everybody; the call to the side makes it hold at once. A drain calls the
+// side first, so that new work ends there also while the store is down. An undrain
+// calls it only after the change was accepted: until then the drain is in force.
 func (c *drainCommand) Execute([]string) error {
 	s, err := c.env.settings()
 	if err != nil {
@@ -41,14 +42,21 @@
 	if err != nil {
 		return err
 	}
-	told := c.tell(s, host)
+	if !c.resume {
+		c.remark(c.tell(s, host))
+	}
 	api, err := c.env.objects()
 	if err != nil {
 		return err
 	}
-	accepted := c.env.acceptChange(api, accept.Request{Note: c.note(), Change: c.change()}, config.Problem.String)
-	c.remark(told)
-	return accepted
+	request := accept.Request{Note: c.note(), Change: c.change()}
+	if err := c.env.acceptChange(api, request, config.Problem.String); err != nil {
+		return err
+	}
+	if c.resume {
+		c.remark(c.tell(s, host))
+	}
+	return nil
 }
 
 // remark tells the operator whether the side knows already.
