Test the side's runtime and its upstream client

Cause of a change that they forced: a planned stop now drains before it takes readiness off, since an attempt could slip in between.

--- a/side/fleet.go
+++ b/side/fleet.go
@@ -5,18 +5,20 @@
 
 	"acaciawinch/core/fleet"
 	"acaciawinch/core/gate"
+	"acaciawinch/core/placement"
 	"acaciawinch/feed"
 )
 
-// fleetFeed is what the side reads of the fleet's state; *feed.Feed implements it.
-type fleetFeed interface {
-	State() *feed.State
-	Changed() <-chan struct{}
+// fleetState is what the side reads of the fleet's state; *feed.State implements it.
+type fleetState interface {
+	Hosts() []fleet.Host
+	Drained(upstream string) bool
+	Placement() (plan placement.Plan, version uint64)
 }
 
 // watchFleet follows the feed until ctx ends: it drains the upstream when the host
 // list or the operators say so, and passes each placement on to the orders.
-func watchFleet(ctx context.Context, source fleetFeed, k *keeper, orders *orders) error {
+func watchFleet(ctx context.Context, source *feed.Feed, k *keeper, orders *orders) error {
 	for {
 		changed := source.Changed()
 		if state := source.State(); state != nil {
@@ -31,7 +33,7 @@
 }
 
 // applyFleet brings drains and orders in line with the fleet's state.
-func applyFleet(state *feed.State, k *keeper, orders *orders) {
+func applyFleet(state fleetState, k *keeper, orders *orders) {
 	name := string(k.options.upstream)
 	k.setDrain(gate.DrainHostList, leaving(state.Hosts(), name))
 	k.setDrain(gate.DrainOperator, state.Drained(name))
--- a/side/process.go
+++ b/side/process.go
@@ -29,8 +29,7 @@
 const (
 	adminHeaderTimeout = 5 * time.Second
 	// stopCheck is how often a planned stop looks whether it is over.
-	stopCheck = 20 * time.Millisecond
-	// stopLinger lets the last answers leave before the connections close.
+	stopCheck  = 20 * time.Millisecond
 	stopLinger = 100 * time.Millisecond
 )
 
@@ -46,6 +45,9 @@
 	feed        *feed.Feed
 	keeper      *keeper
 	meter       *meter
+	// linger is how long the last answers have to leave before the connections
+	// close.
+	linger time.Duration
 	// orders is nil unless the upstream is an engine.
 	orders *orders
 }
@@ -60,6 +62,7 @@
 		settings:    settings,
 		incarnation: core.Incarnation(rand.Uint64()),
 		life:        newLifecycle(settings.Process.Name),
+		linger:      stopLinger,
 		logger:      logger,
 		metrics:     observe.NewMetrics(metricsPrefix),
 		dialer:      link.NewDialer(settings.Fleet.Key),
@@ -175,10 +178,10 @@
 	case <-parts.Done():
 		return nil
 	}
+	p.keeper.setDrain(gate.DrainStop, true)
 	if err := p.life.fire(eventStop); err != nil {
 		return err
 	}
-	p.keeper.setDrain(gate.DrainStop, true)
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.keeper.pending().unsettled})
 	end := eventExpired
 	if p.awaitEmpty(parts) {
@@ -197,7 +200,7 @@
 	for {
 		left := p.keeper.pending()
 		if left == (pending{}) {
-			linger(parts)
+			linger(parts, p.linger)
 			return true
 		}
 		select {
@@ -213,9 +216,9 @@
 	}
 }
 
-// linger waits for stopLinger.
-func linger(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stopLinger)
+// linger waits for a time, or until ctx ends.
+func linger(ctx context.Context, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	<-ctx.Done()
 }
--- /dev/null
+++ b/side/process_test.go
@@ -0,0 +1,189 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/chart"
+	"acaciawinch/core/config"
+	"acaciawinch/settings"
+	"acaciawinch/wire/wirepb"
+)
+
+// good is a file of settings without optional keys.
+const good = `[process]
+name = "side-u1"
+zone = "z1"
+[listen]
+fleet = "127.0.0.1:9201"
+admin = "127.0.0.1:9202"
+[platform]
+hosts = "http://127.0.0.1:9001"
+[fleet]
+key = "key"
+[upstream]
+name = "u1"
+service = "tesoreria"
+kind = "service"
+url = "http://127.0.0.1:9101"
+`
+
+func TestSettingsAreReadWithTheirDefaults(t *testing.T) {
+	loaded := Defaults()
+	assert.NilError(t, settings.Decode("side.toml", []byte(good), &loaded))
+	assert.Equal(t, loaded.Upstream.Kind, config.KindService)
+	assert.Equal(t, loaded.Results.KeepMS, 10_000)
+	assert.Equal(t, loaded.Queue.Discipline, DisciplineFair)
+}
+
+func TestWrongSettingsNameLineAndKey(t *testing.T) {
+	for _, c := range []struct{ old, changed, want string }{
+		{`key = "key"`, `keys = "key"`, "side.toml:10: fleet.keys: unknown key"},
+		{`name = "u1"` + "\n", "", "side.toml:11: upstream.name: missing"},
+		{`kind = "service"`, `kind = "plain"`, `side.toml:14: upstream.kind: "plain" is none of`},
+		{`fleet = "127.0.0.1:9201"`, `fleet = "localhost:9201"`, `side.toml:5: listen.fleet: "localhost:9201" is not IP:port`},
+		{`zone = "z1"`, `zone = 1`, "side.toml:3: process.zone: must be of type string"},
+		{"[process]\n", "[queue]\nmax_queued = 0\n[process]\n", "side.toml:2: queue.max_queued: 0 is not within 1 to"},
+		{"[process]\n", "[results]\nkeep_claimed_ms = 60000\n[process]\n", "side.toml:2: results.keep_claimed_ms: 60000 is not within 60001 to"},
+	} {
+		text := strings.Replace(good, c.old, c.changed, 1)
+		loaded := Defaults()
+		err := settings.Decode("side.toml", []byte(text), &loaded)
+		assert.ErrorContains(t, err, c.want)
+	}
+}
+
+// upstreamServer is an upstream that speaks HTTP and holds each run until the test
+// lets it end.
+type upstreamServer struct {
+	arrived chan struct{}
+	release chan struct{}
+}
+
+// ServeHTTP implements http.Handler.
+func (u *upstreamServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/run" {
+		fmt.Fprint(w, `{"capacity":2}`)
+		return
+	}
+	u.arrived <- struct{}{}
+	select {
+	case <-u.release:
+		fmt.Fprintln(w, `{"chunk":"YQ=="}`)
+		fmt.Fprintln(w, `{"done":true,"cost":1}`)
+	case <-r.Context().Done():
+	}
+}
+
+// startProcess starts a whole side process before upstream. The returned channel
+// gives the result of its end.
+func startProcess(t *testing.T, ctx context.Context, upstream http.Handler) (*process, *rig, string, chan error) {
+	server := httptest.NewServer(upstream)
+	t.Cleanup(server.Close)
+	loaded := Defaults()
+	assert.NilError(t, settings.Decode("side.toml", []byte(good), &loaded))
+	loaded.Upstream.URL = server.URL
+	loaded.Platform.Hosts = server.URL
+	loaded.Process.LogLevel = "error"
+	p, err := newProcess(loaded)
+	assert.NilError(t, err)
+	p.linger = 0
+	open, err := listen(ListenSettings{Fleet: "127.0.0.1:0", Admin: "127.0.0.1:0"})
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- p.serve(ctx, open) }()
+	r := &rig{t: t, keeper: p.keeper, dialer: p.dialer, addr: open.fleet.Addr().String()}
+	return p, r, "http://" + open.admin.Addr().String(), ended
+}
+
+// get returns the status code of an admin path.
+func get(t *testing.T, url string) int {
+	t.Helper()
+	response, err := http.Get(url)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+func TestPlannedStopFinishesWhatIsInFlightAndRefusesTheRest(t *testing.T) {
+	upstream := &upstreamServer{arrived: make(chan struct{}, 1), release: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	p, r, admin, ended := startProcess(t, ctx, upstream)
+	await(t, "it is ready", func() bool { return get(t, admin+"/readyz") == http.StatusOK })
+	own := func() *wirepb.RunRequest {
+		request := r.request()
+		request.Key.SideIncarnation = uint64(p.incarnation)
+		return request
+	}
+	held := own()
+	s := r.run(context.Background(), held)
+	<-upstream.arrived
+	stop()
+	await(t, "it is not ready", func() bool { return get(t, admin+"/readyz") == http.StatusServiceUnavailable })
+	await(t, "it drains", func() bool { return p.life.state() == chart.State("draining") })
+	assert.Equal(t, get(t, admin+"/livez"), http.StatusOK)
+	out := r.read(r.run(context.Background(), own()))
+	assert.Equal(t, out.refused.GetReason(), wirepb.RefusalReason_REFUSAL_DRAINING)
+	close(upstream.release)
+	assert.DeepEqual(t, r.read(s).chunks, []string{"a"})
+	assert.NilError(t, <-ended)
+	assert.Equal(t, p.life.state(), chart.State("stopped"))
+}
+
+func TestStopWaitsForTheAcknowledgementOfAClaimedResult(t *testing.T) {
+	upstream := &upstreamServer{arrived: make(chan struct{}, 1), release: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	p, r, _, ended := startProcess(t, ctx, upstream)
+	await(t, "it is ready", p.life.ready)
+	request := r.claimed()
+	request.Key.SideIncarnation = uint64(p.incarnation)
+	s := r.run(context.Background(), request)
+	<-upstream.arrived
+	close(upstream.release)
+	r.read(s)
+	stop()
+	await(t, "it drains", func() bool { return p.life.state() == chart.State("draining") })
+	assert.Equal(t, r.resolve(request).GetState(), wirepb.ResolveState_RESOLVE_DONE)
+	select {
+	case err := <-ended:
+		t.Fatal("it did not wait", err)
+	default:
+	}
+	_, err := r.client().Acknowledge(context.Background(), &wirepb.AcknowledgeRequest{Key: request.GetKey()})
+	assert.NilError(t, err)
+	assert.NilError(t, <-ended)
+}
+
+func TestStatusAndMetricsAreServed(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	_, _, admin, ended := startProcess(t, ctx, &upstreamServer{})
+	await(t, "it is ready", func() bool { return get(t, admin+"/readyz") == http.StatusOK })
+	response, err := http.Get(admin + "/v1/status")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var status Status
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&status))
+	assert.Equal(t, status.Upstream, "u1")
+	assert.Equal(t, status.State, "available")
+	assert.Equal(t, status.Load.Capacity, 2)
+	assert.Equal(t, len(status.Costs), 6)
+	assert.Equal(t, get(t, admin+"/metrics"), http.StatusOK)
+	stop()
+	assert.NilError(t, <-ended)
+}
+
+func TestPortInUseIsAnError(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	_, err = listen(ListenSettings{Fleet: "127.0.0.1:0", Admin: taken.Addr().String()})
+	assert.ErrorContains(t, err, "side.listen")
+}
