--- a/entry/pipeline/calls.go
+++ b/entry/pipeline/calls.go
@@ -80,7 +80,7 @@
 		Pipeline:    f.req.Template.Name,
 		Claim:       a.target.claimed,
 		RemainingMs: uint64(max(r.Remaining.Milliseconds(), 1)),
-		Priority:    int32(priority(f.req, r.Stage)),
+		Priority:    int32(f.req.Workspace.Priority),
 		Weight:      uint32(max(f.req.Workspace.Weight, 1)),
 		Model:       stage.Model,
 		Version:     stage.Version,
--- a/entry/pipeline/parameters.go
+++ b/entry/pipeline/parameters.go
@@ -22,16 +22,3 @@
 	}
 	return stage, ""
 }
-
-// priority returns the class of a stage in the queues of the upstreams. What
-// follows a non-idempotent stage goes first: its effect has happened, and to
-// refuse the rest would leave the caller with an unknown outcome and the work done
-// so far wasted.
-func priority(request Request, stage int) int {
-	for _, earlier := range request.Template.Stages[:stage] {
-		if earlier.NonIdempotent {
-			return config.MaxPriority
-		}
-	}
-	return request.Workspace.Priority
-}
