Play courses of configuration, placement and draining, and break each check

Five steps join the matrix that are no single request's: a change's accept and spread, a placement plan and order, and a drain. Faults that take part in them are injected at the write of the head or the plan, at an engine's first order, or behind the notice, while traffic runs through all entries. Rows of their own: operators racing, the operators' command killed, a lease that lapses while its holder is paused, and the four signals by which an upstream leaves.

--- a/standin/faults/cell.go
+++ b/standin/faults/cell.go
@@ -23,8 +23,10 @@
 	Excluded string `json:"excluded,omitempty"`
 	// First is what the first request's caller got, and Last what it got by
 	// asking again with its key when the fault was over.
-	First    string    `json:"first,omitempty"`
-	Last     string    `json:"last,omitempty"`
+	First string `json:"first,omitempty"`
+	Last  string `json:"last,omitempty"`
+	// Note says what else is worth knowing.
+	Note     string    `json:"note,omitempty"`
 	Counts   Counts    `json:"counts"`
 	Findings []Finding `json:"findings,omitempty"`
 	// Runs counts the tries; more than one if the step was missed.
--- /dev/null
+++ b/standin/faults/cells_test.go
@@ -0,0 +1,29 @@
+package faults
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCells plays the cells of the matrix that CI runs. They wait on events, so
+// their verdicts don't depend on how busy the machine is.
+func TestCells(t *testing.T) {
+	cells := []struct{ fault, step string }{
+		{"entry killed", "mid-stream"},
+		{"side killed", "pay flight"},
+		{"store answer lost after effect", "claim sent"},
+		{"entry stopped as planned", "mid-stream"},
+		{"dispatch late", "pay before"},
+		{"another request's answers", "pay answer"},
+		{"leaving by the engine's notice", "drain"},
+		{"operators racing", "config accept"},
+		{"lease lapsed while its holder is paused", "placement plan"},
+	}
+	for _, c := range cells {
+		t.Run(c.fault+" at "+c.step, func(t *testing.T) {
+			report := play(t, cellOf(t, c.fault, c.step))
+			assert.Assert(t, report.Passed(), "%v\nfolder: %s", report.Findings, report.Dir)
+		})
+	}
+}
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -32,6 +32,9 @@
 	// Entry is the one that the request was sent to, or that the step is at.
 	Entry *harness.Entry
 	armed *armed
+	// operation is the operators' command of a change; held lets a plan go on.
+	operation *operation
+	held      func()
 }
 
 // Fault is something that happens at a step.
@@ -48,6 +51,15 @@
 	HoldOn bool
 	// Needs are options of the site.
 	Needs siteOptions
+	// At lists the courses' steps of a fault that is no request's.
+	At []Kind
+	// InRequest marks faults that only a single request meets.
+	InRequest bool
+	// Wins is the configuration that comes in force if another operator's change
+	// wins; zero if there is none.
+	Wins int
+	// notice drains the upstream; nil means the operators' command.
+	notice func(ctx context.Context, s *Scene) error
 	// Excludes returns why the fault can't happen at a step, or "".
 	Excludes func(Step) string
 	// prepare, if set, is done before the request is sent.
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -74,9 +74,9 @@
 		{Name: "upstream killed", Touch: touchUpstream, Excludes: notAcknowledged, inject: killWorker, heal: startWorker},
 		{Name: "upstream frozen and woken", Touch: touchUpstream, Excludes: notAcknowledged,
 			inject: freeze(workerProcess), heal: wake(workerProcess)},
-		{Name: "entry stopped as planned", Planned: true, Excludes: always, inject: stop(entryProcess), heal: stoppedEntry},
-		{Name: "side stopped as planned", Planned: true, Excludes: always, inject: stop(sideProcess), heal: stoppedSide},
-		{Name: "upstream leaves as planned", Planned: true, Excludes: always, inject: leave, heal: left},
+		{Name: "entry stopped as planned", Touch: touchEntry, Planned: true, Excludes: always, inject: stop(entryProcess), heal: stoppedEntry},
+		{Name: "side stopped as planned", Touch: touchSide, Planned: true, Excludes: always, inject: stop(sideProcess), heal: stoppedSide},
+		{Name: "upstream leaves as planned", Touch: touchUpstream, Planned: true, Excludes: always, inject: leave, heal: left},
 	}
 }
 
@@ -118,12 +118,12 @@
 // answerFaults come from a side that misbehaves, which the tap plays.
 func answerFaults() []Fault {
 	return []Fault{
-		{Name: "answer late", Touch: touchLink, HoldOn: true, Excludes: onlyAnswers, inject: none, heal: none},
+		{Name: "answer late", Touch: touchLink, InRequest: true, HoldOn: true, Excludes: onlyAnswers, inject: none, heal: none},
 		{Name: "answers out of order", Touch: touchLink, Excludes: onlyAnswers,
 			prepare: tamper(tap.Swapped), inject: none, heal: untamper},
 		{Name: "answers twice", Excludes: onlyAnswers, prepare: tamper(tap.Twice), inject: none, heal: untamper},
 		{Name: "another request's answers", Excludes: onlyAnswers, prepare: tamper(tap.Foreign), inject: none, heal: untamper},
-		{Name: "dispatch late", Touch: touchLink, HoldOn: true, Excludes: onlyDispatch, inject: none, heal: none},
+		{Name: "dispatch late", Touch: touchLink, InRequest: true, HoldOn: true, Excludes: onlyDispatch, inject: none, heal: none},
 		{Name: "dispatch three times", Excludes: onlyDispatch, prepare: replay, inject: none, heal: untamper},
 	}
 }
--- a/standin/faults/judge.go
+++ b/standin/faults/judge.go
@@ -71,20 +71,18 @@
 type judge struct {
 	counts   Counts
 	findings []Finding
-	// expected are the steps of each exchange under its configuration.
-	expected func(Exchange) []answer.Step
-	records  []ledger.Record
+	// clients work out the steps of a request, one for each configuration.
+	clients []*caller.Client
+	records []ledger.Record
 	// paid holds, for each input of the claimed stage, the executions that began.
 	paid map[string][]ledger.Record
 }
 
 // newJudge returns a judge over the records of all upstreams.
-func newJudge(catalogs [2]catalog.Catalog, records []ledger.Record) *judge {
+func newJudge(catalogs []catalog.Catalog, records []ledger.Record) *judge {
 	j := &judge{records: records, paid: map[string][]ledger.Record{}}
-	clients := [2]*caller.Client{caller.New(catalogs[0]), caller.New(catalogs[1])}
-	j.expected = func(e Exchange) []answer.Step {
-		steps, _ := clients[e.Revision].Expected(e.Request)
-		return steps
+	for _, c := range catalogs {
+		j.clients = append(j.clients, caller.New(c))
 	}
 	for _, r := range records {
 		if r.Event != ledger.Start {
@@ -99,6 +97,12 @@
 	return j
 }
 
+// expected returns the steps of an exchange under its configuration.
+func (j *judge) expected(e Exchange) []answer.Step {
+	steps, _ := j.clients[e.Revision].Expected(e.Request)
+	return steps
+}
+
 // find records a violation.
 func (j *judge) find(invariant Invariant, format string, args ...any) {
 	j.findings = append(j.findings, Finding{invariant, fmt.Sprintf(format, args...)})
@@ -210,12 +214,19 @@
 	}
 }
 
-// checkStray checks that each execution belongs to a request.
+// checkStray checks that each execution belongs to a request. A request without
+// a whole answer may have been worked on under any of the configurations.
 func (j *judge) checkStray(all []Exchange) {
 	known := map[string]bool{}
 	for _, e := range all {
-		for _, step := range j.expected(e) {
-			known[step.Stage.Service+" "+answer.Digest(step.Input)] = true
+		for i := range j.clients {
+			if e.Result.Verdict == caller.Whole && i != e.Revision {
+				continue
+			}
+			steps, _ := j.clients[i].Expected(e.Request)
+			for _, step := range steps {
+				known[step.Stage.Service+" "+answer.Digest(step.Input)] = true
+			}
 		}
 	}
 	for _, r := range j.records {
@@ -255,3 +266,18 @@
 		}
 	}
 }
+
+// orders checks that no engine obeyed an order older than one it had obeyed.
+func (j *judge) orders() {
+	last := map[string]ledger.Record{}
+	for _, r := range j.records {
+		if r.Event != ledger.Order {
+			continue
+		}
+		if before, ok := last[r.Upstream]; ok && r.Fencing < before.Fencing {
+			j.find(NotFenced, "%s obeyed %q of %d after %q of %d", r.Upstream, r.Detail, r.Fencing, before.Detail, before.Fencing)
+			continue
+		}
+		last[r.Upstream] = r
+	}
+}
--- a/standin/faults/matrix.go
+++ b/standin/faults/matrix.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"golang.org/x/sync/errgroup"
@@ -17,6 +18,24 @@
 		for _, step := range steps() {
 			cells = append(cells, requestCell(f, step))
 		}
+		for _, step := range courseSteps() {
+			cells = append(cells, courseCell(f, step))
+		}
+	}
+	return append(cells, ownCells()...)
+}
+
+// ownCells returns the cells of faults that only courses meet.
+func ownCells() []Cell {
+	var cells []Cell
+	for _, f := range append(append(changeFaults(), placementFaults()...), drainFaults()...) {
+		for _, step := range courseSteps() {
+			if slices.Contains(f.At, step.Kind) {
+				c := courseCell(f, step)
+				c.Excluded = ""
+				cells = append(cells, c)
+			}
+		}
 	}
 	return cells
 }
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -27,6 +27,18 @@
 //go:embed configuration/*.toml
 var configurations embed.FS
 
+// configurationFiles are the configurations of the matrix, by their index.
+var configurationFiles = []string{"first.toml", "second.toml", "third.toml", "fourth.toml"}
+
+// Indexes of the configurations. The second and third change the same template;
+// the fourth moves it to another model version, with the outputs of the first.
+const (
+	configFirst = iota
+	configSecond
+	configThird
+	configFourth
+)
+
 // Names of the matrix's configuration.
 const (
 	workspace = "pensionistas"
@@ -93,13 +105,18 @@
 
 	taps      map[string]*tap.Tap
 	storeTaps []*storetap.Tap
-	files     [2]string
-	catalogs  [2]catalog.Catalog
+	files     []string
+	catalogs  []catalog.Catalog
+	// firstPlan holds the first answer to a write of the placement plan.
+	firstPlan *hold.Hold[storetap.Message]
 
 	mu        sync.Mutex
 	controls  map[string]upstream.Control
 	exchanges []Exchange
 	number    int
+	// gone tells why an entry can't answer; absence counts its absences.
+	gone    map[int]string
+	absence map[int]int
 }
 
 // reportLag is how late the upstreams report their load.
@@ -112,7 +129,11 @@
 		Store:    hold.NewBoard[storetap.Message](),
 		taps:     map[string]*tap.Tap{},
 		controls: map[string]upstream.Control{},
+		gone:     map[int]string{},
+		absence:  map[int]int{},
 	}
+	s.firstPlan = s.Store.Hold(planWritten)
+	s.firstPlan.Release()
 	dir, err := os.MkdirTemp("", "acaciawinch-faults-")
 	if err != nil {
 		return nil, err
@@ -145,18 +166,21 @@
 
 // writeConfigurations writes the operators' files of the matrix.
 func (s *Site) writeConfigurations(dir string) error {
-	for i, name := range []string{"first.toml", "second.toml"} {
+	for _, name := range configurationFiles {
 		data, err := configurations.ReadFile("configuration/" + name)
 		if err != nil {
 			return err
 		}
-		s.files[i] = filepath.Join(dir, name)
-		if err := os.WriteFile(s.files[i], data, 0o600); err != nil {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, data, 0o600); err != nil {
 			return err
 		}
-		if s.catalogs[i], err = catalog.Load(s.files[i]); err != nil {
+		loaded, err := catalog.Load(path)
+		if err != nil {
 			return err
 		}
+		s.files = append(s.files, path)
+		s.catalogs = append(s.catalogs, loaded)
 	}
 	return nil
 }
--- a/standin/faults/tap/forward.go
+++ b/standin/faults/tap/forward.go
@@ -105,6 +105,9 @@
 		t.deliver(context.WithoutCancel(ctx), r)
 		return ctx.Err()
 	}
+	if instead := t.meddled(context.WithoutCancel(ctx), r); instead != nil {
+		return stream.Send(instead)
+	}
 	err := t.follow(ctx, stream, func(f *far, ctx context.Context) (receiver, error) { return f.client.Run(ctx, r) })
 	t.replay(context.WithoutCancel(ctx), r)
 	return err
@@ -117,6 +120,21 @@
 	})
 }
 
+// meddled changes a Run as the trial wants and returns what is sent in its place.
+func (t *Tap) meddled(ctx context.Context, r *wirepb.RunRequest) *wirepb.RunEvent {
+	t.mu.Lock()
+	meddle := t.meddle
+	t.mu.Unlock()
+	if meddle == nil {
+		return nil
+	}
+	besides, instead := meddle(r)
+	for _, run := range besides {
+		t.deliver(ctx, run)
+	}
+	return instead
+}
+
 // replay sends a Run again as often as the trial wants.
 func (t *Tap) replay(ctx context.Context, r *wirepb.RunRequest) {
 	t.mu.Lock()
--- a/standin/faults/tap/tamper.go
+++ b/standin/faults/tap/tamper.go
@@ -12,6 +12,11 @@
 // NewTamper returns the Tamper of one stream.
 type NewTamper func() Tamper
 
+// Meddle may change a Run on its way. It returns Runs that are sent to the side
+// besides, and an event that is sent to the entry in the Run's place, or nil.
+// It shows what a verdict says of a side that breaks the protocol.
+type Meddle func(r *wirepb.RunRequest) (besides []*wirepb.RunRequest, instead *wirepb.RunEvent)
+
 // unchanged passes an event on.
 func unchanged(event *wirepb.RunEvent) []*wirepb.RunEvent {
 	return []*wirepb.RunEvent{event}
--- a/standin/faults/tap/tap.go
+++ b/standin/faults/tap/tap.go
@@ -71,6 +71,7 @@
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	tamper   NewTamper
+	meddle   Meddle
 	replays  int
 	cut      bool
 }
@@ -153,6 +154,13 @@
 	t.tamper = tamper
 }
 
+// Meddle changes all Runs from now on; nil ends that.
+func (t *Tap) Meddle(meddle Meddle) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.meddle = meddle
+}
+
 // Replay sends each Run to the side this many times more.
 func (t *Tap) Replay(times int) {
 	t.mu.Lock()
