Split the expiry of claims between the entries

One holder of a lease that lists all claims would read 230 KB/s at 10% of the long-run size, against the 11 KB/s that a node may spend. The claims' names are hashes, so 256 shards by their first two digits are given to the entries by rendezvous hash over the host list, every 6 h, under 200 calls a second of all together. The entry's wiring hands the host list in.

Run: go test -race ./entry/claims. Seen red with all entries owning all shards, with the wall clock believed, and with young claims deleted.

--- a/entry/process.go
+++ b/entry/process.go
@@ -127,9 +127,10 @@
 		Scope:    p.metrics.Scope(),
 	})
 	p.sweeper = claims.NewSweeper(claims.SweeperOptions{
+		Self:    p.settings.Process.Name,
 		Objects: store,
 		Log:     p.logger,
-		Holding: func() bool { return p.proposer.Holding() },
+		Hosts:   p.hosts,
 	})
 }
 
@@ -164,6 +165,15 @@
 	})
 }
 
+// hosts returns the host list, nil before the first state.
+func (p *process) hosts() []fleet.Host {
+	state := p.feed.State()
+	if state == nil {
+		return nil
+	}
+	return state.Hosts()
+}
+
 // fleetState returns the state for the router, nil before the first.
 func (p *process) fleetState() route.Fleet {
 	state := p.feed.State()
