--- a/entry/place/proposer.go
+++ b/entry/place/proposer.go
@@ -194,9 +194,8 @@
 	p.noteLease("not renewed in time")
 }
 
-// Holding tells whether this process held the lease after its last round. Duties
-// that only save effort, such as the expiry of claims, go with it. It may be
-// called from any goroutine.
+// Holding tells whether this process held the lease after its last round. It may
+// be called from any goroutine.
 func (p *Proposer) Holding() bool { return p.holding.Load() }
 
 // noteLease logs that the lease was taken, or lost and why.
