Admit what follows a non-idempotent stage up to the edge

The stage now says that the request is committed, and the gate admits it without the margin that holds others back; it keeps its turn, so that the sharing between workspaces holds, and the urgent start brings it in.

The test was seen failing without the rule.

--- a/core/gate/ask.go
+++ b/core/gate/ask.go
@@ -26,6 +26,8 @@
 	Priority int
 	// Weight is the workspace's share, at least 1.
 	Weight int
+	// Committed is set if a non-idempotent stage of the request has run.
+	Committed bool
 	// Cost is the expected work in the upstream's units: tokens, or 1.
 	Cost float64
 	// Model and Version name what the engine must hold; empty for others.
--- a/core/gate/submit.go
+++ b/core/gate/submit.go
@@ -111,6 +111,17 @@
 // now can still go elsewhere, while one that is refused in the queue cannot.
 const waitMargin = 3
 
+// marginOf returns the multiplier for an ask. Committed work is admitted up to the
+// edge: to refuse it leaves an unknown outcome, and the room between the edge and
+// the margin is kept for it. It has no turn before others, so that the sharing
+// between workspaces holds; the urgent start brings it in before its deadline.
+func marginOf(ask Ask) time.Duration {
+	if ask.Committed {
+		return 1
+	}
+	return waitMargin
+}
+
 // fit admits ask if it can be finished in time and finds a place in the queue.
 func (g *Gate) fit(now time.Duration, ask Ask) Decision {
 	if g.options.FIFO {
@@ -125,8 +136,9 @@
 		d.Detail = "the deadline is shorter than the service time"
 		return d
 	}
-	if late := waitMargin*wait + service - ask.Remaining; late > 0 {
-		d.Verdict, d.Reason, d.RetryAfter = Refused, ReasonDeadline, late/waitMargin
+	margin := marginOf(ask)
+	if late := margin*wait + service - ask.Remaining; late > 0 {
+		d.Verdict, d.Reason, d.RetryAfter = Refused, ReasonDeadline, late/margin
 		d.Detail = "the queue is longer than the deadline"
 		return d
 	}
--- a/core/gate/submit_test.go
+++ b/core/gate/submit_test.go
@@ -37,6 +37,22 @@
 	assert.Equal(t, d.RetryAfter, ms(1000)/3)
 }
 
+func TestCommittedWorkIsAdmittedUpToTheEdge(t *testing.T) {
+	b := newBench(t, Options{})
+	b.measure(5, ms(100))
+	b.admit(b.ask("a"))
+	b.admit(b.ask("a"))
+	ask := b.ask("a")
+	ask.Remaining = ms(300)
+	assert.Equal(t, b.submit(ask).Reason, ReasonDeadline)
+	committed := b.ask("a")
+	committed.Remaining, committed.Committed = ms(299), true
+	assert.Equal(t, b.submit(committed).Reason, ReasonDeadline)
+	committed = b.ask("a")
+	committed.Remaining, committed.Committed = ms(300), true
+	b.admit(committed)
+}
+
 func TestDeadlineShorterThanServiceIsRefusedThoughTheQueueIsEmpty(t *testing.T) {
 	b := newBench(t, Options{})
 	b.measure(5, ms(100))
--- a/entry/pipeline/calls.go
+++ b/entry/pipeline/calls.go
@@ -90,6 +90,7 @@
 		Resume:      f.machine.Output(r.Stage)[:r.Resume],
 		Revision:    uint64(f.req.Revision),
 		Hedge:       r.Cause == request.CauseHedge,
+		Committed:   committed(f.req.Template, r.Stage),
 	}
 	f.record.dispatched(a, r)
 	f.follow(a, 0, func(ctx context.Context, side wirepb.DRPCSideClient) (eventStream, error) {
--- a/entry/pipeline/parameters.go
+++ b/entry/pipeline/parameters.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "acaciawinch/core/config"
+import (
+	"slices"
+
+	"acaciawinch/core/config"
+)
 
 // effective applies the workspace's parameters to a stage of its pipeline, and
 // returns the prefix that goes before the stage's input.
@@ -22,3 +26,11 @@
 	}
 	return stage, ""
 }
+
+// committed tells whether a non-idempotent stage stands before a stage: it has
+// run when that stage is dispatched.
+func committed(template config.Template, stage int) bool {
+	return slices.ContainsFunc(template.Stages[:stage], func(earlier config.Stage) bool {
+		return earlier.NonIdempotent
+	})
+}
--- a/side/message.go
+++ b/side/message.go
@@ -90,6 +90,7 @@
 		Remaining: time.Duration(request.GetRemainingMs()) * time.Millisecond,
 		Priority:  int(request.GetPriority()),
 		Weight:    int(request.GetWeight()),
+		Committed: request.GetCommitted(),
 		Cost:      float64(cost),
 		Model:     request.GetModel(),
 		Version:   request.GetVersion(),
