--- a/entry/pipeline/fixture_test.go
+++ b/entry/pipeline/fixture_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core"
+	"acaciawinch/core/budget"
 	"acaciawinch/core/claim"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
@@ -264,6 +265,8 @@
 		Record:       Recorder{Logger: logger, Traces: b.traces, Scope: tally.NoopScope},
 		Revision:     func() core.Revision { return 7 },
 		NoteRevision: func(core.Revision, string) {},
+		Retry:        budget.DefaultRetry,
+		Hedge:        budget.DefaultHedge,
 	})
 	t.Cleanup(func() {
 		b.runner.flows.Wait()
--- a/entry/pipeline/runner.go
+++ b/entry/pipeline/runner.go
@@ -15,7 +15,7 @@
 	"acaciawinch/wire/link"
 )
 
-// Options are what a Runner needs. Rules, Retry and Hedge have defaults.
+// Options are what a Runner needs. Zero Rules are the default ones.
 type Options struct {
 	Router Router
 	Claims Claims
@@ -26,6 +26,7 @@
 	// NoteRevision is told the revision and address of each side that answers.
 	NoteRevision func(revision core.Revision, addr string)
 	Rules        request.Rules
+	// Retry and Hedge bound the extra calls of each service; zero allows none.
 	Retry, Hedge budget.Limits
 }
 
@@ -41,12 +42,6 @@
 	if opts.Rules == (request.Rules{}) {
 		opts.Rules = request.DefaultRules()
 	}
-	if opts.Retry == (budget.Limits{}) {
-		opts.Retry = budget.DefaultRetry
-	}
-	if opts.Hedge == (budget.Limits{}) {
-		opts.Hedge = budget.DefaultHedge
-	}
 	return &Runner{opts: opts, know: newKnowledge(opts.Router, opts.Retry, opts.Hedge)}
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -150,9 +150,6 @@
 
 // addRunner adds the walk of requests through their stages.
 func (p *process) addRunner() {
-	retry, hedge := budget.DefaultRetry, budget.DefaultHedge
-	retry.Ratio = p.settings.Routing.RetryPercent / 100
-	hedge.Ratio = p.settings.Routing.HedgePercent / 100
 	p.runner = pipeline.NewRunner(pipeline.Options{
 		Router:       p.router,
 		Claims:       p.keeper,
@@ -160,8 +157,8 @@
 		Record:       pipeline.Recorder{Logger: p.logger, Traces: p.traces, Scope: p.metrics.Scope()},
 		Revision:     p.revision,
 		NoteRevision: p.feed.NoteRevision,
-		Retry:        retry,
-		Hedge:        hedge,
+		Retry:        limitsOf(budget.DefaultRetry, p.settings.Routing.RetryPercent),
+		Hedge:        limitsOf(budget.DefaultHedge, p.settings.Routing.HedgePercent),
 	})
 }
 
@@ -174,6 +171,16 @@
 	return state.Hosts()
 }
 
+// limitsOf returns limits with another ratio, in percent. Zero percent allows no
+// extra call at all.
+func limitsOf(limits budget.Limits, percent float64) budget.Limits {
+	if percent == 0 {
+		return budget.Limits{}
+	}
+	limits.Ratio = percent / 100
+	return limits
+}
+
 // fleetState returns the state for the router, nil before the first.
 func (p *process) fleetState() route.Fleet {
 	state := p.feed.State()
