Look ahead before a request costs anything, and pace what overloads

The machine asks, before the first stage and again before a stage that must run at most once, whether the costliest later stage can be made. The entry bounds each workspace's and pipeline's requests in flight by additive increase and multiplicative decrease: a refusal behind the admission or a passed deadline cuts, answers raise. Weighed: asking the side for each workspace's wait in the probe, which needs another field on the wire, or backing off for the refusal's time, which swings between all and nothing.

Patience with a silent upstream doubles with each attempt of the stage that was left.

Seen red: the check ignored, either stage not waiting for it, no pace, the limit never raised, never forgotten, or cut with each refusal, no share of time and no doubling of patience.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -18,6 +18,8 @@
 	CauseRetry  Cause = "retry"
 	CauseHedge  Cause = "hedge"
 	CauseResume Cause = "resume"
+	// CauseCheck is of no attempt: it only asks whether a later stage can be made.
+	CauseCheck Cause = "check"
 )
 
 // Choose asks for an upstream; the answer is Chosen or NotChosen.
@@ -29,6 +31,8 @@
 	// Exclude names upstreams not to choose.
 	Exclude []core.UpstreamID
 	Hedge   bool
+	// Check is set if the choice only tells whether the stage can be made in time.
+	Check bool
 	// After delays the choice.
 	After time.Duration
 }
--- a/core/request/claimed.go
+++ b/core/request/claimed.go
@@ -176,8 +176,9 @@
 // enterClaimed dispatches the claimed attempt if its claim is held; if not, the
 // claim's verdict will.
 func (m *Machine) enterClaimed(s *stage) {
+	m.lookAhead(s)
 	a := s.claim.owner
-	if a == nil || a.state != ready {
+	if a == nil || a.state != ready || !s.cleared || m.current != s.index {
 		return
 	}
 	if _, fits := m.allowance(s); !fits {
--- a/core/request/failure.go
+++ b/core/request/failure.go
@@ -218,6 +218,7 @@
 		m.note(a, NoteStayed, reason+", but there is no time or budget for another")
 		return
 	}
+	s.left++
 	m.note(a, NoteLeft, reason)
 	m.cancel(a, CancelSuperseded, how, reason)
 	event := "failed"
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -48,8 +48,14 @@
 	numbers    uint32
 	dispatched int
 	refusals   int
-	chooses    int
-	hedged     bool
+	// left counts the attempts that were left for their silence.
+	left    int
+	chooses int
+	hedged  bool
+	// check is the question whether the rest of the pipeline can be made, asked
+	// before the stage is dispatched; cleared is set once it was answered.
+	check   *attempt
+	cleared bool
 	// trial is set once upstreams are asked without a bound on their time.
 	trial      bool
 	exclude    []core.UpstreamID
--- a/core/request/plan.go
+++ b/core/request/plan.go
@@ -81,6 +81,10 @@
 	// TrialWait is the longest wait that a refusal for want of time may tell of for
 	// the stage to be tried all the same.
 	TrialWait time.Duration
+	// CheckShare is the part of the time that would be left for a later stage in
+	// which it must be makeable already when the request is admitted. The rest
+	// makes up for what other requests bring in between.
+	CheckShare float64
 	// StayFor is how long a silent attempt is kept when the retry budget is empty.
 	StayFor time.Duration
 	// MaxPending bounds the chunks held out of order.
@@ -106,6 +110,7 @@
 		ChooseTries:       3,
 		ChooseBackoff:     40 * time.Millisecond,
 		TrialWait:         100 * time.Millisecond,
+		CheckShare:        0.9,
 		StayFor:           250 * time.Millisecond,
 		MaxPending:        64,
 		RetryAfterFailure: time.Second,
--- a/core/request/scenario_test.go
+++ b/core/request/scenario_test.go
@@ -29,6 +29,8 @@
 	m   *Machine
 	now time.Time
 	all []Action
+	// refuseChecks leaves the look ahead to the test.
+	refuseChecks bool
 }
 
 // begin starts a request of the given stages under a deadline of one second.
@@ -38,14 +40,31 @@
 		return s
 	}
 	s.m = New("e-1", Plan{Stages: stages, Deadline: time.Second}, know, DefaultRules())
-	s.all = s.m.Start(s.now)
+	s.start()
 	return s
 }
 
+// start starts the request and lets its look ahead pass.
+func (s *script) start() {
+	s.all = s.m.Start(s.now)
+	s.passChecks(s.all)
+}
+
+// passChecks answers that later stages can be made.
+func (s *script) passChecks(actions []Action) {
+	for _, a := range actions {
+		if c, ok := a.(Choose); ok && c.Check && !s.refuseChecks {
+			s.tell(Chosen{Attempt: c.Attempt})
+		}
+	}
+}
+
 // tell hands in events at the present time.
 func (s *script) tell(events ...Event) {
 	for _, e := range events {
-		s.all = append(s.all, s.m.Handle(s.now, e)...)
+		actions := s.m.Handle(s.now, e)
+		s.all = append(s.all, actions...)
+		s.passChecks(actions)
 	}
 }
 
@@ -99,15 +118,16 @@
 	s := begin(t, fixed{})
 	start := func(deadline time.Duration) {
 		s.m = New("e-1", Plan{Stages: stages, Deadline: deadline}, fixed{}, DefaultRules())
-		s.all = s.m.Start(s.now)
+		s.start()
 	}
 	start(89 * time.Millisecond)
 	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
 	assert.Equal(t, len(all[Choose](s)), 0)
 	// The measured medians don't fit, the declared ones do: the probes decide.
 	start(91 * time.Millisecond)
-	assert.Equal(t, len(all[Choose](s)), 1)
-	assert.Equal(t, all[Choose](s)[0].Remaining, 51*time.Millisecond)
+	first := all[Choose](s)[len(all[Choose](s))-1]
+	assert.Equal(t, first.Stage, 0)
+	assert.Equal(t, first.Remaining, 51*time.Millisecond)
 }
 
 func TestSlowMeasureIsTriedAgain(t *testing.T) {
@@ -184,6 +204,23 @@
 	assert.Equal(t, len(all[Choose](s)), 2)
 }
 
+func TestPatienceDoublesWithEachAttemptLeft(t *testing.T) {
+	s := begin(t, fixed{}, cheap)
+	s.m = New("e-1", Plan{Stages: []Stage{cheap}, Deadline: time.Minute}, fixed{}, DefaultRules())
+	s.start()
+	bound := latency.FirstBound(fixed{}.Estimate(""))
+	id := AttemptID(0)
+	for left := range 3 {
+		s.tell(Chosen{Attempt: id, Upstream: "a"}, Started{Attempt: id})
+		s.m.stages[0].hedged = true
+		s.wait(bound<<left - 1)
+		assert.Equal(t, len(all[Cancel](s)), left)
+		s.wait(1)
+		assert.Equal(t, len(all[Cancel](s)), left+1)
+		id++
+	}
+}
+
 func TestSilentSideIsLeft(t *testing.T) {
 	s := begin(t, fixed{}, cheap, generate)
 	s.tell(Chosen{Attempt: 0, Upstream: "a"})
@@ -207,7 +244,7 @@
 func TestFrozenClaimedSideIsUnknownWithinPatience(t *testing.T) {
 	s := begin(t, fixed{}, pay)
 	s.m = New("e-1", Plan{Stages: []Stage{pay}, Deadline: time.Minute}, fixed{}, DefaultRules())
-	s.all = s.m.Start(s.now)
+	s.start()
 	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine}, Started{Attempt: 0})
 	began := s.now
 	for i := 0; i < 100 && !s.m.Answered(); i++ {
@@ -223,9 +260,9 @@
 	s := begin(t, fixed{}, cheap, generate)
 	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Chunk{Attempt: 0, Index: 0, Data: []byte("x")}, done(0, "y"))
 	assert.Equal(t, len(all[Acknowledge](s)), 0)
-	s.tell(Chosen{Attempt: 1, Upstream: "b"})
+	s.tell(Chosen{Attempt: 2, Upstream: "b"})
 	assert.Equal(t, all[Run](s)[1].Resume, 0)
-	s.tell(Chunk{Attempt: 1, Index: 0, Data: []byte("z")}, done(1, "z"))
+	s.tell(Chunk{Attempt: 2, Index: 0, Data: []byte("z")}, done(2, "z"))
 	assert.DeepEqual(t, s.m.Output(0), [][]byte{[]byte("z")})
 }
 
@@ -237,9 +274,9 @@
 	assert.DeepEqual(t, s.m.Output(1), kept)
 	assert.Equal(t, all[Cancel](s)[0].Stage, 0)
 	assert.Equal(t, len(all[Finish](s)), 1)
-	s.tell(Chosen{Attempt: 2, Upstream: "c"})
+	s.tell(Chosen{Attempt: 3, Upstream: "c"})
 	assert.Equal(t, all[Run](s)[1].Stage, 2)
-	s.tell(Chunk{Attempt: 2, Index: 0, Data: []byte("x")}, done(2, "x"), Finished{Attempt: 0, Recorded: true})
+	s.tell(Chunk{Attempt: 3, Index: 0, Data: []byte("x")}, done(3, "x"), Finished{Attempt: 0, Recorded: true})
 	assert.Equal(t, s.outcome().Outcome, core.OutcomeAnswered)
 	assert.Assert(t, s.m.Over())
 }
@@ -268,6 +305,35 @@
 	s.tell(Chosen{Attempt: 0}, Claimed{Attempt: 0, Status: ClaimMine})
 	s.tell(Chunk{Attempt: 0, Index: 0, Data: []byte("p")}, done(0, "p"), Finished{Attempt: 0, Recorded: true})
 	assert.Equal(t, len(all[Acknowledge](s)), 1)
-	s.tell(Chosen{Attempt: 1}, Failed{Attempt: 1, Detail: "broke"})
+	s.tell(Chosen{Attempt: 2}, Failed{Attempt: 2, Detail: "broke"})
 	assert.Equal(t, s.outcome().Outcome, core.OutcomeUnknown)
 }
+
+// TestLooksAheadBeforeItDispatches refuses a request whose last stage can't be
+// made, at its admission and before a stage that must run at most once.
+func TestLooksAheadBeforeItDispatches(t *testing.T) {
+	full := NotChosen{RetryAfter: time.Second, Detail: "full"}
+	s := &script{t: t, now: time.Unix(1000, 0), refuseChecks: true}
+	s.m = New("e-1", Plan{Stages: []Stage{cheap, pay, generate}, Deadline: time.Second}, fixed{}, DefaultRules())
+	s.start()
+	s.tell(Chosen{Attempt: 1, Upstream: "a"})
+	assert.Equal(t, len(all[Run](s)), 0)
+	check := all[Choose](s)[1]
+	assert.Assert(t, check.Check)
+	assert.Equal(t, check.Stage, 2)
+	full.Attempt = check.Attempt
+	s.tell(full)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	assert.Equal(t, len(all[Run](s)), 0)
+
+	s.m = New("e-1", Plan{Stages: []Stage{cheap, pay, generate}, Deadline: time.Second}, fixed{}, DefaultRules())
+	s.start()
+	s.tell(Chosen{Attempt: 0, Upstream: "p"}, Claimed{Attempt: 0, Status: ClaimMine}, Chosen{Attempt: 1}, Chosen{Attempt: 2})
+	s.tell(Chunk{Attempt: 1, Index: 0, Data: []byte("x")}, done(1, "x"))
+	again := all[Choose](s)[len(all[Choose](s))-1]
+	assert.Assert(t, again.Check && again.Attempt != 2)
+	full.Attempt = again.Attempt
+	s.tell(full)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	assert.Equal(t, len(all[Run](s)), 1)
+}
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -26,7 +26,13 @@
 		m.enterClaimed(s)
 		return
 	}
-	m.choose(m.newAttempt(s, CauseFirst), 0)
+	first := m.newAttempt(s, CauseFirst)
+	if i == 0 {
+		m.lookAhead(s)
+	} else {
+		s.cleared = true
+	}
+	m.choose(first, 0)
 }
 
 // choose asks for an upstream for the attempt after a delay.
@@ -37,8 +43,11 @@
 		m.refuseForTime(a.stage)
 		return
 	}
-	if a.stage.trial {
+	switch {
+	case a.stage.trial:
 		allowance = 0
+	case a.cause == CauseCheck:
+		allowance = time.Duration(float64(allowance) * m.rules.CheckShare)
 	}
 	m.do(Choose{
 		Attempt:   a.id,
@@ -46,6 +55,7 @@
 		Remaining: allowance,
 		Exclude:   append([]core.UpstreamID(nil), a.stage.exclude...),
 		Hedge:     a.cause == CauseHedge,
+		Check:     a.cause == CauseCheck,
 		After:     after,
 	})
 }
@@ -79,12 +89,17 @@
 	a.upstream = e.Upstream
 	a.expected = e.Expected
 	switch {
+	case a.cause == CauseCheck:
+		m.end(a, EndCancelled, "")
+		m.checked(a)
 	case a.state != choosing || m.ending != nil || a.stage.done:
 		m.end(a, EndCancelled, "")
 	case a.stage.spec.NonIdempotent:
 		m.claimFor(a)
 	case a.cause == CauseHedge:
 		m.sendHedge(a)
+	case !a.stage.cleared:
+		a.state = ready
 	default:
 		m.fire(a.stage, "chosen")
 		m.send(a)
@@ -128,6 +143,8 @@
 	s := a.stage
 	s.retryAfter = max(s.retryAfter, e.RetryAfter)
 	switch {
+	case a.cause == CauseCheck:
+		m.checkRefused(a, e)
 	case a.cause == CauseHedge:
 		m.end(a, EndCancelled, "")
 		m.note(a, NoteNoHedge, e.Detail)
--- a/core/request/timers.go
+++ b/core/request/timers.go
@@ -62,10 +62,13 @@
 		return time.Time{}, "", false
 	}
 	e := m.estimate(a.stage)
-	bound := m.withRoomForAnother(latency.FirstBound(e), max(e.FirstP95, e.ServiceP95), a.startedAt)
+	// Each attempt that was left doubles the patience with the next: if all are
+	// slow, it is not the upstream, and another attempt only adds to the cause.
+	patience := min(a.stage.left, maxDoublings)
+	bound := m.withRoomForAnother(latency.FirstBound(e)<<patience, max(e.FirstP95, e.ServiceP95), a.startedAt)
 	due, reason := a.startedAt.Add(bound), "no first chunk within the bound"
 	if a.output.next > 0 {
-		bound = m.withRoomForAnother(latency.GapBound(e), e.GapP95, a.chunkAt)
+		bound = m.withRoomForAnother(latency.GapBound(e)<<patience, e.GapP95, a.chunkAt)
 		due, reason = a.chunkAt.Add(bound), "no further chunk within the bound"
 	}
 	if due.Before(a.stayUntil) {
@@ -87,6 +90,8 @@
 const (
 	shareOfSilence = 3
 	slowFactor     = 2
+	// maxDoublings bounds how often the patience with silence doubles.
+	maxDoublings = 4
 )
 
 // lastMoment returns when the request is given up for its deadline. While a
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 )
 
 // Refusal says why a request was not admitted; empty if it was.
@@ -16,6 +17,30 @@
 	TooMany       Refusal = "the entry holds as many requests as it may"
 	TooManyStream Refusal = "the entry holds as many streams as it may"
 	WorkspaceFull Refusal = "the workspace holds as many requests as it may"
+	Overloaded    Refusal = "the upstreams don't keep up with the workspace's requests"
+)
+
+// Ask describes a request that wants to enter.
+type Ask struct {
+	Workspace string
+	Pipeline  string
+	// Share bounds the workspace's requests at this entry; zero means no bound.
+	Share int
+	// Stream is set if the answer is streamed.
+	Stream bool
+}
+
+// End is how an admitted request ended, as far as the admission of others goes.
+type End int
+
+// The ends of requests.
+const (
+	// EndOther tells nothing of the upstreams.
+	EndOther End = iota
+	// EndAnswered: the whole answer came in time.
+	EndAnswered
+	// EndOverloaded: it was refused behind its admission, or passed its deadline.
+	EndOverloaded
 )
 
 // Limits are the bounds of a Gate.
@@ -33,64 +58,92 @@
 	inFlight    int
 	streams     int
 	byWorkspace map[string]int
-	idle        chan struct{}
+	// paces is by workspace and pipeline. An entry goes when nothing is in flight
+	// and there is no limit.
+	paces map[paceKey]*pace
+	idle  chan struct{}
 }
 
 // NewGate returns a Gate with the given limits.
 func NewGate(limits Limits) *Gate {
-	return &Gate{limits: limits, byWorkspace: make(map[string]int), idle: make(chan struct{})}
+	return &Gate{limits: limits, byWorkspace: make(map[string]int), paces: make(map[paceKey]*pace), idle: make(chan struct{})}
 }
 
+// paceKey names what is paced together.
+type paceKey struct{ workspace, pipeline string }
+
 // Ticket is one admitted request. Leave must be called once.
 type Ticket struct {
-	gate      *Gate
-	workspace string
-	stream    bool
+	gate *Gate
+	ask  Ask
+	pace *pace
+	// near is set if the request used the pace's limit.
+	near bool
 }
 
-// Enter admits a request of workspace whose share at this entry is share; zero
-// means no bound.
-func (g *Gate) Enter(workspace string, share int, stream bool) (*Ticket, Refusal) {
+// Enter admits a request, or tells why not and when to ask again. A zero time is
+// not known.
+func (g *Gate) Enter(now time.Time, ask Ask) (*Ticket, Refusal, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if refusal := g.refusal(workspace, share, stream); refusal != Admitted {
-		return nil, refusal
+	if refusal := g.refusal(ask); refusal != Admitted {
+		return nil, refusal, 0
+	}
+	key := paceKey{ask.Workspace, ask.Pipeline}
+	p, ok := g.paces[key]
+	if !ok {
+		p = &pace{}
+		g.paces[key] = p
+	}
+	if !p.allows(now) {
+		return nil, Overloaded, p.retryAfter
 	}
+	near := p.enter()
 	g.inFlight++
-	g.byWorkspace[workspace]++
-	if stream {
+	g.byWorkspace[ask.Workspace]++
+	if ask.Stream {
 		g.streams++
 	}
-	return &Ticket{gate: g, workspace: workspace, stream: stream}, Admitted
+	return &Ticket{gate: g, ask: ask, pace: p, near: near}, Admitted, 0
 }
 
 // refusal applies the limits in the order of their reach.
-func (g *Gate) refusal(workspace string, share int, stream bool) Refusal {
+func (g *Gate) refusal(ask Ask) Refusal {
 	switch {
 	case g.draining:
 		return Draining
 	case g.inFlight >= g.limits.InFlight:
 		return TooMany
-	case stream && g.streams >= g.limits.Streams:
+	case ask.Stream && g.streams >= g.limits.Streams:
 		return TooManyStream
-	case share > 0 && g.byWorkspace[workspace] >= share:
+	case ask.Share > 0 && g.byWorkspace[ask.Workspace] >= ask.Share:
 		return WorkspaceFull
 	}
 	return Admitted
 }
 
-// Leave ends the request.
-func (t *Ticket) Leave() {
+// Leave ends the request. RetryAfter is what an overloaded one was told.
+func (t *Ticket) Leave(now time.Time, end End, retryAfter time.Duration) {
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	switch end {
+	case EndAnswered:
+		t.pace.answered(t.near)
+	case EndOverloaded:
+		t.pace.overloaded(now, retryAfter)
+	}
+	t.pace.inFlight--
+	if t.pace.inFlight == 0 && t.pace.limit == 0 {
+		delete(g.paces, paceKey{t.ask.Workspace, t.ask.Pipeline})
+	}
 	g.inFlight--
-	if t.stream {
+	if t.ask.Stream {
 		g.streams--
 	}
-	g.byWorkspace[t.workspace]--
-	if g.byWorkspace[t.workspace] == 0 {
-		delete(g.byWorkspace, t.workspace)
+	g.byWorkspace[t.ask.Workspace]--
+	if g.byWorkspace[t.ask.Workspace] == 0 {
+		delete(g.byWorkspace, t.ask.Workspace)
 	}
 	g.closeIfIdle()
 }
--- a/entry/admit/admit_test.go
+++ b/entry/admit/admit_test.go
@@ -3,37 +3,92 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core/fleet"
 )
 
+var now = time.Unix(1000, 0)
+
+// enter asks for a place of workspace.
+func enter(g *Gate, workspace string, share int, stream bool) (*Ticket, Refusal) {
+	ticket, refusal, _ := g.Enter(now, Ask{Workspace: workspace, Pipeline: "p", Share: share, Stream: stream})
+	return ticket, refusal
+}
+
 func TestGateCountsAndDrains(t *testing.T) {
 	g := NewGate(Limits{InFlight: 3, Streams: 1})
-	first, refusal := g.Enter("w", 2, true)
+	first, refusal := enter(g, "w", 2, true)
 	assert.Equal(t, refusal, Admitted)
-	_, refusal = g.Enter("w", 2, true)
+	_, refusal = enter(g, "w", 2, true)
 	assert.Equal(t, refusal, TooManyStream)
-	second, _ := g.Enter("w", 2, false)
-	_, refusal = g.Enter("w", 2, false)
+	second, _ := enter(g, "w", 2, false)
+	_, refusal = enter(g, "w", 2, false)
 	assert.Equal(t, refusal, WorkspaceFull)
-	third, _ := g.Enter("x", 0, false)
-	_, refusal = g.Enter("y", 0, false)
+	third, _ := enter(g, "x", 0, false)
+	_, refusal = enter(g, "y", 0, false)
 	assert.Equal(t, refusal, TooMany)
 	idle := g.Drain()
-	first.Leave()
-	second.Leave()
+	first.Leave(now, EndOther, 0)
+	second.Leave(now, EndAnswered, 0)
 	select {
 	case <-idle:
 		t.Fatal("idle with a request in flight")
 	default:
 	}
-	_, refusal = g.Enter("w", 0, false)
+	_, refusal = enter(g, "w", 0, false)
 	assert.Equal(t, refusal, Draining)
-	third.Leave()
+	third.Leave(now, EndOther, 0)
 	<-idle
 	assert.Equal(t, g.Counts(), Counts{Draining: true})
+	assert.Equal(t, len(g.paces), 0)
+}
+
+// TestPaceFindsTheCapacity offers twice what ten places serve: the limit settles
+// near them, few are refused behind their admission, and others are not held up.
+func TestPaceFindsTheCapacity(t *testing.T) {
+	const capacity, rounds = 10, 400
+	g := NewGate(Limits{InFlight: 1000, Streams: 1})
+	at, served, late := now, 0, 0
+	for range rounds {
+		at = at.Add(cutEvery)
+		var in []*Ticket
+		for range 2 * capacity {
+			if ticket, refusal, _ := g.Enter(at, Ask{Workspace: "w", Pipeline: "p"}); refusal == Admitted {
+				in = append(in, ticket)
+			}
+		}
+		for i, ticket := range in {
+			end := EndAnswered
+			if i >= capacity {
+				end = EndOverloaded
+				late++
+			} else {
+				served++
+			}
+			ticket.Leave(at, end, time.Second)
+		}
+	}
+	assert.Assert(t, served >= rounds*capacity*9/10, "served %d", served)
+	assert.Assert(t, late <= rounds*capacity/10, "refused late %d", late)
+	_, refusal, after := enterAll(g, at)
+	assert.Equal(t, refusal, Overloaded)
+	assert.Equal(t, after, time.Second)
+	_, refusal, _ = g.Enter(at, Ask{Workspace: "w", Pipeline: "q"})
+	assert.Equal(t, refusal, Admitted)
+	_, refusal, _ = g.Enter(at.Add(2*paceLife), Ask{Workspace: "w", Pipeline: "p"})
+	assert.Equal(t, refusal, Admitted)
+}
+
+// enterAll takes places until one is refused.
+func enterAll(g *Gate, at time.Time) (*Ticket, Refusal, time.Duration) {
+	for {
+		if ticket, refusal, after := g.Enter(at, Ask{Workspace: "w", Pipeline: "p"}); refusal != Admitted {
+			return ticket, refusal, after
+		}
+	}
 }
 
 // TestSharesAddUp splits bounds over entries: the parts add up to the bound if
@@ -83,3 +138,22 @@
 	assert.NilError(t, l.Close())
 	<-accepted
 }
+
+func TestPaceCutsOnceAndWinsBack(t *testing.T) {
+	p := pace{}
+	for range 10 {
+		p.enter()
+	}
+	p.overloaded(now, 0)
+	p.overloaded(now.Add(cutEvery-1), 0)
+	assert.Equal(t, p.limit, 9.0)
+	p.overloaded(now.Add(cutEvery), 0)
+	assert.Assert(t, p.limit < 9)
+	before := p.limit
+	p.answered(false)
+	assert.Equal(t, p.limit, before)
+	for range 9 {
+		p.answered(true)
+	}
+	assert.Assert(t, p.limit > before+0.9 && p.limit < before+1.2)
+}
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -17,6 +17,7 @@
 const (
 	retryWhenFull     = time.Second
 	retryWhenDraining = time.Second
+	retryWhenPaced    = 100 * time.Millisecond
 	retryWhenStarting = 2 * time.Second
 )
 
@@ -38,18 +39,40 @@
 		s.refuse(w, r, *problem)
 		return
 	}
-	defer ticket.Leave()
-	s.run(w, r, admitted, stream, started)
+	result := pipeline.Result{}
+	// Deferred, so that a panic of the handler does not keep the place.
+	defer func() { ticket.Leave(s.opts.Now(), endOf(result), result.RetryAfter) }()
+	result = s.run(w, r, admitted, stream, started)
+}
+
+// endOf returns what a result tells about the load of the upstreams. A request
+// that was given up by looking ahead cost nothing but counts the same.
+func endOf(result pipeline.Result) admit.End {
+	switch {
+	case result.Outcome == core.OutcomeAnswered:
+		return admit.EndAnswered
+	case result.Cause == request.GiveUpOverload || result.Cause == request.GiveUpDeadline:
+		return admit.EndOverloaded
+	}
+	return admit.EndOther
 }
 
 // enter takes a place at the gate.
 func (s *Server) enter(request pipeline.Request, stream bool) (*admit.Ticket, *Problem) {
 	state, _, _ := s.opts.State()
 	share := admit.Share(request.Workspace.MaxInFlight, s.opts.Name, state.Hosts())
-	ticket, refusal := s.opts.Gate.Enter(request.Workspace.Name, share, stream)
+	ticket, refusal, retryAfter := s.opts.Gate.Enter(s.opts.Now(), admit.Ask{
+		Workspace: request.Workspace.Name,
+		Pipeline:  request.Template.Name,
+		Share:     share,
+		Stream:    stream,
+	})
 	switch refusal {
 	case admit.Admitted:
 		return ticket, nil
+	case admit.Overloaded:
+		p := refuse(http.StatusServiceUnavailable, kindOverload, "admission.pace", string(refusal)).retryAfter(max(retryAfter, retryWhenPaced))
+		return nil, &p
 	case admit.WorkspaceFull:
 		p := refuse(http.StatusTooManyRequests, kindLimit, "admission.workspace", string(refusal)).retryAfter(retryWhenFull)
 		return nil, &p
@@ -62,7 +85,7 @@
 }
 
 // run carries out an admitted request and closes its answer.
-func (s *Server) run(w http.ResponseWriter, r *http.Request, request pipeline.Request, stream bool, started time.Time) {
+func (s *Server) run(w http.ResponseWriter, r *http.Request, request pipeline.Request, stream bool, started time.Time) pipeline.Result {
 	s.opts.Traces.Begin(trace.Trace{
 		RequestID:  request.ID,
 		Workspace:  request.Workspace.Name,
@@ -92,9 +115,10 @@
 	s.opts.Journal.Ended(request, result, end)
 	if result.Outcome == core.OutcomeAnswered {
 		out.done(request.ID)
-		return
+		return result
 	}
 	out.problem(problemOf(request.ID, result))
+	return result
 }
 
 // writer returns the writer that the caller asked for.
