--- a/core/request/world_test.go
+++ b/core/request/world_test.go
@@ -155,7 +155,7 @@
 		case Reassign:
 			w.claim(a.Attempt, a.Stage)
 		case Release:
-			w.later(Released{Stage: a.Stage})
+			w.later(Released(a))
 		case Finish:
 			w.later(Finished{Attempt: a.Attempt, Recorded: w.dice.chance(80)})
 		case Emit:
--- a/entry/pipeline/claiming.go
+++ b/entry/pipeline/claiming.go
@@ -120,7 +120,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		_, _ = f.runner.opts.Claims.Release(ctx, owned) // if it is lost, the next asker asks the side
-		f.postEvent(request.Released{Stage: r.Stage})
+		f.postEvent(request.Released(r))
 	}()
 }
 
