Remove old configuration objects by a proved protocol

Weighed: a grace time between listing and deletion (unsafe: a frozen command wakes after it and names a part that is gone); the revision in a part's key (each rollback would write all parts again, and equal content would no longer be found by its name); a lease for the remover (a paused holder deletes all the same). Taken: a change writes its copy first and touches a part that exists, the remover reads versions, then the copies, then raises Oldest in the head by a conditional update, and deletes by the versions read. No clock is relied on.

--- a/acaciawinch/accept.go
+++ b/acaciawinch/accept.go
@@ -30,6 +30,7 @@
 func (e *env) acceptChange(api objects.API, request accept.Request, located func(config.Problem) string) error {
 	request.ChangeID = uuid.NewString()
 	request.Author = author()
+	request.Time = time.Now()
 	machine := accept.New(request)
 	drive(e.ctx, api, machine)
 	result, _ := machine.Result()
--- a/core/config/accept/accept.go
+++ b/core/config/accept/accept.go
@@ -6,8 +6,9 @@
 //
 //  1. Read the head, and the parts that the change touches.
 //  2. Make the change on what was read, and validate the result.
-//  3. Create the immutable parts, unless they exist.
-//  4. Create the immutable copy of the new head under revision and change id.
+//  3. Create the immutable copy of the new head under revision and change id.
+//  4. Create the immutable parts. A part that exists is touched: updated with
+//     the value that it has, so that its version rises.
 //  5. Move the head by an update on the version that was read. Only this step
 //     accepts the change.
 //
@@ -15,11 +16,17 @@
 //
 //   - Parts are named by their content. A part that exists has the bytes that
 //     this writer would write, whoever wrote it; a part that no head names is
-//     never read. So step 3 may be repeated, and may be left unfinished.
+//     never read. So step 4 may be repeated, and may be left unfinished.
 //   - The copy's key holds the random change id, so only this writer writes it.
 //     At one revision its content is always the same: the head before it is the
 //     only one of its revision, because heads move by conditional updates, and
-//     the merge is deterministic. So step 4 may be repeated or left, too.
+//     the merge is deterministic. So step 3 may be repeated or left, too. It
+//     comes before the parts, so that each part is named by some copy, from
+//     which the removal of old objects (package retention) finds it.
+//   - A part that exists may be about to be removed, because no kept head names
+//     it any more. A removal reads the versions that it deletes, and then lists
+//     the copies. Either it sees this run's copy, or the touch came after it read
+//     the version: in both cases the part stays.
 //   - The parts and the copy exist before the head moves, so whoever reads a
 //     head finds all that it names, and walks the copies back to the first.
 //   - An update of the head on version V succeeds for at most one writer, as
@@ -32,6 +39,8 @@
 package accept
 
 import (
+	"time"
+
 	"acaciawinch/core"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
@@ -54,6 +63,8 @@
 	// Author and Note are for people.
 	Author string
 	Note   string
+	// Time is when the change is made, for people and for the removal of old heads.
+	Time   time.Time
 	Change config.Change
 	// Base is the head that the operator worked from, or nil for the one that is
 	// in force when the run begins.
--- a/core/config/accept/machine.go
+++ b/core/config/accept/machine.go
@@ -73,6 +73,12 @@
 	next  config.Head
 	mine  config.Change
 	parts []config.Part
+	// copied is set once the copy of next was written. touching is set while the
+	// first of parts, which exists, is being touched; found is the version read of
+	// it, 0 before.
+	copied   bool
+	touching bool
+	found    uint64
 	// unsettled is set once an update of the head to next may have taken effect.
 	unsettled bool
 	// cursor is what is read next while confirming: the head, then older copies.
@@ -135,6 +141,9 @@
 			actions = append(actions, readPart(hash))
 		}
 	case stateWriting:
+		if !m.copied || m.touching {
+			return nil
+		}
 		for _, part := range m.parts {
 			actions = append(actions, writePart(part))
 		}
@@ -142,13 +151,19 @@
 	return actions
 }
 
-// writeNext returns the write of the next part, or of the copy of the head when
-// no part is left.
+// writeNext returns the write of the copy of the head, or of the next part.
 func (m *Machine) writeNext() Action {
-	if len(m.parts) > 0 {
+	switch {
+	case !m.copied:
+		return Action{Kind: ActionCreate, Key: m.next.Key(), Value: m.next.Copy().Encode()}
+	case !m.touching:
 		return writePart(m.parts[0])
+	case m.found == 0:
+		return readPart(m.parts[0].Hash)
 	}
-	return Action{Kind: ActionCreate, Key: m.next.Key(), Value: m.next.Encode()}
+	touch := writePart(m.parts[0])
+	touch.Kind, touch.Version = ActionUpdate, m.found
+	return touch
 }
 
 // moveHead returns the conditional write that accepts the change.
@@ -245,19 +260,59 @@
 	}
 }
 
-// written goes on behind a part or the copy of the head. Conflict means that the
-// object exists with the same content: a part is named by its content, and nobody
-// else has this run's change id in the name of a copy.
+// written goes on behind the copy of the head, or a call on a part.
 func (m *Machine) written(reply Reply) {
-	if reply.Code == fault.Invalid || reply.Code == fault.NotFound {
+	switch {
+	case reply.Code == fault.Invalid, reply.Code == fault.NotFound && !m.touching:
 		m.broken("the store refuses %s: %s", m.writeNext().Key, reply.Detail)
 		return
+	case !m.copied:
+		// Conflict means that this run wrote it before: nobody else has its change id.
+		m.copied = true
+	case !m.touching:
+		m.created(reply)
+	case m.found == 0:
+		m.partFound(reply)
+	default:
+		m.touched(reply)
+	}
+	if m.copied && len(m.parts) == 0 {
+		m.fire(eventPartsWritten, "")
+	}
+}
+
+// created goes on behind the creation of a part. Conflict means that it exists
+// with the same content, as it is named by its content; it must be touched.
+func (m *Machine) created(reply Reply) {
+	if reply.Code == fault.Conflict {
+		m.touching = true
+		return
 	}
-	if len(m.parts) > 0 {
-		m.parts = m.parts[1:]
+	m.partWritten()
+}
+
+// partFound takes the version of a part that exists. NotFound means that it was
+// removed in between: it is created anew.
+func (m *Machine) partFound(reply Reply) {
+	if reply.Code == fault.NotFound {
+		m.touching = false
 		return
 	}
-	m.fire(eventPartsWritten, "")
+	m.found = reply.Version
+}
+
+// touched goes on behind the touch of a part. Unless it plainly succeeded, the
+// part was removed or touched by another: it is created or touched anew.
+func (m *Machine) touched(reply Reply) {
+	m.found, m.touching = 0, false
+	if reply.Code == "" {
+		m.partWritten()
+	}
+}
+
+// partWritten goes on to the next part.
+func (m *Machine) partWritten() {
+	m.parts = m.parts[1:]
 }
 
 // accepted notes what the run achieved.
--- a/core/config/accept/merge.go
+++ b/core/config/accept/merge.go
@@ -79,6 +79,10 @@
 // partRead takes a part that the merge needs.
 func (m *Machine) partRead(reply Reply) {
 	hash := m.missing()[0]
+	if reply.Code == fault.NotFound {
+		m.broken("part %s is gone: the revision that the change was made from is no longer kept; make it again from a later one", hash)
+		return
+	}
 	if reply.Code != "" {
 		m.broken("part %s can't be read: %s", hash, reply.Detail)
 		return
@@ -158,6 +162,11 @@
 		parent = m.headRaw.Key()
 	}
 	m.next = next.Head(parent, m.request.Author, m.request.Note)
+	m.next.Oldest = m.headRaw.Oldest
+	if !m.request.Time.IsZero() {
+		m.next.AcceptedUnix = m.request.Time.Unix()
+	}
+	m.copied, m.touching, m.found = false, false, 0
 	m.parts = next.PartsSince(m.head)
 	m.fire(eventValid, "")
 }
--- a/core/config/accept/settle.go
+++ b/core/config/accept/settle.go
@@ -63,6 +63,10 @@
 		m.accepted(eventOwnChange)
 	case head.Revision == m.next.Revision:
 		m.lost()
+	case head.Revision == m.headRaw.Revision && m.cursor == config.HeadKey:
+		// Only the removal of old objects updates a head without a new revision.
+		// The update on the old version can't take effect any more.
+		m.lost()
 	default:
 		m.broken("the chain of heads has no revision %d", m.next.Revision)
 	}
@@ -83,8 +87,8 @@
 	m.compare(head)
 }
 
-// lost is reached when another change has the revision: the update on the old
-// version can't take effect any more. The change is made anew on the new head.
+// lost is reached when another change has the revision, or the head was updated
+// by a removal of old objects: the update on the old version can't take effect any more. The change is made anew on the new head.
 func (m *Machine) lost() {
 	m.unsettled = false
 	m.moves = 0
--- a/core/config/head.go
+++ b/core/config/head.go
@@ -19,6 +19,12 @@
 	// Author and Note are for people.
 	Author string `json:"author,omitempty"`
 	Note   string `json:"note,omitempty"`
+	// AcceptedUnix is when the change was made by its operator's clock, in seconds.
+	// It only tells people and decides how long the copy is kept.
+	AcceptedUnix int64 `json:"accepted_unix,omitempty"`
+	// Oldest is the first revision that is still kept; 0 and 1 keep all. It only
+	// rises, stands in the head alone, and not in the copies: a copy never changes.
+	Oldest core.Revision `json:"oldest,omitempty"`
 	// Templates and Shards are content hashes of parts; an empty shard has "".
 	Templates string   `json:"templates"`
 	Shards    []string `json:"shards"`
@@ -41,3 +47,23 @@
 
 // Key names the immutable copy of the head.
 func (h Head) Key() string { return ChangeKey(h.Revision, h.ChangeID) }
+
+// Copy returns the head as its immutable copy is written.
+func (h Head) Copy() Head {
+	h.Oldest = 0
+	return h
+}
+
+// Parts returns the content hashes of all parts that the head names.
+func (h Head) Parts() []string {
+	var hashes []string
+	if h.Templates != "" {
+		hashes = append(hashes, h.Templates)
+	}
+	for _, hash := range h.Shards {
+		if hash != "" {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
--- /dev/null
+++ b/core/config/retention/machine.go
@@ -0,0 +1,398 @@
+package retention
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+)
+
+const (
+	// listPage is how many copies one call lists; each has some 5 kB.
+	listPage = 100
+	// maxOvertaken is how often changes may be accepted between steps 3 and 4 of
+	// one batch before the pass ends.
+	maxOvertaken = 32
+)
+
+// ActionKind is one kind of call of the object API.
+type ActionKind string
+
+// The kinds of actions.
+const (
+	ActionGet    ActionKind = "get"
+	ActionList   ActionKind = "list"
+	ActionUpdate ActionKind = "update"
+	ActionDelete ActionKind = "delete"
+)
+
+// Action is a call that the caller must carry out.
+type Action struct {
+	Kind ActionKind
+	// Key is the object's key, or the prefix of a list.
+	Key string
+	// After and Limit are those of a list.
+	After string
+	Limit int
+	// Value and Version are those of a conditional write.
+	Value   []byte
+	Version uint64
+}
+
+// Object is one listed object.
+type Object struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Reply is what the call returned.
+type Reply struct {
+	// Code is "" for success, else that of the call's error.
+	Code fault.Code
+	// Detail is the error's text.
+	Detail string
+	// Value and Version are those of the object read.
+	Value   []byte
+	Version uint64
+	// Objects are those listed.
+	Objects []Object
+}
+
+// Outcome tells how a pass ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// Done: nothing is left to remove.
+	Done Outcome = "done"
+	// Overtaken: changes were accepted too fast. The next pass goes on.
+	Overtaken Outcome = "overtaken"
+	// Interrupted: a call failed. The next pass goes on.
+	Interrupted Outcome = "interrupted"
+)
+
+// Result is the end of a pass, and what it did.
+type Result struct {
+	Outcome Outcome
+	// Detail tells which call failed.
+	Detail string
+	// Oldest is the first revision kept.
+	Oldest core.Revision
+	// Listed, Copies and Parts count copies listed, and copies and parts removed.
+	// Spared counts parts that were touched in the meantime.
+	Listed, Copies, Parts, Spared int
+}
+
+// step is a step of the protocol, as numbered in the package's comment.
+type step int
+
+const (
+	stepFirstHead step = iota
+	stepList
+	stepVersions
+	stepHead
+	stepNewer
+	stepFence
+	stepParts
+	stepCopies
+)
+
+// part is a part of the batch with the version that may be deleted.
+type part struct {
+	hash    string
+	version uint64
+}
+
+// Machine is one pass. It is not safe for concurrent use.
+type Machine struct {
+	policy Policy
+	now    time.Time
+	step   step
+
+	// head is the last one read, with its object's version.
+	head    config.Head
+	version uint64
+	// copies are those listed and not removed; in order of key, which is that of
+	// revision, once a listing has ended. known holds their keys.
+	copies []copyOf
+	known  map[string]bool
+	// last is, for each part that a listed copy or the head names, the highest
+	// revision that names it.
+	last map[string]core.Revision
+	// after is where the listing goes on.
+	after string
+
+	// batch is how many of copies are being removed, and behind the first revision
+	// that is kept of it. hashes are parts whose versions are still to be read,
+	// parts those to be deleted.
+	batch     int
+	behind    core.Revision
+	hashes    []string
+	parts     []part
+	overtaken int
+
+	result Result
+}
+
+// New returns a pass. Now is compared with the times of the copies.
+func New(policy Policy, now time.Time) *Machine {
+	return &Machine{policy: policy, now: now, known: map[string]bool{}, last: map[string]core.Revision{}}
+}
+
+// Result returns the end of the pass, and whether it has ended.
+func (m *Machine) Result() (Result, bool) { return m.result, m.result.Outcome != "" }
+
+// Next returns the call to carry out. It must not be called after the end.
+func (m *Machine) Next() Action {
+	switch m.step {
+	case stepFirstHead, stepHead:
+		return Action{Kind: ActionGet, Key: config.HeadKey}
+	case stepList, stepNewer:
+		return Action{Kind: ActionList, Key: config.ChangePrefix, After: m.after, Limit: listPage}
+	case stepVersions:
+		return Action{Kind: ActionGet, Key: config.PartKey(m.hashes[0])}
+	case stepFence:
+		return Action{Kind: ActionUpdate, Key: config.HeadKey, Value: m.raised().Encode(), Version: m.version}
+	case stepParts:
+		return Action{Kind: ActionDelete, Key: config.PartKey(m.parts[0].hash), Version: m.parts[0].version}
+	default:
+		return Action{Kind: ActionDelete, Key: m.copies[0].key, Version: m.copies[0].version}
+	}
+}
+
+// raised returns the head with the batch given up.
+func (m *Machine) raised() config.Head {
+	raised := m.head
+	raised.Oldest = max(raised.Oldest, m.behind)
+	return raised
+}
+
+// Handle takes the reply to the call that Next returned.
+func (m *Machine) Handle(reply Reply) {
+	switch m.step {
+	case stepFirstHead, stepHead:
+		m.headRead(reply)
+	case stepList, stepNewer:
+		m.listed(reply)
+	case stepVersions:
+		m.versionRead(reply)
+	case stepFence:
+		m.fenced(reply)
+	case stepParts:
+		m.partDeleted(reply)
+	case stepCopies:
+		m.copyDeleted(reply)
+	}
+}
+
+// interrupt ends the pass because a call failed.
+func (m *Machine) interrupt(reply Reply) {
+	call := m.Next()
+	m.end(Interrupted, string(call.Kind)+" "+call.Key+": "+string(reply.Code)+" "+reply.Detail)
+}
+
+// end ends the pass.
+func (m *Machine) end(outcome Outcome, detail string) {
+	m.result.Outcome, m.result.Detail, m.result.Oldest = outcome, detail, max(m.head.Oldest, 1)
+}
+
+// headRead takes the head. Its parts are not to be removed.
+func (m *Machine) headRead(reply Reply) {
+	if m.step == stepFirstHead && reply.Code == fault.NotFound {
+		m.end(Done, "there is no configuration")
+		return
+	}
+	head, err := config.DecodeHead(reply.Value)
+	if reply.Code != "" || err != nil || head.Revision < m.head.Revision {
+		m.interrupt(reply)
+		return
+	}
+	seen := m.head.Revision
+	m.head, m.version = head, reply.Version
+	m.names(head)
+	if m.step == stepFirstHead {
+		m.step = stepList
+		return
+	}
+	m.step, m.after = stepNewer, endOf(seen)
+}
+
+// endOf is behind the keys of the copies of a revision, before those of the next.
+func endOf(revision core.Revision) string {
+	// A full stop comes right after the hyphen that follows the revision.
+	key := config.ChangeKey(revision, "")
+	return key[:len(key)-1] + "."
+}
+
+// names notes what a head names.
+func (m *Machine) names(head config.Head) {
+	for _, hash := range head.Parts() {
+		m.last[hash] = max(m.last[hash], head.Revision)
+	}
+}
+
+// listed takes a page of copies. What can't be read stays and ends the pass: the
+// parts that it names are not known.
+func (m *Machine) listed(reply Reply) {
+	if reply.Code != "" {
+		m.interrupt(reply)
+		return
+	}
+	for _, object := range reply.Objects {
+		head, err := config.DecodeHead(object.Value)
+		if err != nil {
+			m.interrupt(Reply{Code: fault.Invalid, Detail: object.Key})
+			return
+		}
+		m.remember(object, head)
+	}
+	if len(reply.Objects) == listPage {
+		m.after = reply.Objects[listPage-1].Key
+		return
+	}
+	slices.SortFunc(m.copies, func(a, b copyOf) int { return cmp.Compare(a.key, b.key) })
+	if m.step == stepNewer {
+		m.step = stepFence
+		return
+	}
+	m.choose()
+}
+
+// remember notes a listed copy.
+func (m *Machine) remember(object Object, head config.Head) {
+	if m.known[object.Key] {
+		return
+	}
+	m.known[object.Key] = true
+	m.result.Listed++
+	m.copies = append(m.copies, copyOf{object.Key, object.Version, head.Revision, head.AcceptedUnix})
+	m.names(head)
+}
+
+// choose begins the next batch, or ends the pass.
+func (m *Machine) choose() {
+	m.batch, m.behind = m.policy.cut(m.head, m.copies, m.now)
+	if m.batch == 0 {
+		m.end(Done, "")
+		return
+	}
+	m.overtaken, m.hashes, m.parts = 0, nil, nil
+	for hash, last := range m.last {
+		if last < m.behind {
+			m.hashes = append(m.hashes, hash)
+		}
+	}
+	slices.Sort(m.hashes)
+	m.step = stepVersions
+	m.skipVersions()
+}
+
+// skipVersions goes on if no version is left to be read.
+func (m *Machine) skipVersions() {
+	if len(m.hashes) == 0 {
+		m.step = stepHead
+	}
+}
+
+// versionRead takes the version of a part of the batch.
+func (m *Machine) versionRead(reply Reply) {
+	switch reply.Code {
+	case "":
+		m.parts = append(m.parts, part{m.hashes[0], reply.Version})
+	case fault.NotFound:
+		// Another remover, or an earlier pass, was here.
+	default:
+		m.interrupt(reply)
+		return
+	}
+	m.hashes = m.hashes[1:]
+	m.skipVersions()
+}
+
+// fenced goes on behind the update of the head. Only a plain success proves that
+// the head read in step 3 was in force until then, and Oldest is raised; in all
+// other cases head and copies are read again.
+func (m *Machine) fenced(reply Reply) {
+	switch reply.Code {
+	case "":
+		m.head, m.version = m.raised(), reply.Version
+		m.step = stepParts
+		m.spareNamed()
+		m.skipParts()
+		return
+	case fault.Conflict, fault.Ambiguous, fault.DeadlineExceeded:
+		m.overtaken++
+		m.step = stepHead
+	default:
+		m.interrupt(reply)
+		return
+	}
+	if m.overtaken > maxOvertaken {
+		m.end(Overtaken, "")
+	}
+}
+
+// spareNamed takes off the batch what the head and the copies name by now.
+func (m *Machine) spareNamed() {
+	kept := m.parts[:0]
+	for _, p := range m.parts {
+		if m.last[p.hash] < m.behind {
+			kept = append(kept, p)
+		}
+	}
+	m.result.Spared += len(m.parts) - len(kept)
+	m.parts = kept
+}
+
+// skipParts goes on if no part is left to be deleted.
+func (m *Machine) skipParts() {
+	if len(m.parts) == 0 {
+		m.step = stepCopies
+	}
+}
+
+// partDeleted goes on behind the deletion of a part. Conflict means that it was
+// touched: the copy of the change that did so names it.
+func (m *Machine) partDeleted(reply Reply) {
+	switch reply.Code {
+	case "":
+		m.result.Parts++
+	case fault.Conflict:
+		m.result.Spared++
+	case fault.NotFound:
+	default:
+		m.interrupt(reply)
+		return
+	}
+	m.parts = m.parts[1:]
+	m.skipParts()
+}
+
+// copyDeleted goes on behind the deletion of a copy, and to the next batch behind
+// the last one.
+func (m *Machine) copyDeleted(reply Reply) {
+	switch reply.Code {
+	case "":
+		m.result.Copies++
+	case fault.Conflict, fault.NotFound:
+	default:
+		m.interrupt(reply)
+		return
+	}
+	delete(m.known, m.copies[0].key)
+	m.copies = m.copies[1:]
+	m.batch--
+	if m.batch > 0 {
+		return
+	}
+	for hash, last := range m.last {
+		if last < m.behind {
+			delete(m.last, hash)
+		}
+	}
+	m.choose()
+}
