Run the removal of old configurations at one call a second

One entry makes a pass every six hours, given by a hash over the host list only to save effort.

Run: go test ./acaciawinch ./entry ./entry/clean ./feed. Seen failing: history when the walk goes on behind the oldest revision; the choice of the entry when leaving entries count.

--- a/acaciawinch/apply.go
+++ b/acaciawinch/apply.go
@@ -97,6 +97,9 @@
 	if err != nil || revision == 0 {
 		return head, err
 	}
+	if revision < head.Oldest {
+		return config.Head{}, fault.New(fault.NotFound, "config.history", "", "revision %d is no longer kept; the oldest is %d", revision, head.Oldest)
+	}
 	var found *config.Head
 	err = reader.Walk(ctx, head, func(h config.Head) bool {
 		if h.Revision == revision {
--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -267,3 +267,19 @@
 		assert.Assert(t, json.Valid(out.Bytes()), "%v printed %s", args, out.String())
 	}
 }
+
+func TestRevisionsThatAreNoLongerKeptAreNamedSo(t *testing.T) {
+	b := newBench(t, "")
+	b.expect(exitDone, "accepted", append([]string{"apply"}, examples("institute")...)...)
+	b.expect(exitDone, "accepted", "apply", b.weighted(4))
+	b.expect(exitDone, "accepted", "apply", b.weighted(5))
+	b.store.keepFrom(2)
+	const gone = "revision 1 is no longer kept; the oldest is 2"
+	b.expect(exitBadInput, gone, "get", "--revision", "1")
+	b.expect(exitBadInput, gone, "rollback", "1")
+	b.expect(exitBadInput, gone, "apply", "--base", "1", b.weighted(6))
+	printed := b.expect(exitDone, "    -  ", "history")
+	assert.Equal(t, strings.Count(printed, "\n"), 3, printed)
+	b.expect(exitDone, "accepted as revision 4", "rollback", "2")
+	b.expect(exitBadInput, gone, "get", "--revision", "1")
+}
--- a/acaciawinch/history.go
+++ b/acaciawinch/history.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
+	"time"
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
@@ -22,8 +24,11 @@
 	ChangeID string        `json:"change_id"`
 	Author   string        `json:"author"`
 	Note     string        `json:"note,omitempty"`
-	// Parts counts the parts that differ from the change before.
-	Parts int `json:"parts"`
+	// Accepted is when the change was made by its operator's clock.
+	Accepted time.Time `json:"accepted"`
+	// Parts counts the parts that differ from the change before; 0 if that one is
+	// no longer kept.
+	Parts int `json:"parts,omitempty"`
 }
 
 // Execute implements flags.Commander.
@@ -57,17 +62,22 @@
 		if i == limit {
 			break
 		}
-		before := config.Empty().Head("", "", "")
-		if i+1 < len(heads) {
-			before = heads[i+1]
-		}
-		entries = append(entries, pastChange{head.Revision, head.ChangeID, head.Author, head.Note, partsChanged(before, head)})
+		entries = append(entries, pastChange{head.Revision, head.ChangeID, head.Author, head.Note,
+			time.Unix(head.AcceptedUnix, 0).UTC(), partsChanged(heads[i:])})
 	}
 	return entries
 }
 
-// partsChanged counts the parts in which two heads differ.
-func partsChanged(before, after config.Head) int {
+// partsChanged counts the parts in which the first of some heads differs from the
+// one before it, which comes second.
+func partsChanged(heads []config.Head) int {
+	after, before := heads[0], config.Empty().Head("", "", "")
+	switch {
+	case len(heads) > 1:
+		before = heads[1]
+	case after.Parent != "":
+		return 0
+	}
 	changed := 0
 	if before.Templates != after.Templates {
 		changed++
@@ -80,11 +90,19 @@
 	return changed
 }
 
+// partsText returns the number of parts, or a hyphen if it is not known.
+func (p pastChange) partsText() string {
+	if p.Parts == 0 {
+		return "-"
+	}
+	return strconv.Itoa(p.Parts)
+}
+
 // historyText returns one line for each entry.
 func historyText(entries []pastChange) string {
-	lines := []string{fmt.Sprintf("%8s  %-36s  %-12s  %5s  %s", "REVISION", "CHANGE", "AUTHOR", "PARTS", "NOTE")}
+	lines := []string{fmt.Sprintf("%8s  %-20s  %-36s  %-12s  %5s  %s", "REVISION", "ACCEPTED", "CHANGE", "AUTHOR", "PARTS", "NOTE")}
 	for _, e := range entries {
-		lines = append(lines, fmt.Sprintf("%8d  %-36s  %-12s  %5d  %s", e.Revision, e.ChangeID, e.Author, e.Parts, e.Note))
+		lines = append(lines, fmt.Sprintf("%8d  %-20s  %-36s  %-12s  %5s  %s", e.Revision, e.Accepted.Format(time.RFC3339), e.ChangeID, e.Author, e.partsText(), e.Note))
 	}
 	return strings.Join(lines, "\n")
 }
--- a/acaciawinch/store_test.go
+++ b/acaciawinch/store_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
 )
 
 // fakeStore serves the object API from memory.
@@ -83,3 +86,20 @@
 	defer s.mu.Unlock()
 	edit(s)
 }
+
+// keepFrom does what the removal of old objects does: it notes the oldest
+// revision in the head and deletes the copies before it.
+func (s *fakeStore) keepFrom(oldest int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	head := strings.Replace(string(s.values["config/head"]), "{", "{\"oldest\":"+strconv.Itoa(oldest)+",", 1)
+	s.values["config/head"] = []byte(head)
+	s.version["config/head"]++
+	first := config.ChangeKey(core.Revision(oldest), "")
+	for key := range s.values {
+		if strings.HasPrefix(key, config.ChangePrefix) && key < first {
+			delete(s.values, key)
+			delete(s.version, key)
+		}
+	}
+}
--- /dev/null
+++ b/entry/clean/cleaner.go
@@ -0,0 +1,175 @@
+package clean
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"acaciawinch/core/config/retention"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/objects"
+)
+
+// Pace of the removal.
+const (
+	// callsPerSecond bounds the calls to the store. A day of 4,000 changes needs
+	// some 12,500.
+	callsPerSecond = 1
+	// passInterval is the time between two passes, and retryInterval that behind
+	// one that did not come to its end.
+	passInterval  = 6 * time.Hour
+	retryInterval = 15 * time.Minute
+	// firstPass bounds the random time before the first pass.
+	firstPass = 10 * time.Minute
+)
+
+// ownerKey is what the entries' names are hashed with to find the one that cleans.
+const ownerKey = "config\x00"
+
+// Options are the parts of a Cleaner.
+type Options struct {
+	// Self is the entry's name in the host list.
+	Self    string
+	Objects objects.API
+	Log     *observe.Logger
+	// Scope is where metrics are registered; nil drops them.
+	Scope    tally.Scope
+	Settings Settings
+	// Hosts returns the host list; empty while it is not known.
+	Hosts func() []fleet.Host
+	// Now is the wall clock; nil means time.Now.
+	Now func() time.Time
+	// Rate bounds the calls a second; 0 means callsPerSecond.
+	Rate rate.Limit
+}
+
+// Cleaner removes configuration objects that are no longer kept.
+type Cleaner struct {
+	options Options
+	limiter *rate.Limiter
+	metrics *metrics
+}
+
+// New returns a Cleaner that does nothing until Run.
+func New(opts Options) *Cleaner {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Rate == 0 {
+		opts.Rate = callsPerSecond
+	}
+	return &Cleaner{options: opts, limiter: rate.NewLimiter(opts.Rate, 1), metrics: newMetrics(opts.Scope)}
+}
+
+// Run makes passes until ctx ends, while this entry is the one that cleans. It
+// returns nil.
+func (c *Cleaner) Run(ctx context.Context) error {
+	if c.options.Settings.Revisions == 0 {
+		return nil
+	}
+	next := rand.N(firstPass)
+	for wait(ctx, next) {
+		next = passInterval
+		if c.owns() && !c.pass(ctx) {
+			next = retryInterval
+		}
+	}
+	return nil
+}
+
+// wait waits, and tells whether ctx goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// owns tells whether this entry is the one that cleans: the first by rendezvous
+// hash among those that are not leaving.
+func (c *Cleaner) owns() bool {
+	owner, most := "", uint64(0)
+	for _, host := range c.options.Hosts() {
+		if host.Role != fleet.RoleEntry || host.Leaving {
+			continue
+		}
+		if weight := xxhash.Sum64String(ownerKey + host.Name); owner == "" || weight > most {
+			owner, most = host.Name, weight
+		}
+	}
+	return owner != "" && owner == c.options.Self
+}
+
+// pass makes one pass and tells whether it came to its end. One that ctx ended
+// is not reported: another entry goes on with it.
+func (c *Cleaner) pass(ctx context.Context) bool {
+	machine := retention.New(c.options.Settings.policy(), c.options.Now())
+	for {
+		result, ended := machine.Result()
+		if ended {
+			c.report(result)
+			return result.Outcome == retention.Done
+		}
+		if c.limiter.Wait(ctx) != nil {
+			return false
+		}
+		action := machine.Next()
+		c.metrics.called(action.Kind)
+		reply := c.carryOut(ctx, action)
+		if ctx.Err() != nil {
+			return false
+		}
+		machine.Handle(reply)
+	}
+}
+
+// carryOut makes one call of the object API.
+func (c *Cleaner) carryOut(ctx context.Context, action retention.Action) retention.Reply {
+	var reply retention.Reply
+	var err error
+	switch action.Kind {
+	case retention.ActionGet:
+		var object objects.Object
+		object, err = c.options.Objects.Get(ctx, action.Key)
+		reply.Value, reply.Version = object.Value, object.Version
+	case retention.ActionList:
+		var page []objects.Object
+		page, err = c.options.Objects.List(ctx, action.Key, action.After, action.Limit)
+		for _, object := range page {
+			reply.Objects = append(reply.Objects, retention.Object{Key: object.Key, Value: object.Value, Version: object.Version})
+		}
+	case retention.ActionUpdate:
+		reply.Version, err = c.options.Objects.Update(ctx, action.Key, action.Value, action.Version)
+	case retention.ActionDelete:
+		err = c.options.Objects.Delete(ctx, action.Key, action.Version)
+	}
+	if err != nil {
+		reply.Code, reply.Detail = fault.CodeOf(err), err.Error()
+	}
+	return reply
+}
+
+// report logs and counts the end of a pass.
+func (c *Cleaner) report(r retention.Result) {
+	c.metrics.ended(r)
+	fields := observe.Fields{
+		"outcome": string(r.Outcome), "oldest": uint64(r.Oldest), "listed": r.Listed,
+		"copies": r.Copies, "parts": r.Parts, "spared": r.Spared, "detail": r.Detail,
+	}
+	if r.Outcome == retention.Done {
+		c.options.Log.Event(event.ConfigCleaned, fields)
+		return
+	}
+	c.options.Log.Warn(event.ConfigCleanUnfinished, fields)
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -12,6 +12,7 @@
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/callers"
 	"acaciawinch/entry/claims"
+	"acaciawinch/entry/clean"
 	"acaciawinch/entry/pipeline"
 	"acaciawinch/entry/place"
 	"acaciawinch/entry/route"
@@ -41,6 +42,7 @@
 	router      *route.Router
 	keeper      *claims.Keeper
 	sweeper     *claims.Sweeper
+	cleaner     *clean.Cleaner
 	proposer    *place.Proposer
 	runner      *pipeline.Runner
 	gate        *admit.Gate
@@ -70,6 +72,7 @@
 	p.addFeed(store)
 	p.addRouter()
 	p.addClaims(store)
+	p.addCleaner(store)
 	p.addPlacement(store)
 	p.addRunner()
 	p.finder = &finder{
@@ -134,6 +137,18 @@
 	})
 }
 
+// addCleaner adds the removal of old configuration objects.
+func (p *process) addCleaner(store objects.API) {
+	p.cleaner = clean.New(clean.Options{
+		Self:     p.settings.Process.Name,
+		Objects:  store,
+		Log:      p.logger,
+		Scope:    p.metrics.Scope(),
+		Settings: p.settings.Retention,
+		Hosts:    p.hosts,
+	})
+}
+
 // addPlacement adds the part in the placement of models.
 func (p *process) addPlacement(store objects.API) {
 	p.proposer = place.New(place.Options{
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 
+	"acaciawinch/entry/clean"
 	"acaciawinch/entry/place"
 	"acaciawinch/entry/route"
 	"acaciawinch/feed"
@@ -21,6 +22,7 @@
 	Routing   RoutingSettings  `toml:"routing"`
 	Feed      FeedSettings     `toml:"feed"`
 	Placement place.Settings   `toml:"placement"`
+	Retention clean.Settings   `toml:"retention"`
 }
 
 // ProcessSettings say who and where this process is.
@@ -131,6 +133,7 @@
 			RetryPercent: defaultRetryPercent,
 		},
 		Placement: place.DefaultSettings(),
+		Retention: clean.DefaultSettings(),
 		Feed:      FeedSettings{RelaysPerZone: feed.DefaultRelaysPerZone},
 	}
 }
--- a/feed/store/store.go
+++ b/feed/store/store.go
@@ -70,10 +70,12 @@
 	return config.DecodeHead(object.Value)
 }
 
-// Walk calls visit with head and each head before it, the latest first, until
-// visit returns false or the first change was visited. One call for each step.
+// Walk calls visit with the head in force and each head before it, the latest
+// first, until visit returns false or the oldest one kept was visited. One call
+// for each step.
 func (r Reader) Walk(ctx context.Context, head config.Head, visit func(config.Head) bool) error {
-	for head.Revision > 0 && visit(head) && head.Parent != "" {
+	oldest := head.Oldest
+	for head.Revision > 0 && visit(head) && head.Parent != "" && head.Revision > oldest {
 		older, err := r.Copy(ctx, head.Parent)
 		if err != nil {
 			return err
--- a/observe/event/feed.go
+++ b/observe/event/feed.go
@@ -13,4 +13,7 @@
 	FeedCatchUp      = define(5009, "feed_catch_up", "A message carried a newer revision than this process holds, and no feed brought it.", "wanted", "held", "peer")
 	HostsChanged     = define(5010, "hosts_changed", "A newer host list is in force in this process.", "version", "hosts", "leaving", "source")
 	PlacementChanged = define(5011, "placement_changed", "A newer desired placement is in force in this process.", "version", "source")
+	ConfigCleaned    = define(5012, "config_cleaned", "A pass removed what is no longer kept of old configurations.", "outcome", "oldest", "listed", "copies", "parts", "spared", "detail")
+
+	ConfigCleanUnfinished = define(5013, "config_clean_unfinished", "A pass over old configurations did not come to its end; the next one goes on.", "outcome", "oldest", "listed", "copies", "parts", "spared", "detail")
 )
