--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,10 @@
 faults: build ## run the fault matrix with the real binaries and write docs/FAULTS.md
 	bin/faults --bin bin --page docs/FAULTS.md --commit $$(git rev-parse --short HEAD)
 
-docs: ## rewrite the pages that are made from the code
+docs: ## rewrite the pages that are made from the code, and check the others
 	go run ./observe/cmd/events > docs/EVENTS.md
 	go run ./core/chart/cmd/charts > docs/CHARTS.md
+	go test -count=1 -run 'Page|Settings|Examples' ./observe/event ./core/chart ./acaciawinch
 
 generate: ## regenerate the committed drpc code (needs protoc, protoc-gen-go, protoc-gen-go-drpc)
 	cd wire/wirepb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire.proto
--- a/acaciawinch/client.go
+++ b/acaciawinch/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -37,7 +38,7 @@
 	case http.StatusOK:
 		return body, nil
 	case http.StatusNotFound:
-		return nil, fault.New(fault.NotFound, step, base, "not found")
+		return nil, fault.New(fault.NotFound, step, base, "%s", bytes.TrimSpace(body))
 	}
 	return nil, fault.New(fault.Unavailable, step, base, "status %d", resp.StatusCode)
 }
