Publish the Go runtime's metrics beside our own

The heap of a process could be read only from outside, as resident memory, which lags behind what is in use. The runtime's collector of the Prometheus client, which is a dependency already, tells heap, goroutines and collections under their usual names. Needed by the slopes of memory per request, peer and workspace.

Run: go test ./observe/...

--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -20,9 +21,12 @@
 	reporter promreporter.Reporter
 }
 
-// NewMetrics returns metrics whose names begin with prefix.
+// NewMetrics returns metrics whose names begin with prefix. Those of the Go
+// runtime (heap, goroutines, collections) stand beside them under their usual names.
 func NewMetrics(prefix string) *Metrics {
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: prometheus.NewRegistry()})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
