--- a/standin/harness/files.go
+++ b/standin/harness/files.go
@@ -50,7 +50,7 @@
 	}
 	settings := commandSettings{
 		Platform: platformTable{Objects: "http://" + objects, Hosts: f.hostsURL},
-		Fleet:    fleetTable{Key: fleetKey},
+		Fleet:    fleetTable{Key: FleetKey},
 	}
 	for _, entry := range f.Entries {
 		settings.Entries.Admin = append(settings.Entries.Admin, entry.AdminURL)
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -179,7 +179,7 @@
 		Process:  f.processTable(e.Name, e.Zone),
 		Listen:   listenTable{Callers: listen.callers, Fleet: listen.fleet, Admin: listen.admin},
 		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
-		Fleet:    fleetTable{Key: fleetKey},
+		Fleet:    fleetTable{Key: FleetKey},
 	}, f.Options.EntrySettings)
 }
 
@@ -271,7 +271,7 @@
 		Process:  f.processTable(name, u.Zone),
 		Listen:   listenTable{Fleet: listen.fleet, Admin: listen.admin},
 		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
-		Fleet:    fleetTable{Key: fleetKey},
+		Fleet:    fleetTable{Key: FleetKey},
 		Upstream: upstreamTable{
 			Name:    u.Name,
 			Service: u.Group.Service,
--- a/standin/harness/settings.go
+++ b/standin/harness/settings.go
@@ -9,8 +9,8 @@
 	"acaciawinch/core/config"
 )
 
-// fleetKey is the shared key of every trial's fleet.
-const fleetKey = "trial-key"
+// FleetKey is the shared key of every trial's fleet.
+const FleetKey = "trial-key"
 
 // The tables of the processes' settings that a trial fills in.
 type (
