Measure how each cost grows with the real processes

To each cost it fits a least-squares line and tells its residual; costs of an idle process are the line's intercept, and those of a single change are what the window spent above rest. JSON and tables come from the same run.

Bytes of all kinds are the kernel's counts of reads and writes less the log, since the processes count only what goes between themselves. Processor time has the kernel's ticks of 10 ms, so that a single change is not resolved.

--- /dev/null
+++ b/standin/cmd/slopes/main.go
@@ -0,0 +1,117 @@
+// Command slopes measures how each cost of the system grows, and writes the
+// slopes as JSON and tables.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"acaciawinch/standin/slopes"
+)
+
+// options are the command line.
+type options struct {
+	Bin    string   `long:"bin" default:"bin" description:"folder of the built binaries"`
+	Only   []string `long:"only" description:"run this suite only; may be given several times"`
+	Out    string   `long:"out" description:"folder for the JSON and the tables; none if empty"`
+	Commit string   `long:"commit" description:"the commit that is measured"`
+	From   string   `long:"from" description:"read the slopes from this JSON file instead of measuring"`
+}
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "Suites: " + strings.Join(slopes.Names(), ", ")
+	if _, err := parser.Parse(); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run measures, or reads an earlier result, and writes what is asked for.
+func run(o options) error {
+	result, err := result(o)
+	// What was measured before a failure is shown, but not kept.
+	for _, table := range result.Tables() {
+		if err := table.WriteText(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if o.Out == "" {
+		return nil
+	}
+	return writeResult(o.Out, result)
+}
+
+// result returns the slopes, measured or read.
+func result(o options) (slopes.Result, error) {
+	if o.From != "" {
+		var r slopes.Result
+		data, err := os.ReadFile(o.From)
+		if err != nil {
+			return r, err
+		}
+		return r, json.Unmarshal(data, &r)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return slopes.Run(ctx, slopes.Options{
+		Bin: o.Bin, Only: o.Only, Commit: o.Commit,
+		Note: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) },
+	})
+}
+
+// writeResult writes the JSON and the tables.
+func writeResult(dir string, result slopes.Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	err := write(filepath.Join(dir, "slopes.json"), func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", " ")
+		return encoder.Encode(result)
+	})
+	if err != nil {
+		return err
+	}
+	return write(filepath.Join(dir, "slopes.md"), result.WriteTables)
+}
+
+// write creates a file and fills it.
+func write(path string, fill func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := fill(file); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
