--- a/feed/watch.go
+++ b/feed/watch.go
@@ -102,6 +102,9 @@
 // keep remembers a part. Beyond the bound everything is forgotten: what a head
 // then misses is read.
 func (w *configWatch) keep(hash string, data []byte) {
+	if w.seen[hash] != nil {
+		return
+	}
 	if w.seenBytes+len(data) > maxSeenBytes {
 		w.forget()
 	}
