Describe the gate's admission as it is now

The package comment lacked the margin on the expected wait and the start of urgent work before its turn.

--- a/core/gate/doc.go
+++ b/core/gate/doc.go
@@ -19,6 +19,12 @@
 // workspace that holds less than its share pushes out the last attempt of the
 // one that holds most.
 //
+// An attempt is admitted if three times its expected wait and its service time fit
+// into the time that it has left, because later work may go first, and a refusal
+// now leaves time to go elsewhere. A waiting attempt that is close to its last
+// moment to start goes before its turn and is charged to its workspace. One that
+// can't make its deadline any more is refused as not run.
+//
 // # At most once
 //
 // A claimed attempt carries a ticket: the side's own clock at the probe after
