See the end of an outage by a read, and mend what read badly in feed

Behind a failed watch a read comes first now: one call for each watch and try. Run: go test -count=4 ./feed ./acaciawinch.

--- a/acaciawinch/declaration.go
+++ b/acaciawinch/declaration.go
@@ -43,8 +43,11 @@
 		}
 		err = d.add(path, data)
 		var found settings.Problems
-		if errors.As(err, &found) {
+		switch {
+		case errors.As(err, &found):
 			problems = append(problems, found...)
+		case err != nil:
+			return nil, badInput(err)
 		}
 	}
 	if len(problems) > 0 {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -94,6 +94,27 @@
 	f.awaitRevision(f.change(workspaces(1, 2)), others...)
 }
 
+func TestTheEndOfAnOutageIsSeenWithoutAChange(t *testing.T) {
+	f, nodes := started(t)
+	relays, _ := f.relays(nodes)
+	f.store.setDown(true)
+	for _, n := range relays {
+		f.await("the outage", func() bool { return n.feed.storeLost() })
+	}
+	f.store.setDown(false)
+	for _, n := range relays {
+		f.await("the end of the outage", func() bool { return !n.feed.storeLost() })
+	}
+}
+
+// storeLost tells whether the feed takes the store for down.
+func (f *Feed) storeLost() bool {
+	health := &f.objects.(*countedStore).health
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	return !health.lostSince.IsZero()
+}
+
 func TestAZoneWhoseEntriesFallSilentIsLeftForAnother(t *testing.T) {
 	var list fleet.List
 	for _, name := range []string{"near1", "near2", "near3", "far"} {
--- a/feed/receive.go
+++ b/feed/receive.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fleet"
 	"acaciawinch/core/placement"
@@ -90,8 +89,8 @@
 
 // take handles one message.
 func (r *receiver) take(update *wirepb.FleetUpdate) error {
-	if config := update.GetConfig(); config != nil {
-		if err := r.takeConfig(config); err != nil {
+	if part := update.GetConfig(); part != nil {
+		if err := r.takeConfig(part); err != nil {
 			return err
 		}
 	}
@@ -122,7 +121,10 @@
 	if known != nil && !delta.Full && delta.Revision <= known.Revision() {
 		return nil // Another source was first.
 	}
-	snapshot, err := r.apply(known, delta)
+	// If this process has moved on by another source since it subscribed, the delta
+	// may begin at an earlier configuration than the present. Then it is refused as
+	// a Conflict, and the follower asks for everything.
+	snapshot, err := known.Apply(delta)
 	if err != nil {
 		r.feed.warn(event.FeedMismatch, observe.Fields{"provider": r.host.Name, "error": err.Error()})
 		return err
@@ -132,17 +134,6 @@
 	return nil
 }
 
-// apply makes the delta. If this process has moved on by another source since it
-// subscribed, the delta may begin at an earlier configuration than the present.
-func (r *receiver) apply(known *config.Snapshot, delta config.Delta) (*config.Snapshot, error) {
-	snapshot, err := known.Apply(delta)
-	if err == nil {
-		return snapshot, nil
-	}
-	r.full = true
-	return nil, err
-}
-
 // count notes what kind of configuration came.
 func (r *receiver) count(full bool) {
 	if full {
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -39,11 +39,20 @@
 
 // watch reads what is below prefix once, and takes each change from then on. The
 // cursor is fetched before the read, so that no change falls between the two.
-// After a failure of take everything is read again.
+// After a failure of take everything is read again. Behind a failed watch a read
+// comes first: a watch that waits for a change doesn't tell that the platform is
+// back.
 func (f *Feed) watch(ctx context.Context, prefix string, read func(context.Context) error, take func(context.Context, []objects.Change) error) error {
 	cursor, failures := uint64(0), 0
 	for ctx.Err() == nil {
-		next, err := f.watchOnce(ctx, prefix, cursor, read, take)
+		var err error
+		if failures > 0 {
+			err = read(ctx)
+		}
+		next := cursor
+		if err == nil {
+			next, err = f.watchOnce(ctx, prefix, cursor, read, take)
+		}
 		if err != nil {
 			failures++
 			pause(ctx, f.backoff(failures))
