--- a/core/config/retention/doc.go
+++ b/core/config/retention/doc.go
@@ -31,6 +31,8 @@
 //   - Step 4 raises the head's version, on which the updates of all changes in
 //     flight are conditional. They fail and begin anew, from the raised Oldest: it
 //     never goes back, so no copy that is gone is ever counted as kept again.
+//     It is a second safeguard as well, if a listing of the store should lag behind
+//     its writes: what is accepted from then on touched its parts after step 4.
 //   - Two removers, or one that was paused for hours, delete by the same rule.
 //
 // Copies need no touch: a copy below the head's revision is that of an accepted
--- a/core/config/retention/retention_test.go
+++ b/core/config/retention/retention_test.go
@@ -106,8 +106,8 @@
 		// first is the schedule that the search begins with: one that was found.
 		first uint64
 	}{
-		{"touch", sabotageTouch, "the head at revision", 1092},
-		{"condition", sabotageCondition, "the head at revision", 841},
+		{"touch", sabotageTouch, "the head at revision", 0},
+		{"condition", sabotageCondition, "the head at revision", 0},
 		{"newer", sabotageNewer, "the kept copy", 0},
 		{"fence", sabotageFence, "the ", 0},
 	} {
--- a/core/config/retention/world_test.go
+++ b/core/config/retention/world_test.go
@@ -48,8 +48,8 @@
 	w := &world{random: random, store: newStore(random), read: map[string]config.Head{}, results: map[retention.Outcome]int{}}
 	w.store.sabotage = broken
 	w.store.written = w.check
-	w.policy = retention.Policy{Revisions: 1 + random.IntN(3), Batch: 1 + random.IntN(4)}
-	if random.IntN(3) == 0 {
+	w.policy = retention.Policy{Revisions: 1 + random.IntN(2), Batch: 1 + random.IntN(4)}
+	if random.IntN(6) == 0 {
 		w.policy.Age = time.Hour
 	}
 	w.run(accept.New(w.request(config.Change{PutTemplates: []config.Template{template()}})))
@@ -57,10 +57,10 @@
 		w.run(accept.New(w.request(w.change())))
 	}
 	w.store.trouble = []int{0, 2, 5, 20}[random.IntN(4)]
-	for range 1 + random.IntN(3) {
-		w.actors = append(w.actors, w.operator(2+random.IntN(4)))
+	for range 1 + random.IntN(2) {
+		w.actors = append(w.actors, w.operator(3+random.IntN(5)))
 	}
-	for range 1 + random.IntN(3) {
+	for range 1 + random.IntN(2) {
 		w.actors = append(w.actors, w.remover(1+random.IntN(4)))
 	}
 	return w
@@ -75,10 +75,10 @@
 	return t
 }
 
-// change sets or removes one of few workspaces to one of few contents, so that
-// parts that no head names any more come back all the time.
+// change sets one of few workspaces, mostly the first, to one of few contents, or
+// removes it, so that parts that no head names any more come back all the time.
 func (w *world) change() config.Change {
-	name := string(rune('p' + w.random.IntN(2)))
+	name := string(rune('p' + w.random.IntN(8)/7))
 	if w.random.IntN(6) == 0 {
 		return config.Change{RemoveWorkspaces: []string{name}}
 	}
@@ -196,7 +196,7 @@
 	switch w.random.IntN(150) {
 	case 0:
 		a.crash()
-	case 1, 2, 3, 4, 5:
+	case 1, 2, 3, 4, 5, 6, 7, 8, 9, 10:
 		a.frozen = w.random.IntN(60)
 	}
 	if !a.turn() {
