Tell want of time from want of a fit upstream

Only a refusal for want of time or room is overload; it alone cuts the pace, and not if the caller allowed less time than usual. The limit ends at four and grows by one for each answer after a second without a sign.

route.Late replaces route.Silent.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -188,6 +188,8 @@
 const (
 	// GiveUpOverload: no upstream would have made it in time.
 	GiveUpOverload GiveUpCause = "overload"
+	// GiveUpNoUpstream: no upstream answers or is fit for the work.
+	GiveUpNoUpstream GiveUpCause = "no_upstream"
 	// GiveUpUnavailable: the platform's store can't hold the claim.
 	GiveUpUnavailable GiveUpCause = "unavailable"
 	// GiveUpConflict: the idempotency key was used with another body.
--- a/core/request/ahead.go
+++ b/core/request/ahead.go
@@ -34,22 +34,28 @@
 	return found
 }
 
-// checkRefused gives the request up if a later stage can't be made. Silence, or a
-// measure of the past without a queue, is no proof; the stage itself will tell.
+// checkRefused gives the request up if a later stage can't be made. A measure of
+// the past without a queue is no proof; the stage itself will tell. Nor is it
+// that no upstream is fit, until it stays so for a while.
 func (m *Machine) checkRefused(a *attempt, e NotChosen) {
-	m.end(a, EndCancelled, "")
 	s := a.stage
-	idle := e.RetryAfter <= m.rules.TrialWait && s.spec.Declared > 0
-	if e.Silent || idle || m.ending != nil {
+	idle := e.Late && e.RetryAfter <= m.rules.TrialWait && s.spec.Declared > 0
+	switch {
+	case idle || m.ending != nil:
+		m.end(a, EndCancelled, "")
 		m.checked(a)
-		return
+	case !e.Late && s.chooses < m.rules.ChooseTries:
+		s.chooses++
+		m.choose(a, m.rules.ChooseBackoff)
+	default:
+		m.end(a, EndCancelled, "")
+		m.giveUp(ending{
+			cause:      causeOf(e),
+			step:       "stage." + s.spec.Name,
+			detail:     e.Detail,
+			retryAfter: e.RetryAfter,
+		})
 	}
-	m.giveUp(ending{
-		cause:      GiveUpOverload,
-		step:       "stage." + s.spec.Name,
-		detail:     e.Detail,
-		retryAfter: e.RetryAfter,
-	})
 }
 
 // checked lets the stage that waited for the check go.
--- a/core/request/claimed.go
+++ b/core/request/claimed.go
@@ -259,7 +259,7 @@
 		m.fire(s, "refused")
 	}
 	s.refusals++
-	give := ending{cause: GiveUpOverload, step: "stage." + s.spec.Name, detail: detail, retryAfter: s.retryAfter}
+	give := ending{cause: s.refusedCause(), step: "stage." + s.spec.Name, detail: detail, retryAfter: s.retryAfter}
 	switch {
 	case final:
 		give.cause = GiveUpFailed
--- a/core/request/event.go
+++ b/core/request/event.go
@@ -24,8 +24,9 @@
 // NotChosen tells that no upstream could be chosen for an attempt.
 type NotChosen struct {
 	Attempt AttemptID
-	// Silent is set if no upstream answered, rather than none being fit.
-	Silent     bool
+	// Late is set if upstreams could do the work, but not in time. Otherwise none
+	// answered or is fit, which may be over in a moment.
+	Late       bool
 	RetryAfter time.Duration
 	Detail     string
 }
@@ -63,8 +64,10 @@
 
 // Refused tells that a side refused an attempt.
 type Refused struct {
-	Attempt    AttemptID
-	Refusal    Refusal
+	Attempt AttemptID
+	Refusal Refusal
+	// Late is set if the side could do the work, but not in time.
+	Late       bool
 	RetryAfter time.Duration
 	Detail     string
 }
--- a/core/request/failure.go
+++ b/core/request/failure.go
@@ -20,6 +20,7 @@
 	}
 	s := a.stage
 	s.retryAfter = max(s.retryAfter, e.RetryAfter)
+	s.late = s.late || e.Late
 	if s.spec.NonIdempotent {
 		m.claimedRefused(a, e)
 		return
@@ -50,12 +51,20 @@
 	m.fire(s, eventOf(why))
 	s.refusals++
 	if s.refusals > m.rules.MaxRefusals {
-		m.giveUp(ending{cause: GiveUpOverload, step: "stage." + s.spec.Name, detail: detail, retryAfter: s.retryAfter})
+		m.giveUp(ending{cause: s.refusedCause(), step: "stage." + s.spec.Name, detail: detail, retryAfter: s.retryAfter})
 		return
 	}
 	m.choose(m.newAttempt(s, m.causeAgain(s)), 0)
 }
 
+// refusedCause returns why a request is given up whose stage the sides refused.
+func (s *stage) refusedCause() GiveUpCause {
+	if s.late {
+		return GiveUpOverload
+	}
+	return GiveUpNoUpstream
+}
+
 // loseOne notes that one of two attempts is gone and the other goes on.
 func (m *Machine) loseOne(s *stage) {
 	if s.call.State() == "hedged" {
--- a/core/request/giveup.go
+++ b/core/request/giveup.go
@@ -146,7 +146,11 @@
 
 // refusal tells whether the request was refused rather than failed.
 func (e *ending) refusal() bool {
-	return e.cause == GiveUpOverload || e.cause == GiveUpUnavailable || e.cause == GiveUpConflict
+	switch e.cause {
+	case GiveUpOverload, GiveUpNoUpstream, GiveUpUnavailable, GiveUpConflict:
+		return true
+	}
+	return false
 }
 
 // answerGivenUp tells the caller the truth as far as it is proved.
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -60,6 +60,8 @@
 	trial      bool
 	exclude    []core.UpstreamID
 	retryAfter time.Duration
+	// late is set once a side refused for want of time or of room.
+	late bool
 
 	claim claimState
 }
--- a/core/request/scenario_test.go
+++ b/core/request/scenario_test.go
@@ -132,7 +132,7 @@
 
 func TestSlowMeasureIsTriedAgain(t *testing.T) {
 	declared := Stage{Name: "x", Service: "x", Declared: 60 * time.Millisecond}
-	slow := NotChosen{Attempt: 0, RetryAfter: DefaultRules().TrialWait}
+	slow := NotChosen{Attempt: 0, Late: true, RetryAfter: DefaultRules().TrialWait}
 	s := begin(t, fixed{}, declared)
 	s.tell(slow)
 	assert.Equal(t, all[Choose](s)[1].Remaining, time.Duration(0))
@@ -240,10 +240,21 @@
 	assert.DeepEqual(t, s.m.Output(0), [][]byte{[]byte("z")})
 }
 
+func TestUnfitUpstreamsAreAskedAgain(t *testing.T) {
+	s := begin(t, fixed{}, cheap)
+	for tries := range DefaultRules().ChooseTries {
+		s.tell(NotChosen{Attempt: 0, Detail: "none is fit"})
+		assert.Equal(t, len(all[Answer](s)), 0)
+		assert.Equal(t, all[Choose](s)[tries+1].After, DefaultRules().ChooseBackoff)
+	}
+	s.tell(NotChosen{Attempt: 0, Detail: "none is fit"})
+	assert.Equal(t, s.outcome().Cause, GiveUpNoUpstream)
+}
+
 // TestLooksAheadBeforeItDispatches refuses a request whose last stage can't be
 // made, at its admission and before a stage that must run at most once.
 func TestLooksAheadBeforeItDispatches(t *testing.T) {
-	full := NotChosen{RetryAfter: time.Second, Detail: "full"}
+	full := NotChosen{Late: true, RetryAfter: time.Second, Detail: "full"}
 	s := &script{t: t, now: time.Unix(1000, 0), refuseChecks: true}
 	s.m = New("e-1", Plan{Stages: []Stage{cheap, pay, generate}, Deadline: time.Second}, fixed{}, DefaultRules())
 	s.start()
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -162,7 +162,7 @@
 		m.end(a, EndCancelled, "")
 		m.fire(s, "no_upstream")
 		m.giveUp(ending{
-			cause:      GiveUpOverload,
+			cause:      causeOf(e),
 			step:       "stage." + s.spec.Name,
 			detail:     e.Detail,
 			retryAfter: s.retryAfter,
@@ -170,13 +170,21 @@
 	}
 }
 
+// causeOf returns why a request without an upstream is given up.
+func causeOf(e NotChosen) GiveUpCause {
+	if e.Late {
+		return GiveUpOverload
+	}
+	return GiveUpNoUpstream
+}
+
 // mayChooseAgain tells whether a failed choice is repeated: all upstreams may be
-// excluded or silent for a moment. A refusal for want of time is final.
+// excluded, silent or unfit for a moment. A refusal for want of time is final.
 func (m *Machine) mayChooseAgain(s *stage, e NotChosen) bool {
 	if s.chooses >= m.rules.ChooseTries {
 		return false
 	}
-	return e.Silent || len(s.exclude) > 0
+	return !e.Late || len(s.exclude) > 0
 }
 
 // mayTry tells whether a stage that upstreams are said to be too slow for is tried
@@ -184,7 +192,7 @@
 // last; if every request were refused for it, nothing would be measured again.
 // The retry budget bounds the trials.
 func (m *Machine) mayTry(s *stage, e NotChosen) bool {
-	if s.trial || e.Silent || e.RetryAfter > m.rules.TrialWait || s.spec.Declared == 0 {
+	if s.trial || !e.Late || e.RetryAfter > m.rules.TrialWait || s.spec.Declared == 0 {
 		return false
 	}
 	_, fits := m.leastAllowance(s)
--- a/core/request/world_test.go
+++ b/core/request/world_test.go
@@ -174,7 +174,7 @@
 // choose answers a choice.
 func (w *world) choose(a Choose) {
 	if w.dice.chance(10) {
-		w.later(NotChosen{Attempt: a.Attempt, Silent: w.dice.chance(50), RetryAfter: time.Second})
+		w.later(NotChosen{Attempt: a.Attempt, Late: w.dice.chance(50), RetryAfter: time.Second})
 		return
 	}
 	w.later(Chosen{Attempt: a.Attempt, Upstream: core.UpstreamID(fmt.Sprint(w.dice.IntN(4)))})
@@ -227,7 +227,7 @@
 	case 2:
 		r.tombstone = true
 		r.proved = true
-		w.later(Refused{Attempt: a.Attempt, Refusal: RefusalProved, RetryAfter: time.Second})
+		w.later(Refused{Attempt: a.Attempt, Refusal: RefusalProved, Late: w.dice.chance(50), RetryAfter: time.Second})
 	case 3:
 		w.deliver(r)
 		if w.dice.chance(50) {
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -39,7 +39,7 @@
 	EndOther End = iota
 	// EndAnswered: the whole answer came in time.
 	EndAnswered
-	// EndOverloaded: it was refused behind its admission, or passed its deadline.
+	// EndOverloaded: it was refused behind its admission for want of time.
 	EndOverloaded
 )
 
@@ -129,7 +129,7 @@
 	defer g.mu.Unlock()
 	switch end {
 	case EndAnswered:
-		t.pace.answered(t.near)
+		t.pace.answered(now, t.near)
 	case EndOverloaded:
 		t.pace.overloaded(now, retryAfter)
 	}
--- a/entry/admit/admit_test.go
+++ b/entry/admit/admit_test.go
@@ -150,10 +150,17 @@
 	p.overloaded(now.Add(cutEvery), 0)
 	assert.Assert(t, p.limit < 9)
 	before := p.limit
-	p.answered(false)
+	p.answered(now, false)
 	assert.Equal(t, p.limit, before)
 	for range 9 {
-		p.answered(true)
+		p.answered(now, true)
 	}
 	assert.Assert(t, p.limit > before+0.9 && p.limit < before+1.2)
+	before = p.limit
+	p.answered(now.Add(cutEvery+calm+1), true)
+	assert.Equal(t, p.limit, before+1)
+	for i := range 100 {
+		p.overloaded(now.Add(time.Duration(i)*time.Minute), 0)
+	}
+	assert.Equal(t, p.limit, float64(leastLimit))
 }
--- a/entry/admit/pace.go
+++ b/entry/admit/pace.go
@@ -16,12 +16,18 @@
 	// nearLimit is the part of the limit from which on answers raise it: what is
 	// not used teaches nothing.
 	nearLimit = 0.8
+	// leastLimit is where cuts end: below it a burst of a few requests would be
+	// refused for one sign of overload.
+	leastLimit = 4
+	// calm is how long without a sign of overload the limit grows faster, by one
+	// for each answer.
+	calm = time.Second
 )
 
 // pace bounds the requests in flight of one workspace and pipeline by what the
 // upstreams take in time. It is an additive increase, multiplicative decrease: a
-// request that was refused behind its admission, or passed its deadline, cuts the
-// limit; answers raise it. So most requests beyond the capacity are refused at
+// request that was refused for want of time behind its admission cuts the limit;
+// answers raise it. So most requests beyond the capacity are refused at
 // once, before they cost a pass, and not in the queue of the last stage.
 type pace struct {
 	inFlight int
@@ -52,8 +58,12 @@
 
 // answered raises the limit by one for as many answers as it counts. Near tells
 // that the request used the limit.
-func (p *pace) answered(near bool) {
-	if p.limit > 0 && near {
+func (p *pace) answered(now time.Time, near bool) {
+	switch {
+	case p.limit == 0 || !near:
+	case now.Sub(p.lastSign) > calm:
+		p.limit++
+	default:
 		p.limit += 1 / p.limit
 	}
 }
@@ -69,6 +79,6 @@
 	if p.limit == 0 {
 		p.limit = float64(p.peak)
 	}
-	p.limit = max(1, cutShare*p.limit)
+	p.limit = max(leastLimit, cutShare*p.limit)
 	p.peak = p.inFlight
 }
--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// TestOverloadPacesTheOthers: a refusal for want of time behind the admission
+// bounds what comes next, unless the caller allowed less time than usual.
+func TestOverloadPacesTheOthers(t *testing.T) {
+	overload := pipeline.Result{Outcome: core.OutcomeNotRun, Cause: request.GiveUpOverload}
+	usual := pipeline.Request{Template: config.Template{DeadlineMS: 100}, Deadline: 100 * time.Millisecond}
+	hasty := usual
+	hasty.Deadline--
+	assert.Equal(t, endOf(usual, overload), admit.EndOverloaded)
+	assert.Equal(t, endOf(hasty, overload), admit.EndOther)
+	assert.Equal(t, endOf(usual, pipeline.Result{Outcome: core.OutcomeFailed, Cause: request.GiveUpDeadline}), admit.EndOther)
+	assert.Equal(t, endOf(usual, pipeline.Result{Outcome: core.OutcomeAnswered}), admit.EndAnswered)
+}
+
 func TestLimitsRefuse(t *testing.T) {
 	runner := &fakeRunner{result: pipeline.Result{Outcome: core.OutcomeAnswered}}
 	s, gate := newServer(runner)
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -41,17 +41,18 @@
 	}
 	result := pipeline.Result{}
 	// Deferred, so that a panic of the handler does not keep the place.
-	defer func() { ticket.Leave(s.opts.Now(), endOf(result), result.RetryAfter) }()
+	defer func() { ticket.Leave(s.opts.Now(), endOf(admitted, result), result.RetryAfter) }()
 	result = s.run(w, r, admitted, stream, started)
 }
 
-// endOf returns what a result tells about the load of the upstreams. A request
-// that was given up by looking ahead cost nothing but counts the same.
-func endOf(result pipeline.Result) admit.End {
+// endOf returns what a result tells about the load of the upstreams. That a
+// caller allows less time than usual tells nothing.
+func endOf(admitted pipeline.Request, result pipeline.Result) admit.End {
+	usual := time.Duration(admitted.Template.DeadlineMS) * time.Millisecond
 	switch {
 	case result.Outcome == core.OutcomeAnswered:
 		return admit.EndAnswered
-	case result.Cause == request.GiveUpOverload || result.Cause == request.GiveUpDeadline:
+	case result.Cause == request.GiveUpOverload && admitted.Deadline >= usual:
 		return admit.EndOverloaded
 	}
 	return admit.EndOther
@@ -135,7 +136,7 @@
 	switch result.Cause {
 	case request.GiveUpOverload:
 		status, kind = http.StatusServiceUnavailable, kindOverload
-	case request.GiveUpUnavailable:
+	case request.GiveUpUnavailable, request.GiveUpNoUpstream:
 		status, kind = http.StatusServiceUnavailable, kindUnavailable
 	case request.GiveUpConflict:
 		status, kind = http.StatusUnprocessableEntity, kindKeyReused
--- a/entry/pipeline/act.go
+++ b/entry/pipeline/act.go
@@ -107,7 +107,7 @@
 	f.post(post{
 		event: request.NotChosen{
 			Attempt:    a.Attempt,
-			Silent:     route.Silent(err),
+			Late:       route.Late(err),
 			RetryAfter: route.RetryAfter(err),
 			Detail:     err.Error(),
 		},
--- a/entry/pipeline/receive.go
+++ b/entry/pipeline/receive.go
@@ -111,6 +111,7 @@
 		return request.Refused{
 			Attempt:    s.attempt,
 			Refusal:    refusalOf(e.Refused.GetReason()),
+			Late:       late(e.Refused.GetReason()),
 			RetryAfter: time.Duration(e.Refused.GetRetryAfterMs()) * time.Millisecond,
 			Detail:     e.Refused.GetReason().String() + " " + e.Refused.GetDetail(),
 		}, e.Refused.GetLoad()
@@ -130,3 +131,8 @@
 	}
 	return request.RefusalProved
 }
+
+// late tells whether a side refused for want of time or of room.
+func late(reason wirepb.RefusalReason) bool {
+	return reason == wirepb.RefusalReason_REFUSAL_DEADLINE || reason == wirepb.RefusalReason_REFUSAL_QUEUE_FULL
+}
--- a/entry/route/refuse.go
+++ b/entry/route/refuse.go
@@ -11,21 +11,21 @@
 // refusal is the cause of an error that says when to come back.
 type refusal struct {
 	after time.Duration
-	// silent is set if nobody answered.
-	silent bool
+	// late is set if somebody could do the work, but not in time.
+	late bool
 }
 
 // Error implements error.
 func (r *refusal) Error() string { return fmt.Sprintf("retry after %s", r.after) }
 
 // refuse returns an error with code Refused that carries a retry delay.
-func refuse(service string, after time.Duration, silent bool, detail string) error {
+func refuse(service string, r refusal, detail string) error {
 	return &fault.Error{
 		Code:   fault.Refused,
 		Step:   "route.choose",
 		Peer:   service,
 		Detail: detail,
-		Err:    &refusal{after: after, silent: silent},
+		Err:    &r,
 	}
 }
 
@@ -38,9 +38,8 @@
 	return 0
 }
 
-// Silent tells whether err is a refusal of Choose because no upstream answered,
-// rather than because none was fit. Asking again at once may help.
-func Silent(err error) bool {
+// Late tells whether err is a refusal of Choose for want of time only.
+func Late(err error) bool {
 	var r *refusal
-	return errors.As(err, &r) && r.silent
+	return errors.As(err, &r) && r.late
 }
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -176,7 +176,7 @@
 func (r *Router) conclude(need Need, decision routing.Decision) (Choice, error) {
 	if !decision.OK {
 		r.refused(need, decision)
-		return Choice{}, refuse(need.Service, decision.RetryAfter, nobodyAnswered(decision.Others), decision.Reason)
+		return Choice{}, refuse(need.Service, refusalOf(decision), decision.Reason)
 	}
 	chosen := decision.Chosen.Answer
 	choice := Choice{
@@ -194,9 +194,10 @@
 	return choice, nil
 }
 
-// nobodyAnswered tells whether all that were asked were silent.
-func nobodyAnswered(asked []routing.Weighed) bool {
-	return !slices.ContainsFunc(asked, func(w routing.Weighed) bool { return w.Answer.Answered })
+// refusalOf tells why nobody was taken.
+func refusalOf(d routing.Decision) refusal {
+	able := func(w routing.Weighed) bool { return w.Expected > 0 }
+	return refusal{after: d.RetryAfter, late: slices.ContainsFunc(d.Others, able)}
 }
 
 // ObserveLoad keeps a load that came with an answer of a side.
