Let two tests wait for what they count, not race it

Cause: on a busy machine make test was red in two places that compare before the counted thing is over. TestCallWithTheFleetsKeyIsServedAndCounted read the server's byte count while the last frame was on its way (61 of 65 bytes); TestSilentZoneIsLeftAtTheTimeout let a suspicion run out on the real clock between its two choices. Ruled out: a miscount (the counts meet within a millisecond) and a wrong length of suspicion.

--- a/entry/route/fixture_test.go
+++ b/entry/route/fixture_test.go
@@ -82,6 +82,8 @@
 	state *fleetState
 	scope tally.TestScope
 	log   *lines
+	// stopped is when the router's clock was stopped; zero while it goes.
+	stopped time.Time
 }
 
 // lines keeps log lines.
@@ -148,10 +150,19 @@
 	f.Router = route.New(route.Options{
 		Zone: "a", Region: "r", Prober: f.sides, Logger: logger, Scope: f.scope, Settings: settings, Seed: 1,
 		Fleet: func() route.Fleet { return f.state },
+		Now:   f.time,
 	})
 	return f
 }
 
+// time is the router's clock: the real one, or the moment at which it was stopped.
+func (f *fixture) time() time.Time {
+	if f.stopped.IsZero() {
+		return time.Now()
+	}
+	return f.stopped
+}
+
 // counter returns a counter's value.
 func (f *fixture) counter(name string) int64 {
 	total := int64(0)
--- a/entry/route/router_test.go
+++ b/entry/route/router_test.go
@@ -107,6 +107,7 @@
 // TestSilentZoneIsLeftAtTheTimeout asks elsewhere while its probes go on.
 func TestSilentZoneIsLeftAtTheTimeout(t *testing.T) {
 	f := newFixture(t, 3, route.Settings{ProbeTimeoutMS: 250})
+	f.stopped = time.Now() // so that no suspicion ends between the two choices
 	f.state.hosts[2].Zone = "b"
 	f.sides.silent["a-0"], f.sides.silent["a-1"] = true, true
 	choice, err := f.Choose(t.Context(), plain)
--- a/wire/link/link_test.go
+++ b/wire/link/link_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
@@ -50,7 +52,19 @@
 	assert.Equal(t, reply.Revision, uint64(7))
 	assert.Assert(t, dialer.Traffic().Written() > 0)
 	assert.Assert(t, dialer.Traffic().Read() > 0)
-	assert.Equal(t, server.Traffic().Read(), dialer.Traffic().Written())
+	awaitEqual(t, server.Traffic().Read, dialer.Traffic().Written)
+}
+
+// awaitEqual waits until both counts are equal: what was written last may still be
+// on its way when a call returns.
+func awaitEqual(t *testing.T, a, b func() uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a() == b() {
+			return poll.Success()
+		}
+		return poll.Continue("%d and %d bytes", a(), b())
+	}, poll.WithDelay(time.Millisecond))
 }
 
 func TestCallWithAnotherKeyIsRefused(t *testing.T) {
