Let a side be ready only once its upstream is judged

Cause: a whole request was refused, not run, 76 ms after a deployment had said that it was ready: the side had missed its upstream's first report, because both had just started, called itself ready, and answered probes with 'stalled' until the next report 250 ms later. A side is now ready when its upstream has reported, or has been silent for as long as counts as stalled.

--- a/core/gate/upstream.go
+++ b/core/gate/upstream.go
@@ -76,6 +76,10 @@
 	g.updateState()
 }
 
+// Judged tells whether it is known if the upstream answers: it has reported, or
+// was silent for long enough to count as stalled.
+func (g *Gate) Judged() bool { return g.upstream.known || g.upstream.stall != stallNone }
+
 // ObserveSilence notes that the upstream gave no report, or refused a connection.
 func (g *Gate) ObserveSilence(now time.Duration) {
 	u := &g.upstream
--- a/side/helper_test.go
+++ b/side/helper_test.go
@@ -43,9 +43,11 @@
 	// calls passes on each call as it arrives.
 	calls chan *fakeCall
 
-	mu       sync.Mutex
-	status   upstream.Status
-	silent   bool
+	mu     sync.Mutex
+	status upstream.Status
+	silent bool
+	// missing is how many reports are missed before the first is given.
+	missing  int
 	orders   []upstream.Order
 	orderErr []error
 	// loads makes a load order show in the status.
@@ -92,6 +94,10 @@
 func (f *fakeUpstream) Status(context.Context) (upstream.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.missing > 0 {
+		f.missing--
+		return upstream.Status{}, errSilent
+	}
 	if f.silent {
 		return upstream.Status{}, errSilent
 	}
@@ -146,7 +152,11 @@
 
 // newRig serves a side with a fake upstream until the test ends.
 func newRig(t *testing.T, options gate.Options) *rig {
-	fake := newFakeUpstream()
+	return newRigBefore(t, options, newFakeUpstream())
+}
+
+// newRigBefore serves a side before the fake until the test ends.
+func newRigBefore(t *testing.T, options gate.Options, fake *fakeUpstream) *rig {
 	logger, err := observe.NewLogger(io.Discard, "side", "info")
 	assert.NilError(t, err)
 	started := time.Now()
--- a/side/lifecycle.go
+++ b/side/lifecycle.go
@@ -38,7 +38,7 @@
 	return l.machine.Fire(event)
 }
 
-// synced notes that the upstream's first report was read or missed. A stop may
+// synced notes that it is known whether the upstream answers. A stop may
 // have come first; then there is nothing to note.
 func (l *lifecycle) synced() error {
 	l.mu.Lock()
--- a/side/monitor.go
+++ b/side/monitor.go
@@ -16,9 +16,9 @@
 )
 
 // watchReports reads the upstream's report until ctx ends, and at once when an
-// attempt could not reach the upstream. It calls first after the first reading,
-// whether it succeeded or not.
-func (k *keeper) watchReports(ctx context.Context, first func()) error {
+// attempt could not reach the upstream. It calls judged once, as soon as the gate
+// knows whether the upstream answers.
+func (k *keeper) watchReports(ctx context.Context, judged func()) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -29,14 +29,22 @@
 		case <-timer.C:
 		}
 		k.readReport(ctx)
-		if first != nil {
-			first()
-			first = nil
+		if judged != nil && k.upstreamJudged() {
+			judged()
+			judged = nil
 		}
 		timer.Reset(reportInterval)
 	}
 }
 
+// upstreamJudged tells whether the gate knows if the upstream answers. One missed
+// report proves nothing: beside a process that starts, the upstream may start too.
+func (k *keeper) upstreamJudged() bool {
+	judged := false
+	k.read(func(time.Duration) { judged = k.gate.Judged() })
+	return judged
+}
+
 // readReport reads one report and tells the gate.
 func (k *keeper) readReport(ctx context.Context) {
 	status, err := k.options.client.Status(ctx)
--- a/side/process.go
+++ b/side/process.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// synced notes that the upstream's first report was read or missed.
+// synced notes that it is known whether the upstream answers.
 func (p *process) synced() {
 	if err := p.life.synced(); err != nil {
 		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
