--- a/standin/slopes/fresh.go
+++ b/standin/slopes/fresh.go
@@ -73,7 +73,10 @@
 		return nil, err
 	}
 	values.prefixed("", rest)
-	return values, s.changed(ctx, f, values, groups...)
+	if err := s.changed(ctx, f, values, groups...); err != nil {
+		return nil, err
+	}
+	return values, s.command(ctx, f, values)
 }
 
 // roles returns the entry that relays and the other.
--- a/standin/slopes/rest.go
+++ b/standin/slopes/rest.go
@@ -52,6 +52,7 @@
 			{"change_store_reads", countUnit}, {"change_store_writes", countUnit}, {"change_store_watches", countUnit},
 			{"fresh_plain_in", bytesHeld}, {"fresh_plain_ms", milliseconds}, {"fresh_plain_cpu", milliseconds},
 			{"fresh_relay_ms", milliseconds}, {"fresh_relay_moved", bytesHeld}, {"fresh_relay_reads", countUnit},
+			{"command_ms", milliseconds}, {"command_cpu", milliseconds}, {"command_resident", bytesHeld},
 		}, runWorkspaces},
 		{"hosts", "hosts in the host list", "hosts", []Measure{
 			{"entry_cpu", perSecondCPU}, {"entry_heap", bytesHeld}, {"entry_resident", bytesHeld}, {"entry_moved", perSecondBytes},
