--- a/standin/faults/exchange.go
+++ b/standin/faults/exchange.go
@@ -81,7 +81,7 @@
 func (s *Site) askUntilSettled(ctx context.Context, entry int, r caller.Request, revision int) caller.Result {
 	r.BeforeBody = nil
 	var result caller.Result
-	for range maxAsks {
+	for range s.asks {
 		result = s.ask(ctx, entry, r, revision)
 		if result.Verdict != caller.Problem || result.Outcome == core.OutcomeUnknown {
 			return result
--- a/standin/faults/page.go
+++ b/standin/faults/page.go
@@ -136,6 +136,3 @@
 const legend = `Two letters: what the first caller got, then what asking again with its key got when the
 fault was over. A whole answer, N not_run, F failed, U unknown, - no answer, because the
 trial took the entry. "ok" is a course without a single request, "·" can't apply.`
-
-// Markdown returns the page.
-func (p Page) Markdown() string { return p.Table() }
--- a/standin/faults/sabotage_test.go
+++ b/standin/faults/sabotage_test.go
@@ -21,6 +21,7 @@
 // violates plays a cell in which something breaks an invariant and asserts that
 // the verdict names it.
 func violates(t *testing.T, c Cell, invariant Invariant) {
+	c.Needs.Asks = 1
 	report := play(t, c)
 	found := slices.ContainsFunc(report.Findings, func(f Finding) bool { return f.Invariant == invariant })
 	assert.Assert(t, found, "%q is not among %v", invariant, report.Findings)
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -93,6 +93,8 @@
 	// EntrySettings and SideSettings are further TOML tables.
 	EntrySettings string
 	SideSettings  string
+	// Asks bounds how often a refused request is asked again; zero means maxAsks.
+	Asks int
 }
 
 // Site is the deployment of one cell with what the trial put into it.
@@ -107,6 +109,8 @@
 	storeTaps []*storetap.Tap
 	files     []string
 	catalogs  []catalog.Catalog
+	// asks is how often a refused request is asked.
+	asks int
 	// firstPlan holds the first answer to a write of the placement plan.
 	firstPlan *hold.Hold[storetap.Message]
 
@@ -131,6 +135,10 @@
 		controls: map[string]upstream.Control{},
 		gone:     map[int]string{},
 		absence:  map[int]int{},
+		asks:     o.Asks,
+	}
+	if s.asks == 0 {
+		s.asks = maxAsks
 	}
 	s.firstPlan = s.Store.Hold(planWritten)
 	s.firstPlan.Release()
