--- a/standin/cmd/faults/main.go
+++ b/standin/cmd/faults/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,7 +28,8 @@
 	Bin      string `long:"bin" default:"bin" description:"folder of the built binaries"`
 	Fault    string `long:"fault" description:"only faults whose name contains this"`
 	Step     string `long:"step" description:"only steps whose name contains this"`
-	Parallel int    `long:"parallel" default:"3" description:"cells at a time, 16 processes each"`
+	Repeat   int    `long:"repeat" default:"1" description:"how often each cell is run; the table shows the last"`
+	Parallel int    `long:"parallel" default:"4" description:"cells at a time, 16 processes each"`
 	Page     string `long:"page" description:"write the page to this file"`
 	Commit   string `long:"commit" default:"unknown" description:"commit that the binaries were built from"`
 	Verbose  bool   `long:"verbose" description:"print each cell as it ends"`
@@ -53,7 +55,7 @@
 // run plays the chosen cells and reports on them.
 func run(ctx context.Context, o options) error {
 	began := time.Now()
-	cells := faults.Filter(faults.Cells(), o.Fault, o.Step)
+	cells := slices.Repeat(faults.Filter(faults.Cells(), o.Fault, o.Step), o.Repeat)
 	reports := faults.Run(ctx, o.Bin, cells, o.Parallel, func(r faults.Report) { printCell(r, o.Verbose) })
 	page := faults.Page{Reports: reports, Commit: o.Commit, Took: time.Since(began)}
 	fmt.Print(page.Table())
--- a/standin/faults/cell.go
+++ b/standin/faults/cell.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"acaciawinch/core"
 	"acaciawinch/standin/caller"
 	"acaciawinch/standin/harness"
@@ -152,7 +154,7 @@
 	exchange := Exchange{Request: request}
 	if f.EntryGone {
 		exchange.Excused = f.Name
-		site.askUntilSettled(ctx, 1, request, 0)
+		site.askWhileGone(ctx, f, request)
 	} else {
 		<-first.done
 	}
@@ -200,16 +202,41 @@
 func finish(ctx context.Context, s *Scene, f Fault, request caller.Request) (caller.Result, error) {
 	site := s.Site
 	last := site.askUntilSettled(ctx, 1, request, site.revision(f))
+	var group errgroup.Group
 	for entry := range site.Fleet.Entries {
-		probe := site.newRequest()
-		result := site.askUntilSettled(ctx, entry, probe, site.revision(f))
-		if result.Verdict != caller.Whole {
-			return last, fmt.Errorf("%w: through %s: %s", errNotRecovered, site.Fleet.Entries[entry].Name, outcomeOf(result))
-		}
+		group.Go(func() error {
+			result := site.askUntilSettled(ctx, entry, site.newRequest(), site.revision(f))
+			if result.Verdict == caller.Whole {
+				return nil
+			}
+			return fmt.Errorf("%w: through %s: %s", errNotRecovered, site.Fleet.Entries[entry].Name, outcomeOf(result))
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return last, err
 	}
 	return last, site.settle(ctx)
 }
 
+// asksWhileDown is how often a key is asked for while its entry is gone and the
+// store is down: each answer must be a refusal.
+const asksWhileDown = 3
+
+// askWhileGone asks with the request's key through the other entry.
+func (s *Site) askWhileGone(ctx context.Context, f Fault, request caller.Request) {
+	if f.Touch&touchStore == 0 {
+		s.askUntilSettled(ctx, 1, request, configFirst)
+		return
+	}
+	request.BeforeBody = nil
+	for range asksWhileDown {
+		if s.ask(ctx, 1, request, configFirst).Verdict == caller.Whole {
+			return
+		}
+		pause(ctx, shortestWait)
+	}
+}
+
 // errNotRecovered tells that requests are not answered after the fault.
 var errNotRecovered = errors.New("not recovered")
 
--- a/standin/faults/course.go
+++ b/standin/faults/course.go
@@ -115,11 +115,17 @@
 // awaitAnswers waits until a condition holds for the whole answers of each of
 // the given entries.
 func (t *traffic) awaitAnswers(ctx context.Context, limit time.Duration, what string, entries []int, enough func([]Exchange) bool) error {
+	return t.awaitResults(ctx, limit, what, entries, t.answers, enough)
+}
+
+// awaitResults is awaitAnswers for the given kind of results.
+func (t *traffic) awaitResults(ctx context.Context, limit time.Duration, what string, entries []int,
+	results func(entry int) []Exchange, enough func([]Exchange) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return harness.Await(ctx, what, func(context.Context) error {
 		for _, entry := range entries {
-			if !enough(t.answers(entry)) {
+			if !enough(results(entry)) {
 				return fmt.Errorf("%s has not enough", t.site.Fleet.Entries[entry].Name)
 			}
 		}
--- a/standin/faults/drain.go
+++ b/standin/faults/drain.go
@@ -37,10 +37,7 @@
 		return err
 	}
 	late := notice.Add(leaveLimit)
-	problem := t.awaitAnswers(ctx, drainLimit, "no answers during the fault", s.others(f), began(late, enoughAfter))
-	if f.mayStarve() {
-		problem = nil
-	}
+	problem := s.awaitDuring(ctx, t, f, late)
 	healed := time.Now()
 	if err := s.heal(ctx, f); problem == nil {
 		problem = err
@@ -55,9 +52,16 @@
 	return err
 }
 
-// mayStarve tells whether requests can't be answered while the fault lasts: the
-// claimed stage is refused while the store is down.
-func (f Fault) mayStarve() bool { return f.Touch&touchStore != 0 }
+// awaitDuring waits until enough requests that began after a moment have been
+// answered while the fault lasts. While the store is down, refusals will do,
+// since the claimed stage must be refused.
+func (s *Scene) awaitDuring(ctx context.Context, t *traffic, f Fault, after time.Time) error {
+	results := t.answers
+	if f.Touch&touchStore != 0 {
+		results = t.results
+	}
+	return t.awaitResults(ctx, drainLimit, "no answers during the fault", s.others(f), results, began(after, enoughAfter))
+}
 
 // maxTime returns the later of two moments.
 func maxTime(a, b time.Time) time.Time {
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -49,6 +49,8 @@
 	// HoldOn keeps the step's message on its way until the caller has its final
 	// answer, or asked again elsewhere.
 	HoldOn bool
+	// Over marks faults that have ended when inject returns.
+	Over bool
 	// Needs are options of the site.
 	Needs siteOptions
 	// At lists the courses' steps of a fault that is no request's.
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -184,9 +184,9 @@
 			inject: both(down, onTap((*tap.Tap).Cut)), heal: both(up, onTap((*tap.Tap).Heal))},
 		{Name: "upstream killed + store answer lost", Touch: touchUpstream | touchStore, Excludes: notAcknowledged,
 			inject: both(lost, killWorker), heal: both(up, startWorker)},
-		{Name: "side killed and started, three times", Touch: touchSide, Excludes: always,
+		{Name: "side killed and started, three times", Touch: touchSide, Over: true, Excludes: always,
 			inject: repeat(3, both(killSide, startSide)), heal: none},
-		{Name: "entry killed and started, three times", Touch: touchEntry, EntryGone: true, Excludes: always,
+		{Name: "entry killed and started, three times", Touch: touchEntry, Over: true, EntryGone: true, Excludes: always,
 			inject: repeat(3, both(killEntry, startEntry)), heal: none},
 	}
 }
--- a/standin/faults/placement.go
+++ b/standin/faults/placement.go
@@ -117,7 +117,7 @@
 // otherPlan waits, if the fault took the holder of the lease, until another entry
 // has written a plan.
 func (s *Scene) otherPlan(ctx context.Context, f Fault) error {
-	if s.Step.Kind != kindPlan || f.Touch&touchEntry == 0 || f.Touch&touchStore != 0 {
+	if s.Step.Kind != kindPlan || f.Touch&touchEntry == 0 || f.Touch&touchStore != 0 || f.Over {
 		return nil
 	}
 	written := s.Site.Store.Hold(func(m storetap.Message) bool { return planWritten(m) && m.Process != s.Entry.Name })
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -71,7 +71,7 @@
 				Kind:       config.KindEngine,
 				Workers:    2,
 				Capacity:   8,
-				TokenMS:    12,
+				TokenMS:    10,
 				FirstMS:    20,
 				BatchSlope: 0.1,
 				Models:     []string{"asistente@3.2"},
--- a/standin/faults/traffic.go
+++ b/standin/faults/traffic.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// results returns all exchanges of an entry so far.
+func (t *traffic) results(entry int) []Exchange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Exchange(nil), t.sent[entry]...)
+}
+
 // answers returns the whole answers of an entry so far.
 func (t *traffic) answers(entry int) []Exchange {
 	t.mu.Lock()
