--- a/standin/faults/cell.go
+++ b/standin/faults/cell.go
@@ -299,6 +299,8 @@
 		j.find(NotCut, "%v", problem)
 	case problem != nil:
 		j.find(Recovers, "%v", problem)
+	case last.Outcome == core.OutcomeUnknown && !mayBeUnknown(f, s.Step):
+		j.find(TrueUnknown, "the key stays unknown behind the fault: %s", last.Detail)
 	case last.Verdict != caller.Whole && last.Outcome != core.OutcomeUnknown:
 		j.find(Recovers, "the key gets no answer: %s %s", outcomeOf(last), last.Detail)
 	}
@@ -308,7 +310,7 @@
 }
 
 // mayBeUnknown tells whether a fault at a step can hide for good whether the
-// claimed stage ran.
+// claimed stage ran: it takes what could tell before the entry has the answer.
 func mayBeUnknown(f Fault, step Step) bool {
-	return f.Touch&(touchSide|touchUpstream|touchLink) != 0 && step.Stage == stagePay
+	return f.Touch&(touchSide|touchUpstream|touchLink) != 0 && step.Stage == stagePay && step.Kind != kindAcknowledge
 }
