Sharpen the cells by mutations of the system

So now a dead entry's message is delivered after the key was asked for elsewhere; foreign events carry a digest that fits; a fault that must not matter must leave the request answered; and a process that stops as planned is given 1.7 s to end too early.

A step in flight also ends when its request does, with the request's answer.

--- a/standin/faults/cell.go
+++ b/standin/faults/cell.go
@@ -147,6 +147,7 @@
 	if err := f.inject(ctx, s); err != nil {
 		return fmt.Errorf("inject: %w", err)
 	}
+	s.linger(ctx, f)
 	s.armed.resume(ctx)
 	if !f.HoldOn {
 		s.armed.release()
@@ -291,9 +292,13 @@
 	j := newJudge(s.Site.catalogs, records)
 	j.exchanges(s.Site.exchanges)
 	j.unknowns(s.Site.exchanges, mayBeUnknown(f, s.Step))
-	if f.Planned && first.Result.Verdict != caller.Whole {
+	refusedAtTheDoor := s.Step.Kind == kindAdmission && first.Result.Outcome == core.OutcomeNotRun
+	if f.Planned && first.Result.Verdict != caller.Whole && !refusedAtTheDoor {
 		j.find(NotCut, "%s", describe(first))
 	}
+	if f.Harmless && first.Result.Verdict != caller.Whole {
+		j.find(Harmless, "%s", describe(first))
+	}
 	switch {
 	case errors.Is(problem, errNotGraceful):
 		j.find(NotCut, "%v", problem)
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -49,6 +49,11 @@
 	// HoldOn keeps the step's message on its way until the caller has its final
 	// answer, or asked again elsewhere.
 	HoldOn bool
+	// Harmless marks faults in spite of which the first request must be answered.
+	Harmless bool
+	// Linger is how long the step is held after the fault, unless the process that
+	// was told to stop ends before.
+	Linger func(*Scene) *harness.Process
 	// Over marks faults that have ended when inject returns.
 	Over bool
 	// Needs are options of the site.
@@ -151,6 +156,25 @@
 // stopTimeout bounds a planned stop.
 const stopTimeout = 15 * time.Second
 
+// lingerTime is longer than a process that stops as planned may take to end if it
+// forgets what is in flight, and leaves a request time for the rest.
+const lingerTime = 1700 * time.Millisecond
+
+// linger holds a step at which work is in flight or its answer is on its way until
+// the stopping process has ended, which it must not do, or the time has passed.
+func (s *Scene) linger(ctx context.Context, f Fault) {
+	if f.Linger == nil || s.Step.Kind != kindFlight && s.Step.Kind != kindAnswer {
+		return
+	}
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-f.Linger(s).Exited():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // awaitStop waits until a process has ended with code 0.
 func awaitStop(ctx context.Context, p *harness.Process) error {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -67,6 +67,8 @@
 func processFaults() []Fault {
 	return []Fault{
 		{Name: "entry killed", Touch: touchEntry, EntryGone: true, Excludes: always, inject: killEntry, heal: startEntry},
+		{Name: "entry killed, its messages late", Touch: touchEntry, EntryGone: true, HoldOn: true, InRequest: true, Excludes: always,
+			inject: killEntry, heal: startEntry},
 		{Name: "entry frozen and woken", Touch: touchEntry, EntryGone: true, HoldOn: true, Excludes: always,
 			inject: freeze(entryProcess), heal: wake(entryProcess)},
 		{Name: "side killed", Touch: touchSide, Excludes: always, inject: killSide, heal: startSide},
@@ -74,8 +76,10 @@
 		{Name: "upstream killed", Touch: touchUpstream, Excludes: notAcknowledged, inject: killWorker, heal: startWorker},
 		{Name: "upstream frozen and woken", Touch: touchUpstream, Excludes: notAcknowledged,
 			inject: freeze(workerProcess), heal: wake(workerProcess)},
-		{Name: "entry stopped as planned", Touch: touchEntry, Planned: true, Excludes: always, inject: stop(entryProcess), heal: stoppedEntry},
-		{Name: "side stopped as planned", Touch: touchSide, Planned: true, Excludes: always, inject: stop(sideProcess), heal: stoppedSide},
+		{Name: "entry stopped as planned", Touch: touchEntry, Planned: true, Excludes: always, Linger: entryProcess,
+			inject: stop(entryProcess), heal: stoppedEntry},
+		{Name: "side stopped as planned", Touch: touchSide, Planned: true, Excludes: always, Linger: sideProcess,
+			inject: stop(sideProcess), heal: stoppedSide},
 		{Name: "upstream leaves as planned", Touch: touchUpstream, Planned: true, Excludes: always, inject: leave, heal: left},
 	}
 }
@@ -84,7 +88,7 @@
 func linkFaults() []Fault {
 	relays := siteOptions{UpstreamRelays: true}
 	return []Fault{
-		{Name: "connection to side broken once", Touch: touchLink, Excludes: notAdmission,
+		{Name: "connection to side broken once", Harmless: true, Touch: touchLink, Excludes: notAdmission,
 			inject: onTap((*tap.Tap).Break), heal: none},
 		{Name: "connection to side cut", Touch: touchLink, Excludes: notAdmission,
 			inject: onTap((*tap.Tap).Cut), heal: onTap((*tap.Tap).Heal)},
@@ -119,12 +123,12 @@
 func answerFaults() []Fault {
 	return []Fault{
 		{Name: "answer late", Touch: touchLink, InRequest: true, HoldOn: true, Excludes: onlyAnswers, inject: none, heal: none},
-		{Name: "answers out of order", Touch: touchLink, Excludes: onlyAnswers,
+		{Name: "answers out of order", Harmless: true, Touch: touchLink, Excludes: onlyAnswers,
 			prepare: tamper(tap.Swapped), inject: none, heal: untamper},
-		{Name: "answers twice", Excludes: onlyAnswers, prepare: tamper(tap.Twice), inject: none, heal: untamper},
-		{Name: "another request's answers", Excludes: onlyAnswers, prepare: tamper(tap.Foreign), inject: none, heal: untamper},
+		{Name: "answers twice", Harmless: true, Excludes: onlyAnswers, prepare: tamper(tap.Twice), inject: none, heal: untamper},
+		{Name: "another request's answers", Harmless: true, Excludes: onlyAnswers, prepare: tamper(tap.Foreign), inject: none, heal: untamper},
 		{Name: "dispatch late", Touch: touchLink, InRequest: true, HoldOn: true, Excludes: onlyDispatch, inject: none, heal: none},
-		{Name: "dispatch three times", Excludes: onlyDispatch, prepare: replay, inject: none, heal: untamper},
+		{Name: "dispatch three times", Harmless: true, Excludes: onlyDispatch, prepare: replay, inject: none, heal: untamper},
 	}
 }
 
@@ -133,8 +137,8 @@
 	up := objects(objectstore.Control{})
 	return []Fault{
 		{Name: "store down", Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{Down: true}), heal: up},
-		{Name: "store slow", Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
-		{Name: "store answer lost after effect", Touch: touchStore, Excludes: always,
+		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
+		{Name: "store answer lost after effect", Harmless: true, Touch: touchStore, Excludes: always,
 			inject: objects(objectstore.Control{LoseAnswers: 1}), heal: up},
 		{Name: "host list stale, host gone", Touch: touchSide | touchUpstream, Excludes: always,
 			Needs: siteOptions{HostLag: staleLag}, inject: hostGone, heal: hostBack},
--- a/standin/faults/judge.go
+++ b/standin/faults/judge.go
@@ -54,6 +54,8 @@
 	NotReverted Invariant = "reverted"
 	// NotFenced: no engine obeys an order older than one that it has obeyed.
 	NotFenced Invariant = "old order obeyed"
+	// Harmless: a fault that must not harm a request does not.
+	Harmless Invariant = "harmed"
 	// Reached: the cell got to its step.
 	Reached Invariant = "step not reached"
 )
--- a/standin/faults/sabotage_test.go
+++ b/standin/faults/sabotage_test.go
@@ -110,6 +110,20 @@
 	violates(t, requestCell(f, stepOf("mid-stream")), NotCut)
 }
 
+// TestDroppedAnswersAreFoundHarmed lets no answer of the first stage through.
+func TestDroppedAnswersAreFoundHarmed(t *testing.T) {
+	drop := func(_ context.Context, s *Scene) error {
+		for _, u := range s.Site.Fleet.Service(services[stageEncode]) {
+			s.Site.taps[u.Name].Tamper(func() tap.Tamper {
+				return func(*wirepb.RunEvent) []*wirepb.RunEvent { return nil }
+			})
+		}
+		return nil
+	}
+	f := Fault{Name: "sabotage", Harmless: true, Excludes: always, prepare: drop, inject: none, heal: untamper}
+	violates(t, requestCell(f, stepOf("admission")), Harmless)
+}
+
 // TestSilentLeaveIsFoundLateWork lets an upstream leave without notice.
 func TestSilentLeaveIsFoundLateWork(t *testing.T) {
 	f := Fault{Name: "sabotage", At: []Kind{kindDrain}, notice: none, inject: none, heal: none}
--- a/standin/faults/step.go
+++ b/standin/faults/step.go
@@ -173,9 +173,21 @@
 		digest := s.digestOf(*r, stage)
 		return &armed{
 			reached: func(ctx context.Context, p *pending) (string, error) {
+				ctx, cancel := context.WithCancelCause(ctx)
+				defer cancel(nil)
+				go func() {
+					select {
+					case <-p.done:
+						cancel(ended(p))
+					case <-ctx.Done():
+					}
+				}()
 				record, err := s.awaitRecord(ctx, stage+" has not started", func(r ledger.Record) bool {
 					return r.Event == ledger.Start && r.InputDigest == digest
 				})
+				if err != nil {
+					err = fmt.Errorf("%w: %w", err, context.Cause(ctx))
+				}
 				return record.Upstream, err
 			},
 			// A dead upstream can't be told, and need not be.
--- a/standin/faults/tap/tamper.go
+++ b/standin/faults/tap/tamper.go
@@ -1,6 +1,7 @@
 package tap
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"acaciawinch/wire/wirepb"
@@ -50,26 +51,34 @@
 // foreignData is what no stage ever gives.
 const foreignData = "of another request"
 
+// foreignChanges make the key of another request, stage, attempt or incarnation.
+var foreignChanges = []func(*wirepb.AttemptKey){
+	func(k *wirepb.AttemptKey) { k.RequestId += "f" },
+	func(k *wirepb.AttemptKey) { k.Stage += "f" },
+	func(k *wirepb.AttemptKey) { k.Attempt++ },
+	func(k *wirepb.AttemptKey) { k.SideIncarnation++ },
+}
+
 // Foreign sends, before each event, the like of it that belongs to another
-// request, to another stage, to another attempt and to another incarnation.
+// request, to another stage, to another attempt and to another incarnation. What
+// it sends is whole in itself: its closing event fits its chunks, so that only
+// the keys tell it from the attempt's own.
 func Foreign() Tamper {
+	digest := xxhash.New()
 	return func(event *wirepb.RunEvent) []*wirepb.RunEvent {
-		changes := []func(*wirepb.AttemptKey){
-			func(k *wirepb.AttemptKey) { k.RequestId += "f" },
-			func(k *wirepb.AttemptKey) { k.Stage += "f" },
-			func(k *wirepb.AttemptKey) { k.Attempt++ },
-			func(k *wirepb.AttemptKey) { k.SideIncarnation++ },
+		if event.GetChunk() != nil {
+			_, _ = digest.WriteString(foreignData) // never fails
 		}
 		var all []*wirepb.RunEvent
-		for _, change := range changes {
-			all = append(all, foreign(event, change))
+		for _, change := range foreignChanges {
+			all = append(all, foreign(event, change, digest.Sum64()))
 		}
 		return append(all, event)
 	}
 }
 
 // foreign returns a changed copy of an event with other data.
-func foreign(event *wirepb.RunEvent, change func(*wirepb.AttemptKey)) *wirepb.RunEvent {
+func foreign(event *wirepb.RunEvent, change func(*wirepb.AttemptKey), digest uint64) *wirepb.RunEvent {
 	clone := proto.CloneOf(event)
 	if clone.Key != nil {
 		change(clone.Key)
@@ -77,5 +86,8 @@
 	if chunk := clone.GetChunk(); chunk != nil {
 		chunk.Data = []byte(foreignData)
 	}
+	if done := clone.GetDone(); done != nil {
+		done.Digest = digest
+	}
 	return clone
 }
