--- a/entry/process.go
+++ b/entry/process.go
@@ -19,6 +19,7 @@
 	"acaciawinch/entry/trace"
 	"acaciawinch/feed"
 	"acaciawinch/observe"
+	"acaciawinch/observe/lifecycle"
 	"acaciawinch/platform/hosts"
 	"acaciawinch/platform/objects"
 	"acaciawinch/wire/link"
@@ -33,7 +34,7 @@
 	settings    Settings
 	incarnation core.Incarnation
 	started     time.Time
-	life        *lifecycle
+	life        *lifecycle.Lifecycle
 	logger      *observe.Logger
 	metrics     *observe.Metrics
 	dialer      *link.Dialer
@@ -60,7 +61,7 @@
 		settings:    settings,
 		incarnation: core.Incarnation(rand.Uint64()),
 		started:     time.Now(),
-		life:        newLifecycle(settings.Process.Name),
+		life:        lifecycle.New(settings.Process.Name),
 		logger:      logger,
 		metrics:     observe.NewMetrics(metricsPrefix),
 		dialer:      link.NewDialer(settings.Fleet.Key),
@@ -239,7 +240,7 @@
 		Zone:              p.settings.Process.Zone,
 		Region:            p.settings.Process.Region,
 		Incarnation:       p.incarnation,
-		Ready:             p.life.ready(),
+		Ready:             p.life.Ready(),
 		Revision:          p.revision(),
 		Requests:          p.gate.Counts(),
 		Feed:              p.feed.Stats(),
--- a/entry/run.go
+++ b/entry/run.go
@@ -10,6 +10,7 @@
 	"acaciawinch/core/fleet"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
+	"acaciawinch/observe/lifecycle"
 )
 
 // Run is the entry process: it serves until ctx ends, then refuses new work,
@@ -25,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.life.fire(eventOpened); err != nil {
+	if err := p.life.Fire(lifecycle.Opened); err != nil {
 		return err
 	}
 	p.logger.Event(event.ProcessStarted, observe.Fields{
@@ -35,7 +36,7 @@
 		"incarnation": uint64(p.incarnation),
 	})
 	if err := p.serve(ctx, listeners); err != nil {
-		_ = p.life.fireIfAllowed(eventFail)
+		_ = p.life.FireIfAllowed(lifecycle.Fail)
 		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
 		return err
 	}
@@ -99,7 +100,7 @@
 	for {
 		changed := p.feed.Changed()
 		if p.feed.State() != nil {
-			return p.life.fireIfAllowed(eventSynced)
+			return p.life.FireIfAllowed(lifecycle.Synced)
 		}
 		select {
 		case <-changed:
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -12,6 +12,7 @@
 	"acaciawinch/entry/callers"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
+	"acaciawinch/observe/lifecycle"
 )
 
 // Timeouts of the callers' listener.
@@ -61,7 +62,7 @@
 		admin: &http.Server{
 			ReadHeaderTimeout: adminHeaderTimeout,
 			Handler: newAdmin(adminOptions{
-				ready:   p.life.ready,
+				ready:   p.life.Ready,
 				status:  p.status,
 				explain: p.finder.Trace,
 				metrics: p.metrics.Handler(),
@@ -97,7 +98,7 @@
 // nothing is left to be recorded of any, or the bound passes. New requests are
 // refused truthfully all the while.
 func (p *process) drain() error {
-	if err := p.life.fire(eventStop); err != nil {
+	if err := p.life.Fire(lifecycle.Stop); err != nil {
 		return err
 	}
 	idle := p.gate.Drain()
@@ -112,12 +113,12 @@
 	case <-ctx.Done():
 	}
 	p.runner.Wait(ctx)
-	end := eventEmptied
+	end := lifecycle.Emptied
 	if ctx.Err() != nil {
-		end = eventExpired
+		end = lifecycle.Expired
 	}
 	<-linger.C
-	return p.life.fire(end)
+	return p.life.Fire(end)
 }
 
 // ignoreCancelled returns err unless it only says that a context ended.
--- /dev/null
+++ b/observe/lifecycle/lifecycle.go
@@ -0,0 +1,70 @@
+// Package lifecycle follows a process of the fleet, entry or side, along the
+// process chart from its start to its end.
+package lifecycle
+
+import (
+	"sync"
+
+	"acaciawinch/core/chart"
+)
+
+// processChart is the name of the chart.
+const processChart = "process"
+
+// The events of the chart.
+const (
+	// Opened: the listeners are open.
+	Opened chart.Event = "opened"
+	// Synced: what the process must know before it serves is known.
+	Synced chart.Event = "synced"
+	// Stop: a planned stop began.
+	Stop chart.Event = "stop"
+	// Emptied: all work in flight at the stop has finished.
+	Emptied chart.Event = "emptied"
+	// Expired: the time for a planned stop ran out.
+	Expired chart.Event = "expired"
+	// Fail: the process can't go on.
+	Fail chart.Event = "fail"
+)
+
+// serving is the state in which the process is ready.
+const serving chart.State = "serving"
+
+// Lifecycle is the life of one process. It may be used by many goroutines.
+type Lifecycle struct {
+	mu      sync.Mutex
+	machine *chart.Machine
+}
+
+// New returns the life of a process that is starting.
+func New(process string) *Lifecycle {
+	return &Lifecycle{machine: chart.MustLoad(processChart).Start(process)}
+}
+
+// Fire takes an event. One that the chart does not allow now is a *fault.Error.
+func (l *Lifecycle) Fire(event chart.Event) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Fire(event)
+}
+
+// FireIfAllowed takes an event that may come too late to matter, as Synced does
+// when the process is stopping already. It then changes nothing.
+func (l *Lifecycle) FireIfAllowed(event chart.Event) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.machine.Allows(event) {
+		return nil
+	}
+	return l.machine.Fire(event)
+}
+
+// Ready tells whether the process serves.
+func (l *Lifecycle) Ready() bool { return l.State() == serving }
+
+// State returns the present state.
+func (l *Lifecycle) State() chart.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.State()
+}
--- a/side/admin.go
+++ b/side/admin.go
@@ -64,7 +64,7 @@
 		Upstream:          p.settings.Upstream.Name,
 		Service:           p.settings.Upstream.Service,
 		Zone:              p.settings.Process.Zone,
-		Process:           string(p.life.state()),
+		Process:           string(p.life.State()),
 		Incarnation:       strconv.FormatUint(uint64(p.incarnation), 10),
 		Revision:          uint64(p.revision()),
 		FleetBytesRead:    p.rpc.Traffic().Read() + p.dialer.Traffic().Read(),
--- a/side/process.go
+++ b/side/process.go
@@ -15,6 +15,7 @@
 	"acaciawinch/feed"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
+	"acaciawinch/observe/lifecycle"
 	"acaciawinch/platform/hosts"
 	"acaciawinch/platform/objects"
 	"acaciawinch/platform/upstream"
@@ -37,7 +38,7 @@
 type process struct {
 	settings    Settings
 	incarnation core.Incarnation
-	life        *lifecycle
+	life        *lifecycle.Lifecycle
 	logger      *observe.Logger
 	metrics     *observe.Metrics
 	dialer      *link.Dialer
@@ -61,7 +62,7 @@
 	p := &process{
 		settings:    settings,
 		incarnation: core.Incarnation(rand.Uint64()),
-		life:        newLifecycle(settings.Process.Name),
+		life:        lifecycle.New(settings.Process.Name),
 		linger:      stopLinger,
 		logger:      logger,
 		metrics:     observe.NewMetrics(metricsPrefix),
@@ -150,7 +151,7 @@
 
 // synced notes that it is known whether the upstream answers.
 func (p *process) synced() {
-	if err := p.life.synced(); err != nil {
+	if err := p.life.FireIfAllowed(lifecycle.Synced); err != nil {
 		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
 	}
 }
@@ -158,7 +159,7 @@
 // admin returns the handler of the admin paths.
 func (p *process) admin() http.Handler {
 	return newAdmin(adminOptions{
-		ready:   p.life.ready,
+		ready:   p.life.Ready,
 		status:  p.status,
 		metrics: p.metrics.Handler(),
 	})
@@ -179,15 +180,15 @@
 		return nil
 	}
 	p.keeper.setDrain(gate.DrainStop, true)
-	if err := p.life.fire(eventStop); err != nil {
+	if err := p.life.Fire(lifecycle.Stop); err != nil {
 		return err
 	}
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.keeper.pending().unsettled})
-	end := eventExpired
+	end := lifecycle.Expired
 	if p.awaitEmpty(parts) {
-		end = eventEmptied
+		end = lifecycle.Emptied
 	}
-	return p.life.fire(end)
+	return p.life.Fire(end)
 }
 
 // awaitEmpty waits until all attempts have ended and all results are fetched, or
--- a/side/process_test.go
+++ b/side/process_test.go
@@ -129,21 +129,21 @@
 	<-upstream.arrived
 	stop()
 	await(t, "it is not ready", func() bool { return get(t, admin+"/readyz") == http.StatusServiceUnavailable })
-	await(t, "it drains", func() bool { return p.life.state() == chart.State("draining") })
+	await(t, "it drains", func() bool { return p.life.State() == chart.State("draining") })
 	assert.Equal(t, get(t, admin+"/livez"), http.StatusOK)
 	out := r.read(r.run(context.Background(), own()))
 	assert.Equal(t, out.refused.GetReason(), wirepb.RefusalReason_REFUSAL_DRAINING)
 	close(upstream.release)
 	assert.DeepEqual(t, r.read(s).chunks, []string{"a"})
 	assert.NilError(t, <-ended)
-	assert.Equal(t, p.life.state(), chart.State("stopped"))
+	assert.Equal(t, p.life.State(), chart.State("stopped"))
 }
 
 func TestStopWaitsForTheAcknowledgementOfAClaimedResult(t *testing.T) {
 	upstream := &upstreamServer{arrived: make(chan struct{}, 1), release: make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	p, r, _, ended := startProcess(t, ctx, upstream)
-	await(t, "it is ready", p.life.ready)
+	await(t, "it is ready", p.life.Ready)
 	request := r.claimed()
 	request.Key.SideIncarnation = uint64(p.incarnation)
 	s := r.run(context.Background(), request)
@@ -151,7 +151,7 @@
 	close(upstream.release)
 	r.read(s)
 	stop()
-	await(t, "it drains", func() bool { return p.life.state() == chart.State("draining") })
+	await(t, "it drains", func() bool { return p.life.State() == chart.State("draining") })
 	assert.Equal(t, r.resolve(request).GetState(), wirepb.ResolveState_RESOLVE_DONE)
 	select {
 	case err := <-ended:
--- a/side/run.go
+++ b/side/run.go
@@ -11,6 +11,7 @@
 	"acaciawinch/core/fleet"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
+	"acaciawinch/observe/lifecycle"
 )
 
 // Run is the side process: it serves until ctx ends, then stops gracefully and
@@ -32,7 +33,7 @@
 		"incarnation": uint64(p.incarnation),
 	})
 	if err := p.serve(ctx, listeners); err != nil {
-		_ = p.life.fire(eventFail)
+		_ = p.life.Fire(lifecycle.Fail)
 		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
 		return err
 	}
@@ -64,7 +65,7 @@
 // serve runs all parts until ctx ends and the planned stop is over. The parts live
 // on their own context: while the process drains, it still answers.
 func (p *process) serve(ctx context.Context, open listeners) error {
-	if err := p.life.fire(eventOpened); err != nil {
+	if err := p.life.Fire(lifecycle.Opened); err != nil {
 		return err
 	}
 	base, end := context.WithCancel(context.WithoutCancel(ctx))
