Let a run keep the earlier results of cases it does not run

The whole run takes 13 minutes, and longer on a busy machine: a case can now be run again alone, with all its policies, and takes the place of its earlier results. Each case says which version it measured and when.

Run: go test ./standin/bench/...

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	bin/demo --bin bin
 
 bench: build ## offer load to both deployments under our policy and the baselines; writes docs/measurements/
-	bin/bench load --out docs/measurements
+	bin/bench load --version $(shell git rev-parse --short HEAD) --out docs/measurements
 
 spread: build ## time accepted changes over 200 processes; writes docs/measurements/
 	bin/bench spread --out docs/measurements
--- a/standin/bench/report/page.go
+++ b/standin/bench/report/page.go
@@ -22,7 +22,8 @@
 The real binaries ran as separate processes on one machine with %d processors, before stand-in
 upstreams; begun %s, by ` + "`%s`" + `. Requests are offered open-loop: each is sent at a time drawn beforehand,
 whether or not earlier ones were answered, and all times count from when it was due. Every policy of
-a case gets the same arrivals, and the policies of a case run one after the other. What a stage cost
+a case gets the same arrivals, and the policies of a case run one after the other; with ` + "`--parallel`" + ` the
+two sizes ran side by side. What a stage cost
 comes from the ledgers of the stand-in upstreams, what callers got from the callers themselves.
 
 Times are scaled to fit one machine: an engine decodes a batch of up to 8, a step takes 16 ms for a
@@ -32,7 +33,7 @@
 
 Absolute times are noisy where other work shares the machine: "machine idle" tells how much was left,
 "trial cores" how many processors all processes of the trial and the load generator used. A trial that
-left less than a quarter of the machine idle ran again, up to three times, whatever its figures were; of
+left less than a quarter of the machine idle ran again, whatever its figures were; of
 its runs ("runs") the one with the most idle machine counts.
 
 `
@@ -85,7 +86,9 @@
 
 // writeCase writes one case with its plot.
 func (p Page) writeCase(w io.Writer, g group) error {
-	_, err := fmt.Fprintf(w, "## %s: %s\n\n![requests by second](%s)\n\n", g.size, g.title, p.Plot(g.size, g.name))
+	first := g.trials[0]
+	_, err := fmt.Fprintf(w, "## %s: %s\n\nVersion %s, begun %s.\n\n![requests by second](%s)\n\n",
+		g.size, g.title, first.Version, first.Began.Format("15:04:05 MST"), p.Plot(g.size, g.name))
 	if err != nil {
 		return err
 	}
--- a/standin/bench/report/report.go
+++ b/standin/bench/report/report.go
@@ -3,9 +3,12 @@
 package report
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"acaciawinch/standin/bench/account"
+	"acaciawinch/standin/bench/scene"
 	"acaciawinch/standin/load"
 )
 
@@ -23,6 +26,9 @@
 	Case   string `json:"case"`
 	Title  string `json:"title"`
 	Policy string `json:"policy"`
+	// Version is the commit that was measured, and Began when.
+	Version string    `json:"version"`
+	Began   time.Time `json:"began"`
 	// Capacity is the worked-out capacity in requests per second; Offered is what
 	// was offered in the judged time.
 	Capacity float64 `json:"capacity_per_second"`
@@ -51,6 +57,8 @@
 	Runs int `json:"runs"`
 	// Problems counts the refusals and failures by what callers were told.
 	Problems map[string]int `json:"problems,omitempty"`
+	// kept is set if the trial is of an earlier run.
+	kept bool
 }
 
 // Second is what became of the requests due within one second of a trial.
@@ -84,6 +92,28 @@
 	Counters map[string]float64 `json:"counters,omitempty"`
 }
 
+// Keep adds the trials of an earlier run for the cases that this run did not run.
+// All policies of a case stay of one run.
+func (r *Run) Keep(earlier Run) {
+	for _, t := range earlier.Trials {
+		again := slices.ContainsFunc(r.Trials, func(own Trial) bool {
+			return own.Size == t.Size && own.Case == t.Case && !own.kept
+		})
+		if !again {
+			t.kept = true
+			r.Trials = append(r.Trials, t)
+		}
+	}
+	slices.SortStableFunc(r.Trials, func(a, b Trial) int {
+		return cmp.Or(-cmp.Compare(a.Size, b.Size), cmp.Compare(caseIndex(a.Case), caseIndex(b.Case)))
+	})
+}
+
+// caseIndex returns the place of a case in the order of all.
+func caseIndex(name string) int {
+	return slices.IndexFunc(scene.Cases(), func(c scene.Case) bool { return c.Name == name })
+}
+
 // Generation returns the cost of the engines' stage.
 func (t Trial) Generation() account.Stage {
 	for _, stage := range t.Stages {
--- a/standin/bench/report/report_test.go
+++ b/standin/bench/report/report_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+func TestCasesThatRanAgainReplaceAllTheirEarlierTrials(t *testing.T) {
+	run := Run{Trials: []Trial{trialOf(scene.Rack, scene.Ours, 1)}}
+	run.Keep(Run{Trials: []Trial{
+		trialOf(scene.Rack, scene.Ours, 0.5), trialOf(scene.Rack, "random", 0.5),
+		trialOf(scene.Steady, scene.Ours, 0.5), trialOf(scene.Steady, "random", 0.5),
+	}})
+	assert.Equal(t, len(run.Trials), 3)
+	assert.Equal(t, run.Trials[0].Case, scene.Steady)
+	assert.Equal(t, run.Trials[1].Policy, "random")
+	assert.Equal(t, run.Trials[2].Judged.Attainment, 1.0)
+}
+
 func TestTablesHaveARowForEachPolicy(t *testing.T) {
 	run := Run{Trials: []Trial{trialOf(scene.Rack, scene.Ours, 1), trialOf(scene.Rack, "random", 0.5)}}
 	tables := run.Tables()
--- a/standin/cmd/bench/calm.go
+++ b/standin/cmd/bench/calm.go
@@ -71,6 +71,8 @@
 		note("%s, %s, %s: %v (folder %s)", o.Size.Name, o.Case.Name, o.Policy.Name, err, dir)
 		return report.Trial{}, err
 	}
+	result.Began = began.UTC().Truncate(time.Second)
+	result.Version = c.Version
 	note("%-13s %-15s %-11s attained %6.2f%% of %4d, others %6.2f%%, in time %5.1f/s, extra passes %5.2f%%, idle %3.0f%%, violations %d, %4.1f s %s",
 		result.Size, result.Case, result.Policy, 100*result.Judged.Attainment, result.Judged.Sent,
 		100*result.Others.Attainment, result.Goodput, 100*result.Generation().Extra,
--- a/standin/cmd/bench/load.go
+++ b/standin/cmd/bench/load.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"acaciawinch/standin/bench/report"
 	"acaciawinch/standin/bench/scene"
 	"acaciawinch/standin/bench/trial"
@@ -23,6 +27,9 @@
 	Policies string `long:"policies" description:"which policies, separated by commas; all if empty"`
 	Seconds  int    `long:"seconds" description:"length of each case, in place of its own"`
 	Seed     uint64 `long:"seed" default:"1" description:"fixes the arrivals"`
+	Parallel bool   `long:"parallel" description:"run the sizes side by side"`
+	Version  string `long:"version" description:"the commit that is measured"`
+	Add      bool   `long:"add" description:"keep the results in the folder for cases that are not run"`
 	Out      string `long:"out" description:"folder for the JSON, the plots and the page; none if empty"`
 	Keep     bool   `long:"keep" description:"keep the folders with settings, logs and ledgers"`
 	// MinIdle and Repeats bound what other work on the machine may do to a trial.
@@ -43,16 +50,37 @@
 		Command: "bench " + strings.Join(os.Args[1:], " "),
 		Cores:   runtime.NumCPU(),
 	}
+	results := make([][]report.Trial, len(plan))
+	failures := make([]error, len(plan))
+	var group errgroup.Group
+	if !c.Parallel {
+		group.SetLimit(1)
+	}
+	for i, trials := range plan {
+		group.Go(func() error {
+			results[i], failures[i] = c.inTurn(ctx, trials)
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions never fail; their errors are kept apart
+	run.Trials = slices.Concat(results...)
+	return errors.Join(append(failures, c.publish(run))...)
+}
+
+// inTurn runs trials one after the other. A trial that can't be run is left out
+// and its error returned.
+func (c *loadCommand) inTurn(ctx context.Context, trials []trial.Options) ([]report.Trial, error) {
+	var results []report.Trial
 	var failures []error
-	for _, o := range plan {
+	for _, o := range trials {
 		result, err := c.calmTrial(ctx, o)
 		if err != nil {
 			failures = append(failures, err)
 			continue
 		}
-		run.Trials = append(run.Trials, result)
+		results = append(results, result)
 	}
-	return errors.Join(append(failures, c.publish(run))...)
+	return results, errors.Join(failures...)
 }
 
 // publish prints the tables and writes the files.
@@ -60,15 +88,31 @@
 	if err := printTables(run.Tables()); err != nil || c.Out == "" {
 		return err
 	}
+	if err := c.keep(&run); err != nil {
+		return err
+	}
 	if err := writeJSON(filepath.Join(c.Out, jsonName), run); err != nil {
 		return err
 	}
 	return writePage(c.Out)
 }
 
-// plan returns the trials in order: the policies of a case run one after the
-// other, so that the machine's other work meets them alike.
-func (c *loadCommand) plan() ([]trial.Options, error) {
+// keep adds the results of earlier runs, if they are to be kept.
+func (c *loadCommand) keep(run *report.Run) error {
+	if !c.Add {
+		return nil
+	}
+	var earlier report.Run
+	if err := readJSON(filepath.Join(c.Out, jsonName), &earlier); err != nil {
+		return err
+	}
+	run.Keep(earlier)
+	return nil
+}
+
+// plan returns the trials of each size in order: the policies of a case run one
+// after the other, so that the machine's other work meets them alike.
+func (c *loadCommand) plan() ([][]trial.Options, error) {
 	sizes, err := scene.Select(scene.Sizes(), c.Sizes, func(s scene.Size) string { return s.Name })
 	if err != nil {
 		return nil, err
@@ -81,11 +125,12 @@
 	if err != nil {
 		return nil, err
 	}
-	var plan []trial.Options
+	var plan [][]trial.Options
 	for _, size := range sizes {
+		var trials []trial.Options
 		for _, one := range cases {
 			for _, policy := range policies {
-				plan = append(plan, trial.Options{
+				trials = append(trials, trial.Options{
 					Bin:      c.Bin,
 					Examples: c.Examples,
 					Size:     size,
@@ -96,6 +141,7 @@
 				})
 			}
 		}
+		plan = append(plan, trials)
 	}
 	return plan, nil
 }
