--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -32,9 +32,8 @@
 	// Entry is the one that the request was sent to, or that the step is at.
 	Entry *harness.Entry
 	armed *armed
-	// operation is the operators' command of a change; held lets a plan go on.
+	// operation is the operators' command of a change.
 	operation *operation
-	held      func()
 }
 
 // Fault is something that happens at a step.
--- /dev/null
+++ b/standin/faults/hold/hold_test.go
@@ -0,0 +1,41 @@
+package hold_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/faults/hold"
+)
+
+func TestHoldsTheFirstMatchOnly(t *testing.T) {
+	board := hold.NewBoard[int]()
+	even := board.Hold(func(n int) bool { return n%2 == 0 })
+	passed := make(chan int)
+	pass := func(n int) {
+		board.Pass(n)
+		passed <- n
+	}
+	go pass(1)
+	assert.Equal(t, <-passed, 1)
+	go pass(2)
+	assert.Equal(t, <-even.Hit(), 2)
+	go pass(4)
+	assert.Equal(t, <-passed, 4, "the second match passes while the first is held")
+	even.Release()
+	assert.Equal(t, <-passed, 2)
+}
+
+func TestCloseLetsAllGo(t *testing.T) {
+	board := hold.NewBoard[int]()
+	first := board.Hold(func(int) bool { return true })
+	passed := make(chan struct{})
+	go func() {
+		board.Pass(1)
+		close(passed)
+	}()
+	<-first.Hit()
+	board.Close()
+	<-passed
+	board.Close()
+}
--- a/standin/faults/main_test.go
+++ b/standin/faults/main_test.go
@@ -28,7 +28,7 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", dir+string(filepath.Separator),
 		"acaciawinch/acaciawinchd", "acaciawinch/acaciawinch", "acaciawinch/standin/cmd/standin")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
--- a/standin/faults/placement.go
+++ b/standin/faults/placement.go
@@ -54,7 +54,6 @@
 	if err := s.reachPlacement(ctx, held.Hit()); err != nil {
 		return err
 	}
-	s.held = held.Release
 	if err := s.inject(ctx, f); err != nil {
 		return err
 	}
