Tell not_run, not unknown, when the store is down behind a refusal

Cause: a claimed attempt whose side refused it moves its claim to another upstream. If the store went down between, the verdict named the request's own claim, which was taken for another request's that may have run: the caller was told unknown, though the side's refusal proves that nothing ran.

--- a/entry/pipeline/claiming.go
+++ b/entry/pipeline/claiming.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciawinch/core"
 	"acaciawinch/core/claim"
 	"acaciawinch/core/fault"
 	"acaciawinch/core/request"
@@ -67,7 +68,7 @@
 		ctx, cancel := context.WithTimeout(f.ctx, max(timeout, time.Millisecond))
 		defer cancel()
 		held, err := call(ctx)
-		event := claimedOf(a.id, held, err)
+		event := claimedOf(f.req.ID, a.id, held, err)
 		f.post(post{event: event, apply: func() {
 			f.claims[stage] = held.Claim
 			if event.Status == request.ClaimMine || event.Status == request.ClaimRunning {
@@ -88,9 +89,14 @@
 	claims.NotRun:      request.ClaimNotRun,
 }
 
-// claimedOf returns the machine's form of a verdict. An error other than that of
-// a wrong body, or a verdict that is not known, counts as unknown.
-func claimedOf(id request.AttemptID, held claims.Held, err error) request.Claimed {
+// claimedOf returns the machine's form of a verdict for the request named own. An
+// error other than that of a wrong body, or a verdict that is not known, counts
+// as unknown.
+//
+// A claim that the request holds itself is no sign of another request's: what its
+// own attempt did, the machine knows. Thus an attempt that its side refused is
+// proved not run also if the store is down before the claim names another one.
+func claimedOf(own core.RequestID, id request.AttemptID, held claims.Held, err error) request.Claimed {
 	event := request.Claimed{
 		Attempt:    id,
 		Status:     claimStatuses[held.Status],
@@ -99,7 +105,8 @@
 		RetryAfter: held.RetryAfter,
 		Detail:     held.Reason,
 	}
-	event.Seen = held.Claim.Record.Request != "" && !held.KeyNotRun
+	holder := held.Claim.Record.Request
+	event.Seen = holder != "" && holder != own && !held.KeyNotRun
 	switch {
 	case fault.Is(err, fault.Invalid):
 		event.Status = request.ClaimInvalid
