--- a/core/config/retention/machine.go
+++ b/core/config/retention/machine.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// listPage is how many copies one call lists; each has some 5 kB.
-	listPage = 100
+	// listPage is how many copies one call lists; each has some 6 kB in base64.
+	listPage = 20
 	// maxOvertaken is how often changes may be accepted between steps 3 and 4 of
 	// one batch before the pass ends.
 	maxOvertaken = 32
--- a/core/config/retention/retention_test.go
+++ b/core/config/retention/retention_test.go
@@ -257,5 +257,5 @@
 	assert.Equal(t, calls["delete"], 2*removed-1)
 	assert.Equal(t, calls["update"], removed/batch)
 	assert.Equal(t, calls["get"], removed-1+removed/batch+1)
-	assert.Equal(t, calls["list"], 2*removed/100+1+removed/batch)
+	assert.Equal(t, calls["list"], 2*removed/20+1+removed/batch)
 }
--- a/entry/clean/cleaner.go
+++ b/entry/clean/cleaner.go
@@ -24,7 +24,7 @@
 	callsPerSecond = 1
 	// passInterval is the time between two passes, and retryInterval that behind
 	// one that did not come to its end.
-	passInterval  = 6 * time.Hour
+	passInterval  = 24 * time.Hour
 	retryInterval = 15 * time.Minute
 	// firstPass bounds the random time before the first pass.
 	firstPass = 10 * time.Minute
