--- /dev/null
+++ b/standin/pages/doc.go
@@ -0,0 +1,2 @@
+// Package pages holds the tests of the project's pages.
+package pages
