--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 docs: ## rewrite the pages that are made from the code, and check the others
 	go run ./observe/cmd/events > docs/EVENTS.md
 	go run ./core/chart/cmd/charts > docs/CHARTS.md
-	go test -count=1 -run 'Page|Settings|Examples' ./observe/event ./core/chart ./acaciawinch
+	go test -count=1 -run 'Page|Settings|Examples' ./observe/event ./core/chart ./acaciawinch ./standin/pages
 
 generate: ## regenerate the committed drpc code (needs protoc, protoc-gen-go, protoc-gen-go-drpc)
 	cd wire/wirepb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. wire.proto
