--- a/standin/cmd/bench/load.go
+++ b/standin/cmd/bench/load.go
@@ -16,6 +16,7 @@
 	"acaciawinch/standin/bench/report"
 	"acaciawinch/standin/bench/scene"
 	"acaciawinch/standin/bench/trial"
+	"acaciawinch/standin/internal/command"
 )
 
 // loadCommand runs the cases of load and faults.
@@ -39,7 +40,7 @@
 
 // Execute implements flags.Commander.
 func (c *loadCommand) Execute([]string) error {
-	ctx, stop := stopSignals()
+	ctx, stop := command.StopSignals()
 	defer stop()
 	plan, err := c.plan()
 	if err != nil {
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -4,20 +4,10 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/jessevdk/go-flags"
-)
-
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"acaciawinch/standin/internal/command"
 )
 
 // options are the subcommands.
@@ -27,23 +17,7 @@
 	Page   pageCommand   `command:"page" description:"write the page and the plots from earlier results"`
 }
 
-func main() {
-	_, err := flags.Parse(&options{})
-	var usage *flags.Error
-	switch {
-	case err == nil:
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-	case errors.As(err, &usage):
-		os.Exit(exitUsage)
-	default:
-		os.Exit(exitFailed)
-	}
-}
-
-// stopSignals returns a context that ends at SIGTERM or SIGINT.
-func stopSignals() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
+func main() { command.Subcommands(&options{}) }
 
 // note prints a line of progress.
 func note(format string, args ...any) {
--- a/standin/cmd/bench/spread.go
+++ b/standin/cmd/bench/spread.go
@@ -6,6 +6,7 @@
 
 	"acaciawinch/standin/bench/report"
 	"acaciawinch/standin/bench/spread"
+	"acaciawinch/standin/internal/command"
 )
 
 // spreadCommand measures how changes come into force in a large fleet.
@@ -24,7 +25,7 @@
 
 // Execute implements flags.Commander.
 func (c *spreadCommand) Execute([]string) error {
-	ctx, stop := stopSignals()
+	ctx, stop := command.StopSignals()
 	defer stop()
 	result, err := spread.Run(ctx, spread.Options{
 		Bin:        c.Bin,
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -7,10 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -19,15 +16,10 @@
 	"acaciawinch/standin/catalog"
 	"acaciawinch/standin/deployment"
 	"acaciawinch/standin/harness"
+	"acaciawinch/standin/internal/command"
 	"acaciawinch/standin/verdict"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // Time limits.
 const (
 	runTimeout  = 50 * time.Second
@@ -48,19 +40,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(exitFailed)
-	}
+	command.Single(flags.NewParser(&o, flags.Default), func(ctx context.Context) error { return run(ctx, o) })
 }
 
 // run starts the deployment, carries out the demonstration and judges it.
--- a/standin/cmd/faults/main.go
+++ b/standin/cmd/faults/main.go
@@ -4,23 +4,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"acaciawinch/standin/faults"
-)
-
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"acaciawinch/standin/internal/command"
 )
 
 // options are the command line.
@@ -37,19 +29,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "faults:", err)
-		os.Exit(exitFailed)
-	}
+	command.Single(flags.NewParser(&o, flags.Default), func(ctx context.Context) error { return run(ctx, o) })
 }
 
 // run plays the chosen cells and reports on them.
--- a/standin/cmd/slopes/main.go
+++ b/standin/cmd/slopes/main.go
@@ -6,17 +6,15 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"acaciawinch/standin/internal/command"
 	"acaciawinch/standin/slopes"
 )
 
@@ -30,32 +28,16 @@
 	From     string   `long:"from" description:"read the slopes from this JSON file instead of measuring"`
 }
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() {
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Suites: " + strings.Join(slopes.Names(), ", ")
-	if _, err := parser.Parse(); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "slopes:", err)
-		os.Exit(exitFailed)
-	}
+	command.Single(parser, func(ctx context.Context) error { return run(ctx, o) })
 }
 
 // run measures, or reads an earlier result, and writes what is asked for.
-func run(o options) error {
-	result, err := result(o)
+func run(ctx context.Context, o options) error {
+	result, err := result(ctx, o)
 	// What was measured before a failure is shown, but not kept.
 	for _, table := range result.Tables() {
 		if err := table.WriteText(os.Stdout); err != nil {
@@ -77,7 +59,7 @@
 }
 
 // result returns the slopes, measured or read.
-func result(o options) (slopes.Result, error) {
+func result(ctx context.Context, o options) (slopes.Result, error) {
 	if o.From != "" {
 		var r slopes.Result
 		data, err := os.ReadFile(o.From)
@@ -86,8 +68,6 @@
 		}
 		return r, json.Unmarshal(data, &r)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return slopes.Run(ctx, slopes.Options{
 		Bin: o.Bin, Only: o.Only, Commit: o.Commit,
 		Note: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) },
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -4,21 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-)
-
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"acaciawinch/standin/internal/command"
 )
 
 // Time limits of the HTTP servers.
@@ -35,28 +25,12 @@
 	Upstream upstreamCommand `command:"upstream" description:"a model engine, a pool worker or a plain service"`
 }
 
-func main() {
-	_, err := flags.Parse(&options{})
-	var usage *flags.Error
-	switch {
-	case err == nil:
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-	case errors.As(err, &usage):
-		os.Exit(exitUsage)
-	default:
-		os.Exit(exitFailed)
-	}
-}
-
-// stopSignals returns a context that ends at SIGTERM or SIGINT.
-func stopSignals() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
+func main() { command.Subcommands(&options{}) }
 
 // serve answers HTTP at address until a stop signal. Then it calls stopping,
 // lets the calls in flight end and returns.
 func serve(address string, handler http.Handler, stopping func()) error {
-	ctx, cancel := stopSignals()
+	ctx, cancel := command.StopSignals()
 	defer cancel()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
