--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"os"
 
+	"github.com/jessevdk/go-flags"
+
 	"acaciawinch/standin/internal/command"
 )
 
@@ -17,7 +19,7 @@
 	Page   pageCommand   `command:"page" description:"write the page and the plots from earlier results"`
 }
 
-func main() { command.Subcommands(&options{}) }
+func main() { command.Subcommands(flags.NewParser(&options{}, flags.Default)) }
 
 // note prints a line of progress.
 func note(format string, args ...any) {
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
 	"acaciawinch/standin/internal/command"
 )
 
@@ -25,7 +27,7 @@
 	Upstream upstreamCommand `command:"upstream" description:"a model engine, a pool worker or a plain service"`
 }
 
-func main() { command.Subcommands(&options{}) }
+func main() { command.Subcommands(flags.NewParser(&options{}, flags.Default)) }
 
 // serve answers HTTP at address until a stop signal. Then it calls stopping,
 // lets the calls in flight end and returns.
--- a/standin/internal/command/command.go
+++ b/standin/internal/command/command.go
@@ -21,8 +21,8 @@
 
 // Subcommands parses the command line and carries out the subcommand that it
 // names. It ends the process if that fails; the parser has printed why.
-func Subcommands(options any) {
-	_, err := flags.Parse(options)
+func Subcommands(parser *flags.Parser) {
+	_, err := parser.Parse()
 	if code := exitCode(err); code != 0 {
 		os.Exit(code)
 	}
