--- a/side/helper_test.go
+++ b/side/helper_test.go
@@ -140,6 +140,10 @@
 	return append([]upstream.Order(nil), f.orders...)
 }
 
+// readyTimeout bounds the wait for a side, so that one that never gets ready is
+// a failed test and no hanging one.
+const readyTimeout = 20 * time.Second
+
 // rig is a side's drpc service before a fake upstream, and a client of it.
 type rig struct {
 	t      *testing.T
@@ -194,7 +198,11 @@
 	go func() { _ = rpc.Serve(ctx, listener) }()
 	go func() { _ = r.keeper.run(ctx) }()
 	go func() { _ = r.keeper.watchReports(ctx, func() { close(ready) }) }()
-	<-ready
+	select {
+	case <-ready:
+	case <-time.After(readyTimeout):
+		r.t.Fatal("the side never judged its upstream")
+	}
 }
 
 // client returns a client over a connection of its own.
