--- a/observe/lifecycle/lifecycle.go
+++ b/observe/lifecycle/lifecycle.go
@@ -5,7 +5,11 @@
 import (
 	"sync"
 
+	"acaciawinch/core"
 	"acaciawinch/core/chart"
+	"acaciawinch/core/fleet"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // processChart is the name of the chart.
@@ -68,3 +72,30 @@
 	defer l.mu.Unlock()
 	return l.machine.State()
 }
+
+// Identity says which process of the fleet it is.
+type Identity struct {
+	Role        fleet.Role
+	Name        string
+	Zone        string
+	Incarnation core.Incarnation
+}
+
+// Log writes the lines of the process's start and end around serve and returns
+// its error. A failure moves the process to the end of the chart, unless the
+// chart has ended already.
+func (l *Lifecycle) Log(logger *observe.Logger, who Identity, serve func() error) error {
+	logger.Event(event.ProcessStarted, observe.Fields{
+		"role":        string(who.Role),
+		"name":        who.Name,
+		"zone":        who.Zone,
+		"incarnation": uint64(who.Incarnation),
+	})
+	if err := serve(); err != nil {
+		_ = l.FireIfAllowed(Fail) // the cause is err
+		logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
+		return err
+	}
+	logger.Event(event.ProcessStopped, observe.Fields{"reason": "signal"})
+	return nil
+}
--- a/side/run.go
+++ b/side/run.go
@@ -9,8 +9,6 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fleet"
-	"acaciawinch/observe"
-	"acaciawinch/observe/event"
 	"acaciawinch/observe/lifecycle"
 )
 
@@ -26,19 +24,13 @@
 	if err != nil {
 		return err
 	}
-	p.logger.Event(event.ProcessStarted, observe.Fields{
-		"role":        string(fleet.RoleUpstream),
-		"name":        settings.Process.Name,
-		"zone":        settings.Process.Zone,
-		"incarnation": uint64(p.incarnation),
-	})
-	if err := p.serve(ctx, listeners); err != nil {
-		_ = p.life.Fire(lifecycle.Fail)
-		p.logger.Warn(event.ProcessFailed, observe.Fields{"error": err.Error()})
-		return err
+	who := lifecycle.Identity{
+		Role:        fleet.RoleUpstream,
+		Name:        settings.Process.Name,
+		Zone:        settings.Process.Zone,
+		Incarnation: p.incarnation,
 	}
-	p.logger.Event(event.ProcessStopped, observe.Fields{"reason": "signal"})
-	return nil
+	return p.life.Log(p.logger, who, func() error { return p.serve(ctx, listeners) })
 }
 
 // listeners are the process's open listeners.
