Let only answers behind the moment tell which configuration is in force

The wait for a configuration took the last answer of each entry, whenever its request had begun. Behind the restart of an entry that could be an answer from before, which follows the right configuration; the course then ended before an entry that had gone back was asked. On a busy machine the first answer came late enough.

Ruled out: entries that are right after all, since the empty store holds only the first configuration, and the course's own check of order, which saw no answer behind the restart.

The same wait judges the cells of the matrix, which are stricter now. The new test of the condition was red with the old one (an earlier answer was enough) and is green with the new one; TestLostStoreIsFoundReverted passes.

--- a/standin/faults/change.go
+++ b/standin/faults/change.go
@@ -160,13 +160,22 @@
 	return nil
 }
 
-// awaitRevision waits until the entries' answers follow a configuration, and
-// checks that it took no longer than it may from a moment on.
+// follows returns a condition that holds once the last answer to a request that
+// began after a moment follows a configuration. Answers to earlier requests tell
+// nothing: an entry that has started again since may have gone back.
+func follows(want int, from time.Time) func([]Exchange) bool {
+	return func(answers []Exchange) bool {
+		last := len(answers) - 1
+		return last >= 0 && answers[last].Result.Began.After(from) && answers[last].Revision == want
+	}
+}
+
+// awaitRevision waits until the entries' answers to requests that began after a
+// moment follow a configuration, and checks that it took no longer than it may
+// from that moment on.
 func (t *traffic) awaitRevision(ctx context.Context, entries []int, want int, from time.Time) error {
 	what := fmt.Sprintf("%v: configuration %d is not in force", errNotInForce, want+1)
-	err := t.awaitAnswers(ctx, 2*inForceLimit, what, entries, func(answers []Exchange) bool {
-		return len(answers) > 0 && answers[len(answers)-1].Revision == want
-	})
+	err := t.awaitAnswers(ctx, 2*inForceLimit, what, entries, follows(want, from))
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNotInForce, err)
 	}
--- /dev/null
+++ b/standin/faults/change_test.go
@@ -0,0 +1,25 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/caller"
+)
+
+// TestFollowsTakesNoEarlierAnswer checks that an answer from before the moment
+// that counts does not pass for one behind it.
+func TestFollowsTakesNoEarlierAnswer(t *testing.T) {
+	moment := time.Unix(100, 0)
+	answered := func(after time.Duration, revision int) Exchange {
+		return Exchange{Revision: revision, Result: caller.Result{Began: moment.Add(after)}}
+	}
+	enough := follows(configSecond, moment)
+	earlier := answered(-time.Second, configSecond)
+	assert.Assert(t, !enough(nil))
+	assert.Assert(t, !enough([]Exchange{earlier}))
+	assert.Assert(t, !enough([]Exchange{earlier, answered(time.Second, configFirst)}))
+	assert.Assert(t, enough([]Exchange{earlier, answered(time.Second, configSecond)}))
+}
