Play the same schedules of config changes in every run

Cause: rapid drew the seeds of the 10,000 schedules of accept and of retention anew in each run, since its own seed was not set, so that a run could meet a schedule that no other did.

A schedule is decided by one number, so nothing is left for rapid to shrink: the tests count through 0 to 9,999 themselves, in 12 parallel parts in place of 4, and a failure names its schedule. The number is asserted, as are all checks of before. Trouble and operators of accept's schedules are drawn evenly; rapid preferred small numbers.

--- a/core/config/accept/accept_test.go
+++ b/core/config/accept/accept_test.go
@@ -1,38 +1,27 @@
 package accept
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fault"
 )
 
-// The property test runs its schedules in some parallel parts.
+// schedules is how many the property test runs, and parts in how many parallel
+// parts. Every run plays the same ones.
 const (
-	parts            = 4
-	schedulesPerPart = "2500"
+	schedules = 10_000
+	parts     = 12
 )
 
-// TestMain sets the number of schedules unless the command line does.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.checks", schedulesPerPart)
-	}
-	os.Exit(m.Run())
-}
-
 // stages returns sound stages without an engine.
 func stages() []config.Stage {
 	var all []config.Stage
@@ -148,7 +137,7 @@
 
 // chain returns the accepted heads, the first one first. It fails the test if a
 // head or a part that it names is missing.
-func (w *world) chain(t *rapid.T) []config.Head {
+func (w *world) chain(t *testing.T) []config.Head {
 	var heads []config.Head
 	object, found := w.store.objects[config.HeadKey]
 	for found {
@@ -166,7 +155,7 @@
 }
 
 // load returns the snapshot of a head.
-func (w *world) load(t *rapid.T, head config.Head) *config.Snapshot {
+func (w *world) load(t *testing.T, head config.Head) *config.Snapshot {
 	snapshot := config.Outline(head, config.Empty())
 	for _, hash := range snapshot.Missing() {
 		loaded, err := snapshot.WithPart(hash, w.store.objects[config.PartKey(hash)].value)
@@ -177,7 +166,7 @@
 }
 
 // verify checks everything that must hold after a schedule.
-func (w *world) verify(t *rapid.T) {
+func (w *world) verify(t *testing.T) {
 	heads := w.chain(t)
 	assert.Equal(t, len(heads), w.store.headMoves, "a head is not in the chain")
 	count := map[string]int{}
@@ -199,7 +188,7 @@
 }
 
 // verifyStep checks that a change touched nothing but what its operator asked for.
-func (w *world) verifyStep(t *rapid.T, before, after *config.Snapshot) {
+func (w *world) verifyStep(t *testing.T, before, after *config.Snapshot) {
 	asked := w.asked(after.ChangeID())
 	touched := config.Compare(before, after)
 	for _, item := range touched.Items() {
@@ -219,7 +208,7 @@
 }
 
 // verifyOutcome checks what an operator was told against what happened.
-func verifyOutcome(t *rapid.T, o *operator, accepted int) {
+func verifyOutcome(t *testing.T, o *operator, accepted int) {
 	assert.Assert(t, accepted <= 1, "%s was accepted %d times", o.request.ChangeID, accepted)
 	if o.crashed {
 		return
@@ -236,52 +225,45 @@
 	}
 }
 
-// schedule is what decides all of a world's course.
-type schedule struct {
-	seed               uint64
-	operators, trouble int
-}
-
-// drawSchedule draws a schedule. The seed is put together of many draws, as one
-// alone would often be the same small number.
-func drawSchedule(t *rapid.T) schedule {
-	seed := uint64(0)
-	for _, part := range rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "seed") {
-		seed = seed<<8 | uint64(part)
-	}
-	return schedule{seed, rapid.IntRange(1, 5).Draw(t, "operators"), rapid.IntRange(0, 80).Draw(t, "trouble")}
-}
-
 // TestRacingOperatorsUnderFaults runs schedules of racing operators, crashes at
 // every step, lost calls, lost answers and late writes.
 func TestRacingOperatorsUnderFaults(t *testing.T) {
-	seen := &tally{outcomes: map[Outcome]int{}, schedules: map[schedule]bool{}}
+	seen := &tally{outcomes: map[Outcome]int{}}
 	t.Run("schedules", func(t *testing.T) {
-		for part := range parts {
+		for part := range uint64(parts) {
 			t.Run(fmt.Sprint(part), func(t *testing.T) {
 				t.Parallel()
-				rapid.Check(t, func(t *rapid.T) { seen.add(runSchedule(t)) })
+				for seed := part; seed < schedules; seed += parts {
+					seen.add(runSchedule(t, seed))
+				}
 			})
 		}
 	})
-	t.Logf("%d different schedules; outcomes: %v", len(seen.schedules), seen.outcomes)
+	t.Logf("%d schedules; outcomes: %v", seen.schedules, seen.outcomes)
+	assert.Equal(t, seen.schedules, schedules)
 	for _, want := range []Outcome{Accepted, Unchanged, Conflict, Invalid, Unavailable, Ambiguous} {
 		assert.Assert(t, seen.outcomes[want] > 0, "no schedule ended as %s", want)
 	}
 }
 
-// runSchedule draws a schedule, runs it and verifies the end.
-func runSchedule(t *rapid.T) (schedule, *world) {
-	s := drawSchedule(t)
-	w := newWorld(s.seed, s.operators, s.trouble)
+// runSchedule runs the schedule of a seed and verifies the end.
+func runSchedule(t *testing.T, seed uint64) *world {
+	shape := rand.New(rand.NewPCG(seed, 2))
+	operators, trouble := 1+shape.IntN(5), shape.IntN(81)
+	defer func() {
+		if t.Failed() {
+			t.Logf("schedule %d: %d operators, %d%% trouble", seed, operators, trouble)
+		}
+	}()
+	w := newWorld(seed, operators, trouble)
 	w.run()
 	w.verify(t)
-	return s, w
+	return w
 }
 
 // verifyNothingOverwritten checks that an accepted change replaced nothing that
 // others had changed since its base. Snapshots are in order of revision.
-func verifyNothingOverwritten(t *rapid.T, o *operator, snapshots []*config.Snapshot) {
+func verifyNothingOverwritten(t *testing.T, o *operator, snapshots []*config.Snapshot) {
 	result, _ := o.machine.Result()
 	if result.Outcome != Accepted {
 		return
@@ -294,15 +276,15 @@
 // tally counts what the schedules did.
 type tally struct {
 	mu        sync.Mutex
+	schedules int
 	outcomes  map[Outcome]int
-	schedules map[schedule]bool
 }
 
 // add counts one schedule.
-func (c *tally) add(s schedule, w *world) {
+func (c *tally) add(w *world) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.schedules[s] = true
+	c.schedules++
 	for _, o := range w.operators {
 		result, _ := o.machine.Result()
 		c.outcomes[result.Outcome]++
--- a/core/config/retention/retention_test.go
+++ b/core/config/retention/retention_test.go
@@ -1,16 +1,13 @@
 package retention_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
@@ -19,34 +16,26 @@
 	"acaciawinch/core/fault"
 )
 
-// The property test runs its schedules in some parallel parts.
+// schedules is how many the property test runs, and parts in how many parallel
+// parts. Every run plays the same ones.
 const (
-	parts            = 4
-	schedulesPerPart = "2500"
+	schedules = 10_000
+	parts     = 12
 )
 
-// TestMain sets the number of schedules unless the command line does.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.checks", schedulesPerPart)
-	}
-	os.Exit(m.Run())
-}
-
 // tally counts what the schedules did.
 type tally struct {
 	mu                                sync.Mutex
-	seeds                             map[uint64]bool
+	schedules                         int
 	results                           map[retention.Outcome]int
 	accepted, copies, removed, spared int
 }
 
 // add counts one schedule.
-func (c *tally) add(seed uint64, w *world) {
+func (c *tally) add(w *world) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seeds[seed] = true
+	c.schedules++
 	for outcome, count := range w.results {
 		c.results[outcome] += count
 	}
@@ -56,37 +45,28 @@
 	c.spared += w.removed.Spared
 }
 
-// drawSeed draws a seed of many draws, as one alone would often be the same
-// small number.
-func drawSeed(t *rapid.T) uint64 {
-	seed := uint64(0)
-	for _, part := range rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "seed") {
-		seed = seed<<8 | uint64(part)
-	}
-	return seed
-}
-
 // TestNothingThatIsNamedIsRemoved runs schedules of racing operators and
 // removers, crashes, long pauses, lost calls, lost answers and late writes.
 func TestNothingThatIsNamedIsRemoved(t *testing.T) {
-	seen := &tally{seeds: map[uint64]bool{}, results: map[retention.Outcome]int{}}
+	seen := &tally{results: map[retention.Outcome]int{}}
 	t.Run("schedules", func(t *testing.T) {
-		for part := range parts {
+		for part := range uint64(parts) {
 			t.Run(fmt.Sprint(part), func(t *testing.T) {
 				t.Parallel()
-				rapid.Check(t, func(t *rapid.T) {
-					seed := drawSeed(t)
+				for seed := part; seed < schedules; seed += parts {
 					w := newWorld(seed, sabotageNone)
 					w.play()
-					assert.Equal(t, w.violation, "")
-					assert.Assert(t, w.kept() >= core.Revision(min(w.policy.Revisions, int(w.head.Revision))))
-					seen.add(seed, w)
-				})
+					assert.Equal(t, w.violation, "", "schedule %d", seed)
+					least := core.Revision(min(w.policy.Revisions, int(w.head.Revision)))
+					assert.Assert(t, w.kept() >= least, "schedule %d", seed)
+					seen.add(w)
+				}
 			})
 		}
 	})
-	t.Logf("%d different schedules: %d changes accepted, %d copies and %d parts removed, %d parts spared; passes: %v",
-		len(seen.seeds), seen.accepted, seen.copies, seen.removed, seen.spared, seen.results)
+	t.Logf("%d schedules: %d changes accepted, %d copies and %d parts removed, %d parts spared; passes: %v",
+		seen.schedules, seen.accepted, seen.copies, seen.removed, seen.spared, seen.results)
+	assert.Equal(t, seen.schedules, schedules)
 	assert.Assert(t, seen.accepted > 0 && seen.copies > 0 && seen.removed > 0 && seen.spared > 0)
 	for _, want := range []retention.Outcome{retention.Done, retention.Interrupted} {
 		assert.Assert(t, seen.results[want] > 0, "no pass ended as %s", want)
