Hold a request over the entry's stop in its test

Cause: TestServesDrainsAndStops looked for the 503 of a draining entry, which an entry without requests shows for 500 ms only. It also chose three ports, closed them and used them later, from the range from which the kernel serves everybody else.

Now a request is in flight until the test has seen the drain, and the test asserts that the stop waited for it, which nothing did before. Ports are opened once, by listen; Run keeps its own test and hands open ports to run.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"acaciawinch/core"
 	"acaciawinch/core/config"
 	"acaciawinch/core/fleet"
+	"acaciawinch/entry/admit"
 	"acaciawinch/entry/claims"
 	"acaciawinch/entry/trace"
 	"acaciawinch/settings"
@@ -46,20 +47,15 @@
 	return server.URL
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// anyPort lets the kernel choose a loopback port.
+const anyPort = "127.0.0.1:0"
 
 // testSettings are those of an entry on loopback.
 func testSettings(t *testing.T) Settings {
 	s := Defaults()
 	url := platform(t)
 	s.Process = ProcessSettings{Name: "e", Zone: "z", LogLevel: "error"}
-	s.Listen = ListenSettings{Callers: freeAddr(t), Fleet: freeAddr(t), Admin: freeAddr(t)}
+	s.Listen = ListenSettings{Callers: anyPort, Fleet: anyPort, Admin: anyPort}
 	s.Platform = PlatformSettings{Objects: url, Hosts: url}
 	s.Fleet.Key = "k"
 	return s
@@ -86,28 +82,43 @@
 	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
 }
 
+// TestServesDrainsAndStops keeps a request in flight over the stop, so that the
+// drain lasts until the test has seen it.
 func TestServesDrainsAndStops(t *testing.T) {
-	s := testSettings(t)
+	p, err := newProcess(testSettings(t))
+	assert.NilError(t, err)
+	defer p.close()
+	open, err := listen(p.settings)
+	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, s) }()
-	admin := "http://" + s.Listen.Admin
+	go func() { ended <- p.run(ctx, open) }()
+	admin := "http://" + open.admin.Addr().String()
 	eventually(t, admin+"/readyz", http.StatusOK)
 	for _, path := range []string{"/livez", "/metrics", "/v1/status"} {
 		assert.Equal(t, status(admin+path), http.StatusOK, path)
 	}
 	assert.Equal(t, status(admin+"/v1/explain/e-1"), http.StatusNotFound)
+	ticket, refusal, _ := p.gate.Enter(time.Now(), admit.Ask{Workspace: "w"})
+	assert.Equal(t, refusal, admit.Admitted)
 	stop()
 	eventually(t, admin+"/readyz", http.StatusServiceUnavailable)
 	assert.Equal(t, status(admin+"/livez"), http.StatusOK)
+	select {
+	case err := <-ended:
+		t.Fatal("it did not wait for the request in flight", err)
+	default:
+	}
+	ticket.Leave(time.Now(), admit.EndAnswered, 0)
 	assert.NilError(t, <-ended)
 }
 
 func TestPortsInUseAreAnError(t *testing.T) {
-	s := testSettings(t)
-	taken, err := net.Listen("tcp", s.Listen.Admin)
+	taken, err := net.Listen("tcp", anyPort)
 	assert.NilError(t, err)
 	defer taken.Close()
+	s := testSettings(t)
+	s.Listen.Admin = taken.Addr().String()
 	assert.ErrorContains(t, Run(context.Background(), s), s.Listen.Admin)
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,16 +24,21 @@
 	if err != nil {
 		return err
 	}
+	return p.run(ctx, listeners)
+}
+
+// run serves on open ports and logs the start and the end.
+func (p *process) run(ctx context.Context, open listeners) error {
 	if err := p.life.Fire(lifecycle.Opened); err != nil {
 		return err
 	}
 	who := lifecycle.Identity{
 		Role:        fleet.RoleEntry,
-		Name:        settings.Process.Name,
-		Zone:        settings.Process.Zone,
+		Name:        p.settings.Process.Name,
+		Zone:        p.settings.Process.Zone,
 		Incarnation: p.incarnation,
 	}
-	return p.life.Log(p.logger, who, func() error { return p.serve(ctx, listeners) })
+	return p.life.Log(p.logger, who, func() error { return p.serve(ctx, open) })
 }
 
 // listeners are the three open ports.
