Let the deadline's test wait until its work has begun

Cause: TestDeadlineCancelsTheWork gave a request 100 ms and took for granted that the side had got it by then. On a busy machine the request ends as not_run with nothing to cancel: the test is red at once with a deadline of 0.1 ms ("not_run != failed"), which is what a machine a thousand times slower sees. It was not seen red at 100 ms, with the process stopped for 0.4 s again and again.

Now it takes the first of doubled deadlines by which the side was reached. What it asserts of outcome and cancellation is as before.

--- a/entry/pipeline/runner_test.go
+++ b/entry/pipeline/runner_test.go
@@ -189,6 +189,8 @@
 	assert.Equal(t, await(t, side.cancels).GetReason(), wirepb.CancelReason_CANCEL_CALLER_GONE)
 }
 
+// TestDeadlineCancelsTheWork takes the first of growing deadlines that leaves the
+// machine the time to bring the work to its side.
 func TestDeadlineCancelsTheWork(t *testing.T) {
 	side := startSide(t, "a")
 	side.onRun = func(r *wirepb.RunRequest, stream wirepb.DRPCSide_RunStream) error {
@@ -197,8 +199,10 @@
 	}
 	bench := newBench(t, map[string][]*fakeSide{"encode": {side}})
 	request := bench.request(encode)
-	request.Deadline = 100 * time.Millisecond
-	result := bench.run(context.Background(), request)
+	var result Result
+	for request.Deadline = 100 * time.Millisecond; len(side.runs) == 0; request.Deadline *= 2 {
+		result = bench.run(context.Background(), request)
+	}
 	assert.Equal(t, result.Outcome, core.OutcomeFailed)
 	assert.Equal(t, await(t, side.cancels).GetReason(), wirepb.CancelReason_CANCEL_DEADLINE)
 }
