Give the sides under test a clock that stands still

Cause: the rig's gate ran on the real clock, so a stall of the test's machine could lapse what a test relies on: the grace of 2 s within which TestBrokenStreamGoesOnWhereAttachAsks has to attach, the 30 ms of TestDeadlineCancelsTheCallAtTheUpstream, results that are kept for 10 s, a quiet upstream that counts as stalled. Found by reading; not seen red with the process stopped for 1.5 s again and again, nor in 100 runs of the deadline's test with 10 copies and 6 busy loops on one core.

The clock is now moved by the test alone. Two tests became exact by it: a call goes on one nanosecond before the end of the grace and is cancelled at its end, and the deadline passes only once the call has reached the upstream.

--- a/side/helper_test.go
+++ b/side/helper_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,11 +145,19 @@
 // a failed test and no hanging one.
 const readyTimeout = 20 * time.Second
 
+// clock is a side's clock that stands still unless the test moves it, so that
+// nothing lapses because the machine is busy.
+type clock struct{ since atomic.Int64 }
+
+// now returns the time since the side's start.
+func (c *clock) now() time.Duration { return time.Duration(c.since.Load()) }
+
 // rig is a side's drpc service before a fake upstream, and a client of it.
 type rig struct {
 	t      *testing.T
 	fake   *fakeUpstream
 	keeper *keeper
+	clock  *clock
 	dialer *link.Dialer
 	addr   string
 	next   int
@@ -163,7 +172,7 @@
 func newRigBefore(t *testing.T, options gate.Options, fake *fakeUpstream) *rig {
 	logger, err := observe.NewLogger(io.Discard, "side", "info")
 	assert.NilError(t, err)
-	started := time.Now()
+	clock := &clock{}
 	options.Incarnation = testIncarnation
 	k := newKeeper(keeperOptions{
 		upstream:       "u1",
@@ -172,9 +181,9 @@
 		maxOutputBytes: 1 << 10,
 		client:         fake,
 		logger:         logger,
-		clock:          func() time.Duration { return time.Since(started) },
+		clock:          clock.now,
 	})
-	r := &rig{t: t, fake: fake, keeper: k, dialer: link.NewDialer("key")}
+	r := &rig{t: t, fake: fake, keeper: k, clock: clock, dialer: link.NewDialer("key")}
 	r.serve()
 	return r
 }
@@ -205,6 +214,12 @@
 	}
 }
 
+// advance moves the side's clock and lets the gate see it.
+func (r *rig) advance(d time.Duration) {
+	r.clock.since.Add(int64(d))
+	r.keeper.do(func(time.Duration) {})
+}
+
 // client returns a client over a connection of its own.
 func (r *rig) client() wirepb.DRPCSideClient {
 	conn := r.dialer.Conn(context.Background(), r.addr)
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -66,11 +66,15 @@
 }
 
 func TestAttemptThatNobodyFollowsIsCancelledAfterTheGrace(t *testing.T) {
-	r := newRig(t, gate.Options{Grace: 20 * time.Millisecond})
+	r := newRig(t, gate.Options{Grace: time.Second})
 	ctx, breakStream := context.WithCancel(context.Background())
 	r.run(ctx, r.request())
 	c := r.call()
 	breakStream()
+	await(t, "nobody follows", func() bool { return r.keeper.pending().readers == 0 })
+	r.advance(time.Second - 1)
+	c.chunks <- "within the grace"
+	r.advance(1)
 	awaitClosed(t, "the upstream's call was not cancelled", c.cancelled)
 	await(t, "the pass is charged", func() bool { return r.charged(gate.CauseCallerGone) == 1 })
 }
@@ -139,6 +143,7 @@
 	request.RemainingMs = 30
 	s := r.run(context.Background(), request)
 	c := r.call()
+	r.advance(30 * time.Millisecond)
 	awaitClosed(t, "the upstream's call was not cancelled", c.cancelled)
 	assert.Equal(t, r.read(s).failed.GetDetail(), "stopped: deadline")
 }
