Draw the same property cases in every run

Cause: rapid takes a new seed for each run unless one is set.

Each package with properties now runs by propertytest.Main, which sets the seed and the number of cases unless the command line does. The seeds of placement's leases and of claim's interleavings were set inside their tests, and leaked to the tests behind them in the file: the proposals were checked 10,000 times in a whole run, 100 times alone. They are 10,000 always now. No number is lower than before.

go test -count=1 ./core/... ./feed; go test -v tells "passed 10000 tests" for gate, request, placement and claim.

--- a/core/claim/property_test.go
+++ b/core/claim/property_test.go
@@ -1,9 +1,7 @@
 package claim_test
 
 import (
-	"flag"
 	"math/rand/v2"
-	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -119,8 +117,6 @@
 // playMany plays the interleavings and returns the transitions that were taken.
 func playMany(t *testing.T, newSide func(core.Incarnation) sideProcess) map[string]bool {
 	t.Helper()
-	assert.NilError(t, flag.Set("rapid.checks", strconv.Itoa(interleavings)))
-	assert.NilError(t, flag.Set("rapid.seed", "1"))
 	taken := make(map[string]bool)
 	ran, played := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- /dev/null
+++ b/core/config/main_test.go
@@ -0,0 +1,9 @@
+package config
+
+import (
+	"testing"
+
+	"acaciawinch/core/propertytest"
+)
+
+func TestMain(m *testing.M) { propertytest.Main(m, 0) }
--- a/core/gate/main_test.go
+++ b/core/gate/main_test.go
@@ -1,29 +1,13 @@
 package gate
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// The property tests' number of interleavings and their seed, unless the command
-// line sets others.
-const (
-	propertyChecks = "10000"
-	propertySeed   = "20261202"
+	"acaciawinch/core/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": propertyChecks, "rapid.seed": propertySeed} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// propertyChecks is how many interleavings each property test plays, unless the
+// command line sets another number.
+const propertyChecks = 10_000
+
+func TestMain(m *testing.M) { propertytest.Main(m, propertyChecks) }
--- a/core/placement/lease_test.go
+++ b/core/placement/lease_test.go
@@ -1,7 +1,6 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -329,8 +328,6 @@
 // lease at a time, that nobody writes a plan after a later holder has planned,
 // that plans never go back in revision, and that the newest comes into force.
 func TestPausedHolderDoesNoHarm(t *testing.T) {
-	assert.NilError(t, flag.Set("rapid.checks", fmt.Sprint(leaseRuns)))
-	assert.NilError(t, flag.Set("rapid.seed", "1"))
 	terms, played := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := playLease(func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }, leaseWhole)
--- a/core/request/main_test.go
+++ b/core/request/main_test.go
@@ -1,24 +1,13 @@
 package request
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// How many random courses a run takes, and from which seed, unless the command
-// line says otherwise.
-const (
-	courses = "10000"
-	seed    = "20261202"
+	"acaciawinch/core/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": courses, "rapid.seed": seed} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// courses is how many random courses a run takes, unless the command line says
+// otherwise.
+const courses = 10_000
+
+func TestMain(m *testing.M) { propertytest.Main(m, courses) }
