Let three packages' tests share one object API in memory

Cause: claims, clean and place each had their own store for tests, with the same map, versions, conditions and lists, and with small differences in what a failed condition returns. The one store is platform/objects/memory, which answers as the object API does; a test embeds it and overrides the calls that are to go wrong. feed's stays its own: it is made of watches.

No test case changed; a deletion of an absent key is NotFound now, as at the platform.

go test -race -count=1 ./entry/claims ./entry/clean ./entry/place

--- a/entry/claims/fixture_test.go
+++ b/entry/claims/fixture_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +16,7 @@
 	"acaciawinch/core/gate"
 	"acaciawinch/observe"
 	"acaciawinch/platform/objects"
+	"acaciawinch/platform/objects/memory"
 	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
@@ -27,10 +26,7 @@
 
 // store is an object API in memory whose next writes can fail in a chosen way.
 type store struct {
-	objects.API
-	mu      sync.Mutex
-	values  map[string]objects.Object
-	version uint64
+	*memory.Store
 	// lose makes so many writes take effect and lose their answers.
 	lose int
 	down bool
@@ -38,19 +34,16 @@
 	calls int
 }
 
+// errDown is what every call returns while the store is down.
+var errDown = fault.New(fault.Unavailable, "test.store", "", "down")
+
 // Get implements objects.API.
-func (s *store) Get(_ context.Context, key string) (objects.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *store) Get(ctx context.Context, key string) (objects.Object, error) {
 	s.calls++
-	object, ok := s.values[key]
-	switch {
-	case s.down:
-		return objects.Object{}, fault.New(fault.Unavailable, "test.get", key, "down")
-	case !ok:
-		return objects.Object{}, fault.New(fault.NotFound, "test.get", key, "")
+	if s.down {
+		return objects.Object{}, errDown
 	}
-	return object, nil
+	return s.Store.Get(ctx, key)
 }
 
 // Create implements objects.API.
@@ -58,49 +51,18 @@
 	return s.Update(ctx, key, value, 0)
 }
 
-// Update implements objects.API; version zero means that there must be no object.
-func (s *store) Update(_ context.Context, key string, value []byte, version uint64) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Update implements objects.API.
+func (s *store) Update(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
 	s.calls++
 	if s.down {
-		return 0, fault.New(fault.Unavailable, "test.update", key, "down")
-	}
-	if s.values[key].Version != version {
-		return 0, fault.New(fault.Conflict, "test.update", key, "")
+		return 0, errDown
 	}
-	s.version++
-	s.values[key] = objects.Object{Key: key, Value: value, Version: s.version}
-	if s.lose > 0 {
+	written, err := s.Store.Update(ctx, key, value, version)
+	if err == nil && s.lose > 0 {
 		s.lose--
-		return 0, fault.New(fault.Ambiguous, "test.update", key, "the answer was lost")
-	}
-	return s.version, nil
-}
-
-// Delete implements objects.API.
-func (s *store) Delete(_ context.Context, key string, version uint64) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.values[key].Version != version {
-		return fault.New(fault.Conflict, "test.delete", key, "")
-	}
-	delete(s.values, key)
-	return nil
-}
-
-// List implements objects.API.
-func (s *store) List(_ context.Context, prefix, after string, limit int) ([]objects.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []objects.Object
-	for key, object := range s.values {
-		if strings.HasPrefix(key, prefix) && key > after {
-			found = append(found, object)
-		}
+		return 0, fault.New(fault.Ambiguous, "test.store", key, "the answer was lost")
 	}
-	slices.SortFunc(found, func(a, b objects.Object) int { return strings.Compare(a.Key, b.Key) })
-	return found[:min(limit, len(found))], nil
+	return written, err
 }
 
 // side is a real gate behind a real drpc listener.
@@ -222,7 +184,7 @@
 // newBench returns a keeper with short waits.
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{store: &store{values: make(map[string]objects.Object)}, side: newSide(t, 7), log: &bytes.Buffer{}}
+	b := &bench{store: &store{Store: memory.New()}, side: newSide(t, 7), log: &bytes.Buffer{}}
 	logger, err := observe.NewLogger(b.log, "entry-1", "info")
 	assert.NilError(t, err)
 	dialer := link.NewDialer(fleetKey)
--- a/entry/clean/cleaner_test.go
+++ b/entry/clean/cleaner_test.go
@@ -4,9 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
-	"slices"
+	"math"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,92 +18,28 @@
 	"acaciawinch/core/fleet"
 	"acaciawinch/observe"
 	"acaciawinch/platform/objects"
+	"acaciawinch/platform/objects/memory"
 )
 
-// memory is an object API in memory.
-type memory struct {
-	mu       sync.Mutex
-	objects  map[string]objects.Object
-	sequence uint64
-	// down makes every call fail.
+// store is an object API in memory that can be down.
+type store struct {
+	*memory.Store
 	down bool
 }
 
-// errDown is the error of a store that is down.
-var errDown = fault.New(fault.Unavailable, "objects", "", "down")
+// newStore returns an empty store.
+func newStore() *store { return &store{Store: memory.New()} }
 
 // Get implements objects.API.
-func (m *memory) Get(_ context.Context, key string) (objects.Object, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	object, found := m.objects[key]
-	switch {
-	case m.down:
-		return object, errDown
-	case !found:
-		return object, fault.New(fault.NotFound, "objects.get", "", "%s", key)
+func (s *store) Get(ctx context.Context, key string) (objects.Object, error) {
+	if s.down {
+		return objects.Object{}, fault.New(fault.Unavailable, "test.store", "", "down")
 	}
-	return object, nil
-}
-
-// put writes an object if it has the version.
-func (m *memory) put(key string, value []byte, version uint64) (uint64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return 0, errDown
-	}
-	if m.objects[key].Version != version {
-		return 0, fault.New(fault.Conflict, "objects.put", "", "%s", key)
-	}
-	m.sequence++
-	m.objects[key] = objects.Object{Key: key, Value: value, Version: m.sequence}
-	return m.sequence, nil
-}
-
-// Create implements objects.API.
-func (m *memory) Create(_ context.Context, key string, value []byte) (uint64, error) {
-	return m.put(key, value, 0)
-}
-
-// Update implements objects.API.
-func (m *memory) Update(_ context.Context, key string, value []byte, version uint64) (uint64, error) {
-	return m.put(key, value, version)
-}
-
-// Delete implements objects.API.
-func (m *memory) Delete(_ context.Context, key string, version uint64) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.objects[key].Version != version {
-		return fault.New(fault.Conflict, "objects.delete", "", "%s", key)
-	}
-	delete(m.objects, key)
-	return nil
-}
-
-// List implements objects.API.
-func (m *memory) List(_ context.Context, prefix, after string, limit int) ([]objects.Object, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var found []objects.Object
-	for key, object := range m.objects {
-		if strings.HasPrefix(key, prefix) && key > after {
-			found = append(found, object)
-		}
-	}
-	slices.SortFunc(found, func(a, b objects.Object) int { return strings.Compare(a.Key, b.Key) })
-	return found[:min(limit, len(found))], nil
-}
-
-// Watch implements objects.API.
-func (m *memory) Watch(ctx context.Context, _ string, _ uint64) (objects.WatchResult, error) {
-	<-ctx.Done()
-	return objects.WatchResult{}, ctx.Err()
+	return s.Store.Get(ctx, key)
 }
 
 // change accepts one change of a drained upstream.
-func (m *memory) change(t *testing.T, number int) {
+func (s *store) change(t *testing.T, number int) {
 	upstream := fmt.Sprint("u", number)
 	machine := accept.New(accept.Request{ChangeID: upstream, Change: config.Change{Drain: []string{upstream}}})
 	for {
@@ -118,9 +53,9 @@
 		var object objects.Object
 		var err error
 		if action.Kind == accept.ActionGet {
-			object, err = m.Get(context.Background(), action.Key)
+			object, err = s.Get(context.Background(), action.Key)
 		} else {
-			object.Version, err = m.put(action.Key, action.Value, action.Version)
+			object.Version, err = s.Update(context.Background(), action.Key, action.Value, action.Version)
 		}
 		reply.Value, reply.Version = object.Value, object.Version
 		if err != nil {
@@ -131,8 +66,8 @@
 }
 
 // count returns how many objects there are below a prefix.
-func (m *memory) count(prefix string) int {
-	listed, _ := m.List(context.Background(), prefix, "", len(m.objects))
+func (s *store) count(prefix string) int {
+	listed, _ := s.List(context.Background(), prefix, "", math.MaxInt)
 	return len(listed)
 }
 
@@ -146,7 +81,7 @@
 }
 
 // cleaner returns a Cleaner of a store, and its log.
-func cleaner(t *testing.T, store *memory, self string, hosts []fleet.Host) (*Cleaner, *bytes.Buffer) {
+func cleaner(t *testing.T, store *store, self string, hosts []fleet.Host) (*Cleaner, *bytes.Buffer) {
 	var text bytes.Buffer
 	log, err := observe.NewLogger(&text, self, "info")
 	assert.NilError(t, err)
@@ -158,7 +93,7 @@
 }
 
 func TestAPassKeepsTheSettingsNumberOfRevisions(t *testing.T) {
-	store := &memory{objects: map[string]objects.Object{}}
+	store := newStore()
 	for i := range 130 {
 		store.change(t, i)
 	}
@@ -171,7 +106,8 @@
 }
 
 func TestAPassBehindAnOutageIsUnfinished(t *testing.T) {
-	store := &memory{objects: map[string]objects.Object{}, down: true}
+	store := newStore()
+	store.down = true
 	c, log := cleaner(t, store, "e", entries("e"))
 	assert.Assert(t, !c.pass(context.Background()))
 	assert.Assert(t, strings.Contains(log.String(), "5013"), log)
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -20,7 +20,7 @@
 	"acaciawinch/core/fleet"
 	"acaciawinch/core/placement"
 	"acaciawinch/observe"
-	"acaciawinch/platform/objects"
+	"acaciawinch/platform/objects/memory"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -30,39 +30,24 @@
 // store is an object API in memory. Before is called ahead of each write and may
 // block it or make it fail.
 type store struct {
-	objects.API
-	mu      sync.Mutex
-	values  map[string]objects.Object
-	version uint64
-	before  func(key string) error
+	*memory.Store
+	mu     sync.Mutex
+	before func(key string) error
 	// refused gets the proposer in force when the condition of a plan did not hold,
 	// unless it holds one already.
 	refused chan string
 }
 
 // newStore returns an empty store.
-func newStore() *store {
-	return &store{values: make(map[string]objects.Object), refused: make(chan string, 1)}
-}
-
-// Get implements objects.API.
-func (s *store) Get(_ context.Context, key string) (objects.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	object, ok := s.values[key]
-	if !ok {
-		return objects.Object{}, fault.New(fault.NotFound, "test.get", key, "")
-	}
-	return object, nil
-}
+func newStore() *store { return &store{Store: memory.New(), refused: make(chan string, 1)} }
 
 // Create implements objects.API.
 func (s *store) Create(ctx context.Context, key string, value []byte) (uint64, error) {
 	return s.Update(ctx, key, value, 0)
 }
 
-// Update implements objects.API; version zero means that there must be no object.
-func (s *store) Update(_ context.Context, key string, value []byte, version uint64) (uint64, error) {
+// Update implements objects.API.
+func (s *store) Update(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
 	s.mu.Lock()
 	before := s.before
 	s.mu.Unlock()
@@ -71,17 +56,11 @@
 			return 0, err
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.values[key].Version != version {
-		if key == placement.PlanKey {
-			s.noteRefused(planOf(s.values[key]).Proposer)
-		}
-		return 0, fault.New(fault.Conflict, "test.update", key, "")
+	written, err := s.Store.Update(ctx, key, value, version)
+	if key == placement.PlanKey && fault.Is(err, fault.Conflict) {
+		s.noteRefused(s.plan().Proposer)
 	}
-	s.version++
-	s.values[key] = objects.Object{Key: key, Value: value, Version: s.version}
-	return s.version, nil
+	return written, err
 }
 
 // noteRefused notes who is in force at a refusal.
@@ -94,14 +73,10 @@
 
 // plan returns the plan in force.
 func (s *store) plan() placement.Plan {
-	object, _ := s.Get(context.Background(), placement.PlanKey)
-	return planOf(object)
-}
-
-// planOf returns the plan that an object holds; empty if there is none.
-func planOf(object objects.Object) placement.Plan {
 	var plan placement.Plan
-	_ = json.Unmarshal(object.Value, &plan)
+	if object, err := s.Get(context.Background(), placement.PlanKey); err == nil {
+		_ = json.Unmarshal(object.Value, &plan)
+	}
 	return plan
 }
 
