Refuse an idempotency key that is no UTF-8

Cause: a header may hold any bytes, and the entry took them as a key. A claim's record is JSON, which turns what is no UTF-8 into U+FFFD, so the record of such a claim never names its own key again: whoever asks again, and even the owner whose answer was lost, was told that the claim belongs to another key ("invalid open conflict mismatch", a problem of the caller's making that he didn't make).

Ruled out: escaping the key in the record, since a key that people can't read back from a log or a claim is a mistake that the caller should hear of at once.

--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -132,6 +132,7 @@
 		"deadline no number": {"POST", path, "{}", []string{headerDeadline, "soon"}, 400},
 		"deadline overflow":  {"POST", path, "{}", []string{headerDeadline, "99999999999999999999"}, 400},
 		"key too long":       {"POST", path, "{}", []string{headerKey, strings.Repeat("k", 256)}, 400},
+		"key no UTF-8":       {"POST", path, "{}", []string{headerKey, "\xff"}, 400},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/entry/callers/validate.go
+++ b/entry/callers/validate.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"acaciawinch/core/config"
 	"acaciawinch/entry/pipeline"
@@ -39,6 +40,9 @@
 	if len(key) > maxKeyBytes {
 		return pipeline.Request{}, invalid("admission.key", "the idempotency key is longer than 255 bytes")
 	}
+	if !utf8.ValidString(key) {
+		return pipeline.Request{}, invalid("admission.key", "the idempotency key is no UTF-8")
+	}
 	body, problem := s.readBody(w, r)
 	if problem != nil {
 		return pipeline.Request{}, problem
