Name the line of a syntax error at a file's end

Cause: at the end of a file the TOML parser names the line before, so that a wrong escape at the end of the first line stood at line 0, and one at the end of the third at line 2. The parser's byte is right, and the line is counted from it now, unless the parser's own line is further down.

go test -race -count=1 ./settings ./acaciawinchd

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"reflect"
@@ -46,7 +47,7 @@
 	var root map[string]toml.Primitive
 	metadata, err := toml.Decode(string(data), &root)
 	if err != nil {
-		return lines, Problems{syntaxProblem(name, err)}
+		return lines, Problems{syntaxProblem(name, data, err)}
 	}
 	d := decoder{metadata: metadata, lines: lines}
 	d.table("", root, reflect.ValueOf(dst).Elem())
@@ -58,10 +59,17 @@
 }
 
 // syntaxProblem turns a parser's error into a Problem.
-func syntaxProblem(name string, err error) Problem {
+func syntaxProblem(name string, data []byte, err error) Problem {
 	var parse toml.ParseError
 	if errors.As(err, &parse) {
-		return Problem{File: name, Line: parse.Position.Line, Key: parse.LastKey, Text: parse.Message}
+		return Problem{File: name, Line: lineOf(parse.Position, data), Key: parse.LastKey, Text: parse.Message}
 	}
 	return Problem{File: name, Line: 1, Text: err.Error()}
 }
+
+// lineOf returns the line of a parser's position. At the end of the data the
+// parser names the line before, or none, but the right byte.
+func lineOf(position toml.Position, data []byte) int {
+	before := data[:min(max(position.Start, 0), len(data))]
+	return max(position.Line, 1+bytes.Count(before, []byte("\n")))
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -77,6 +77,7 @@
 				"f.toml:3: listen.backlog: must be of type integer, is string\n" +
 				"f.toml:4: listen.port: unknown key; known here are backlog, callers"},
 		{"syntax", "[listen]\ncallers = ", "f.toml:2: listen.callers: unexpected EOF; expected value"},
+		{"syntax at the very end", "[listen]\ncallers = \"a\"\n\"\\", "f.toml:3: listen: invalid escape in string '\\\x00'"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
