Let the operator of a test give up at the store's refusal, not by the clock

Cause: TestADrainTellsTheSideAlsoWhileTheStoreIsDown ended the command after 300 ms, of which the host list, the connection and the call to the side had to take less. A machine that is busy for as long makes it red: with 1 ms it is ("the side was not reached"). It was not seen red at 300 ms, with the process stopped for 0.5 s again and again.

Now the command is cancelled when the store refuses its first call.

go test -race -count=3 ./acaciawinch

--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -23,6 +23,7 @@
 // bench runs command lines against a fake store.
 type bench struct {
 	t      *testing.T
+	ctx    context.Context
 	store  *fakeStore
 	config string
 	dir    string
@@ -31,7 +32,7 @@
 // newBench returns a bench with a settings file.
 func newBench(t *testing.T, more string) *bench {
 	store, url := newFakeStore(t)
-	b := &bench{t: t, store: store, dir: t.TempDir()}
+	b := &bench{t: t, ctx: t.Context(), store: store, dir: t.TempDir()}
 	b.config = b.file("acaciawinch.toml", fmt.Sprintf("[platform]\nobjects = %q\n%s", url, more))
 	return b
 }
@@ -46,7 +47,7 @@
 // run runs a command line and returns its code and all that it printed.
 func (b *bench) run(args ...string) (int, string) {
 	var out, errOut bytes.Buffer
-	code := run(context.Background(), append([]string{"--config", b.config}, args...), &out, &errOut)
+	code := run(b.ctx, append([]string{"--config", b.config}, args...), &out, &errOut)
 	return code, out.String() + errOut.String()
 }
 
@@ -209,8 +210,13 @@
 	b := newBench(t, fmt.Sprintf("hosts = %q\n[fleet]\nkey = \"k\"\n", hosts.URL))
 	down := func(down bool) { b.store.change(func(s *fakeStore) { s.down = down }) }
 	down(true)
-	b.expect(exitUnavailable, "the side of tesoreria-1 was told", "--timeout", "300ms", "drain", "tesoreria-1")
+	// The operator gives up when the store has refused; the side was told before.
+	var giveUp context.CancelFunc
+	b.ctx, giveUp = context.WithCancel(t.Context())
+	b.store.change(func(s *fakeStore) { s.refused = giveUp })
+	b.expect(exitUnavailable, "the side of tesoreria-1 was told", "drain", "tesoreria-1")
 	assert.Equal(t, <-side.told, true)
+	b.ctx = t.Context()
 	down(false)
 	b.expect(exitDone, "the side of tesoreria-1 was told", "drain", "tesoreria-1")
 	assert.Equal(t, <-side.told, true)
--- a/acaciawinch/store_test.go
+++ b/acaciawinch/store_test.go
@@ -23,6 +23,8 @@
 	loseHead bool
 	dropHead bool
 	down     bool
+	// refused, if set, is called at each call while the store is down.
+	refused func()
 }
 
 // newFakeStore returns an empty store and its URL.
@@ -40,6 +42,9 @@
 	key := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
 	switch {
 	case s.down:
+		if s.refused != nil {
+			s.refused()
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet:
 		s.get(w, key)
