Play zones and regions that lose each other

Cause: the matrix said that zones and regions which lose each other are not played. All processes of a cell dialled each other directly, so that no part could be cut off.

The stand-in host list now shows each zone its own view, in which the hosts of other zones stand behind relays; the host list and the object API are behind relays as well. A claim names the address of its side, so the relay before the object API rewrites addresses between the views: without that an entry would follow another zone's way, and pass the cut. Ruled out: telling diallers apart by their source address (all are 127.0.0.1) or by the kernel's socket table.

Nine rows: zones cut, losing packets both ways and each way, a zone without any upstream of its own, a region cut off from everything both ways and each way, and a region cut from the object API. During a partition the caller asks with its key beyond it, each whole part must answer, a change must spread wherever there is a way, and behind it no outcome may stay unknown.

--- a/standin/cmd/standin/platform.go
+++ b/standin/cmd/standin/platform.go
@@ -27,18 +27,34 @@
 type hostsCommand struct {
 	Listen string        `long:"listen" required:"true" description:"IP:port"`
 	File   string        `long:"file" required:"true" description:"JSON file with the first list"`
+	Views  string        `long:"views" description:"JSON file with the views of zones that reach hosts another way"`
 	Lag    time.Duration `long:"lag" default:"0s" description:"how late changes are seen"`
 }
 
 // Execute implements flags.Commander.
 func (c *hostsCommand) Execute([]string) error {
-	data, err := os.ReadFile(c.File)
-	if err != nil {
+	var list fleet.List
+	if err := readJSON(c.File, &list); err != nil {
 		return err
 	}
-	var list fleet.List
-	if err := json.Unmarshal(data, &list); err != nil {
+	var views []hostlist.View
+	if c.Views != "" {
+		if err := readJSON(c.Views, &views); err != nil {
+			return err
+		}
+	}
+	server := hostlist.NewServer(list, c.Lag)
+	for _, view := range views {
+		server.Show(view)
+	}
+	return serve(c.Listen, server, func() {})
+}
+
+// readJSON reads a JSON file into value.
+func readJSON(path string, value any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
 		return err
 	}
-	return serve(c.Listen, hostlist.NewServer(list, c.Lag), func() {})
+	return json.Unmarshal(data, value)
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"acaciawinch/core/config"
 )
@@ -40,6 +41,8 @@
 	Name   string
 	Region string
 	Zones  []string
+	// Regions are the regions of the zones, if they are not all in Region.
+	Regions []string
 	// Entries is how many entry processes run.
 	Entries int
 	Groups  []Group
@@ -58,6 +61,14 @@
 	Zone string
 }
 
+// RegionOf returns the region of a zone.
+func (d Deployment) RegionOf(zone string) string {
+	if i := slices.Index(d.Zones, zone); i >= 0 && i < len(d.Regions) {
+		return d.Regions[i]
+	}
+	return d.Region
+}
+
 // Upstreams returns the workers of all groups. Each group is spread over the
 // zones in turn.
 func (d Deployment) Upstreams() []Upstream {
--- a/standin/faults/cells_test.go
+++ b/standin/faults/cells_test.go
@@ -16,6 +16,7 @@
 		{"entry stopped as planned", "mid-stream"},
 		{"dispatch late", "pay before"},
 		{"another request's answers", "pay answer"},
+		{"zones lose all packets between them", "pay before"},
 		{"leaving by the engine's notice", "drain"},
 		{"operators racing", "config accept"},
 		{"lease lapsed while its holder is paused", "placement plan"},
--- a/standin/faults/change.go
+++ b/standin/faults/change.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"acaciawinch/core"
 	"acaciawinch/standin/faults/storetap"
 	"acaciawinch/standin/harness"
 )
@@ -38,11 +39,14 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	said   string
+	// revision is that of an accepted change.
+	revision core.Revision
 }
 
 // said is the part of the command's output that tells how it ended.
 type said struct {
-	Outcome string `json:"outcome"`
+	Outcome  string        `json:"outcome"`
+	Revision core.Revision `json:"revision"`
 }
 
 // operate runs the operators' command in the background.
@@ -57,7 +61,7 @@
 		if json.Unmarshal([]byte(output), &got) != nil || got.Outcome == "" {
 			got.Outcome = fmt.Sprint("no word: ", err)
 		}
-		o.said = got.Outcome
+		o.said, o.revision = got.Outcome, got.Revision
 	}()
 	return o
 }
@@ -123,6 +127,9 @@
 			return err
 		}
 	}
+	if err := s.spreads(ctx, f, t, want, accepted); err != nil {
+		return err
+	}
 	if err := s.heal(ctx, f); err != nil {
 		return err
 	}
--- a/standin/faults/course.go
+++ b/standin/faults/course.go
@@ -26,11 +26,11 @@
 
 // takesPart says what takes part in a step, so that a fault of it matters.
 var takesPart = map[Kind]Touch{
-	kindAccept: touchEntry | touchStore,
-	kindSpread: touchEntry | touchSide | touchStore,
-	kindPlan:   touchEntry | touchStore,
-	kindOrder:  touchEntry | touchSide | touchUpstream | touchStore,
-	kindDrain:  touchEntry | touchSide | touchUpstream | touchLink | touchStore,
+	kindAccept: touchEntry | touchStore | touchZone,
+	kindSpread: touchEntry | touchSide | touchStore | touchZone,
+	kindPlan:   touchEntry | touchStore | touchZone,
+	kindOrder:  touchEntry | touchSide | touchUpstream | touchStore | touchZone,
+	kindDrain:  touchEntry | touchSide | touchUpstream | touchLink | touchStore | touchZone,
 }
 
 // notInCourse returns why a fault can't apply at the step of a course.
@@ -38,6 +38,8 @@
 	switch {
 	case f.Touch == 0 || f.prepare != nil || f.InRequest:
 		return "the fault is one of a request's own messages, or a change itself"
+	case f.Partition.across && step.Kind == kindDrain:
+		return "no other upstream is there to go on"
 	case f.Touch&^takesPart[step.Kind] != 0:
 		return "what the fault takes has no part in this step"
 	}
@@ -60,7 +62,7 @@
 	}
 	c.run = func(ctx context.Context, s *Site, report *Report) error {
 		scene := &Scene{Site: s, Step: step, armed: &armed{resume: nothing, release: func() {}}}
-		scene.Entry = s.Fleet.Entries[0]
+		scene.Entry = s.Fleet.Entries[f.entry()]
 		scene.Upstream = s.Fleet.Service(services[stagePay])[0]
 		return plays[step.Kind](ctx, scene, f, report)
 	}
@@ -103,9 +105,10 @@
 
 // others returns the numbers of the entries that the fault leaves alone.
 func (s *Scene) others(f Fault) []int {
+	taken := f.Touch&touchEntry != 0 || f.Partition.starves(s.Step)
 	var left []int
 	for i := range s.Site.Fleet.Entries {
-		if f.Touch&touchEntry == 0 || i != s.entryIndex() {
+		if !taken || i != s.entryIndex() {
 			left = append(left, i)
 		}
 	}
@@ -159,7 +162,7 @@
 	j.exchanges(s.Site.exchanges)
 	j.orders()
 	// The traffic meets the fault at any of its steps.
-	j.unknowns(s.Site.exchanges, f.Touch&(touchSide|touchUpstream|touchLink) != 0)
+	j.unknowns(s.Site.exchanges, f.Touch&(touchSide|touchUpstream|touchLink|touchZone) != 0)
 	if f.Planned {
 		j.uncut(t)
 	}
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -21,6 +21,8 @@
 	touchUpstream
 	touchLink
 	touchStore
+	// touchZone: the entry's availability zone is partitioned from others.
+	touchZone
 )
 
 // Scene is a request that stands at its step.
@@ -34,6 +36,8 @@
 	armed *armed
 	// operation is the operators' command of a change.
 	operation *operation
+	// harmed lists requests that a part which the fault leaves alone did not answer.
+	harmed []Exchange
 }
 
 // Fault is something that happens at a step.
@@ -48,6 +52,8 @@
 	// HoldOn keeps the step's message on its way until the caller has its final
 	// answer, or asked again elsewhere.
 	HoldOn bool
+	// Partition cuts the zone of the request's entry off; zero for other faults.
+	Partition partition
 	// Harmless marks faults in spite of which the first request must be answered.
 	Harmless bool
 	// Linger is how long the step is held after the fault, unless the process that
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -60,7 +60,8 @@
 	faults := processFaults()
 	faults = append(faults, linkFaults()...)
 	faults = append(faults, answerFaults()...)
-	return append(faults, platformFaults()...)
+	faults = append(faults, platformFaults()...)
+	return append(faults, partitionFaults()...)
 }
 
 // processFaults are kills, freezes and planned stops.
--- a/standin/faults/request.go
+++ b/standin/faults/request.go
@@ -39,7 +39,7 @@
 			return err
 		}
 	}
-	first, err := reach(ctx, s, &request)
+	first, err := reach(ctx, s, f, &request)
 	if err != nil {
 		return err
 	}
@@ -52,10 +52,16 @@
 		s.armed.release()
 	}
 	exchange := Exchange{Request: request}
-	if f.EntryGone {
+	switch {
+	case f.EntryGone:
 		exchange.Excused = f.Name
 		site.askWhileGone(ctx, f, request)
-	} else {
+	case f.Touch&touchZone != 0:
+		s.askWhileApart(ctx, f, request)
+		if !f.HoldOn {
+			<-first.done
+		}
+	default:
 		<-first.done
 	}
 	s.armed.release()
@@ -70,13 +76,13 @@
 }
 
 // reach sends the request and waits until it stands at the step.
-func reach(ctx context.Context, s *Scene, request *caller.Request) (*pending, error) {
+func reach(ctx context.Context, s *Scene, f Fault, request *caller.Request) (*pending, error) {
 	var err error
 	if s.armed, err = s.Step.arm(ctx, s.Site, request); err != nil {
 		return nil, err
 	}
-	s.Entry = s.Site.Fleet.Entries[0]
-	first := s.Site.send(ctx, 0, *request, 0)
+	s.Entry = s.Site.Fleet.Entries[f.entry()]
+	first := s.Site.send(ctx, f.entry(), *request, 0)
 	name, err := s.armed.reached(ctx, first)
 	if err != nil {
 		return nil, err
@@ -198,12 +204,15 @@
 	if f.Harmless && first.Result.Verdict != caller.Whole {
 		j.find(Harmless, "%s", describe(first))
 	}
+	for _, e := range s.harmed {
+		j.find(Harmless, "in a part that the fault leaves alone: %s", describe(e))
+	}
 	switch {
 	case errors.Is(problem, errNotGraceful):
 		j.find(NotCut, "%v", problem)
 	case problem != nil:
 		j.find(Recovers, "%v", problem)
-	case last.Outcome == core.OutcomeUnknown && !mayBeUnknown(f, s.Step):
+	case last.Outcome == core.OutcomeUnknown && !mayStayUnknown(f, s.Step):
 		j.find(TrueUnknown, "the key stays unknown behind the fault: %s", last.Detail)
 	case last.Verdict != caller.Whole && last.Outcome != core.OutcomeUnknown:
 		j.find(Recovers, "the key gets no answer: %s %s", outcomeOf(last), last.Detail)
@@ -216,5 +225,11 @@
 // mayBeUnknown tells whether a fault at a step can hide for good whether the
 // claimed stage ran: it takes what could tell before the entry has the answer.
 func mayBeUnknown(f Fault, step Step) bool {
-	return f.Touch&(touchSide|touchUpstream|touchLink) != 0 && step.Stage == stagePay && step.Kind != kindAcknowledge
+	return f.Touch&(touchSide|touchUpstream|touchLink|touchZone) != 0 && step.Stage == stagePay && step.Kind != kindAcknowledge
+}
+
+// mayStayUnknown tells the same for when the fault is over. A partition takes
+// nothing away, so that behind it all can be found out.
+func mayStayUnknown(f Fault, step Step) bool {
+	return mayBeUnknown(f, step) && f.Touch&touchZone == 0
 }
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -12,10 +12,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"acaciawinch/core/config"
 	"acaciawinch/standin/caller"
 	"acaciawinch/standin/catalog"
-	"acaciawinch/standin/deployment"
 	"acaciawinch/standin/faults/hold"
 	"acaciawinch/standin/faults/storetap"
 	"acaciawinch/standin/faults/tap"
@@ -56,36 +54,17 @@
 	stageConfirm: "asistente-llm",
 }
 
-// matrixDeployment has two of everything that a request needs.
-func matrixDeployment() deployment.Deployment {
-	return deployment.Deployment{
-		Name:    "faults",
-		Region:  "sierra-norte",
-		Zones:   []string{"sala-inaquito", "sala-carcelen"},
-		Entries: 2,
-		Groups: []deployment.Group{
-			{Service: services[stageEncode], Kind: config.KindPool, Workers: 2, Capacity: 4, ServiceMS: 4},
-			{Service: services[stagePay], Kind: config.KindService, Workers: 2, Capacity: 4, ServiceMS: 4},
-			{
-				Service:    services[stageConfirm],
-				Kind:       config.KindEngine,
-				Workers:    2,
-				Capacity:   8,
-				TokenMS:    10,
-				FirstMS:    20,
-				BatchSlope: 0.1,
-				Models:     []string{"asistente@3.2"},
-			},
-		},
-	}
-}
-
 // siteOptions select what stands between the processes of a site.
 type siteOptions struct {
 	// Bin is the folder of the binaries.
 	Bin string
 	// UpstreamRelays puts relays between sides and their upstreams.
 	UpstreamRelays bool
+	// Zones puts relays between the zones, and Regions each in a region of its own.
+	Zones   bool
+	Regions bool
+	// OneZone puts all upstreams into the first zone.
+	OneZone bool
 	// HostLag is how late the host list is.
 	HostLag time.Duration
 	// IgnoreFencing makes the engines obey old orders.
@@ -106,7 +85,7 @@
 	Store *storetap.Board
 
 	taps      map[string]*tap.Tap
-	storeTaps []*storetap.Tap
+	storeTaps map[string]*storetap.Tap
 	files     []string
 	catalogs  []catalog.Catalog
 	// asks is how often a refused request is asked.
@@ -129,13 +108,14 @@
 // newSite starts a deployment with the first configuration in force.
 func newSite(ctx context.Context, o siteOptions) (*Site, error) {
 	s := &Site{
-		Sides:    hold.NewBoard[tap.Message](),
-		Store:    hold.NewBoard[storetap.Message](),
-		taps:     map[string]*tap.Tap{},
-		controls: map[string]upstream.Control{},
-		gone:     map[int]string{},
-		absence:  map[int]int{},
-		asks:     o.Asks,
+		Sides:     hold.NewBoard[tap.Message](),
+		Store:     hold.NewBoard[storetap.Message](),
+		taps:      map[string]*tap.Tap{},
+		storeTaps: map[string]*storetap.Tap{},
+		controls:  map[string]upstream.Control{},
+		gone:      map[int]string{},
+		absence:   map[int]int{},
+		asks:      o.Asks,
 	}
 	if s.asks == 0 {
 		s.asks = maxAsks
@@ -149,18 +129,14 @@
 	if err := s.writeConfigurations(dir); err != nil {
 		return nil, err
 	}
-	d := matrixDeployment()
-	for i := range d.Groups {
-		d.Groups[i].IgnoreFencing = o.IgnoreFencing
-	}
 	s.Fleet, err = harness.Start(ctx, harness.Options{
-		Deployment:    d,
+		Deployment:    deploymentOf(o),
 		Bin:           o.Bin,
 		Dir:           dir,
 		Configuration: s.files[:1],
 		HostLag:       o.HostLag,
 		ReportLag:     reportLag,
-		Relays:        harness.Relays{Upstreams: o.UpstreamRelays},
+		Relays:        harness.Relays{Upstreams: o.UpstreamRelays, Zones: o.Zones, Objects: o.Zones},
 		EntrySettings: o.EntrySettings,
 		SideSettings:  o.SideSettings,
 		Intercept:     s.intercept,
@@ -169,6 +145,7 @@
 		s.closeTaps()
 		return nil, err
 	}
+	s.rewriteAddresses()
 	return s, nil
 }
 
@@ -200,7 +177,7 @@
 		if err != nil {
 			return "", err
 		}
-		s.storeTaps = append(s.storeTaps, t)
+		s.storeTaps[name] = t
 		return address, nil
 	}
 	t, err := tap.New(name, address, target, s.Sides)
--- a/standin/faults/storetap/storetap.go
+++ b/standin/faults/storetap/storetap.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"acaciawinch/standin/faults/hold"
 )
@@ -43,6 +44,8 @@
 	board   *Board
 	client  *http.Client
 	server  *http.Server
+	// addresses, if set, are rewritten in the values that pass.
+	addresses atomic.Pointer[addresses]
 }
 
 // New returns a tap that listens on address before the object API at target,
@@ -76,6 +79,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	body = t.written(body)
 	message := Message{Point: Before, Process: t.process, Method: r.Method, Path: r.URL.Path, Body: body}
 	t.board.Pass(message)
 	response, err := t.send(r, body)
@@ -93,8 +97,9 @@
 	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
+	w.Header().Del("Content-Length")
 	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(answer) // the process may be gone
+	_, _ = w.Write(t.read(answer)) // the process may be gone
 }
 
 // send passes the call on to the object API.
--- a/standin/harness/files.go
+++ b/standin/harness/files.go
@@ -16,7 +16,7 @@
 			Name:   e.Name,
 			Role:   fleet.RoleEntry,
 			Zone:   e.Zone,
-			Region: f.Options.Deployment.Region,
+			Region: f.Options.Deployment.RegionOf(e.Zone),
 			Addr:   f.Entries[i].listen.fleet,
 		})
 	}
@@ -26,7 +26,7 @@
 			Role:    fleet.RoleUpstream,
 			Service: u.Group.Service,
 			Zone:    u.Zone,
-			Region:  f.Options.Deployment.Region,
+			Region:  f.Options.Deployment.RegionOf(u.Zone),
 			Addr:    u.listen.fleet,
 		})
 	}
@@ -39,7 +39,10 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(f.settingsPath("hosts.json"), data, 0o600)
+	if err := os.WriteFile(f.settingsPath("hosts.json"), data, 0o600); err != nil {
+		return err
+	}
+	return f.writeViews()
 }
 
 // writeCommand writes the settings of the operators' command.
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -47,26 +47,6 @@
 	Intercept Intercept
 }
 
-// Link names the connections that Intercept can stand in.
-type Link string
-
-// OperatorsCommand is the name of the operators' command on its links.
-const OperatorsCommand = "acaciawinch"
-
-// The links.
-const (
-	// LinkSide: from entries to the drpc listener of a side, named by its upstream.
-	LinkSide Link = "side"
-	// LinkObjects: from the named entry or side process, or from the operators'
-	// command, to the object API.
-	LinkObjects Link = "objects"
-)
-
-// Intercept is asked for what stands before target, the IP:port that it may
-// listen on being address. It returns the address to dial: target if nothing
-// stands there.
-type Intercept func(link Link, name, address, target string) (string, error)
-
 // Relays selects the connections that go through relays.
 type Relays struct {
 	// Fleet: from any process to an entry's or a side's drpc listener.
@@ -77,6 +57,9 @@
 	Objects bool
 	// Callers: from callers to an entry.
 	Callers bool
+	// Zones: from each zone to each host of another one, and to the host list.
+	// It needs Objects, which leads from each process to the object API.
+	Zones bool
 }
 
 // Entry is an entry process with its addresses.
@@ -130,6 +113,7 @@
 
 	ports      *ports
 	relays     []*Relay
+	zoneLinks  []zoneLink
 	objectsURL string
 	hostsURL   string
 	temporary  bool
--- a/standin/harness/prepare.go
+++ b/standin/harness/prepare.go
@@ -18,6 +18,7 @@
 		f.preparePlatform,
 		f.prepareEntries,
 		f.prepareUpstreams,
+		f.linkZones,
 		f.writeHosts,
 		f.writeCommand,
 	}
@@ -108,18 +109,6 @@
 	return relay, address, nil
 }
 
-// intercept returns the address to dial for target.
-func (f *Fleet) intercept(link Link, name, target string) (string, error) {
-	if f.Options.Intercept == nil {
-		return target, nil
-	}
-	address, err := f.ports.address()
-	if err != nil {
-		return "", err
-	}
-	return f.Options.Intercept(link, name, address, target)
-}
-
 // preparePlatform lays out the object API and the host list.
 func (f *Fleet) preparePlatform() error {
 	objects, err := f.ports.address()
@@ -139,7 +128,7 @@
 	f.Hosts = f.process("hosts", "standin", f.hostsURL+"/v1/hosts",
 		"hosts", "--listen", hosts, "--file", f.settingsPath("hosts.json"),
 		"--lag", f.Options.HostLag.String())
-	return nil
+	return f.prepareZones(hosts)
 }
 
 // prepareEntries lays out the entries.
@@ -178,7 +167,7 @@
 	return entry, writeSettings(path, entrySettings{
 		Process:  f.processTable(e.Name, e.Zone),
 		Listen:   listenTable{Callers: listen.callers, Fleet: listen.fleet, Admin: listen.admin},
-		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
+		Platform: platformTable{Objects: objects, Hosts: f.hostsFor(e.Zone)},
 		Fleet:    fleetTable{Key: FleetKey},
 	}, f.Options.EntrySettings)
 }
@@ -200,7 +189,7 @@
 	if level == "" {
 		level = "info"
 	}
-	return processTable{Name: name, Zone: zone, Region: f.Options.Deployment.Region, LogLevel: level}
+	return processTable{Name: name, Zone: zone, Region: f.Options.Deployment.RegionOf(zone), LogLevel: level}
 }
 
 // prepareUpstreams lays out the workers with their sides.
@@ -270,7 +259,7 @@
 	return writeSettings(path, sideSettings{
 		Process:  f.processTable(name, u.Zone),
 		Listen:   listenTable{Fleet: listen.fleet, Admin: listen.admin},
-		Platform: platformTable{Objects: objects, Hosts: f.hostsURL},
+		Platform: platformTable{Objects: objects, Hosts: f.hostsFor(u.Zone)},
 		Fleet:    fleetTable{Key: FleetKey},
 		Upstream: upstreamTable{
 			Name:    u.Name,
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -55,6 +55,11 @@
 
 // get answers GET /v1/hosts, without a body if the reader has the list already.
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(list fleet.List) fleet.List { return list })
+}
+
+// write answers with the list as a reader sees it.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, seen func(fleet.List) fleet.List) {
 	list := s.visible.Get()
 	tag := strconv.Quote(strconv.FormatUint(list.Version, 10))
 	w.Header().Set("ETag", tag)
@@ -62,7 +67,7 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	jsonhttp.Write(w, http.StatusOK, list)
+	jsonhttp.Write(w, http.StatusOK, seen(list))
 }
 
 // replace answers PUT /control/hosts.
