End a side's planned stop without a lost acknowledgement

Cause: a claimed result is acknowledged once, behind its record. If that message is lost, or its sender dies before it, a side that stops as planned waits for results.stop_ms (20 s) for nobody.

Now a stopping side reads, each second, the claims of the results that it holds; one that is recorded under the same nonce counts as acknowledged. Ruled out: acknowledging again at the entry, which does not help when the owner is dead, and trusting a stream that was read to its end, whose reader may die before it has recorded the result. Results that are left out of their record, open claims and claims of other attempts are waited for as before.

The cell is a new row of the matrix, at the step of the acknowledgement.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -19,6 +19,10 @@
 	// ctx ends when the attempt is to be cancelled at the upstream.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// claim is nil for an idempotent attempt.
+	claim *wirepb.ClaimKey
+	// acknowledged is guarded by the keeper's mutex.
+	acknowledged bool
 
 	mu      sync.Mutex
 	call    upstream.Call
@@ -33,12 +37,13 @@
 }
 
 // newAttempt returns an attempt that has not started.
-func newAttempt(key core.AttemptKey, call upstream.Call) *attempt {
+func newAttempt(key core.AttemptKey, call upstream.Call, claim *wirepb.ClaimKey) *attempt {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	return &attempt{
 		key:     key,
 		ctx:     ctx,
 		cancel:  cancel,
+		claim:   claim,
 		call:    call,
 		changed: make(chan struct{}),
 		digest:  xxhash.New(),
@@ -104,6 +109,13 @@
 	return a.chunks, a.digest.Sum64()
 }
 
+// isDone tells whether the attempt ended with a whole output.
+func (a *attempt) isDone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.end.GetDone() != nil
+}
+
 // finish sets the closing event. A second call has no effect: readers may have
 // seen the first.
 func (a *attempt) finish(end *wirepb.RunEvent) {
--- a/side/process.go
+++ b/side/process.go
@@ -51,6 +51,8 @@
 	linger time.Duration
 	// orders is nil unless the upstream is an engine.
 	orders *orders
+	// objects is the client of the object API.
+	objects *objects.Client
 }
 
 // newProcess wires the parts together. It starts nothing.
@@ -68,6 +70,7 @@
 		metrics:     observe.NewMetrics(metricsPrefix),
 		dialer:      link.NewDialer(settings.Fleet.Key),
 		rpc:         link.NewServer(settings.Fleet.Key),
+		objects:     objects.NewClient(settings.Platform.Objects),
 	}
 	p.feed = p.newFeed()
 	p.keeper = newKeeper(p.keeperOptions())
@@ -88,7 +91,7 @@
 		Zone:    p.settings.Process.Zone,
 		Region:  p.settings.Process.Region,
 		Role:    fleet.RoleUpstream,
-		Objects: objects.NewClient(p.settings.Platform.Objects),
+		Objects: p.objects,
 		Hosts:   hosts.NewClient(p.settings.Platform.Hosts),
 		Dialer:  p.dialer,
 		Logger:  p.logger,
@@ -193,9 +196,11 @@
 
 // awaitEmpty waits until all attempts have ended and all results are fetched, or
 // until the stop's longest time has passed. It tells whether nothing is left.
+// A result also counts as fetched when its claim holds it.
 func (p *process) awaitEmpty(parts context.Context) bool {
 	limit, cancel := context.WithTimeout(parts, time.Duration(p.settings.Results.StopMS)*time.Millisecond)
 	defer cancel()
+	go p.awaitRecords(limit)
 	ticker := time.NewTicker(stopCheck)
 	defer ticker.Stop()
 	for {
--- a/side/server.go
+++ b/side/server.go
@@ -79,7 +79,7 @@
 		d := k.gate.Submit(now, ask)
 		k.logDecision(request, ask, d)
 		if d.Verdict == gate.Admitted {
-			k.attempts[ask.Key] = newAttempt(ask.Key, callOf(ask.Key, request))
+			k.attempts[ask.Key] = newAttempt(ask.Key, callOf(ask.Key, request), request.GetClaim())
 		}
 		a, closing = k.join(now, ask.Key, d)
 	})
@@ -145,8 +145,7 @@
 
 // Acknowledge implements wirepb.DRPCSideServer.
 func (s *server) Acknowledge(_ context.Context, request *wirepb.AcknowledgeRequest) (*wirepb.AcknowledgeReply, error) {
-	k := s.keeper
-	k.do(func(now time.Duration) { k.gate.Acknowledge(now, keyOf(request.GetKey())) })
+	s.keeper.acknowledge(keyOf(request.GetKey()))
 	return &wirepb.AcknowledgeReply{}, nil
 }
 
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -11,10 +11,11 @@
 
 // Why a fault can't happen at a step.
 const (
-	noAnswer  = "no answer of a stage is on its way at this step"
-	noMessage = "no dispatch of a stage is on its way at this step"
-	noWork    = "no upstream works or is about to for the request at this step"
-	noSide    = "no side holds or gets anything of the request at this step"
+	noAnswer          = "no answer of a stage is on its way at this step"
+	noMessage         = "no dispatch of a stage is on its way at this step"
+	noWork            = "no upstream works or is about to for the request at this step"
+	noAcknowledgement = "no acknowledgement is on its way at this step"
+	noSide            = "no side holds or gets anything of the request at this step"
 )
 
 // onlyAnswers excludes the steps at which no answer is on its way.
@@ -41,6 +42,14 @@
 	return ""
 }
 
+// onlyAcknowledge excludes the steps at which no acknowledgement is on its way.
+func onlyAcknowledge(s Step) string {
+	if s.Kind == kindAcknowledge {
+		return ""
+	}
+	return noAcknowledgement
+}
+
 // notAdmission excludes the step before any side is chosen.
 func notAdmission(s Step) string {
 	if s.Kind == kindAdmission {
@@ -187,6 +196,8 @@
 			inject: both(down, killSide), heal: both(up, startSide)},
 		{Name: "connection to side cut + store down", Touch: touchLink | touchStore, Excludes: notAdmission,
 			inject: both(down, onTap((*tap.Tap).Cut)), heal: both(up, onTap((*tap.Tap).Heal))},
+		{Name: "acknowledgement lost + side stopped as planned", Touch: touchSide, InRequest: true, Excludes: onlyAcknowledge,
+			inject: both(onTap((*tap.Tap).Cut), stop(sideProcess)), heal: both(stoppedSide, onTap((*tap.Tap).Heal))},
 		{Name: "upstream killed + store answer lost", Touch: touchUpstream | touchStore, Excludes: notAcknowledged,
 			inject: both(lost, killWorker), heal: both(up, startWorker)},
 		{Name: "side killed and started, three times", Touch: touchSide, Over: true, Excludes: always,
