Play two side processes before one upstream

Cause: the matrix had no cell in which an old side and its replacement are before one upstream at the same time.

Two rows: the side is frozen, replaced at another address and woken; and the side is replaced before it is told to stop, so that both serve while the first one finishes. Behind the fault the new side must be given work, which a sabotage test turns red by letting nobody reach it.

--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -36,6 +36,8 @@
 	armed *armed
 	// operation is the operators' command of a change.
 	operation *operation
+	// replaced is the side that another one has replaced.
+	replaced *harness.Process
 	// harmed lists requests that a part which the fault leaves alone did not answer.
 	harmed []Exchange
 }
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -68,6 +68,7 @@
 func singleFaults() []Fault {
 	faults := processFaults()
 	faults = append(faults, linkFaults()...)
+	faults = append(faults, replacementFaults()...)
 	faults = append(faults, answerFaults()...)
 	faults = append(faults, platformFaults()...)
 	return append(faults, partitionFaults()...)
--- a/standin/faults/sabotage_partition_test.go
+++ b/standin/faults/sabotage_parts_test.go
@@ -42,3 +42,14 @@
 	}
 	violates(t, courseCell(f, stepAccept), NotReverted)
 }
+
+// TestIdleReplacementIsFoundNotRecovered lets nobody reach the side that replaced
+// another.
+func TestIdleReplacementIsFoundNotRecovered(t *testing.T) {
+	refuse := func(_ context.Context, s *Scene) error {
+		s.tap().Refuse()
+		return nil
+	}
+	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: usesReplacement}
+	violates(t, requestCell(f, stepOf("encode flight")), Recovers)
+}
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -84,8 +84,10 @@
 	Sides *tap.Board
 	Store *storetap.Board
 
+	// taps and storeTaps are those of the present processes; closers end all.
 	taps      map[string]*tap.Tap
 	storeTaps map[string]*storetap.Tap
+	closers   []func()
 	files     []string
 	catalogs  []catalog.Catalog
 	// asks is how often a refused request is asked.
@@ -178,6 +180,7 @@
 			return "", err
 		}
 		s.storeTaps[name] = t
+		s.closers = append(s.closers, t.Close)
 		return address, nil
 	}
 	t, err := tap.New(name, address, target, s.Sides)
@@ -185,6 +188,7 @@
 		return "", err
 	}
 	s.taps[name] = t
+	s.closers = append(s.closers, t.Refuse)
 	return address, nil
 }
 
@@ -201,11 +205,8 @@
 
 // closeTaps ends all taps.
 func (s *Site) closeTaps() {
-	for _, t := range s.taps {
-		t.Refuse()
-	}
-	for _, t := range s.storeTaps {
-		t.Close()
+	for _, end := range s.closers {
+		end()
 	}
 }
 
--- a/standin/faults/tap/forward.go
+++ b/standin/faults/tap/forward.go
@@ -99,6 +99,7 @@
 // Run implements wirepb.DRPCSideServer. A Run that was held is delivered even
 // if its sender is gone by then.
 func (t *Tap) Run(r *wirepb.RunRequest, stream wirepb.DRPCSide_RunStream) error {
+	t.runs.Add(1)
 	t.pass(Run, r.GetKey(), 0)
 	ctx := stream.Context()
 	if ctx.Err() != nil {
--- a/standin/faults/tap/tap.go
+++ b/standin/faults/tap/tap.go
@@ -66,6 +66,7 @@
 	board  *Board
 	mux    *drpcmux.Mux
 	silent [2]atomic.Bool
+	runs   atomic.Uint64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -147,6 +148,9 @@
 	}
 }
 
+// Runs returns how many Run messages have come.
+func (t *Tap) Runs() uint64 { return t.runs.Load() }
+
 // Tamper changes the events of all calls from now on; nil ends that.
 func (t *Tap) Tamper(tamper NewTamper) {
 	t.mu.Lock()
--- a/standin/harness/fleet.go
+++ b/standin/harness/fleet.go
@@ -114,6 +114,7 @@
 	ports      *ports
 	relays     []*Relay
 	zoneLinks  []zoneLink
+	replaced   []*Process
 	objectsURL string
 	hostsURL   string
 	temporary  bool
@@ -268,7 +269,7 @@
 
 // Kill ends all processes with SIGKILL and closes the relays. The folder stays.
 func (f *Fleet) Kill() {
-	for _, process := range append(f.own(), f.Objects, f.Hosts) {
+	for _, process := range append(append(f.own(), f.replaced...), f.Objects, f.Hosts) {
 		process.Kill()
 	}
 	for _, relay := range f.relays {
