Prove the fleet's key once for each connection instead of sending it with each call

Cause: the key went with each call, 50 bytes of a probe with a key of 32, and could be read by whoever reads the network. Probes are the largest part of a relay's bytes (docs/CAPACITY.md, "What breaks first").

A refused connection serves nothing, tells the client with step and peer, and is logged as event 9001. A handshake is bounded in time (2 s and the caller's context) and in number (2,048).

Ruled out: a first call with the key, a digest over a time, TLS; docs/design/wire.md weighs them.

TestCallWithAnotherKeyIsRefused asserted the message of the refused call, which exists no more. TestAnotherKeyIsRefusedAtBothEnds replaces it and is stricter: four pairs of keys, both ends' errors with step and peer, the code, and that nothing was served. Each test was seen to fail under a change of the code that breaks its promise (no check, constant nonce, one role for both, no time limit, no bound, no check of the server, a key inside the proof).

Not done: an old key beside the new one, as the settings hold one key only.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -8,6 +8,9 @@
 	"acaciawinch/core/fault"
 	"acaciawinch/entry/trace"
 	"acaciawinch/feed"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -34,3 +37,12 @@
 	}
 	return &wirepb.LookupReply{Found: true, Trace: encoded}, nil
 }
+
+// logRefused logs that a connection to this process was refused.
+func (p *process) logRefused(refusal link.Refusal) {
+	p.logger.Warn(event.ConnectionRefused, observe.Fields{
+		"peer":    refusal.Peer,
+		"error":   refusal.Err.Error(),
+		"refused": refusal.Total,
+	})
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -83,6 +83,7 @@
 		dialer: p.dialer,
 		looker: p.keeper,
 	}
+	p.rpc.OnRefused(p.logRefused)
 	if err := wirepb.DRPCRegisterEntry(p.rpc.Mux(), &fleetServer{feed: p.feed, traces: p.traces}); err != nil {
 		return nil, fault.Wrap(fault.Internal, "entry.register", "", err)
 	}
--- a/side/fleet.go
+++ b/side/fleet.go
@@ -7,6 +7,9 @@
 	"acaciawinch/core/gate"
 	"acaciawinch/core/placement"
 	"acaciawinch/feed"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/link"
 )
 
 // fleetState is what the side reads of the fleet's state; *feed.State implements it.
@@ -54,3 +57,12 @@
 	}
 	return false
 }
+
+// logRefused logs that a connection to this process was refused.
+func (p *process) logRefused(refusal link.Refusal) {
+	p.logger.Warn(event.ConnectionRefused, observe.Fields{
+		"peer":    refusal.Peer,
+		"error":   refusal.Err.Error(),
+		"refused": refusal.Total,
+	})
+}
--- a/side/process.go
+++ b/side/process.go
@@ -75,6 +75,7 @@
 	if settings.Upstream.Kind == config.KindEngine {
 		p.orders = newOrders(p.keeper)
 	}
+	p.rpc.OnRefused(p.logRefused)
 	if err := wirepb.DRPCRegisterSide(p.rpc.Mux(), p.newServer()); err != nil {
 		return nil, fault.Wrap(fault.Internal, "side.register", "", err)
 	}
--- a/wire/link/counter.go
+++ b/wire/link/counter.go
@@ -36,18 +36,3 @@
 	c.traffic.written.Add(uint64(n))
 	return n, err
 }
-
-// countedListener counts the bytes of the connections that it accepts.
-type countedListener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-// Accept implements net.Listener.
-func (l countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{Conn: conn, traffic: l.traffic}, nil
-}
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -7,14 +7,14 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcpool"
 
 	"acaciawinch/core/fault"
 )
 
-// keyField is the call metadata field that carries the fleet's shared key.
-const keyField = "fleet-key"
+// stepDial names the opening of a connection in errors. An error with this step
+// proves that no call was sent.
+const stepDial = "link.dial"
 
 // Limits of the pool of idle connections.
 const (
@@ -27,15 +27,17 @@
 // Dialer opens calls to other processes over a pool of connections. It may be
 // used by many goroutines.
 type Dialer struct {
-	key     string
-	pool    *drpcpool.Pool[string, drpcpool.Conn]
-	traffic Traffic
+	key      string
+	patience time.Duration
+	pool     *drpcpool.Pool[string, drpcpool.Conn]
+	traffic  Traffic
 }
 
-// NewDialer returns a Dialer whose calls carry key.
+// NewDialer returns a Dialer whose connections prove that they hold key.
 func NewDialer(key string) *Dialer {
 	return &Dialer{
-		key: key,
+		key:      key,
+		patience: handshakeTimeout,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    idleTotal,
@@ -48,37 +50,27 @@
 func (d *Dialer) Traffic() *Traffic { return &d.traffic }
 
 // Conn returns a connection to addr (IP:port) for use with a generated client.
-// Each call takes an idle connection or dials a new one; Conn itself does no I/O.
-// A call's context bounds the dialing as well.
+// Each call takes an idle connection or opens a new one; Conn itself does no I/O.
+// A call's context bounds the opening as well.
 func (d *Dialer) Conn(ctx context.Context, addr string) drpc.Conn {
-	return keyedConn{Conn: d.pool.Get(ctx, addr, d.dial), key: d.key}
+	return d.pool.Get(ctx, addr, d.dial)
 }
 
 // Close closes the idle connections.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
-// dial opens one connection. Errors have code Unavailable and step "link.dial".
+// dial opens one connection and makes the handshake. Errors have code Unavailable
+// and step "link.dial"; the cause of one of the handshake has its own step.
 func (d *Dialer) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	opened, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, fault.Wrap(fault.Unavailable, "link.dial", addr, err)
+		return nil, fault.Wrap(fault.Unavailable, stepDial, addr, err)
 	}
-	return drpcconn.New(countedConn{Conn: conn, traffic: &d.traffic}), nil
-}
-
-// keyedConn adds the fleet's key to each call.
-type keyedConn struct {
-	drpc.Conn
-	key string
-}
-
-// Invoke implements drpc.Conn.
-func (c keyedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	return c.Conn.Invoke(drpcmetadata.Add(ctx, keyField, c.key), rpc, enc, in, out)
-}
-
-// NewStream implements drpc.Conn.
-func (c keyedConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
-	return c.Conn.NewStream(drpcmetadata.Add(ctx, keyField, c.key), rpc, enc)
+	conn := countedConn{Conn: opened, traffic: &d.traffic}
+	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key, addr) }); err != nil {
+		_ = conn.Close()
+		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
+	}
+	return drpcconn.New(conn), nil
 }
