Send a unary call as one write at each end and wait for its end

Cause: docs/CAPACITY.md counts three segments of headers for a probe. The kernel counts seven: drpc writes the reply and the end of the stream apart, and its client ends the stream by a message of its own, because it has the reply before the end; each gets an acknowledgement. The name of the package goes with each call, too.

Now a lone reply is held back until the end of the stream follows, the client waits for that end, and the name is sent without "/acaciawinch.wire.". Which calls have a lone reply is read from the descriptors of wire.proto; events of streams leave at once as before.

Ruled out: numbers for names (9 bytes, and a table to keep), UDP and several probes in one call; docs/design/wire.md weighs them.

--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -72,5 +72,5 @@
 		_ = conn.Close()
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
-	return drpcconn.New(conn), nil
+	return callConn{drpcconn.New(conn)}, nil
 }
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -84,7 +84,7 @@
 		stop()
 		connections.Wait()
 	}()
-	calls := drpcserver.New(s.mux)
+	calls := drpcserver.New(handler{next: s.mux})
 	for {
 		conn, err := listener.Accept()
 		switch {
