Send large updates of the feed compressed

Cause: a fresh entry's first state at 18,000 workspaces is 4.38 MB from another entry, not compressed; so is the state of each of 85 entries of a region that was cut off for an hour, and a whole host list to each fresh process (docs/CAPACITY.md, "What breaks first").

An update from 2 KB on is sent as one field that holds it gzipped, if that is smaller. The messages that lead to the newest configuration are kept compressed, so that each is compressed once. What arrives may grow to 4 MiB, as much as drpc takes uncompressed; a cut, spoiled, too large, doubly packed or senseless one is refused as Invalid with step and peer, the entry that sent it is avoided, and nothing held is lost.

Ruled out: compression of every message (a change of one workspace is some 130 bytes), and of the connection (drpc has none, and it would cost state for each).

Each test was seen to fail: without the bound, without the check of a second packing, with hosts or configuration sent plain, with noise packed, and with the error left out.

--- /dev/null
+++ b/feed/pack_test.go
@@ -0,0 +1,143 @@
+package feed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"acaciawinch/core/config"
+	"acaciawinch/core/fault"
+	"acaciawinch/core/fleet"
+	"acaciawinch/wire/wirepb"
+)
+
+func TestAnUpdateArrivesAsItWasPacked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := &wirepb.HostsUpdate{Version: rapid.Uint64().Draw(t, "version")}
+		data := rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "data")
+		for range rapid.IntRange(0, 40).Draw(t, "hosts") {
+			hosts.Hosts = append(hosts.Hosts, data)
+		}
+		update := &wirepb.FleetUpdate{Hosts: hosts}
+		packed, err := pack(update)
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Size(packed) <= proto.Size(update))
+		assert.Assert(t, proto.Size(update) >= packFrom || packed == update)
+		unpacked, err := unpack(packed, "e0")
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(unpacked, update))
+	})
+}
+
+func TestWhatDoesNotGetSmallerIsSentAsItIs(t *testing.T) {
+	noise := make([]byte, 2*packFrom)
+	random := rand.NewChaCha8([32]byte{1})
+	_, _ = random.Read(noise)
+	update := &wirepb.FleetUpdate{Hosts: &wirepb.HostsUpdate{Hosts: [][]byte{noise}}}
+	packed, err := pack(update)
+	assert.NilError(t, err)
+	assert.Equal(t, packed, update)
+}
+
+// marshal returns an encoded update.
+func marshal(t *testing.T, update *wirepb.FleetUpdate) []byte {
+	t.Helper()
+	data, err := proto.Marshal(update)
+	assert.NilError(t, err)
+	return data
+}
+
+// wrongSum returns the data compressed, with another check sum.
+func wrongSum(data []byte) []byte {
+	packed := compress(data)
+	packed[len(packed)-5] ^= 1
+	return packed
+}
+
+// bomb returns a small value that grows to a byte more than the bound.
+func bomb() []byte {
+	var out bytes.Buffer
+	w, _ := gzip.NewWriterLevel(&out, gzip.BestCompression)
+	_, _ = w.Write(make([]byte, maxUnpackedBytes+1))
+	_ = w.Close()
+	return out.Bytes()
+}
+
+func TestABadPackedUpdateIsRefusedAndLosesNothing(t *testing.T) {
+	newer := config.Empty().Change(workspaces(50, 2), 2, "")
+	parts, err := encodeDelta(config.Between(nil, newer))
+	assert.NilError(t, err)
+	good := marshal(t, &wirepb.FleetUpdate{Config: parts[0]})
+	packed := compress(good)
+	for name, c := range map[string]struct {
+		packed []byte
+		want   string
+	}{
+		"no gzip":       {good, "invalid header"},
+		"cut":           {packed[:len(packed)-1], "unexpected EOF"},
+		"another sum":   {wrongSum(good), "invalid checksum"},
+		"beyond bounds": {bomb(), "grows beyond 4194304 bytes"},
+		"no update":     {compress([]byte("not a message")), "proto"},
+		"packed twice":  {compress(marshal(t, &wirepb.FleetUpdate{Packed: packed})), "packed twice"},
+	} {
+		feed := staleFeed("e1", config.Empty().Change(workspaces(1, 1), 1, ""))
+		r := &receiver{feed: feed, host: fleet.Host{Name: "e0"}}
+
+		err := r.take(&wirepb.FleetUpdate{Packed: c.packed})
+
+		assert.Equal(t, fault.CodeOf(err), fault.Invalid, name)
+		assert.ErrorContains(t, err, "feed.unpack with e0", name)
+		assert.ErrorContains(t, err, c.want, name)
+		assert.Equal(t, uint64(feed.State().Revision), uint64(1), name)
+	}
+	feed := staleFeed("e1", config.Empty().Change(workspaces(1, 1), 1, ""))
+	r := &receiver{feed: feed, host: fleet.Host{Name: "e0"}}
+	assert.NilError(t, r.take(&wirepb.FleetUpdate{Packed: packed}))
+	assert.Equal(t, uint64(feed.State().Revision), uint64(2))
+}
+
+func TestASubscriberLeavesAnEntryThatSendsRubbish(t *testing.T) {
+	f := newTestFleet(t)
+	f.change(workspaces(5, 1))
+	asked := make(chan struct{}, 100)
+	liar := &node{handler: func(_ *wirepb.SubscribeRequest, stream wirepb.DRPCEntry_SubscribeStream) error {
+		asked <- struct{}{}
+		return stream.Send(&wirepb.FleetUpdate{Packed: []byte("rubbish")})
+	}}
+	f.serve(liar, f.prepareHost("e0", "z0"))
+	f.awaitRevision(1, f.start("e1", "z1", fleet.RoleEntry))
+	side := f.start("s0", "z0", fleet.RoleUpstream)
+	<-asked
+	f.awaitRevision(1, side)
+	revision := f.change(config.Change{Drain: []string{"u"}})
+	f.awaitRevision(revision, side)
+}
+
+func TestAFullStateAndAWholeHostListAreSentCompressed(t *testing.T) {
+	var list fleet.List
+	for _, w := range largeWorkspaces().PutWorkspaces[:1440] {
+		list.Hosts = append(list.Hosts, fleet.Host{Name: w.Name, Zone: "z0", Addr: "127.0.0.1:9"})
+	}
+	list.Version = 2
+	feed := staleFeed("e0", config.Empty().Change(largeWorkspaces(), 1, ""))
+	feed.takeHosts(list, "test")
+	s := &session{feed: feed}
+
+	updates, err := s.lacking(feed.State())
+
+	assert.NilError(t, err)
+	sent, held := 0, 0
+	for _, update := range updates {
+		assert.Assert(t, len(update.GetPacked()) > 0)
+		unpacked, err := unpack(update, "e0")
+		assert.NilError(t, err)
+		sent, held = sent+proto.Size(update), held+proto.Size(unpacked)
+	}
+	assert.Assert(t, len(updates) > 2)
+	assert.Assert(t, sent < held/10, "%d of %d bytes", sent, held)
+}
--- a/feed/receive.go
+++ b/feed/receive.go
@@ -89,6 +89,10 @@
 
 // take handles one message.
 func (r *receiver) take(update *wirepb.FleetUpdate) error {
+	update, err := unpack(update, r.host.Name)
+	if err != nil {
+		return err
+	}
 	if part := update.GetConfig(); part != nil {
 		if err := r.takeConfig(part); err != nil {
 			return err
--- a/feed/serve.go
+++ b/feed/serve.go
@@ -99,9 +99,7 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, update := range configs {
-			updates = append(updates, &wirepb.FleetUpdate{Config: update})
-		}
+		updates = append(updates, configs...)
 		s.revision, s.sent = state.Revision, state.config
 	}
 	if state.hosts.Version > s.hosts {
@@ -109,7 +107,11 @@
 		if err != nil {
 			return nil, err
 		}
-		updates = append(updates, &wirepb.FleetUpdate{Hosts: hosts})
+		update, err := pack(&wirepb.FleetUpdate{Hosts: hosts})
+		if err != nil {
+			return nil, err
+		}
+		updates = append(updates, update)
 		s.hosts, s.sentHosts = state.hosts.Version, state.hosts
 	}
 	if state.placementVersion > s.placement {
--- a/feed/wire.go
+++ b/feed/wire.go
@@ -44,6 +44,21 @@
 	return updates, nil
 }
 
+// packDelta returns the messages of a delta as they are sent.
+func packDelta(d config.Delta) ([]*wirepb.FleetUpdate, error) {
+	parts, err := encodeDelta(d)
+	if err != nil {
+		return nil, err
+	}
+	updates := make([]*wirepb.FleetUpdate, len(parts))
+	for i, part := range parts {
+		if updates[i], err = pack(&wirepb.FleetUpdate{Config: part}); err != nil {
+			return nil, err
+		}
+	}
+	return updates, nil
+}
+
 // assembler puts the messages of one delta together.
 type assembler struct {
 	delta config.Delta
@@ -128,7 +143,7 @@
 type encodings struct {
 	mu    sync.Mutex
 	to    core.Revision
-	cache map[encodingKey][]*wirepb.ConfigUpdate
+	cache map[encodingKey][]*wirepb.FleetUpdate
 }
 
 // encodingKey tells where a delta begins and for whom it is. The revision 0 of
@@ -139,7 +154,7 @@
 }
 
 // between returns the messages that lead from one snapshot, or nil, to another.
-func (e *encodings) between(from, to *config.Snapshot, scope wirepb.FeedScope) ([]*wirepb.ConfigUpdate, error) {
+func (e *encodings) between(from, to *config.Snapshot, scope wirepb.FeedScope) ([]*wirepb.FleetUpdate, error) {
 	key := encodingKey{scope: scope}
 	if from != nil && from.Revision() == 0 {
 		from = nil
@@ -156,7 +171,7 @@
 			from = from.WithoutWorkspaces()
 		}
 	}
-	updates, err := encodeDelta(config.Between(from, to))
+	updates, err := packDelta(config.Between(from, to))
 	if err != nil {
 		return nil, err
 	}
@@ -165,7 +180,7 @@
 }
 
 // lookup returns kept messages, or nil.
-func (e *encodings) lookup(key encodingKey, to core.Revision) []*wirepb.ConfigUpdate {
+func (e *encodings) lookup(key encodingKey, to core.Revision) []*wirepb.FleetUpdate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.to != to {
@@ -175,14 +190,14 @@
 }
 
 // store keeps messages. Those that lead to an older configuration are dropped.
-func (e *encodings) store(key encodingKey, to core.Revision, updates []*wirepb.ConfigUpdate) {
+func (e *encodings) store(key encodingKey, to core.Revision, updates []*wirepb.FleetUpdate) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.to > to {
 		return
 	}
 	if e.to < to || e.cache == nil {
-		e.to, e.cache = to, map[encodingKey][]*wirepb.ConfigUpdate{}
+		e.to, e.cache = to, map[encodingKey][]*wirepb.FleetUpdate{}
 	}
 	e.cache[key] = updates
 }
