Decide by homes and permits what runs of a bounded workspace

A bound of a workspace was split evenly over the entries. With 340 entries a bound of 20 holds as 340, and of 400 one entry may use two. core/share holds the decisions of another way: each part of the bound has a home entry by rendezvous hash, which keeps a ledger of permits; a permit ends at its request's end or at its deadline. Nothing uses it yet.

--- /dev/null
+++ b/core/share/world_test.go
@@ -0,0 +1,261 @@
+package share_test
+
+import (
+	"fmt"
+	"time"
+
+	"acaciawinch/core"
+	"acaciawinch/core/fleet"
+	"acaciawinch/core/share"
+)
+
+// Size of a world.
+const (
+	entries  = 4
+	lifetime = 3 * time.Second
+	name     = "w"
+)
+
+// mutation is a fault put into the world to see the checks fail.
+type mutation int
+
+const (
+	none mutation = iota
+	oneTooMany
+	shortLife
+	doubleCount
+	noTombstone
+	lostRelease
+)
+
+// node is one entry: what it knows as an asker, and its ledger as a home.
+type node struct {
+	asker       *share.Asker
+	homes       *share.Homes
+	ledger      *share.Ledger
+	incarnation core.Incarnation
+	paused      bool
+}
+
+// call is one request in the world.
+type call struct {
+	permit   share.PermitID
+	at       int
+	search   *share.Search
+	held     share.Held
+	deadline time.Time
+	// asked are the nodes that were asked, by the incarnation; true once the release arrived.
+	asked map[string]bool
+	// until is when the permit ends at the home where it lasts longest.
+	until             time.Time
+	grantedBy         string
+	number            int
+	searching, runs   bool
+	alone, over, dead bool
+}
+
+// world plays entries, homes and messages.
+type world struct {
+	pick   func(label string, n int) int
+	broken mutation
+	bound  int
+	now    time.Time
+	nodes  []*node
+	calls  []*call
+	// messages are on their way; faulty is set once anything else than order and
+	// delay went wrong.
+	messages []func()
+	faulty   bool
+	refusals int
+	problem  string
+}
+
+func newWorld(pick func(string, int) int, broken mutation) *world {
+	w := &world{pick: pick, broken: broken, now: time.Unix(1000, 0)}
+	w.bound = []int{1, 2, 5}[pick("bound", 3)]
+	for i := range entries {
+		w.nodes = append(w.nodes, &node{asker: share.NewAsker(), homes: homesWithout(-1), ledger: share.NewLedger(), incarnation: core.Incarnation(i + 1)})
+	}
+	return w
+}
+
+// homesWithout returns the homes but one.
+func homesWithout(gone int) *share.Homes {
+	var hosts []fleet.Host
+	for i := range entries {
+		if i != gone {
+			hosts = append(hosts, fleet.Host{Name: fmt.Sprint(i), Role: fleet.RoleEntry})
+		}
+	}
+	return share.NewHomes(hosts)
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.problem == "" {
+		w.problem = fmt.Sprintf(format, args...)
+	}
+}
+
+// begin starts a request at a node.
+func (w *world) begin(at int) {
+	c := &call{permit: share.PermitID(len(w.calls) + 1), at: at, deadline: w.now.Add(lifetime), asked: map[string]bool{}, searching: true}
+	w.calls = append(w.calls, c)
+	n := w.nodes[at]
+	search, step := n.asker.Begin(w.now, n.homes, name, w.bound, 0)
+	c.search = search
+	w.step(c, step)
+}
+
+// step carries out a step of a search.
+func (w *world) step(c *call, step share.Step) {
+	c.number++
+	c.held = share.Held{Workspace: name, Part: step.Part, Bound: step.Bound, Permit: c.permit, End: c.deadline.Add(share.Grace)}
+	switch step.Kind {
+	case share.StepAsk:
+		w.ask(c, step.Home, share.Ask{Workspace: name, Part: step.Part, Bound: step.Bound, Permit: c.permit, Life: c.held.End.Sub(w.now)})
+		return
+	case share.StepGranted:
+		c.runs = true
+	case share.StepAlone:
+		c.runs, c.alone = true, true
+		if !w.faulty {
+			w.fail("admitted alone without any fault")
+		}
+	default:
+		w.refusals++
+		c.over = true
+	}
+	c.searching = false
+}
+
+// ask sends an ask to a home.
+func (w *world) ask(c *call, home share.Home, a share.Ask) {
+	number := c.number
+	w.messages = append(w.messages, func() {
+		var i int
+		_, _ = fmt.Sscan(home.Name, &i)
+		n := w.nodes[i]
+		key := fmt.Sprint(i, "/", n.incarnation)
+		answer := w.acquire(n, key, c, a)
+		incarnation := n.incarnation
+		w.messages = append(w.messages, func() { w.answered(c, number, home.Name, key, incarnation, a.Running, answer) })
+	})
+}
+
+// acquire is what the home does, and the check of its refusals.
+func (w *world) acquire(n *node, key string, c *call, a share.Ask) share.Answer {
+	switch w.broken {
+	case oneTooMany:
+		a.Bound++
+	case shortLife:
+		a.Life /= 4
+	case doubleCount:
+		a.Permit += share.PermitID(1000 * len(w.messages))
+	}
+	released := c.asked[key]
+	c.asked[key] = released
+	answer := n.ledger.Acquire(w.now, a)
+	if answer.Granted {
+		c.until = w.now.Add(a.Life)
+	}
+	if answer.Granted || released {
+		return answer
+	}
+	// Each permit that fills the bound belongs to a request that asked here, has
+	// not given it back, and was asked for less than its life ago: an ask that was
+	// held up holds for its life from its arrival on.
+	held := 0
+	for _, other := range w.calls {
+		if back, asked := other.asked[key]; asked && !back && other != c && w.now.Before(other.until) {
+			held++
+		}
+	}
+	if held < w.bound {
+		w.fail("refused by %s though only %d of %d are out", key, held, w.bound)
+	}
+	return answer
+}
+
+// answered hands an answer to its request, unless that waits for another one.
+func (w *world) answered(c *call, number int, home, key string, incarnation core.Incarnation, running bool, answer share.Answer) {
+	n := w.nodes[c.at]
+	if c.dead {
+		return
+	}
+	n.asker.Heard(home, incarnation)
+	switch {
+	case running && answer.Granted && !c.over:
+		c.held.Home, c.held.Incarnation = home, incarnation
+	case running || !c.searching || number != c.number:
+	default:
+		w.step(c, c.search.Answered(w.now, answer.Granted))
+		if c.runs {
+			c.held.Home, c.held.Incarnation = home, incarnation
+			c.grantedBy = key
+		}
+	}
+}
+
+// end ends a request and releases its permit wherever it was asked for.
+func (w *world) end(c *call) {
+	c.over = true
+	n := w.nodes[c.at]
+	if c.runs && !c.dead {
+		n.asker.Ended(name, c.alone)
+	}
+	c.searching, c.runs = false, false
+	if c.dead {
+		return
+	}
+	for i := range w.nodes {
+		w.messages = append(w.messages, func() { w.release(i, c) })
+	}
+}
+
+// release takes a permit back at a node.
+func (w *world) release(i int, c *call) {
+	n := w.nodes[i]
+	key := fmt.Sprint(i, "/", n.incarnation)
+	_, asked := c.asked[key]
+	c.asked[key] = true
+	if w.broken == lostRelease || w.broken == noTombstone && !asked {
+		return
+	}
+	n.ledger.Release(w.now, name, 0, c.permit)
+}
+
+// check checks the bounds at this moment.
+func (w *world) check() {
+	running, aloneAll := 0, 0
+	by, alone := map[string]int{}, map[int]int{}
+	for _, c := range w.calls {
+		if !c.runs {
+			continue
+		}
+		running++
+		if c.alone {
+			if !c.dead {
+				alone[c.at]++
+			}
+			aloneAll++
+		} else {
+			by[c.grantedBy]++
+		}
+	}
+	for key, count := range by {
+		if count > w.bound {
+			w.fail("%d of %d run by %s", count, w.bound, key)
+		}
+	}
+	for at, count := range alone {
+		if count > max((w.bound+entries-2)/(entries-1), 1) {
+			w.fail("%d run alone at %d", count, at)
+		}
+	}
+	if !w.faulty && running > w.bound {
+		w.fail("%d of %d run without any fault", running, w.bound)
+	}
+	if running > w.bound*len(by)+aloneAll {
+		w.fail("%d of %d run by %d homes and %d alone", running, w.bound, len(by), aloneAll)
+	}
+}
