--- a/core/share/asker.go
+++ b/core/share/asker.go
@@ -11,9 +11,6 @@
 	// AskTimeout is how long an answer is waited for. It is above the round trip
 	// between two regions.
 	AskTimeout = 100 * time.Millisecond
-	// fullFor is how long an entry refuses a workspace without asking again after
-	// it was found full, unless a request of it ends here before.
-	fullFor = 250 * time.Millisecond
 	// suspectFor and maxSuspect are how long a silent home is not asked: the first
 	// time, and at most.
 	suspectFor = time.Second
@@ -26,7 +23,8 @@
 // Asker is what an entry knows of the homes. It is for one goroutine at a time.
 type Asker struct {
 	suspects map[string]suspect
-	// full is when a workspace may be asked for again, by workspace.
+	// full is when a workspace may be asked for again, by workspace, unless a
+	// request of it ends here before.
 	full map[string]time.Time
 	// alone counts the requests that run by the entry's own word, by workspace.
 	alone map[string]int
@@ -92,7 +90,9 @@
 	silences int
 	// unheard counts the parts of which no home is asked or answers.
 	unheard int
-	asked   Step
+	// hold is the shortest that a home told.
+	hold  time.Duration
+	asked Step
 }
 
 // Begin starts the search of a request. Random chooses the first part.
@@ -106,13 +106,16 @@
 }
 
 // Answered takes the answer of the home that was asked last.
-func (s *Search) Answered(now time.Time, granted bool) Step {
+func (s *Search) Answered(now time.Time, answer Answer) Step {
 	delete(s.asker.suspects, s.asked.Home.Name)
-	if granted {
+	if answer.Granted {
 		step := s.asked
 		step.Kind = StepGranted
 		return step
 	}
+	if s.tried == 0 || answer.Hold < s.hold {
+		s.hold = answer.Hold
+	}
 	s.tried++
 	return s.next(now)
 }
@@ -147,7 +150,7 @@
 	if s.unheard > 0 || s.silences >= maxSilences {
 		return s.alone()
 	}
-	s.asker.full[s.workspace] = now.Add(fullFor)
+	s.asker.full[s.workspace] = now.Add(s.hold)
 	return Step{Kind: StepRefused}
 }
 
--- a/core/share/homes.go
+++ b/core/share/homes.go
@@ -13,8 +13,8 @@
 // for all requests of a busy workspace.
 const (
 	// partSize is the least bound of one part while there is more than one.
-	partSize = 32
-	maxParts = 8
+	partSize = 8
+	maxParts = 16
 )
 
 // Parts returns into how many parts a bound is divided.
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -9,6 +9,12 @@
 	Grace = time.Second
 	// tombstoneLife is how long a late ask for a released permit is recognised.
 	tombstoneLife = 10 * time.Second
+	// leastHold and mostHold bound how long a refused entry is told not to ask again
+	// for the workspace; refusalRate is how many refusals a second a home of one
+	// part aims at.
+	leastHold   = 250 * time.Millisecond
+	mostHold    = 5 * time.Second
+	refusalRate = 20
 	// sweepEvery is the time between two looks for what has expired.
 	sweepEvery = 10 * time.Second
 )
@@ -34,14 +40,15 @@
 // Answer is the answer to an Ask.
 type Answer struct {
 	Granted bool
-	// InFlight is how many permits of the part are out, this one included.
-	InFlight int
+	// Hold is how long not to ask again, if no permit was granted: the longer, the
+	// more refusals the home has to give.
+	Hold time.Duration
 }
 
 // Ledger is what a home knows of the requests in flight. It is for one goroutine
 // at a time.
 type Ledger struct {
-	books    map[bookKey]book
+	books    map[bookKey]*book
 	released map[PermitID]time.Time
 	swept    time.Time
 }
@@ -52,12 +59,18 @@
 	part      int
 }
 
-// book holds the permits of one part that are out, with their ends.
-type book map[PermitID]time.Time
+// book is what is known of one part.
+type book struct {
+	// permits are those that are out, with their ends.
+	permits map[PermitID]time.Time
+	// refusals counts since second began, and before in the second before.
+	second           time.Time
+	refusals, before int
+}
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{books: make(map[bookKey]book), released: make(map[PermitID]time.Time)}
+	return &Ledger{books: make(map[bookKey]*book), released: make(map[PermitID]time.Time)}
 }
 
 // Acquire grants a permit if the part's bound allows it. A repeated ask gets the
@@ -67,30 +80,51 @@
 	if _, released := l.released[a.Permit]; released {
 		return Answer{}
 	}
-	key := bookKey{a.Workspace, a.Part}
-	b := l.books[key]
-	_, known := b[a.Permit]
-	if !known && !a.Running && len(b) >= a.Bound {
+	b := l.book(bookKey{a.Workspace, a.Part})
+	_, known := b.permits[a.Permit]
+	if !known && !a.Running && b.full(now, a.Bound) {
+		return Answer{Hold: b.refused(now)}
+	}
+	b.permits[a.Permit] = now.Add(a.Life)
+	return Answer{Granted: true}
+}
+
+// book returns the book of a part.
+func (l *Ledger) book(key bookKey) *book {
+	b, ok := l.books[key]
+	if !ok {
+		b = &book{permits: make(map[PermitID]time.Time)}
+		l.books[key] = b
+	}
+	return b
+}
+
+// full tells whether no further permit is left within bound.
+func (b *book) full(now time.Time, bound int) bool {
+	if len(b.permits) >= bound {
 		b.expire(now)
-		if len(b) >= a.Bound {
-			return Answer{InFlight: len(b)}
-		}
 	}
-	if b == nil {
-		b = make(book)
+	return len(b.permits) >= bound
+}
+
+// refused counts a refusal and returns its Hold.
+func (b *book) refused(now time.Time) time.Duration {
+	if age := now.Sub(b.second); age >= time.Second {
+		b.before = 0
+		if age < 2*time.Second {
+			b.before = b.refusals
+		}
+		b.second, b.refusals = now, 0
 	}
-	l.books[key] = b
-	b[a.Permit] = now.Add(a.Life)
-	return Answer{Granted: true, InFlight: len(b)}
+	b.refusals++
+	hold := time.Duration(max(b.before, b.refusals)) * time.Second / refusalRate
+	return min(max(hold, leastHold), mostHold)
 }
 
 // Release gives a permit back. It may come before its ask, or again.
 func (l *Ledger) Release(now time.Time, workspace string, part int, permit PermitID) {
-	key := bookKey{workspace, part}
-	b := l.books[key]
-	delete(b, permit)
-	if len(b) == 0 {
-		delete(l.books, key)
+	if b, ok := l.books[bookKey{workspace, part}]; ok {
+		delete(b.permits, permit)
 	}
 	l.released[permit] = now.Add(tombstoneLife)
 	l.sweep(now)
@@ -101,16 +135,16 @@
 func (l *Ledger) Permits() int {
 	count := 0
 	for _, b := range l.books {
-		count += len(b)
+		count += len(b.permits)
 	}
 	return count
 }
 
 // expire drops the permits whose time is over.
-func (b book) expire(now time.Time) {
-	for permit, end := range b {
+func (b *book) expire(now time.Time) {
+	for permit, end := range b.permits {
 		if !now.Before(end) {
-			delete(b, permit)
+			delete(b.permits, permit)
 		}
 	}
 }
@@ -123,7 +157,7 @@
 	l.swept = now
 	for key, b := range l.books {
 		b.expire(now)
-		if len(b) == 0 {
+		if len(b.permits) == 0 {
 			delete(l.books, key)
 		}
 	}
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -34,7 +34,7 @@
 				answer := ledger.Acquire(now, share.Ask{
 					Workspace: "w", Part: step.Part, Bound: step.Bound, Permit: share.PermitID(i + 1), Life: time.Second,
 				})
-				step = search.Answered(now, answer.Granted)
+				step = search.Answered(now, answer)
 			}
 			assert.Equal(t, step.Kind == share.StepGranted, i < bound, "request %d of %d", i, bound)
 		}
--- a/core/share/world_test.go
+++ b/core/share/world_test.go
@@ -34,7 +34,6 @@
 	homes       *share.Homes
 	ledger      *share.Ledger
 	incarnation core.Incarnation
-	paused      bool
 }
 
 // call is one request in the world.
@@ -188,7 +187,7 @@
 		c.held.Home, c.held.Incarnation = home, incarnation
 	case running || !c.searching || number != c.number:
 	default:
-		w.step(c, c.search.Answered(w.now, answer.Granted))
+		w.step(c, c.search.Answered(w.now, answer))
 		if c.runs {
 			c.held.Home, c.held.Incarnation = home, incarnation
 			c.grantedBy = key
