Hold workspaces to their bounds by permits from homes

The bound of a workspace was split evenly over the entries. Now an entry asks the home of a part of the bound beside the choice of the first upstream. Once a second running requests are counted anew where the host list, a recovered or a restarted home asks for that.

entry/admit loses Share and TestSharesAddUp with it: TestPartsAddUp of core/share checks that the parts of a bound grant exactly the bound. The gate of an entry still refuses more than the whole bound. TestRandomOrders of core/request denies at any moment too, so its checks hold for more.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -194,6 +194,8 @@
 	GiveUpUnavailable GiveUpCause = "unavailable"
 	// GiveUpConflict: the idempotency key was used with another body.
 	GiveUpConflict GiveUpCause = "conflict"
+	// GiveUpLimit: the workspace's bound is reached.
+	GiveUpLimit GiveUpCause = "limit"
 	// GiveUpDeadline: the deadline passed.
 	GiveUpDeadline GiveUpCause = "deadline"
 	// GiveUpFailed: attempts failed and no retry was left.
--- a/core/request/event.go
+++ b/core/request/event.go
@@ -167,6 +167,14 @@
 // Released is the answer to Release.
 type Released struct{ Stage int }
 
+// Denied tells that the request may not run: its workspace's bound is reached.
+// Until that is known, nothing but the first stage may be chosen for, and that
+// only if it is idempotent.
+type Denied struct {
+	RetryAfter time.Duration
+	Detail     string
+}
+
 // CallerGone tells that nobody waits for the answer any more.
 type CallerGone struct{}
 
@@ -187,5 +195,6 @@
 func (Claimed) event()    {}
 func (Finished) event()   {}
 func (Released) event()   {}
+func (Denied) event()     {}
 func (CallerGone) event() {}
 func (Tick) event()       {}
--- a/core/request/giveup.go
+++ b/core/request/giveup.go
@@ -147,7 +147,7 @@
 // refusal tells whether the request was refused rather than failed.
 func (e *ending) refusal() bool {
 	switch e.cause {
-	case GiveUpOverload, GiveUpNoUpstream, GiveUpUnavailable, GiveUpConflict:
+	case GiveUpOverload, GiveUpNoUpstream, GiveUpUnavailable, GiveUpConflict, GiveUpLimit:
 		return true
 	}
 	return false
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -33,6 +33,9 @@
 	answered bool
 }
 
+// StepLimit is the step at which a request ends whose workspace's bound is reached.
+const StepLimit = "admission.workspace"
+
 // stage is the state of one stage.
 type stage struct {
 	index int
@@ -138,6 +141,8 @@
 		m.onFinished(e)
 	case Released:
 		m.onReleased(e)
+	case Denied:
+		m.giveUp(ending{cause: GiveUpLimit, step: StepLimit, detail: e.Detail, retryAfter: e.RetryAfter})
 	case CallerGone:
 		m.giveUp(ending{cause: GiveUpCallerGone, step: m.step(), detail: "the caller is gone"})
 	}
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -21,10 +21,14 @@
 		claimed := rapid.IntRange(-1, stages-1).Draw(t, "claimed")
 		w := newWorld(t, stages, claimed)
 		gone := w.dice.IntN(500)
+		denied := w.dice.IntN(200)
 		for i := 0; i < maxSteps && (!w.m.Over() || len(w.pool) > 0); i++ {
 			if i == gone {
 				w.handle(CallerGone{})
 			}
+			if i == denied {
+				w.handle(Denied{})
+			}
 			w.step()
 		}
 		w.check(claimed)
--- a/core/share/asker.go
+++ b/core/share/asker.go
@@ -123,12 +123,13 @@
 // Silent tells that the home that was asked last did not answer.
 func (s *Search) Silent(now time.Time) Step {
 	s.silences++
-	s.asker.silent(now, s.asked.Home.Name)
+	s.asker.Silent(now, s.asked.Home.Name)
 	return s.next(now)
 }
 
-// silent makes a home suspect, for longer with each silence in a row.
-func (a *Asker) silent(now time.Time, home string) {
+// Silent notes that a home did not answer. It is not asked for a while, longer
+// with each silence in a row.
+func (a *Asker) Silent(now time.Time, home string) {
 	known := a.suspects[home]
 	wait := min(suspectFor<<min(known.silence, 4), maxSuspect)
 	a.suspects[home] = suspect{until: now.Add(wait), silence: known.silence + 1}
--- a/core/share/sim/sim.go
+++ b/core/share/sim/sim.go
@@ -29,8 +29,8 @@
 	// flooding is the rank of the workspace that offers floodFactor times its bound.
 	flooding    = 0
 	floodFactor = 4
-	// CallBytes are those of an Acquire or a Release with its answer, measured by
-	// BenchmarkPermit of entry/limit.
+	// CallBytes are taken for an Acquire or a Release with its answer. BenchmarkPermit
+	// of entry/limit measures 121 with a fleet's key of one byte.
 	CallBytes    = 150
 	tripInRegion = 500 * time.Microsecond
 	tripBetween  = 25 * time.Millisecond
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -1,5 +1,5 @@
 // Package admit bounds what an entry holds at once: requests, streams and
-// connections, and each workspace's share of its own bound.
+// connections, and each workspace's requests.
 package admit
 
 import (
@@ -24,8 +24,9 @@
 type Ask struct {
 	Workspace string
 	Pipeline  string
-	// Share bounds the workspace's requests at this entry; zero means no bound.
-	Share int
+	// Bound bounds the workspace's requests; zero means no bound. This entry alone
+	// holds no more than the bound of the whole fleet.
+	Bound int
 	// Stream is set if the answer is streamed.
 	Stream bool
 }
@@ -116,7 +117,7 @@
 		return TooMany
 	case ask.Stream && g.streams >= g.limits.Streams:
 		return TooManyStream
-	case ask.Share > 0 && g.byWorkspace[ask.Workspace] >= ask.Share:
+	case ask.Bound > 0 && g.byWorkspace[ask.Workspace] >= ask.Bound:
 		return WorkspaceFull
 	}
 	return Admitted
--- a/entry/admit/admit_test.go
+++ b/entry/admit/admit_test.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"acaciawinch/core/fleet"
 )
 
 var now = time.Unix(1000, 0)
 
 // enter asks for a place of workspace.
-func enter(g *Gate, workspace string, share int, stream bool) (*Ticket, Refusal) {
-	ticket, refusal, _ := g.Enter(now, Ask{Workspace: workspace, Pipeline: "p", Share: share, Stream: stream})
+func enter(g *Gate, workspace string, bound int, stream bool) (*Ticket, Refusal) {
+	ticket, refusal, _ := g.Enter(now, Ask{Workspace: workspace, Pipeline: "p", Bound: bound, Stream: stream})
 	return ticket, refusal
 }
 
@@ -91,25 +89,6 @@
 	}
 }
 
-// TestSharesAddUp splits bounds over entries: the parts add up to the bound if
-// there is at least one for each entry.
-func TestSharesAddUp(t *testing.T) {
-	hosts := []fleet.Host{{Name: "u", Role: fleet.RoleUpstream}, {Name: "z", Role: fleet.RoleEntry, Leaving: true}}
-	for _, name := range []string{"c", "a", "b"} {
-		hosts = append(hosts, fleet.Host{Name: name, Role: fleet.RoleEntry})
-	}
-	for bound := 3; bound < 20; bound++ {
-		sum := 0
-		for _, name := range []string{"a", "b", "c"} {
-			sum += Share(bound, name, hosts)
-		}
-		assert.Equal(t, sum, bound)
-	}
-	assert.Equal(t, Share(1, "c", hosts), 1)
-	assert.Equal(t, Share(0, "c", hosts), 0)
-	assert.Equal(t, Share(9, "c", nil), 9)
-}
-
 func TestLimitListenerHoldsBack(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -15,7 +15,6 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
-	"acaciawinch/core/fleet"
 	"acaciawinch/core/request"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
@@ -33,8 +32,6 @@
 	return config.Workspace{Name: name, Pipelines: []string{"p"}, MaxInFlight: 1}, name == "w"
 }
 
-func (fakeState) Hosts() []fleet.Host { return nil }
-
 // fakeRunner emits chunks, then returns a result.
 type fakeRunner struct {
 	got    pipeline.Request
@@ -70,6 +67,18 @@
 func (silent) Refused(string, string, Problem)                    {}
 func (silent) Ended(pipeline.Request, pipeline.Result, trace.End) {}
 
+// freeLimiter grants every permit and counts those that are out.
+type freeLimiter struct{ out int }
+
+func (l *freeLimiter) Ask(pipeline.Request) Permit { l.out++; return freePermit{l} }
+
+// freePermit is granted.
+type freePermit struct{ limiter *freeLimiter }
+
+func (freePermit) Decided() <-chan struct{}         { return nil }
+func (freePermit) Refusal() *pipeline.PermitRefusal { return nil }
+func (p freePermit) Release()                       { p.limiter.out-- }
+
 // newServer returns a server whose requests are carried out by runner.
 func newServer(runner *fakeRunner) (*Server, *admit.Gate) {
 	gate := admit.NewGate(admit.Limits{InFlight: 2, Streams: 1})
@@ -81,6 +90,7 @@
 		Finder:      noFinder{traces},
 		Traces:      traces,
 		Gate:        gate,
+		Limiter:     &freeLimiter{},
 		BodyBytes:   64,
 		HeaderBytes: 512,
 		NewID:       func() uint64 { return 255 },
@@ -200,6 +210,7 @@
 	}{
 		{core.OutcomeNotRun, request.GiveUpOverload, 503, kindOverload},
 		{core.OutcomeNotRun, request.GiveUpUnavailable, 503, kindUnavailable},
+		{core.OutcomeNotRun, request.GiveUpLimit, 429, kindLimit},
 		{core.OutcomeNotRun, request.GiveUpConflict, 422, kindKeyReused},
 		{core.OutcomeFailed, request.GiveUpDeadline, 504, kindDeadline},
 		{core.OutcomeFailed, request.GiveUpFailed, 502, kindFailed},
--- a/entry/callers/server.go
+++ b/entry/callers/server.go
@@ -9,7 +9,6 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
-	"acaciawinch/core/fleet"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
 	"acaciawinch/entry/trace"
@@ -26,7 +25,18 @@
 type State interface {
 	Template(name string) (config.Template, bool)
 	Workspace(name string) (config.Workspace, bool)
-	Hosts() []fleet.Host
+}
+
+// Limiter hands out permits to the requests of workspaces with a bound.
+type Limiter interface {
+	// Ask asks for a permit and returns at once.
+	Ask(request pipeline.Request) Permit
+}
+
+// Permit is the permit of one request. Release must be called once, at its end.
+type Permit interface {
+	pipeline.Permit
+	Release()
 }
 
 // Runner carries out admitted requests.
@@ -52,6 +62,8 @@
 	Finder Finder
 	Traces *trace.Ring
 	Gate   *admit.Gate
+	// Limiter holds workspaces to their bounds over the whole fleet.
+	Limiter Limiter
 	// BodyBytes and HeaderBytes bound a request.
 	BodyBytes   int
 	HeaderBytes int
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -42,6 +42,11 @@
 	result := pipeline.Result{}
 	// Deferred, so that a panic of the handler does not keep the place.
 	defer func() { ticket.Leave(s.opts.Now(), endOf(admitted, result), result.RetryAfter) }()
+	if admitted.Workspace.MaxInFlight > 0 {
+		permit := s.opts.Limiter.Ask(admitted)
+		defer permit.Release()
+		admitted.Permit = permit
+	}
 	result = s.run(w, r, admitted, stream, started)
 }
 
@@ -60,12 +65,10 @@
 
 // enter takes a place at the gate.
 func (s *Server) enter(request pipeline.Request, stream bool) (*admit.Ticket, *Problem) {
-	state, _, _ := s.opts.State()
-	share := admit.Share(request.Workspace.MaxInFlight, s.opts.Name, state.Hosts())
 	ticket, refusal, retryAfter := s.opts.Gate.Enter(s.opts.Now(), admit.Ask{
 		Workspace: request.Workspace.Name,
 		Pipeline:  request.Template.Name,
-		Share:     share,
+		Bound:     request.Workspace.MaxInFlight,
 		Stream:    stream,
 	})
 	switch refusal {
@@ -136,6 +139,8 @@
 	switch result.Cause {
 	case request.GiveUpOverload:
 		status, kind = http.StatusServiceUnavailable, kindOverload
+	case request.GiveUpLimit:
+		status, kind = http.StatusTooManyRequests, kindLimit
 	case request.GiveUpUnavailable, request.GiveUpNoUpstream:
 		status, kind = http.StatusServiceUnavailable, kindUnavailable
 	case request.GiveUpConflict:
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -6,6 +6,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fault"
+	"acaciawinch/entry/limit"
 	"acaciawinch/entry/trace"
 	"acaciawinch/feed"
 	"acaciawinch/wire/wirepb"
@@ -13,6 +14,7 @@
 
 // fleetServer serves the drpc Entry service to the other processes.
 type fleetServer struct {
+	*limit.Limiter
 	feed   *feed.Feed
 	traces *trace.Ring
 }
--- /dev/null
+++ b/entry/limit/move.go
@@ -0,0 +1,69 @@
+package limit
+
+import (
+	"context"
+	"time"
+
+	"acaciawinch/core/share"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+)
+
+// move is one permit that another home should count.
+type move struct {
+	permit *Permit
+	home   share.Home
+	ask    share.Ask
+}
+
+// move lets the right homes count the running requests.
+func (l *Limiter) move(ctx context.Context) {
+	for _, m := range l.moves() {
+		l.carryOut(ctx, m)
+	}
+}
+
+// moves returns the permits that other homes should count.
+func (l *Limiter) moves() []move {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	homes := l.currentHomes()
+	var moves []move
+	for _, p := range l.held {
+		if home, ask, due := l.asker.Move(time.Now(), homes, p.held); due {
+			moves = append(moves, move{permit: p, home: home, ask: ask})
+		}
+	}
+	return moves
+}
+
+// carryOut lets a home count a running request, unless it does not answer.
+func (l *Limiter) carryOut(ctx context.Context, m move) {
+	ctx, cancel := context.WithTimeout(ctx, share.AskTimeout)
+	defer cancel()
+	_, incarnation, err := l.ask(ctx, m.home, m.ask)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := m.permit
+	p.count(share.Step{Home: m.home, Part: m.ask.Part})
+	if p.released {
+		p.giveBack()
+		return
+	}
+	if err != nil {
+		l.asker.Silent(time.Now(), m.home.Name)
+		l.metrics.silences.Inc(1)
+		return
+	}
+	l.asker.Heard(m.home.Name, incarnation)
+	before := p.held.Home
+	p.held.Home, p.held.Incarnation = m.home.Name, incarnation
+	l.metrics.moves.Inc(1)
+	l.opts.Log.Event(event.LimitHomeChanged, observe.Fields{
+		"request":   p.request,
+		"workspace": p.held.Workspace,
+		"part":      p.held.Part,
+		"home":      m.home.Name,
+		"before":    before,
+	})
+}
--- a/entry/pipeline/act.go
+++ b/entry/pipeline/act.go
@@ -81,6 +81,10 @@
 			f.notChosen(a, err)
 			return
 		}
+		if !f.permitted(a) {
+			f.giveBack(a, choice)
+			return
+		}
 		f.chosen(a, choice)
 	}()
 }
@@ -94,14 +98,19 @@
 		known.target = targetOf(choice)
 	}
 	if !f.post(post{event: event, apply: apply}) {
-		f.runner.opts.Router.ObserveResult(route.Result{
-			Upstream: choice.Upstream,
-			Stage:    f.stages[a.Stage].Name,
-			Kind:     route.ResultCancelled,
-		})
+		f.giveBack(a, choice)
 	}
 }
 
+// giveBack tells the router that a choice is not used.
+func (f *flow) giveBack(a request.Choose, choice route.Choice) {
+	f.runner.opts.Router.ObserveResult(route.Result{
+		Upstream: choice.Upstream,
+		Stage:    f.stages[a.Stage].Name,
+		Kind:     route.ResultCancelled,
+	})
+}
+
 // notChosen posts that no upstream was chosen.
 func (f *flow) notChosen(a request.Choose, err error) {
 	f.post(post{
--- a/entry/pipeline/runner.go
+++ b/entry/pipeline/runner.go
@@ -53,6 +53,7 @@
 func (r *Runner) Run(ctx context.Context, req Request, emit Emit) Result {
 	f := newFlow(r, req, emit)
 	r.flows.Add(1)
+	go f.awaitPermit()
 	f.do(f.machine.Start(time.Now()))
 	f.loop(ctx.Done(), f.machine.Answered)
 	go func() {
--- a/entry/pipeline/types.go
+++ b/entry/pipeline/types.go
@@ -29,6 +29,22 @@
 	// Deadline is the time allowed from admission.
 	Deadline time.Duration
 	Body     []byte
+	// Permit is asked for beside the first choices; nil if the workspace has no bound.
+	Permit Permit
+}
+
+// Permit tells whether a request may run within its workspace's bound.
+type Permit interface {
+	// Decided is closed once Refusal is known.
+	Decided() <-chan struct{}
+	// Refusal returns nil if the request may run.
+	Refusal() *PermitRefusal
+}
+
+// PermitRefusal says why a request may not run, and when to ask again.
+type PermitRefusal struct {
+	Detail     string
+	RetryAfter time.Duration
 }
 
 // Result is how a request ended.
--- a/entry/process.go
+++ b/entry/process.go
@@ -13,6 +13,7 @@
 	"acaciawinch/entry/callers"
 	"acaciawinch/entry/claims"
 	"acaciawinch/entry/clean"
+	"acaciawinch/entry/limit"
 	"acaciawinch/entry/pipeline"
 	"acaciawinch/entry/place"
 	"acaciawinch/entry/route"
@@ -47,6 +48,7 @@
 	proposer    *place.Proposer
 	runner      *pipeline.Runner
 	gate        *admit.Gate
+	limiter     *limit.Limiter
 	traces      *trace.Ring
 	finder      *finder
 }
@@ -75,6 +77,7 @@
 	p.addClaims(store)
 	p.addCleaner(store)
 	p.addPlacement(store)
+	p.addLimiter()
 	p.addRunner()
 	p.finder = &finder{
 		name:   settings.Process.Name,
@@ -83,7 +86,7 @@
 		dialer: p.dialer,
 		looker: p.keeper,
 	}
-	if err := wirepb.DRPCRegisterEntry(p.rpc.Mux(), &fleetServer{feed: p.feed, traces: p.traces}); err != nil {
+	if err := wirepb.DRPCRegisterEntry(p.rpc.Mux(), &fleetServer{Limiter: p.limiter, feed: p.feed, traces: p.traces}); err != nil {
 		return nil, fault.Wrap(fault.Internal, "entry.register", "", err)
 	}
 	return p, nil
@@ -164,6 +167,18 @@
 	})
 }
 
+// addLimiter adds the bounds of workspaces over the whole fleet.
+func (p *process) addLimiter() {
+	p.limiter = limit.New(limit.Options{
+		Self:        p.settings.Process.Name,
+		Incarnation: p.incarnation,
+		Hosts:       p.hostsAndVersion,
+		Dialer:      p.dialer,
+		Log:         p.logger,
+		Scope:       p.metrics.Scope(),
+	})
+}
+
 // addRunner adds the walk of requests through their stages.
 func (p *process) addRunner() {
 	p.runner = pipeline.NewRunner(pipeline.Options{
@@ -187,6 +202,16 @@
 	return state.Hosts()
 }
 
+// hostsAndVersion returns the host list with its version, nil before the first
+// state.
+func (p *process) hostsAndVersion() ([]fleet.Host, uint64) {
+	state := p.feed.State()
+	if state == nil {
+		return nil, 0
+	}
+	return state.Hosts(), state.HostsVersion()
+}
+
 // limitsOf returns limits with another ratio, in percent. Zero percent allows no
 // extra call at all.
 func limitsOf(limits budget.Limits, percent float64) budget.Limits {
--- a/entry/run.go
+++ b/entry/run.go
@@ -66,7 +66,7 @@
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.feed.Run, p.router.Run, p.proposer.Run, p.sweeper.Run, p.cleaner.Run, p.awaitState} {
+	for _, part := range []func(context.Context) error{p.feed.Run, p.router.Run, p.proposer.Run, p.sweeper.Run, p.cleaner.Run, p.limiter.Run, p.awaitState} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,8 @@
 
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/callers"
+	"acaciawinch/entry/limit"
+	"acaciawinch/entry/pipeline"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/observe/lifecycle"
@@ -32,6 +34,14 @@
 	open    listeners
 }
 
+// permits is a Limiter as callers need it.
+type permits struct{ limiter *limit.Limiter }
+
+// Ask implements callers.Limiter.
+func (p permits) Ask(r pipeline.Request) callers.Permit {
+	return p.limiter.Ask(r.ID, r.Workspace.Name, r.Workspace.MaxInFlight, r.Deadline)
+}
+
 // newServers builds the HTTP servers.
 func newServers(p *process, open listeners) *servers {
 	limits := p.settings.Limits
@@ -42,6 +52,7 @@
 		Finder:      p.finder,
 		Traces:      p.traces,
 		Gate:        p.gate,
+		Limiter:     permits{p.limiter},
 		BodyBytes:   limits.BodyBytes,
 		HeaderBytes: limits.HeaderBytes,
 		NewID:       rand.Uint64,
