--- a/core/share/held.go
+++ b/core/share/held.go
@@ -24,17 +24,15 @@
 func (a *Asker) Heard(home string, incarnation core.Incarnation) { a.incarnations[home] = incarnation }
 
 // Move returns the home that should count a permit and does not, and the ask for
-// it; false if there is none. Such is the case when the host list changed, the
-// first home answers again after its silence, or it was started anew.
+// it; false if there is none. Such is the case when the host list changed, a home
+// fell silent or answers again, or was started anew.
 func (a *Asker) Move(now time.Time, homes *Homes, held Held) (Home, Ask, bool) {
-	list := homes.Of(held.Workspace, held.Part)
-	if len(list) == 0 || !now.Before(held.End) {
+	home, found := a.present(now, homes.Of(held.Workspace, held.Part))
+	if !found || !now.Before(held.End) {
 		return Home{}, Ask{}, false
 	}
-	home := list[0]
 	known, heard := a.incarnations[home.Name]
-	counted := held.Home == home.Name && (!heard || held.Incarnation == known)
-	if counted || now.Before(a.suspects[home.Name].until) {
+	if held.Home == home.Name && (!heard || held.Incarnation == known) {
 		return Home{}, Ask{}, false
 	}
 	ask := Ask{
@@ -47,3 +45,13 @@
 	}
 	return home, ask, true
 }
+
+// present returns the first home that is not left alone for its silence.
+func (a *Asker) present(now time.Time, list []Home) (Home, bool) {
+	for _, home := range list {
+		if !now.Before(a.suspects[home.Name].until) {
+			return home, true
+		}
+	}
+	return Home{}, false
+}
