--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -46,6 +46,7 @@
 
 // node is one process: its feed and, for an entry, its server.
 type node struct {
+	wirepb.DRPCEntryUnimplementedServer
 	host   fleet.Host
 	feed   *Feed
 	server *link.Server
