Let the taps of the fault matrix make the handshake of connections

Cause: the taps before the sides spoke drpc without the handshake that now begins each connection, so no entry reached any side in a cell: TestCells was red in 10 of 10 cells.

go test ./standin/faults: green, 29.8 s.

--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -183,7 +183,7 @@
 		s.closers = append(s.closers, t.Close)
 		return address, nil
 	}
-	t, err := tap.New(name, address, target, s.Sides)
+	t, err := tap.New(name, address, target, harness.FleetKey, s.Sides)
 	if err != nil {
 		return "", err
 	}
--- a/standin/faults/tap/tap.go
+++ b/standin/faults/tap/tap.go
@@ -10,10 +10,8 @@
 	"sync"
 	"sync/atomic"
 
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
-
 	"acaciawinch/standin/faults/hold"
+	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -64,7 +62,8 @@
 	target string
 	addr   string
 	board  *Board
-	mux    *drpcmux.Mux
+	server *link.Server
+	dialer *link.Dialer
 	silent [2]atomic.Bool
 	runs   atomic.Uint64
 
@@ -77,17 +76,19 @@
 	cut      bool
 }
 
-// New returns a tap that listens on address before the side at target.
-func New(name, address, target string, board *Board) (*Tap, error) {
+// New returns a tap that listens on address before the side at target. Key is the
+// fleet's, which both ends of a connection prove to each other.
+func New(name, address, target, key string, board *Board) (*Tap, error) {
 	t := &Tap{
 		name:   name,
 		target: target,
 		addr:   address,
 		board:  board,
-		mux:    drpcmux.New(),
+		server: link.NewServer(key),
+		dialer: link.NewDialer(key),
 		conns:  map[net.Conn]struct{}{},
 	}
-	if err := wirepb.DRPCRegisterSide(t.mux, t); err != nil {
+	if err := wirepb.DRPCRegisterSide(t.server.Mux(), t); err != nil {
 		return nil, err
 	}
 	return t, t.Accept()
@@ -201,8 +202,7 @@
 func (t *Tap) serveOne(conn net.Conn) {
 	ctx, cancel := context.WithCancel(withNear(context.Background(), conn))
 	defer cancel()
-	// An error means that the connection has ended, which is all there is to it.
-	_ = drpcserver.New(t.mux).ServeOne(ctx, nearConn{Conn: conn, tap: t})
+	t.server.ServeConn(ctx, nearConn{Conn: conn, tap: t})
 	t.mu.Lock()
 	delete(t.conns, conn)
 	t.mu.Unlock()
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -67,6 +67,13 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, stepDial, addr, err)
 	}
+	return d.Over(ctx, opened, addr)
+}
+
+// Over makes the handshake on an open connection to addr and returns it for calls,
+// outside of the pool. If that fails it closes the connection; its errors are those
+// of a call that could not be sent.
+func (d *Dialer) Over(ctx context.Context, opened net.Conn, addr string) (drpcpool.Conn, error) {
 	conn := countedConn{Conn: opened, traffic: &d.traffic}
 	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key, addr) }); err != nil {
 		_ = conn.Close()
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -117,6 +117,12 @@
 	<-ctx.Done()
 }
 
+// ServeConn serves one connection, which the caller has accepted itself, until it
+// or ctx ends.
+func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
+	s.serveConn(ctx, drpcserver.New(handler{next: s.mux}), conn)
+}
+
 // serveConn serves the calls of one connection after its handshake. How the
 // connection ends is no error of the server.
 func (s *Server) serveConn(ctx context.Context, calls *drpcserver.Server, conn net.Conn) {
