Let the sabotage of a silent leave go on until there is late work

Cause: TestSilentLeaveIsFoundLateWork was red once in a whole run on a busy machine (load above 15): entries may do without an upstream for some seconds, after late answers to probes, so the course could end before the upstream that left in silence was given work again. Then there was nothing to find.

The sabotage now goes on until its upstream has begun something, by its ledger; the check itself is as strict as before.

--- a/standin/faults/sabotage_test.go
+++ b/standin/faults/sabotage_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/standin/faults/tap"
+	"acaciawinch/standin/harness"
+	"acaciawinch/standin/ledger"
 	"acaciawinch/standin/upstream"
 	"acaciawinch/wire/wirepb"
 )
@@ -124,14 +126,33 @@
 	violates(t, requestCell(f, stepOf("admission")), Harmless)
 }
 
-// TestSilentLeaveIsFoundLateWork lets an upstream leave without notice.
+// TestSilentLeaveIsFoundLateWork lets an upstream leave without notice, and goes on
+// until it was given work: entries may do without it for a while.
 func TestSilentLeaveIsFoundLateWork(t *testing.T) {
-	f := Fault{Name: "sabotage", At: []Kind{kindDrain}, notice: none, inject: none, heal: none}
+	f := Fault{Name: "sabotage", At: []Kind{kindDrain}, notice: none, inject: none, heal: awaitWork}
 	c := courseCell(f, stepDrain)
 	c.Excluded = ""
 	violates(t, c, NoLateWork)
 }
 
+// awaitWork waits until the scene's upstream has begun something new.
+func awaitWork(ctx context.Context, s *Scene) error {
+	since := time.Now().UnixMicro()
+	return harness.Await(ctx, "no new work at "+s.Upstream.Name, func(context.Context) error {
+		records, err := s.Site.Fleet.Records()
+		if err != nil {
+			return err
+		}
+		begun := slices.ContainsFunc(records, func(r ledger.Record) bool {
+			return r.Event == ledger.Start && r.Upstream == s.Upstream.Name && r.TimeUS > since
+		})
+		if !begun {
+			return errMissed
+		}
+		return nil
+	})
+}
+
 // TestDeadSidesAreFoundNotRecovered never starts the sides of a stage again.
 func TestDeadSidesAreFoundNotRecovered(t *testing.T) {
 	kill := func(_ context.Context, s *Scene) error {
