Play the removal of old configuration with every fault

Cause: the removal was proved by its machine's schedules and by no process.

Two steps more: an entry's update of the head that raises the oldest revision, and its first deletion of a part. 130 revisions are written, the last 100 are kept. Behind the fault all entries start afresh, the removal must end, a change must come in force, and every kept revision must be there with its parts, read from the object API past all relays. A sabotage test deletes a kept part.

The pace of the removal was constants: 10 minutes until the first pass and a call a second. They are settings now, retention.first_pass_seconds and retention.calls_per_second, with the same defaults. The test of wrong settings builds each case from the defaults, so that every field is refused for itself; it has four cases more.

--- a/entry/clean/cleaner.go
+++ b/entry/clean/cleaner.go
@@ -17,17 +17,11 @@
 	"acaciawinch/platform/objects"
 )
 
-// Pace of the removal.
+// passInterval is the time between two passes, and retryInterval that behind one
+// that did not come to its end.
 const (
-	// callsPerSecond bounds the calls to the store. A day of 4,000 changes needs
-	// some 12,500.
-	callsPerSecond = 1
-	// passInterval is the time between two passes, and retryInterval that behind
-	// one that did not come to its end.
 	passInterval  = 24 * time.Hour
 	retryInterval = 15 * time.Minute
-	// firstPass bounds the random time before the first pass.
-	firstPass = 10 * time.Minute
 )
 
 // ownerKey is what the entries' names are hashed with to find the one that cleans.
@@ -46,7 +40,7 @@
 	Hosts func() []fleet.Host
 	// Now is the wall clock; nil means time.Now.
 	Now func() time.Time
-	// Rate bounds the calls a second; 0 means callsPerSecond.
+	// Rate bounds the calls a second; 0 means that of the settings.
 	Rate rate.Limit
 }
 
@@ -63,7 +57,7 @@
 		opts.Now = time.Now
 	}
 	if opts.Rate == 0 {
-		opts.Rate = callsPerSecond
+		opts.Rate = rate.Limit(opts.Settings.CallsPerSecond)
 	}
 	return &Cleaner{options: opts, limiter: rate.NewLimiter(opts.Rate, 1), metrics: newMetrics(opts.Scope)}
 }
@@ -74,7 +68,7 @@
 	if c.options.Settings.Revisions == 0 {
 		return nil
 	}
-	next := rand.N(firstPass)
+	next := rand.N(c.options.Settings.firstPass())
 	for wait(ctx, next) {
 		next = passInterval
 		if c.owns() && !c.pass(ctx) {
--- a/entry/clean/cleaner_test.go
+++ b/entry/clean/cleaner_test.go
@@ -205,7 +205,18 @@
 }
 
 func TestSettingsOutOfRangeAreRefused(t *testing.T) {
-	for _, bad := range []Settings{{Revisions: 99}, {Revisions: -1}, {Revisions: 100, Hours: -1}, {Revisions: maxRevisions + 1}} {
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.Revisions = 99 },
+		func(s *Settings) { s.Revisions = -1 },
+		func(s *Settings) { s.Revisions = maxRevisions + 1 },
+		func(s *Settings) { s.Hours = -1 },
+		func(s *Settings) { s.FirstPassSeconds = 0 },
+		func(s *Settings) { s.FirstPassSeconds = maxFirstPassSeconds + 1 },
+		func(s *Settings) { s.CallsPerSecond = 0 },
+		func(s *Settings) { s.CallsPerSecond = maxCallsPerSecond + 1 },
+	} {
+		bad := DefaultSettings()
+		change(&bad)
 		assert.Assert(t, bad.Validate() != nil, "%+v", bad)
 	}
 	assert.NilError(t, DefaultSettings().Validate())
--- a/standin/faults/change.go
+++ b/standin/faults/change.go
@@ -234,6 +234,6 @@
 	return []Fault{
 		{Name: "operator's command killed", At: []Kind{kindAccept, kindSpread}, inject: killed, heal: none},
 		{Name: "operators racing", At: []Kind{kindAccept}, Wins: configThird, inject: racing, heal: none},
-		{Name: "none", At: []Kind{kindAccept, kindSpread, kindPlan, kindOrder}, inject: none, heal: none},
+		{Name: "none", At: []Kind{kindAccept, kindSpread, kindPlan, kindOrder, kindFence, kindDelete}, inject: none, heal: none},
 	}
 }
--- a/standin/faults/course.go
+++ b/standin/faults/course.go
@@ -17,11 +17,13 @@
 	stepPlan   = Step{Name: "placement plan", Kind: kindPlan}
 	stepOrder  = Step{Name: "placement order", Kind: kindOrder}
 	stepDrain  = Step{Name: "drain", Kind: kindDrain}
+	stepFence  = Step{Name: "removal fence", Kind: kindFence}
+	stepDelete = Step{Name: "removal delete", Kind: kindDelete}
 )
 
 // courseSteps returns the steps of courses in their order.
 func courseSteps() []Step {
-	return []Step{stepAccept, stepSpread, stepPlan, stepOrder, stepDrain}
+	return []Step{stepAccept, stepSpread, stepPlan, stepOrder, stepDrain, stepFence, stepDelete}
 }
 
 // takesPart says what takes part in a step, so that a fault of it matters.
@@ -31,6 +33,8 @@
 	kindPlan:   touchEntry | touchStore | touchZone,
 	kindOrder:  touchEntry | touchSide | touchUpstream | touchStore | touchZone,
 	kindDrain:  touchEntry | touchSide | touchUpstream | touchLink | touchStore | touchZone,
+	kindFence:  touchEntry | touchStore,
+	kindDelete: touchEntry | touchStore,
 }
 
 // notInCourse returns why a fault can't apply at the step of a course.
@@ -40,6 +44,8 @@
 		return "the fault is one of a request's own messages, or a change itself"
 	case f.Partition.across && step.Kind == kindDrain:
 		return "no other upstream is there to go on"
+	case f.Partition.scope&harness.ObjectAPI != 0:
+		return ""
 	case f.Touch&^takesPart[step.Kind] != 0:
 		return "what the fault takes has no part in this step"
 	}
@@ -55,11 +61,16 @@
 		kindPlan:   playPlacement,
 		kindOrder:  playPlacement,
 		kindDrain:  playDrain,
+		kindFence:  playRemoval,
+		kindDelete: playRemoval,
 	}
 	if step.Kind == kindPlan || step.Kind == kindOrder {
 		c.Needs.EntrySettings = placementSettings
 		c.Needs.IgnoreFencing = true
 	}
+	if step.Kind == kindFence || step.Kind == kindDelete {
+		c.Needs.EntrySettings = removalSettings
+	}
 	c.run = func(ctx context.Context, s *Site, report *Report) error {
 		scene := &Scene{Site: s, Step: step, armed: &armed{resume: nothing, release: func() {}}}
 		scene.Entry = s.Fleet.Entries[f.entry()]
--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -233,8 +233,8 @@
 	return s.Site.Fleet.SetLeaving(ctx, name, false)
 }
 
-// objects returns an injection that sets the switches of the object API.
-func objects(control objectstore.Control) func(context.Context, *Scene) error {
+// setObjects returns an injection that sets the switches of the object API.
+func setObjects(control objectstore.Control) func(context.Context, *Scene) error {
 	return func(ctx context.Context, s *Scene) error { return s.Site.Fleet.SetObjects(ctx, control) }
 }
 
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -145,12 +145,12 @@
 
 // platformFaults are those of the object API, the host list and the operators.
 func platformFaults() []Fault {
-	up := objects(objectstore.Control{})
+	up := setObjects(objectstore.Control{})
 	return []Fault{
-		{Name: "store down", Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{Down: true}), heal: up},
-		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
+		{Name: "store down", Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{Down: true}), heal: up},
+		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
 		{Name: "store answer lost after effect", Harmless: true, Touch: touchStore, Excludes: always,
-			inject: objects(objectstore.Control{LoseAnswers: 1}), heal: up},
+			inject: setObjects(objectstore.Control{LoseAnswers: 1}), heal: up},
 		{Name: "host list stale, host gone", Touch: touchSide | touchUpstream, Excludes: always,
 			Needs: siteOptions{HostLag: staleLag}, inject: hostGone, heal: hostBack},
 		{Name: "configuration changed midway", Planned: true, Excludes: always, inject: changeConfiguration, heal: none},
@@ -181,9 +181,9 @@
 
 // combinedFaults returns pairs and repeats.
 func combinedFaults() []Fault {
-	down := objects(objectstore.Control{Down: true})
-	up := objects(objectstore.Control{})
-	lost := objects(objectstore.Control{LoseAnswers: 2})
+	down := setObjects(objectstore.Control{Down: true})
+	up := setObjects(objectstore.Control{})
+	lost := setObjects(objectstore.Control{LoseAnswers: 2})
 	return []Fault{
 		{Name: "entry killed + side killed", Touch: touchEntry | touchSide, EntryGone: true, Excludes: always,
 			inject: both(killEntry, killSide), heal: both(startEntry, startSide)},
--- /dev/null
+++ b/standin/faults/history.go
@@ -0,0 +1,167 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+
+	"acaciawinch/core"
+	"acaciawinch/core/config"
+	"acaciawinch/core/config/accept"
+	"acaciawinch/core/fault"
+	"acaciawinch/platform/objects"
+)
+
+// history is the configuration's history in the object API, which the trial
+// reads and writes past all relays.
+type history struct{ store objects.API }
+
+// history returns the history of the site's configuration.
+func (s *Site) history() *history { return &history{objects.NewClient(s.Fleet.ObjectsURL())} }
+
+// newParts is how many changes at the beginning write a part that no later one
+// uses again. The others use two parts in turn.
+const newParts = oldRevisions - 10
+
+// grow accepts changes that matter to no request until the head has a revision.
+func (h *history) grow(ctx context.Context, revision core.Revision) error {
+	for number := 0; ; number++ {
+		head, err := h.head(ctx)
+		if err != nil || head.Revision >= revision {
+			return err
+		}
+		machine := accept.New(accept.Request{ChangeID: fmt.Sprint("grow-", number), Change: growth(number)})
+		if err := h.accept(ctx, machine); err != nil {
+			return err
+		}
+	}
+}
+
+// growth returns a change of what is drained.
+func growth(number int) config.Change {
+	turned := []string{"absent"}
+	switch {
+	case number < newParts:
+		return config.Change{Drain: []string{fmt.Sprint("absent-", number)}}
+	case number%2 == 0:
+		return config.Change{Drain: turned}
+	default:
+		return config.Change{Undrain: turned}
+	}
+}
+
+// accept carries out one change.
+func (h *history) accept(ctx context.Context, machine *accept.Machine) error {
+	for {
+		if result, ended := machine.Result(); ended {
+			if result.Outcome != accept.Accepted {
+				return fmt.Errorf("a change of the history is %s: %s", result.Outcome, result.Detail)
+			}
+			return nil
+		}
+		machine.Handle(h.carryOut(ctx, machine.Next()))
+	}
+}
+
+// carryOut makes one call of the object API.
+func (h *history) carryOut(ctx context.Context, action accept.Action) accept.Reply {
+	var object objects.Object
+	var err error
+	switch action.Kind {
+	case accept.ActionGet:
+		object, err = h.store.Get(ctx, action.Key)
+	case accept.ActionCreate:
+		object.Version, err = h.store.Create(ctx, action.Key, action.Value)
+	default:
+		object.Version, err = h.store.Update(ctx, action.Key, action.Value, action.Version)
+	}
+	reply := accept.Reply{Value: object.Value, Version: object.Version}
+	if err != nil {
+		reply.Code, reply.Detail = fault.CodeOf(err), err.Error()
+	}
+	return reply
+}
+
+// head reads the head.
+func (h *history) head(ctx context.Context) (config.Head, error) {
+	object, err := h.store.Get(ctx, config.HeadKey)
+	if err != nil {
+		return config.Head{}, err
+	}
+	return config.DecodeHead(object.Value)
+}
+
+// copiesPage is how many copies of heads one call lists.
+const copiesPage = 50
+
+// copies lists the copies of all heads.
+func (h *history) copies(ctx context.Context) ([]config.Head, error) {
+	var copies []config.Head
+	for after := ""; ; {
+		page, err := h.store.List(ctx, config.ChangePrefix, after, copiesPage)
+		if err != nil || len(page) == 0 {
+			return copies, err
+		}
+		for _, object := range page {
+			head, err := config.DecodeHead(object.Value)
+			if err != nil {
+				return nil, err
+			}
+			copies = append(copies, head)
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// cleaned fails while there is a revision that is to be removed.
+func (h *history) cleaned(ctx context.Context) error {
+	head, err := h.head(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Oldest+keptRevisions <= head.Revision {
+		return fmt.Errorf("revision %d is kept at revision %d", head.Oldest, head.Revision)
+	}
+	copies, err := h.copies(ctx)
+	if err != nil {
+		return err
+	}
+	for _, copied := range copies {
+		if copied.Revision < head.Oldest {
+			return fmt.Errorf("revision %d is still there, the oldest is %d", copied.Revision, head.Oldest)
+		}
+	}
+	return nil
+}
+
+// check returns what is lost of the revisions that are kept.
+func (h *history) check(ctx context.Context) (lost []string, err error) {
+	head, err := h.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	copies, err := h.copies(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kept := head.Revision - head.Oldest + 1; kept < keptRevisions {
+		lost = append(lost, fmt.Sprintf("only %d revisions are kept", kept))
+	}
+	found := map[core.Revision]bool{}
+	for _, copied := range append(copies, head) {
+		if copied.Revision < head.Oldest {
+			continue
+		}
+		found[copied.Revision] = true
+		for _, hash := range copied.Parts() {
+			if _, err := h.store.Get(ctx, config.PartKey(hash)); err != nil {
+				lost = append(lost, fmt.Sprintf("revision %d can't be read: %v", copied.Revision, err))
+			}
+		}
+	}
+	for revision := max(head.Oldest, 1); revision <= head.Revision; revision++ {
+		if !found[revision] {
+			lost = append(lost, fmt.Sprintf("revision %d is gone, the oldest is %d", revision, head.Oldest))
+		}
+	}
+	return lost, nil
+}
--- a/standin/faults/judge.go
+++ b/standin/faults/judge.go
@@ -56,6 +56,8 @@
 	NotFenced Invariant = "old order obeyed"
 	// Harmless: a fault that must not harm a request does not.
 	Harmless Invariant = "harmed"
+	// HistoryKept: every revision that is kept can be read.
+	HistoryKept Invariant = "history lost"
 	// Reached: the cell got to its step.
 	Reached Invariant = "step not reached"
 )
--- a/standin/faults/sabotage_parts_test.go
+++ b/standin/faults/sabotage_parts_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 
+	"acaciawinch/core/config"
 	"acaciawinch/standin/harness"
 )
 
@@ -53,3 +55,28 @@
 	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: usesReplacement}
 	violates(t, requestCell(f, stepOf("encode flight")), Recovers)
 }
+
+// TestRemovedPartIsFoundLost deletes a part that a kept revision names.
+func TestRemovedPartIsFoundLost(t *testing.T) {
+	remove := func(ctx context.Context, s *Scene) error {
+		store := s.Site.history()
+		head, err := store.head(ctx)
+		if err != nil {
+			return err
+		}
+		copies, err := store.copies(ctx)
+		if err != nil {
+			return err
+		}
+		for _, copied := range copies {
+			if copied.Revision > head.Revision-keptRevisions/2 && copied.Templates != head.Templates {
+				key := config.PartKey(copied.Templates)
+				part, err := store.store.Get(ctx, key)
+				return errors.Join(err, store.store.Delete(ctx, key, part.Version))
+			}
+		}
+		return errors.New("no part to delete")
+	}
+	f := Fault{Name: "sabotage", Touch: touchStore, inject: remove, heal: none}
+	violates(t, courseCell(f, stepDelete), HistoryKept)
+}
--- a/standin/faults/step.go
+++ b/standin/faults/step.go
@@ -45,6 +45,10 @@
 	kindOrder
 	// kindDrain: an upstream is being drained.
 	kindDrain
+	// kindFence: an entry tells in the head which configuration is kept.
+	kindFence
+	// kindDelete: an entry deletes old configuration.
+	kindDelete
 )
 
 // Step is a point in a request's life.
--- a/standin/harness/control.go
+++ b/standin/harness/control.go
@@ -29,6 +29,9 @@
 	return output.String(), nil
 }
 
+// ObjectsURL returns the object API's own URL, past all relays.
+func (f *Fleet) ObjectsURL() string { return f.objectsURL }
+
 // SetObjects replaces the fault switches of the object API.
 func (f *Fleet) SetObjects(ctx context.Context, control objectstore.Control) error {
 	return send(ctx, http.MethodPost, f.objectsURL+"/control", control, nil)
