Let six requests at one step meet a fault together

Cause: each cell had one request at its step; many met a fault only in the courses, at no chosen step.

Twelve rows more: six requests, three through each entry, stand at the step before the fault comes, each is asked for again, and the verdict is on each. A hold takes a message of a request once only, so that a hedge does not stand for another request. Steps at which the engines stop with the first request can't apply: the gate admits one prompt to an engine that shows no progress.

What a cell concludes is in parts now, so that the key's last answer is judged also if the fault's end went wrong; before, only one of the two was reported.

--- a/standin/faults/cells_test.go
+++ b/standin/faults/cells_test.go
@@ -17,6 +17,7 @@
 		{"dispatch late", "pay before"},
 		{"another request's answers", "pay answer"},
 		{"zones lose all packets between them", "pay before"},
+		{"side killed, 6 requests at once", "pay before"},
 		{"leaving by the engine's notice", "drain"},
 		{"operators racing", "config accept"},
 		{"lease lapsed while its holder is paused", "placement plan"},
--- a/standin/faults/matrix.go
+++ b/standin/faults/matrix.go
@@ -22,7 +22,8 @@
 			cells = append(cells, courseCell(f, step))
 		}
 	}
-	return append(cells, ownCells()...)
+	cells = append(cells, ownCells()...)
+	return append(cells, togetherCells()...)
 }
 
 // ownCells returns the cells of faults that only courses meet.
--- a/standin/faults/request.go
+++ b/standin/faults/request.go
@@ -197,29 +197,53 @@
 	j := newJudge(s.Site.catalogs, records)
 	j.exchanges(s.Site.exchanges)
 	j.unknowns(s.Site.exchanges, mayBeUnknown(f, s.Step))
-	refusedAtTheDoor := s.Step.Kind == kindAdmission && first.Result.Outcome == core.OutcomeNotRun
+	j.firstAnswer(f, s.Step, first)
+	j.beyond(s.harmed)
+	j.ending(problem)
+	j.lastAnswer(f, s.Step, last)
+	report.Counts = j.counts
+	report.Findings = append(report.Findings, j.findings...)
+	return nil
+}
+
+// firstAnswer checks what the caller at the step got, as far as the fault must not
+// matter to it.
+func (j *judge) firstAnswer(f Fault, step Step, first Exchange) {
+	refusedAtTheDoor := step.Kind == kindAdmission && first.Result.Outcome == core.OutcomeNotRun
 	if f.Planned && first.Result.Verdict != caller.Whole && !refusedAtTheDoor {
 		j.find(NotCut, "%s", describe(first))
 	}
 	if f.Harmless && first.Result.Verdict != caller.Whole {
 		j.find(Harmless, "%s", describe(first))
 	}
-	for _, e := range s.harmed {
+}
+
+// beyond reports the requests that a part which a partition leaves whole did not
+// answer.
+func (j *judge) beyond(harmed []Exchange) {
+	for _, e := range harmed {
 		j.find(Harmless, "in a part that the fault leaves alone: %s", describe(e))
 	}
+}
+
+// ending reports what went wrong at the end of the fault.
+func (j *judge) ending(problem error) {
 	switch {
 	case errors.Is(problem, errNotGraceful):
 		j.find(NotCut, "%v", problem)
 	case problem != nil:
 		j.find(Recovers, "%v", problem)
-	case last.Outcome == core.OutcomeUnknown && !mayStayUnknown(f, s.Step):
+	}
+}
+
+// lastAnswer checks what asking again with the key got behind the fault.
+func (j *judge) lastAnswer(f Fault, step Step, last caller.Result) {
+	switch {
+	case last.Outcome == core.OutcomeUnknown && !mayStayUnknown(f, step):
 		j.find(TrueUnknown, "the key stays unknown behind the fault: %s", last.Detail)
 	case last.Verdict != caller.Whole && last.Outcome != core.OutcomeUnknown:
 		j.find(Recovers, "the key gets no answer: %s %s", outcomeOf(last), last.Detail)
 	}
-	report.Counts = j.counts
-	report.Findings = append(report.Findings, j.findings...)
-	return nil
 }
 
 // mayBeUnknown tells whether a fault at a step can hide for good whether the
--- a/standin/faults/sabotage_parts_test.go
+++ b/standin/faults/sabotage_parts_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"acaciawinch/core/config"
 	"acaciawinch/standin/harness"
@@ -52,7 +55,12 @@
 		s.tap().Refuse()
 		return nil
 	}
-	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: usesReplacement}
+	soon := func(ctx context.Context, s *Scene) error {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		return usesReplacement(ctx, s)
+	}
+	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: soon}
 	violates(t, requestCell(f, stepOf("encode flight")), Recovers)
 }
 
@@ -80,3 +88,18 @@
 	f := Fault{Name: "sabotage", Touch: touchStore, inject: remove, heal: none}
 	violates(t, courseCell(f, stepDelete), HistoryKept)
 }
+
+// TestEachOfManyIsFoundCut kills an entry that should stop as planned while several
+// requests stand at a step: each of its own must be found.
+func TestEachOfManyIsFoundCut(t *testing.T) {
+	f := Fault{Name: "sabotage", Planned: true, Excludes: always, inject: killEntry, heal: startEntry}
+	c := togetherCell(f, stepOf("pay flight"))
+	c.Needs.Asks = 1
+	cut := 0
+	for _, finding := range play(t, c).Findings {
+		if finding.Invariant == NotCut {
+			cut++
+		}
+	}
+	assert.Equal(t, cut, atOnce/2)
+}
--- a/standin/faults/site.go
+++ b/standin/faults/site.go
@@ -95,6 +95,11 @@
 	// firstPlan holds the first answer to a write of the placement plan.
 	firstPlan *hold.Hold[storetap.Message]
 
+	// heldRequests and heldClaims are those with a message that stands at a step.
+	// Each belongs to the matches of one board, which are made one at a time.
+	heldRequests names
+	heldClaims   names
+
 	mu        sync.Mutex
 	controls  map[string]upstream.Control
 	exchanges []Exchange
@@ -104,20 +109,34 @@
 	absence map[int]int
 }
 
+// names is a set of names.
+type names map[string]bool
+
+// add adds a name, or returns false if it is there already.
+func (n names) add(name string) bool {
+	if n[name] {
+		return false
+	}
+	n[name] = true
+	return true
+}
+
 // reportLag is how late the upstreams report their load.
 const reportLag = 50 * time.Millisecond
 
 // newSite starts a deployment with the first configuration in force.
 func newSite(ctx context.Context, o siteOptions) (*Site, error) {
 	s := &Site{
-		Sides:     hold.NewBoard[tap.Message](),
-		Store:     hold.NewBoard[storetap.Message](),
-		taps:      map[string]*tap.Tap{},
-		storeTaps: map[string]*storetap.Tap{},
-		controls:  map[string]upstream.Control{},
-		gone:      map[int]string{},
-		absence:   map[int]int{},
-		asks:      o.Asks,
+		Sides:        hold.NewBoard[tap.Message](),
+		Store:        hold.NewBoard[storetap.Message](),
+		taps:         map[string]*tap.Tap{},
+		storeTaps:    map[string]*storetap.Tap{},
+		controls:     map[string]upstream.Control{},
+		gone:         map[int]string{},
+		absence:      map[int]int{},
+		heldRequests: names{},
+		heldClaims:   names{},
+		asks:         o.Asks,
 	}
 	if s.asks == 0 {
 		s.asks = maxAsks
--- a/standin/faults/step.go
+++ b/standin/faults/step.go
@@ -56,6 +56,9 @@
 	Name  string
 	Kind  Kind
 	Stage string
+	// stopsEngine marks steps at which the engines stop as soon as the first
+	// request is there, so that others can't get there.
+	stopsEngine bool
 	// arm prepares the site so that the request stops at the step.
 	arm func(ctx context.Context, s *Site, r *caller.Request) (*armed, error)
 }
@@ -88,9 +91,9 @@
 		{Name: "pay answer", Kind: kindAnswer, Stage: stagePay, arm: armMessage(tap.Done, stagePay)},
 		{Name: "acknowledge", Kind: kindAcknowledge, Stage: stagePay, arm: armMessage(tap.Acknowledge, stagePay)},
 		{Name: "confirm before", Kind: kindDispatch, Stage: stageConfirm, arm: armMessage(tap.Run, stageConfirm)},
-		{Name: "confirm flight", Kind: kindFlight, Stage: stageConfirm, arm: armFlight(stageConfirm)},
-		{Name: "first token", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(2, 1)},
-		{Name: "mid-stream", Kind: kindAnswer, Stage: stageConfirm, arm: armChunk(6, 5)},
+		{Name: "confirm flight", Kind: kindFlight, Stage: stageConfirm, stopsEngine: true, arm: armFlight(stageConfirm)},
+		{Name: "first token", Kind: kindAnswer, Stage: stageConfirm, stopsEngine: true, arm: armChunk(2, 1)},
+		{Name: "mid-stream", Kind: kindAnswer, Stage: stageConfirm, stopsEngine: true, arm: armChunk(6, 5)},
 		{Name: "closing event", Kind: kindAnswer, Stage: stageConfirm, arm: armMessage(tap.Done, stageConfirm)},
 	}
 }
@@ -131,7 +134,7 @@
 // armMessage stops the first message of a stage at a point.
 func armMessage(point tap.Point, stage string) func(context.Context, *Site, *caller.Request) (*armed, error) {
 	return func(_ context.Context, s *Site, _ *caller.Request) (*armed, error) {
-		h := s.Sides.Hold(func(m tap.Message) bool { return m.Point == point && m.Stage == stage })
+		h := s.Sides.Hold(func(m tap.Message) bool { return m.Point == point && m.Stage == stage && s.heldRequests.add(m.Request) })
 		return &armed{
 			reached: func(ctx context.Context, p *pending) (string, error) {
 				select {
@@ -220,7 +223,7 @@
 func armClaim(point storetap.Point) func(context.Context, *Site, *caller.Request) (*armed, error) {
 	return func(_ context.Context, s *Site, _ *caller.Request) (*armed, error) {
 		h := s.Store.Hold(func(m storetap.Message) bool {
-			return m.Point == point && m.Method == http.MethodPut && strings.HasPrefix(m.Path, claimPath)
+			return m.Point == point && m.Method == http.MethodPut && strings.HasPrefix(m.Path, claimPath) && s.heldClaims.add(m.Path)
 		})
 		return &armed{
 			reached: func(ctx context.Context, p *pending) (string, error) {
