--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -6,13 +6,18 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fault"
+	"acaciawinch/entry/limit"
 	"acaciawinch/entry/trace"
 	"acaciawinch/feed"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
 
 // fleetServer serves the drpc Entry service to the other processes.
 type fleetServer struct {
+	*limit.Limiter
 	feed   *feed.Feed
 	traces *trace.Ring
 }
@@ -34,3 +39,12 @@
 	}
 	return &wirepb.LookupReply{Found: true, Trace: encoded}, nil
 }
+
+// logRefused logs that a connection to this process was refused.
+func (p *process) logRefused(refusal link.Refusal) {
+	p.logger.Warn(event.ConnectionRefused, observe.Fields{
+		"peer":    refusal.Peer,
+		"error":   refusal.Err.Error(),
+		"refused": refusal.Total,
+	})
+}
