Lose a whole zone, and slow zones to each other

Three rows: all processes of the entry's zone are killed at once, or frozen and woken, and the relays between two zones hold up every piece by 100 ms each way, in spite of which every request must be answered.

The killed zone first failed at the steps of "encode": the claim of "pay" is written beside that stage, and the zone takes the entry that wrote it with the side that it names. Nobody can tell then whether it was dispatched, so the key stays unknown, and rightly: the verdict allows it for this fault at the steps before the claim is settled, and nowhere else.

--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -21,7 +21,7 @@
 	touchUpstream
 	touchLink
 	touchStore
-	// touchZone: the entry's availability zone is partitioned from others.
+	// touchZone: the entry's availability zone, by a partition or as a whole.
 	touchZone
 )
 
@@ -54,6 +54,9 @@
 	// HoldOn keeps the step's message on its way until the caller has its final
 	// answer, or asked again elsewhere.
 	HoldOn bool
+	// TakesWitnesses marks faults that end both the entry that wrote a claim and the
+	// side that it names, so that nobody can tell whether it was dispatched.
+	TakesWitnesses bool
 	// Partition cuts the zone of the request's entry off; zero for other faults.
 	Partition partition
 	// Harmless marks faults in spite of which the first request must be answered.
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -71,6 +71,7 @@
 	faults = append(faults, replacementFaults()...)
 	faults = append(faults, answerFaults()...)
 	faults = append(faults, platformFaults()...)
+	faults = append(faults, zoneLossFaults()...)
 	return append(faults, partitionFaults()...)
 }
 
--- a/standin/harness/zones.go
+++ b/standin/harness/zones.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"time"
 
 	"acaciawinch/standin/hostlist"
 )
@@ -35,8 +36,13 @@
 	// InboundLost loses what is sent to the zone, OutboundLost what the zone sends.
 	InboundLost
 	OutboundLost
+	// Slowed holds up every piece both ways.
+	Slowed
 )
 
+// slowedBy is how long Slowed holds up each piece.
+const slowedBy = 100 * time.Millisecond
+
 // zoneLink is a relay between a zone and something outside of it.
 type zoneLink struct {
 	*Relay
@@ -62,6 +68,8 @@
 	switch how {
 	case Refused:
 		l.Cut()
+	case Slowed:
+		l.Delay(slowedBy)
 	case InboundLost:
 		l.Silence(in)
 	case OutboundLost:
