Let a region that is cut off agree on a home of its own

Regions lose each other for an hour now and then, and an entry meets so few requests that it learns of silent homes one by one. Two homes of another region that are silent without an answer between make the region suspect, and behind home and deputy the first of the own region by the same hash is asked. So all entries of a region that is cut off ask the same home.

--- a/core/share/asker.go
+++ b/core/share/asker.go
@@ -23,6 +23,8 @@
 // Asker is what an entry knows of the homes. It is for one goroutine at a time.
 type Asker struct {
 	suspects map[string]suspect
+	// regions are those of which one home after the other did not answer.
+	regions map[string]regionSuspect
 	// full is when a workspace may be asked for again, by workspace, unless a
 	// request of it ends here before.
 	full map[string]time.Time
@@ -32,16 +34,26 @@
 	incarnations map[string]core.Incarnation
 }
 
-// suspect is a home that did not answer.
+// suspect is a home, or a region, that did not answer.
 type suspect struct {
 	until   time.Time
 	silence int
 }
 
+// regionSuspect is a region that may be cut off. It is left alone once two of its
+// homes did not answer, with no answer of another one between.
+type regionSuspect struct {
+	suspect
+	// last is the home that was silent last.
+	last string
+	cut  bool
+}
+
 // NewAsker returns an Asker that knows nothing.
 func NewAsker() *Asker {
 	return &Asker{
 		suspects:     make(map[string]suspect),
+		regions:      make(map[string]regionSuspect),
 		full:         make(map[string]time.Time),
 		alone:        make(map[string]int),
 		incarnations: make(map[string]core.Incarnation),
@@ -108,6 +120,7 @@
 // Answered takes the answer of the home that was asked last.
 func (s *Search) Answered(now time.Time, answer Answer) Step {
 	delete(s.asker.suspects, s.asked.Home.Name)
+	delete(s.asker.regions, s.asked.Home.Region)
 	if answer.Granted {
 		step := s.asked
 		step.Kind = StepGranted
@@ -123,16 +136,31 @@
 // Silent tells that the home that was asked last did not answer.
 func (s *Search) Silent(now time.Time) Step {
 	s.silences++
-	s.asker.Silent(now, s.asked.Home.Name)
+	s.asker.Silent(now, s.homes, s.asked.Home)
 	return s.next(now)
 }
 
 // Silent notes that a home did not answer. It is not asked for a while, longer
-// with each silence in a row.
-func (a *Asker) Silent(now time.Time, home string) {
-	known := a.suspects[home]
-	wait := min(suspectFor<<min(known.silence, 4), maxSuspect)
-	a.suspects[home] = suspect{until: now.Add(wait), silence: known.silence + 1}
+// with each silence in a row; nor is its region, if another home of it was silent
+// before and it is not the own one.
+func (a *Asker) Silent(now time.Time, homes *Homes, home Home) {
+	a.suspects[home.Name] = a.suspects[home.Name].again(now)
+	if home.Region == homes.region {
+		return
+	}
+	region, known := a.regions[home.Region]
+	if known && region.last != home.Name || region.cut {
+		region.suspect = region.again(now)
+		region.cut = true
+	}
+	region.last = home.Name
+	a.regions[home.Region] = region
+}
+
+// again returns the suspect after a further silence.
+func (s suspect) again(now time.Time) suspect {
+	wait := min(suspectFor<<min(s.silence, 4), maxSuspect)
+	return suspect{until: now.Add(wait), silence: s.silence + 1}
 }
 
 // next returns whom to ask next, or the verdict.
@@ -140,7 +168,7 @@
 	for s.silences < maxSilences && s.tried < Parts(s.bound) {
 		part := (s.first + s.tried) % Parts(s.bound)
 		for i, home := range s.homes.Of(s.workspace, part) {
-			if s.asker.mayAsk(now, home.Name) {
+			if s.asker.mayAsk(now, home) {
 				s.asked = Step{Kind: StepAsk, Home: home, Part: part, Bound: PartBound(s.bound, part), Deputy: i > 0}
 				return s.asked
 			}
@@ -157,19 +185,27 @@
 
 // mayAsk tells whether a home may be asked. A suspect whose time is over is tried
 // by one request first; the others go on without it until that one is answered.
-func (a *Asker) mayAsk(now time.Time, home string) bool {
-	known, ok := a.suspects[home]
-	if !ok {
-		return true
-	}
-	if now.Before(known.until) {
+func (a *Asker) mayAsk(now time.Time, home Home) bool {
+	if !a.present(now, home) {
 		return false
 	}
-	known.until = now.Add(AskTimeout)
-	a.suspects[home] = known
+	if known, ok := a.suspects[home.Name]; ok {
+		known.until = now.Add(AskTimeout)
+		a.suspects[home.Name] = known
+	}
+	if known, ok := a.regions[home.Region]; ok && known.cut {
+		known.until = now.Add(AskTimeout)
+		a.regions[home.Region] = known
+	}
 	return true
 }
 
+// present tells whether neither a home nor its region is left alone for its
+// silence.
+func (a *Asker) present(now time.Time, home Home) bool {
+	return !now.Before(a.suspects[home.Name].until) && !now.Before(a.regions[home.Region].until)
+}
+
 // alone admits the request by the entry's own word, within an even part of the
 // bound, and at least one.
 func (s *Search) alone() Step {
--- a/core/share/held.go
+++ b/core/share/held.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"acaciawinch/core"
@@ -27,10 +28,12 @@
 // it; false if there is none. Such is the case when the host list changed, a home
 // fell silent or answers again, or was started anew.
 func (a *Asker) Move(now time.Time, homes *Homes, held Held) (Home, Ask, bool) {
-	home, found := a.present(now, homes.Of(held.Workspace, held.Part))
-	if !found || !now.Before(held.End) {
+	list := homes.Of(held.Workspace, held.Part)
+	at := slices.IndexFunc(list, func(h Home) bool { return a.present(now, h) })
+	if at < 0 || !now.Before(held.End) {
 		return Home{}, Ask{}, false
 	}
+	home := list[at]
 	known, heard := a.incarnations[home.Name]
 	if held.Home == home.Name && (!heard || held.Incarnation == known) {
 		return Home{}, Ask{}, false
@@ -45,13 +48,3 @@
 	}
 	return home, ask, true
 }
-
-// present returns the first home that is not left alone for its silence.
-func (a *Asker) present(now time.Time, list []Home) (Home, bool) {
-	for _, home := range list {
-		if !now.Before(a.suspects[home.Name].until) {
-			return home, true
-		}
-	}
-	return Home{}, false
-}
--- a/core/share/homes.go
+++ b/core/share/homes.go
@@ -33,19 +33,24 @@
 type Home struct {
 	Name string
 	// Addr is the IP:port of its drpc listener.
-	Addr string
-	hash uint64
+	Addr   string
+	Region string
+	hash   uint64
 }
 
 // Homes are the entries of one host list that may keep ledgers.
-type Homes struct{ list []Home }
+type Homes struct {
+	list   []Home
+	region string
+}
 
-// NewHomes returns the entries of a host list that are not leaving.
-func NewHomes(hosts []fleet.Host) *Homes {
-	h := &Homes{}
+// NewHomes returns the entries of a host list that are not leaving, as they are
+// seen from a region.
+func NewHomes(hosts []fleet.Host, region string) *Homes {
+	h := &Homes{region: region}
 	for _, host := range hosts {
 		if host.Role == fleet.RoleEntry && !host.Leaving {
-			h.list = append(h.list, Home{Name: host.Name, Addr: host.Addr, hash: xxhash.Sum64String(host.Name)})
+			h.list = append(h.list, Home{Name: host.Name, Addr: host.Addr, Region: host.Region, hash: xxhash.Sum64String(host.Name)})
 		}
 	}
 	return h
@@ -54,28 +59,42 @@
 // Len returns the number of entries.
 func (h *Homes) Len() int { return len(h.list) }
 
-// Of returns the home of one part of a workspace's bound, and its deputy, by
-// rendezvous hash: another entry that comes or goes moves only what it leads.
-// There are fewer than two if there are fewer entries.
+// Of returns who may count one part of a workspace's bound, in the order in which
+// they are asked: its home by rendezvous hash, the home's deputy, and for a region
+// that is cut off the first of the own region. Another entry that comes or goes
+// moves only what it leads.
 func (h *Homes) Of(workspace string, part int) []Home {
 	key := xxhash.Sum64String(workspace + "\x00" + strconv.Itoa(part))
+	best := first(h.list, homesOfPart, func(a, b Home) bool { return before(a, b, key) })
+	near := first(h.list, 1, func(a, b Home) bool {
+		nearA, nearB := a.Region == h.region, b.Region == h.region
+		return nearA && !nearB || nearA == nearB && before(a, b, key)
+	})
+	if len(near) > 0 && near[0].Region == h.region && !slices.Contains(best, near[0]) {
+		best = append(best, near[0])
+	}
+	return best
+}
+
+// homesOfPart counts the home and its deputy.
+const homesOfPart = 2
+
+// first returns the first n homes in an order.
+func first(homes []Home, n int, less func(a, b Home) bool) []Home {
 	var best []Home
-	for _, home := range h.list {
+	for _, home := range homes {
 		at := 0
-		for at < len(best) && before(best[at], home, key) {
+		for at < len(best) && less(best[at], home) {
 			at++
 		}
-		if at < homesOfPart {
+		if at < n {
 			best = slices.Insert(best, at, home)
-			best = best[:min(len(best), homesOfPart)]
+			best = best[:min(len(best), n)]
 		}
 	}
 	return best
 }
 
-// homesOfPart counts the home and its deputy.
-const homesOfPart = 2
-
 // before tells whether a goes before b for key.
 func before(a, b Home, key uint64) bool {
 	scoreA, scoreB := mix(key^a.hash), mix(key^b.hash)
--- a/core/share/sim/case.go
+++ b/core/share/sim/case.go
@@ -15,7 +15,11 @@
 	Name string
 	// Calm leaves out the workspace that floods.
 	Calm bool
-	make func(*simulation) way
+	// Cut separates one region from the three others between faultFrom and faultTo.
+	Cut bool
+	// Restart starts one home of the flooding workspace anew at faultFrom.
+	Restart bool
+	make    func(*simulation) way
 }
 
 // Figures are what a case comes to.
@@ -27,6 +31,9 @@
 	// Over is the most that was in flight of any workspace, over its bound, and
 	// OverFlood that of the workspace that floods.
 	Over, OverFlood float64
+	// OverTime is the share of the arrivals at which their workspace had more than its
+	// bound in flight.
+	OverTime float64
 	// UsedFlood is how much of its bound the flooding workspace had in flight in the
 	// mean, sampled at its arrivals.
 	UsedFlood float64
@@ -56,6 +63,10 @@
 func Cases() []Case {
 	calm := Homes()
 	calm.Name, calm.Calm = "homes, no flood", true
+	cut := Homes()
+	cut.Name, cut.Cut = "homes, a region cut off", true
+	restart := Homes()
+	restart.Name, restart.Restart = "homes, one started anew", true
 	return []Case{
 		Even(),
 		Exchange("exchange every 5 s", 5*time.Second, 0),
@@ -63,6 +74,8 @@
 		Exchange("exchange every 1 s, at least 1 each", time.Second, 1),
 		Homes(),
 		calm,
+		cut,
+		restart,
 	}
 }
 
@@ -108,7 +121,7 @@
 func hostList() []fleet.Host {
 	hosts := make([]fleet.Host, Entries)
 	for i := range hosts {
-		hosts[i] = fleet.Host{Name: nameOf(i), Role: fleet.RoleEntry}
+		hosts[i] = fleet.Host{Name: nameOf(i), Role: fleet.RoleEntry, Region: nameOf(i % regions)}
 	}
 	return hosts
 }
--- a/core/share/sim/tally.go
+++ b/core/share/sim/tally.go
@@ -8,7 +8,7 @@
 // tally is what is counted, after the warm-up but for arrivals.
 type tally struct {
 	arrivals                   int
-	quiet, busy, flood         int
+	quiet, busy, flood, beyond int
 	wrongQuiet, wrongBusy      int
 	over, overFlood, usedFlood float64
 	callCount                  int
@@ -24,6 +24,9 @@
 	if !s.counting() {
 		return
 	}
+	if s.load(r) > 1 {
+		s.tally.beyond++
+	}
 	switch t := &s.tally; {
 	case r.workspace == flooding:
 		t.flood++
@@ -108,6 +111,7 @@
 		WrongQuiet:  partOf(t.wrongQuiet, t.quiet),
 		WrongBusy:   partOf(t.wrongBusy, t.busy),
 		Over:        t.over,
+		OverTime:    partOf(t.beyond, t.quiet+t.busy+t.flood),
 		OverFlood:   t.overFlood,
 		UsedFlood:   t.usedFlood / float64(max(t.flood, 1)),
 		Calls:       float64(t.callCount) / counted / Entries,
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -31,8 +31,9 @@
 
 // Options are what a Limiter needs.
 type Options struct {
-	// Self is the entry's name in the host list.
+	// Self is the entry's name in the host list, Region its region.
 	Self        string
+	Region      string
 	Incarnation core.Incarnation
 	// Hosts returns the host list and its version.
 	Hosts  func() ([]fleet.Host, uint64)
@@ -107,7 +108,7 @@
 func (l *Limiter) currentHomes() *share.Homes {
 	hosts, version := l.opts.Hosts()
 	if l.homes == nil || version != l.homesVersion {
-		l.homes = share.NewHomes(hosts)
+		l.homes = share.NewHomes(hosts, l.opts.Region)
 		l.homesVersion = version
 	}
 	return l.homes
--- a/entry/limit/move.go
+++ b/entry/limit/move.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if err != nil {
-		l.asker.Silent(time.Now(), m.home.Name)
+		l.asker.Silent(time.Now(), l.currentHomes(), m.home)
 		l.metrics.silences.Inc(1)
 		return
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -171,6 +171,7 @@
 func (p *process) addLimiter() {
 	p.limiter = limit.New(limit.Options{
 		Self:        p.settings.Process.Name,
+		Region:      p.settings.Process.Region,
 		Incarnation: p.incarnation,
 		Hosts:       p.hostsAndVersion,
 		Dialer:      p.dialer,
