Take the pace of a batch over steps, not over its members

The members of a batch get their tokens together, so that the last 11 gaps are not two steps of a batch of eight. One step that was late, on a busy machine, moved the median by half and made the deadlines of all that waited "impossible".

Change: the median of the gaps is over 11 for each member of the batch, at most 64. A slow engine with a full batch shows in the pace after four to five of its steps in place of one; its reports to routers, which know it by its late chunks, don't depend on this.

Ruled out: one sample for all gaps at one moment, which would guess at how the engine sends.

--- a/core/gate/estimate.go
+++ b/core/gate/estimate.go
@@ -14,10 +14,15 @@
 // pace returns how fast the upstream works now. It is zero while nothing is
 // measured: an unknown upstream gets the benefit of the doubt, and its first
 // answers end that.
+//
+// The members of a batch get their chunks together, so that the gaps of one step
+// are as good as one sample: the median of the gaps is taken over as many steps as
+// the medians of other times are over samples.
 func (g *Gate) pace(now time.Duration) pace {
+	gaps := min(windowSamples, medianSamples*max(1, len(g.running)))
 	return pace{
 		first: g.first.middle(now, g.openFirsts(now)),
-		gap:   g.gap.middle(now, g.openGaps(now)),
+		gap:   g.gap.quantile(now, gaps, median, g.openGaps(now)),
 	}
 }
 
--- a/core/gate/promise_test.go
+++ b/core/gate/promise_test.go
@@ -161,3 +161,33 @@
 	}
 	return false
 }
+
+func TestOneSlowStepOfABatchRefusesNothingThatWaits(t *testing.T) {
+	b := newBench(t, Options{Capacity: 8})
+	step := func(d time.Duration) {
+		b.advance(d)
+		for _, r := range b.g.running {
+			b.g.Progress(b.now, r.key)
+		}
+	}
+	for range 8 {
+		long := b.ask("a")
+		long.Cost = 100
+		b.admit(long)
+	}
+	for range 10 {
+		step(ms(20))
+	}
+	waiting := b.ask("a")
+	waiting.Remaining, waiting.Cost, waiting.Committed = ms(2500), 32, true
+	b.admit(waiting)
+	step(ms(20))
+	step(ms(100))
+	b.advance(0)
+	assert.Equal(t, len(b.refused), 0)
+	for range 8 {
+		step(ms(100))
+	}
+	b.advance(0)
+	assert.Equal(t, b.refused[waiting.Key].Reason, ReasonDeadline, "the upstream has become slow")
+}
