Give up at once when upstreams refused for want of time and no other can make it

Cause: a stage whose upstreams had refused it for want of time, and for which the router then found nobody else, cleared its exclusions and asked the same ones again after 40 ms, up to three times.

Change: such a refusal is final, unless a non-idempotent stage may have run: then it is worth trying to the end, since the outcome would be unknown. Where an upstream is excluded for another reason it is asked again as before.

TestWantOfTimeIsFinalOnceAnUpstreamRefusedForIt failed before (no answer). go test ./core/request, 10,000 random courses included, passes.

--- a/core/request/scenario_test.go
+++ b/core/request/scenario_test.go
@@ -251,6 +251,17 @@
 	assert.Equal(t, s.outcome().Cause, GiveUpNoUpstream)
 }
 
+func TestWantOfTimeIsFinalOnceAnUpstreamRefusedForIt(t *testing.T) {
+	late := NotChosen{Attempt: 1, Late: true, RetryAfter: time.Second}
+	s := begin(t, fixed{}, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Refused{Attempt: 0, Late: true}, late)
+	assert.Equal(t, s.outcome().Outcome, core.OutcomeNotRun)
+	s = begin(t, fixed{}, generate)
+	s.tell(Chosen{Attempt: 0, Upstream: "a"}, Refused{Attempt: 0}, late)
+	assert.Equal(t, len(all[Answer](s)), 0, "the one that is excluded may have time")
+	assert.Equal(t, len(all[Choose](s)), 3)
+}
+
 // TestLooksAheadBeforeItDispatches refuses a request whose last stage can't be
 // made, at its admission and before a stage that must run at most once.
 func TestLooksAheadBeforeItDispatches(t *testing.T) {
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -179,9 +179,14 @@
 }
 
 // mayChooseAgain tells whether a failed choice is repeated: all upstreams may be
-// excluded, silent or unfit for a moment. A refusal for want of time is final.
+// excluded, silent or unfit for a moment. A refusal for want of time is final,
+// unless upstreams that did not refuse for it are excluded, or a non-idempotent
+// stage may have run.
 func (m *Machine) mayChooseAgain(s *stage, e NotChosen) bool {
-	if s.chooses >= m.rules.ChooseTries {
+	switch {
+	case s.chooses >= m.rules.ChooseTries:
+		return false
+	case e.Late && s.late && !m.mayHaveRun():
 		return false
 	}
 	return !e.Late || len(s.exclude) > 0
