Make the handshake in the tap of the fault matrix, too

Cause: the tap stands between entries and a side and speaks drpc on connections of its own in both directions, without package link. Since both ends of a connection prove the key, a side refused it, and go test ./standin/faults failed with "no upstream answers".

link now offers the parts to whoever dials or accepts by himself: Open, Admit and NewHandler; its own Dialer uses the first. The tap's holds, cuts and silences are as they were; call metadata is no more passed on, as there is none.

--- a/standin/faults/tap/forward.go
+++ b/standin/faults/tap/forward.go
@@ -8,9 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc"
 
+	"acaciawinch/standin/harness"
+	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -19,23 +20,24 @@
 
 // far is one connection to the side, for one call.
 type far struct {
-	conn   *drpcconn.Conn
+	conn   drpc.Conn
 	client wirepb.DRPCSideClient
 	broken *atomic.Bool
 }
 
-// open dials the side and returns a context with the entry's call metadata.
-func (t *Tap) open(ctx context.Context) (*far, context.Context, error) {
+// open dials the side, as an entry does.
+func (t *Tap) open(ctx context.Context) (*far, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", t.target)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	broken := &atomic.Bool{}
-	over := drpcconn.New(farConn{Conn: conn, broken: broken})
-	metadata, _ := drpcmetadata.Get(ctx)
-	f := &far{conn: over, client: wirepb.NewDRPCSideClient(over), broken: broken}
-	return f, drpcmetadata.AddPairs(ctx, metadata), nil
+	over, err := link.Open(ctx, farConn{Conn: conn, broken: broken}, harness.FleetKey)
+	if err != nil {
+		return nil, err
+	}
+	return &far{conn: over, client: wirepb.NewDRPCSideClient(over), broken: broken}, nil
 }
 
 // unary passes one call on. If the side can't be reached, the entry's
@@ -43,13 +45,13 @@
 func unary[Q, A any](t *Tap, ctx context.Context, request Q,
 	call func(wirepb.DRPCSideClient, context.Context, Q) (A, error)) (A, error) {
 	var none A
-	f, out, err := t.open(ctx)
+	f, err := t.open(ctx)
 	if err != nil {
 		breakNear(ctx)
 		return none, err
 	}
 	defer f.conn.Close()
-	answer, err := call(f.client, out, request)
+	answer, err := call(f.client, ctx, request)
 	if err != nil && f.broken.Load() {
 		breakNear(ctx)
 	}
@@ -147,12 +149,12 @@
 
 // deliver sends a Run whose events nobody waits for.
 func (t *Tap) deliver(ctx context.Context, r *wirepb.RunRequest) {
-	f, out, err := t.open(ctx)
+	f, err := t.open(ctx)
 	if err != nil {
 		return
 	}
 	defer f.conn.Close()
-	events, err := f.client.Run(out, r)
+	events, err := f.client.Run(ctx, r)
 	for err == nil {
 		_, err = events.Recv()
 	}
@@ -161,13 +163,13 @@
 // follow opens a stream at the side and passes its events on, changed as the
 // trial wants.
 func (t *Tap) follow(ctx context.Context, to sender, call func(*far, context.Context) (receiver, error)) error {
-	f, out, err := t.open(ctx)
+	f, err := t.open(ctx)
 	if err != nil {
 		breakNear(ctx)
 		return err
 	}
 	defer f.conn.Close()
-	from, err := call(f, out)
+	from, err := call(f, ctx)
 	if err == nil {
 		err = t.copy(to, from)
 	}
--- a/standin/faults/tap/tap.go
+++ b/standin/faults/tap/tap.go
@@ -14,6 +14,8 @@
 	"storj.io/drpc/drpcserver"
 
 	"acaciawinch/standin/faults/hold"
+	"acaciawinch/standin/harness"
+	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -198,12 +200,21 @@
 	ctx, cancel := context.WithCancel(withNear(context.Background(), conn))
 	defer cancel()
 	// An error means that the connection has ended, which is all there is to it.
-	_ = drpcserver.New(t.mux).ServeOne(ctx, nearConn{Conn: conn, tap: t})
+	_ = t.serveCalls(ctx, nearConn{Conn: conn, tap: t})
 	t.mu.Lock()
 	delete(t.conns, conn)
 	t.mu.Unlock()
 }
 
+// serveCalls serves the calls of one connection behind its handshake.
+func (t *Tap) serveCalls(ctx context.Context, conn net.Conn) error {
+	defer conn.Close()
+	if err := link.Admit(ctx, conn, harness.FleetKey); err != nil {
+		return err
+	}
+	return drpcserver.New(link.NewHandler(t.mux)).ServeOne(ctx, conn)
+}
+
 // pass holds a message if the trial wants it.
 func (t *Tap) pass(point Point, key *wirepb.AttemptKey, chunk uint64) {
 	t.board.Pass(Message{
--- a/wire/link/call_test.go
+++ b/wire/link/call_test.go
@@ -94,7 +94,7 @@
 	listener := stream(t, &streaming{})
 	bare, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
-	assert.NilError(t, answer(bare, fleetKey, listener.Addr().String()))
+	assert.NilError(t, answer(bare, fleetKey))
 	var own writes
 	var traffic Traffic
 	conn := callConn{drpcconn.New(countedConn{writing{bare, &own}, &traffic})}
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -27,17 +27,15 @@
 // Dialer opens calls to other processes over a pool of connections. It may be
 // used by many goroutines.
 type Dialer struct {
-	key      string
-	patience time.Duration
-	pool     *drpcpool.Pool[string, drpcpool.Conn]
-	traffic  Traffic
+	key     string
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
+	traffic Traffic
 }
 
 // NewDialer returns a Dialer whose connections prove that they hold key.
 func NewDialer(key string) *Dialer {
 	return &Dialer{
-		key:      key,
-		patience: handshakeTimeout,
+		key: key,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    idleTotal,
@@ -67,10 +65,19 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, stepDial, addr, err)
 	}
-	conn := countedConn{Conn: opened, traffic: &d.traffic}
-	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key, addr) }); err != nil {
-		_ = conn.Close()
+	conn, err := Open(ctx, countedConn{Conn: opened, traffic: &d.traffic}, d.key)
+	if err != nil {
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
+	return conn, nil
+}
+
+// Open makes the client's part of the handshake on a new connection, and returns it
+// for calls. An error has step "link.handshake" and closes the connection.
+func Open(ctx context.Context, conn net.Conn, key string) (drpcpool.Conn, error) {
+	if err := bounded(ctx, conn, handshakeTimeout, func() error { return answer(conn, key) }); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	return callConn{drpcconn.New(conn)}, nil
 }
--- a/wire/link/handler.go
+++ b/wire/link/handler.go
@@ -39,13 +39,16 @@
 	SetManualFlush(manual bool)
 }
 
-// handler serves calls under their full names. It holds back the reply of a call
-// that has only one until the end of the stream follows, so that both leave in one
-// write and most often in one segment.
+// handler serves calls under their full names.
 type handler struct {
 	next drpc.Handler
 }
 
+// NewHandler returns a handler that gives calls to next under their full names. It
+// holds back the reply of a call that has only one until the end of the stream
+// follows, so that both leave in one write and most often in one segment.
+func NewHandler(next drpc.Handler) drpc.Handler { return handler{next: next} }
+
 // HandleRPC implements drpc.Handler.
 func (h handler) HandleRPC(stream drpc.Stream, name string) error {
 	rpc := fullName(name)
--- a/wire/link/handshake.go
+++ b/wire/link/handshake.go
@@ -105,9 +105,10 @@
 	return message
 }
 
-// answer is the client's part of the handshake with the server at addr. An error
-// is Refused by either end, or Unavailable if the connection broke.
-func answer(conn net.Conn, key, addr string) error {
+// answer is the client's part of the handshake. An error is Refused by either end,
+// or Unavailable if the connection broke.
+func answer(conn net.Conn, key string) error {
+	addr := conn.RemoteAddr().String()
 	var hello [challengeBytes]byte
 	if err := receive(conn, hello[:], addr); err != nil {
 		return err
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -84,7 +84,7 @@
 		stop()
 		connections.Wait()
 	}()
-	calls := drpcserver.New(handler{next: s.mux})
+	calls := drpcserver.New(NewHandler(s.mux))
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -142,6 +142,12 @@
 	return bounded(ctx, conn, s.patience, func() error { return challenge(conn, s.key) })
 }
 
+// Admit makes the server's part of the handshake on a new connection, for a server
+// that accepts by itself. An error has step "link.handshake"; nothing may be served then.
+func Admit(ctx context.Context, conn net.Conn, key string) error {
+	return bounded(ctx, conn, handshakeTimeout, func() error { return challenge(conn, key) })
+}
+
 // report tells of a refused connection, unless one was told of just now or the
 // server ends.
 func (s *Server) report(ctx context.Context, peer string, err error) {
