Read the host list compressed, and less often while it changes

Cause: while a zone restarts, each relay reads the whole list of 1,440 hosts, 171 KB, each 0.25 to 0.5 s (docs/CAPACITY.md, "What breaks first").

The stand-in now serves gzip to who asks; the client asked for it already, by its transport. After a read that brought another list, a relay waits 0.5 to 1 s instead of 0.25 to 0.5.

Ruled out: longer waits (a leaving host must be known everywhere within 2 s) and one reader for each zone (nothing gained for the one that reads, whose budget it is); docs/design/configuration.md, "Reading the host list".

The slopes' suite of hosts gives each listed host an address of its own now: with one for all the list would compress better than a true one.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -42,6 +42,8 @@
 	// succeeded last, in Unix nanoseconds.
 	aloneBegan *signal
 	lastRead   atomic.Int64
+	// listed is the version of the host list that the platform gave last.
+	listed atomic.Uint64
 	// lastBeat is when a heartbeat of an origin came, in Unix nanoseconds.
 	lastBeat atomic.Int64
 
--- a/feed/hold_test.go
+++ b/feed/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -61,3 +62,22 @@
 	}
 	assert.Assert(t, len(seen) > 15, "the waits don't differ")
 }
+
+func TestAHostListThatChangesIsReadLessOften(t *testing.T) {
+	hosts := &fakeHosts{}
+	feed := New(Options{Role: fleet.RoleEntry, Hosts: hosts, Timing: Timing{HostsPoll: time.Second}})
+	longest := func() time.Duration {
+		last := feed.listed.Load()
+		assert.NilError(t, feed.readHosts(t.Context()))
+		return feed.hostsWait(last)
+	}
+	for range 2 {
+		hosts.set([]fleet.Host{{Name: "a"}})
+		assert.Equal(t, longest(), 2*time.Second)
+		assert.Equal(t, longest(), time.Second)
+	}
+	// What another relay brought makes no difference: the platform is read whole.
+	hosts.set([]fleet.Host{{Name: "b"}})
+	feed.takeHosts(fleet.List{Version: 3, Hosts: []fleet.Host{{Name: "b"}}}, "e0")
+	assert.Equal(t, longest(), 2*time.Second)
+}
--- a/feed/platform.go
+++ b/feed/platform.go
@@ -149,6 +149,7 @@
 	if err != nil {
 		return err
 	}
+	f.listed.Store(list.Version)
 	f.takeHosts(list, sourcePlatform)
 	return nil
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -49,17 +50,31 @@
 	_ = group.Wait()
 }
 
+// changingPolls is the longest wait before the next read of a host list that has
+// just changed, in longest waits between reads. A leaving host must be known
+// everywhere within 2 s, so that it can't be much longer.
+const changingPolls = 2
+
 // pollHosts reads the host list again and again.
 func (f *Feed) pollHosts(ctx context.Context) error {
 	for failures := 0; ctx.Err() == nil; {
-		wait := f.jitter(f.timing.HostsPoll)
+		last := f.listed.Load()
 		if err := f.readHosts(ctx); err != nil {
 			failures++
-			wait = f.backoff(failures)
-		} else {
-			failures = 0
+			pause(ctx, f.backoff(failures))
+			continue
 		}
-		pause(ctx, wait)
+		failures = 0
+		pause(ctx, f.jitter(f.hostsWait(last)))
 	}
 	return nil
 }
+
+// hostsWait is the longest wait behind a read of the host list, before which its
+// version was last.
+func (f *Feed) hostsWait(last uint64) time.Duration {
+	if f.listed.Load() != last {
+		return changingPolls * f.timing.HostsPoll
+	}
+	return f.timing.HostsPoll
+}
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -43,7 +43,7 @@
 		visible: lag.New(initial, lagTime, time.Now),
 		mux:     http.NewServeMux(),
 	}
-	s.mux.HandleFunc("GET /v1/hosts", s.get)
+	s.mux.HandleFunc("GET /v1/hosts", gzipped(s.get))
 	s.mux.HandleFunc("PUT /control/hosts", s.replace)
 	s.mux.HandleFunc("POST /control/leaving", s.leaving)
 	s.mux.HandleFunc("POST /control/remove", s.remove)
@@ -56,7 +56,7 @@
 // get answers GET /v1/hosts, without a body if the reader has the list already.
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	list := s.visible.Get()
-	tag := strconv.Quote(strconv.FormatUint(list.Version, 10))
+	tag := "W/" + strconv.Quote(strconv.FormatUint(list.Version, 10))
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
--- a/standin/hostlist/hostlist_test.go
+++ b/standin/hostlist/hostlist_test.go
@@ -1,6 +1,7 @@
 package hostlist
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -55,3 +56,28 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, len(visible(t, s).Hosts), 2)
 }
+
+func TestAReaderThatTakesGzipGetsTheListCompressed(t *testing.T) {
+	var long fleet.List
+	for range 100 {
+		long.Hosts = append(long.Hosts, fleet.Host{Name: "a-host", Zone: "a-zone"})
+	}
+	s := NewServer(long, 0)
+	request := httptest.NewRequest(http.MethodGet, "/v1/hosts", nil)
+	request.Header.Set("Accept-Encoding", "gzip")
+	answer := httptest.NewRecorder()
+	s.ServeHTTP(answer, request)
+	assert.Equal(t, answer.Header().Get("Content-Encoding"), "gzip")
+	assert.Assert(t, answer.Body.Len() < 1000)
+	body, err := gzip.NewReader(answer.Body)
+	assert.NilError(t, err)
+	var list fleet.List
+	assert.NilError(t, json.NewDecoder(body).Decode(&list))
+	assert.DeepEqual(t, list.Hosts, long.Hosts)
+
+	request.Header.Set("If-None-Match", answer.Header().Get("ETag"))
+	again := httptest.NewRecorder()
+	s.ServeHTTP(again, request)
+	assert.Equal(t, again.Code, http.StatusNotModified)
+	assert.Equal(t, again.Body.Len(), 0)
+}
--- a/standin/slopes/fresh.go
+++ b/standin/slopes/fresh.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"time"
 
 	"acaciawinch/core"
@@ -146,17 +148,26 @@
 }
 
 // absent returns hosts of a service that nobody calls: only the list is measured.
+// Each has an address of its own, so that the list compresses as a true one does.
 func absent(count int) []fleet.Host {
 	all := make([]fleet.Host, count)
 	for i := range all {
 		all[i] = fleet.Host{
 			Name: fmt.Sprintf("absent-%04d", i), Role: fleet.RoleUpstream, Service: "uncalled",
-			Zone: fmt.Sprintf("zone-%d", 1+i%11), Region: region, Addr: "127.0.0.1:9",
+			Zone: fmt.Sprintf("zone-%d", 1+i%11), Region: region, Addr: absentAddr(i),
 		}
 	}
 	return all
 }
 
+// absentAddr returns an address of loopback at which nobody listens.
+func absentAddr(i int) string {
+	hash := fnv.New32a()
+	_ = binary.Write(hash, binary.LittleEndian, uint32(i))
+	spread := hash.Sum32()
+	return fmt.Sprintf("127.%d.%d.%d:9", byte(spread>>16), byte(spread>>8), byte(spread))
+}
+
 // listed measures fresh processes under a host list.
 func listed(ctx context.Context, f *harness.Fleet, list fleet.List) (Values, error) {
 	if err := f.SetHosts(ctx, list); err != nil {
