Send the feed's heartbeats each 0.75 s

Cause: a heartbeat is 6 bytes of payload, but a segment and an acknowledgement of 52 bytes each of headers. A relay with 31.7 subscribers at two a second so sends and receives 6.6 KB/s of headers, by arithmetic, more than those of its probes, which docs/CAPACITY.md did not count.

0.75 s makes 4.4 KB/s. What it bounds stays: a frozen relay is noticed after 1.2 s of silence. A heartbeat may be 0.45 s late before a live relay is left, 0.7 s before.

Ruled out: a second, which leaves 0.2 s; a longer silence, as a leaving host must be known everywhere within 2 s; fewer heartbeats for sides only, which would be two limits of silence to reason about for 1.3 KB/s more.

--- a/feed/timing.go
+++ b/feed/timing.go
@@ -12,7 +12,8 @@
 	Heartbeat time.Duration
 	// Silence is how long a subscriber waits for anything before it moves on.
 	Silence time.Duration
-	// HostsPoll is how often a relay reads the host list.
+	// HostsPoll is how often a relay reads the host list. While the list changes it
+	// is read less often, as it comes whole each time then.
 	HostsPoll time.Duration
 	// FirstWait and LongestWait bound the waits between failed tries.
 	FirstWait   time.Duration
@@ -26,10 +27,12 @@
 	CatchUp time.Duration
 }
 
-// defaultTiming lets a subscriber notice a frozen relay within 1.2 s, at two
-// heartbeats a second.
+// defaultTiming lets a subscriber notice a frozen relay within 1.2 s. A heartbeat
+// is 6 bytes, but its segment and the acknowledgement are 104 bytes of headers, so
+// it comes no more often than needed: 0.45 s may pass between its time and its
+// arrival.
 var defaultTiming = Timing{
-	Heartbeat:    500 * time.Millisecond,
+	Heartbeat:    750 * time.Millisecond,
 	Silence:      1200 * time.Millisecond,
 	HostsPoll:    500 * time.Millisecond,
 	FirstWait:    50 * time.Millisecond,
