--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -27,15 +27,17 @@
 // Dialer opens calls to other processes over a pool of connections. It may be
 // used by many goroutines.
 type Dialer struct {
-	key     string
-	pool    *drpcpool.Pool[string, drpcpool.Conn]
-	traffic Traffic
+	key      string
+	patience time.Duration
+	pool     *drpcpool.Pool[string, drpcpool.Conn]
+	traffic  Traffic
 }
 
 // NewDialer returns a Dialer whose connections prove that they hold key.
 func NewDialer(key string) *Dialer {
 	return &Dialer{
-		key: key,
+		key:      key,
+		patience: handshakeTimeout,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    idleTotal,
@@ -65,19 +67,17 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, stepDial, addr, err)
 	}
-	conn, err := Open(ctx, countedConn{Conn: opened, traffic: &d.traffic}, d.key)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
-	}
-	return conn, nil
+	return d.Over(ctx, opened, addr)
 }
 
-// Open makes the client's part of the handshake on a new connection, and returns it
-// for calls. An error has step "link.handshake" and closes the connection.
-func Open(ctx context.Context, conn net.Conn, key string) (drpcpool.Conn, error) {
-	if err := bounded(ctx, conn, handshakeTimeout, func() error { return answer(conn, key) }); err != nil {
+// Over makes the handshake on an open connection to addr and returns it for calls,
+// outside of the pool. If that fails it closes the connection; its errors are those
+// of a call that could not be sent.
+func (d *Dialer) Over(ctx context.Context, opened net.Conn, addr string) (drpcpool.Conn, error) {
+	conn := countedConn{Conn: opened, traffic: &d.traffic}
+	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key) }); err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
 	return callConn{drpcconn.New(conn)}, nil
 }
