--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -75,7 +75,7 @@
 // of a call that could not be sent.
 func (d *Dialer) Over(ctx context.Context, opened net.Conn, addr string) (drpcpool.Conn, error) {
 	conn := countedConn{Conn: opened, traffic: &d.traffic}
-	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key, addr) }); err != nil {
+	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key) }); err != nil {
 		_ = conn.Close()
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
