--- a/standin/faults/course.go
+++ b/standin/faults/course.go
@@ -17,20 +17,24 @@
 	stepPlan   = Step{Name: "placement plan", Kind: kindPlan}
 	stepOrder  = Step{Name: "placement order", Kind: kindOrder}
 	stepDrain  = Step{Name: "drain", Kind: kindDrain}
+	stepFence  = Step{Name: "removal fence", Kind: kindFence}
+	stepDelete = Step{Name: "removal delete", Kind: kindDelete}
 )
 
 // courseSteps returns the steps of courses in their order.
 func courseSteps() []Step {
-	return []Step{stepAccept, stepSpread, stepPlan, stepOrder, stepDrain}
+	return []Step{stepAccept, stepSpread, stepPlan, stepOrder, stepDrain, stepFence, stepDelete}
 }
 
 // takesPart says what takes part in a step, so that a fault of it matters.
 var takesPart = map[Kind]Touch{
-	kindAccept: touchEntry | touchStore,
-	kindSpread: touchEntry | touchSide | touchStore,
-	kindPlan:   touchEntry | touchStore,
-	kindOrder:  touchEntry | touchSide | touchUpstream | touchStore,
-	kindDrain:  touchEntry | touchSide | touchUpstream | touchLink | touchStore,
+	kindAccept: touchEntry | touchStore | touchZone,
+	kindSpread: touchEntry | touchSide | touchStore | touchZone,
+	kindPlan:   touchEntry | touchStore | touchZone,
+	kindOrder:  touchEntry | touchSide | touchUpstream | touchStore | touchZone,
+	kindDrain:  touchEntry | touchSide | touchUpstream | touchLink | touchStore | touchZone,
+	kindFence:  touchEntry | touchStore,
+	kindDelete: touchEntry | touchStore,
 }
 
 // notInCourse returns why a fault can't apply at the step of a course.
@@ -38,6 +42,10 @@
 	switch {
 	case f.Touch == 0 || f.prepare != nil || f.InRequest:
 		return "the fault is one of a request's own messages, or a change itself"
+	case f.Partition.across && step.Kind == kindDrain:
+		return "no other upstream is there to go on"
+	case f.Partition.scope&harness.ObjectAPI != 0:
+		return ""
 	case f.Touch&^takesPart[step.Kind] != 0:
 		return "what the fault takes has no part in this step"
 	}
@@ -53,14 +61,19 @@
 		kindPlan:   playPlacement,
 		kindOrder:  playPlacement,
 		kindDrain:  playDrain,
+		kindFence:  playRemoval,
+		kindDelete: playRemoval,
 	}
 	if step.Kind == kindPlan || step.Kind == kindOrder {
 		c.Needs.EntrySettings = placementSettings
 		c.Needs.IgnoreFencing = true
 	}
+	if step.Kind == kindFence || step.Kind == kindDelete {
+		c.Needs.EntrySettings = removalSettings
+	}
 	c.run = func(ctx context.Context, s *Site, report *Report) error {
 		scene := &Scene{Site: s, Step: step, armed: &armed{resume: nothing, release: func() {}}}
-		scene.Entry = s.Fleet.Entries[0]
+		scene.Entry = s.Fleet.Entries[f.entry()]
 		scene.Upstream = s.Fleet.Service(services[stagePay])[0]
 		return plays[step.Kind](ctx, scene, f, report)
 	}
@@ -103,9 +116,10 @@
 
 // others returns the numbers of the entries that the fault leaves alone.
 func (s *Scene) others(f Fault) []int {
+	taken := f.Touch&touchEntry != 0 || f.Partition.starves(s.Step)
 	var left []int
 	for i := range s.Site.Fleet.Entries {
-		if f.Touch&touchEntry == 0 || i != s.entryIndex() {
+		if !taken || i != s.entryIndex() {
 			left = append(left, i)
 		}
 	}
@@ -159,7 +173,7 @@
 	j.exchanges(s.Site.exchanges)
 	j.orders()
 	// The traffic meets the fault at any of its steps.
-	j.unknowns(s.Site.exchanges, f.Touch&(touchSide|touchUpstream|touchLink) != 0)
+	j.unknowns(s.Site.exchanges, f.Touch&(touchSide|touchUpstream|touchLink|touchZone) != 0)
 	if f.Planned {
 		j.uncut(t)
 	}
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -11,10 +11,11 @@
 
 // Why a fault can't happen at a step.
 const (
-	noAnswer  = "no answer of a stage is on its way at this step"
-	noMessage = "no dispatch of a stage is on its way at this step"
-	noWork    = "no upstream works or is about to for the request at this step"
-	noSide    = "no side holds or gets anything of the request at this step"
+	noAnswer          = "no answer of a stage is on its way at this step"
+	noMessage         = "no dispatch of a stage is on its way at this step"
+	noWork            = "no upstream works or is about to for the request at this step"
+	noAcknowledgement = "no acknowledgement is on its way at this step"
+	noSide            = "no side holds or gets anything of the request at this step"
 )
 
 // onlyAnswers excludes the steps at which no answer is on its way.
@@ -41,6 +42,14 @@
 	return ""
 }
 
+// onlyAcknowledge excludes the steps at which no acknowledgement is on its way.
+func onlyAcknowledge(s Step) string {
+	if s.Kind == kindAcknowledge {
+		return ""
+	}
+	return noAcknowledgement
+}
+
 // notAdmission excludes the step before any side is chosen.
 func notAdmission(s Step) string {
 	if s.Kind == kindAdmission {
@@ -59,8 +68,11 @@
 func singleFaults() []Fault {
 	faults := processFaults()
 	faults = append(faults, linkFaults()...)
+	faults = append(faults, replacementFaults()...)
 	faults = append(faults, answerFaults()...)
-	return append(faults, platformFaults()...)
+	faults = append(faults, platformFaults()...)
+	faults = append(faults, zoneLossFaults()...)
+	return append(faults, partitionFaults()...)
 }
 
 // processFaults are kills, freezes and planned stops.
@@ -134,12 +146,12 @@
 
 // platformFaults are those of the object API, the host list and the operators.
 func platformFaults() []Fault {
-	up := objects(objectstore.Control{})
+	up := setObjects(objectstore.Control{})
 	return []Fault{
-		{Name: "store down", Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{Down: true}), heal: up},
-		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: objects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
+		{Name: "store down", Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{Down: true}), heal: up},
+		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
 		{Name: "store answer lost after effect", Harmless: true, Touch: touchStore, Excludes: always,
-			inject: objects(objectstore.Control{LoseAnswers: 1}), heal: up},
+			inject: setObjects(objectstore.Control{LoseAnswers: 1}), heal: up},
 		{Name: "host list stale, host gone", Touch: touchSide | touchUpstream, Excludes: always,
 			Needs: siteOptions{HostLag: staleLag}, inject: hostGone, heal: hostBack},
 		{Name: "configuration changed midway", Planned: true, Excludes: always, inject: changeConfiguration, heal: none},
@@ -170,9 +182,9 @@
 
 // combinedFaults returns pairs and repeats.
 func combinedFaults() []Fault {
-	down := objects(objectstore.Control{Down: true})
-	up := objects(objectstore.Control{})
-	lost := objects(objectstore.Control{LoseAnswers: 2})
+	down := setObjects(objectstore.Control{Down: true})
+	up := setObjects(objectstore.Control{})
+	lost := setObjects(objectstore.Control{LoseAnswers: 2})
 	return []Fault{
 		{Name: "entry killed + side killed", Touch: touchEntry | touchSide, EntryGone: true, Excludes: always,
 			inject: both(killEntry, killSide), heal: both(startEntry, startSide)},
@@ -186,6 +198,8 @@
 			inject: both(down, killSide), heal: both(up, startSide)},
 		{Name: "connection to side cut + store down", Touch: touchLink | touchStore, Excludes: notAdmission,
 			inject: both(down, onTap((*tap.Tap).Cut)), heal: both(up, onTap((*tap.Tap).Heal))},
+		{Name: "acknowledgement lost + side stopped as planned", Touch: touchSide, InRequest: true, Excludes: onlyAcknowledge,
+			inject: both(onTap((*tap.Tap).Cut), stop(sideProcess)), heal: both(stoppedSide, onTap((*tap.Tap).Heal))},
 		{Name: "upstream killed + store answer lost", Touch: touchUpstream | touchStore, Excludes: notAcknowledged,
 			inject: both(lost, killWorker), heal: both(up, startWorker)},
 		{Name: "side killed and started, three times", Touch: touchSide, Over: true, Excludes: always,
