Take a permit that is given back while it is asked for as no silence

Release broke off the search before it said so, so the search could take the end of its own call for a silent home. Scores of rendezvous hashing stand in one package now; core/routing and core/share had the same function. Step.Deputy had no reader.

--- /dev/null
+++ b/core/rendezvous/rendezvous.go
@@ -0,0 +1,16 @@
+// Package rendezvous scores names for keys by highest random weight: all processes
+// compute the same order without talking, and a name that goes moves only the keys
+// that it led.
+package rendezvous
+
+// Score returns the score of a name for a key, both given by their hashes.
+func Score(key, name uint64) uint64 { return mix(key ^ name) }
+
+// mix spreads the bits of x evenly (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/core/routing/rendezvous.go
+++ b/core/routing/rendezvous.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"acaciawinch/core/rendezvous"
 )
 
 // boundFactor is how far above the mean an upstream's occupancy may lie before
@@ -36,7 +38,7 @@
 	}
 	list := make([]scored, len(upstreams))
 	for i, upstream := range upstreams {
-		list[i] = scored{score: mix(key ^ upstream.hash), upstream: upstream}
+		list[i] = scored{score: rendezvous.Score(key, upstream.hash), upstream: upstream}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.upstream.ID, b.upstream.ID))
@@ -48,15 +50,6 @@
 	return ranked
 }
 
-// mix spreads the bits of x evenly (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // boundOf returns the most work that one upstream may hold after taking one
 // more, if total counts the work held by count upstreams before that. At least
 // one upstream is always below it, because it is above the mean.
--- a/core/share/asker.go
+++ b/core/share/asker.go
@@ -85,8 +85,6 @@
 	Home  Home
 	Part  int
 	Bound int
-	// Deputy is set if Home is not the part's first home.
-	Deputy bool
 }
 
 // Search looks for a permit for one request: one part after the other from a
@@ -168,9 +166,9 @@
 func (s *Search) next(now time.Time) Step {
 	for s.silences < maxSilences && s.tried < len(s.order) {
 		part := s.order[s.tried]
-		for i, home := range s.homes.Of(s.workspace, part) {
+		for _, home := range s.homes.Of(s.workspace, part) {
 			if s.asker.mayAsk(now, home) {
-				s.asked = Step{Kind: StepAsk, Home: home, Part: part, Bound: s.homes.PartBound(s.bound, part), Deputy: i > 0}
+				s.asked = Step{Kind: StepAsk, Home: home, Part: part, Bound: s.homes.PartBound(s.bound, part)}
 				return s.asked
 			}
 		}
--- a/core/share/homes.go
+++ b/core/share/homes.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"acaciawinch/core/fleet"
+	"acaciawinch/core/rendezvous"
 )
 
 // Size of the parts into which a bound is divided, so that no home has to answer
@@ -135,15 +136,6 @@
 
 // before tells whether a goes before b for key.
 func before(a, b Home, key uint64) bool {
-	scoreA, scoreB := mix(key^a.hash), mix(key^b.hash)
+	scoreA, scoreB := rendezvous.Score(key, a.hash), rendezvous.Score(key, b.hash)
 	return scoreA > scoreB || scoreA == scoreB && a.Name < b.Name
 }
-
-// mix spreads the bits of x evenly (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/entry/limit/limiter_test.go
+++ b/entry/limit/limiter_test.go
@@ -151,6 +151,39 @@
 	assert.Assert(t, ns.list[home].ask("w", bound).Refusal() != nil)
 }
 
+// TestALeavingCallerMakesNoHomeSuspect gives permits back while they are asked for at
+// a home that never answers.
+func TestALeavingCallerMakesNoHomeSuspect(t *testing.T) {
+	ns := newNodes(t, 2)
+	home, _ := ns.homesOf("w")
+	ns.list[home].stop()
+	mute, err := net.Listen("tcp", ns.hosts[home].Addr)
+	assert.NilError(t, err)
+	defer mute.Close()
+	asker := ns.list[1-home]
+	asked := make(chan struct{})
+	go func() {
+		for {
+			if _, err := mute.Accept(); err != nil {
+				return
+			}
+			asked <- struct{}{}
+		}
+	}()
+	for range 50 {
+		p := asker.limiter.Ask("r", "w", 1, time.Second)
+		select {
+		case <-asked:
+		case <-p.Decided():
+			t.Fatal("the home was not asked")
+		}
+		p.Release()
+	}
+	asker.limiter.mu.Lock()
+	defer asker.limiter.mu.Unlock()
+	assert.Equal(t, asker.limiter.asker.Suspects(), 0)
+}
+
 // TestWithoutHomesAnEvenPartRuns stops all others.
 func TestWithoutHomesAnEvenPartRuns(t *testing.T) {
 	const bound = 6
--- a/entry/limit/permit.go
+++ b/entry/limit/permit.go
@@ -52,11 +52,12 @@
 
 // Release gives the permit back, also while it is being asked for.
 func (p *Permit) Release() {
-	p.cancel()
 	l := p.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Set before the search is broken off, which is no silence of its home.
 	p.released = true
+	p.cancel()
 	if _, runs := l.held[p.held.Permit]; runs {
 		delete(l.held, p.held.Permit)
 		l.asker.Ended(p.held.Workspace, p.alone)
