Keep the handshake's tests free of the machine's pace

Cause: go test -race -count=20 ./wire/link took 62 s once: a drpc client that reads the challenge as a frame may end its call before it sent anything, and the test of calls without a handshake then waited for the server's patience before it closed the connection. Handshakes of the other tests could end by the time on a slow machine.

The test closes its connection when its call has ended. Servers and dialers under test wait a minute, but where the wait is the matter. A stalled connection may be reset in place of closed, when the test's own write comes late; both are accepted as closed, nothing else is.

--- a/wire/link/handshake_test.go
+++ b/wire/link/handshake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", addr)
 	assert.NilError(t, err)
-	g := &guarded{Server: NewServer(key), addr: listener.Addr().String(), refused: make(chan Refusal, 1)}
+	g := &guarded{Server: NewServer(key), addr: listener.Addr().String(), refused: make(chan Refusal, 16)}
 	assert.NilError(t, wirepb.DRPCRegisterSide(g.Mux(), g))
 	g.OnRefused(func(r Refusal) { g.refused <- r })
 	edit(g.Server)
@@ -57,8 +58,15 @@
 	return g, stop
 }
 
-// asBuilt leaves a server as it is.
-func asBuilt(*Server) {}
+// unhurried lets no handshake end by the time, however slow the machine is.
+func unhurried(s *Server) { s.patience = time.Minute }
+
+// newDialer returns a dialer with the same patience.
+func newDialer(key string) *Dialer {
+	dialer := NewDialer(key)
+	dialer.patience = time.Minute
+	return dialer
+}
 
 // connect opens a bare connection to g and reads the challenge.
 func (g *guarded) connect(t *testing.T) (net.Conn, [challengeBytes]byte) {
@@ -107,8 +115,8 @@
 
 func TestAnotherKeyIsRefusedAtBothEnds(t *testing.T) {
 	for _, keys := range [][2]string{{fleetKey, "another"}, {fleetKey, ""}, {"", ""}, {"", fleetKey}} {
-		g, _ := guard(t, keys[0], "127.0.0.1:0", asBuilt)
-		dialer := NewDialer(keys[1])
+		g, _ := guard(t, keys[0], "127.0.0.1:0", unhurried)
+		dialer := newDialer(keys[1])
 
 		err := probe(t.Context(), dialer, g.addr)
 
@@ -125,7 +133,7 @@
 }
 
 func TestTheKeyNeverCrosses(t *testing.T) {
-	g, _ := guard(t, fleetKey, "127.0.0.1:0", asBuilt)
+	g, _ := guard(t, fleetKey, "127.0.0.1:0", unhurried)
 	conn, hello := g.connect(t)
 	sent := proofFor(nonce(hello[1:]), newNonce())
 
@@ -157,7 +165,7 @@
 }
 
 func TestAReplayedAnswerIsRefused(t *testing.T) {
-	g, _ := guard(t, fleetKey, "127.0.0.1:0", asBuilt)
+	g, _ := guard(t, fleetKey, "127.0.0.1:0", unhurried)
 	first, hello := g.connect(t)
 	recorded := proofFor(nonce(hello[1:]), newNonce())
 	_, err := first.Write(recorded)
@@ -176,7 +184,7 @@
 }
 
 func TestTheServersProofIsNoAnswer(t *testing.T) {
-	g, _ := guard(t, fleetKey, "127.0.0.1:0", asBuilt)
+	g, _ := guard(t, fleetKey, "127.0.0.1:0", unhurried)
 	conn, hello := g.connect(t)
 	server, client := nonce(hello[1:]), newNonce()
 
@@ -187,17 +195,16 @@
 }
 
 func TestNothingIsServedBeforeTheHandshake(t *testing.T) {
-	g, _ := guard(t, fleetKey, "127.0.0.1:0", asBuilt)
+	g, _ := guard(t, fleetKey, "127.0.0.1:0", unhurried)
 	bare, err := net.Dial("tcp", g.addr)
 	assert.NilError(t, err)
 	conn := drpcconn.New(bare)
-	defer conn.Close()
-	client := wirepb.NewDRPCSideClient(conn)
 
-	// The first call may go out whole before the server's challenge ends it.
-	_, err = client.Probe(t.Context(), &wirepb.ProbeRequest{PrefixHash: 1})
+	// The call may go out whole, or the server's challenge may end it before that.
+	_, err = wirepb.NewDRPCSideClient(conn).Probe(t.Context(), &wirepb.ProbeRequest{PrefixHash: 1})
 
 	assert.Assert(t, err != nil)
+	_ = conn.Close()
 	g.assertReported(t, bare.LocalAddr().String(), "")
 }
 
@@ -205,20 +212,23 @@
 	for _, sent := range []int{0, 1, answerBytes - 1} {
 		g, _ := guard(t, fleetKey, "127.0.0.1:0", func(s *Server) { s.patience = 20 * time.Millisecond })
 		conn, hello := g.connect(t)
-		_, err := conn.Write(proofFor(nonce(hello[1:]), newNonce())[:sent])
-		assert.NilError(t, err)
+		_, _ = conn.Write(proofFor(nonce(hello[1:]), newNonce())[:sent])
 
-		_, err = io.Copy(io.Discard, conn)
+		_, err := io.Copy(io.Discard, conn)
 
-		assert.NilError(t, err) // The server has closed it.
+		// The server has closed it, maybe before all was written.
+		assert.Assert(t, err == nil || errors.Is(err, syscall.ECONNRESET), "%v", err)
 		g.assertReported(t, conn.LocalAddr().String(), "deadline exceeded")
 	}
 }
 
 func TestTooManyHandshakesAreRefusedAndEnd(t *testing.T) {
-	g, _ := guard(t, fleetKey, "127.0.0.1:0", func(s *Server) { s.handshakes = make(chan struct{}, 1) })
+	g, _ := guard(t, fleetKey, "127.0.0.1:0", func(s *Server) {
+		unhurried(s)
+		s.handshakes = make(chan struct{}, 1)
+	})
 	stalled, _ := g.connect(t)
-	dialer := NewDialer(fleetKey)
+	dialer := newDialer(fleetKey)
 	defer dialer.Close()
 
 	err := probe(t.Context(), dialer, g.addr)
@@ -252,7 +262,7 @@
 		got <- rest
 	}()
 
-	err = probe(t.Context(), NewDialer(fleetKey), listener.Addr().String())
+	err = probe(t.Context(), newDialer(fleetKey), listener.Addr().String())
 
 	assert.ErrorContains(t, err, "the server does not hold this fleet's key")
 	assert.Equal(t, len(<-got), 0)
@@ -272,21 +282,21 @@
 		_, _ = io.Copy(io.Discard, conn)
 	}()
 
-	err = probe(ctx, NewDialer(fleetKey), listener.Addr().String())
+	err = probe(ctx, newDialer(fleetKey), listener.Addr().String())
 
 	assert.ErrorContains(t, err, "link.dial with "+listener.Addr().String())
 	assert.ErrorIs(t, err, context.Canceled)
 }
 
 func TestEachConnectionIsCheckedAlsoBehindAPooledOne(t *testing.T) {
-	first, stop := guard(t, fleetKey, "127.0.0.1:0", asBuilt)
-	dialer := NewDialer(fleetKey)
+	first, stop := guard(t, fleetKey, "127.0.0.1:0", unhurried)
+	dialer := newDialer(fleetKey)
 	defer dialer.Close()
 	assert.NilError(t, probe(t.Context(), dialer, first.addr))
 	assert.NilError(t, probe(t.Context(), dialer, first.addr))
 	stop()
 
-	second, _ := guard(t, "a new key", first.addr, asBuilt)
+	second, _ := guard(t, "a new key", first.addr, unhurried)
 	var err error
 	for err == nil || !errors.As(err, new(*fault.Error)) {
 		err = probe(t.Context(), dialer, first.addr)
