--- a/standin/faults/sabotage_parts_test.go
+++ b/standin/faults/sabotage_parts_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"time"
 
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/config"
 	"acaciawinch/standin/harness"
 )
 
@@ -50,6 +55,51 @@
 		s.tap().Refuse()
 		return nil
 	}
-	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: usesReplacement}
+	soon := func(ctx context.Context, s *Scene) error {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		return usesReplacement(ctx, s)
+	}
+	f := Fault{Name: "sabotage", Touch: touchSide, Excludes: always, inject: both(replaceSide, refuse), heal: soon}
 	violates(t, requestCell(f, stepOf("encode flight")), Recovers)
 }
+
+// TestRemovedPartIsFoundLost deletes a part that a kept revision names.
+func TestRemovedPartIsFoundLost(t *testing.T) {
+	remove := func(ctx context.Context, s *Scene) error {
+		store := s.Site.history()
+		head, err := store.head(ctx)
+		if err != nil {
+			return err
+		}
+		copies, err := store.copies(ctx)
+		if err != nil {
+			return err
+		}
+		for _, copied := range copies {
+			if copied.Revision > head.Revision-keptRevisions/2 && copied.Templates != head.Templates {
+				key := config.PartKey(copied.Templates)
+				part, err := store.store.Get(ctx, key)
+				return errors.Join(err, store.store.Delete(ctx, key, part.Version))
+			}
+		}
+		return errors.New("no part to delete")
+	}
+	f := Fault{Name: "sabotage", Touch: touchStore, inject: remove, heal: none}
+	violates(t, courseCell(f, stepDelete), HistoryKept)
+}
+
+// TestEachOfManyIsFoundCut kills an entry that should stop as planned while several
+// requests stand at a step: each of its own must be found.
+func TestEachOfManyIsFoundCut(t *testing.T) {
+	f := Fault{Name: "sabotage", Planned: true, Excludes: always, inject: killEntry, heal: startEntry}
+	c := togetherCell(f, stepOf("pay flight"))
+	c.Needs.Asks = 1
+	cut := 0
+	for _, finding := range play(t, c).Findings {
+		if finding.Invariant == NotCut {
+			cut++
+		}
+	}
+	assert.Equal(t, cut, atOnce/2)
+}
