Don't queue for a cached prefix longer than it saves

A cached prefix saves at most the time to the first chunk, 30 to 60 ms there.

Change: the warm engine is taken only if its queue is also no longer than the best's by the time to the first chunk. TestAllEntriesAgreeOnAPrefix has two more cases, of which one failed before.

--- a/core/routing/decide.go
+++ b/core/routing/decide.go
@@ -61,17 +61,20 @@
 
 // warm returns the index of the first upstream in the prefix's ranking that is
 // within the bound on load and nearly as good as best, or -1. Only the tier of
-// best counts: a ranking holds for one zone.
+// best counts: a ranking holds for one zone. A cached prefix saves no more than the
+// time to the first chunk, so the work must not queue longer than that for it.
 func (r *Round) warm(weighed []Weighed, best Weighed) int {
 	if !r.hasAffinity() {
 		return -1
 	}
 	limit := best.score + max(affinitySlackFloor, time.Duration(affinitySlack*float64(best.Expected)))
+	queueing := best.queueing() + max(affinitySlackFloor, best.Answer.Load.FirstP50)
 	byID := make(map[Upstream]int)
 	var near []Upstream
 	for i, w := range weighed {
 		u := w.Answer.Upstream
-		if w.Usable && w.score <= limit && u.Tier == best.Answer.Upstream.Tier {
+		nearlyAsGood := w.score <= limit && w.queueing() <= queueing
+		if w.Usable && nearlyAsGood && u.Tier == best.Answer.Upstream.Tier {
 			byID[u] = i
 			near = append(near, u)
 		}
--- a/core/routing/decide_test.go
+++ b/core/routing/decide_test.go
@@ -75,6 +75,8 @@
 		assert.Equal(t, chosenWith(seed, func(*Load) {}), warmest.ID)
 		assert.Equal(t, chosenWith(seed, func(l *Load) { l.InFlight = 1 }), warmest.ID, "a little load keeps it")
 		assert.Assert(t, chosenWith(seed, func(l *Load) { l.InFlight = 4 }) != warmest.ID, "over the bound")
+		assert.Equal(t, chosenWith(seed, func(l *Load) { l.Wait = 15 * ms }), warmest.ID, "a short queue keeps it")
+		assert.Assert(t, chosenWith(seed, func(l *Load) { l.Wait = 23 * ms }) != warmest.ID, "queues longer than the prefix saves")
 		assert.Assert(t, chosenWith(seed, func(l *Load) { l.ServiceP50 = time.Second }) != warmest.ID, "a straggler")
 	}
 }
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -122,8 +122,13 @@
 	if w.Answer.PrefixCached {
 		saved = cachedShare * float64(load.FirstP50)
 	}
-	behind := backlogWeight * float64(w.Backlog-w.Wait)
-	return w.Expected + time.Duration(behind+tail+busy+again-saved)
+	return w.Expected - w.Wait + w.queueing() + time.Duration(tail+busy+again-saved)
+}
+
+// queueing returns how much the queue counts: the newcomer's own wait and a part
+// of the backlog behind it.
+func (w Weighed) queueing() time.Duration {
+	return w.Wait + time.Duration(backlogWeight*float64(w.Backlog-w.Wait))
 }
 
 // orAssumed returns service, or an assumption if it is not known.
