Let a refused request keep its place for a while

The pace bounds requests in flight; a refusal behind the door is over within 50 ms, an answer takes 1 to 3 s. So each refusal frees its place for the next request, and the bound, at its floor of 4, let nearly all of them in.

Change: a refused request keeps its place for the time that it was told to stay away, at most 1 s. The floor is 2 in place of 4; the first sign of overload still sets the bound to nine tenths of what was in flight.

TestRefusedRequestKeepsItsPlaceAsLongAsItShouldStayAway failed before; TestPaceFindsTheCapacity holds.

--- a/entry/admit/admit_test.go
+++ b/entry/admit/admit_test.go
@@ -164,3 +164,21 @@
 	}
 	assert.Equal(t, p.limit, float64(leastLimit))
 }
+
+func TestRefusedRequestKeepsItsPlaceAsLongAsItShouldStayAway(t *testing.T) {
+	p := pace{}
+	for range 10 {
+		p.enter()
+	}
+	p.overloaded(now, 300*time.Millisecond)
+	p.overloaded(now, time.Hour)
+	p.inFlight -= 2
+	assert.Equal(t, p.limit, 9.0)
+	assert.Assert(t, !p.allows(now))
+	assert.Assert(t, !p.allows(now.Add(299*time.Millisecond)))
+	p.inFlight--
+	assert.Assert(t, p.allows(now.Add(300*time.Millisecond)))
+	p.enter()
+	assert.Assert(t, !p.allows(now.Add(maxHold-1)))
+	assert.Assert(t, p.allows(now.Add(maxHold)))
+}
--- a/entry/admit/pace.go
+++ b/entry/admit/pace.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Constants of the pace. A cut of a tenth loses little of the throughput while
 // the upstreams' queues are full, and is won back within as many answers as the
@@ -18,7 +21,9 @@
 	nearLimit = 0.8
 	// leastLimit is where cuts end: below it a burst of a few requests would be
 	// refused for one sign of overload.
-	leastLimit = 4
+	leastLimit = 2
+	// maxHold is the longest time for which a refused request keeps its place.
+	maxHold = time.Second
 	// calm is how long without a sign of overload the limit grows faster, by one
 	// for each answer.
 	calm = time.Second
@@ -29,8 +34,15 @@
 // request that was refused for want of time behind its admission cuts the limit;
 // answers raise it. So most requests beyond the capacity are refused at
 // once, before they cost a pass, and not in the queue of the last stage.
+//
+// A request that was refused behind its admission keeps its place for the time
+// that it was told to stay away. Refusals are over much sooner than answers: if
+// they gave back their places at once, more requests would be refused behind
+// their admission the fewer are answered.
 type pace struct {
 	inFlight int
+	// held holds until when refused requests keep their places.
+	held []time.Time
 	// peak is the most that were in flight since the last cut.
 	peak int
 	// limit is zero while there is none.
@@ -46,7 +58,8 @@
 		p.limit = 0
 		p.peak = p.inFlight
 	}
-	return p.limit == 0 || float64(p.inFlight+1) <= p.limit
+	p.held = slices.DeleteFunc(p.held, func(until time.Time) bool { return !now.Before(until) })
+	return p.limit == 0 || float64(p.inFlight+len(p.held)+1) <= p.limit
 }
 
 // enter counts a request in and tells whether it used the limit.
@@ -72,6 +85,7 @@
 func (p *pace) overloaded(now time.Time, retryAfter time.Duration) {
 	p.lastSign = now
 	p.retryAfter = retryAfter
+	p.held = append(p.held, now.Add(min(retryAfter, maxHold)))
 	if now.Sub(p.lastCut) < cutEvery {
 		return
 	}
