Let zones lose each other together with another fault, and over and over

Three rows: the entry, or the side that the request is at, is killed while its zone loses all packets of the other one; and the zones are cut and joined three times.

--- a/standin/faults/fault.go
+++ b/standin/faults/fault.go
@@ -54,6 +54,9 @@
 	// HoldOn keeps the step's message on its way until the caller has its final
 	// answer, or asked again elsewhere.
 	HoldOn bool
+	// SideGone marks partitions that also end the side that the request is at: its
+	// zone can lack an upstream then.
+	SideGone bool
 	// TakesWitnesses marks faults that end both the entry that wrote a claim and the
 	// side that it names, so that nobody can tell whether it was dispatched.
 	TakesWitnesses bool
--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -185,7 +185,7 @@
 	down := setObjects(objectstore.Control{Down: true})
 	up := setObjects(objectstore.Control{})
 	lost := setObjects(objectstore.Control{LoseAnswers: 2})
-	return []Fault{
+	pairs := []Fault{
 		{Name: "entry killed + side killed", Touch: touchEntry | touchSide, EntryGone: true, Excludes: always,
 			inject: both(killEntry, killSide), heal: both(startEntry, startSide)},
 		{Name: "entry frozen + side killed", Touch: touchEntry | touchSide, EntryGone: true, HoldOn: true, Excludes: always,
@@ -207,6 +207,7 @@
 		{Name: "entry killed and started, three times", Touch: touchEntry, Over: true, EntryGone: true, Excludes: always,
 			inject: repeat(3, both(killEntry, startEntry)), heal: none},
 	}
+	return append(pairs, partitionPairs()...)
 }
 
 // repeat does an injection several times over.
