Compress the views of the host list as the list itself

The views were added beside the change that lets readers of the list take it compressed, so they answered plainly. go test ./standin/hostlist passes.

--- a/standin/hostlist/view.go
+++ b/standin/hostlist/view.go
@@ -23,9 +23,9 @@
 
 // Show adds a view, served under its own path, ViewPath. Call it before serving.
 func (s *Server) Show(view View) {
-	s.mux.HandleFunc("GET "+ViewPath(view.Zone)+"/v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+	s.mux.HandleFunc("GET "+ViewPath(view.Zone)+"/v1/hosts", gzipped(func(w http.ResponseWriter, r *http.Request) {
 		s.write(w, r, view.apply)
-	})
+	}))
 }
 
 // ViewPath is the path below which a zone's view is served.
