Wake a replaced side with an old plan in a region cut off

Cause: it was not shown that a side which was paused and replaced gives its engine no order of its old plan when it wakes, if the engine obeys any order and nobody in reach tells the side of the newer plan.

One cell: the side before an engine is frozen and replaced, the entry that feeds it starts anew, the new side gives an order of the newer plan, the region is cut off, the old side wakes. Two tries before did not get there: the newer plan waited in the frozen side's connection, or came through the other zone's entry. Ruled out as needless: a look at the plan object after a pause.

--- a/standin/faults/matrix.go
+++ b/standin/faults/matrix.go
@@ -29,7 +29,7 @@
 // ownCells returns the cells of faults that only courses meet.
 func ownCells() []Cell {
 	var cells []Cell
-	for _, f := range append(append(changeFaults(), placementFaults()...), drainFaults()...) {
+	for _, f := range slices.Concat(changeFaults(), placementFaults(), oldPlanFaults(), drainFaults()) {
 		for _, step := range courseSteps() {
 			if slices.Contains(f.At, step.Kind) {
 				c := courseCell(f, step)
--- a/standin/faults/replacement.go
+++ b/standin/faults/replacement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciawinch/standin/harness"
+	"acaciawinch/standin/ledger"
 )
 
 // replacementFaults put two side processes before one upstream at the same time.
@@ -18,6 +19,62 @@
 	}
 }
 
+// oldPlanFaults wake a side with an old plan beside the one that replaced it, in a
+// region that is cut off, so that nobody tells it of the newer plan.
+func oldPlanFaults() []Fault {
+	return []Fault{{
+		Name: "side frozen, replaced, woken in a region cut off", At: []Kind{kindPlan}, Touch: touchSide,
+		Needs:  siteOptions{Zones: true, Regions: true},
+		inject: both(chooseEngine, both(freeze(sideProcess), both(replaceSide, restartZoneEntry))), heal: wakeWithOldPlan,
+	}}
+}
+
+// chooseEngine makes an engine the scene's upstream.
+func chooseEngine(_ context.Context, s *Scene) error {
+	s.Upstream = s.Site.Fleet.Service(services[stageConfirm])[0]
+	return nil
+}
+
+// restartZoneEntry starts the entry in the upstream's zone anew, so that what it has
+// sent to the frozen side is lost.
+func restartZoneEntry(ctx context.Context, s *Scene) error {
+	fleet := s.Site.Fleet
+	for i, e := range fleet.Options.Deployment.EntryList() {
+		if e.Zone != s.Upstream.Zone {
+			continue
+		}
+		if err := fleet.Entries[i].Restart(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// oldPlanTime is how long the woken side has to give an order of its old plan: it
+// compares its engine with the plan twice a second.
+const oldPlanTime = 2 * time.Second
+
+// wakeWithOldPlan waits until the new side has given its order, cuts the region
+// off and wakes the side that was replaced. Then the region comes back.
+func wakeWithOldPlan(ctx context.Context, s *Scene) error {
+	limited, cancel := context.WithTimeout(ctx, convergeLimit)
+	defer cancel()
+	_, err := s.Site.awaitRecord(limited, "the new side gives no order", func(r ledger.Record) bool {
+		return ordered(r) && r.Upstream == s.Upstream.Name
+	})
+	if err != nil {
+		return err
+	}
+	fleet := s.Site.Fleet
+	fleet.PartitionZone(s.Upstream.Zone, harness.Everything, harness.Lost)
+	defer fleet.HealZone(s.Upstream.Zone)
+	if err := s.replaced.Wake(); err != nil {
+		return err
+	}
+	pause(ctx, oldPlanTime)
+	return nil
+}
+
 // replacedProcess chooses the side that was replaced.
 func replacedProcess(s *Scene) *harness.Process { return s.replaced }
 
