Lose the answer of every write of the object API

Cause: lost answers were played at the next one or two writes only, so that the call which finds out what happened always got its answer.

Every request must be answered all the same, and an operator be told the truth.

--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -61,6 +61,9 @@
 // slowStoreMS is what a slow object API adds to each call, in milliseconds.
 const slowStoreMS = 400
 
+// everyAnswer is more answers than any cell's writes have.
+const everyAnswer = 1 << 20
+
 // staleLag is how late the host list is when it is stale: longer than a cell.
 const staleLag = time.Minute
 
@@ -152,6 +155,8 @@
 		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
 		{Name: "store answer lost after effect", Harmless: true, Touch: touchStore, Excludes: always,
 			inject: setObjects(objectstore.Control{LoseAnswers: 1}), heal: up},
+		{Name: "store loses the answer of every write", Harmless: true, Touch: touchStore, Excludes: always,
+			inject: setObjects(objectstore.Control{LoseAnswers: everyAnswer}), heal: up},
 		{Name: "host list stale, host gone", Touch: touchSide | touchUpstream, Excludes: always,
 			Needs: siteOptions{HostLag: staleLag}, inject: hostGone, heal: hostBack},
 		{Name: "configuration changed midway", Planned: true, Excludes: always, inject: changeConfiguration, heal: none},
