Play eight cells of the fault matrix at a time

Cause: the matrix has 1,092 cells to run now. 1,009 of them took 1,441 s of cells, 361 s at four a time, so that all take some 260 s at six and 195 s at eight by arithmetic, if the machine keeps up; five minutes is the bound.

A whole run at eight is still to be made.

--- a/standin/cmd/faults/main.go
+++ b/standin/cmd/faults/main.go
@@ -21,7 +21,7 @@
 	Fault    string `long:"fault" description:"only faults whose name contains this"`
 	Step     string `long:"step" description:"only steps whose name contains this"`
 	Repeat   int    `long:"repeat" default:"1" description:"how often each cell is run; the table shows the last"`
-	Parallel int    `long:"parallel" default:"6" description:"cells at a time, 16 processes each"`
+	Parallel int    `long:"parallel" default:"8" description:"cells at a time, 16 processes each"`
 	Page     string `long:"page" description:"write the page to this file"`
 	Commit   string `long:"commit" default:"unknown" description:"commit that the binaries were built from"`
 	Verbose  bool   `long:"verbose" description:"print each cell as it ends"`
