--- a/standin/faults/page.go
+++ b/standin/faults/page.go
@@ -112,13 +112,13 @@
 	for i, step := range steps {
 		fmt.Fprintf(&text, "%2d %s\n", i+1, step)
 	}
-	fmt.Fprintf(&text, "\n%-42s", "")
+	fmt.Fprintf(&text, "\n%-58s", "")
 	for i := range steps {
 		fmt.Fprintf(&text, "%5d", i+1)
 	}
 	text.WriteString("\n")
 	for _, fault := range faults {
-		fmt.Fprintf(&text, "%-42s", fault)
+		fmt.Fprintf(&text, "%-58s", fault)
 		for _, step := range steps {
 			word := ""
 			if r, ok := cells[[2]string{fault, step}]; ok {
