--- a/standin/faults/faultlist.go
+++ b/standin/faults/faultlist.go
@@ -61,6 +61,9 @@
 // slowStoreMS is what a slow object API adds to each call, in milliseconds.
 const slowStoreMS = 400
 
+// everyAnswer is more answers than any cell's writes have.
+const everyAnswer = 1 << 20
+
 // staleLag is how late the host list is when it is stale: longer than a cell.
 const staleLag = time.Minute
 
@@ -152,6 +155,8 @@
 		{Name: "store slow", Harmless: true, Touch: touchStore, Excludes: always, inject: setObjects(objectstore.Control{DelayMS: slowStoreMS}), heal: up},
 		{Name: "store answer lost after effect", Harmless: true, Touch: touchStore, Excludes: always,
 			inject: setObjects(objectstore.Control{LoseAnswers: 1}), heal: up},
+		{Name: "store loses the answer of every write", Harmless: true, Touch: touchStore, Excludes: always,
+			inject: setObjects(objectstore.Control{LoseAnswers: everyAnswer}), heal: up},
 		{Name: "host list stale, host gone", Touch: touchSide | touchUpstream, Excludes: always,
 			Needs: siteOptions{HostLag: staleLag}, inject: hostGone, heal: hostBack},
 		{Name: "configuration changed midway", Planned: true, Excludes: always, inject: changeConfiguration, heal: none},
@@ -185,7 +190,7 @@
 	down := setObjects(objectstore.Control{Down: true})
 	up := setObjects(objectstore.Control{})
 	lost := setObjects(objectstore.Control{LoseAnswers: 2})
-	return []Fault{
+	pairs := []Fault{
 		{Name: "entry killed + side killed", Touch: touchEntry | touchSide, EntryGone: true, Excludes: always,
 			inject: both(killEntry, killSide), heal: both(startEntry, startSide)},
 		{Name: "entry frozen + side killed", Touch: touchEntry | touchSide, EntryGone: true, HoldOn: true, Excludes: always,
@@ -207,6 +212,7 @@
 		{Name: "entry killed and started, three times", Touch: touchEntry, Over: true, EntryGone: true, Excludes: always,
 			inject: repeat(3, both(killEntry, startEntry)), heal: none},
 	}
+	return append(pairs, partitionPairs()...)
 }
 
 // repeat does an injection several times over.
