--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Formatter, linters and all tests, with the race detector but for core. Exits
-# non-zero on any failure. Tests listed in KNOWN-RED.txt (test, cause, issue) are
-# left out and printed.
+# Formatter, linters and all tests with the race detector. Exits non-zero on any
+# failure. Tests listed in KNOWN-RED.txt (test, cause, issue) are left out and
+# printed.
 set -eu
 cd "$(dirname "$0")/.."
 
@@ -27,16 +27,4 @@
   names=$(cut -d, -f1 KNOWN-RED.txt | paste -sd '|')
   skip="^($names)$"
 fi
-
-# core starts no goroutine, so that there is nothing in it for the race detector to
-# find, which would make its many schedules take several times as long. What others
-# share of core is raced by the tests of those that share it.
-if git grep -nE '^[[:space:]]*go (func|[a-zA-Z_.]+)\(|\.Go\(' -- 'core/*.go' ':!*_test.go'; then
-  echo "core starts a goroutine"
-  exit 1
-fi
-status=0
-go test -count=1 -timeout 20m -skip "$skip" ./core/... || status=1
-go list work | grep -v '^acaciawinch/core' |
-  xargs go test -race -count=1 -timeout 20m -skip "$skip" || status=1
-exit $status
+go test -race -count=1 -timeout 20m -skip "$skip" work
