Look again soon while it is not known who removes old configuration

Now the entry looks again within the time of its first look while it knows no host. The new test was red with the old order (24h in place of 7s).

--- a/entry/clean/cleaner.go
+++ b/entry/clean/cleaner.go
@@ -70,14 +70,24 @@
 	}
 	next := rand.N(c.options.Settings.firstPass())
 	for wait(ctx, next) {
-		next = passInterval
-		if c.owns() && !c.pass(ctx) {
-			next = retryInterval
-		}
+		next = c.turn(ctx)
 	}
 	return nil
 }
 
+// turn makes a pass if this entry is the one that cleans, and returns the time
+// until the next turn. While the host list is not known nobody can tell who cleans;
+// to wait for a whole interval then would leave the work undone for a day.
+func (c *Cleaner) turn(ctx context.Context) time.Duration {
+	switch {
+	case len(c.options.Hosts()) == 0:
+		return c.options.Settings.firstPass()
+	case c.owns() && !c.pass(ctx):
+		return retryInterval
+	}
+	return passInterval
+}
+
 // wait waits, and tells whether ctx goes on.
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/entry/clean/cleaner_test.go
+++ b/entry/clean/cleaner_test.go
@@ -134,6 +134,18 @@
 	assert.Assert(t, !c.owns(), "an entry without a host list cleans")
 }
 
+// TestAnUnknownHostListIsLookedAtAgainSoon checks that an entry which does not know
+// yet who cleans does not leave the work undone for a whole interval.
+func TestAnUnknownHostListIsLookedAtAgainSoon(t *testing.T) {
+	c, _ := cleaner(t, newStore(), "e", nil)
+	c.options.Settings.FirstPassSeconds = 7
+	assert.Equal(t, c.turn(context.Background()), 7*time.Second)
+	c.options.Hosts = func() []fleet.Host { return entries("another") }
+	assert.Equal(t, c.turn(context.Background()), passInterval)
+	c.options.Hosts = func() []fleet.Host { return entries("e") }
+	assert.Equal(t, c.turn(context.Background()), passInterval)
+}
+
 func TestAllIsKeptIfTheSettingsSaySo(t *testing.T) {
 	c, _ := cleaner(t, nil, "e", entries("e"))
 	c.options.Settings.Revisions = 0
