Order engines by the wait of the request's own workspace and class

Cause: a probe told the wait of class 0 for a workspace without work at the upstream. Requests of one small workspace in a row so went to the same engine, where they wait for one another, and the backlog that was added in their place let another's burst decide where they go (docs/design/routing.md, "The order of engines during a burst").

Now a probe names the workspace and the priority, and the side answers with the wait that its queue has for them; the backlog counts only where that is not known.

Price: 16 bytes of a probe for a name of 12, and some 4 of its reply while there is a queue. Each new test was seen to fail: without the workspace in the probe, with the side's answer for nobody, with a remembered answer taken for the query's own, and with the backlog counted.

--- a/core/gate/load.go
+++ b/core/gate/load.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// Wait returns the expected wait in the queue of a new attempt of a workspace.
+func (g *Gate) Wait(now time.Duration, workspace string, priority int) time.Duration {
+	if g.options.FIFO {
+		return g.wait(now, "", 0)
+	}
+	return g.wait(now, workspace, clampPriority(priority))
+}
+
 // Memory is how much the gate remembers.
 type Memory struct {
 	Attempts  int
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -13,9 +13,9 @@
 	// occupancyWeight slows the service time with the work already held, since
 	// the reported quantiles lag behind the batch.
 	occupancyWeight = 0.25
-	// backlogWeight is how much of the backlog behind a newcomer's own wait counts:
-	// most of it is served after the newcomer, but some has been promised a start
-	// and goes first when that comes near.
+	// backlogWeight is how much of the backlog behind the reported wait counts while
+	// the query's own wait is not known: its workspace and class may have work there
+	// that the report, of a workspace without any, does not show.
 	backlogWeight = 0.5
 	// cachedShare is the part of the time to the first chunk that a cached
 	// prefix is expected to save. The report is a hint: it may be old.
@@ -38,7 +38,7 @@
 	Reason string
 	// Expected is the time from dispatch to the whole result.
 	Expected time.Duration
-	// Wait is the part of it in the queue, for a workspace that has nothing there.
+	// Wait is the part of it in the queue.
 	Wait time.Duration
 	// Backlog is how long the upstream needs for all that waits there. It says
 	// more than Wait when a workspace's burst waits behind its own work.
@@ -102,7 +102,7 @@
 	free := max(0, load.Capacity-load.InFlight-load.Queued)
 	waiting := max(0, unseen-free)
 	each := orAssumed(service) / time.Duration(max(1, load.Capacity))
-	wait = load.Wait + time.Duration(waiting)*each
+	wait = answer.wait() + time.Duration(waiting)*each
 	return wait, max(wait, time.Duration(load.Queued+waiting)*each)
 }
 
@@ -125,9 +125,12 @@
 	return w.Expected - w.Wait + w.queueing() + time.Duration(tail+busy+again-saved)
 }
 
-// queueing returns how much the queue counts: the newcomer's own wait and a part
-// of the backlog behind it.
+// queueing returns how much the queue counts: the query's own wait, or if only that
+// of a newcomer is known, a part of the backlog behind it as well.
 func (w Weighed) queueing() time.Duration {
+	if w.Answer.Asked {
+		return w.Wait
+	}
 	return w.Wait + time.Duration(backlogWeight*float64(w.Backlog-w.Wait))
 }
 
--- a/core/routing/load_test.go
+++ b/core/routing/load_test.go
@@ -28,6 +28,43 @@
 	assert.Equal(t, w.choose(plain).Chosen.Answer.Upstream.ID, core.UpstreamID("a-1"), "it is tried again some time")
 }
 
+// TestOwnWaitOfTheQueryGoesBeforeThatOfAnother orders by what the sides say of the
+// query itself, but not once the answer is remembered for another query.
+func TestOwnWaitOfTheQueryGoesBeforeThatOfAnother(t *testing.T) {
+	answer := Answer{Load: idle(), OwnWait: time.Second, Asked: true}
+	answer.Load.Wait = ms
+	assert.Equal(t, answer.wait(), time.Second)
+	answer.Answered = true
+	table := NewTable()
+	table.Answered(answer, time.Unix(100, 0))
+	remembered, ok := table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
+	assert.Assert(t, !ok, "it is too old: it was sent at the zero time")
+	answer.SentAt = time.Unix(100, 0)
+	table.Answered(answer, time.Unix(100, 0))
+	remembered, ok = table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, remembered.wait(), ms)
+}
+
+// TestOwnWaitCountsAndNotWhatIsServedBehindIt takes the upstream where the query's
+// turn comes soonest, though much of another workspace waits there.
+func TestOwnWaitCountsAndNotWhatIsServedBehindIt(t *testing.T) {
+	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
+	w.usual.ServiceP50 = 100 * ms
+	w.reply = func(u Upstream) Answer {
+		load := idle()
+		load.InFlight = load.Capacity
+		load.Queued = 3
+		wait := 200 * ms
+		if u.ID == "a-1" {
+			load.Queued = 30
+			wait = 100 * ms
+		}
+		return Answer{Upstream: u, Answered: true, Load: load, OwnWait: wait, Asked: true}
+	}
+	assert.Equal(t, w.choose(plain).Chosen.Answer.Upstream.ID, core.UpstreamID("a-1"))
+}
+
 // TestIdleStragglerIsTriedAgain forgets old service times of an upstream without work.
 func TestIdleStragglerIsTriedAgain(t *testing.T) {
 	w := newWorld(Probe2, 1, hostsIn("a", 2)...)
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -158,7 +158,9 @@
 	if !ok || !k.answer.Answered || k.uses >= uses || now.Sub(k.answer.SentAt) > age {
 		return Answer{}, false
 	}
-	return k.answer, true
+	remembered := k.answer
+	remembered.Asked = false // it was asked for another request
+	return remembered, true
 }
 
 // InFlight returns how many attempts of this entry an upstream holds.
--- a/core/routing/upstream.go
+++ b/core/routing/upstream.go
@@ -100,6 +100,14 @@
 // excludes tells whether the query rules an upstream out.
 func (q Query) excludes(id core.UpstreamID) bool { return slices.Contains(q.Exclude, id) }
 
+// wait returns the expected wait in the queue.
+func (a Answer) wait() time.Duration {
+	if a.Asked {
+		return a.OwnWait
+	}
+	return a.Load.Wait
+}
+
 // Answer is what came of asking one upstream.
 type Answer struct {
 	Upstream Upstream
@@ -109,6 +117,10 @@
 	Incarnation  core.Incarnation
 	ClockUS      uint64
 	PrefixCached bool
+	// OwnWait is the expected wait of the query's own workspace and priority, if Asked
+	// is set. Else only that of a workspace without work there is known, in Load.
+	OwnWait time.Duration
+	Asked   bool
 	// SentAt is when the probe was sent. Choices made since then may not be in Load.
 	SentAt time.Time
 	// RTT is the time from sending the probe to its answer.
--- a/entry/pipeline/act.go
+++ b/entry/pipeline/act.go
@@ -60,6 +60,8 @@
 		Request:    f.req.ID,
 		Stage:      stage.Name,
 		Service:    stage.Service,
+		Workspace:  f.req.Workspace.Name,
+		Priority:   f.req.Workspace.Priority,
 		Kind:       stage.Kind,
 		Model:      stage.Model,
 		Version:    stage.Version,
--- a/entry/route/convert.go
+++ b/entry/route/convert.go
@@ -32,6 +32,8 @@
 		Incarnation:  core.Incarnation(reply.GetIncarnation()),
 		ClockUS:      reply.GetSideClockUs(),
 		PrefixCached: reply.GetPrefixCached(),
+		OwnWait:      microseconds(reply.GetWaitUs()),
+		Asked:        true,
 		SentAt:       sent,
 		RTT:          rtt,
 	}
--- a/entry/route/fixture_test.go
+++ b/entry/route/fixture_test.go
@@ -41,17 +41,26 @@
 	loads  map[string]*wirepb.Load
 	silent map[string]bool
 	asked  map[string]int
+	// waits are what sides tell of workspaces that wait longer there than others.
+	waits map[waiting]uint64
 	// hold keeps all answers back until it is closed, whatever the probe's time.
 	hold chan struct{}
 	// stuck, if set, keeps back those of silent sides in the same way.
 	stuck chan struct{}
 }
 
+// waiting is a request of a workspace before a side.
+type waiting struct {
+	addr, workspace string
+	priority        int32
+}
+
 // Probe implements route.Prober. A silent side answers when the probe's time is over.
-func (s *sides) Probe(ctx context.Context, addr string, _ *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
+func (s *sides) Probe(ctx context.Context, addr string, request *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
 	s.mu.Lock()
 	s.asked[addr]++
 	silent, load, hold := s.silent[addr], s.loads[addr], s.hold
+	wait := load.GetWaitUs() + s.waits[waiting{addr, request.GetWorkspace(), request.GetPriority()}]
 	if silent && s.stuck != nil {
 		hold = s.stuck
 	}
@@ -63,7 +72,7 @@
 		<-ctx.Done()
 		return nil, fault.Wrap(fault.Unavailable, "route.probe", addr, ctx.Err())
 	}
-	return &wirepb.ProbeReply{Incarnation: 7, SideClockUs: 99, Load: load}, nil
+	return &wirepb.ProbeReply{Incarnation: 7, SideClockUs: 99, Load: load, WaitUs: wait}, nil
 }
 
 // set changes what a side does.
--- a/entry/route/probe.go
+++ b/entry/route/probe.go
@@ -55,7 +55,7 @@
 // gives up doesn't make the upstream look silent.
 func (r *Router) start(ctx context.Context, need Need, upstream routing.Upstream, done func(routing.Answer)) {
 	ctx = context.WithoutCancel(ctx)
-	go func() { done(r.probe(ctx, upstream, need.PrefixHash)) }()
+	go func() { done(r.probe(ctx, upstream, need)) }()
 }
 
 // base returns the configured timeout of a probe and twice the way there.
@@ -83,14 +83,19 @@
 	return r.table.Patience(upstream.Zone)
 }
 
-// probe asks one upstream's side and keeps what came of it.
-func (r *Router) probe(ctx context.Context, upstream routing.Upstream, prefix uint64) routing.Answer {
+// probe asks one upstream's side about a need and keeps what came of it.
+func (r *Router) probe(ctx context.Context, upstream routing.Upstream, need Need) routing.Answer {
 	timeout := r.timeout(upstream)
 	ctx, cancel := context.WithTimeout(ctx, lateFactor*r.base(upstream))
 	defer cancel()
 	late := time.AfterFunc(timeout, func() { r.late(upstream.ID) })
 	defer late.Stop()
-	request := &wirepb.ProbeRequest{Revision: uint64(r.opts.Revision()), PrefixHash: prefix}
+	request := &wirepb.ProbeRequest{
+		Revision:   uint64(r.opts.Revision()),
+		PrefixHash: need.PrefixHash,
+		Workspace:  need.Workspace,
+		Priority:   int32(need.Priority),
+	}
 	sent := r.opts.Now()
 	r.metrics.sent.Inc(1)
 	reply, err := r.opts.Prober.Probe(ctx, upstream.Addr, request)
--- a/entry/route/probe_cost_test.go
+++ b/entry/route/probe_cost_test.go
@@ -52,7 +52,7 @@
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	dialer := link.NewDialer(key)
 	prober := route.NewProber(dialer)
-	request := &wirepb.ProbeRequest{Revision: 120_000, PrefixHash: 0x1234567890abcdef}
+	request := &wirepb.ProbeRequest{Revision: 120_000, PrefixHash: 0x1234567890abcdef, Workspace: "pensionistas", Priority: 1}
 	before := processorTime(b)
 	for b.Loop() {
 		_, err := prober.Probe(ctx, listener.Addr().String(), request)
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -15,7 +15,10 @@
 	Request core.RequestID
 	Stage   string
 	Service string
-	Kind    config.StageKind
+	// Workspace and Priority are the request's; the upstreams tell its own wait.
+	Workspace string
+	Priority  int
+	Kind      config.StageKind
 	// Model and Version must be loaded; empty for stages that are no engine's.
 	Model, Version string
 	// MaxTokens bounds the answer's chunks, zero if unknown.
--- a/entry/route/router_test.go
+++ b/entry/route/router_test.go
@@ -44,6 +44,20 @@
 	assert.Equal(t, f.Estimate("llm").ServiceP50, time.Millisecond)
 }
 
+// TestChoiceFollowsTheRequestsOwnWait takes the upstream that serves the request's
+// own workspace and priority first, though both look alike to others.
+func TestChoiceFollowsTheRequestsOwnWait(t *testing.T) {
+	f := newFixture(t, 2, route.Settings{})
+	need := plain
+	need.Workspace, need.Priority = "large", 2
+	for _, busy := range []string{"a-0", "a-1"} {
+		f.sides.waits = map[waiting]uint64{{busy, "large", 2}: 500_000}
+		choice, err := f.Choose(t.Context(), need)
+		assert.NilError(t, err)
+		assert.Assert(t, choice.Upstream != core.UpstreamID(busy))
+	}
+}
+
 // TestRefusalCarriesRetryAfter names the shortest wait.
 func TestRefusalCarriesRetryAfter(t *testing.T) {
 	f := newFixture(t, 2, route.Settings{})
--- a/side/server.go
+++ b/side/server.go
@@ -34,6 +34,7 @@
 		reply.SideClockUs = uint64(now.Microseconds())
 		reply.Load = s.keeper.load(now)
 		reply.PrefixCached = s.keeper.prefixes.Has(request.GetPrefixHash())
+		reply.WaitUs = uint64(s.keeper.gate.Wait(now, request.GetWorkspace(), int(request.GetPriority())).Microseconds())
 	})
 	return reply, nil
 }
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -234,6 +234,29 @@
 	close(r.call().chunks)
 }
 
+// TestProbeTellsTheWaitOfTheWorkspaceThatAsks has one workspace's work wait behind
+// its own.
+func TestProbeTellsTheWaitOfTheWorkspaceThatAsks(t *testing.T) {
+	r := newRig(t, gate.Options{Capacity: 1})
+	first := r.run(context.Background(), r.request())
+	call := r.call()
+	r.advance(time.Second)
+	call.chunks <- "a"
+	close(call.chunks)
+	r.read(first)
+	probe := func(workspace string) *wirepb.ProbeReply {
+		reply, err := r.client().Probe(context.Background(), &wirepb.ProbeRequest{Workspace: workspace})
+		assert.NilError(t, err)
+		return reply
+	}
+	for range 10 {
+		r.run(context.Background(), r.request())
+	}
+	await(t, "eight wait", func() bool { return probe("").GetLoad().GetQueued() >= 8 })
+	own, other := probe(r.request().GetWorkspace()).GetWaitUs(), probe("another").GetWaitUs()
+	assert.Assert(t, own > other, "%d us and %d us", own, other)
+}
+
 func TestUpstreamsNoticeAndSilenceEndAdmission(t *testing.T) {
 	r := newRig(t, gate.Options{})
 	load := func() *wirepb.Load {
--- a/standin/slopes/direct.go
+++ b/standin/slopes/direct.go
@@ -138,10 +138,13 @@
 	return Row{Size: float64(sent) / seconds, Values: values}, nil
 }
 
-// probe asks a side for its load, with the hash of a prefix as a request has one.
+// probingWorkspace is as long a name as workspaces of the users have.
+const probingWorkspace = "pensionistas"
+
+// probe asks a side for its load, with what a request's probe names.
 func probe(ctx context.Context, dialer *link.Dialer, address string) (*wirepb.ProbeReply, error) {
 	client := wirepb.NewDRPCSideClient(dialer.Conn(ctx, address))
-	return client.Probe(ctx, &wirepb.ProbeRequest{Revision: 1, PrefixHash: rand.Uint64()})
+	return client.Probe(ctx, &wirepb.ProbeRequest{Revision: 1, PrefixHash: rand.Uint64(), Workspace: probingWorkspace, Priority: 1})
 }
 
 // runConnections varies the idle connections to a side.
