--- a/standin/slopes/capacity.go
+++ b/standin/slopes/capacity.go
@@ -31,6 +31,7 @@
 		"add": sum, "mul": product,
 		"sub": func(a, b float64) float64 { return a - b },
 		"div": func(a, b float64) float64 { return a / b },
+		"max": func(a, b float64) float64 { return max(a, b) },
 		"f":   figure,
 		// k and m show thousands and millions, pc a part of one in percent.
 		"k":  func(value float64) string { return figure(value / 1e3) },
