--- a/standin/harness/intercept.go
+++ b/standin/harness/intercept.go
@@ -1,10 +1,5 @@
 package harness
 
-import (
-	"errors"
-	"syscall"
-)
-
 // Link names the connections that Intercept can stand in.
 type Link string
 
@@ -25,26 +20,14 @@
 // stands there.
 type Intercept func(link Link, name, address, target string) (string, error)
 
-// maxBinds is how many addresses are tried for what stands before a target. Other
-// programs of the machine may take a port between its choice and its use.
-const maxBinds = 3
-
 // intercept returns the address to dial for target.
 func (f *Fleet) intercept(link Link, name, target string) (string, error) {
 	if f.Options.Intercept == nil {
 		return target, nil
 	}
-	var taken error
-	for range maxBinds {
-		address, err := f.ports.address()
-		if err != nil {
-			return "", err
-		}
-		dial, err := f.Options.Intercept(link, name, address, target)
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return dial, err
-		}
-		taken = err
+	address, err := f.ports.address()
+	if err != nil {
+		return "", err
 	}
-	return "", taken
+	return f.Options.Intercept(link, name, address, target)
 }
--- a/standin/harness/ports.go
+++ b/standin/harness/ports.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // The range of ports that processes get. It lies below the range from which the
@@ -44,14 +45,22 @@
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", p.next)
 		p.next++
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if free(address) {
+			return address, nil
 		}
-		return address, listener.Close()
 	}
 }
 
+// free tells whether nobody listens on an address. No process is forked meanwhile:
+// until it executes its program it would hold a copy of the listener, and the port
+// would still be in use a moment after this has closed it.
+func free(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	return err == nil && listener.Close() == nil
+}
+
 // takeLane takes a lane that no other trial owns, from a random one on.
 func (p *ports) takeLane() error {
 	count := (lastPort - firstPort) / lanePorts
