--- a/core/routing/load_test.go
+++ b/core/routing/load_test.go
@@ -37,11 +37,11 @@
 	answer.Answered = true
 	table := NewTable()
 	table.Answered(answer, time.Unix(100, 0))
-	remembered, ok := table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
+	_, ok := table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
 	assert.Assert(t, !ok, "it is too old: it was sent at the zero time")
 	answer.SentAt = time.Unix(100, 0)
 	table.Answered(answer, time.Unix(100, 0))
-	remembered, ok = table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
+	remembered, ok := table.Remembered(answer.Upstream.ID, time.Unix(100, 0), time.Hour, 1)
 	assert.Assert(t, ok)
 	assert.Equal(t, remembered.wait(), ms)
 }
