--- a/acaciawinchd/command.go
+++ b/acaciawinchd/command.go
@@ -8,6 +8,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"acaciawinch/entry"
+	"acaciawinch/gateway"
 	"acaciawinch/settings"
 	"acaciawinch/side"
 )
@@ -53,6 +54,22 @@
 	return entry.Run(ctx, loaded)
 }
 
+// gatewayCommand is `acaciawinchd gateway`.
+type gatewayCommand struct {
+	Config string `long:"config" env:"ACACIAWINCH_NODE_FILE" required:"true" value-name:"FILE" description:"TOML settings of the gateway process"`
+}
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	loaded := gateway.Defaults()
+	if err := settings.Load(c.Config, &loaded); err != nil {
+		return settingsError{err}
+	}
+	ctx, stop := stopSignal()
+	defer stop()
+	return gateway.Run(ctx, loaded)
+}
+
 // stopSignal returns a context that ends when the process is asked to stop. A
 // second signal ends the process at once, as the signal's default does.
 func stopSignal() (context.Context, context.CancelFunc) {
@@ -64,6 +81,7 @@
 // addCommands adds the roles to parser.
 func addCommands(parser *flags.Parser) {
 	mustAdd(parser, "entry", "Run the entry process of an entry host", &entryCommand{})
+	mustAdd(parser, "gateway", "Run the process that serves clients on the users' platform", &gatewayCommand{})
 	mustAdd(parser, "side", "Run the side process of one upstream", &sideCommand{})
 }
 
--- /dev/null
+++ b/core/routes/upstream.go
@@ -0,0 +1,61 @@
+package routes
+
+import (
+	"sort"
+	"time"
+)
+
+// Upstream is one running back end as discovery last told of it.
+type Upstream struct {
+	// ID names one start of the upstream; it is sent along so that whoever has
+	// the address later does not run the request.
+	ID      string
+	Service string
+	// Address is IP:port.
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+}
+
+// Upstreams is an immutable snapshot of all upstreams.
+type Upstreams struct {
+	byService map[string][]Upstream
+	byID      map[string]Upstream
+}
+
+// NewUpstreams returns a snapshot. The upstreams of a service are in the order of
+// their IDs.
+func NewUpstreams(list []Upstream) *Upstreams {
+	u := &Upstreams{byService: make(map[string][]Upstream), byID: make(map[string]Upstream, len(list))}
+	for _, upstream := range list {
+		u.byService[upstream.Service] = append(u.byService[upstream.Service], upstream)
+		u.byID[upstream.ID] = upstream
+	}
+	for _, ofService := range u.byService {
+		sort.Slice(ofService, func(i, j int) bool { return ofService[i].ID < ofService[j].ID })
+	}
+	return u
+}
+
+// Of returns the upstreams of a service, leaving ones included. The caller must
+// not change the slice.
+func (u *Upstreams) Of(service string) []Upstream { return u.byService[service] }
+
+// Takes tells whether the upstream with an ID may get new work.
+func (u *Upstreams) Takes(id string) bool {
+	upstream, known := u.byID[id]
+	return known && !upstream.Leaving
+}
+
+// Len returns how many upstreams there are.
+func (u *Upstreams) Len() int { return len(u.byID) }
+
+// Knows tells whether there is an upstream with an ID.
+func (u *Upstreams) Knows(id string) bool {
+	_, known := u.byID[id]
+	return known
+}
--- /dev/null
+++ b/core/selection/chooser.go
@@ -0,0 +1,222 @@
+// Package selection chooses the upstream for a request. Requests that share a part
+// of their prompt go to the same model engine as far as its load allows, so that the
+// part is read once: all processes compute the same order by rendezvous hash,
+// without talking. Requests of plain services go to the upstream with most room.
+// The package does no I/O and is not safe for concurrent use.
+package selection
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"acaciawinch/core/rendezvous"
+	"acaciawinch/core/routes"
+)
+
+// Load is what an engine said of itself, and when.
+type Load struct {
+	Running, Waiting, Slots int
+	At                      time.Time
+}
+
+// Limits of the choice.
+const (
+	// boundedLoad is how far above the mean an engine's load may be before a
+	// request goes to the next in the order of its key.
+	boundedLoad = 1.25
+	// loadSlack is added to the bound, so that an idle fleet keeps to its caches.
+	loadSlack = 4.0
+	// loadLife is how long an engine's word counts in full; streams last seconds,
+	// so older words say little.
+	loadLife = 2 * time.Second
+	// avoidAfterFailure is how long an engine that failed a request is passed over
+	// while others can be had.
+	avoidAfterFailure = 2 * time.Second
+)
+
+// Chooser holds what this process knows of the upstreams.
+type Chooser struct {
+	engines map[string]*state
+}
+
+// state is what is known of one engine.
+type state struct {
+	load Load
+	own  int
+	// sent counts all requests of this process.
+	sent  uint64
+	avoid time.Time
+	// ownAtLoad is how many of this process's requests ran when load came in.
+	ownAtLoad int
+}
+
+// New returns a Chooser that knows nothing.
+func New() *Chooser { return &Chooser{engines: make(map[string]*state)} }
+
+// Choice is an engine and why it was taken.
+type Choice struct {
+	Upstream routes.Upstream
+	// Reason is "prefix", "load" or "only".
+	Reason string
+	// Load is the estimate of the requests at the engine.
+	Load float64
+}
+
+// Choose returns the engine for a request whose shared part has a key, or false if
+// there is none. Engines in tried are left out.
+func (c *Chooser) Choose(list []routes.Upstream, key string, tried []string, now time.Time) (Choice, bool) {
+	candidates := c.candidates(list, tried, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	var total float64
+	for _, u := range candidates {
+		total += c.estimate(u, now)
+	}
+	bound := boundedLoad*total/float64(len(candidates)) + loadSlack
+	ordered := byKey(candidates, key)
+	for i, u := range ordered {
+		if load := c.estimate(u, now); load <= bound {
+			reason := "prefix"
+			if i > 0 {
+				reason = "load"
+			}
+			return Choice{Upstream: u, Reason: reason, Load: load}, true
+		}
+	}
+	return Choice{Upstream: ordered[0], Reason: "only", Load: c.estimate(ordered[0], now)}, true
+}
+
+// Least returns the upstream with the smallest share of its slots in use, or false
+// if there is none. Among equals one of the zone near goes first, then the one that
+// had the fewest requests of this process.
+func (c *Chooser) Least(list []routes.Upstream, near string, tried []string, now time.Time) (Choice, bool) {
+	candidates := c.candidates(list, tried, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	best := candidates[0]
+	for _, u := range candidates[1:] {
+		if c.lighter(u, best, near, now) {
+			best = u
+		}
+	}
+	return Choice{Upstream: best, Reason: "load", Load: c.estimate(best, now)}, true
+}
+
+// lighter tells whether a is to be used before b.
+func (c *Chooser) lighter(a, b routes.Upstream, near string, now time.Time) bool {
+	useA := c.estimate(a, now) / float64(max(1, a.Slots))
+	useB := c.estimate(b, now) / float64(max(1, b.Slots))
+	if useA != useB {
+		return useA < useB
+	}
+	if nearA, nearB := a.Zone == near, b.Zone == near; nearA != nearB {
+		return nearA
+	}
+	return c.of(a.ID).sent < c.of(b.ID).sent
+}
+
+// candidates returns the engines that may get a request: the untried ones, without
+// those that failed lately if any others are left.
+func (c *Chooser) candidates(list []routes.Upstream, tried []string, now time.Time) []routes.Upstream {
+	var good, avoided []routes.Upstream
+	for _, u := range list {
+		if u.Leaving || contains(tried, u.ID) {
+			continue
+		}
+		if s := c.engines[u.ID]; s != nil && now.Before(s.avoid) {
+			avoided = append(avoided, u)
+			continue
+		}
+		good = append(good, u)
+	}
+	if len(good) == 0 {
+		return avoided
+	}
+	return good
+}
+
+// contains tells whether list holds name.
+func contains(list []string, name string) bool {
+	for _, one := range list {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// byKey returns engines in the order of their scores for a key.
+func byKey(list []routes.Upstream, key string) []routes.Upstream {
+	ordered := append([]routes.Upstream(nil), list...)
+	hashed := hash(key)
+	sort.Slice(ordered, func(i, j int) bool {
+		return rendezvous.Score(hashed, hash(ordered[i].ID)) > rendezvous.Score(hashed, hash(ordered[j].ID))
+	})
+	return ordered
+}
+
+// hash returns the hash of a name.
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // a hash never fails to write
+	return h.Sum64()
+}
+
+// estimate returns how many requests an engine has: what it last said, changed by
+// what this process has sent and seen end since. An old word fades into this
+// process's own count.
+func (c *Chooser) estimate(u routes.Upstream, now time.Time) float64 {
+	s := c.engines[u.ID]
+	if s == nil {
+		return 0
+	}
+	age := now.Sub(s.load.At)
+	if s.load.At.IsZero() || age >= loadLife {
+		return float64(s.own)
+	}
+	said := float64(s.load.Running + 2*s.load.Waiting)
+	since := float64(s.own - s.ownAtLoad)
+	return max(float64(s.own), said+since)
+}
+
+// Started records a request sent to an engine.
+func (c *Chooser) Started(id string) {
+	s := c.of(id)
+	s.own++
+	s.sent++
+}
+
+// Ended records the end of a request at an engine.
+func (c *Chooser) Ended(id string) { c.of(id).own-- }
+
+// Heard records what an engine said of its load.
+func (c *Chooser) Heard(id string, load Load) {
+	s := c.of(id)
+	s.load = load
+	s.ownAtLoad = s.own
+}
+
+// Failed records that an engine failed a request.
+func (c *Chooser) Failed(id string, now time.Time) { c.of(id).avoid = now.Add(avoidAfterFailure) }
+
+// of returns the state of an engine.
+func (c *Chooser) of(id string) *state {
+	s := c.engines[id]
+	if s == nil {
+		s = &state{}
+		c.engines[id] = s
+	}
+	return s
+}
+
+// Keep forgets all engines but those in list.
+func (c *Chooser) Keep(list *routes.Upstreams) {
+	for id, s := range c.engines {
+		if s.own == 0 && !list.Knows(id) {
+			delete(c.engines, id)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/flow/handler.go
@@ -0,0 +1,295 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/routes"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/header"
+)
+
+// Limits of what is read from clients.
+const (
+	// defaultBodyBytes applies where the configuration has no limit.
+	defaultBodyBytes = 4 << 20
+	// bodiesBytes bounds the bodies that are held at once, a fifth of the smallest
+	// machine's memory.
+	bodiesBytes = 32 << 20
+	// answerMargin is how long before the client gives up a request is ended, so that
+	// the answer still reaches it: the way to clients takes some 3 ms.
+	answerMargin = 25 * time.Millisecond
+	// defaultTimeout applies where neither the client nor the route has one.
+	defaultTimeout = 60 * time.Second
+)
+
+// Retry-After of refusals.
+const (
+	// retryUnready is for a process that does not know enough yet: other processes do.
+	retryUnready = 300 * time.Millisecond
+	// retryBusy is for a request that found no place: upstreams turn over a good part
+	// of their work within it.
+	retryBusy = 400 * time.Millisecond
+)
+
+// request is one request of a client on its way.
+type request struct {
+	*Server
+	w     http.ResponseWriter
+	r     *http.Request
+	table *routes.Table
+	route *routes.Route
+	asked header.Request
+	// workspace is who holds the client's key; nil on routes without keys.
+	workspace *routes.Workspace
+	service   string
+	rank      int
+	body      []byte
+	began     time.Time
+	deadline  time.Time
+	// ctx ends at the deadline, or when the client leaves.
+	ctx context.Context
+
+	// tried are the upstreams that the request was sent to, and sends how often.
+	tried []string
+	sends int
+	// mayHaveRun is set once a send can't be proved not to have run.
+	mayHaveRun bool
+	// begun is set once the head of an answer has gone to the client.
+	begun     bool
+	lastEvent string
+	events    int
+	firstAt   time.Time
+	inputs    []string
+	release   func()
+}
+
+// ServeHTTP implements http.Handler for clients.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	rq := &request{Server: s, w: w, r: r, began: time.Now(), release: func() {}}
+	if !rq.admit() {
+		return
+	}
+	size := int64(len(rq.body))
+	s.bodies.Add(size)
+	defer s.bodies.Add(-size)
+	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+	defer cancel()
+	rq.ctx = ctx
+	rq.serve()
+}
+
+// admit decodes the request and checks it against the configuration. It answers what
+// is refused.
+func (rq *request) admit() bool {
+	rq.table = rq.View.Table()
+	if !rq.View.Ready() {
+		return rq.refuse(http.StatusServiceUnavailable, "request.admit", "the configuration is not known yet", retryUnready)
+	}
+	if !strings.HasPrefix(rq.r.RequestURI, "/") {
+		return rq.refuse(http.StatusBadRequest, "request.read", "the target is no path", 0)
+	}
+	path, _, _ := strings.Cut(rq.r.RequestURI, "?")
+	rq.route = rq.table.Find(rq.r.Host, path)
+	if rq.route == nil {
+		return rq.refuseUnknown(http.StatusNotFound, "no route has this host and path")
+	}
+	asked, err := header.Read(rq.r.Header, len(rq.route.Stages))
+	rq.asked = asked
+	if err != nil {
+		return rq.refuse(http.StatusBadRequest, "request.read", err.Error(), 0)
+	}
+	if !rq.authorise() {
+		return false
+	}
+	rq.plan()
+	return rq.readBody()
+}
+
+// authorise finds the workspace of the client's key.
+func (rq *request) authorise() bool {
+	if !rq.table.NeedsKey(rq.route) {
+		return true
+	}
+	if !rq.View.KeysTrusted() {
+		// A key may have been taken away since the store was last heard: without proof
+		// within the bound nothing with a key runs.
+		return rq.refuse(http.StatusServiceUnavailable, "request.authorise", "the keys are not confirmed", retryUnready)
+	}
+	rq.workspace = rq.table.Workspace(rq.asked.Key)
+	if rq.workspace == nil {
+		return rq.refuseUnknown(http.StatusUnauthorized, "no workspace holds this key")
+	}
+	return true
+}
+
+// knownWithin is the age of what is known up to which a route or key that is not
+// found does not exist; older than that it may be new.
+const knownWithin = 2500 * time.Millisecond
+
+// refuseUnknown refuses what the configuration does not have, or asks to come back if
+// the configuration here may be old.
+func (rq *request) refuseUnknown(status int, detail string) bool {
+	if age, known := rq.View.KeysAge(); !known || age > knownWithin {
+		return rq.refuse(http.StatusServiceUnavailable, "request.admit", detail+", and the configuration is not confirmed", retryUnready)
+	}
+	return rq.refuse(status, "request.admit", detail, 0)
+}
+
+// plan sets the request's service, rank and deadline.
+func (rq *request) plan() {
+	rq.service = pick(rq.route.Targets, rq.asked.ID)
+	rq.rank = rq.route.Priority
+	if rq.workspace != nil && rq.workspace.HasPriority {
+		rq.rank = rq.workspace.Priority
+	}
+	wait := rq.route.Timeout
+	if wait == 0 {
+		wait = defaultTimeout
+	}
+	if asked := rq.asked.Remaining; asked > 0 {
+		wait = min(wait, asked-answerMargin)
+	}
+	rq.deadline = rq.began.Add(wait)
+}
+
+// pick returns the service of one of the targets by their weights; the same request
+// always gets the same.
+func pick(targets []routes.Target, id string) string {
+	total := 0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash never fails to write
+	at := int(h.Sum32() % uint32(total))
+	for _, t := range targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return targets[0].Service
+}
+
+// readBody reads the whole body: a request is passed on only when it is known to be
+// whole, and an idempotent one can be sent again.
+func (rq *request) readBody() bool {
+	limit := rq.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if rq.r.ContentLength > limit {
+		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "the body is longer than allowed", 0)
+	}
+	if rq.bodies.Load() > bodiesBytes {
+		return rq.refuse(http.StatusServiceUnavailable, "request.body", "too many bodies are held", retryBusy)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(rq.w, rq.r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "the body is longer than allowed", 0)
+	case err != nil:
+		rq.w.Header().Set("Connection", "close")
+		return rq.refuse(http.StatusBadRequest, "request.body", err.Error(), 0)
+	}
+	rq.body = body
+	return true
+}
+
+// serve runs the stages and sends the request until it has an answer.
+func (rq *request) serve() {
+	defer func() { rq.release() }()
+	rq.deposit(rq.service, rq.began)
+	for {
+		if err := rq.prepare(); err != nil {
+			rq.giveUp(err)
+			return
+		}
+		err := rq.send()
+		if err == nil {
+			return
+		}
+		if !rq.mayGoOn(err) {
+			rq.giveUp(err)
+			return
+		}
+	}
+}
+
+// mayGoOn tells whether the request may be sent once more after a send that failed
+// with err.
+func (rq *request) mayGoOn(err error) bool {
+	if rq.ctx.Err() != nil {
+		return false
+	}
+	var f *sendFailure
+	if !errors.As(err, &f) {
+		return false
+	}
+	if f.ran && (rq.route.Repeat == routes.AtMostOnce || rq.begun && rq.route.Repeat != routes.Resumable) {
+		return false
+	}
+	if f.unsent {
+		return len(rq.tried) < maxUnsent
+	}
+	again := rq.sends < rq.route.MaxAttempts && rq.spend(rq.service, time.Now())
+	return again
+}
+
+// maxUnsent bounds the upstreams to which no connection could be opened.
+const maxUnsent = 4
+
+// giveUp answers a request that can't be served. The client's connection is ended if
+// a part of an answer has gone out.
+func (rq *request) giveUp(err error) {
+	took := time.Since(rq.began)
+	switch {
+	case rq.r.Context().Err() != nil:
+		rq.Metrics.ended("left", took)
+		rq.Logger.Event(event.GatewayLeft, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name,
+			"step": stepOf(err), "duration_us": took.Microseconds()})
+		panic(http.ErrAbortHandler)
+	case rq.begun:
+		rq.Metrics.ended("broken", took)
+		rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name,
+			"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
+		panic(http.ErrAbortHandler)
+	case !rq.mayHaveRun:
+		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), retryBusy)
+	case rq.ctx.Err() != nil:
+		rq.refuse(http.StatusGatewayTimeout, stepOf(err), err.Error(), 0)
+	default:
+		rq.refuse(http.StatusBadGateway, stepOf(err), err.Error(), 0)
+	}
+}
+
+// last returns the last of a list, empty if there is none.
+func last(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[len(list)-1]
+}
+
+// stepOf returns the step at which an error arose.
+func stepOf(err error) string {
+	var f *fault.Error
+	if errors.As(err, &f) {
+		return f.Step
+	}
+	return "request"
+}
--- /dev/null
+++ b/gateway/flow/send.go
@@ -0,0 +1,140 @@
+package flow
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/selection"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/header"
+)
+
+// sendFailure is a send that brought no answer to hand on.
+type sendFailure struct {
+	// unsent: not a byte left this process. ran: the request may have run.
+	unsent, ran bool
+	err         error
+}
+
+// Error implements error.
+func (f *sendFailure) Error() string { return f.err.Error() }
+
+// Unwrap returns the cause.
+func (f *sendFailure) Unwrap() error { return f.err }
+
+// send sends the request to one upstream and hands its answer to the client. A nil
+// error tells that the client has its whole answer.
+func (rq *request) send() error {
+	service := rq.table.Service(rq.service)
+	choice, found := rq.choose(service, rq.service, rq.asked.SharedPart, rq.tried)
+	if !found {
+		return fault.New(fault.Unavailable, "request.choose", rq.service, "no upstream takes requests")
+	}
+	id := choice.Upstream.ID
+	rq.tried = append(rq.tried, id)
+	defer rq.ended(id)
+	rq.noteSend(choice)
+	ctx, cancel := context.WithCancel(rq.ctx)
+	defer cancel()
+	answer, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, service != nil && service.Engine != nil))
+	if err == nil {
+		rq.sends++
+		defer answer.Close()
+		err = rq.take(choice.Upstream.ID, answer)
+	} else {
+		err = rq.lost(err)
+	}
+	if err != nil {
+		rq.noteFailure(id, err)
+	}
+	return err
+}
+
+// message returns the request as the upstream gets it.
+func (rq *request) message(choice selection.Choice, engine bool) httpconn.Request {
+	workspace := ""
+	if rq.workspace != nil {
+		workspace = rq.workspace.Name
+	}
+	return httpconn.Request{
+		Method: rq.r.Method,
+		Target: rq.r.RequestURI,
+		Host:   rq.r.Host,
+		Body:   rq.body,
+		ID:     rq.asked.ID,
+		Header: header.Apply(rq.r.Header, header.Forward{
+			Instance:  choice.Upstream.ID,
+			Workspace: workspace,
+			Remaining: time.Until(rq.deadline),
+			Rank:      rq.rank,
+			Engine:    engine,
+			Inputs:    rq.inputs,
+			HasInputs: len(rq.route.Stages) > 0,
+			After:     rq.lastEvent,
+		}),
+	}
+}
+
+// lost classifies a send without an answer.
+func (rq *request) lost(err error) error {
+	if fault.Is(err, fault.Unavailable) {
+		return &sendFailure{unsent: true, err: err}
+	}
+	rq.sends++
+	rq.mayHaveRun = true
+	return &sendFailure{ran: true, err: err}
+}
+
+// take decides what becomes of an answer.
+func (rq *request) take(id string, answer *httpconn.Answer) error {
+	said := header.ReadAnswer(answer.Status, answer.Header)
+	if said.Load.Known {
+		rq.heard(id, selection.Load{Running: said.Load.Running, Waiting: said.Load.Waiting, Slots: said.Load.Slots, At: time.Now()})
+	}
+	if said.NotRun {
+		return rq.notRun(answer)
+	}
+	rq.mayHaveRun = true
+	switch {
+	case answer.Status/100 == 2 && said.Signature == "":
+		return &sendFailure{ran: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", answer.Status)}
+	case answer.Status/100 == 2 && rq.route.Stream:
+		return rq.relayStream(id, answer)
+	default:
+		return rq.relayWhole(id, answer)
+	}
+}
+
+// notRun handles an answer which says that the request did not run.
+func (rq *request) notRun(answer *httpconn.Answer) error {
+	if answer.Status == http.StatusConflict {
+		// An input is gone: the stages are done again for the next send.
+		rq.release()
+		rq.inputs = nil
+	}
+	return &sendFailure{err: fault.New(fault.Refused, "upstream.receive", last(rq.tried), "status %d, not run", answer.Status)}
+}
+
+// noteSend logs and counts a send.
+func (rq *request) noteSend(choice selection.Choice) {
+	rq.Metrics.sent(rq.service, len(rq.tried) > 1)
+	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name, "version": rq.table.Version,
+		"service": rq.service, "upstream": choice.Upstream.ID, "attempt": len(rq.tried), "reason": choice.Reason,
+		"load": fmt.Sprintf("%.1f", choice.Load), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
+}
+
+// noteFailure logs a failed send and passes its upstream over for a while, unless it
+// only said that it is full, or the request itself has ended.
+func (rq *request) noteFailure(id string, err error) {
+	f, ok := err.(*sendFailure)
+	if ok && rq.ctx.Err() == nil {
+		rq.failed(id)
+	}
+	rq.Logger.Event(event.GatewayFailed, observe.Fields{"request": rq.asked.ID, "upstream": id, "attempt": len(rq.tried),
+		"step": stepOf(err), "ran": ok && f.ran, "error": err.Error()})
+}
--- /dev/null
+++ b/gateway/flow/server.go
@@ -0,0 +1,176 @@
+// Package flow carries one request from its client through the stages of its route
+// to an upstream and the answer back. What may be done again follows from the route
+// alone: a request that may have run and must not run twice is never sent again, and
+// a refusal with 503 is given only where nothing ran.
+package flow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"acaciawinch/core/budget"
+	"acaciawinch/core/routes"
+	"acaciawinch/core/selection"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/view"
+	"acaciawinch/observe"
+)
+
+// Retries bounds what a fleet sends to a service beyond the first time.
+type Retries struct {
+	// Ratio of the service's requests, and Slack for the whole fleet in a window.
+	Ratio float64
+	Slack float64
+}
+
+// Options are what a Server needs.
+type Options struct {
+	View    *view.View
+	Asker   *pools.Asker
+	Client  *httpconn.Client
+	Logger  *observe.Logger
+	Metrics *Metrics
+	Zone    string
+	Retries Retries
+}
+
+// Server serves requests. It may be used by many goroutines.
+type Server struct {
+	Options
+
+	mu      sync.Mutex
+	chooser *selection.Chooser
+	budgets map[string]*budget.Budget
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	bodies   atomic.Int64
+}
+
+// New returns a Server.
+func New(options Options) *Server {
+	return &Server{Options: options, chooser: selection.New(), budgets: make(map[string]*budget.Budget)}
+}
+
+// Drain makes each answer from now on close its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// InFlight returns how many requests are open.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Forget drops what is known of upstreams that are gone. It is called when the
+// upstreams change.
+func (s *Server) Forget() {
+	upstreams := s.View.Upstreams()
+	if upstreams == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Keep(upstreams)
+}
+
+// Shares of the fleet's bound on repeated sends that one process uses. Windows slide
+// over restarts, after which a process begins with a full burst again, and the
+// other processes are counted late; half of the bound is left for both.
+const (
+	retryRatioShare = 0.75
+	retrySlackShare = 0.5
+	// fewestMembers is assumed until the list of members is there.
+	fewestMembers = 3
+)
+
+// spend takes one repeated send to a service out of the budget, or returns false.
+func (s *Server) spend(service string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgetOf(service, now).Withdraw(now)
+}
+
+// affords tells whether spend would take one now.
+func (s *Server) affords(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgetOf(service, time.Now()).Tokens() >= 1
+}
+
+// deposit counts one request for a service.
+func (s *Server) deposit(service string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgetOf(service, now).Deposit(now)
+}
+
+// budgetOf returns the budget of a service. The lock is held.
+func (s *Server) budgetOf(service string, now time.Time) *budget.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		members := max(fewestMembers, len(s.View.Members())+1)
+		b = budget.New(budget.Limits{
+			Ratio: s.Retries.Ratio * retryRatioShare,
+			Burst: s.Retries.Slack * retrySlackShare / float64(members),
+		}, now)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// choose returns the upstream for a request and counts it as sent there.
+func (s *Server) choose(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
+	upstreams := s.View.Upstreams()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var choice selection.Choice
+	var found bool
+	if service != nil && service.Engine != nil {
+		choice, found = s.chooser.Choose(upstreams.Of(name), key, tried, now)
+	} else {
+		choice, found = s.chooser.Least(upstreams.Of(name), s.Zone, tried, now)
+	}
+	if found {
+		s.chooser.Started(choice.Upstream.ID)
+	}
+	return choice, found
+}
+
+// ended counts the end of a request at an upstream.
+func (s *Server) ended(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Ended(id)
+}
+
+// heard records an upstream's word about its load.
+func (s *Server) heard(id string, load selection.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Heard(id, load)
+}
+
+// failed passes an upstream over for a while.
+func (s *Server) failed(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Failed(id, time.Now())
+}
+
+// Sweep closes idle connections until ctx ends.
+func (s *Server) Sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.Client.Sweep(now)
+		}
+	}
+}
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = time.Second
--- /dev/null
+++ b/gateway/pools/call.go
@@ -0,0 +1,185 @@
+package pools
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/pool"
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/header"
+	"acaciawinch/platform/stagecall"
+)
+
+// maxResultBytes bounds what is read of a call's answer: a full batch of handles.
+const maxResultBytes = 1 << 20
+
+// call makes one call and records its end.
+func (o *Owner) call(p *owned, call *pool.Call, items []stagecall.Item, longest time.Duration) {
+	results, err := o.run(call, items, longest)
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	took := now.Sub(call.Began)
+	if err != nil {
+		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
+			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
+		p.queue.Fail(call.Upstream.ID, now)
+		results = nil
+	}
+	made := o.finish(p, call, results, now)
+	if err == nil {
+		o.logger.Event(event.PoolCall, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
+			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
+	}
+	o.pump(p, now)
+}
+
+// run sends a batch and returns its results.
+func (o *Owner) run(call *pool.Call, items []stagecall.Item, longest time.Duration) ([]stagecall.Result, error) {
+	ctx, cancel := context.WithTimeout(o.life, min(call.Patience, longest))
+	defer cancel()
+	body, err := stagecall.RunBody(items)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
+	}
+	content, err := o.post(ctx, call.Upstream, stagecall.RunPath, body, longest)
+	if err != nil {
+		return nil, err
+	}
+	return stagecall.Results(content, len(items))
+}
+
+// post sends one call to an upstream of a pool and returns the body of its answer.
+func (o *Owner) post(ctx context.Context, to routes.Upstream, path string, body []byte, left time.Duration) ([]byte, error) {
+	answer, err := o.client.Do(ctx, to.Address, httpconn.Request{
+		Method: http.MethodPost,
+		Target: path,
+		Host:   to.Address,
+		Header: stagecall.Headers(to.ID, left.Milliseconds()),
+		Body:   body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxResultBytes))
+	if err != nil {
+		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
+	}
+	if answer.Status != http.StatusOK {
+		said := header.ReadAnswer(answer.Status, answer.Header)
+		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", answer.Status, said.NotRun)
+	}
+	return content, nil
+}
+
+// finish records the results of a call, none if it failed, and returns how many
+// were made.
+func (o *Owner) finish(p *owned, call *pool.Call, results []stagecall.Result, now time.Time) int {
+	outcomes := make([]pool.Outcome, len(call.Items))
+	reasons := make(map[*pool.Item]Failure)
+	made := 0
+	for i, item := range call.Items {
+		outcomes[i] = pool.Again
+		if results == nil {
+			continue
+		}
+		switch result := results[i]; {
+		case result.Handle != "":
+			outcomes[i] = pool.Made
+			made++
+			o.made(p, call, item, result.Handle, now)
+		case result.Reason == stagecall.Late:
+			outcomes[i], reasons[item] = pool.Ended, Late
+		case result.Reason == stagecall.Gone:
+			outcomes[i], reasons[item] = pool.Ended, Gone
+		}
+		if p.tasks[item.Task.Ticket] == nil && outcomes[i] == pool.Again {
+			outcomes[i] = pool.Ended
+		}
+	}
+	for _, item := range p.queue.Finish(call, outcomes, now) {
+		why := reasons[item]
+		if why == "" {
+			why = Failed
+		}
+		o.fail(p, item.Task.Ticket, why, now)
+	}
+	p.dropAbandoned()
+	return made
+}
+
+// dropAbandoned drops items that were queued again though their task has ended.
+func (p *owned) dropAbandoned() {
+	for _, ticket := range p.queue.Tickets() {
+		if p.tasks[ticket] == nil {
+			p.queue.Cancel(ticket)
+		}
+	}
+}
+
+// made records one result. The last one of a task ends it; a result that nobody
+// waits for is freed.
+func (o *Owner) made(p *owned, call *pool.Call, item *pool.Item, handle string, now time.Time) {
+	p.results[handle] = kept{upstream: call.Upstream, bytes: item.Task.Bytes, until: now.Add(p.keep)}
+	task := p.tasks[item.Task.Ticket]
+	if task == nil {
+		p.free([]string{handle})
+		return
+	}
+	task.handles[item.Index] = handle
+	task.left--
+	if task.left == 0 {
+		p.end(item.Task.Ticket)
+		task.done(Result{Handles: task.handles, Wait: p.queue.Wait(now)})
+	}
+}
+
+// free marks results as to be freed.
+func (p *owned) free(handles []string) {
+	for _, handle := range handles {
+		result, known := p.results[handle]
+		if !known {
+			continue
+		}
+		delete(p.results, handle)
+		p.queue.Free(result.upstream.ID, result.bytes)
+		p.freeing[result.upstream.ID] = append(p.freeing[result.upstream.ID], handle)
+	}
+}
+
+// sendFrees tells the upstreams of a pool which results to drop.
+func (o *Owner) sendFrees(p *owned) {
+	for _, upstream := range o.view.Upstreams().Of(p.service) {
+		handles := p.freeing[upstream.ID]
+		if len(handles) == 0 {
+			continue
+		}
+		delete(p.freeing, upstream.ID)
+		go o.sendFree(upstream, handles)
+	}
+	// What is left belongs to upstreams that are gone, and so are their results.
+	clear(p.freeing)
+}
+
+// freeTimeout bounds a call that frees results.
+const freeTimeout = time.Second
+
+// sendFree tells one upstream.
+func (o *Owner) sendFree(upstream routes.Upstream, handles []string) {
+	ctx, cancel := context.WithTimeout(o.life, freeTimeout)
+	defer cancel()
+	body, err := stagecall.FreeBody(handles)
+	if err == nil {
+		_, err = o.post(ctx, upstream, stagecall.FreePath, body, freeTimeout)
+	}
+	if err != nil {
+		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(handles), "error": err.Error()})
+	}
+}
--- /dev/null
+++ b/gateway/pools/link.go
@@ -0,0 +1,197 @@
+package pools
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/gateway/view"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/wire/wirepb"
+)
+
+// Timing of a link to an owner.
+const (
+	// pingEvery is how often an owner with open tasks is asked for a sign of life, and
+	// silentAfter when one without an answer is given up. An owner answers within a
+	// few ms unless it is frozen or cut off; at 0.3 of a core a busy one may take some
+	// hundred.
+	pingEvery   = 400 * time.Millisecond
+	silentAfter = 1200 * time.Millisecond
+	// openTimeout bounds the opening of the link.
+	openTimeout = time.Second
+)
+
+// requestQueue bounds the messages that wait for a slow owner.
+const requestQueue = 4096
+
+// ownerLink is the stream to one owner. It ends for good when it breaks.
+type ownerLink struct {
+	asker       *Asker
+	owner       view.Member
+	incarnation string
+	send        chan *wirepb.PoolRequest
+
+	mu    sync.Mutex
+	tasks map[uint64]chan<- Result
+	// heard is when the owner last said something.
+	heard  time.Time
+	broken bool
+}
+
+// newOwnerLink returns a link whose run must be called.
+func newOwnerLink(a *Asker, owner view.Member) *ownerLink {
+	return &ownerLink{
+		asker:       a,
+		owner:       owner,
+		incarnation: owner.Incarnation,
+		send:        make(chan *wirepb.PoolRequest, requestQueue),
+		tasks:       make(map[uint64]chan<- Result),
+		heard:       time.Now(),
+	}
+}
+
+// submit sends a task. Its result goes into results, which has room for it.
+func (l *ownerLink) submit(number uint64, task Task, results chan<- Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken || !l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Task{Task: taskMessage(number, task)}}) {
+		results <- Result{Failure: OwnerLost}
+		return
+	}
+	if len(l.tasks) == 0 {
+		l.heard = time.Now()
+	}
+	l.tasks[number] = results
+}
+
+// push queues a message, or returns false if the owner is too slow.
+func (l *ownerLink) push(m *wirepb.PoolRequest) bool {
+	select {
+	case l.send <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// cancel drops a task.
+func (l *ownerLink) cancel(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.tasks, number)
+	if !l.broken {
+		l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Cancel{Cancel: number}})
+	}
+}
+
+// free gives results back. If the owner does not get to know, their makers drop them
+// after a while.
+func (l *ownerLink) free(service string, handles []string) {
+	l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Free{Free: &wirepb.PoolFree{Service: service, Handles: handles}}})
+}
+
+// run carries messages until the link breaks, and then ends its open tasks.
+func (l *ownerLink) run(life context.Context) {
+	ctx, cancel := context.WithCancelCause(life)
+	defer cancel(nil)
+	err := l.serve(ctx, cancel)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	l.mu.Lock()
+	l.broken = true
+	open := l.tasks
+	l.tasks = nil
+	l.mu.Unlock()
+	for _, results := range open {
+		results <- Result{Failure: OwnerLost}
+	}
+	l.asker.lost(l, len(open), err)
+}
+
+// serve opens the stream and receives until it breaks.
+func (l *ownerLink) serve(ctx context.Context, cancel context.CancelCauseFunc) error {
+	stream, err := l.open(ctx, cancel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }() // the stream is broken or no longer needed
+	l.asker.logger.Event(event.PoolOwnerJoined, observe.Fields{"owner": l.owner.Name})
+	go l.write(ctx, cancel, stream)
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return fault.Wrap(fault.Unavailable, "pool.receive", l.owner.Name, err)
+		}
+		l.take(reply)
+	}
+}
+
+// open opens the stream within openTimeout.
+func (l *ownerLink) open(ctx context.Context, cancel context.CancelCauseFunc) (wirepb.DRPCPool_WorkClient, error) {
+	late := time.AfterFunc(openTimeout, func() {
+		cancel(fault.New(fault.Unavailable, "pool.open", l.owner.Name, "no connection within %v", openTimeout))
+	})
+	defer late.Stop()
+	conn := l.asker.dialer.Conn(ctx, l.owner.Address)
+	stream, err := wirepb.NewDRPCPoolClient(conn).Work(ctx)
+	return stream, fault.Wrap(fault.Unavailable, "pool.open", l.owner.Name, err)
+}
+
+// write sends what is queued, and pings while tasks are open.
+func (l *ownerLink) write(ctx context.Context, cancel context.CancelCauseFunc, stream wirepb.DRPCPool_WorkClient) {
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
+	for {
+		var m *wirepb.PoolRequest
+		select {
+		case <-ctx.Done():
+			return
+		case m = <-l.send:
+		case now := <-ticker.C:
+			if m = l.ping(now, cancel); m == nil {
+				continue
+			}
+		}
+		if err := stream.Send(m); err != nil {
+			cancel(fault.Wrap(fault.Unavailable, "pool.send", l.owner.Name, err))
+			return
+		}
+	}
+}
+
+// ping returns a ping if tasks are open, and ends the link if the owner is silent.
+func (l *ownerLink) ping(now time.Time, cancel context.CancelCauseFunc) *wirepb.PoolRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.tasks) == 0 {
+		return nil
+	}
+	if silent := now.Sub(l.heard); silent > silentAfter {
+		cancel(fault.New(fault.Unavailable, "pool.receive", l.owner.Name, "silent for %v", silent))
+		return nil
+	}
+	return &wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Ping{Ping: 1}}
+}
+
+// take hands a result to who waits for it. Results that nobody waits for any more are
+// dropped by their makers after a while.
+func (l *ownerLink) take(reply *wirepb.PoolReply) {
+	l.mu.Lock()
+	l.heard = time.Now()
+	kind, ok := reply.GetKind().(*wirepb.PoolReply_Result)
+	if !ok {
+		l.mu.Unlock()
+		return
+	}
+	number := kind.Result.GetTicket()
+	results, waited := l.tasks[number]
+	delete(l.tasks, number)
+	l.mu.Unlock()
+	if waited {
+		results <- resultOf(kind.Result)
+	}
+}
--- /dev/null
+++ b/gateway/pools/owner.go
@@ -0,0 +1,243 @@
+package pools
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"acaciawinch/core/pool"
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/view"
+	"acaciawinch/observe"
+	"acaciawinch/platform/stagecall"
+)
+
+// tickEvery is how often an owner drops what is late and forgets what has lapsed.
+const tickEvery = 50 * time.Millisecond
+
+// Owner queues and calls for the pools that askers give it. It may be used by many
+// goroutines.
+type Owner struct {
+	view   *view.View
+	client *httpconn.Client
+	logger *observe.Logger
+
+	mu     sync.Mutex
+	pools  map[string]*owned
+	ticket pool.Ticket
+	// life bounds the calls.
+	life context.Context
+}
+
+// owned is one pool at its owner. The Owner's lock guards it.
+type owned struct {
+	service string
+	queue   *pool.Pool
+	tasks   map[pool.Ticket]*openTask
+	// results holds what upstreams keep, by handle.
+	results map[string]kept
+	// freeing holds the handles that are to be freed, by upstream.
+	freeing map[string][]string
+	keep    time.Duration
+}
+
+// openTask is a task that has no result yet.
+type openTask struct {
+	Task
+	core    *pool.Task
+	handles []string
+	left    int
+	done    func(Result)
+	// session is who asked, under which number; its end cancels the task.
+	session *Session
+	number  uint64
+}
+
+// kept is a result that an upstream keeps.
+type kept struct {
+	upstream routes.Upstream
+	bytes    int64
+	until    time.Time
+}
+
+// NewOwner returns an Owner. Run must be called before tasks come.
+func NewOwner(life context.Context, v *view.View, client *httpconn.Client, logger *observe.Logger) *Owner {
+	return &Owner{view: v, client: client, logger: logger, pools: make(map[string]*owned), life: life}
+}
+
+// Run drops what is late until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			o.tick(now)
+		}
+	}
+}
+
+// tick drops late items, forgets lapsed results and frees what is to be freed.
+func (o *Owner) tick(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, p := range o.pools {
+		for _, item := range p.queue.Expire(now) {
+			o.fail(p, pool.Ticket(item.Task.Ticket), Late, now)
+		}
+		p.lapse(now)
+		o.sendFrees(p)
+		o.pump(p, now)
+	}
+}
+
+// lapse forgets the results that their upstreams no longer keep.
+func (p *owned) lapse(now time.Time) {
+	for handle, result := range p.results {
+		if now.After(result.until) {
+			delete(p.results, handle)
+			p.queue.Free(result.upstream.ID, result.bytes)
+		}
+	}
+}
+
+// Refresh takes over changed upstreams and settings of all pools.
+func (o *Owner) Refresh() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, p := range o.pools {
+		o.configure(p)
+		o.pump(p, time.Now())
+	}
+}
+
+// pool returns the pool of a service, or nil if the configuration has none.
+func (o *Owner) pool(service string) *owned {
+	p := o.pools[service]
+	if p != nil {
+		return p
+	}
+	p = &owned{
+		service: service,
+		queue:   pool.New(routes.Pool{}),
+		tasks:   make(map[pool.Ticket]*openTask),
+		results: make(map[string]kept),
+		freeing: make(map[string][]string),
+	}
+	if !o.configure(p) {
+		return nil
+	}
+	o.pools[service] = p
+	return p
+}
+
+// configure gives a pool its settings and upstreams, and tells whether it has any.
+func (o *Owner) configure(p *owned) bool {
+	table, upstreams := o.view.Table(), o.view.Upstreams()
+	if table == nil || upstreams == nil {
+		return false
+	}
+	service := table.Service(p.service)
+	if service == nil || service.Pool == nil {
+		return false
+	}
+	p.keep = service.Pool.KeepTime
+	p.queue.Configure(*service.Pool)
+	p.queue.SetUpstreams(upstreams.Of(p.service))
+	return true
+}
+
+// submit queues a task for a session. The lock is held.
+func (o *Owner) submit(session *Session, number uint64, task Task, done func(Result)) bool {
+	p := o.pool(task.Service)
+	if p == nil {
+		return false
+	}
+	now := time.Now()
+	o.ticket++
+	open := &openTask{
+		Task:    task,
+		handles: make([]string, task.Pieces),
+		left:    task.Pieces,
+		done:    done,
+		session: session,
+		number:  number,
+		core: &pool.Task{
+			Ticket: o.ticket,
+			Rank:   task.Rank,
+			Due:    now.Add(task.Due),
+			Last:   now.Add(task.Remaining),
+			Bytes:  task.ResultBytes,
+			Near:   task.Zone,
+		},
+	}
+	p.tasks[o.ticket] = open
+	session.open[number] = openTicket{pool: p, ticket: o.ticket}
+	p.queue.Add(open.core, task.Pieces)
+	o.pump(p, now)
+	return true
+}
+
+// end removes a task, and its waiting items, and returns it; nil if it has ended.
+// The lock is held.
+func (p *owned) end(ticket pool.Ticket) *openTask {
+	task := p.tasks[ticket]
+	if task == nil {
+		return nil
+	}
+	delete(p.tasks, ticket)
+	delete(task.session.open, task.number)
+	p.queue.Cancel(ticket)
+	return task
+}
+
+// pump makes all calls that can be made now.
+func (o *Owner) pump(p *owned, now time.Time) {
+	for {
+		call := p.queue.Next(now)
+		if call == nil {
+			return
+		}
+		body, longest := p.encode(call, now)
+		go o.call(p, call, body, longest)
+	}
+}
+
+// encode returns the items of a call as they are sent, and what is left of the
+// longest of their requests.
+func (p *owned) encode(call *pool.Call, now time.Time) ([]stagecall.Item, time.Duration) {
+	items := make([]stagecall.Item, len(call.Items))
+	var longest time.Duration
+	for i, item := range call.Items {
+		left := max(time.Millisecond, item.Task.Last.Sub(now))
+		longest = max(longest, left)
+		items[i] = stagecall.Item{Piece: item.Index, RemainingMS: left.Milliseconds()}
+		if task := p.tasks[item.Task.Ticket]; task != nil {
+			items[i].Request = task.Request
+			items[i].Stage = task.Stage
+			items[i].Key = task.Key
+			items[i].Inputs = task.Inputs
+		}
+	}
+	return items, longest
+}
+
+// fail ends a task without results; those that were made are freed. The lock is held.
+func (o *Owner) fail(p *owned, ticket pool.Ticket, why Failure, now time.Time) {
+	task := p.end(ticket)
+	if task == nil {
+		return
+	}
+	p.free(task.handles)
+	task.done(Result{Failure: why, Wait: p.queue.Wait(now)})
+}
+
+// cancel ends a task that nobody waits for. The lock is held.
+func (p *owned) cancel(ticket pool.Ticket) {
+	if task := p.end(ticket); task != nil {
+		p.free(task.handles)
+	}
+}
--- /dev/null
+++ b/gateway/pools/serve.go
@@ -0,0 +1,133 @@
+package pools
+
+import (
+	"context"
+	"time"
+
+	"acaciawinch/wire/wirepb"
+)
+
+// replyQueue bounds the replies that wait for a slow asker; one that falls further
+// behind is ended, and gives its tasks to another owner.
+const replyQueue = 1024
+
+// Server serves an Owner to the other gateways.
+type Server struct {
+	wirepb.DRPCPoolUnimplementedServer
+	owner *Owner
+}
+
+// NewServer returns a Server of an Owner.
+func NewServer(owner *Owner) *Server { return &Server{owner: owner} }
+
+// Work implements the generated server.
+func (s *Server) Work(stream wirepb.DRPCPool_WorkStream) error {
+	session := s.owner.Session()
+	defer session.End()
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	replies := make(chan *wirepb.PoolReply, replyQueue)
+	go sendReplies(ctx, cancel, stream, replies)
+	for {
+		request, err := stream.Recv()
+		if err != nil {
+			return nil // the asker's end of the stream is its normal end
+		}
+		handle(session, request, func(reply *wirepb.PoolReply) {
+			select {
+			case replies <- reply:
+			default:
+				cancel()
+			}
+		})
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// sendReplies writes replies until ctx ends or the stream breaks.
+func sendReplies(ctx context.Context, cancel context.CancelFunc, stream wirepb.DRPCPool_WorkStream, replies <-chan *wirepb.PoolReply) {
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case reply := <-replies:
+			if err := stream.Send(reply); err != nil {
+				return // the asker is gone; Recv ends as well
+			}
+		}
+	}
+}
+
+// handle carries out one request of an asker.
+func handle(session *Session, request *wirepb.PoolRequest, reply func(*wirepb.PoolReply)) {
+	switch kind := request.GetKind().(type) {
+	case *wirepb.PoolRequest_Task:
+		number := kind.Task.GetTicket()
+		session.Submit(number, taskOf(kind.Task), func(result Result) {
+			reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Result{Result: resultMessage(number, result)}})
+		})
+	case *wirepb.PoolRequest_Cancel:
+		session.Cancel(kind.Cancel)
+	case *wirepb.PoolRequest_Free:
+		session.Free(kind.Free.GetService(), kind.Free.GetHandles())
+	case *wirepb.PoolRequest_Ping:
+		reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Pong{Pong: kind.Ping}})
+	}
+}
+
+// taskOf decodes a task.
+func taskOf(m *wirepb.PoolTask) Task {
+	return Task{
+		Service:     m.GetService(),
+		Request:     m.GetRequest(),
+		Stage:       int(m.GetStage()),
+		Pieces:      int(m.GetPieces()),
+		Key:         m.GetKey(),
+		Inputs:      m.GetInputs(),
+		ResultBytes: int64(m.GetResultBytes()),
+		Remaining:   time.Duration(m.GetRemainingMs()) * time.Millisecond,
+		Due:         time.Duration(m.GetDueMs()) * time.Millisecond,
+		Rank:        int(m.GetRank()),
+		Zone:        m.GetZone(),
+	}
+}
+
+// taskMessage encodes a task.
+func taskMessage(number uint64, t Task) *wirepb.PoolTask {
+	return &wirepb.PoolTask{
+		Ticket:      number,
+		Service:     t.Service,
+		Request:     t.Request,
+		Stage:       uint32(t.Stage),
+		Pieces:      uint32(t.Pieces),
+		Key:         t.Key,
+		Inputs:      t.Inputs,
+		ResultBytes: uint64(t.ResultBytes),
+		RemainingMs: t.Remaining.Milliseconds(),
+		DueMs:       t.Due.Milliseconds(),
+		Rank:        uint32(max(0, t.Rank)),
+		Zone:        t.Zone,
+	}
+}
+
+// resultMessage encodes a result.
+func resultMessage(number uint64, r Result) *wirepb.PoolResult {
+	return &wirepb.PoolResult{
+		Ticket:  number,
+		Handles: r.Handles,
+		Failure: string(r.Failure),
+		WaitMs:  uint64(r.Wait.Milliseconds()),
+	}
+}
+
+// resultOf decodes a result.
+func resultOf(m *wirepb.PoolResult) Result {
+	return Result{
+		Handles: m.GetHandles(),
+		Failure: Failure(m.GetFailure()),
+		Wait:    time.Duration(m.GetWaitMs()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/gateway/pools/session.go
@@ -0,0 +1,64 @@
+package pools
+
+import "acaciawinch/core/pool"
+
+// Session is one asker at an owner. When it ends, its open tasks are cancelled. The
+// Owner's lock guards its state.
+type Session struct {
+	owner *Owner
+	open  map[uint64]openTicket
+	ended bool
+}
+
+// openTicket is where an asker's task stands at the owner.
+type openTicket struct {
+	pool   *owned
+	ticket pool.Ticket
+}
+
+// Session returns a new session.
+func (o *Owner) Session() *Session {
+	return &Session{owner: o, open: make(map[uint64]openTicket)}
+}
+
+// Submit queues a task under the asker's number. Done is called once, unless the
+// task is cancelled before, with the Owner's lock held: it must return at once and
+// not call the Owner.
+func (s *Session) Submit(number uint64, task Task, done func(Result)) {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if s.ended {
+		return
+	}
+	if !s.owner.submit(s, number, task, done) {
+		done(Result{Failure: Failed})
+	}
+}
+
+// Cancel drops a task that nobody waits for. One that has ended stays as it is.
+func (s *Session) Cancel(number uint64) {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if at, known := s.open[number]; known {
+		at.pool.cancel(at.ticket)
+	}
+}
+
+// Free gives results of a service back.
+func (s *Session) Free(service string, handles []string) {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if p := s.owner.pools[service]; p != nil {
+		p.free(handles)
+	}
+}
+
+// End cancels all open tasks.
+func (s *Session) End() {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	s.ended = true
+	for _, at := range s.open {
+		at.pool.cancel(at.ticket)
+	}
+}
--- /dev/null
+++ b/gateway/pools/task.go
@@ -0,0 +1,54 @@
+// Package pools does the stages of requests. One gateway owns the queue of each
+// pool, chosen by rendezvous hash among those that answer, so that the batches are
+// filled with the items of all gateways: a call costs 200 ms whether it is full or
+// nearly empty. An Asker gives a request's stage to the pool's owner, over a stream
+// or within the process; an Owner queues, batches and calls. A wrong or second owner
+// only makes batches smaller.
+package pools
+
+import "time"
+
+// Task is one request's stage.
+type Task struct {
+	Service string
+	// Request is the client's id of its request.
+	Request string
+	Stage   int
+	Pieces  int
+	// Key is what a first stage works on, Inputs the results that a later one works on.
+	Key    string
+	Inputs []string
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+	// Remaining is what is left until the request ends, Due until it must have this
+	// stage to be on time; Due is below 0 if it is late already.
+	Remaining, Due time.Duration
+	// Rank is 0 for the most urgent.
+	Rank int
+	// Zone is where the results are needed.
+	Zone string
+}
+
+// Failure says why a task has no results; empty if it has.
+type Failure string
+
+// The failures of a task.
+const (
+	// Late: it could not be done before the request's end.
+	Late Failure = "late"
+	// Gone: an input no longer exists; the stages before must be done again.
+	Gone Failure = "gone"
+	// Failed: the upstreams failed.
+	Failed Failure = "failed"
+	// OwnerLost: the owner fell silent before it answered.
+	OwnerLost Failure = "owner_lost"
+)
+
+// Result is the end of a task.
+type Result struct {
+	// Handles holds one result for each piece.
+	Handles []string
+	Failure Failure
+	// Wait is the owner's estimate for an item that is queued now.
+	Wait time.Duration
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,95 @@
+// Package gateway is the process that serves clients on the users' platform: it takes
+// requests, has their stages done by the pools and sends them to upstreams. All
+// gateways are equal; what they must agree on lies in the platform's store, and the
+// queue of each stage pool is owned by one of them.
+package gateway
+
+import (
+	"time"
+
+	"acaciawinch/settings"
+)
+
+// Settings are a gateway's settings.
+type Settings struct {
+	Process ProcessSettings `toml:"process"`
+	Listen  ListenSettings  `toml:"listen"`
+	Store   StoreSettings   `toml:"store"`
+	Bounds  BoundSettings   `toml:"bounds"`
+	Fleet   FleetSettings   `toml:"fleet"`
+	Log     LogSettings     `toml:"log"`
+}
+
+// ProcessSettings name the process.
+type ProcessSettings struct {
+	// Name is the machine's; no other gateway has it.
+	Name string `toml:"name" required:"true"`
+	// Zone is the availability zone.
+	Zone string `toml:"zone" required:"true"`
+	// MemoryMB is what the process may use.
+	MemoryMB int `toml:"memory_mb" required:"true"`
+}
+
+// ListenSettings are the addresses, IP:port, that the process listens on.
+type ListenSettings struct {
+	Clients   string `toml:"clients" required:"true"`
+	Readiness string `toml:"readiness" required:"true"`
+	Fleet     string `toml:"fleet" required:"true"`
+	Metrics   string `toml:"metrics" required:"true"`
+}
+
+// StoreSettings tell where the platform's store is.
+type StoreSettings struct {
+	Address string `toml:"address" required:"true"`
+}
+
+// BoundSettings are what the platform promises and asks.
+type BoundSettings struct {
+	// RevokeMS is the time in ms after which a key that was taken away must not work.
+	RevokeMS int `toml:"revoke_ms" required:"true"`
+	// GraceSeconds is the time in s that a planned stop may take.
+	GraceSeconds float64 `toml:"grace_s" required:"true"`
+	// RetryRatio and RetrySlack bound the repeated sends to a service in a window,
+	// over all gateways: ratio × requests + slack.
+	RetryRatio float64 `toml:"retry_ratio" required:"true"`
+	RetrySlack float64 `toml:"retry_slack" required:"true"`
+}
+
+// FleetSettings are common to all processes of the fleet.
+type FleetSettings struct {
+	// Key is what the processes prove to each other that they hold.
+	Key string `toml:"key" required:"true"`
+}
+
+// LogSettings are for the log.
+type LogSettings struct {
+	// Level is debug, info, warn or error.
+	Level string `toml:"level"`
+}
+
+// Defaults returns the settings of keys that a file may leave out.
+func Defaults() Settings { return Settings{Log: LogSettings{Level: "info"}} }
+
+// Validate implements settings.Validator.
+func (b *BoundSettings) Validate() error {
+	switch {
+	case b.RevokeMS < 1:
+		return settings.Invalid("revoke_ms", "must be at least 1")
+	case b.GraceSeconds <= 0:
+		return settings.Invalid("grace_s", "must be above 0")
+	case b.RetryRatio < 0 || b.RetryRatio > 1:
+		return settings.Invalid("retry_ratio", "must be from 0 to 1")
+	case b.RetrySlack < 0:
+		return settings.Invalid("retry_slack", "must not be below 0")
+	}
+	return nil
+}
+
+// confirmMargin is how much earlier than the bound on keys a request with a key is
+// refused: the time from the check until an upstream begins, and the error of clocks.
+const confirmMargin = 500 * time.Millisecond
+
+// confirmWithin returns for how long keys are trusted without a new proof.
+func (b *BoundSettings) confirmWithin() time.Duration {
+	return max(time.Duration(b.RevokeMS)*time.Millisecond-confirmMargin, confirmMargin)
+}
--- /dev/null
+++ b/gateway/view/config.go
@@ -0,0 +1,56 @@
+package view
+
+import (
+	"time"
+
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/document"
+	"acaciawinch/platform/store"
+)
+
+// configFollower takes the operator's document.
+type configFollower struct{ view *View }
+
+// reset implements receiver.
+func (f *configFollower) reset(objects []store.Object) {
+	for _, object := range objects {
+		f.take(object)
+	}
+}
+
+// apply implements receiver.
+func (f *configFollower) apply(changes []store.Change) {
+	for _, change := range changes {
+		if change.Deleted {
+			f.view.options.Logger.Warn(event.TableRefused, observe.Fields{"revision": change.Object.Revision, "error": "the document was removed; the last one stays in force"})
+			continue
+		}
+		f.take(change.Object)
+	}
+}
+
+// confirm implements receiver.
+func (f *configFollower) confirm(at time.Duration) {
+	if f.view.table.Load() != nil {
+		f.view.confirmed.Store(int64(at))
+	}
+}
+
+// take puts a document in force if it can be read and is newer than the one in force.
+func (f *configFollower) take(object store.Object) {
+	if object.Name != document.ConfigName {
+		return
+	}
+	table, err := document.Table(object.Spec)
+	if err != nil {
+		f.view.options.Logger.Warn(event.TableRefused, observe.Fields{"revision": object.Revision, "error": err.Error()})
+		return
+	}
+	if old := f.view.table.Load(); old != nil && table.Version <= old.Version {
+		return
+	}
+	f.view.table.Store(table)
+	f.view.options.Logger.Event(event.TableInForce, observe.Fields{"version": table.Version, "revision": object.Revision})
+	f.view.changed()
+}
--- /dev/null
+++ b/gateway/view/members.go
@@ -0,0 +1,81 @@
+package view
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/store"
+)
+
+// memberSpec is the content of a gateway's object.
+type memberSpec struct {
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// memberFollower takes the objects of the other gateways.
+type memberFollower struct {
+	view  *View
+	known map[string]Member
+}
+
+// newMemberFollower returns a follower that knows no member.
+func newMemberFollower(v *View) *memberFollower {
+	return &memberFollower{view: v, known: make(map[string]Member)}
+}
+
+// reset implements receiver.
+func (f *memberFollower) reset(objects []store.Object) {
+	f.known = make(map[string]Member, len(objects))
+	for _, object := range objects {
+		f.take(object)
+	}
+	f.publish()
+}
+
+// apply implements receiver.
+func (f *memberFollower) apply(changes []store.Change) {
+	for _, change := range changes {
+		if change.Deleted {
+			delete(f.known, change.Object.Name)
+			continue
+		}
+		f.take(change.Object)
+	}
+	if len(changes) > 0 {
+		f.publish()
+	}
+}
+
+// confirm implements receiver.
+func (f *memberFollower) confirm(time.Duration) {}
+
+// take decodes a member's object.
+func (f *memberFollower) take(object store.Object) {
+	var spec memberSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		f.view.options.Logger.Warn(event.MemberUnreadable, observe.Fields{"member": object.Name, "error": err.Error()})
+		return
+	}
+	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Revision: object.Revision}
+}
+
+// publish makes the known members the current list.
+func (f *memberFollower) publish() {
+	list := make([]Member, 0, len(f.known))
+	names := make([]string, 0, len(f.known))
+	for _, member := range f.known {
+		if member.Name != f.view.options.Self.Name {
+			list = append(list, member)
+			names = append(names, member.Name)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	sort.Strings(names)
+	f.view.members.Store(&list)
+	f.view.options.Logger.Event(event.MembersChanged, observe.Fields{"members": names})
+	f.view.changed()
+}
--- /dev/null
+++ b/gateway/view/upstreams.go
@@ -0,0 +1,88 @@
+package view
+
+import (
+	"time"
+
+	"acaciawinch/core/routes"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/document"
+	"acaciawinch/platform/store"
+)
+
+// upstreamFollower takes the entries of discovery.
+type upstreamFollower struct {
+	view  *View
+	known map[string]routes.Upstream
+}
+
+// newUpstreamFollower returns a follower that knows no upstream.
+func newUpstreamFollower(v *View) *upstreamFollower {
+	return &upstreamFollower{view: v, known: make(map[string]routes.Upstream)}
+}
+
+// reset implements receiver.
+func (f *upstreamFollower) reset(objects []store.Object) {
+	before := f.known
+	f.known = make(map[string]routes.Upstream, len(objects))
+	for _, object := range objects {
+		f.take(object)
+	}
+	for id, upstream := range before {
+		if _, still := f.known[id]; !still {
+			f.gone(upstream)
+		}
+	}
+	f.publish()
+}
+
+// apply implements receiver.
+func (f *upstreamFollower) apply(changes []store.Change) {
+	for _, change := range changes {
+		if !change.Deleted {
+			f.take(change.Object)
+			continue
+		}
+		if upstream, known := f.known[change.Object.Name]; known {
+			delete(f.known, change.Object.Name)
+			f.gone(upstream)
+		}
+	}
+	if len(changes) > 0 {
+		f.publish()
+	}
+}
+
+// confirm implements receiver.
+func (f *upstreamFollower) confirm(time.Duration) {}
+
+// take decodes an entry. One that can't be read leaves what was known of it.
+func (f *upstreamFollower) take(object store.Object) {
+	upstream, err := document.Upstream(object.Name, object.Spec)
+	if err != nil {
+		f.view.options.Logger.Warn(event.UpstreamUnreadable, observe.Fields{"upstream": object.Name, "revision": object.Revision, "error": err.Error()})
+		return
+	}
+	old, known := f.known[upstream.ID]
+	f.known[upstream.ID] = upstream
+	if !known || old.Leaving != upstream.Leaving {
+		f.view.options.Logger.Event(event.UpstreamChanged, observe.Fields{
+			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
+			"leaving": upstream.Leaving, "revision": object.Revision})
+	}
+}
+
+// gone notes an entry that went away.
+func (f *upstreamFollower) gone(upstream routes.Upstream) {
+	f.view.options.Logger.Event(event.UpstreamGone, observe.Fields{"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address})
+}
+
+// publish makes the known upstreams the current snapshot.
+func (f *upstreamFollower) publish() {
+	list := make([]routes.Upstream, 0, len(f.known))
+	for _, upstream := range f.known {
+		list = append(list, upstream)
+	}
+	f.view.upstreams.Store(routes.NewUpstreams(list))
+	f.view.changed()
+}
--- /dev/null
+++ b/gateway/view/view.go
@@ -0,0 +1,106 @@
+// Package view holds what a gateway knows of the fleet: the operator's
+// configuration, the upstreams that discovery tells of, and the other gateways. Each
+// is followed in the platform's store by a watch and published as an immutable
+// snapshot. A configuration is never replaced by an older one.
+package view
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
+	"acaciawinch/platform/store"
+)
+
+// Member is one gateway of the fleet.
+type Member struct {
+	// Name is the machine's name.
+	Name string
+	// Address is IP:port of its calls.
+	Address string
+	// Incarnation names one start of its process.
+	Incarnation string
+	// Revision is that of its object in the store.
+	Revision int64
+}
+
+// Options are what a View needs.
+type Options struct {
+	Store  *store.Client
+	Logger *observe.Logger
+	// Self is this process; it is not among the Members.
+	Self Member
+	// ConfirmWithin bounds the age of what is known of keys.
+	ConfirmWithin time.Duration
+}
+
+// View follows the fleet. Its readers may be called by many goroutines.
+type View struct {
+	options Options
+
+	table     atomic.Pointer[routes.Table]
+	upstreams atomic.Pointer[routes.Upstreams]
+	members   atomic.Pointer[[]Member]
+	// confirmed is the boot time at which the newest proof that the table was the
+	// store's began.
+	confirmed atomic.Int64
+
+	mu       sync.Mutex
+	onChange []func()
+}
+
+// New returns a View that knows nothing yet.
+func New(options Options) *View {
+	v := &View{options: options}
+	v.members.Store(&[]Member{})
+	v.confirmed.Store(-1)
+	return v
+}
+
+// Table returns the newest configuration, nil before the first.
+func (v *View) Table() *routes.Table { return v.table.Load() }
+
+// Upstreams returns the upstreams, nil before the first list.
+func (v *View) Upstreams() *routes.Upstreams { return v.upstreams.Load() }
+
+// Members returns the other gateways. The caller must not change the slice.
+func (v *View) Members() []Member { return *v.members.Load() }
+
+// Ready tells whether requests can be served.
+func (v *View) Ready() bool { return v.Table() != nil && v.Upstreams() != nil }
+
+// KeysAge returns how old the newest proof is that no key was taken away since, and
+// false if there is none.
+func (v *View) KeysAge() (time.Duration, bool) {
+	at := v.confirmed.Load()
+	if at < 0 {
+		return 0, false
+	}
+	return clock.Boot() - time.Duration(at), true
+}
+
+// KeysTrusted tells whether requests with keys may run.
+func (v *View) KeysTrusted() bool {
+	age, known := v.KeysAge()
+	return known && age < v.options.ConfirmWithin
+}
+
+// OnChange registers what is called after each change of upstreams, members or
+// configuration. It must return at once, and is registered before Run.
+func (v *View) OnChange(call func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onChange = append(v.onChange, call)
+}
+
+// changed calls what was registered.
+func (v *View) changed() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, call := range v.onChange {
+		call()
+	}
+}
