Read the settings again on SIGHUP and when the file changes

Cause: on the grown Cascade Grind site processes ended by themselves with code 129: nothing caught SIGHUP, and its default action ends a process. The settings are now read again on the signal and every 2 s; what can't be read changes nothing and is logged.

--- a/acaciawinchd/command.go
+++ b/acaciawinchd/command.go
@@ -61,13 +61,20 @@
 
 // Execute implements flags.Commander.
 func (c *gatewayCommand) Execute([]string) error {
-	loaded := gateway.Defaults()
-	if err := settings.Load(c.Config, &loaded); err != nil {
+	loaded, err := c.load()
+	if err != nil {
 		return settingsError{err}
 	}
 	ctx, stop := stopSignal()
 	defer stop()
-	return gateway.Run(ctx, loaded)
+	return gateway.Run(ctx, loaded, c.load)
+}
+
+// load reads the settings file as it is now.
+func (c *gatewayCommand) load() (gateway.Settings, error) {
+	loaded := gateway.Defaults()
+	err := settings.Load(c.Config, &loaded)
+	return loaded, err
 }
 
 // stopSignal returns a context that ends when the process is asked to stop. A
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -55,6 +55,17 @@
 	return &Server{Options: options, chooser: selection.New(), budgets: make(map[string]*budget.Budget)}
 }
 
+// SetRetries takes over changed bounds. Budgets begin anew.
+func (s *Server) SetRetries(retries Retries) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Retries == retries {
+		return
+	}
+	s.Retries = retries
+	s.budgets = make(map[string]*budget.Budget)
+}
+
 // Drain makes each answer from now on close its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -77,7 +77,7 @@
 	owner := a.owner(task.Service, time.Now())
 	results := make(chan Result, 1)
 	number := a.next()
-	cancel := func() {}
+	var cancel func()
 	if owner.Name == a.self {
 		a.local.Submit(number, task, func(r Result) { results <- r })
 		cancel = func() { a.local.Cancel(number) }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -20,7 +20,6 @@
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
-	"acaciawinch/platform/store"
 	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
@@ -46,12 +45,15 @@
 	rpc      *link.Server
 	dialer   *link.Dialer
 
+	reload *reloader
+
 	incarnation string
 }
 
 // Run is the gateway: it serves until ctx ends, then finishes what it has read and
-// returns nil. An error means that it could not start or go on.
-func Run(ctx context.Context, settings Settings) error {
+// returns nil. Load reads the settings again when they may have changed. An error
+// means that it could not start or go on.
+func Run(ctx context.Context, settings Settings, load func() (Settings, error)) error {
 	debug.SetMemoryLimit(int64(float64(settings.Process.MemoryMB) * memoryShare * (1 << 20)))
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -59,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	p.reload = newReloader(settings, load, p.apply, p.logger)
 	defer p.queue.Close()
 	open, err := listen(settings.Listen)
 	if err != nil {
@@ -83,14 +86,13 @@
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
 	p.client = httpconn.New(readEcho)
 	p.view = view.New(view.Options{
-		Store:  store.New(settings.Store.Address),
 		Logger: logger,
 		Self: view.Member{
 			Name:        settings.Process.Name,
 			Address:     settings.Listen.Fleet,
 			Incarnation: p.incarnation,
 		},
-		ConfirmWithin: settings.Bounds.confirmWithin(),
+		Source: settings.source(),
 	})
 	p.owner = pools.NewOwner(life, p.view, p.client, logger)
 	p.rpc = link.NewServer(settings.Fleet.Key)
@@ -105,13 +107,19 @@
 		Logger:  logger,
 		Metrics: flow.NewMetrics(p.metrics.Scope()),
 		Zone:    settings.Process.Zone,
-		Retries: flow.Retries{Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack},
+		Retries: settings.retries(),
 	})
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.Forget)
 	return p, nil
 }
 
+// apply takes over those of changed settings that need no new start.
+func (p *process) apply(settings Settings) {
+	p.view.SetSource(settings.source())
+	p.flow.SetRetries(settings.retries())
+}
+
 // readEcho reads the head of an upstream's answer for the connections.
 func readEcho(status int, h http.Header) httpconn.Echo {
 	said := header.ReadAnswer(status, h)
@@ -154,7 +162,7 @@
 func (p *process) serve(ctx, life context.Context, stop context.CancelFunc, open listeners) error {
 	servers := newServers(p, open)
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.view.Run, p.view.Register, p.owner.Run, p.flow.Sweep, p.reportDropped} {
+	for _, part := range []func(context.Context) error{p.view.Run, p.view.Register, p.owner.Run, p.flow.Sweep, p.reportDropped, p.reload.run} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"acaciawinch/gateway/flow"
+	"acaciawinch/gateway/view"
 	"acaciawinch/settings"
 )
 
@@ -93,3 +95,13 @@
 func (b *BoundSettings) confirmWithin() time.Duration {
 	return max(time.Duration(b.RevokeMS)*time.Millisecond-confirmMargin, confirmMargin)
 }
+
+// source returns what the settings say of the store.
+func (s *Settings) source() view.Source {
+	return view.Source{Store: s.Store.Address, ConfirmWithin: s.Bounds.confirmWithin()}
+}
+
+// retries returns what the settings say of repeated sends.
+func (s *Settings) retries() flow.Retries {
+	return flow.Retries{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack}
+}
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -86,7 +86,7 @@
 func (f *follower) step(ctx context.Context) error {
 	began := clock.Boot()
 	if !f.listed {
-		objects, revision, err := f.view.options.Store.List(ctx, f.kind)
+		objects, revision, err := f.view.store.Load().List(ctx, f.kind)
 		if err != nil {
 			return err
 		}
@@ -95,7 +95,7 @@
 		f.to.confirm(began)
 		return nil
 	}
-	changes, revision, err := f.view.options.Store.Watch(ctx, f.kind, f.revision, f.wait)
+	changes, revision, err := f.view.store.Load().Watch(ctx, f.kind, f.revision, f.wait)
 	if err != nil {
 		return err
 	}
--- a/gateway/view/register.go
+++ b/gateway/view/register.go
@@ -31,15 +31,15 @@
 func (v *View) register(ctx context.Context) error {
 	self := v.options.Self
 	spec := memberSpec{Address: self.Address, Incarnation: self.Incarnation}
-	err := v.options.Store.Create(ctx, MemberKind, self.Name, spec)
+	err := v.store.Load().Create(ctx, MemberKind, self.Name, spec)
 	if !fault.Is(err, fault.Conflict) {
 		return err
 	}
-	old, err := v.options.Store.Get(ctx, MemberKind, self.Name)
+	old, err := v.store.Load().Get(ctx, MemberKind, self.Name)
 	if err != nil {
 		return err
 	}
-	return v.options.Store.Replace(ctx, MemberKind, self.Name, old.Revision, spec)
+	return v.store.Load().Replace(ctx, MemberKind, self.Name, old.Revision, spec)
 }
 
 // leaveTimeout bounds the removal of the own object at a planned stop.
@@ -51,9 +51,9 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	self := v.options.Self
-	found, err := v.options.Store.Get(ctx, MemberKind, self.Name)
+	found, err := v.store.Load().Get(ctx, MemberKind, self.Name)
 	if err == nil {
-		err = v.options.Store.Delete(ctx, MemberKind, self.Name, found.Revision)
+		err = v.store.Load().Delete(ctx, MemberKind, self.Name, found.Revision)
 	}
 	if err != nil {
 		v.options.Logger.Warn(event.RegisterFailed, observe.Fields{"member": self.Name, "error": err.Error()})
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -29,10 +29,17 @@
 
 // Options are what a View needs.
 type Options struct {
-	Store  *store.Client
 	Logger *observe.Logger
 	// Self is this process; it is not among the Members.
 	Self Member
+	// Source is where the store is and how long its word counts.
+	Source Source
+}
+
+// Source is what the settings say of the store. It may change while the process runs.
+type Source struct {
+	// Store is the store's address, IP:port.
+	Store string
 	// ConfirmWithin bounds the age of what is known of keys.
 	ConfirmWithin time.Duration
 }
@@ -41,6 +48,9 @@
 type View struct {
 	options Options
 
+	store         atomic.Pointer[store.Client]
+	confirmWithin atomic.Int64
+
 	table     atomic.Pointer[routes.Table]
 	upstreams atomic.Pointer[routes.Upstreams]
 	members   atomic.Pointer[[]Member]
@@ -55,11 +65,21 @@
 // New returns a View that knows nothing yet.
 func New(options Options) *View {
 	v := &View{options: options}
+	v.SetSource(options.Source)
 	v.members.Store(&[]Member{})
 	v.confirmed.Store(-1)
 	return v
 }
 
+// SetSource takes over changed settings. What is known stays until the store at the
+// new address says otherwise.
+func (v *View) SetSource(source Source) {
+	v.confirmWithin.Store(int64(source.ConfirmWithin))
+	if old := v.store.Load(); old == nil || old.Address() != source.Store {
+		v.store.Store(store.New(source.Store))
+	}
+}
+
 // Table returns the newest configuration, nil before the first.
 func (v *View) Table() *routes.Table { return v.table.Load() }
 
@@ -85,7 +105,7 @@
 // KeysTrusted tells whether requests with keys may run.
 func (v *View) KeysTrusted() bool {
 	age, known := v.KeysAge()
-	return known && age < v.options.ConfirmWithin
+	return known && age < time.Duration(v.confirmWithin.Load())
 }
 
 // OnChange registers what is called after each change of upstreams, members or
