Make stage items in the zone of their data, unless they would be late there

Now a task says what each item moves: its inputs from where they lie, its result to the zone of the engine that the request would get. An item waits for an upstream of that zone as long as it is on time there. Ruled out: engines chosen by the zone of the results; a shared part read twice costs about three times what its results cost on the way.

--- /dev/null
+++ b/core/pool/batch.go
@@ -0,0 +1,154 @@
+package pool
+
+import (
+	"sort"
+	"time"
+)
+
+// Limits of a batch.
+const (
+	// roomShare is the part of an upstream's room for results that calls may fill; the
+	// rest is for results whose sizes are above the configured ones.
+	roomShare = 0.9
+	// slowFactor is how much slower an upstream must be to come after one of another
+	// zone: a call's time counts for more than the bytes between zones.
+	slowFactor = 1.3
+	// smallCrossing is how many bytes of an item may cross zones without a second
+	// thought: a hundredth of a call's cost.
+	smallCrossing = 32 << 10
+)
+
+// Next closes a batch for a free upstream and returns it, or nil if nothing can be
+// sent now.
+func (p *Pool) Next(now time.Time) *Call {
+	if len(p.queue) == 0 {
+		return nil
+	}
+	p.sort(now)
+	for _, w := range p.free(now) {
+		if call := p.fill(w, now); call != nil {
+			return call
+		}
+	}
+	return nil
+}
+
+// free returns the upstreams that can take a call, the best first.
+func (p *Pool) free(now time.Time) []*worker {
+	var usable, avoided []*worker
+	for _, w := range p.workers {
+		switch {
+		case w.upstream.Leaving || w.calls >= max(1, p.settings.Slots):
+		case now.Before(w.avoid):
+			avoided = append(avoided, w)
+		default:
+			usable = append(usable, w)
+		}
+	}
+	if len(usable) == 0 {
+		// Each upstream has failed lately: one that failed is better than none.
+		usable = avoided
+	}
+	first := p.queue[0].Task
+	sort.Slice(usable, func(i, j int) bool { return better(usable[i], usable[j], first) })
+	return usable
+}
+
+// better tells whether a is to be used before b for a batch that begins with first.
+func better(a, b *worker, first *Task) bool {
+	if a.slow > b.slow*slowFactor || b.slow > a.slow*slowFactor {
+		return a.slow < b.slow
+	}
+	crossA, crossB := first.crossing(a.upstream.Zone), first.crossing(b.upstream.Zone)
+	if crossA != crossB {
+		return crossA < crossB
+	}
+	return a.upstream.ID < b.upstream.ID
+}
+
+// fill closes a batch of the first items that an upstream can take: those that fit
+// into its room and that need not wait for an upstream nearer to their data.
+func (p *Pool) fill(w *worker, now time.Time) *Call {
+	call := &Call{Upstream: w.upstream, Began: now}
+	room := int64(float64(p.settings.RoomBytes)*roomShare) - w.room
+	kept := p.queue[:0:0]
+	for _, item := range p.queue {
+		if len(call.Items) >= p.settings.Batch || call.bytes+item.Task.Bytes > room || p.waitsForNearer(item.Task, w, now) {
+			kept = append(kept, item)
+			continue
+		}
+		call.Items = append(call.Items, item)
+		call.bytes += item.Task.Bytes
+	}
+	if len(call.Items) == 0 {
+		return nil
+	}
+	p.queue = kept
+	for _, item := range call.Items {
+		item.tries++
+	}
+	call.Patience = p.patience(w, len(call.Items))
+	w.calls++
+	w.until = now.Add(time.Duration(w.slow * float64(p.callTime(len(call.Items)))))
+	w.room += call.bytes
+	return call
+}
+
+// waitsForNearer tells whether an item had better wait for an upstream in the zone of
+// its data than go to w: it would still be on time there.
+func (p *Pool) waitsForNearer(task *Task, w *worker, now time.Time) bool {
+	here := task.crossing(w.upstream.Zone)
+	if here <= smallCrossing || task.late {
+		return false
+	}
+	for _, other := range p.workers {
+		if other == w || other.upstream.Leaving || now.Before(other.avoid) {
+			continue
+		}
+		if here-task.crossing(other.upstream.Zone) <= smallCrossing {
+			continue
+		}
+		starts := now
+		if other.calls > 0 {
+			starts = other.until
+		}
+		if !p.endsAfter(starts, task.Due) {
+			return true
+		}
+	}
+	return false
+}
+
+// endsAfter tells whether a full call that starts at a time ends after another.
+func (p *Pool) endsAfter(starts, limit time.Time) bool {
+	full := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
+	return starts.Add(full).After(limit)
+}
+
+// sort orders the queue. Tasks that can still be on time go before those that are
+// late already: under a burst, time spent on late ones makes the others late too.
+// Among those in time the rank decides, then the earlier due time; items of one
+// task stay together, as none is of use alone.
+func (p *Pool) sort(now time.Time) {
+	shortest := time.Duration(float64(p.settings.CallTime+p.settings.ItemTime) * p.slowdown)
+	for _, item := range p.queue {
+		if now.Add(shortest).After(item.Task.Due) {
+			item.Task.late = true
+		}
+	}
+	sort.SliceStable(p.queue, func(i, j int) bool { return before(p.queue[i].Task, p.queue[j].Task) })
+}
+
+// before tells whether a goes before b.
+func before(a, b *Task) bool {
+	if a.late != b.late {
+		return b.late
+	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if !a.Due.Equal(b.Due) {
+		return a.Due.Before(b.Due)
+	}
+	return a.Ticket < b.Ticket
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -8,7 +8,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"acaciawinch/core/routes"
@@ -17,6 +16,13 @@
 // Ticket names one request's stage at this pool.
 type Ticket uint64
 
+// Pull is what an item moves to or from one availability zone, in bytes: its inputs
+// lie there, or its result is needed there.
+type Pull struct {
+	Zone  string
+	Bytes int64
+}
+
 // Task is one request's stage: a number of items that are needed together.
 type Task struct {
 	Ticket Ticket
@@ -28,8 +34,22 @@
 	Last time.Time
 	// Bytes is the approximate size of one result.
 	Bytes int64
-	// Near is the availability zone whose upstreams are preferred.
-	Near string
+	// Pulls are what each item moves.
+	Pulls []Pull
+
+	// late is set once the task can't be on time any more.
+	late bool
+}
+
+// crossing returns how many bytes of an item cross zones if it is made in zone.
+func (t *Task) crossing(zone string) int64 {
+	var bytes int64
+	for _, pull := range t.Pulls {
+		if pull.Zone != zone {
+			bytes += pull.Bytes
+		}
+	}
+	return bytes
 }
 
 // Item is one piece of a task.
@@ -41,9 +61,6 @@
 	tries int
 }
 
-// Tries returns how many calls the item was part of.
-func (i *Item) Tries() int { return i.tries }
-
 // Call is a batch for one upstream.
 type Call struct {
 	Upstream routes.Upstream
@@ -72,10 +89,6 @@
 // fault, and one more for the fault of a second.
 const maxTries = 3
 
-// roomShare is the part of an upstream's room for results that calls may fill; the
-// rest is for results whose sizes are above the configured ones.
-const roomShare = 0.9
-
 // avoidAfterFailure is how long an upstream whose call failed gets no other, while
 // there are others: about two calls' time, after which one try tells.
 const avoidAfterFailure = 800 * time.Millisecond
@@ -95,6 +108,8 @@
 	calls    int
 	room     int64
 	avoid    time.Time
+	// until is when the call that runs is expected to end.
+	until time.Time
 	// slow is a moving average of a call's time against the configured one.
 	slow float64
 }
@@ -121,14 +136,11 @@
 	p.workers = kept
 }
 
-// Add queues the items of a task and returns them.
-func (p *Pool) Add(task *Task, count int) []*Item {
-	items := make([]*Item, count)
-	for i := range items {
-		items[i] = &Item{Task: task, Index: i}
+// Add queues the items of a task.
+func (p *Pool) Add(task *Task, count int) {
+	for i := range count {
+		p.queue = append(p.queue, &Item{Task: task, Index: i})
 	}
-	p.queue = append(p.queue, items...)
-	return items
 }
 
 // Cancel drops the waiting items of a task.
@@ -159,105 +171,6 @@
 	return dropped
 }
 
-// Next closes a batch for a free upstream and returns it, or nil if nothing can be
-// sent now.
-func (p *Pool) Next(now time.Time) *Call {
-	if len(p.queue) == 0 {
-		return nil
-	}
-	p.sort(now)
-	for _, w := range p.free(now) {
-		if call := p.fill(w, now); call != nil {
-			return call
-		}
-	}
-	return nil
-}
-
-// free returns the upstreams that can take a call, the best first.
-func (p *Pool) free(now time.Time) []*worker {
-	near := p.queue[0].Task.Near
-	var usable, avoided []*worker
-	for _, w := range p.workers {
-		switch {
-		case w.upstream.Leaving || w.calls >= max(1, p.settings.Slots):
-		case now.Before(w.avoid):
-			avoided = append(avoided, w)
-		default:
-			usable = append(usable, w)
-		}
-	}
-	if len(usable) == 0 {
-		// Each upstream has failed lately: one that failed is better than none.
-		usable = avoided
-	}
-	sort.Slice(usable, func(i, j int) bool { return better(usable[i], usable[j], near) })
-	return usable
-}
-
-// slowFactor is how much slower an upstream must be to come after one of another
-// zone: a call's time counts for more than the bytes between zones.
-const slowFactor = 1.3
-
-// better tells whether a is to be used before b.
-func better(a, b *worker, near string) bool {
-	if a.slow > b.slow*slowFactor || b.slow > a.slow*slowFactor {
-		return a.slow < b.slow
-	}
-	if nearA, nearB := a.upstream.Zone == near, b.upstream.Zone == near; nearA != nearB {
-		return nearA
-	}
-	return a.upstream.ID < b.upstream.ID
-}
-
-// fill closes a batch of the first items that fit into an upstream's room.
-func (p *Pool) fill(w *worker, now time.Time) *Call {
-	call := &Call{Upstream: w.upstream, Began: now}
-	room := int64(float64(p.settings.RoomBytes)*roomShare) - w.room
-	kept := p.queue[:0:0]
-	for _, item := range p.queue {
-		if len(call.Items) >= p.settings.Batch || call.bytes+item.Task.Bytes > room {
-			kept = append(kept, item)
-			continue
-		}
-		call.Items = append(call.Items, item)
-		call.bytes += item.Task.Bytes
-	}
-	if len(call.Items) == 0 {
-		return nil
-	}
-	p.queue = kept
-	for _, item := range call.Items {
-		item.tries++
-	}
-	call.Patience = p.patience(w, len(call.Items))
-	w.calls++
-	w.room += call.bytes
-	return call
-}
-
-// sort orders the queue. Tasks that can still be on time go before those that are
-// late already: under a burst, time spent on late ones makes the others late too.
-// Among those in time the rank decides, then the earlier due time; items of one
-// task stay together, as none is of use alone.
-func (p *Pool) sort(now time.Time) {
-	shortest := time.Duration(float64(p.settings.CallTime+p.settings.ItemTime) * p.slowdown)
-	late := func(t *Task) bool { return now.Add(shortest).After(t.Due) }
-	sort.SliceStable(p.queue, func(i, j int) bool {
-		a, b := p.queue[i].Task, p.queue[j].Task
-		if lateA, lateB := late(a), late(b); lateA != lateB {
-			return lateB
-		}
-		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
-		}
-		if !a.Due.Equal(b.Due) {
-			return a.Due.Before(b.Due)
-		}
-		return a.Ticket < b.Ticket
-	})
-}
-
 // Finish records that a call ended with an outcome for each of its items, in their
 // order, and returns the items that nobody will try again. Those with outcome
 // Again are queued unless they were tried often enough.
@@ -283,40 +196,6 @@
 	return failed
 }
 
-// learnRate is the weight of the newest call in the moving averages: some five
-// calls, two seconds of a busy upstream.
-const learnRate = 0.2
-
-// learn updates the averages of what calls take.
-func (p *Pool) learn(w *worker, call *Call, now time.Time) {
-	expected := p.callTime(len(call.Items))
-	if expected <= 0 {
-		return
-	}
-	ratio := float64(now.Sub(call.Began)) / float64(expected)
-	w.slow += learnRate * (ratio - w.slow)
-	p.slowdown += learnRate * (ratio - p.slowdown)
-}
-
-// callTime is the configured time of a call with a number of items.
-func (p *Pool) callTime(items int) time.Duration {
-	return p.settings.CallTime + time.Duration(items)*p.settings.ItemTime
-}
-
-// Limits of a call's patience, against its configured time. An upstream that is
-// known to be slow gets more, so that a slow one still finishes what it began.
-const (
-	patienceFactor = 2.5
-	slowPatience   = 2.0
-	patienceSlack  = 300 * time.Millisecond
-)
-
-// patience returns how long a call of a number of items may take.
-func (p *Pool) patience(w *worker, items int) time.Duration {
-	factor := max(patienceFactor, slowPatience*w.slow)
-	return time.Duration(factor*float64(p.callTime(items))) + patienceSlack
-}
-
 // Fail records that an upstream's call failed as a whole, so that it is left alone
 // for a while.
 func (p *Pool) Fail(id string, now time.Time) {
@@ -335,20 +214,15 @@
 // Waiting returns how many items wait.
 func (p *Pool) Waiting() int { return len(p.queue) }
 
-// Wait estimates how long an item that is queued last waits until its call ends.
-func (p *Pool) Wait(now time.Time) time.Duration {
-	usable := 0
-	for _, w := range p.workers {
-		if !w.upstream.Leaving {
-			usable++
+// WaitingOf returns how many items of a task wait.
+func (p *Pool) WaitingOf(ticket Ticket) int {
+	waiting := 0
+	for _, item := range p.queue {
+		if item.Task.Ticket == ticket {
+			waiting++
 		}
 	}
-	if usable == 0 || p.settings.Batch == 0 {
-		return 0
-	}
-	full := float64(p.callTime(p.settings.Batch)) * p.slowdown
-	calls := float64(len(p.queue)) / float64(p.settings.Batch) / float64(usable)
-	return time.Duration(full * (calls + 1))
+	return waiting
 }
 
 // Tickets returns the tickets of the waiting items, each once.
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -131,23 +131,31 @@
 
 // choose returns the upstream for a request and counts it as sent there.
 func (s *Server) choose(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
-	upstreams := s.View.Upstreams()
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var choice selection.Choice
-	var found bool
-	if service != nil && service.Engine != nil {
-		choice, found = s.chooser.Choose(upstreams.Of(name), key, tried, now)
-	} else {
-		choice, found = s.chooser.Least(upstreams.Of(name), s.Zone, tried, now)
-	}
+	choice, found := s.best(service, name, key, tried)
 	if found {
 		s.chooser.Started(choice.Upstream.ID)
 	}
 	return choice, found
 }
 
+// look returns the upstream that a request would get now.
+func (s *Server) look(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.best(service, name, key, tried)
+}
+
+// best returns the best upstream for a request. The lock is held.
+func (s *Server) best(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
+	upstreams, now := s.View.Upstreams(), time.Now()
+	if service != nil && service.Engine != nil {
+		return s.chooser.Choose(upstreams.Of(name), key, tried, now)
+	}
+	return s.chooser.Least(upstreams.Of(name), s.Zone, tried, now)
+}
+
 // ended counts the end of a request at an upstream.
 func (s *Server) ended(id string) {
 	s.mu.Lock()
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -171,7 +171,7 @@
 			Due:    now.Add(task.Due),
 			Last:   now.Add(task.Remaining),
 			Bytes:  task.ResultBytes,
-			Near:   task.Zone,
+			Pulls:  task.Pulls,
 		},
 	}
 	p.tasks[o.ticket] = open
@@ -232,7 +232,7 @@
 		return
 	}
 	p.free(task.handles)
-	task.done(Result{Failure: why, Wait: p.queue.Wait(now)})
+	task.done(Result{Failure: why, Wait: p.queue.Wait()})
 }
 
 // cancel ends a task that nobody waits for. The lock is held.
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciawinch/core/pool"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -91,10 +92,28 @@
 		Remaining:   time.Duration(m.GetRemainingMs()) * time.Millisecond,
 		Due:         time.Duration(m.GetDueMs()) * time.Millisecond,
 		Rank:        int(m.GetRank()),
-		Zone:        m.GetZone(),
+		Pulls:       pullsOf(m.GetPulls()),
 	}
 }
 
+// pullsOf decodes what the items of a task move.
+func pullsOf(list []*wirepb.PoolPull) []pool.Pull {
+	pulls := make([]pool.Pull, len(list))
+	for i, one := range list {
+		pulls[i] = pool.Pull{Zone: one.GetZone(), Bytes: int64(one.GetBytes())}
+	}
+	return pulls
+}
+
+// pullMessages encodes what the items of a task move.
+func pullMessages(pulls []pool.Pull) []*wirepb.PoolPull {
+	list := make([]*wirepb.PoolPull, len(pulls))
+	for i, one := range pulls {
+		list[i] = &wirepb.PoolPull{Zone: one.Zone, Bytes: uint64(one.Bytes)}
+	}
+	return list
+}
+
 // taskMessage encodes a task.
 func taskMessage(number uint64, t Task) *wirepb.PoolTask {
 	return &wirepb.PoolTask{
@@ -109,7 +128,7 @@
 		RemainingMs: t.Remaining.Milliseconds(),
 		DueMs:       t.Due.Milliseconds(),
 		Rank:        uint32(max(0, t.Rank)),
-		Zone:        t.Zone,
+		Pulls:       pullMessages(t.Pulls),
 	}
 }
 
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -6,7 +6,11 @@
 // only makes batches smaller.
 package pools
 
-import "time"
+import (
+	"time"
+
+	"acaciawinch/core/pool"
+)
 
 // Task is one request's stage.
 type Task struct {
@@ -25,8 +29,8 @@
 	Remaining, Due time.Duration
 	// Rank is 0 for the most urgent.
 	Rank int
-	// Zone is where the results are needed.
-	Zone string
+	// Pulls are what each piece moves: where its inputs lie and its result is needed.
+	Pulls []pool.Pull
 }
 
 // Failure says why a task has no results; empty if it has.
