Free results that an earlier owner had made, and wait for room

A handle tells its upstream's address, so the new owner frees what it never made; want of room is no try, and counts as that much room taken for 300 ms.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -70,7 +70,7 @@
 // into its room and that need not wait for an upstream nearer to their data.
 func (p *Pool) fill(w *worker, now time.Time) *Call {
 	call := &Call{Upstream: w.upstream, Began: now}
-	room := int64(float64(p.settings.RoomBytes)*roomShare) - w.room
+	room := p.roomLeft(w, now)
 	kept := p.queue[:0:0]
 	for _, item := range p.queue {
 		if len(call.Items) >= p.settings.Batch || call.bytes+item.Task.Bytes > room || p.waitsForNearer(item.Task, w, now) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -81,6 +81,9 @@
 	Made Outcome = iota
 	// Again: nothing was made, and another try may work.
 	Again
+	// NoRoom: the upstream had no room for the result. Results that this pool does not
+	// know of lie there.
+	NoRoom
 	// Ended: nothing was made, and nobody waits any more.
 	Ended
 )
@@ -93,6 +96,10 @@
 // there are others: about two calls' time, after which one try tells.
 const avoidAfterFailure = 800 * time.Millisecond
 
+// unknownFor is how long the room that an upstream turned out not to have counts as
+// taken. Results lie there some 300 ms of a busy pool's work.
+const unknownFor = 300 * time.Millisecond
+
 // Pool is the queue of one service.
 type Pool struct {
 	settings routes.Pool
@@ -108,6 +115,10 @@
 	calls    int
 	room     int64
 	avoid    time.Time
+	// unknown is the size of results that the pool does not know of but that must be
+	// there, as there was no room; it counts until unknownUntil.
+	unknown      int64
+	unknownUntil time.Time
 	// until is when the call that runs is expected to end.
 	until time.Time
 	// slow is a moving average of a call's time against the configured one.
@@ -173,7 +184,7 @@
 
 // Finish records that a call ended with an outcome for each of its items, in their
 // order, and returns the items that nobody will try again. Those with outcome
-// Again are queued unless they were tried often enough.
+// Again are queued unless they were tried often enough; want of room is no try.
 func (p *Pool) Finish(call *Call, outcomes []Outcome, now time.Time) (failed []*Item) {
 	w := p.workers[call.Upstream.ID]
 	for i, item := range call.Items {
@@ -183,11 +194,15 @@
 		if w != nil {
 			w.room -= item.Task.Bytes
 		}
-		if outcomes[i] == Again && item.tries < maxTries {
-			p.queue = append(p.queue, item)
+		if outcomes[i] == NoRoom {
+			item.tries--
+			w.foundFull(item.Task.Bytes, now)
+		}
+		if outcomes[i] == Ended || item.tries >= maxTries {
+			failed = append(failed, item)
 			continue
 		}
-		failed = append(failed, item)
+		p.queue = append(p.queue, item)
 	}
 	if w != nil {
 		w.calls--
@@ -196,6 +211,27 @@
 	return failed
 }
 
+// foundFull records that there was no room for a result.
+func (w *worker) foundFull(bytes int64, now time.Time) {
+	if w == nil {
+		return
+	}
+	if now.After(w.unknownUntil) {
+		w.unknown = 0
+	}
+	w.unknown += bytes
+	w.unknownUntil = now.Add(unknownFor)
+}
+
+// roomLeft returns how many bytes of results an upstream can still take.
+func (p *Pool) roomLeft(w *worker, now time.Time) int64 {
+	left := int64(float64(p.settings.RoomBytes)*roomShare) - w.room
+	if now.Before(w.unknownUntil) {
+		left -= w.unknown
+	}
+	return left
+}
+
 // Fail records that an upstream's call failed as a whole, so that it is left alone
 // for a while.
 func (p *Pool) Fail(id string, now time.Time) {
@@ -224,16 +260,3 @@
 	}
 	return waiting
 }
-
-// Tickets returns the tickets of the waiting items, each once.
-func (p *Pool) Tickets() []Ticket {
-	var tickets []Ticket
-	seen := make(map[Ticket]bool)
-	for _, item := range p.queue {
-		if !seen[item.Task.Ticket] {
-			seen[item.Task.Ticket] = true
-			tickets = append(tickets, item.Task.Ticket)
-		}
-	}
-	return tickets
-}
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"acaciawinch/core/fault"
@@ -86,41 +87,39 @@
 	reasons := make(map[*pool.Item]Failure)
 	made := 0
 	for i, item := range call.Items {
-		outcomes[i] = pool.Again
-		if results == nil {
-			continue
+		result := stagecall.Result{Reason: stagecall.Failed}
+		if results != nil {
+			result = results[i]
 		}
-		switch result := results[i]; {
-		case result.Handle != "":
+		if result.Handle != "" {
 			outcomes[i] = pool.Made
 			made++
 			o.made(p, call, item, result.Handle, now)
-		case result.Reason == stagecall.Late:
-			outcomes[i], reasons[item] = pool.Ended, Late
-		case result.Reason == stagecall.Gone:
-			outcomes[i], reasons[item] = pool.Ended, Gone
-		}
-		if p.tasks[item.Task.Ticket] == nil && outcomes[i] == pool.Again {
-			outcomes[i] = pool.Ended
+			continue
 		}
+		outcomes[i], reasons[item] = p.outcome(item, result.Reason)
 	}
 	for _, item := range p.queue.Finish(call, outcomes, now) {
-		why := reasons[item]
-		if why == "" {
-			why = Failed
-		}
-		o.fail(p, item.Task.Ticket, why, now)
+		o.fail(p, item.Task.Ticket, reasons[item])
 	}
-	p.dropAbandoned()
 	return made
 }
 
-// dropAbandoned drops items that were queued again though their task has ended.
-func (p *owned) dropAbandoned() {
-	for _, ticket := range p.queue.Tickets() {
-		if p.tasks[ticket] == nil {
-			p.queue.Cancel(ticket)
-		}
+// outcome returns what becomes of an item without a result, and how its task ends if
+// there is no other try. An item whose task has ended is not tried again.
+func (p *owned) outcome(item *pool.Item, reason stagecall.Reason) (pool.Outcome, Failure) {
+	if p.tasks[item.Task.Ticket] == nil {
+		return pool.Ended, Failed
+	}
+	switch reason {
+	case stagecall.Room:
+		return pool.NoRoom, Failed
+	case stagecall.Late:
+		return pool.Ended, Late
+	case stagecall.Gone:
+		return pool.Ended, Gone
+	default:
+		return pool.Again, Failed
 	}
 }
 
@@ -141,30 +140,33 @@
 	}
 }
 
-// free marks results as to be freed.
+// free marks results as to be freed. Those that an earlier owner had made are freed
+// too: a handle tells where its result lies.
 func (p *owned) free(handles []string) {
 	for _, handle := range handles {
-		result, known := p.results[handle]
-		if !known {
+		if handle == "" {
 			continue
 		}
-		delete(p.results, handle)
-		p.queue.Free(result.upstream.ID, result.bytes)
-		p.freeing[result.upstream.ID] = append(p.freeing[result.upstream.ID], handle)
+		if result, known := p.results[handle]; known {
+			delete(p.results, handle)
+			p.queue.Free(result.upstream.ID, result.bytes)
+		}
+		address, _, _ := strings.Cut(handle, "/")
+		p.freeing[address] = append(p.freeing[address], handle)
 	}
 }
 
-// sendFrees tells the upstreams of a pool which results to drop.
+// sendFrees tells the upstreams of a pool which results to drop. What lies at others
+// is gone with them.
 func (o *Owner) sendFrees(p *owned) {
+	if len(p.freeing) == 0 {
+		return
+	}
 	for _, upstream := range o.view.Upstreams().Of(p.service) {
-		handles := p.freeing[upstream.ID]
-		if len(handles) == 0 {
-			continue
+		if handles := p.freeing[upstream.Address]; len(handles) > 0 {
+			go o.sendFree(upstream, handles)
 		}
-		delete(p.freeing, upstream.ID)
-		go o.sendFree(upstream, handles)
 	}
-	// What is left belongs to upstreams that are gone, and so are their results.
 	clear(p.freeing)
 }
 
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -37,7 +37,7 @@
 	tasks   map[pool.Ticket]*openTask
 	// results holds what upstreams keep, by handle.
 	results map[string]kept
-	// freeing holds the handles that are to be freed, by upstream.
+	// freeing holds the handles that are to be freed, by their upstream's address.
 	freeing map[string][]string
 	keep    time.Duration
 }
@@ -86,7 +86,7 @@
 	defer o.mu.Unlock()
 	for _, p := range o.pools {
 		for _, item := range p.queue.Expire(now) {
-			o.fail(p, pool.Ticket(item.Task.Ticket), Late, now)
+			o.fail(p, item.Task.Ticket, Late)
 		}
 		p.lapse(now)
 		o.sendFrees(p)
@@ -226,7 +226,7 @@
 }
 
 // fail ends a task without results; those that were made are freed. The lock is held.
-func (o *Owner) fail(p *owned, ticket pool.Ticket, why Failure, now time.Time) {
+func (o *Owner) fail(p *owned, ticket pool.Ticket, why Failure) {
 	task := p.end(ticket)
 	if task == nil {
 		return
