Free a stage's inputs once read, and start last stages late beside longer chains

Cause: pools waited for room, not for workers. In a burst of carta-rescate tesoreria had 100 to 320 items waiting and sent batches of 12 to 15 of 20: its results lay there until the next stage was done, though that had read them 0.3 s before. At Cascade Grind lotledger sent 3 to 6 of 8 with 70 to 150 waiting: large results that only the engine takes were made at once and lay through a chain of three stages. Now the owner tells when the last items of a task have gone out and its inputs must have been read, and a stage that nothing follows starts so that it ends with the longest of the others.

--- a/core/stages/progress.go
+++ b/core/stages/progress.go
@@ -3,7 +3,11 @@
 // I/O and is not safe for concurrent use.
 package stages
 
-import "acaciawinch/core/routes"
+import (
+	"time"
+
+	"acaciawinch/core/routes"
+)
 
 // Progress is where one request stands in its stages.
 type Progress struct {
@@ -12,7 +16,9 @@
 	started []bool
 	results [][]string
 	done    []bool
-	freed   []bool
+	// taken is set for stages that have read their inputs.
+	taken []bool
+	freed []bool
 }
 
 // New returns the progress of a request that asks for a number of pieces of each
@@ -24,11 +30,13 @@
 		started: make([]bool, len(graph)),
 		results: make([][]string, len(graph)),
 		done:    make([]bool, len(graph)),
+		taken:   make([]bool, len(graph)),
 		freed:   make([]bool, len(graph)),
 	}
 	for stage := range graph {
 		p.done[stage] = pieces[stage] == 0
 		p.started[stage] = p.done[stage]
+		p.taken[stage] = p.done[stage]
 	}
 	return p
 }
@@ -65,10 +73,14 @@
 	return inputs
 }
 
+// Take records that a stage has read its inputs.
+func (p *Progress) Take(stage int) { p.taken[stage] = true }
+
 // Finish records the results of a stage.
 func (p *Progress) Finish(stage int, results []string) {
 	p.results[stage] = results
 	p.done[stage] = true
+	p.taken[stage] = true
 }
 
 // Done tells whether all stages are done.
@@ -107,7 +119,7 @@
 }
 
 // Spent returns the stages whose results nobody needs any more, each once: all
-// their followers are done, or with last set the request itself has taken them.
+// their followers have read them, or with last set the request itself has taken them.
 func (p *Progress) Spent(last bool) []int {
 	var spent []int
 	for stage := range p.graph {
@@ -127,7 +139,7 @@
 	}
 	followers := p.followers(stage)
 	for _, later := range followers {
-		if !p.done[later] {
+		if !p.taken[later] {
 			return false
 		}
 	}
@@ -137,14 +149,35 @@
 // Results returns the results of a stage.
 func (p *Progress) Results(stage int) []string { return p.results[stage] }
 
-// Depth returns how many stages follow one another after a stage, at most; a
-// request that is nearer its end has less time to lose in the stages ahead.
-func (p *Progress) Depth(stage int) int {
-	deepest := 0
+// Length returns the longest time from the start of a stage to the end of the last
+// one that follows it, if a stage takes as long as estimate says.
+func (p *Progress) Length(stage int, estimate func(stage int) time.Duration) time.Duration {
+	if p.pieces[stage] == 0 {
+		return 0
+	}
+	return estimate(stage) + p.Tail(stage, estimate)
+}
+
+// Tail is Length without the stage itself.
+func (p *Progress) Tail(stage int, estimate func(stage int) time.Duration) time.Duration {
+	var longest time.Duration
 	for _, later := range p.followers(stage) {
-		if p.pieces[later] > 0 {
-			deepest = max(deepest, 1+p.Depth(later))
+		longest = max(longest, p.Length(later, estimate))
+	}
+	return longest
+}
+
+// Left returns the longest time until all stages are done, counted from now for those
+// that have not started and as a whole for those that run.
+func (p *Progress) Left(estimate func(stage int) time.Duration) time.Duration {
+	var longest time.Duration
+	for stage := range p.graph {
+		if !p.done[stage] {
+			longest = max(longest, p.Length(stage, estimate))
 		}
 	}
-	return deepest
+	return longest
 }
+
+// IsLast tells whether no other stage follows a stage.
+func (p *Progress) IsLast(stage int) bool { return len(p.followers(stage)) == 0 }
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -24,9 +24,10 @@
 // result was lost.
 const maxRestarts = 2
 
-// stageEnd is the end of one stage of a request.
-type stageEnd struct {
+// stageNews tells of one stage of a request: that it has read its inputs, or its end.
+type stageNews struct {
 	stage  int
+	begun  bool
 	result pools.Result
 	owner  string
 	took   time.Duration
@@ -47,54 +48,170 @@
 	return fault.New(fault.Unavailable, "stage.restart", "", "results were lost %d times", maxRestarts+1)
 }
 
+// stageRun is one pass through the stages of a request.
+type stageRun struct {
+	*request
+	ctx      context.Context
+	progress *stages.Progress
+	news     chan stageNews
+	// open counts the stages that were started and have not ended.
+	open int
+	// waiting are stages that could start but wait for longer ones beside them.
+	waiting []int
+	// startedAt holds when stages were given to their pools.
+	startedAt map[int]time.Time
+}
+
+// newsPerStage is above what there can be of one stage: its end, and the reading of its
+// inputs under each owner that it is given to.
+const newsPerStage = 8
+
 // runStages runs all stages once. It returns true if a result was lost on the way.
 func (rq *request) runStages() (lost bool, err error) {
 	ctx, cancel := context.WithCancel(rq.ctx)
 	defer cancel()
-	progress := stages.New(rq.route.Stages, rq.asked.Pieces)
-	ends := make(chan stageEnd, len(rq.route.Stages))
-	open := 0
-	rq.release = func() { rq.free(progress, true) }
+	run := &stageRun{
+		request:  rq,
+		ctx:      ctx,
+		progress: stages.New(rq.route.Stages, rq.asked.Pieces),
+		news:     make(chan stageNews, newsPerStage*len(rq.route.Stages)),
+
+		startedAt: make(map[int]time.Time),
+	}
+	rq.release = func() { rq.free(run.progress, true) }
 	for {
-		for _, stage := range progress.Start() {
-			open++
-			go func() { ends <- rq.runStage(ctx, progress.Depth(stage), stage, progress.Inputs(stage)) }()
-		}
-		if open == 0 {
+		run.waiting = append(run.waiting, run.progress.Start()...)
+		wake := run.launch()
+		if run.open == 0 && len(run.waiting) == 0 {
 			break
 		}
-		end := <-ends
-		open--
-		rq.noteStage(end)
+		end, ended := run.next(wake)
+		if !ended {
+			continue
+		}
 		if end.err != nil || end.result.Failure != "" {
 			cancel()
-			rq.collect(ends, open, progress)
+			run.collect()
 			rq.release()
 			return end.result.Failure == pools.Gone, stageError(end)
 		}
-		progress.Finish(end.stage, end.result.Handles)
-		rq.free(progress, false)
 	}
-	rq.inputs = progress.Final()
+	rq.inputs = run.progress.Final()
 	if rq.inputs == nil {
 		rq.inputs = []string{}
 	}
 	return false, nil
 }
 
+// next waits for news, or until wake, and takes it in. It returns the end of a stage.
+func (run *stageRun) next(wake time.Duration) (stageNews, bool) {
+	timer := time.NewTimer(wake)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return stageNews{}, false
+	case news := <-run.news:
+		if news.begun {
+			run.progress.Take(news.stage)
+			run.free(run.progress, false)
+			return news, false
+		}
+		run.open--
+		run.noteStage(news)
+		if news.err == nil && news.result.Failure == "" {
+			run.progress.Finish(news.stage, news.result.Handles)
+			run.free(run.progress, false)
+		}
+		return news, true
+	}
+}
+
+// launch starts the waiting stages whose time has come, and returns how long the
+// others may still wait.
+func (run *stageRun) launch() time.Duration {
+	wake := longestWake
+	left := run.progress.Left(run.remaining)
+	var kept []int
+	for _, stage := range run.waiting {
+		length := run.progress.Length(stage, run.estimate)
+		spare := left - length - length/startMarginShare - startMargin
+		if spare > 0 && run.progress.IsLast(stage) {
+			kept = append(kept, stage)
+			wake = min(wake, spare)
+			continue
+		}
+		run.open++
+		run.startedAt[stage] = time.Now()
+		go run.stage(stage, run.progress.Tail(stage, run.estimate), run.progress.Inputs(stage))
+	}
+	run.waiting = kept
+	return wake
+}
+
+// A stage whose results only the request itself takes is started late enough to end
+// with the longest of the others: until then its results would take up room at their
+// upstream, of which large ones fill all that there is. The margins are for estimates
+// that are too short.
+const (
+	startMarginShare = 3
+	startMargin      = 100 * time.Millisecond
+	longestWake      = time.Second
+)
+
+// estimate returns how long a stage takes.
+func (run *stageRun) estimate(stage int) time.Duration {
+	name := run.route.Stages[stage].Service
+	if wait := run.Asker.Wait(name); wait > 0 {
+		return wait
+	}
+	service := run.table.Service(name)
+	if service == nil || service.Pool == nil {
+		return 0
+	}
+	return service.Pool.CallTime + service.Pool.ItemTime
+}
+
+// remaining returns how long a stage still takes.
+func (run *stageRun) remaining(stage int) time.Duration {
+	whole := run.estimate(stage)
+	if at, started := run.startedAt[stage]; started {
+		return max(0, whole-time.Since(at))
+	}
+	return whole
+}
+
+// stage gives one stage to its pool's owner and waits for its end.
+func (run *stageRun) stage(stage int, tail time.Duration, inputs []string) {
+	described := run.route.Stages[stage]
+	began := time.Now()
+	due := run.began.Add(run.route.Objective - engineAllowance - tail)
+	result, owner, err := run.Asker.Do(run.ctx, pools.Task{
+		Service:     described.Service,
+		Request:     run.asked.ID,
+		Stage:       stage,
+		Pieces:      run.asked.Pieces[stage],
+		Key:         run.keyOf(stage),
+		Inputs:      inputs,
+		ResultBytes: described.ResultBytes,
+		Remaining:   run.deadline.Sub(began),
+		Due:         due.Sub(began),
+		Rank:        run.rank,
+		Pulls:       run.pulls(stage, run.progress.IsLast(stage), inputs),
+	}, func() { run.news <- stageNews{stage: stage, begun: true} })
+	run.news <- stageNews{stage: stage, result: result, owner: owner, took: time.Since(began), err: err}
+}
+
 // collect waits for the stages that were cancelled and takes what they made, so that
 // it is freed.
-func (rq *request) collect(ends <-chan stageEnd, open int, progress *stages.Progress) {
-	for range open {
-		if end := <-ends; end.err == nil && end.result.Failure == "" {
-			progress.Finish(end.stage, end.result.Handles)
-		}
+func (run *stageRun) collect() {
+	for run.open > 0 {
+		run.next(longestWake)
 	}
 }
 
 // stageError returns why a stage has no results; nil if they only have to be made
 // again.
-func stageError(end stageEnd) error {
+func stageError(end stageNews) error {
 	switch {
 	case end.err != nil:
 		return end.err
@@ -105,26 +222,6 @@
 	}
 }
 
-// runStage gives one stage to its pool's owner and waits.
-func (rq *request) runStage(ctx context.Context, depth, stage int, inputs []string) stageEnd {
-	described := rq.route.Stages[stage]
-	began := time.Now()
-	result, owner, err := rq.Asker.Do(ctx, pools.Task{
-		Service:     described.Service,
-		Request:     rq.asked.ID,
-		Stage:       stage,
-		Pieces:      rq.asked.Pieces[stage],
-		Key:         rq.keyOf(stage),
-		Inputs:      inputs,
-		ResultBytes: described.ResultBytes,
-		Remaining:   rq.deadline.Sub(began),
-		Due:         rq.due(stage, depth).Sub(began),
-		Rank:        rq.rank,
-		Pulls:       rq.pulls(stage, depth, inputs),
-	})
-	return stageEnd{stage: stage, result: result, owner: owner, took: time.Since(began), err: err}
-}
-
 // keyOf returns what a first stage works on.
 func (rq *request) keyOf(stage int) string {
 	if len(rq.route.Stages[stage].After) > 0 {
@@ -133,16 +230,6 @@
 	return rq.asked.PieceKey
 }
 
-// due returns when a stage must be done for the request to be on time: the stages
-// behind it take a call each.
-func (rq *request) due(stage, depth int) time.Time {
-	due := rq.began.Add(rq.route.Objective - engineAllowance)
-	if service := rq.table.Service(rq.route.Stages[stage].Service); service != nil && service.Pool != nil {
-		due = due.Add(-time.Duration(depth) * (service.Pool.CallTime + service.Pool.ItemTime))
-	}
-	return due
-}
-
 // free gives back the results that nobody needs any more.
 func (rq *request) free(progress *stages.Progress, all bool) {
 	for _, stage := range progress.Spent(all) {
@@ -151,7 +238,7 @@
 }
 
 // noteStage logs and counts the end of a stage.
-func (rq *request) noteStage(end stageEnd) {
+func (rq *request) noteStage(end stageNews) {
 	service := rq.route.Stages[end.stage].Service
 	rq.Metrics.stage(service, string(end.result.Failure), end.took)
 	fields := observe.Fields{"request": rq.asked.ID, "stage": end.stage, "service": service, "owner": end.owner,
@@ -169,14 +256,14 @@
 
 // pulls returns what each piece of a stage moves: its inputs from where they lie, and
 // its result, if the request itself takes it, to where the request is likely to go.
-func (rq *request) pulls(stage, depth int, inputs []string) []pool.Pull {
+func (rq *request) pulls(stage int, isLast bool, inputs []string) []pool.Pull {
 	var pulls []pool.Pull
 	for _, handle := range inputs {
 		if zone := rq.zoneOf(handle); zone != "" {
 			pulls = addPull(pulls, zone, rq.inputBytes(stage))
 		}
 	}
-	if depth > 0 {
+	if !isLast {
 		return pulls
 	}
 	if zone := rq.likelyZone(); zone != "" {
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	links    map[string]*ownerLink
 	suspects map[string]time.Time
+	waits    map[string]time.Duration
 	number   uint64
 }
 
@@ -46,6 +47,7 @@
 		life:     life,
 		links:    make(map[string]*ownerLink),
 		suspects: make(map[string]time.Time),
+		waits:    make(map[string]time.Duration),
 	}
 }
 
@@ -53,9 +55,10 @@
 const maxOwners = 3
 
 // Do gives a task to the owner of its pool and waits for its end. When the owner
-// falls silent the task goes to the next one. It returns who answered; the error is
-// that of ctx.
-func (a *Asker) Do(ctx context.Context, task Task) (Result, string, error) {
+// falls silent the task goes to the next one. Begun is called when the task's inputs
+// have been read, and must return at once. Do returns who answered; the error is that
+// of ctx.
+func (a *Asker) Do(ctx context.Context, task Task, begun func()) (Result, string, error) {
 	began := time.Now()
 	whole := task
 	var result Result
@@ -64,7 +67,7 @@
 		passed := time.Since(began)
 		task.Remaining, task.Due = whole.Remaining-passed, whole.Due-passed
 		var err error
-		result, owner, err = a.once(ctx, task)
+		result, owner, err = a.once(ctx, task, begun)
 		if err != nil || result.Failure != OwnerLost {
 			return result, owner, err
 		}
@@ -73,21 +76,23 @@
 }
 
 // once gives a task to the owner as it is known now.
-func (a *Asker) once(ctx context.Context, task Task) (Result, string, error) {
+func (a *Asker) once(ctx context.Context, task Task, begun func()) (Result, string, error) {
 	owner := a.owner(task.Service, time.Now())
 	results := make(chan Result, 1)
 	number := a.next()
+	notify := Notify{Begun: begun, Done: func(r Result) { results <- r }}
 	var cancel func()
 	if owner.Name == a.self {
-		a.local.Submit(number, task, func(r Result) { results <- r })
+		a.local.Submit(number, task, notify)
 		cancel = func() { a.local.Cancel(number) }
 	} else {
 		to := a.link(owner)
-		to.submit(number, task, results)
+		to.submit(number, task, notify)
 		cancel = func() { to.cancel(number) }
 	}
 	select {
 	case result := <-results:
+		a.learn(task.Service, result.Wait)
 		return result, owner.Name, nil
 	case <-ctx.Done():
 		cancel()
@@ -108,6 +113,24 @@
 	a.link(owner).free(service, handles)
 }
 
+// learn records an owner's estimate of the wait at a service.
+func (a *Asker) learn(service string, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waits[service] = wait
+}
+
+// Wait returns the last estimate of the time that a stage at a service takes; 0 if
+// there is none yet.
+func (a *Asker) Wait(service string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.waits[service]
+}
+
 // next returns a new number for a task.
 func (a *Asker) next() uint64 {
 	a.mu.Lock()
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -136,7 +136,7 @@
 	task.left--
 	if task.left == 0 {
 		p.end(item.Task.Ticket)
-		task.done(Result{Handles: task.handles, Wait: p.queue.Wait()})
+		task.notify.Done(Result{Handles: task.handles, Wait: p.queue.Wait()})
 	}
 }
 
--- a/gateway/pools/link.go
+++ b/gateway/pools/link.go
@@ -35,7 +35,7 @@
 	send        chan *wirepb.PoolRequest
 
 	mu    sync.Mutex
-	tasks map[uint64]chan<- Result
+	tasks map[uint64]Notify
 	// heard is when the owner last said something.
 	heard  time.Time
 	broken bool
@@ -48,23 +48,23 @@
 		owner:       owner,
 		incarnation: owner.Incarnation,
 		send:        make(chan *wirepb.PoolRequest, requestQueue),
-		tasks:       make(map[uint64]chan<- Result),
+		tasks:       make(map[uint64]Notify),
 		heard:       time.Now(),
 	}
 }
 
-// submit sends a task. Its result goes into results, which has room for it.
-func (l *ownerLink) submit(number uint64, task Task, results chan<- Result) {
+// submit sends a task.
+func (l *ownerLink) submit(number uint64, task Task, notify Notify) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.broken || !l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Task{Task: taskMessage(number, task)}}) {
-		results <- Result{Failure: OwnerLost}
+		notify.Done(Result{Failure: OwnerLost})
 		return
 	}
 	if len(l.tasks) == 0 {
 		l.heard = time.Now()
 	}
-	l.tasks[number] = results
+	l.tasks[number] = notify
 }
 
 // push queues a message, or returns false if the owner is too slow.
@@ -106,8 +106,8 @@
 	open := l.tasks
 	l.tasks = nil
 	l.mu.Unlock()
-	for _, results := range open {
-		results <- Result{Failure: OwnerLost}
+	for _, notify := range open {
+		notify.Done(Result{Failure: OwnerLost})
 	}
 	l.asker.lost(l, len(open), err)
 }
@@ -177,21 +177,32 @@
 	return &wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Ping{Ping: 1}}
 }
 
-// take hands a result to who waits for it. Results that nobody waits for any more are
-// dropped by their makers after a while.
+// take hands an owner's reply to who waits for it. Results that nobody waits for any
+// more are dropped by their makers after a while.
 func (l *ownerLink) take(reply *wirepb.PoolReply) {
+	switch kind := reply.GetKind().(type) {
+	case *wirepb.PoolReply_Result:
+		if notify, waited := l.find(kind.Result.GetTicket(), true); waited {
+			notify.Done(resultOf(kind.Result))
+		}
+	case *wirepb.PoolReply_Begun:
+		if notify, waited := l.find(kind.Begun, false); waited {
+			notify.Begun()
+		}
+	default:
+		l.find(0, false)
+	}
+}
+
+// find notes a sign of life and returns who waits for a task; with end set the task is
+// no longer open.
+func (l *ownerLink) find(number uint64, end bool) (Notify, bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.heard = time.Now()
-	kind, ok := reply.GetKind().(*wirepb.PoolReply_Result)
-	if !ok {
-		l.mu.Unlock()
-		return
-	}
-	number := kind.Result.GetTicket()
-	results, waited := l.tasks[number]
-	delete(l.tasks, number)
-	l.mu.Unlock()
-	if waited {
-		results <- resultOf(kind.Result)
+	notify, waited := l.tasks[number]
+	if end {
+		delete(l.tasks, number)
 	}
+	return notify, waited
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -48,7 +48,9 @@
 	core    *pool.Task
 	handles []string
 	left    int
-	done    func(Result)
+	notify  Notify
+	// begun is set once the asker was told that the inputs were read.
+	begun bool
 	// session is who asked, under which number; its end cancels the task.
 	session *Session
 	number  uint64
@@ -151,7 +153,7 @@
 }
 
 // submit queues a task for a session. The lock is held.
-func (o *Owner) submit(session *Session, number uint64, task Task, done func(Result)) bool {
+func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify) bool {
 	p := o.pool(task.Service)
 	if p == nil {
 		return false
@@ -162,7 +164,7 @@
 		Task:    task,
 		handles: make([]string, task.Pieces),
 		left:    task.Pieces,
-		done:    done,
+		notify:  notify,
 		session: session,
 		number:  number,
 		core: &pool.Task{
@@ -203,9 +205,40 @@
 		}
 		body, longest := p.encode(call, now)
 		go o.call(p, call, body, longest)
+		o.tellBegun(p, call)
 	}
 }
 
+// readAllowance is how long after a call was sent its inputs have been read for
+// certain: a free upstream reads them first, at 10,000 Mbit/s some 4 ms of a full
+// batch; the rest is for busy links.
+const readAllowance = 100 * time.Millisecond
+
+// tellBegun tells the askers of tasks whose last items go out with a call that the
+// inputs have been read, as soon as they must have been.
+func (o *Owner) tellBegun(p *owned, call *pool.Call) {
+	var begun []pool.Ticket
+	for _, item := range call.Items {
+		task := p.tasks[item.Task.Ticket]
+		if task != nil && !task.begun && len(task.Inputs) > 0 && p.queue.WaitingOf(item.Task.Ticket) == 0 {
+			task.begun = true
+			begun = append(begun, item.Task.Ticket)
+		}
+	}
+	if len(begun) == 0 {
+		return
+	}
+	time.AfterFunc(readAllowance, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, ticket := range begun {
+			if task := p.tasks[ticket]; task != nil {
+				task.notify.Begun()
+			}
+		}
+	})
+}
+
 // encode returns the items of a call as they are sent, and what is left of the
 // longest of their requests.
 func (p *owned) encode(call *pool.Call, now time.Time) ([]stagecall.Item, time.Duration) {
@@ -232,7 +265,7 @@
 		return
 	}
 	p.free(task.handles)
-	task.done(Result{Failure: why, Wait: p.queue.Wait()})
+	task.notify.Done(Result{Failure: why, Wait: p.queue.Wait()})
 }
 
 // cancel ends a task that nobody waits for. The lock is held.
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -67,8 +67,11 @@
 	switch kind := request.GetKind().(type) {
 	case *wirepb.PoolRequest_Task:
 		number := kind.Task.GetTicket()
-		session.Submit(number, taskOf(kind.Task), func(result Result) {
-			reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Result{Result: resultMessage(number, result)}})
+		session.Submit(number, taskOf(kind.Task), Notify{
+			Begun: func() { reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Begun{Begun: number}}) },
+			Done: func(result Result) {
+				reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Result{Result: resultMessage(number, result)}})
+			},
 		})
 	case *wirepb.PoolRequest_Cancel:
 		session.Cancel(kind.Cancel)
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -21,17 +21,15 @@
 	return &Session{owner: o, open: make(map[uint64]openTicket)}
 }
 
-// Submit queues a task under the asker's number. Done is called once, unless the
-// task is cancelled before, with the Owner's lock held: it must return at once and
-// not call the Owner.
-func (s *Session) Submit(number uint64, task Task, done func(Result)) {
+// Submit queues a task under the asker's number.
+func (s *Session) Submit(number uint64, task Task, notify Notify) {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	if s.ended {
 		return
 	}
-	if !s.owner.submit(s, number, task, done) {
-		done(Result{Failure: Failed})
+	if !s.owner.submit(s, number, task, notify) {
+		notify.Done(Result{Failure: Failed})
 	}
 }
 
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -56,3 +56,12 @@
 	// Wait is the owner's estimate for an item that is queued now.
 	Wait time.Duration
 }
+
+// Notify is how an owner tells an asker of its task. Both functions are called with
+// the Owner's lock held: they must return at once and not call the Owner.
+type Notify struct {
+	// Begun is called at most once, when the task's inputs have been read.
+	Begun func()
+	// Done is called once, unless the task is cancelled before.
+	Done func(Result)
+}
