Hand a pool over at a planned stop, rest failed upstreams, count room when freed

Now a failed upstream rests, twice as long each time; a stopping owner hands back what it has not begun and takes nothing; suspicion goes with an incarnation, so a process that is back can own again; inputs are freed early only by an owner that is sure to be alone; room is free once the upstream answered, and it is told every 20 ms.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -33,27 +33,41 @@
 	return nil
 }
 
-// free returns the upstreams that can take a call, the best first.
+// free returns the upstreams that can take a call, the best first. One that failed
+// lately is used only if all have failed: while others are merely busy, items wait.
 func (p *Pool) free(now time.Time) []*worker {
 	var usable, avoided []*worker
+	busy := 0
 	for _, w := range p.workers {
 		switch {
-		case w.upstream.Leaving || w.calls >= max(1, p.settings.Slots):
+		case w.upstream.Leaving:
 		case now.Before(w.avoid):
 			avoided = append(avoided, w)
+		case w.calls >= max(1, p.settings.Slots):
+			busy++
 		default:
 			usable = append(usable, w)
 		}
 	}
-	if len(usable) == 0 {
-		// Each upstream has failed lately: one that failed is better than none.
-		usable = avoided
+	if len(usable) == 0 && busy == 0 {
+		usable = p.rested(avoided, now)
 	}
 	first := p.queue[0].Task
 	sort.Slice(usable, func(i, j int) bool { return better(usable[i], usable[j], first) })
 	return usable
 }
 
+// rested returns the upstreams with a free slot whose last failure is some time ago.
+func (p *Pool) rested(list []*worker, now time.Time) []*worker {
+	var found []*worker
+	for _, w := range list {
+		if w.calls < max(1, p.settings.Slots) && now.Sub(w.failed) >= leastRest {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
 // better tells whether a is to be used before b for a batch that begins with first.
 func better(a, b *worker, first *Task) bool {
 	if a.slow > b.slow*slowFactor || b.slow > a.slow*slowFactor {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -92,9 +92,16 @@
 // fault, and one more for the fault of a second.
 const maxTries = 3
 
-// avoidAfterFailure is how long an upstream whose call failed gets no other, while
-// there are others: about two calls' time, after which one try tells.
-const avoidAfterFailure = 800 * time.Millisecond
+// An upstream whose call failed gets no other for a while, unless all have failed:
+// first about two calls' time, after which one try tells, then twice as long up to
+// longestAvoid. Discovery forgets one that crashed after three heartbeats, 3.6 s.
+const (
+	firstAvoid   = 800 * time.Millisecond
+	longestAvoid = 3200 * time.Millisecond
+	// leastRest is how long it gets none even if all have failed: a connection that is
+	// refused fails within a round trip, and would use up all tries of an item.
+	leastRest = 200 * time.Millisecond
+)
 
 // unknownFor is how long the room that an upstream turned out not to have counts as
 // taken. Results lie there some 300 ms of a busy pool's work.
@@ -115,6 +122,10 @@
 	calls    int
 	room     int64
 	avoid    time.Time
+	// failed is when a call last failed.
+	failed time.Time
+	// failures counts the calls that failed since one went well.
+	failures int
 	// unknown is the size of results that the pool does not know of but that must be
 	// there, as there was no room; it counts until unknownUntil.
 	unknown      int64
@@ -206,11 +217,18 @@
 	}
 	if w != nil {
 		w.calls--
-		p.learn(w, call, now)
 	}
 	return failed
 }
 
+// Succeed records that an upstream answered a call.
+func (p *Pool) Succeed(call *Call, now time.Time) {
+	if w := p.workers[call.Upstream.ID]; w != nil {
+		w.failures = 0
+		p.learn(w, call, now)
+	}
+}
+
 // foundFull records that there was no room for a result.
 func (w *worker) foundFull(bytes int64, now time.Time) {
 	if w == nil {
@@ -234,12 +252,30 @@
 
 // Fail records that an upstream's call failed as a whole, so that it is left alone
 // for a while.
-func (p *Pool) Fail(id string, now time.Time) {
-	if w := p.workers[id]; w != nil {
-		w.avoid = now.Add(avoidAfterFailure)
+func (p *Pool) Fail(call *Call, now time.Time) {
+	w := p.workers[call.Upstream.ID]
+	if w == nil {
+		return
+	}
+	w.failed = now
+	w.avoid = now.Add(min(firstAvoid<<w.failures, longestAvoid))
+	w.failures = min(w.failures+1, 8)
+	if now.After(w.until) {
+		p.learn(w, call, now) // it took longer than it should: it is slow, or silent
 	}
 }
 
+// Alone tells whether an upstream answers calls as soon as one that only this pool
+// calls and that is not slow.
+func (p *Pool) Alone(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.slow < aloneSlow
+}
+
+// aloneSlow is how much longer than configured the calls to an upstream may take on
+// average that this pool alone calls. One that two owners call takes twice as long.
+const aloneSlow = 1.25
+
 // Free records that results of an upstream, of a total size, are gone.
 func (p *Pool) Free(id string, bytes int64) {
 	if w := p.workers[id]; w != nil {
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -28,11 +28,14 @@
 	local  *Session
 	life   context.Context
 
-	mu       sync.Mutex
-	links    map[string]*ownerLink
+	mu    sync.Mutex
+	links map[string]*ownerLink
+	// suspects holds until when an owner is passed over, by its incarnation.
 	suspects map[string]time.Time
-	waits    map[string]time.Duration
-	number   uint64
+	// leaving is set at a planned stop: others own the pools then.
+	leaving bool
+	waits   map[string]time.Duration
+	number  uint64
 }
 
 // NewAsker returns an Asker of the process with the name self, whose own Owner is
@@ -43,7 +46,7 @@
 		self:     self,
 		dialer:   dialer,
 		logger:   logger,
-		local:    owner.Session(),
+		local:    owner.Session(true),
 		life:     life,
 		links:    make(map[string]*ownerLink),
 		suspects: make(map[string]time.Time),
@@ -68,13 +71,20 @@
 		task.Remaining, task.Due = whole.Remaining-passed, whole.Due-passed
 		var err error
 		result, owner, err = a.once(ctx, task, begun)
-		if err != nil || result.Failure != OwnerLost {
+		if err != nil || result.Failure != OwnerLost && result.Failure != OwnerLeft {
 			return result, owner, err
 		}
 	}
 	return result, owner, nil
 }
 
+// Leave gives this process's tasks to other owners from now on, if there are any.
+func (a *Asker) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+}
+
 // once gives a task to the owner as it is known now.
 func (a *Asker) once(ctx context.Context, task Task, begun func()) (Result, string, error) {
 	owner := a.owner(task.Service, time.Now())
@@ -93,6 +103,9 @@
 	select {
 	case result := <-results:
 		a.learn(task.Service, result.Wait)
+		if result.Failure == OwnerLeft {
+			a.suspect(owner)
+		}
 		return result, owner.Name, nil
 	case <-ctx.Done():
 		cancel()
@@ -140,15 +153,19 @@
 }
 
 // owner returns the owner of a service's pool: of the members that are not under
-// suspicion, this process among them, the one with the highest score.
+// suspicion, this process among them, the one with the highest score. This process is
+// taken if there is no other.
 func (a *Asker) owner(service string, now time.Time) view.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := hash(service)
 	best := view.Member{Name: a.self}
-	highest := rendezvous.Score(key, hash(a.self))
+	var highest uint64
+	if !a.leaving {
+		highest = rendezvous.Score(key, hash(a.self))
+	}
 	for _, member := range a.view.Members() {
-		if now.Before(a.suspects[member.Name]) {
+		if now.Before(a.suspects[member.Incarnation]) {
 			continue
 		}
 		if score := rendezvous.Score(key, hash(member.Name)); score > highest {
@@ -178,13 +195,26 @@
 	return l
 }
 
+// suspect passes over an owner for a while.
+func (a *Asker) suspect(owner view.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for incarnation, until := range a.suspects {
+		if now.After(until) {
+			delete(a.suspects, incarnation)
+		}
+	}
+	a.suspects[owner.Incarnation] = now.Add(suspectFor)
+}
+
 // lost removes a link that broke and passes over its owner for a while.
 func (a *Asker) lost(l *ownerLink, tasks int, err error) {
 	a.mu.Lock()
 	if a.links[l.owner.Name] == l {
 		delete(a.links, l.owner.Name)
-		a.suspects[l.owner.Name] = time.Now().Add(suspectFor)
 	}
 	a.mu.Unlock()
+	a.suspect(l.owner)
 	a.logger.Warn(event.PoolOwnerLost, observe.Fields{"owner": l.owner.Name, "tasks": tasks, "error": err.Error()})
 }
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -30,11 +30,12 @@
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
 			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
-		p.queue.Fail(call.Upstream.ID, now)
+		p.queue.Fail(call, now)
 		results = nil
 	}
 	made := o.finish(p, call, results, now)
 	if err == nil {
+		p.queue.Succeed(call, now)
 		o.logger.Event(event.PoolCall, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
 			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
 	}
@@ -147,12 +148,17 @@
 		if handle == "" {
 			continue
 		}
+		address, _, _ := strings.Cut(handle, "/")
+		at := p.freeing[address]
+		if at == nil {
+			at = &freeing{}
+			p.freeing[address] = at
+		}
+		at.handles = append(at.handles, handle)
 		if result, known := p.results[handle]; known {
 			delete(p.results, handle)
-			p.queue.Free(result.upstream.ID, result.bytes)
+			at.bytes += result.bytes
 		}
-		address, _, _ := strings.Cut(handle, "/")
-		p.freeing[address] = append(p.freeing[address], handle)
 	}
 }
 
@@ -163,8 +169,8 @@
 		return
 	}
 	for _, upstream := range o.view.Upstreams().Of(p.service) {
-		if handles := p.freeing[upstream.Address]; len(handles) > 0 {
-			go o.sendFree(upstream, handles)
+		if at := p.freeing[upstream.Address]; at != nil {
+			go o.sendFree(p, upstream, at)
 		}
 	}
 	clear(p.freeing)
@@ -173,15 +179,19 @@
 // freeTimeout bounds a call that frees results.
 const freeTimeout = time.Second
 
-// sendFree tells one upstream.
-func (o *Owner) sendFree(upstream routes.Upstream, handles []string) {
+// sendFree tells one upstream, and counts its room as free only then.
+func (o *Owner) sendFree(p *owned, upstream routes.Upstream, at *freeing) {
 	ctx, cancel := context.WithTimeout(o.life, freeTimeout)
 	defer cancel()
-	body, err := stagecall.FreeBody(handles)
+	body, err := stagecall.FreeBody(at.handles)
 	if err == nil {
 		_, err = o.post(ctx, upstream, stagecall.FreePath, body, freeTimeout)
 	}
 	if err != nil {
-		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(handles), "error": err.Error()})
+		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(at.handles), "error": err.Error()})
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p.queue.Free(upstream.ID, at.bytes)
+	o.pump(p, time.Now())
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -14,7 +14,7 @@
 )
 
 // tickEvery is how often an owner drops what is late and forgets what has lapsed.
-const tickEvery = 50 * time.Millisecond
+const tickEvery = 20 * time.Millisecond
 
 // Owner queues and calls for the pools that askers give it. It may be used by many
 // goroutines.
@@ -28,6 +28,8 @@
 	ticket pool.Ticket
 	// life bounds the calls.
 	life context.Context
+	// leaving is set at a planned stop.
+	leaving bool
 }
 
 // owned is one pool at its owner. The Owner's lock guards it.
@@ -37,9 +39,11 @@
 	tasks   map[pool.Ticket]*openTask
 	// results holds what upstreams keep, by handle.
 	results map[string]kept
-	// freeing holds the handles that are to be freed, by their upstream's address.
-	freeing map[string][]string
+	// freeing holds what is to be freed, by its upstream's address.
+	freeing map[string]*freeing
 	keep    time.Duration
+	// since is when this process became the owner.
+	since time.Time
 }
 
 // openTask is a task that has no result yet.
@@ -63,6 +67,13 @@
 	until    time.Time
 }
 
+// freeing is what one upstream is to be told to drop.
+type freeing struct {
+	handles []string
+	// bytes is the size of those that this owner had made.
+	bytes int64
+}
+
 // NewOwner returns an Owner. Run must be called before tasks come.
 func NewOwner(life context.Context, v *view.View, client *httpconn.Client, logger *observe.Logger) *Owner {
 	return &Owner{view: v, client: client, logger: logger, pools: make(map[string]*owned), life: life}
@@ -127,7 +138,8 @@
 		queue:   pool.New(routes.Pool{}),
 		tasks:   make(map[pool.Ticket]*openTask),
 		results: make(map[string]kept),
-		freeing: make(map[string][]string),
+		freeing: make(map[string]*freeing),
+		since:   time.Now(),
 	}
 	if !o.configure(p) {
 		return nil
@@ -152,6 +164,22 @@
 	return true
 }
 
+// Leave hands back all tasks of which nothing has been sent yet, and takes no others:
+// two owners of a pool would keep its upstreams waiting for each other. Calls that run
+// are finished.
+func (o *Owner) Leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+	for _, p := range o.pools {
+		for ticket, task := range p.tasks {
+			if !task.session.local && p.queue.WaitingOf(ticket) == task.Pieces {
+				o.fail(p, ticket, OwnerLeft)
+			}
+		}
+	}
+}
+
 // submit queues a task for a session. The lock is held.
 func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify) bool {
 	p := o.pool(task.Service)
@@ -214,9 +242,16 @@
 // batch; the rest is for busy links.
 const readAllowance = 100 * time.Millisecond
 
+// soleAfter is how long after the change of an owner the calls of the one before may
+// still keep upstreams busy, so that a call waits there with its inputs unread.
+const soleAfter = time.Second
+
 // tellBegun tells the askers of tasks whose last items go out with a call that the
 // inputs have been read, as soon as they must have been.
 func (o *Owner) tellBegun(p *owned, call *pool.Call) {
+	if call.Began.Sub(p.since) < soleAfter || !p.queue.Alone(call.Upstream.ID) {
+		return
+	}
 	var begun []pool.Ticket
 	for _, item := range call.Items {
 		task := p.tasks[item.Task.Ticket]
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -23,7 +23,7 @@
 
 // Work implements the generated server.
 func (s *Server) Work(stream wirepb.DRPCPool_WorkStream) error {
-	session := s.owner.Session()
+	session := s.owner.Session(false)
 	defer session.End()
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -6,6 +6,8 @@
 // Owner's lock guards its state.
 type Session struct {
 	owner *Owner
+	// local is set for the asker of the owner's own process, which is served to the end.
+	local bool
 	open  map[uint64]openTicket
 	ended bool
 }
@@ -16,9 +18,9 @@
 	ticket pool.Ticket
 }
 
-// Session returns a new session.
-func (o *Owner) Session() *Session {
-	return &Session{owner: o, open: make(map[uint64]openTicket)}
+// Session returns a new session; local is set for the owner's own process.
+func (o *Owner) Session(local bool) *Session {
+	return &Session{owner: o, local: local, open: make(map[uint64]openTicket)}
 }
 
 // Submit queues a task under the asker's number.
@@ -28,6 +30,10 @@
 	if s.ended {
 		return
 	}
+	if s.owner.leaving && !s.local {
+		notify.Done(Result{Failure: OwnerLeft})
+		return
+	}
 	if !s.owner.submit(s, number, task, notify) {
 		notify.Done(Result{Failure: Failed})
 	}
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -46,6 +46,8 @@
 	Failed Failure = "failed"
 	// OwnerLost: the owner fell silent before it answered.
 	OwnerLost Failure = "owner_lost"
+	// OwnerLeft: the owner is stopping and did not begin the task.
+	OwnerLeft Failure = "owner_left"
 )
 
 // Result is the end of a task.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -40,6 +40,7 @@
 	metrics  *observe.Metrics
 	view     *view.View
 	owner    *pools.Owner
+	asker    *pools.Asker
 	flow     *flow.Server
 	client   *httpconn.Client
 	rpc      *link.Server
@@ -100,9 +101,10 @@
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
+	p.asker = pools.NewAsker(life, p.view, settings.Process.Name, p.owner, p.dialer, logger)
 	p.flow = flow.New(flow.Options{
 		View:    p.view,
-		Asker:   pools.NewAsker(life, p.view, settings.Process.Name, p.owner, p.dialer, logger),
+		Asker:   p.asker,
 		Client:  p.client,
 		Logger:  logger,
 		Metrics: flow.NewMetrics(p.metrics.Scope()),
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -93,6 +93,8 @@
 	s.draining.Store(true)
 	p.flow.Drain()
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.flow.InFlight()})
+	p.asker.Leave()
+	p.owner.Leave()
 	p.view.Leave(context.Background())
 	grace := time.Duration(p.settings.Bounds.GraceSeconds*float64(time.Second)) - endBefore
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
