Do not split a task over calls of a pool

Cause: a batch was filled to its last place, so that one task in three was split over two calls. Its first results then lay at their upstream until the last were made, and the next stage began a call later. Now a task waits for a call that takes it whole, unless even an empty one could not.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -80,32 +80,66 @@
 	return a.upstream.ID < b.upstream.ID
 }
 
-// fill closes a batch of the first items that an upstream can take: those that fit
+// fill closes a batch of the first tasks that an upstream can take: those that fit
 // into its room and that need not wait for an upstream nearer to their data.
 func (p *Pool) fill(w *worker, now time.Time) *Call {
 	call := &Call{Upstream: w.upstream, Began: now}
 	room := p.roomLeft(w, now)
 	kept := p.queue[:0:0]
-	for _, item := range p.queue {
-		if len(call.Items) >= p.settings.Batch || call.bytes+item.Task.Bytes > room || p.waitsForNearer(item.Task, w, now) {
-			kept = append(kept, item)
-			continue
+	for _, group := range byTask(p.queue) {
+		taken := 0
+		if !p.waitsForNearer(group[0].Task, w, now) {
+			taken = p.fits(call, group, room-call.bytes)
 		}
-		call.Items = append(call.Items, item)
-		call.bytes += item.Task.Bytes
+		call.Items = append(call.Items, group[:taken]...)
+		call.bytes += int64(taken) * group[0].Task.Bytes
+		kept = append(kept, group[taken:]...)
 	}
 	if len(call.Items) == 0 {
 		return nil
 	}
 	p.queue = kept
+	p.begin(call, w)
+	return call
+}
+
+// begin records that a call goes out.
+func (p *Pool) begin(call *Call, w *worker) {
 	for _, item := range call.Items {
 		item.tries++
 	}
 	call.Patience = p.patience(w, len(call.Items))
 	w.calls++
-	w.until = now.Add(time.Duration(w.slow * float64(p.callTime(len(call.Items)))))
+	w.until = call.Began.Add(time.Duration(w.slow * float64(p.callTime(len(call.Items)))))
 	w.room += call.bytes
-	return call
+}
+
+// byTask cuts a sorted queue into the items of one task each.
+func byTask(queue []*Item) [][]*Item {
+	var groups [][]*Item
+	for start := 0; start < len(queue); {
+		end := start + 1
+		for end < len(queue) && queue[end].Task == queue[start].Task {
+			end++
+		}
+		groups = append(groups, queue[start:end])
+		start = end
+	}
+	return groups
+}
+
+// fits returns how many items of a task go into a call with some room left. A task is
+// split only if not even an empty call takes it whole: its first results would lie at
+// their upstream until the last are made, and take up the room of others.
+func (p *Pool) fits(call *Call, group []*Item, room int64) int {
+	places := p.settings.Batch - len(call.Items)
+	if bytes := group[0].Task.Bytes; bytes > 0 {
+		places = min(places, int(max(0, room)/bytes))
+	}
+	if places < len(group) && len(call.Items) > 0 {
+		return 0
+	}
+	return min(places, len(group))
 }
 
 // waitsForNearer tells whether an item had better wait for an upstream in the zone of
