--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -51,6 +51,8 @@
 	// Objective is the time until the answer, or a stream's first event, that
 	// counts as on time.
 	Objective time.Duration
+	// StartWithin is how long clients wait for a stream's first event; 0 on other routes.
+	StartWithin time.Duration
 	// GapObjective is the longest pause between two events that counts as on time.
 	GapObjective time.Duration
 	// Priority is the rank of the route; 0 goes first.
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -54,6 +54,8 @@
 	body      []byte
 	began     time.Time
 	deadline  time.Time
+	// startBy is when the answer must have begun: the client leaves then.
+	startBy time.Time
 	// ctx ends at the deadline, or when the client leaves.
 	ctx context.Context
 
@@ -163,6 +165,10 @@
 		wait = min(wait, asked-answerMargin)
 	}
 	rq.deadline = rq.began.Add(wait)
+	rq.startBy = rq.deadline
+	if within := rq.route.StartWithin; within > 0 && within < wait {
+		rq.startBy = rq.began.Add(within - answerMargin)
+	}
 }
 
 // pick returns the service of one of the targets by their weights; the same request
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -193,7 +193,7 @@
 		Key:         run.keyOf(stage),
 		Inputs:      inputs,
 		ResultBytes: described.ResultBytes,
-		Remaining:   run.deadline.Sub(began),
+		Remaining:   run.startBy.Sub(began) - engineAllowance - tail,
 		Due:         due.Sub(began),
 		Rank:        run.rank,
 		Pulls:       run.pulls(stage, run.progress.IsLast(stage), inputs),
