Count a task as late when a full call would end after its due time

A task counted as timely as long as a call of one item could end before it was due; in a burst calls are full and take 1.7 times as long, so that upstreams were spent on tasks that then ended just too late.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -178,7 +178,7 @@
 // Among those in time the rank decides, then the earlier due time; items of one
 // task stay together, as none is of use alone.
 func (p *Pool) sort(now time.Time) {
-	shortest := time.Duration(float64(p.settings.CallTime+p.settings.ItemTime) * p.slowdown)
+	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
 	for _, item := range p.queue {
 		if now.Add(shortest).After(item.Task.Due) {
 			item.Task.late = true
--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,211 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/routes"
+)
+
+// settings are those of a pool with calls of 200 ms and 20 ms an item.
+var settings = routes.Pool{Slots: 1, Queue: 2, Batch: 8, CallTime: 200 * time.Millisecond, ItemTime: 20 * time.Millisecond, RoomBytes: 1 << 30}
+
+// start is the time at which the tests begin.
+var start = time.Unix(1000, 0)
+
+// upstreams returns n upstreams, a zone each.
+func upstreams(n int) []routes.Upstream {
+	list := make([]routes.Upstream, n)
+	for i := range list {
+		name := string(rune('a' + i))
+		list[i] = routes.Upstream{ID: name, Address: "10.0.0." + name, Zone: "zone-" + name}
+	}
+	return list
+}
+
+// newPool returns a pool with n upstreams.
+func newPool(n int) *Pool {
+	p := New(settings)
+	p.SetUpstreams(upstreams(n))
+	return p
+}
+
+// task returns a task that is due in a time.
+func task(ticket Ticket, due time.Duration) *Task {
+	return &Task{Ticket: ticket, Due: start.Add(due), Last: start.Add(10 * time.Second), Bytes: 1000}
+}
+
+// tickets returns the tickets of a call's items.
+func tickets(call *Call) []Ticket {
+	var list []Ticket
+	for _, item := range call.Items {
+		list = append(list, item.Task.Ticket)
+	}
+	return list
+}
+
+// all returns the same outcome for each item of a call.
+func all(call *Call, outcome Outcome) []Outcome {
+	list := make([]Outcome, len(call.Items))
+	for i := range list {
+		list[i] = outcome
+	}
+	return list
+}
+
+func TestBatchIsFilledByAllTasks(t *testing.T) {
+	p := newPool(1)
+	p.Add(task(1, time.Second), 3)
+	p.Add(task(2, time.Second), 4)
+	call := p.Next(start)
+	assert.DeepEqual(t, tickets(call), []Ticket{1, 1, 1, 2, 2, 2, 2})
+	assert.Assert(t, p.Next(start) == nil, "the only upstream is busy")
+}
+
+func TestTaskIsNotSplitUnlessItFillsACall(t *testing.T) {
+	p := newPool(1)
+	p.Add(task(1, time.Second), 5)
+	p.Add(task(2, 2*time.Second), 5)
+	p.Add(task(3, 3*time.Second), 3)
+	call := p.Next(start)
+	assert.DeepEqual(t, tickets(call), []Ticket{1, 1, 1, 1, 1, 3, 3, 3})
+
+	large := newPool(1)
+	large.Add(task(4, time.Second), 11)
+	assert.Equal(t, len(large.Next(start).Items), settings.Batch)
+}
+
+func TestTimelyTasksGoBeforeLateOnesThenByRankThenByDue(t *testing.T) {
+	p := newPool(1)
+	late := task(1, 100*time.Millisecond)
+	soon := task(2, 900*time.Millisecond)
+	urgent := task(3, 2*time.Second)
+	soon.Rank, urgent.Rank = 1, 0
+	later := task(4, time.Second)
+	later.Rank = 1
+	for _, one := range []*Task{late, later, soon, urgent} {
+		p.Add(one, 1)
+	}
+	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{3, 2, 4, 1})
+}
+
+func TestCallsStayWithinTheRoomForResults(t *testing.T) {
+	p := newPool(1)
+	small := settings
+	small.RoomBytes = 10_000
+	p.Configure(small)
+	first := task(1, time.Second)
+	first.Bytes = 3000
+	p.Add(first, 4)
+	call := p.Next(start)
+	assert.Equal(t, len(call.Items), 3, "0.9 of 10,000 bytes take three results")
+
+	p.Finish(call, all(call, Made), start)
+	p.Succeed(call, start)
+	assert.Assert(t, p.Next(start) == nil, "the results still lie there")
+	p.Free("a", 3000)
+	assert.Equal(t, len(p.Next(start).Items), 1)
+}
+
+func TestWantOfRoomIsNoTryAndBlocksThatMuchForAWhile(t *testing.T) {
+	p := newPool(1)
+	small := settings
+	small.RoomBytes = 10_000
+	p.Configure(small)
+	one := task(1, 5*time.Second)
+	one.Bytes = 6000
+	p.Add(one, 1)
+	now := start
+	for range maxTries + 2 {
+		call := p.Next(now)
+		assert.Assert(t, call != nil)
+		assert.Equal(t, len(p.Finish(call, all(call, NoRoom), now)), 0)
+		assert.Assert(t, p.Next(now) == nil, "there is no room yet")
+		now = now.Add(unknownFor)
+	}
+}
+
+func TestAFailedUpstreamRestsWhileOthersAreBusy(t *testing.T) {
+	p := newPool(2)
+	p.Add(task(1, time.Second), 8)
+	p.Add(task(2, time.Second), 8)
+	first, second := p.Next(start), p.Next(start)
+	assert.Assert(t, first != nil && second != nil)
+
+	failed := p.Finish(first, all(first, Again), start)
+	p.Fail(first, start)
+	assert.Equal(t, len(failed), 0)
+	assert.Assert(t, p.Next(start.Add(leastRest)) == nil, "the other is only busy")
+
+	p.Finish(second, all(second, Made), start)
+	p.Succeed(second, start)
+	again := p.Next(start)
+	assert.Equal(t, again.Upstream.ID, second.Upstream.ID)
+}
+
+func TestUpstreamsThatAllFailedAreTriedAfterARest(t *testing.T) {
+	p := newPool(1)
+	p.Add(task(1, time.Second), 1)
+	call := p.Next(start)
+	p.Finish(call, all(call, Again), start)
+	p.Fail(call, start)
+	assert.Assert(t, p.Next(start.Add(leastRest-1)) == nil)
+	assert.Assert(t, p.Next(start.Add(leastRest)) != nil)
+}
+
+func TestAnItemIsTriedSoOftenOnly(t *testing.T) {
+	p := newPool(1)
+	p.Add(task(1, time.Second), 1)
+	now := start
+	for try := 1; ; try++ {
+		call := p.Next(now)
+		failed := p.Finish(call, all(call, Again), now)
+		p.Fail(call, now)
+		if len(failed) > 0 {
+			assert.Equal(t, try, maxTries)
+			return
+		}
+		now = now.Add(leastRest)
+	}
+}
+
+func TestItemsWaitForTheZoneOfTheirDataWhileTheyAreInTime(t *testing.T) {
+	p := newPool(2)
+	p.Add(task(9, 5*time.Second), 8)
+	busy := p.Next(start)
+	assert.Equal(t, busy.Upstream.ID, "a")
+
+	near := task(1, 5*time.Second)
+	near.Pulls = []Pull{{Zone: "zone-a", Bytes: 1 << 20}}
+	p.Add(near, 1)
+	assert.Assert(t, p.Next(start) == nil, "b is free, but a will be in time")
+
+	hurried := task(2, 400*time.Millisecond)
+	hurried.Pulls = near.Pulls
+	p.Add(hurried, 1)
+	call := p.Next(start)
+	assert.Equal(t, call.Upstream.ID, "b")
+	assert.DeepEqual(t, tickets(call), []Ticket{2})
+}
+
+func TestLeavingUpstreamsGetNoCalls(t *testing.T) {
+	p := newPool(1)
+	list := upstreams(1)
+	list[0].Leaving = true
+	p.SetUpstreams(list)
+	p.Add(task(1, time.Second), 1)
+	assert.Assert(t, p.Next(start) == nil)
+}
+
+func TestItemsWhoseRequestEndsAreDropped(t *testing.T) {
+	p := newPool(0)
+	ends := task(1, time.Second)
+	ends.Last = start.Add(settings.CallTime + settings.ItemTime)
+	p.Add(ends, 2)
+	p.Add(task(2, time.Second), 1)
+	assert.Equal(t, len(p.Expire(start)), 0)
+	assert.Equal(t, len(p.Expire(start.Add(1))), 2)
+	assert.Equal(t, p.Waiting(), 1)
+}
