--- /dev/null
+++ b/gateway/events/reader_test.go
@@ -0,0 +1,62 @@
+package events
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestWholeEventsAreHandedOut(t *testing.T) {
+	text := "id: 1\ndata: a\n\nx-weight-versions: 3\r\nid:2\r\ndata: b\r\n\r\n"
+	r := NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	first, err := r.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(first.Bytes), "id: 1\ndata: a\n\n")
+	assert.Equal(t, first.ID, "1")
+	second, err := r.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(second.Bytes), "x-weight-versions: 3\r\nid:2\r\ndata: b\r\n\r\n")
+	assert.Equal(t, second.ID, "2")
+	_, err = r.Next()
+	assert.Equal(t, err, io.EOF)
+}
+
+func TestAPartOfAnEventIsNeverHandedOut(t *testing.T) {
+	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n"} {
+		_, err := NewReader(strings.NewReader(text)).Next()
+		assert.Equal(t, err, io.ErrUnexpectedEOF, "%q", text)
+	}
+}
+
+func TestLinesLongerThanTheBufferAreKeptWhole(t *testing.T) {
+	text := "data: " + strings.Repeat("a", 10_000) + "\nid: 7\n\n"
+	event, err := NewReader(strings.NewReader(text)).Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(event.Bytes), text)
+	assert.Equal(t, event.ID, "7")
+}
+
+// FuzzReader: what is handed out, put together, is the beginning of the stream up to
+// the end of its last whole event.
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
+	f.Add("\n\n\r\n")
+	f.Add("data\r\r\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := NewReader(strings.NewReader(text))
+		whole := ""
+		for {
+			event, err := r.Next()
+			if err == nil {
+				whole += string(event.Bytes)
+				continue
+			}
+			assert.Assert(t, strings.HasPrefix(text, whole))
+			assert.Assert(t, err != io.EOF || whole == text)
+			return
+		}
+	})
+}
