--- a/acaciawinchd/command.go
+++ b/acaciawinchd/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -67,7 +68,7 @@
 	}
 	ctx, stop := stopSignal()
 	defer stop()
-	return gateway.Run(ctx, loaded, c.load)
+	return gateway.Run(ctx, loaded, c.load, os.Stdout)
 }
 
 // load reads the settings file as it is now.
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -11,6 +11,7 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/routes"
+	"acaciawinch/gateway/framing"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -77,9 +78,6 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	rq := &request{Server: s, w: w, r: r, began: time.Now()}
 	if !rq.admit() {
 		return
@@ -96,6 +94,10 @@
 // admit decodes the request and checks it against the configuration. It answers what
 // is refused.
 func (rq *request) admit() bool {
+	if framing.Ambiguous(rq.r) {
+		rq.w.Header().Set("Connection", "close")
+		return rq.refuse(http.StatusBadRequest, "request.read", "the body has a length and a transfer encoding", 0)
+	}
 	rq.table = rq.View.Table()
 	if !rq.View.Ready() {
 		return rq.refuse(http.StatusServiceUnavailable, "request.admit", "the configuration is not known yet", retryUnready)
--- a/gateway/flow/refuse.go
+++ b/gateway/flow/refuse.go
@@ -22,6 +22,7 @@
 func (rq *request) refuse(status int, step, detail string, after time.Duration) bool {
 	took := time.Since(rq.began)
 	rq.note(status, step, detail, after, took)
+	rq.closeIfDraining()
 	h := rq.w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	header.Echo(h, rq.asked.ID)
@@ -38,6 +39,15 @@
 	return false
 }
 
+// closeIfDraining ends the connection with this answer if the process is stopping, so
+// that the client's next request goes to another. It is called before the head is
+// written.
+func (rq *request) closeIfDraining() {
+	if rq.draining.Load() {
+		rq.w.Header().Set("Connection", "close")
+	}
+}
+
 // note logs and counts a refusal.
 func (rq *request) note(status int, step, detail string, after, took time.Duration) {
 	route := ""
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -67,6 +67,7 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	rq.closeIfDraining()
 }
 
 // relayStream hands on events as they come, each one whole. When the upstream breaks
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -4,9 +4,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -52,13 +52,13 @@
 }
 
 // Run is the gateway: it serves until ctx ends, then finishes what it has read and
-// returns nil. Load reads the settings again when they may have changed. An error
-// means that it could not start or go on.
-func Run(ctx context.Context, settings Settings, load func() (Settings, error)) error {
+// returns nil. Load reads the settings again when they may have changed; log lines go
+// to out. An error means that it could not start or go on.
+func Run(ctx context.Context, settings Settings, load func() (Settings, error), out io.Writer) error {
 	debug.SetMemoryLimit(int64(float64(settings.Process.MemoryMB) * memoryShare * (1 << 20)))
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	p, err := newProcess(life, settings)
+	p, err := newProcess(life, settings, out)
 	if err != nil {
 		return err
 	}
@@ -77,8 +77,8 @@
 }
 
 // newProcess wires the parts.
-func newProcess(life context.Context, settings Settings) (*process, error) {
-	queue := observe.NewQueue(os.Stdout)
+func newProcess(life context.Context, settings Settings, out io.Writer) (*process, error) {
+	queue := observe.NewQueue(out)
 	logger, err := observe.NewLogger(queue, settings.Process.Name, settings.Log.Level)
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, "gateway.log", "", err)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/gateway/framing"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -54,6 +55,7 @@
 		MaxHeaderBytes:               headerBytes,
 		DisableGeneralOptionsHandler: true,
 	}
+	framing.Watch(s.clients)
 	s.readiness = &http.Server{Handler: http.HandlerFunc(s.ready), ReadHeaderTimeout: headerTimeout}
 	s.metrics = &http.Server{Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout}
 	return s
@@ -79,7 +81,7 @@
 		}
 	}
 	return []func() error{
-		loop(s.clients, s.open.clients),
+		loop(s.clients, framing.Listener{Listener: s.open.clients}),
 		loop(s.readiness, s.open.readiness),
 		loop(s.metrics, s.open.metrics),
 	}
--- /dev/null
+++ b/standin/gatewaytest/requests_test.go
@@ -0,0 +1,267 @@
+package gatewaytest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/worker"
+)
+
+func TestRequestsOfEachKindComeBackWhole(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	llm := f.worker("llm-1", "llm", worker.Engine)
+	enc := f.worker("enc-1", "enc", worker.Stage)
+	f.apply(base(1))
+	g := f.start("g1")
+
+	once := f.ask(g, "r1", "POST", "/once/a/../b?x=%2f", "body")
+	assert.Equal(t, once.status, 200)
+	assert.Equal(t, once.body, "answer of r1")
+	assert.Equal(t, once.header.Get("X-Response-Stamp"), "stamp.desk-1")
+	run := desk.Runs()[0]
+	assert.Equal(t, run.Target, "/once/a/../b?x=%2f")
+	assert.Equal(t, run.Body, "body")
+
+	assert.Equal(t, f.ask(g, "r2", "GET", "/safe/x", "").body, "answer of r2")
+
+	got := f.ask(g, "r3", "POST", "/stream/x", "prompt", "X-Pieces", "3,2", "X-Piece-Key", "k", "X-Prompt-Prefix", "a:1,b:2")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, stream("r3"))
+	batches := enc.Batches()
+	assert.Equal(t, len(batches), 2)
+	assert.Equal(t, len(batches[0]), 3)
+	assert.Equal(t, batches[0][0].Key, "k")
+	assert.Equal(t, len(batches[1][0].Inputs), 3)
+	assert.Equal(t, len(strings.Split(llm.Runs()[0].Header.Get("X-Inputs"), ",")), 2)
+	f.waitUntil(func() bool { return enc.Kept() == 0 }, "all results are freed")
+}
+
+// waitUntil waits for a condition that other processes bring about.
+func (f *fleet) waitUntil(condition func() bool, what string) {
+	f.t.Helper()
+	for limit := time.Now().Add(patience); !condition(); {
+		if time.Now().After(limit) {
+			f.t.Fatal("never: " + what)
+		}
+	}
+}
+
+func TestAnUnsafeRequestThatMayHaveRunIsNeverSentAgain(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("desk-1", "desk", worker.Plain), f.worker("desk-2", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	for i, faults := range []worker.Faults{{Cut: 1}, {Fail: 1}, {Foreign: 1}, {Unsigned: 1}} {
+		one.Set(faults)
+		two.Set(faults)
+		id := "u" + strconv.Itoa(i)
+		got := f.ask(g, id, "POST", "/once/x", "b")
+		assert.Equal(t, runsOf(id, one, two), 1, "%+v", faults)
+		assert.Assert(t, got.status == 502 || got.status == 500, "%+v: %d", faults, got.status)
+		assert.Equal(t, got.status == 500, got.header.Get("X-Response-Stamp") != "", "only the worker's own failure is signed")
+		one.Set(worker.Faults{})
+		two.Set(worker.Faults{})
+	}
+}
+
+func TestARejectedRequestGoesElsewhereAndIsRefusedOnlyIfNothingRan(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("desk-1", "desk", worker.Plain), f.worker("desk-2", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	one.Set(worker.Faults{Reject: 1})
+	two.Set(worker.Faults{Reject: 1})
+	got := f.ask(g, "r1", "POST", "/once/x", "b")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, got.header.Get("X-Attempt-Id"), "r1")
+	assert.Equal(t, runsOf("r1", one, two), 0)
+
+	one.Set(worker.Faults{Reject: 1})
+	two.Set(worker.Faults{})
+	for i := range 4 {
+		assert.Equal(t, f.ask(g, fmt.Sprintf("s%d", i), "POST", "/once/x", "b").status, 200)
+	}
+}
+
+func TestAnIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("desk-1", "desk", worker.Plain), f.worker("desk-2", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	for i, faults := range []worker.Faults{{Cut: 1}, {Fail: 1}, {Foreign: 1}, {Unsigned: 1}} {
+		one.Set(faults)
+		two.Set(worker.Faults{})
+		for j := range 2 {
+			id := fmt.Sprintf("i%d-%d", i, j)
+			got := f.ask(g, id, "GET", "/safe/x", "")
+			assert.Equal(t, got.body, "answer of "+id, "%+v", faults)
+		}
+	}
+}
+
+func TestAStreamGoesOnElsewhereWithoutAGap(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("llm-1", "llm", worker.Engine), f.worker("llm-2", "llm", worker.Engine)
+	f.worker("enc-1", "enc", worker.Stage)
+	f.apply(base(1))
+	g := f.start("g1")
+	one.Set(worker.Faults{Cut: 1})
+	two.Set(worker.Faults{Cut: 1})
+	got := f.ask(g, "r1", "POST", "/stream/x", "p", "X-Pieces", "1,1", "X-Piece-Key", "k")
+	assert.Assert(t, got.cut, "both engines cut it")
+
+	one.Set(worker.Faults{Cut: 1})
+	two.Set(worker.Faults{})
+	for _, id := range []string{"r2", "r3", "r4", "r5"} {
+		got := f.ask(g, id, "POST", "/stream/x", "p", "X-Pieces", "1,1", "X-Piece-Key", "k")
+		assert.Assert(t, !got.cut)
+		assert.Equal(t, got.body, stream(id))
+	}
+}
+
+func TestAStreamThatMayNotGoOnEndsCutAndNotWhole(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("llm-1", "llm", worker.Engine), f.worker("llm-2", "llm", worker.Engine)
+	f.apply(base(1))
+	g := f.start("g1")
+	one.Set(worker.Faults{Cut: 1})
+	two.Set(worker.Faults{Cut: 1})
+	got := f.ask(g, "r1", "POST", "/strict/x", "p")
+	assert.Assert(t, got.cut)
+	assert.Equal(t, runsOf("r1", one, two), 1)
+	assert.Equal(t, got.body, "id: 1\ndata: r1 1\n\n", "no part of an event is passed on")
+}
+
+func TestKeysDecideAndAreNeverPassedOn(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	d := base(1)
+	d.Tenants = []tenant{{Name: "w1", APIKeys: []string{"key1"}}}
+	f.apply(d)
+	g := f.start("g1")
+	assert.Equal(t, f.ask(g, "r1", "GET", "/safe/x", "").status, 401)
+	assert.Equal(t, f.ask(g, "r2", "GET", "/safe/x", "", "Authorization", "Bearer key2").status, 401)
+	assert.Equal(t, f.ask(g, "r3", "GET", "/safe/x", "", "Authorization", "Bearer key1", "X-Tenant", "evil").status, 200)
+	runs := desk.Runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Header.Get("X-Tenant"), "w1")
+	for name, values := range runs[0].Header {
+		assert.Assert(t, !strings.Contains(strings.Join(values, ","), "key1"), "the key stands in %s", name)
+	}
+}
+
+func TestARevokedKeyIsRefusedAndAKeyWithoutProofDoesNotRun(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	d := base(1)
+	d.Tenants = []tenant{{Name: "w1", APIKeys: []string{"key1", "key2"}}}
+	f.apply(d)
+	g := f.start("g1")
+	d.Version, d.Tenants[0].APIKeys = 2, []string{"key2"}
+	f.apply(d)
+	f.waitLines(1, "table_in_force", `"version":2`)
+	assert.Equal(t, f.ask(g, "r1", "GET", "/safe/x", "", "Authorization", "Bearer key1").status, 401)
+
+	f.store.SetFaults(faultsRefusing)
+	f.waitUntil(func() bool {
+		return f.ask(g, "r2", "GET", "/safe/x", "", "Authorization", "Bearer key2").status == 503
+	}, "a key is not trusted without the store")
+	before := len(desk.Runs())
+	assert.Equal(t, f.ask(g, "r3", "GET", "/safe/x", "", "Authorization", "Bearer key2").status, 503)
+	assert.Equal(t, len(desk.Runs()), before)
+	assert.Equal(t, f.ask(g, "r4", "GET", "/safe/x", "", "Authorization", "Bearer key1").status, 503, "what is not found may be new")
+
+	f.store.SetFaults(faultsNone)
+	f.waitUntil(func() bool {
+		return f.ask(g, "r5", "GET", "/safe/x", "", "Authorization", "Bearer key2").status == 200
+	}, "the key is trusted again")
+}
+
+func TestMalformedRequestsReachNoWorker(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	for name, text := range map[string]string{
+		"two lengths":     "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"no id":           "GET /safe/x HTTP/1.1\r\nHost: h\r\n\r\n",
+		"bad deadline":    "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: x\r\n\r\n",
+		"other encoding":  "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+		"bad chunk":       "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"length and more": "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/y HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, text)
+			assert.NilError(t, err)
+			got := read(bufio.NewReader(conn))
+			assert.Assert(t, got.status >= 400, "%d", got.status)
+		})
+	}
+	assert.Equal(t, len(desk.Runs()), 0)
+}
+
+func TestAClientThatLeavesEndsTheWork(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	release := desk.Hold()
+	defer release()
+	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\n\r\n")
+	assert.NilError(t, err)
+	f.waitUntil(func() bool { return len(desk.Runs()) == 1 }, "the request runs")
+	assert.NilError(t, conn.Close())
+	f.waitUntil(func() bool { return desk.Left() == 1 }, "the worker sees its caller go")
+	f.waitLines(1, "gateway_left", "r1")
+}
+
+func TestLeavingAndForeignUpstreamsGetNothing(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.worker("desk-1", "desk", worker.Plain), f.worker("desk-2", "desk", worker.Plain)
+	f.apply(base(1))
+	g := f.start("g1")
+	f.register(one, "desk", "draining")
+	f.waitLines(1, "upstream_changed", "desk-1", `"leaving":true`)
+	for i := range 5 {
+		assert.Equal(t, f.ask(g, fmt.Sprintf("r%d", i), "POST", "/once/x", "b").status, 200)
+	}
+	assert.Equal(t, len(one.Runs()), 0)
+
+	two.ID = "desk-3" // another start has the address now
+	got := f.ask(g, "q", "POST", "/once/x", "b")
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, runsOf("q", one, two), 0)
+}
+
+func TestNoConfigurationMeans503AndNotReady(t *testing.T) {
+	f := newFleet(t)
+	f.apply(base(1))
+	g := f.start("g1")
+	assert.Equal(t, f.ask(g, "r1", "GET", "/nowhere/x", "").status, 404)
+	f.store.Put("config", "main", "no document")
+	f.waitLines(1, "table_refused")
+	assert.Equal(t, f.ask(g, "r2", "GET", "/nowhere/x", "").status, 404, "the last good one stays in force")
+	older := base(0)
+	older.Version = 1
+	older.Routes = nil
+	f.apply(older)
+	f.apply(base(3))
+	f.waitLines(1, "table_in_force", `"version":3`)
+	assert.Equal(t, f.ask(g, "r3", "GET", "/safe/x", "").status, http.StatusServiceUnavailable, "no worker is known")
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,335 @@
+// Package worker holds stand-ins of the platform's workers: plain services, stage
+// pools and model engines, over the published protocol. They record what reaches them
+// and misbehave as tests ask.
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind is what a worker does.
+type Kind int
+
+// The kinds of workers.
+const (
+	Plain Kind = iota
+	Stage
+	Engine
+)
+
+// Faults are what goes wrong with a worker's next requests. Each count falls by one
+// with each request that it strikes.
+type Faults struct {
+	// Reject answers 503 without running.
+	Reject int
+	// Fail runs and answers 500.
+	Fail int
+	// Cut runs and ends the connection: a stream after its first event, other answers
+	// before their head.
+	Cut int
+	// Foreign sends the answer of another request before its own.
+	Foreign int
+	// Unsigned leaves the signature out.
+	Unsigned int
+	// NoRoom and Gone are the reasons of stage items.
+	NoRoom, Gone int
+}
+
+// Run is one request that a worker began to work on.
+type Run struct {
+	ID, Method, Target, Body string
+	Header                   http.Header
+}
+
+// Worker is a running stand-in.
+type Worker struct {
+	ID   string
+	Kind Kind
+	// Events is how many events a stream has.
+	Events int
+	// CallTime is what a stage call takes.
+	CallTime time.Duration
+
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	faults  Faults
+	runs    []Run
+	batches [][]Item
+	kept    map[string]bool
+	made    int
+	hold    chan struct{}
+	left    int
+}
+
+// Item is one piece that a stage worker was asked for.
+type Item struct {
+	ID     string   `json:"id"`
+	Stage  int      `json:"stage"`
+	Piece  int      `json:"piece"`
+	Key    string   `json:"key"`
+	Inputs []string `json:"inputs"`
+}
+
+// Start starts a worker on a free port.
+func Start(id string, kind Kind) (*Worker, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, Kind: kind, Events: 5, listener: listener, kept: make(map[string]bool)}
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(listener) }() // it ends with Close
+	return w, nil
+}
+
+// Address returns the worker's IP:port.
+func (w *Worker) Address() string { return w.listener.Addr().String() }
+
+// Close ends the worker at once.
+func (w *Worker) Close() { _ = w.server.Close() }
+
+// Set replaces the faults.
+func (w *Worker) Set(faults Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = faults
+}
+
+// Hold keeps the answers of requests back until the returned function is called.
+func (w *Worker) Hold() (release func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	hold := make(chan struct{})
+	w.hold = hold
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.hold = nil
+		close(hold)
+	}
+}
+
+// Runs returns what the worker has run so far.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Batches returns the stage calls so far.
+func (w *Worker) Batches() [][]Item {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([][]Item(nil), w.batches...)
+}
+
+// Kept returns how many results lie at the worker.
+func (w *Worker) Kept() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.kept)
+}
+
+// Left returns how many clients went before their answer.
+func (w *Worker) Left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left
+}
+
+// strike takes one of a fault's count.
+func (w *Worker) strike(count *int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if *count == 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.ID {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	switch {
+	case w.Kind == Stage && r.URL.Path == "/stage-run":
+		w.runStage(out, body)
+	case w.Kind == Stage && r.URL.Path == "/stage-free":
+		w.free(out, body)
+	default:
+		w.run(out, r, string(body))
+	}
+}
+
+// run runs one request of a client.
+func (w *Worker) run(out http.ResponseWriter, r *http.Request, body string) {
+	if w.strike(&w.faults.Reject) {
+		out.Header().Set("X-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	w.mu.Lock()
+	w.runs = append(w.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body, Header: r.Header.Clone()})
+	hold := w.hold
+	w.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+			w.mu.Lock()
+			w.left++
+			w.mu.Unlock()
+			return
+		}
+	}
+	if w.strike(&w.faults.Foreign) {
+		sendForeign(out)
+	}
+	out.Header().Set("X-Attempt-Id", id)
+	out.Header().Set("X-Instance-Load", "1,0,8")
+	if !w.strike(&w.faults.Unsigned) {
+		out.Header().Set("X-Response-Stamp", "stamp."+w.ID)
+	}
+	if w.strike(&w.faults.Fail) {
+		out.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(out, "failed") // a caller that is gone needs no answer
+		return
+	}
+	if w.Kind == Engine {
+		w.stream(out, r)
+		return
+	}
+	if w.strike(&w.faults.Cut) {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(out, "answer of "+id) // a caller that is gone needs no answer
+}
+
+// sendForeign writes the whole answer of another request on the connection.
+func sendForeign(out http.ResponseWriter) {
+	conn, buffer, err := out.(http.Hijacker).Hijack()
+	if err != nil {
+		panic("worker: the connection can't be taken over: " + err.Error())
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
+	_ = buffer.Flush() // a caller that is gone needs no answer
+	panic(http.ErrAbortHandler)
+}
+
+// stream sends events from the one after Last-Event-Id on.
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request) {
+	first := 0
+	if text := r.Header.Get("Last-Event-Id"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			out.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		first = n
+	}
+	out.Header().Set("Content-Type", "text/event-stream")
+	cut := w.strike(&w.faults.Cut)
+	for number := first + 1; number <= w.Events; number++ {
+		if cut && number > first+1 {
+			_, _ = io.WriteString(out, "id: ") // a part of an event, before the cut
+			_ = http.NewResponseController(out).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s %d\n\n", number, r.Header.Get("X-Attempt-Id"), number)
+		_ = http.NewResponseController(out).Flush() // a caller that is gone is seen by the server
+	}
+}
+
+// batch is the body of a stage call.
+type batch struct {
+	Items []Item `json:"items"`
+}
+
+// result is one item's end.
+type result struct {
+	Handle string `json:"handle,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// results is the answer to a stage call.
+type results struct {
+	Items []result `json:"items"`
+}
+
+// runStage makes the items of a call.
+func (w *Worker) runStage(out http.ResponseWriter, body []byte) {
+	if w.strike(&w.faults.Reject) {
+		out.Header().Set("X-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var asked batch
+	if err := json.Unmarshal(body, &asked); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(w.CallTime)
+	var answer results
+	w.mu.Lock()
+	w.batches = append(w.batches, asked.Items)
+	for range asked.Items {
+		w.made++
+		handle := fmt.Sprintf("%s/%d", w.Address(), w.made)
+		w.kept[handle] = true
+		answer.Items = append(answer.Items, result{Handle: handle})
+	}
+	w.mu.Unlock()
+	for i := range answer.Items {
+		switch {
+		case w.strike(&w.faults.NoRoom):
+			answer.Items[i] = w.undo(answer.Items[i], "room")
+		case w.strike(&w.faults.Gone):
+			answer.Items[i] = w.undo(answer.Items[i], "gone")
+		}
+	}
+	out.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(out).Encode(answer) // a caller that is gone needs no answer
+}
+
+// undo takes a result back for a reason.
+func (w *Worker) undo(made result, reason string) result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.kept, made.Handle)
+	return result{Reason: reason}
+}
+
+// free drops results.
+func (w *Worker) free(out http.ResponseWriter, body []byte) {
+	var asked struct {
+		Handles []string `json:"handles"`
+	}
+	if err := json.Unmarshal(body, &asked); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, handle := range asked.Handles {
+		delete(w.kept, strings.TrimSpace(handle))
+	}
+}
