--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -1,39 +1,39 @@
 package event
 
-// Events of a gateway's knowledge of the fleet: 2000 to 2019.
+// Events of a gateway's knowledge of the fleet: 10000 to 10019.
 var (
-	WatchLost          = define(2001, "watch_lost", "The platform's store no longer answers for a kind of objects.", "kind", "revision", "error")
-	WatchRegained      = define(2002, "watch_regained", "The platform's store answers again for a kind of objects.", "kind", "revision")
-	WatchHistoryGone   = define(2003, "watch_history_gone", "The store no longer has the changes after a revision; the kind is listed again.", "kind", "revision")
-	TableInForce       = define(2004, "table_in_force", "A newer configuration is in force in this process.", "version", "revision")
-	TableRefused       = define(2005, "table_refused", "A configuration can't be read; the one before stays in force.", "revision", "error")
-	UpstreamChanged    = define(2006, "upstream_changed", "An upstream came, or said that it is leaving.", "upstream", "service", "address", "leaving", "revision")
-	UpstreamGone       = define(2007, "upstream_gone", "An upstream's entry was removed; it gets no new work.", "upstream", "service", "address")
-	UpstreamUnreadable = define(2008, "upstream_unreadable", "An upstream's entry can't be read; what was known of it stays.", "upstream", "revision", "error")
-	MembersChanged     = define(2009, "members_changed", "The list of the other gateways changed.", "members")
-	MemberUnreadable   = define(2010, "member_unreadable", "A gateway's object can't be read; it gets no work.", "member", "error")
-	RegisterFailed     = define(2011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
-	SettingsReloaded   = define(2012, "settings_reloaded", "The settings file was read again.", "changed", "error")
-	LinesDropped       = define(2013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
+	WatchLost          = define(10001, "watch_lost", "The platform's store no longer answers for a kind of objects.", "kind", "revision", "error")
+	WatchRegained      = define(10002, "watch_regained", "The platform's store answers again for a kind of objects.", "kind", "revision")
+	WatchHistoryGone   = define(10003, "watch_history_gone", "The store no longer has the changes after a revision; the kind is listed again.", "kind", "revision")
+	TableInForce       = define(10004, "table_in_force", "A newer configuration is in force in this process.", "version", "revision")
+	TableRefused       = define(10005, "table_refused", "A configuration can't be read; the one before stays in force.", "revision", "error")
+	UpstreamChanged    = define(10006, "upstream_changed", "An upstream came, or said that it is leaving.", "upstream", "service", "address", "leaving", "revision")
+	UpstreamGone       = define(10007, "upstream_gone", "An upstream's entry was removed; it gets no new work.", "upstream", "service", "address")
+	UpstreamUnreadable = define(10008, "upstream_unreadable", "An upstream's entry can't be read; what was known of it stays.", "upstream", "revision", "error")
+	MembersChanged     = define(10009, "members_changed", "The list of the other gateways changed.", "members")
+	MemberUnreadable   = define(10010, "member_unreadable", "A gateway's object can't be read; it gets no work.", "member", "error")
+	RegisterFailed     = define(10011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
+	SettingsReloaded   = define(10012, "settings_reloaded", "The settings file was read again.", "changed", "error")
+	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
-// Events of requests at a gateway: 2020 to 2049.
+// Events of requests at a gateway: 10020 to 10049.
 var (
-	GatewayRefused  = define(2020, "gateway_refused", "A request was refused and nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
-	GatewaySent     = define(2021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "remaining_ms", "after")
-	GatewayFailed   = define(2022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error", "again")
-	GatewayAnswered = define(2023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "duration_us")
-	GatewayBroken   = define(2024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
-	GatewayLeft     = define(2025, "gateway_left", "The client left before its answer; the work was ended.", "request", "route", "step", "duration_us")
-	StageDone       = define(2026, "stage_done", "A stage of a request has its results.", "request", "stage", "service", "owner", "pieces", "duration_us")
-	StageFailed     = define(2027, "stage_failed", "A stage of a request has no results.", "request", "stage", "service", "owner", "reason", "duration_us")
+	GatewayRefused  = define(10020, "gateway_refused", "A request was refused and nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
+	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "remaining_ms", "after")
+	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error", "again")
+	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "duration_us")
+	GatewayBroken   = define(10024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
+	GatewayLeft     = define(10025, "gateway_left", "The client left before its answer; the work was ended.", "request", "route", "step", "duration_us")
+	StageDone       = define(10026, "stage_done", "A stage of a request has its results.", "request", "stage", "service", "owner", "pieces", "duration_us")
+	StageFailed     = define(10027, "stage_failed", "A stage of a request has no results.", "request", "stage", "service", "owner", "reason", "duration_us")
 )
 
-// Events of stage pools at their owner: 2050 to 2069.
+// Events of stage pools at their owner: 10050 to 10069.
 var (
-	PoolCall        = define(2050, "pool_call", "A batch was answered by an upstream of a pool.", "service", "upstream", "items", "made", "waiting", "duration_us")
-	PoolCallFailed  = define(2051, "pool_call_failed", "A batch brought no results; its items are tried again.", "service", "upstream", "items", "error", "duration_us")
-	PoolOwnerLost   = define(2052, "pool_owner_lost", "The owner of pools is silent or gone; its tasks go to the next.", "owner", "tasks", "error")
-	PoolOwnerJoined = define(2053, "pool_owner_joined", "A connection to an owner of pools is open.", "owner")
-	PoolFreeFailed  = define(2054, "pool_free_failed", "Results could not be freed; the upstream drops them itself after a while.", "upstream", "handles", "error")
+	PoolCall        = define(10050, "pool_call", "A batch was answered by an upstream of a pool.", "service", "upstream", "items", "made", "waiting", "duration_us")
+	PoolCallFailed  = define(10051, "pool_call_failed", "A batch brought no results; its items are tried again.", "service", "upstream", "items", "error", "duration_us")
+	PoolOwnerLost   = define(10052, "pool_owner_lost", "The owner of pools is silent or gone; its tasks go to the next.", "owner", "tasks", "error")
+	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools is open.", "owner")
+	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself after a while.", "upstream", "handles", "error")
 )
