--- a/acaciawinch/settings_page_test.go
+++ b/acaciawinch/settings_page_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/entry"
+	"acaciawinch/gateway"
 	"acaciawinch/settings"
 	"acaciawinch/side"
 )
@@ -52,9 +53,10 @@
 
 func TestThePageOfSettingsIsThatOfTheCode(t *testing.T) {
 	for section, defaults := range map[string]reflect.Value{
-		"acaciawinchd entry": reflect.ValueOf(entry.Defaults()),
-		"acaciawinchd side":  reflect.ValueOf(side.Defaults()),
-		"acaciawinch":        reflect.ValueOf(Settings{}),
+		"acaciawinchd entry":   reflect.ValueOf(entry.Defaults()),
+		"acaciawinchd side":    reflect.ValueOf(side.Defaults()),
+		"acaciawinchd gateway": reflect.ValueOf(gateway.Defaults()),
+		"acaciawinch":          reflect.ValueOf(Settings{}),
 	} {
 		want := map[string]string{}
 		collect("", defaults, want)
@@ -63,7 +65,8 @@
 }
 
 func TestTheExamplesOfSettingsAreSound(t *testing.T) {
-	entryFile, sideFile, own := entry.Defaults(), side.Defaults(), Settings{}
+	entryFile, sideFile, gatewayFile, own := entry.Defaults(), side.Defaults(), gateway.Defaults(), Settings{}
+	assert.NilError(t, settings.Load("../examples/gateway.toml", &gatewayFile))
 	assert.NilError(t, settings.Load("../examples/entry.toml", &entryFile))
 	assert.NilError(t, settings.Load("../examples/side.toml", &sideFile))
 	assert.NilError(t, settings.Load("../examples/acaciawinch.toml", &own))
--- /dev/null
+++ b/core/selection/chooser_test.go
@@ -0,0 +1,112 @@
+package selection
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/routes"
+)
+
+var now = time.Unix(1000, 0)
+
+// engines returns n upstreams with 64 slots.
+func engines(n int) []routes.Upstream {
+	list := make([]routes.Upstream, n)
+	for i := range list {
+		list[i] = routes.Upstream{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%3), Slots: 64}
+	}
+	return list
+}
+
+func TestRequestsOfOnePartGoToOneEngineInAllProcesses(t *testing.T) {
+	list := engines(9)
+	first, found := New().Choose(list, "part", nil, now)
+	assert.Assert(t, found)
+	second, _ := New().Choose(list, "part", nil, now)
+	assert.Equal(t, first.Upstream.ID, second.Upstream.ID)
+	assert.Equal(t, first.Reason, "prefix")
+}
+
+func TestPartsAreSpreadOverTheEngines(t *testing.T) {
+	c, counts := New(), map[string]int{}
+	for i := range 900 {
+		choice, _ := c.Choose(engines(9), fmt.Sprintf("part %d", i), nil, now)
+		counts[choice.Upstream.ID]++
+	}
+	for id, count := range counts {
+		assert.Assert(t, count > 60 && count < 140, "%s got %d of 900", id, count)
+	}
+}
+
+// TestAHotPartIsSpreadByLoad replays a load of one part alone: no engine gets more
+// than the bound over the mean.
+func TestAHotPartIsSpreadByLoad(t *testing.T) {
+	c, counts := New(), map[string]int{}
+	for range 180 {
+		choice, _ := c.Choose(engines(9), "hot", nil, now)
+		c.Started(choice.Upstream.ID)
+		counts[choice.Upstream.ID]++
+	}
+	for id, count := range counts {
+		assert.Assert(t, float64(count) <= boundedLoad*180/9+loadSlack+1, "%s has %d of 180", id, count)
+	}
+}
+
+func TestFailedLeavingAndTriedEnginesArePassedOver(t *testing.T) {
+	c, list := New(), engines(3)
+	first, _ := c.Choose(list, "p", nil, now)
+	c.Failed(first.Upstream.ID, now)
+	second, _ := c.Choose(list, "p", nil, now)
+	assert.Assert(t, second.Upstream.ID != first.Upstream.ID)
+	third, found := c.Choose(list, "p", []string{second.Upstream.ID}, now)
+	assert.Assert(t, found && third.Upstream.ID != second.Upstream.ID && third.Upstream.ID != first.Upstream.ID)
+	back, _ := c.Choose(list, "p", nil, now.Add(avoidAfterFailure))
+	assert.Equal(t, back.Upstream.ID, first.Upstream.ID)
+
+	for i := range list {
+		list[i].Leaving = true
+	}
+	_, found = c.Choose(list, "p", nil, now)
+	assert.Assert(t, !found)
+}
+
+func TestAnEngineThatAllFailedIsBetterThanNone(t *testing.T) {
+	c, list := New(), engines(1)
+	c.Failed("e0", now)
+	_, found := c.Choose(list, "p", nil, now)
+	assert.Assert(t, found)
+}
+
+func TestPlainServicesGoByTheShareOfSlotsInUse(t *testing.T) {
+	c := New()
+	list := []routes.Upstream{{ID: "a", Slots: 2, Zone: "z"}, {ID: "b", Slots: 8, Zone: "y"}}
+	c.Heard("a", Load{Running: 1, Slots: 2, At: now})
+	c.Heard("b", Load{Running: 2, Slots: 8, At: now})
+	choice, _ := c.Least(list, "z", nil, now)
+	assert.Equal(t, choice.Upstream.ID, "b")
+	choice, _ = c.Least(list, "z", nil, now.Add(loadLife))
+	assert.Equal(t, choice.Upstream.ID, "a", "an old word says nothing; the own zone goes first")
+}
+
+func TestOldWordsFadeIntoTheOwnCount(t *testing.T) {
+	c, u := New(), engines(1)[0]
+	c.Started("e0")
+	c.Heard("e0", Load{Running: 10, Waiting: 1, Slots: 64, At: now})
+	c.Started("e0")
+	assert.Equal(t, c.estimate(u, now), 13.0)
+	assert.Equal(t, c.estimate(u, now.Add(loadLife)), 2.0)
+}
+
+func TestForgottenEnginesKeepTheirOpenRequests(t *testing.T) {
+	c := New()
+	c.Started("e0")
+	c.Failed("e1", now)
+	c.Keep(routes.NewUpstreams(nil))
+	assert.Equal(t, len(c.engines), 1)
+	c.Ended("e0")
+	c.Keep(routes.NewUpstreams(nil))
+	assert.Equal(t, len(c.engines), 0)
+}
--- /dev/null
+++ b/core/stages/progress_test.go
@@ -0,0 +1,61 @@
+package stages
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/routes"
+)
+
+// graph is a short branch beside a chain of three.
+var graph = []routes.Stage{{Service: "a"}, {Service: "a"}, {Service: "b", After: []int{1}}, {Service: "c", After: []int{2}}}
+
+func TestStagesStartWhenTheirInputsAreDone(t *testing.T) {
+	p := New(graph, []int{1, 1, 2, 1})
+	assert.DeepEqual(t, p.Start(), []int{0, 1})
+	assert.Assert(t, p.Start() == nil)
+	p.Finish(1, []string{"r1"})
+	assert.DeepEqual(t, p.Start(), []int{2})
+	assert.DeepEqual(t, p.Inputs(2), []string{"r1"})
+	p.Finish(2, []string{"r2", "r3"})
+	assert.DeepEqual(t, p.Start(), []int{3})
+	assert.DeepEqual(t, p.Inputs(3), []string{"r2", "r3"})
+	p.Finish(3, []string{"r4"})
+	assert.Assert(t, !p.Done())
+	p.Finish(0, []string{"r0"})
+	assert.Assert(t, p.Done())
+	assert.DeepEqual(t, p.Final(), []string{"r0", "r4"})
+}
+
+func TestStagesWithoutPiecesAreLeftOut(t *testing.T) {
+	p := New(graph, []int{0, 1, 0, 1})
+	assert.DeepEqual(t, p.Start(), []int{1, 3})
+	p.Finish(1, []string{"r1"})
+	p.Finish(3, []string{"r3"})
+	assert.DeepEqual(t, p.Final(), []string{"r3"})
+}
+
+func TestResultsAreSpentOnceAndOnlyWhenRead(t *testing.T) {
+	p := New(graph, []int{1, 1, 1, 1})
+	p.Start()
+	p.Finish(1, []string{"r1"})
+	assert.Assert(t, p.Spent(false) == nil)
+	p.Take(2)
+	assert.DeepEqual(t, p.Spent(false), []int{1})
+	assert.Assert(t, p.Spent(false) == nil)
+	p.Finish(0, []string{"r0"})
+	assert.Assert(t, p.Spent(false) == nil, "the request itself takes it")
+	assert.DeepEqual(t, p.Spent(true), []int{0})
+}
+
+func TestLengthsFollowTheLongestPath(t *testing.T) {
+	p := New(graph, []int{1, 1, 1, 0})
+	each := func(int) time.Duration { return time.Second }
+	assert.Equal(t, p.Length(1, each), 2*time.Second)
+	assert.Equal(t, p.Tail(1, each), time.Second)
+	assert.Equal(t, p.Length(0, each), time.Second)
+	assert.Equal(t, p.Left(each), 2*time.Second)
+	assert.Assert(t, p.IsLast(0) && p.IsLast(3) && !p.IsLast(1))
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,8 +5,12 @@
 package gateway
 
 import (
+	"errors"
+	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"acaciawinch/gateway/flow"
 	"acaciawinch/gateway/view"
 	"acaciawinch/settings"
@@ -72,6 +76,49 @@
 // Defaults returns the settings of keys that a file may leave out.
 func Defaults() Settings { return Settings{Log: LogSettings{Level: "info"}} }
 
+// Bounds of process.memory_mb: a Go process needs some 16 MB to run at all.
+const (
+	leastMemoryMB = 16
+	mostMemoryMB  = 1 << 20
+)
+
+// Validate implements settings.Validator.
+func (p *ProcessSettings) Validate() error {
+	if p.MemoryMB < leastMemoryMB || p.MemoryMB > mostMemoryMB {
+		return settings.Invalid("memory_mb", "must be from %d to %d", leastMemoryMB, mostMemoryMB)
+	}
+	return nil
+}
+
+// Validate implements settings.Validator.
+func (l *ListenSettings) Validate() error {
+	return errors.Join(
+		checkAddress("clients", l.Clients),
+		checkAddress("readiness", l.Readiness),
+		checkAddress("fleet", l.Fleet),
+		checkAddress("metrics", l.Metrics),
+	)
+}
+
+// Validate implements settings.Validator.
+func (s *StoreSettings) Validate() error { return checkAddress("address", s.Address) }
+
+// checkAddress checks that a key's value is IP:port.
+func checkAddress(key, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return settings.Invalid(key, "must be IP:port, is %q", value)
+	}
+	return nil
+}
+
+// Validate implements settings.Validator.
+func (l *LogSettings) Validate() error {
+	if _, err := log.ParseLevel(l.Level); err != nil {
+		return settings.Invalid("level", "must be debug, info, warn or error, is %q", l.Level)
+	}
+	return nil
+}
+
 // Validate implements settings.Validator.
 func (b *BoundSettings) Validate() error {
 	switch {
