--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 thin: build ## run one entry and one upstream per stage, and stream one request
 	bin/demo --bin bin --thin
 
-demo: build ## run the Institute's deployment and send requests of each kind
+demo: build ## run the Institute's deployment, then gateways on the users' platform, and send requests of each kind
 	bin/demo --bin bin
+	bin/platformdemo --bin bin
 
 bench: build ## offer load to both deployments under our policy and the baselines; writes docs/measurements/
 	bin/bench load --version $(shell git rev-parse --short HEAD) --out docs/measurements
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +40,38 @@
 	}
 }
 
+// placeholder matches a value of the platform in a template.
+var placeholder = regexp.MustCompile(`\{\{([a-z_0-9.]+)(\|json)?\}\}`)
+
+// platformValues are values as the platform gives them.
+var platformValues = map[string]string{
+	"node_name": "edge-1", "zone": "sala-inaquito", "ip": "10.1.0.41", "limits.memory_mb": "284",
+	"listen.frontend": "10.1.0.41:8625", "listen.readiness": "10.1.0.41:8621", "internal_ports.0": "7740", "internal_ports.1": "7755",
+	"platform.address": "10.200.1.7:8624", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
+	"bounds.retry_budget_ratio": "0.2", "bounds.retry_budget_slack": "54",
+}
+
+// number matches values that JSON does not quote.
+var number = regexp.MustCompile(`^[0-9.]+$`)
+
+func TestTheTemplateOfThePlatformGivesSoundSettings(t *testing.T) {
+	template, err := os.ReadFile("../deploy/gateway.toml.tmpl")
+	assert.NilError(t, err)
+	filled := placeholder.ReplaceAllStringFunc(string(template), func(found string) string {
+		match := placeholder.FindStringSubmatch(found)
+		value, known := platformValues[match[1]]
+		assert.Check(t, known, "the platform has no %s", match[1])
+		if match[2] != "" && !number.MatchString(value) {
+			return strconv.Quote(value)
+		}
+		return value
+	})
+	loaded := Defaults()
+	assert.NilError(t, settings.Decode("node.toml", []byte(filled), &loaded))
+	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
+	assert.Equal(t, loaded.Bounds, BoundSettings{RevokeMS: 5000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54})
+}
+
 func TestKeysAreTrustedShorterThanTheBound(t *testing.T) {
 	assert.Equal(t, (&BoundSettings{RevokeMS: 5000}).confirmWithin(), 4500*time.Millisecond)
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,6 +16,11 @@
 GOWORK=off go build -C tools -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
 ./bin/staticcheck work
 
+# The users' platform builds with the line of the deploy file; the same line must work here.
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+echo "deploy: $build"
+sh -c "$build"
+
 skip='^$'
 if [ -s KNOWN-RED.txt ]; then
   echo "known red, left out of this run:"
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -148,3 +148,9 @@
 	}
 	return nil
 }
+
+// NewProcess returns a process that does not run yet: the program at path with args,
+// whose output goes to the file log and which serves when readyURL answers 200.
+func NewProcess(name, log, readyURL, path string, args ...string) *Process {
+	return &Process{Name: name, Log: log, ReadyURL: readyURL, path: path, args: args}
+}
--- /dev/null
+++ b/standin/platformfleet/fleet.go
@@ -0,0 +1,193 @@
+// Package platformfleet runs gateways as real processes against stand-ins of the
+// users' platform: its store and the workers of a small deployment.
+package platformfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"acaciawinch/standin/harness"
+	"acaciawinch/standin/metastore"
+	"acaciawinch/standin/worker"
+)
+
+// Hosts and services of the deployment.
+const (
+	Host      = "bonos.example"
+	Key       = "key-of-pensionistas"
+	workspace = "pensionistas"
+
+	engines  = "asistente-llm"
+	desks    = "atencion-sucur"
+	encoders = "libro-bonos"
+	rankers  = "avisos-ahorro"
+)
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Store    *metastore.Store
+	Gateways []*Gateway
+	// Workers holds the workers by service.
+	Workers map[string][]*worker.Worker
+
+	folder string
+	server *http.Server
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	*harness.Process
+	// Clients is the address for clients.
+	Clients string
+}
+
+// Options say what to start.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Gateways is how many gateways run.
+	Gateways int
+}
+
+// Start starts the store, the workers and the gateways and waits until all serve.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "acaciawinch-platform-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Store: metastore.New(), Workers: make(map[string][]*worker.Worker), folder: folder}
+	if err := f.start(ctx, o); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+// start starts all parts.
+func (f *Fleet) start(ctx context.Context, o Options) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.server = &http.Server{Handler: f.Store, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = f.server.Serve(listener) }() // it ends with Kill
+	for service, kind := range map[string]worker.Kind{engines: worker.Engine, desks: worker.Plain, encoders: worker.Stage, rankers: worker.Stage} {
+		if err := f.startWorkers(service, kind); err != nil {
+			return err
+		}
+	}
+	f.Store.Put("config", "main", configuration())
+	for i := range o.Gateways {
+		if err := f.startGateway(o, i, listener.Addr().String()); err != nil {
+			return err
+		}
+	}
+	for _, g := range f.Gateways {
+		if err := g.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// workersEach is how many workers each service has.
+const workersEach = 2
+
+// startWorkers starts and registers the workers of a service.
+func (f *Fleet) startWorkers(service string, kind worker.Kind) error {
+	for i := range workersEach {
+		w, err := worker.Start(fmt.Sprintf("%s-%d", service, i+1), kind)
+		if err != nil {
+			return err
+		}
+		w.CallTime = 20 * time.Millisecond
+		f.Workers[service] = append(f.Workers[service], w)
+		f.Store.Put("servers", w.ID, discovered{Service: service, Address: w.Address(), Zone: "sala-inaquito", Slots: 8, State: "ready"})
+	}
+	return nil
+}
+
+// startGateway writes a gateway's settings and starts its process.
+func (f *Fleet) startGateway(o Options, number int, store string) error {
+	var ports [4]string
+	for i := range ports {
+		address, err := unused()
+		if err != nil {
+			return err
+		}
+		ports[i] = address
+	}
+	name := fmt.Sprintf("gateway-%d", number+1)
+	path := filepath.Join(f.folder, name+".toml")
+	if err := os.WriteFile(path, []byte(settings(name, store, ports)), 0o600); err != nil {
+		return err
+	}
+	process := harness.NewProcess(name, filepath.Join(f.folder, name+".log"), "http://"+ports[1]+"/readyz",
+		filepath.Join(o.Bin, "acaciawinchd"), "gateway", "--config", path)
+	f.Gateways = append(f.Gateways, &Gateway{Process: process, Clients: ports[0]})
+	return process.Start()
+}
+
+// unused returns an address that nobody listens on.
+func unused() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// Stop stops the gateways with SIGTERM and waits for their end. An error tells of one
+// that did not exit with 0.
+func (f *Fleet) Stop(ctx context.Context) error {
+	var failed []error
+	for _, g := range f.Gateways {
+		failed = append(failed, g.Interrupt())
+	}
+	for _, g := range f.Gateways {
+		failed = append(failed, g.AwaitExit(ctx))
+	}
+	return errors.Join(failed...)
+}
+
+// Kill ends everything at once and removes the folder.
+func (f *Fleet) Kill() {
+	for _, g := range f.Gateways {
+		g.Kill()
+	}
+	for _, list := range f.Workers {
+		for _, w := range list {
+			w.Close()
+		}
+	}
+	if f.server != nil {
+		_ = f.server.Close() // nobody needs its last answers
+	}
+	_ = os.RemoveAll(f.folder) // a folder that stays harms nobody
+}
+
+// RemoveWorker makes the first worker of a service leave: its entry goes, and it ends.
+func (f *Fleet) RemoveWorker(service string) {
+	w := f.Workers[service][0]
+	f.Store.Remove("servers", w.ID)
+	w.Close()
+}
+
+// Runs returns how often each request ran, by its id.
+func (f *Fleet) Runs() map[string]int {
+	runs := make(map[string]int)
+	for _, list := range f.Workers {
+		for _, w := range list {
+			for _, run := range w.Runs() {
+				runs[run.ID]++
+			}
+		}
+	}
+	return runs
+}
