Cut large pools into parts with an owner each

Cause: one owner queues for a whole pool. At the size planned for, 810 requests a second with some ten items each over five pools, it would get 1,600 items a second, more than the 0.3 of a core that a gateway has may carry. A pool of more than 24 upstreams is cut into parts by hash of the upstreams' ids, each with its own queue and owner; a request's task goes to the shorter queue of two. Pools of today have one part, so that nothing changes there.

--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -25,17 +25,17 @@
 type Upstreams struct {
 	byService map[string][]Upstream
 	byID      map[string]Upstream
-	zones     map[string]string
+	byAddress map[string]Upstream
 }
 
 // NewUpstreams returns a snapshot. The upstreams of a service are in the order of
 // their IDs.
 func NewUpstreams(list []Upstream) *Upstreams {
-	u := &Upstreams{byService: make(map[string][]Upstream), byID: make(map[string]Upstream, len(list)), zones: make(map[string]string, len(list))}
+	u := &Upstreams{byService: make(map[string][]Upstream), byID: make(map[string]Upstream, len(list)), byAddress: make(map[string]Upstream, len(list))}
 	for _, upstream := range list {
 		u.byService[upstream.Service] = append(u.byService[upstream.Service], upstream)
 		u.byID[upstream.ID] = upstream
-		u.zones[upstream.Address] = upstream.Zone
+		u.byAddress[upstream.Address] = upstream
 	}
 	for _, ofService := range u.byService {
 		sort.Slice(ofService, func(i, j int) bool { return ofService[i].ID < ofService[j].ID })
@@ -64,4 +64,7 @@
 
 // ZoneOf returns the availability zone of the upstream at an address, empty if there
 // is none.
-func (u *Upstreams) ZoneOf(address string) string { return u.zones[address] }
+func (u *Upstreams) ZoneOf(address string) string { return u.byAddress[address].Zone }
+
+// IDOf returns the ID of the upstream at an address, empty if there is none.
+func (u *Upstreams) IDOf(address string) string { return u.byAddress[address].ID }
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -221,7 +221,7 @@
 	began := time.Now()
 	due := run.began.Add(run.route.Objective - engineAllowance - tail)
 	result, owner, err := run.Asker.Do(run.ctx, pools.Task{
-		Service:     described.Service,
+		Part:        pools.Part{Service: described.Service},
 		Request:     run.asked.ID,
 		Stage:       stage,
 		Pieces:      run.asked.Pieces[stage],
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -34,7 +34,7 @@
 	suspects map[string]time.Time
 	// leaving is set at a planned stop: others own the pools then.
 	leaving bool
-	waits   map[string]time.Duration
+	waits   map[Part]time.Duration
 	number  uint64
 }
 
@@ -50,7 +50,7 @@
 		life:     life,
 		links:    make(map[string]*ownerLink),
 		suspects: make(map[string]time.Time),
-		waits:    make(map[string]time.Duration),
+		waits:    make(map[Part]time.Duration),
 	}
 }
 
@@ -63,6 +63,7 @@
 // of ctx.
 func (a *Asker) Do(ctx context.Context, task Task, begun func()) (Result, string, error) {
 	began := time.Now()
+	task.Part = a.part(task)
 	whole := task
 	var result Result
 	var owner string
@@ -87,7 +88,7 @@
 
 // once gives a task to the owner as it is known now.
 func (a *Asker) once(ctx context.Context, task Task, begun func()) (Result, string, error) {
-	owner := a.owner(task.Service, time.Now())
+	owner := a.owner(task.Part, time.Now())
 	results := make(chan Result, 1)
 	number := a.next()
 	notify := Notify{Begun: begun, Done: func(r Result) { results <- r }}
@@ -102,7 +103,7 @@
 	}
 	select {
 	case result := <-results:
-		a.learn(task.Service, result.Wait)
+		a.learn(task.Part, result.Wait)
 		if result.Failure == OwnerLeft {
 			a.suspect(owner)
 		}
@@ -113,35 +114,60 @@
 	}
 }
 
-// Free gives results of a service back to its owner.
+// Free gives results of a service back to their owners.
 func (a *Asker) Free(service string, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
-	owner := a.owner(service, time.Now())
-	if owner.Name == a.self {
-		a.local.Free(service, handles)
-		return
+	for part, own := range byPart(a.view.Upstreams(), service, handles) {
+		owner := a.owner(part, time.Now())
+		if owner.Name == a.self {
+			a.local.Free(part, own)
+			continue
+		}
+		a.link(owner).free(part, own)
 	}
-	a.link(owner).free(service, handles)
 }
 
-// learn records an owner's estimate of the wait at a service.
-func (a *Asker) learn(service string, wait time.Duration) {
+// part returns the part of a pool that is to do a task: of two that the request's id
+// gives, the one with the shorter wait.
+func (a *Asker) part(task Task) Part {
+	first := Part{Service: task.Service, Count: partsOf(len(a.view.Upstreams().Of(task.Service)))}
+	if first.Count == 1 {
+		return first
+	}
+	second := first
+	first.Index = int(hash(task.Request) % uint64(first.Count))
+	second.Index = int(hash(task.Request+"/") % uint64(first.Count))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waits[second] < a.waits[first] {
+		return second
+	}
+	return first
+}
+
+// learn records an owner's estimate of the wait at a part of a pool.
+func (a *Asker) learn(part Part, wait time.Duration) {
 	if wait <= 0 {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waits[service] = wait
+	a.waits[part] = wait
 }
 
-// Wait returns the last estimate of the time that a stage at a service takes; 0 if
-// there is none yet.
+// Wait returns the last estimate of the time that a stage at a service takes, in the
+// part of its pool that is slowest; 0 if there is none yet.
 func (a *Asker) Wait(service string) time.Duration {
+	count := partsOf(len(a.view.Upstreams().Of(service)))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.waits[service]
+	var longest time.Duration
+	for index := range count {
+		longest = max(longest, a.waits[Part{Service: service, Index: index, Count: count}])
+	}
+	return longest
 }
 
 // next returns a new number for a task.
@@ -152,13 +178,13 @@
 	return a.number
 }
 
-// owner returns the owner of a service's pool: of the members that are not under
+// owner returns the owner of a part of a pool: of the members that are not under
 // suspicion, this process among them, the one with the highest score. This process is
 // taken if there is no other.
-func (a *Asker) owner(service string, now time.Time) view.Member {
+func (a *Asker) owner(part Part, now time.Time) view.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	key := hash(service)
+	key := hash(part.key())
 	best := view.Member{Name: a.self}
 	var highest uint64
 	if !a.leaving {
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -28,7 +28,7 @@
 	defer o.mu.Unlock()
 	took := now.Sub(call.Began)
 	if err != nil {
-		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
+		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
 		p.queue.Fail(call, now)
 		results = nil
@@ -36,7 +36,7 @@
 	made := o.finish(p, call, results, now)
 	if err == nil {
 		p.queue.Succeed(call, now)
-		o.logger.Event(event.PoolCall, observe.Fields{"service": p.service, "upstream": call.Upstream.ID,
+		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
 	}
 	o.pump(p, now)
@@ -168,7 +168,7 @@
 	if len(p.freeing) == 0 {
 		return
 	}
-	for _, upstream := range o.view.Upstreams().Of(p.service) {
+	for _, upstream := range o.view.Upstreams().Of(p.Service) {
 		if at := p.freeing[upstream.Address]; at != nil {
 			go o.sendFree(p, upstream, at)
 		}
--- a/gateway/pools/link.go
+++ b/gateway/pools/link.go
@@ -89,8 +89,13 @@
 
 // free gives results back. If the owner does not get to know, their makers drop them
 // after a while.
-func (l *ownerLink) free(service string, handles []string) {
-	l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Free{Free: &wirepb.PoolFree{Service: service, Handles: handles}}})
+func (l *ownerLink) free(part Part, handles []string) {
+	l.push(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Free{Free: &wirepb.PoolFree{
+		Service: part.Service,
+		Part:    uint32(part.Index),
+		Parts:   uint32(part.Count),
+		Handles: handles,
+	}}})
 }
 
 // run carries messages until the link breaks, and then ends its open tasks.
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -24,7 +24,7 @@
 	logger *observe.Logger
 
 	mu     sync.Mutex
-	pools  map[string]*owned
+	pools  map[Part]*owned
 	ticket pool.Ticket
 	// life bounds the calls.
 	life context.Context
@@ -34,9 +34,9 @@
 
 // owned is one pool at its owner. The Owner's lock guards it.
 type owned struct {
-	service string
-	queue   *pool.Pool
-	tasks   map[pool.Ticket]*openTask
+	Part
+	queue *pool.Pool
+	tasks map[pool.Ticket]*openTask
 	// results holds what upstreams keep, by handle.
 	results map[string]kept
 	// freeing holds what is to be freed, by its upstream's address.
@@ -76,7 +76,7 @@
 
 // NewOwner returns an Owner. Run must be called before tasks come.
 func NewOwner(life context.Context, v *view.View, client *httpconn.Client, logger *observe.Logger) *Owner {
-	return &Owner{view: v, client: client, logger: logger, pools: make(map[string]*owned), life: life}
+	return &Owner{view: v, client: client, logger: logger, pools: make(map[Part]*owned), life: life}
 }
 
 // Run drops what is late until ctx ends.
@@ -97,7 +97,11 @@
 func (o *Owner) tick(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, p := range o.pools {
+	for part, p := range o.pools {
+		if p.empty() && part.Count != partsOf(len(o.view.Upstreams().Of(part.Service))) {
+			delete(o.pools, part) // the pool is cut into other parts now
+			continue
+		}
 		for _, item := range p.queue.Expire(now) {
 			o.fail(p, item.Task.Ticket, Late)
 		}
@@ -107,6 +111,11 @@
 	}
 }
 
+// empty tells whether nothing is asked of the part or kept for it.
+func (p *owned) empty() bool {
+	return len(p.tasks) == 0 && len(p.results) == 0 && len(p.freeing) == 0
+}
+
 // lapse forgets the results that their upstreams no longer keep.
 func (p *owned) lapse(now time.Time) {
 	for handle, result := range p.results {
@@ -127,14 +136,14 @@
 	}
 }
 
-// pool returns the pool of a service, or nil if the configuration has none.
-func (o *Owner) pool(service string) *owned {
-	p := o.pools[service]
+// pool returns a part of a pool, or nil if the configuration has no such pool.
+func (o *Owner) pool(part Part) *owned {
+	p := o.pools[part]
 	if p != nil {
 		return p
 	}
 	p = &owned{
-		service: service,
+		Part:    part,
 		queue:   pool.New(routes.Pool{}),
 		tasks:   make(map[pool.Ticket]*openTask),
 		results: make(map[string]kept),
@@ -144,7 +153,7 @@
 	if !o.configure(p) {
 		return nil
 	}
-	o.pools[service] = p
+	o.pools[part] = p
 	return p
 }
 
@@ -154,13 +163,13 @@
 	if table == nil || upstreams == nil {
 		return false
 	}
-	service := table.Service(p.service)
+	service := table.Service(p.Service)
 	if service == nil || service.Pool == nil {
 		return false
 	}
 	p.keep = service.Pool.KeepTime
 	p.queue.Configure(*service.Pool)
-	p.queue.SetUpstreams(upstreams.Of(p.service))
+	p.queue.SetUpstreams(p.of(upstreams))
 	return true
 }
 
@@ -182,7 +191,7 @@
 
 // submit queues a task for a session. The lock is held.
 func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify) bool {
-	p := o.pool(task.Service)
+	p := o.pool(task.Part)
 	if p == nil {
 		return false
 	}
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -76,7 +76,7 @@
 	case *wirepb.PoolRequest_Cancel:
 		session.Cancel(kind.Cancel)
 	case *wirepb.PoolRequest_Free:
-		session.Free(kind.Free.GetService(), kind.Free.GetHandles())
+		session.Free(partOf(kind.Free), kind.Free.GetHandles())
 	case *wirepb.PoolRequest_Ping:
 		reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Pong{Pong: kind.Ping}})
 	}
@@ -85,7 +85,7 @@
 // taskOf decodes a task.
 func taskOf(m *wirepb.PoolTask) Task {
 	return Task{
-		Service:     m.GetService(),
+		Part:        partOf(m),
 		Request:     m.GetRequest(),
 		Stage:       int(m.GetStage()),
 		Pieces:      int(m.GetPieces()),
@@ -99,6 +99,18 @@
 	}
 }
 
+// parted is a message about a part of a pool.
+type parted interface {
+	GetService() string
+	GetPart() uint32
+	GetParts() uint32
+}
+
+// partOf decodes the part that a message is about.
+func partOf(m parted) Part {
+	return Part{Service: m.GetService(), Index: int(m.GetPart()), Count: int(m.GetParts())}
+}
+
 // pullsOf decodes what the items of a task move.
 func pullsOf(list []*wirepb.PoolPull) []pool.Pull {
 	pulls := make([]pool.Pull, len(list))
@@ -132,6 +144,8 @@
 		DueMs:       t.Due.Milliseconds(),
 		Rank:        uint32(max(0, t.Rank)),
 		Pulls:       pullMessages(t.Pulls),
+		Part:        uint32(t.Index),
+		Parts:       uint32(t.Count),
 	}
 }
 
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -48,11 +48,11 @@
 	}
 }
 
-// Free gives results of a service back.
-func (s *Session) Free(service string, handles []string) {
+// Free gives results of a part of a pool back.
+func (s *Session) Free(part Part, handles []string) {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
-	if p := s.owner.pools[service]; p != nil {
+	if p := s.owner.pool(part); p != nil {
 		p.free(handles)
 	}
 }
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -14,7 +14,8 @@
 
 // Task is one request's stage.
 type Task struct {
-	Service string
+	// Part is the part of the service's pool that does it; the Asker chooses it.
+	Part
 	// Request is the client's id of its request.
 	Request string
 	Stage   int
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -169,3 +169,41 @@
 	}
 	f.waitLines(2, `"id-stream"`, "stage_done")
 }
+
+// TestALargePoolIsUsedInAllItsParts: a pool above the size of one part is queued for in
+// parts; upstreams of both work, and all results are freed.
+func TestALargePoolIsUsedInAllItsParts(t *testing.T) {
+	f := newFleet(t)
+	f.worker("llm-1", "llm", worker.Engine)
+	var pool []*worker.Worker
+	for i := range 30 {
+		pool = append(pool, f.worker(fmt.Sprintf("enc-%d", i), "enc", worker.Stage))
+	}
+	f.apply(base(1))
+	gateways := []*running{f.start("g1"), f.start("g2"), f.start("g3"), f.start("g4")}
+	for _, name := range []string{"g1", "g2", "g3", "g4"} {
+		f.waitLines(1, "members_changed", `"process":"`+name+`"`)
+	}
+	var clients sync.WaitGroup
+	for i := range 40 {
+		clients.Go(func() {
+			id := fmt.Sprintf("r%d", i)
+			assert.Check(t, f.askStream(gateways[i%4], id).body == stream(id))
+		})
+	}
+	clients.Wait()
+	used := 0
+	for _, w := range pool {
+		if len(w.Batches()) > 0 {
+			used++
+		}
+	}
+	assert.Assert(t, used > 20, "%d of 30 workers were used", used)
+	f.waitUntil(func() bool {
+		kept := 0
+		for _, w := range pool {
+			kept += w.Kept()
+		}
+		return kept == 0
+	}, "all results are freed")
+}
