--- a/gateway/pools/part.go
+++ b/gateway/pools/part.go
@@ -24,8 +24,8 @@
 // partsOf returns how many parts a pool with a number of upstreams has.
 func partsOf(upstreams int) int { return max(1, (upstreams+partUpstreams-1)/partUpstreams) }
 
-// has tells whether an upstream belongs to the part.
-func (p Part) has(id string) bool { return int(hash(id)%uint64(max(1, p.Count))) == p.Index }
+// Has tells whether an upstream belongs to the part.
+func (p Part) Has(id string) bool { return int(hash(id)%uint64(max(1, p.Count))) == p.Index }
 
 // of returns the upstreams of the part.
 func (p Part) of(upstreams *routes.Upstreams) []routes.Upstream {
@@ -35,7 +35,7 @@
 	}
 	var own []routes.Upstream
 	for _, upstream := range all {
-		if p.has(upstream.ID) {
+		if p.Has(upstream.ID) {
 			own = append(own, upstream)
 		}
 	}
