--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -130,7 +131,7 @@
 	if !rq.View.KeysTrusted() {
 		// A key may have been taken away since the store was last heard: without proof
 		// within the bound nothing with a key runs.
-		return rq.refuse(http.StatusServiceUnavailable, "request.authorise", "the keys are not confirmed", retryUnready)
+		return rq.refuse(http.StatusServiceUnavailable, "request.authorise", "the keys were last confirmed "+rq.keysAge(), retryUnready)
 	}
 	rq.workspace = rq.table.Workspace(rq.asked.Key)
 	if rq.workspace == nil {
@@ -139,6 +140,15 @@
 	return true
 }
 
+// keysAge tells how old what is known of keys is, for people.
+func (rq *request) keysAge() string {
+	age, known := rq.View.KeysAge()
+	if !known {
+		return "never"
+	}
+	return strconv.FormatInt(age.Milliseconds(), 10) + " ms ago"
+}
+
 // knownWithin is the age of what is known up to which a route or key that is not
 // found does not exist; older than that it may be new.
 const knownWithin = 2500 * time.Millisecond
@@ -147,7 +157,7 @@
 // the configuration here may be old.
 func (rq *request) refuseUnknown(status int, detail string) bool {
 	if age, known := rq.View.KeysAge(); !known || age > knownWithin {
-		return rq.refuse(http.StatusServiceUnavailable, "request.admit", detail+", and the configuration is not confirmed", retryUnready)
+		return rq.refuse(http.StatusServiceUnavailable, "request.admit", detail+", and the configuration was last confirmed "+rq.keysAge(), retryUnready)
 	}
 	return rq.refuse(status, "request.admit", detail, 0)
 }
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -24,7 +24,7 @@
 func (rq *request) relayWhole(id string, answer *httpconn.Answer) error {
 	content, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
 	if err != nil {
-		return &sendFailure{ran: true, err: fault.Wrap(fault.Ambiguous, "upstream.read", id, err)}
+		return &sendFailure{ran: true, err: rq.readError("upstream.read", id, err)}
 	}
 	if answer.Status/100 == 5 && rq.triesAgain() {
 		return &sendFailure{ran: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d", answer.Status)}
@@ -86,7 +86,7 @@
 			return nil
 		}
 		if err != nil {
-			return &sendFailure{ran: true, err: fault.Wrap(fault.Ambiguous, "upstream.stream", id, err)}
+			return &sendFailure{ran: true, err: rq.readError("upstream.stream", id, err)}
 		}
 		if err := rq.pass(next, out); err != nil {
 			return &sendFailure{ran: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
@@ -94,6 +94,15 @@
 	}
 }
 
+// readError returns why the rest of an answer could not be read: the request's own end
+// if that is why its connection was closed.
+func (rq *request) readError(step, id string, err error) error {
+	if ended := rq.ctx.Err(); ended != nil {
+		return fault.Wrap(fault.DeadlineExceeded, step, id, ended)
+	}
+	return fault.Wrap(fault.Ambiguous, step, id, err)
+}
+
 // pass writes one event to the client.
 func (rq *request) pass(next events.Event, out *http.ResponseController) error {
 	if rq.events == 0 {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -18,16 +18,18 @@
 const MemberKind = "acaciawinch-gateways"
 
 // Waits of the watches. A watch ends without a change after its wait, which proves
-// that nothing had changed when it began.
+// that nothing had changed when it began. Longer waits mean fewer calls of the store:
+// these make 0.88 a second in each process.
 const (
-	// configWait must leave room for two watches, a slow answer and a new try within
-	// the time for which keys are trusted, 5 s on the sites known.
+	// configWait must leave room for two watches and a slow answer within the time for
+	// which keys are trusted, 4.5 s on the sites known. It is also how soon a store that
+	// has fallen silent is noticed: 2 s in its place lost a tenth of what trouble days
+	// are worth.
 	configWait = 1500 * time.Millisecond
-	// upstreamWait bounds how late a connection that went silent without the notice
-	// of keep-alive probes hides an upstream's leaving.
-	upstreamWait = 3 * time.Second
-	// memberWait is long, as a wrong list of members costs efficiency only.
-	memberWait = 20 * time.Second
+	// upstreamWait and memberWait are long, as these watches are begun anew when that of
+	// the configuration is answered again after a failure.
+	upstreamWait = 6 * time.Second
+	memberWait   = 20 * time.Second
 )
 
 // Pauses between tries after a failure, doubled up to the longest.
@@ -49,9 +51,16 @@
 // Run follows the store until ctx ends.
 func (v *View) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return v.follow(ctx, document.ConfigKind, configWait, &configFollower{view: v}) })
-	group.Go(func() error { return v.follow(ctx, document.WorkerKind, upstreamWait, newUpstreamFollower(v)) })
-	group.Go(func() error { return v.follow(ctx, MemberKind, memberWait, newMemberFollower(v)) })
+	upstreams := v.newFollower(document.WorkerKind, upstreamWait, newUpstreamFollower(v))
+	members := v.newFollower(MemberKind, memberWait, newMemberFollower(v))
+	config := v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
+	config.onRegained = func() {
+		upstreams.again()
+		members.again()
+	}
+	for _, f := range []*follower{upstreams, members, config} {
+		group.Go(func() error { return f.run(ctx) })
+	}
 	return group.Wait()
 }
 
@@ -67,21 +76,57 @@
 	// lost is set while the store does not answer.
 	lost  bool
 	pause time.Duration
+	// onRegained is called when the store answers again; nil calls nothing.
+	onRegained func()
+	// restart takes a wish to begin the call anew.
+	restart chan struct{}
+}
+
+// newFollower returns a follower that has made no call.
+func (v *View) newFollower(kind string, wait time.Duration, to receiver) *follower {
+	return &follower{view: v, kind: kind, wait: wait, to: to, pause: firstPause, restart: make(chan struct{}, 1)}
 }
 
-// follow lists a kind and watches it until ctx ends.
-func (v *View) follow(ctx context.Context, kind string, wait time.Duration, to receiver) error {
-	f := &follower{view: v, kind: kind, wait: wait, to: to, pause: firstPause}
+// run lists the kind and watches it until ctx ends.
+func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		restarted, err := f.call(ctx)
+		switch {
+		case restarted:
+		case err != nil && ctx.Err() == nil:
 			f.failed(ctx, err)
-			continue
+		default:
+			f.regained()
 		}
-		f.regained()
 	}
 	return nil
 }
 
+// again ends the call that waits, or the pause after one that failed: a store that was
+// silent for a while never answers a call of that time.
+func (f *follower) again() {
+	select {
+	case f.restart <- struct{}{}:
+	default:
+	}
+}
+
+// call makes one step, unless it is to begin anew on the way.
+func (f *follower) call(ctx context.Context) (restarted bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- f.step(ctx) }()
+	select {
+	case err = <-done:
+		return false, err
+	case <-f.restart:
+		cancel()
+		<-done
+		return true, nil
+	}
+}
+
 // step makes one call and hands on what it brought.
 func (f *follower) step(ctx context.Context) error {
 	began := clock.Boot()
@@ -121,6 +166,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-f.restart:
 	case <-timer.C:
 	}
 	f.pause = min(2*f.pause, longestPause)
@@ -130,6 +176,9 @@
 func (f *follower) regained() {
 	if f.lost {
 		f.view.options.Logger.Event(event.WatchRegained, observe.Fields{"kind": f.kind, "revision": f.revision})
+		if f.onRegained != nil {
+			f.onRegained()
+		}
 	}
 	f.lost = false
 	f.pause = firstPause
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -149,6 +149,23 @@
 	f.waitLines(1, "table_in_force", `"process":"g1"`, `"version":2`)
 }
 
+// TestAStoreThatWasSilentIsReadAnewAtOnce: the long watches of that time are never
+// answered, and must not be waited for.
+func TestAStoreThatWasSilentIsReadAnewAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.apply(base(1))
+	f.start("g1")
+	f.waitLines(1, "members_changed", `"process":"g1"`)
+	f.store.SetFaults(metastore.Faults{Silent: true})
+	f.waitLines(1, "watch_lost", `"process":"g1"`, `"kind":"config"`)
+	f.store.SetFaults(faultsNone)
+	f.waitLines(1, "watch_regained", `"process":"g1"`, `"kind":"config"`)
+	f.start("g2")
+	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2"]`)
+	timedOut, _ := f.log.lines("watch_lost", `"process":"g1"`, `"kind":"acaciawinch-gateways"`)
+	assert.Equal(t, len(timedOut), 0, "the watch of that time was waited for")
+}
+
 // TestTheIdLeadsThroughAllLogs follows one request of each kind by its id alone.
 func TestTheIdLeadsThroughAllLogs(t *testing.T) {
 	f := newFleet(t)
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -84,6 +84,8 @@
 	defer cancel()
 	found, at, gone := s.watch(ctx, kind, revision)
 	switch {
+	case s.silent():
+		<-r.Context().Done()
 	case s.faulty():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case gone:
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -194,3 +194,10 @@
 	defer s.mu.Unlock()
 	return s.faults.Refuse != 0 || s.faults.Silent
 }
+
+// silent tells whether calls get no answer now.
+func (s *Store) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Silent
+}
