--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -168,7 +168,7 @@
 	if len(p.freeing) == 0 {
 		return
 	}
-	for _, upstream := range o.view.Upstreams().Of(p.Service) {
+	for _, upstream := range o.fleet.Upstreams().Of(p.Service) {
 		if at := p.freeing[upstream.Address]; at != nil {
 			go o.sendFree(p, upstream, at)
 		}
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,7 +8,6 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
-	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -16,10 +15,17 @@
 // tickEvery is how often an owner drops what is late and forgets what has lapsed.
 const tickEvery = 20 * time.Millisecond
 
+// Fleet is what an Owner needs to know of the fleet. Both answers are nil before the
+// first configuration or list.
+type Fleet interface {
+	Table() *routes.Table
+	Upstreams() *routes.Upstreams
+}
+
 // Owner queues and calls for the pools that askers give it. It may be used by many
 // goroutines.
 type Owner struct {
-	view   *view.View
+	fleet  Fleet
 	client *httpconn.Client
 	logger *observe.Logger
 
@@ -75,8 +81,8 @@
 }
 
 // NewOwner returns an Owner. Run must be called before tasks come.
-func NewOwner(life context.Context, v *view.View, client *httpconn.Client, logger *observe.Logger) *Owner {
-	return &Owner{view: v, client: client, logger: logger, pools: make(map[Part]*owned), life: life}
+func NewOwner(life context.Context, fleet Fleet, client *httpconn.Client, logger *observe.Logger) *Owner {
+	return &Owner{fleet: fleet, client: client, logger: logger, pools: make(map[Part]*owned), life: life}
 }
 
 // Run drops what is late until ctx ends.
@@ -98,7 +104,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for part, p := range o.pools {
-		if p.empty() && part.Count != partsOf(len(o.view.Upstreams().Of(part.Service))) {
+		if p.empty() && part.Count != partsOf(len(o.fleet.Upstreams().Of(part.Service))) {
 			delete(o.pools, part) // the pool is cut into other parts now
 			continue
 		}
@@ -159,7 +165,7 @@
 
 // configure gives a pool its settings and upstreams, and tells whether it has any.
 func (o *Owner) configure(p *owned) bool {
-	table, upstreams := o.view.Table(), o.view.Upstreams()
+	table, upstreams := o.fleet.Table(), o.fleet.Upstreams()
 	if table == nil || upstreams == nil {
 		return false
 	}
@@ -251,14 +257,16 @@
 // batch; the rest is for busy links.
 const readAllowance = 100 * time.Millisecond
 
-// soleAfter is how long after the change of an owner the calls of the one before may
-// still keep upstreams busy, so that a call waits there with its inputs unread.
+// soleAfter is how long after the change of an owner, at least, the calls of the one
+// before may still keep upstreams busy, so that a call waits there with its inputs
+// unread. The results of that time lie there for as long as results are kept: an item
+// may find no room, and is tried again, for which its inputs must still be there.
 const soleAfter = time.Second
 
 // tellBegun tells the askers of tasks whose last items go out with a call that the
 // inputs have been read, as soon as they must have been.
 func (o *Owner) tellBegun(p *owned, call *pool.Call) {
-	if call.Began.Sub(p.since) < soleAfter || !p.queue.Alone(call.Upstream.ID) {
+	if call.Began.Sub(p.since) < max(soleAfter, p.keep) || !p.queue.Alone(call.Upstream.ID) {
 		return
 	}
 	var begun []pool.Ticket
--- /dev/null
+++ b/gateway/pools/owner_test.go
@@ -0,0 +1,230 @@
+package pools
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/observe"
+	"acaciawinch/platform/stagecall"
+)
+
+// known is a fixed picture of the fleet.
+type known struct {
+	table     *routes.Table
+	upstreams *routes.Upstreams
+}
+
+// Table implements Fleet.
+func (k known) Table() *routes.Table { return k.table }
+
+// Upstreams implements Fleet.
+func (k known) Upstreams() *routes.Upstreams { return k.upstreams }
+
+// stageWorker answers stage calls from a script, one step a call.
+type stageWorker struct {
+	mu     sync.Mutex
+	script []func(items []stagecall.Item) (int, []stagecall.Result)
+	calls  [][]stagecall.Item
+}
+
+// ServeHTTP implements http.Handler.
+func (w *stageWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || r.URL.Path != stagecall.RunPath {
+		return
+	}
+	var asked struct{ Items []stagecall.Item }
+	if json.Unmarshal(body, &asked) != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	w.calls = append(w.calls, asked.Items)
+	step := w.script[0]
+	if len(w.script) > 1 {
+		w.script = w.script[1:]
+	}
+	w.mu.Unlock()
+	status, results := step(asked.Items)
+	out.WriteHeader(status)
+	_ = json.NewEncoder(out).Encode(struct {
+		Items []stagecall.Result `json:"items"`
+	}{results}) // a caller that is gone needs no answer
+}
+
+// makes makes all items.
+func makes(items []stagecall.Item) (int, []stagecall.Result) {
+	results := make([]stagecall.Result, len(items))
+	for i := range results {
+		results[i] = stagecall.Result{Handle: "h/" + items[i].Request}
+	}
+	return http.StatusOK, results
+}
+
+// gives ends all items with a reason.
+func gives(reason stagecall.Reason) func([]stagecall.Item) (int, []stagecall.Result) {
+	return func(items []stagecall.Item) (int, []stagecall.Result) {
+		results := make([]stagecall.Result, len(items))
+		for i := range results {
+			results[i].Reason = reason
+		}
+		return http.StatusOK, results
+	}
+}
+
+// breaks fails the whole call.
+func breaks([]stagecall.Item) (int, []stagecall.Result) { return http.StatusInternalServerError, nil }
+
+// newOwner returns an owner before one worker that plays a script.
+func newOwner(t *testing.T, script ...func([]stagecall.Item) (int, []stagecall.Result)) (*Owner, *stageWorker) {
+	t.Helper()
+	w := &stageWorker{script: script}
+	server := httptest.NewServer(w)
+	ctx, cancel := context.WithCancel(context.Background())
+	pool := &routes.Pool{Slots: 1, Batch: 4, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, RoomBytes: 1 << 20, KeepTime: 4 * time.Second}
+	logger, err := observe.NewLogger(io.Discard, "test", "error")
+	assert.NilError(t, err)
+	client := httpconn.New(func(int, http.Header) httpconn.Echo { return httpconn.Echo{} })
+	o := NewOwner(ctx, known{
+		table:     routes.NewTable(1, routes.Limits{}, nil, []*routes.Service{{Name: "enc", Pool: pool}}, nil),
+		upstreams: routes.NewUpstreams([]routes.Upstream{{ID: "w", Service: "enc", Address: strings.TrimPrefix(server.URL, "http://")}}),
+	}, client, logger)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, o.Run(ctx))
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		client.Close()
+		server.Close()
+	})
+	return o, w
+}
+
+// task returns a task of one piece.
+func task(id string) Task {
+	return Task{Part: Part{Service: "enc", Count: 1}, Request: id, Pieces: 1, Remaining: 20 * time.Second, Due: 10 * time.Second}
+}
+
+// submit gives an owner a task and returns where its end arrives.
+func submit(s *Session, number uint64, t Task, begun func()) <-chan Result {
+	results := make(chan Result, 1)
+	s.Submit(number, t, Notify{Begun: begun, Done: func(r Result) { results <- r }})
+	return results
+}
+
+// TestNoItemIsSentWithoutItsTask: a call fails after one of its tasks was cancelled;
+// only the other's item is sent again.
+func TestNoItemIsSentWithoutItsTask(t *testing.T) {
+	sent, goOn := make(chan struct{}), make(chan struct{})
+	o, w := newOwner(t, func(items []stagecall.Item) (int, []stagecall.Result) {
+		close(sent)
+		<-goOn
+		return breaks(items)
+	}, makes)
+	s := o.Session(true)
+	first := submit(s, 1, task("a"), nil)
+	<-sent
+	second := submit(s, 2, task("b"), nil)
+	s.Cancel(1)
+	close(goOn)
+	assert.Equal(t, (<-second).Failure, Failure(""))
+	assert.Equal(t, len(first), 0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, call := range w.calls[1:] {
+		for _, item := range call {
+			assert.Equal(t, item.Request, "b")
+		}
+	}
+}
+
+func TestReasonsOfAnUpstreamBecomeFailures(t *testing.T) {
+	for reason, failure := range map[stagecall.Reason]Failure{stagecall.Late: Late, stagecall.Gone: Gone, stagecall.Failed: Failed} {
+		o, _ := newOwner(t, gives(reason))
+		assert.Equal(t, (<-submit(o.Session(true), 1, task("a"), nil)).Failure, failure, string(reason))
+	}
+}
+
+func TestWantOfRoomIsTriedUntilThereIsSome(t *testing.T) {
+	full := gives(stagecall.Room)
+	o, _ := newOwner(t, full, full, full, full, full, makes)
+	result := <-submit(o.Session(true), 1, task("a"), nil)
+	assert.DeepEqual(t, result.Handles, []string{"h/a"})
+}
+
+// TestANewOwnerKeepsInputsUntilOldResultsHaveLapsed: an owner that may not know what
+// lies at its upstreams does not say that inputs may be freed; one of long standing does.
+func TestANewOwnerKeepsInputsUntilOldResultsHaveLapsed(t *testing.T) {
+	for _, age := range []time.Duration{0, 10 * time.Second} {
+		sent, goOn := make(chan struct{}), make(chan struct{})
+		o, _ := newOwner(t, func(items []stagecall.Item) (int, []stagecall.Result) {
+			close(sent)
+			<-goOn
+			return makes(items)
+		})
+		p := o.pool(Part{Service: "enc", Count: 1})
+		p.since = p.since.Add(-age)
+		with := task("a")
+		with.Inputs = []string{"x/1"}
+		begun := make(chan struct{})
+		result := submit(o.Session(true), 1, with, func() { close(begun) })
+		<-sent
+		told := false
+		o.mu.Lock()
+		for _, open := range p.tasks {
+			told = open.begun
+		}
+		o.mu.Unlock()
+		assert.Check(t, told == (age > 0), "an owner for %v: inputs are said to be read: %v", age, told)
+		if told {
+			<-begun
+		}
+		close(goOn)
+		<-result
+	}
+}
+
+func TestAStoppingOwnerHandsBackWhatItHasNotBegun(t *testing.T) {
+	sent, goOn := make(chan struct{}), make(chan struct{})
+	o, _ := newOwner(t, func(items []stagecall.Item) (int, []stagecall.Result) {
+		close(sent)
+		<-goOn
+		return makes(items)
+	})
+	far := o.Session(false)
+	running := submit(far, 1, task("a"), nil)
+	<-sent
+	waiting := submit(far, 2, task("b"), nil)
+	o.Leave()
+	assert.Equal(t, (<-waiting).Failure, OwnerLeft)
+	assert.Equal(t, (<-submit(far, 3, task("c"), nil)).Failure, OwnerLeft)
+	close(goOn)
+	assert.DeepEqual(t, (<-running).Handles, []string{"h/a"})
+}
+
+func TestTheEndOfASessionCancelsItsTasks(t *testing.T) {
+	o, w := newOwner(t, makes)
+	s := o.Session(false)
+	s.End()
+	late := submit(s, 1, task("a"), nil)
+	other := submit(o.Session(false), 1, task("b"), nil)
+	<-other
+	assert.Equal(t, len(late), 0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Equal(t, len(w.calls), 1)
+}
