--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -3,6 +3,15 @@
 // that it led.
 package rendezvous
 
+import "hash/fnv"
+
+// Hash returns the hash of a key or a name.
+func Hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text)) // a hash never fails to write
+	return h.Sum64()
+}
+
 // Score returns the score of a name for a key, both given by their hashes.
 func Score(key, name uint64) uint64 { return mix(key ^ name) }
 
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -6,7 +6,6 @@
 package selection
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 
@@ -167,20 +166,13 @@
 // byKey returns engines in the order of their scores for a key.
 func byKey(list []routes.Upstream, key string) []routes.Upstream {
 	ordered := append([]routes.Upstream(nil), list...)
-	hashed := hash(key)
+	hashed := rendezvous.Hash(key)
 	sort.Slice(ordered, func(i, j int) bool {
-		return rendezvous.Score(hashed, hash(ordered[i].ID)) > rendezvous.Score(hashed, hash(ordered[j].ID))
+		return rendezvous.Score(hashed, rendezvous.Hash(ordered[i].ID)) > rendezvous.Score(hashed, rendezvous.Hash(ordered[j].ID))
 	})
 	return ordered
 }
 
-// hash returns the hash of a name.
-func hash(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // a hash never fails to write
-	return h.Sum64()
-}
-
 // estimate returns how many requests an engine has: what it last said, changed by
 // what this process has sent and seen end since. An old word fades into this
 // process's own count.
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/framing"
 	"acaciawinch/observe"
@@ -106,6 +106,9 @@
 	if !strings.HasPrefix(rq.r.RequestURI, "/") {
 		return rq.refuse(http.StatusBadRequest, "request.read", "the target is no path", 0)
 	}
+	if limit := rq.table.Limits.HeaderBytes; limit > 0 && headBytes(rq.r) > limit {
+		return rq.refuse(http.StatusRequestHeaderFieldsTooLarge, "request.read", "the headers are longer than allowed", 0)
+	}
 	path, _, _ := strings.Cut(rq.r.RequestURI, "?")
 	rq.route = rq.table.Find(rq.r.Host, path)
 	if rq.route == nil {
@@ -123,6 +126,19 @@
 	return rq.readBody()
 }
 
+// headBytes returns the size of a request's head, as its lines were sent.
+func headBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(" ") + len(" HTTP/1.1\r\n")
+	size += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // authorise finds the workspace of the client's key.
 func (rq *request) authorise() bool {
 	if !rq.table.NeedsKey(rq.route) {
@@ -190,9 +206,7 @@
 	for _, t := range targets {
 		total += t.Weight
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // a hash never fails to write
-	at := int(h.Sum32() % uint32(total))
+	at := int(rendezvous.Hash(id) % uint64(total))
 	for _, t := range targets {
 		if at < t.Weight {
 			return t.Service
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -137,8 +136,8 @@
 		return first
 	}
 	second := first
-	first.Index = int(hash(task.Request) % uint64(first.Count))
-	second.Index = int(hash(task.Request+"/") % uint64(first.Count))
+	first.Index = int(rendezvous.Hash(task.Request) % uint64(first.Count))
+	second.Index = int(rendezvous.Hash(task.Request+"/") % uint64(first.Count))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.waits[second] < a.waits[first] {
@@ -184,30 +183,23 @@
 func (a *Asker) owner(part Part, now time.Time) view.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	key := hash(part.key())
+	key := rendezvous.Hash(part.key())
 	best := view.Member{Name: a.self}
 	var highest uint64
 	if !a.leaving {
-		highest = rendezvous.Score(key, hash(a.self))
+		highest = rendezvous.Score(key, rendezvous.Hash(a.self))
 	}
 	for _, member := range a.view.Members() {
 		if now.Before(a.suspects[member.Incarnation]) {
 			continue
 		}
-		if score := rendezvous.Score(key, hash(member.Name)); score > highest {
+		if score := rendezvous.Score(key, rendezvous.Hash(member.Name)); score > highest {
 			best, highest = member, score
 		}
 	}
 	return best
 }
 
-// hash returns the hash of a name.
-func hash(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name)) // a hash never fails to write
-	return h.Sum64()
-}
-
 // link returns the open link to an owner, or a new one.
 func (a *Asker) link(owner view.Member) *ownerLink {
 	a.mu.Lock()
--- a/gateway/pools/part.go
+++ b/gateway/pools/part.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
 )
 
@@ -25,7 +26,7 @@
 func partsOf(upstreams int) int { return max(1, (upstreams+partUpstreams-1)/partUpstreams) }
 
 // Has tells whether an upstream belongs to the part.
-func (p Part) Has(id string) bool { return int(hash(id)%uint64(max(1, p.Count))) == p.Index }
+func (p Part) Has(id string) bool { return int(rendezvous.Hash(id)%uint64(max(1, p.Count))) == p.Index }
 
 // of returns the upstreams of the part.
 func (p Part) of(upstreams *routes.Upstreams) []routes.Upstream {
@@ -59,7 +60,7 @@
 		part := Part{Service: service, Count: count}
 		if count > 1 {
 			address, _, _ := strings.Cut(handle, "/")
-			part.Index = int(hash(upstreams.IDOf(address)) % uint64(count))
+			part.Index = int(rendezvous.Hash(upstreams.IDOf(address)) % uint64(count))
 		}
 		sorted[part] = append(sorted[part], handle)
 	}
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"acaciawinch/gateway"
 	"acaciawinch/standin/metastore"
+	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
 )
 
@@ -127,89 +128,29 @@
 	return w
 }
 
-// entry is a worker's entry in discovery.
-type entry struct {
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Slots   int    `json:"slots"`
-	State   string `json:"state"`
-}
-
 // register writes a worker's entry.
 func (f *fleet) register(w *worker.Worker, service, state string) {
-	f.store.Put("servers", w.ID, entry{Service: service, Address: w.Address(), Zone: "z1", Slots: 8, State: state})
-}
-
-// document is the operator's configuration.
-type document struct {
-	Version  int64     `json:"version"`
-	Routes   []route   `json:"routes"`
-	Services []service `json:"services"`
-	Tenants  []tenant  `json:"tenants,omitempty"`
-}
-
-type route struct {
-	Name        string  `json:"name"`
-	Host        string  `json:"host"`
-	Prefix      string  `json:"path_prefix"`
-	Kind        string  `json:"route_kind"`
-	TimeoutMS   int     `json:"timeout_ms"`
-	GoalMS      int     `json:"goal_ms"`
-	Service     string  `json:"service"`
-	MaxAttempts int     `json:"max_attempts"`
-	Stages      []stage `json:"stages,omitempty"`
-	Resumable   bool    `json:"resumable,omitempty"`
-}
-
-type stage struct {
-	Service   string `json:"service"`
-	After     []int  `json:"after"`
-	ByteCount int    `json:"byte_count"`
-}
-
-type service struct {
-	Name   string  `json:"name"`
-	Pieces *pieces `json:"pieces,omitempty"`
-	Engine *engine `json:"engine,omitempty"`
-}
-
-type pieces struct {
-	Slots      int     `json:"slots"`
-	Batch      int     `json:"batch"`
-	CallMS     float64 `json:"call_ms"`
-	ItemMS     float64 `json:"item_ms"`
-	HeadroomMB float64 `json:"headroom_mb"`
-	HandleS    float64 `json:"handle_s"`
-}
-
-type engine struct {
-	Slots int `json:"slots"`
-}
-
-type tenant struct {
-	Name    string   `json:"name"`
-	APIKeys []string `json:"api_keys"`
+	f.store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: "z1", Slots: 8, State: state})
 }
 
 // base returns a configuration with a route of each kind.
-func base(version int64) document {
-	return document{
+func base(version int64) platformdoc.Document {
+	return platformdoc.Document{
 		Version: version,
-		Routes: []route{
+		Routes: []platformdoc.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: "unsafe", TimeoutMS: 5000, GoalMS: 300, Service: "desk", MaxAttempts: 2},
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: "safe", TimeoutMS: 5000, GoalMS: 300, Service: "desk", MaxAttempts: 2},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", TimeoutMS: 9000, GoalMS: 3000, Service: "llm", MaxAttempts: 2, Resumable: true,
-				Stages: []stage{{Service: "enc", After: []int{}, ByteCount: 1000}, {Service: "enc", After: []int{0}, ByteCount: 1000}}},
+				Stages: []platformdoc.Stage{{Service: "enc", After: []int{}, ByteCount: 1000}, {Service: "enc", After: []int{0}, ByteCount: 1000}}},
 			{Name: "strict", Host: "h", Prefix: "/strict/", Kind: "streaming", TimeoutMS: 9000, GoalMS: 3000, Service: "llm", MaxAttempts: 1},
 		},
-		Services: []service{{Name: "desk"}, {Name: "llm", Engine: &engine{Slots: 8}},
-			{Name: "enc", Pieces: &pieces{Slots: 1, Batch: 4, CallMS: 20, ItemMS: 1, HeadroomMB: 1, HandleS: 4}}},
+		Services: []platformdoc.Service{{Name: "desk"}, {Name: "llm", Engine: &platformdoc.Engine{Slots: 8}},
+			{Name: "enc", Pieces: &platformdoc.Pieces{Slots: 1, Batch: 4, CallMS: 20, ItemMS: 1, HeadroomMB: 1, HandleS: 4}}},
 	}
 }
 
 // apply puts a configuration in force.
-func (f *fleet) apply(d document) { f.store.Put("config", "main", d) }
+func (f *fleet) apply(d platformdoc.Document) { f.store.Put("config", "main", d) }
 
 // free returns an address that nobody listens on.
 func (f *fleet) free() string {
--- a/standin/gatewaytest/requests_test.go
+++ b/standin/gatewaytest/requests_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
 )
 
@@ -147,7 +148,7 @@
 	f := newFleet(t)
 	desk := f.worker("desk-1", "desk", worker.Plain)
 	d := base(1)
-	d.Tenants = []tenant{{Name: "w1", APIKeys: []string{"key1"}}}
+	d.Tenants = []platformdoc.Tenant{{Name: "w1", APIKeys: []string{"key1"}}}
 	f.apply(d)
 	g := f.start("g1")
 	assert.Equal(t, f.ask(g, "r1", "GET", "/safe/x", "").status, 401)
@@ -165,7 +166,7 @@
 	f := newFleet(t)
 	desk := f.worker("desk-1", "desk", worker.Plain)
 	d := base(1)
-	d.Tenants = []tenant{{Name: "w1", APIKeys: []string{"key1", "key2"}}}
+	d.Tenants = []platformdoc.Tenant{{Name: "w1", APIKeys: []string{"key1", "key2"}}}
 	f.apply(d)
 	g := f.start("g1")
 	d.Version, d.Tenants[0].APIKeys = 2, []string{"key2"}
@@ -214,6 +215,19 @@
 	assert.Equal(t, len(desk.Runs()), 0)
 }
 
+func TestLimitsOfTheConfigurationHold(t *testing.T) {
+	f := newFleet(t)
+	desk := f.worker("desk-1", "desk", worker.Plain)
+	d := base(1)
+	d.Limits.MaxHeaderBytes, d.Limits.MaxBodyBytes = 1000, 100
+	f.apply(d)
+	g := f.start("g1")
+	assert.Equal(t, f.ask(g, "r1", "POST", "/once/x", strings.Repeat("b", 100), "X-More", strings.Repeat("h", 500)).status, 200)
+	assert.Equal(t, f.ask(g, "r2", "POST", "/once/x", strings.Repeat("b", 101)).status, 413)
+	assert.Equal(t, f.ask(g, "r3", "GET", "/safe/x", "", "X-More", strings.Repeat("h", 1000)).status, 431)
+	assert.Equal(t, len(desk.Runs()), 1)
+}
+
 func TestAClientThatLeavesEndsTheWork(t *testing.T) {
 	f := newFleet(t)
 	desk := f.worker("desk-1", "desk", worker.Plain)
--- a/standin/platformfleet/fleet.go
+++ b/standin/platformfleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"acaciawinch/standin/harness"
 	"acaciawinch/standin/metastore"
+	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
 )
 
@@ -108,7 +109,7 @@
 		}
 		w.CallTime = 20 * time.Millisecond
 		f.Workers[service] = append(f.Workers[service], w)
-		f.Store.Put("servers", w.ID, discovered{Service: service, Address: w.Address(), Zone: "sala-inaquito", Slots: 8, State: "ready"})
+		f.Store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: "sala-inaquito", Slots: 8, State: "ready"})
 	}
 	return nil
 }
