Ask whether the configuration is known before it is taken

Between the two the first configuration could come into force: the request would then have been served without one. Found by reading; the window is some microseconds at the start of a process, and no run has shown it.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -99,8 +99,10 @@
 		rq.w.Header().Set("Connection", "close")
 		return rq.refuse(http.StatusBadRequest, "request.read", "the body has a length and a transfer encoding", 0)
 	}
+	// Ready comes first: it may turn true between the two.
+	ready := rq.View.Ready()
 	rq.table = rq.View.Table()
-	if !rq.View.Ready() {
+	if !ready {
 		return rq.refuse(http.StatusServiceUnavailable, "request.admit", "the configuration is not known yet", retryUnready)
 	}
 	if !strings.HasPrefix(rq.r.RequestURI, "/") {
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -14,12 +14,10 @@
 	"acaciawinch/observe/event"
 )
 
-// Allowances for what follows the stages, taken off the time by which a stage is due.
-const (
-	// engineAllowance is the time from a request's last stage to its first event: the
-	// prompt of a large request and an engine's step.
-	engineAllowance = 300 * time.Millisecond
-)
+// engineAllowance is taken off the time by which the last stage is due. It is the time
+// from there to the first event: the prompt of a large request, 9,000 tokens at 51 in a
+// ms, and an engine's step.
+const engineAllowance = 300 * time.Millisecond
 
 // maxRestarts bounds how often the stages of a request are begun again because a
 // result was lost.
@@ -72,11 +70,10 @@
 	ctx, cancel := context.WithCancel(rq.ctx)
 	defer cancel()
 	run := &stageRun{
-		request:  rq,
-		ctx:      ctx,
-		progress: stages.New(rq.route.Stages, rq.asked.Pieces),
-		news:     make(chan stageNews, newsPerStage*len(rq.route.Stages)),
-
+		request:   rq,
+		ctx:       ctx,
+		progress:  stages.New(rq.route.Stages, rq.asked.Pieces),
+		news:      make(chan stageNews, newsPerStage*len(rq.route.Stages)),
 		startedAt: make(map[int]time.Time),
 	}
 	rq.results = &results{request: rq, progress: run.progress}
