--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -33,6 +33,17 @@
 	memberWait   = 20 * time.Second
 )
 
+// Pauses after changes, in which further ones gather, so that one call brings them all:
+// when upstreams start or stop each of a hundred changes on its own, and every process
+// follows them.
+const (
+	// upstreamGather leaves most of the 2 s within which one that is leaving must get
+	// nothing new.
+	upstreamGather = 400 * time.Millisecond
+	// memberGather is longer, as a wrong list of the others costs efficiency only.
+	memberGather = 200 * time.Millisecond
+)
+
 // Pauses between tries after a failure, doubled up to the longest.
 const (
 	firstPause   = 50 * time.Millisecond
@@ -53,7 +64,9 @@
 func (v *View) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	upstreams := v.newFollower(document.WorkerKind, upstreamWait, newUpstreamFollower(v))
+	upstreams.gather = upstreamGather
 	members := v.newFollower(MemberKind, memberWait, newMemberFollower(v))
+	members.gather = memberGather
 	config := v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
 	config.onRegained = func() {
 		upstreams.again()
@@ -67,9 +80,11 @@
 
 // follower is the loop over one kind.
 type follower struct {
-	view     *View
-	kind     string
-	wait     time.Duration
+	view *View
+	kind string
+	wait time.Duration
+	// gather is the pause after a call that brought changes.
+	gather   time.Duration
 	to       receiver
 	revision int64
 	// listed is set while revision continues a list.
@@ -148,9 +163,22 @@
 	f.to.apply(changes)
 	f.revision = max(f.revision, revision)
 	f.to.confirm(began)
+	if len(changes) > 0 {
+		f.sleep(ctx, f.gather)
+	}
 	return nil
 }
 
+// sleep waits, unless ctx ends or the call is to begin anew.
+func (f *follower) sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // failed notes that a call failed and pauses. Where the history is gone the kind is
 // listed again at once.
 func (f *follower) failed(ctx context.Context, err error) {
