Say when to come back by the fullest pool, and count late tasks behind all others

A refusal told every client to come back after 0.4 s, also when its pool had seconds of work waiting; now it tells the time of the fullest pool of the route. A task that is late already is given to its pool only if the later stages can take it behind all that waits there, so that hopeless ones are told before any work is done.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -303,7 +303,7 @@
 			"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
 		panic(http.ErrAbortHandler)
 	case !rq.mayHaveRun:
-		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), retryBusy)
+		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), rq.whenServed())
 	case rq.ctx.Err() != nil:
 		rq.refuse(http.StatusGatewayTimeout, stepOf(err), err.Error(), 0)
 	default:
@@ -311,6 +311,16 @@
 	}
 }
 
+// whenServed estimates after which time a request that found no place finds one: when
+// what waits at the fullest pool of its route has been worked off.
+func (rq *request) whenServed() time.Duration {
+	longest := retryBusy
+	for _, stage := range rq.route.Stages {
+		longest = max(longest, rq.Asker.Backlog(stage.Service))
+	}
+	return longest
+}
+
 // last returns the last of a list, empty if there is none.
 func last(list []string) string {
 	if len(list) == 0 {
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -176,7 +176,7 @@
 		}
 		run.open++
 		run.startedAt[stage] = time.Now()
-		go run.stage(stage, run.progress.Tail(stage, run.estimate), run.inputsLeft(stage), run.progress.Inputs(stage))
+		go run.stage(stage, run.times(stage), run.progress.Inputs(stage))
 	}
 	run.waiting = kept
 	return wake
@@ -195,12 +195,22 @@
 // estimate returns how long a stage takes.
 func (run *stageRun) estimate(stage int) time.Duration {
 	name := run.route.Stages[stage].Service
-	wait := run.Asker.Wait(name, run.rank)
+	return max(run.Asker.Wait(name, run.rank), run.shortestCall(name))
+}
+
+// backlog returns how long a stage takes that is late, and so waits behind all others.
+func (run *stageRun) backlog(stage int) time.Duration {
+	name := run.route.Stages[stage].Service
+	return max(run.Asker.Backlog(name), run.shortestCall(name))
+}
+
+// shortestCall returns how long a call of one item takes at a pool.
+func (run *stageRun) shortestCall(name string) time.Duration {
 	service := run.table.Service(name)
 	if service == nil || service.Pool == nil {
-		return wait
+		return 0
 	}
-	return max(wait, service.Pool.CallTime+service.Pool.ItemTime)
+	return service.Pool.CallTime + service.Pool.ItemTime
 }
 
 // remaining returns how long a stage still takes.
@@ -231,11 +241,31 @@
 	return left
 }
 
+// stageTimes are until when a stage must be done, counted from now.
+type stageTimes struct {
+	// due is for the request to be on time, remaining for it to be served at all.
+	due, remaining time.Duration
+}
+
+// times returns the times of a stage that starts now. The stages after it wait among
+// the timely tasks of their pools, or behind all others if this one is late already.
+func (run *stageRun) times(stage int) stageTimes {
+	now := time.Now()
+	tail := run.progress.Tail(stage, run.estimate)
+	due := run.began.Add(run.route.Objective - engineAllowance - tail).Sub(now)
+	if due < run.estimate(stage) {
+		tail = run.progress.Tail(stage, run.backlog)
+	}
+	return stageTimes{
+		due:       due,
+		remaining: min(run.startBy.Sub(now)-engineAllowance-tail, run.inputsLeft(stage)),
+	}
+}
+
 // stage gives one stage to its pool's owner and waits for its end.
-func (run *stageRun) stage(stage int, tail, inputsLeft time.Duration, inputs []string) {
+func (run *stageRun) stage(stage int, times stageTimes, inputs []string) {
 	described := run.route.Stages[stage]
 	began := time.Now()
-	due := run.began.Add(run.route.Objective - engineAllowance - tail)
 	result, owner, err := run.Asker.Do(run.ctx, pools.Task{
 		Part:        pools.Part{Service: described.Service},
 		Request:     run.asked.ID,
@@ -244,8 +274,8 @@
 		Key:         run.keyOf(stage),
 		Inputs:      inputs,
 		ResultBytes: described.ResultBytes,
-		Remaining:   min(run.startBy.Sub(began)-engineAllowance-tail, inputsLeft),
-		Due:         due.Sub(began),
+		Remaining:   times.remaining,
+		Due:         times.due,
 		Rank:        run.rank,
 		Pulls:       run.pulls(stage, run.progress.IsLast(stage), inputs),
 	}, func() { run.news <- stageNews{stage: stage, begun: true} })
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -155,16 +155,24 @@
 }
 
 // Wait returns the estimate of the time that a stage of a request of a rank takes at a
-// service while it can be in time, in the part of its pool that is slowest; 0 if there
-// is none.
+// service while it can be in time; 0 if there is none.
 func (a *Asker) Wait(service string, rank int) time.Duration {
+	return a.slowestPart(service, func(part Part, now time.Time) time.Duration { return a.waits.timely(part, rank, now) })
+}
+
+// Backlog returns the estimate of the time that a stage takes at a service behind all
+// that waits there; 0 if there is none.
+func (a *Asker) Backlog(service string) time.Duration { return a.slowestPart(service, a.waits.backlog) }
+
+// slowestPart returns the longest wait of the parts of a service's pool.
+func (a *Asker) slowestPart(service string, wait func(Part, time.Time) time.Duration) time.Duration {
 	count := partsOf(len(a.view.Upstreams().Of(service)))
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var longest time.Duration
 	for index := range count {
-		longest = max(longest, a.waits.timely(Part{Service: service, Index: index, Count: count}, rank, now))
+		longest = max(longest, wait(Part{Service: service, Index: index, Count: count}, now))
 	}
 	return longest
 }
