Hand a pool over once another process has owned it for half a second

An owner now looks who owns its parts by its own view, and after half a second gives back what it has not begun.

--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -179,20 +179,54 @@
 	return true
 }
 
-// Leave hands back all tasks of which nothing has been sent yet, and takes no others:
-// two owners of a pool would keep its upstreams waiting for each other. Calls that run
-// are finished.
+// Leave hands back all tasks of which nothing has been sent yet, but for those of its own
+// process, and takes no others: two owners of a pool would keep its upstreams waiting
+// for each other. Calls that run are finished.
 func (o *Owner) Leave() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.leaving = true
 	for _, p := range o.pools {
-		for ticket, task := range p.tasks {
-			if !task.session.local && p.queue.WaitingOf(ticket) == task.Pieces {
-				o.fail(p, ticket, OwnerLeft)
-			}
+		o.handBack(p, func(task *openTask) bool { return !task.session.local })
+	}
+}
+
+// HandBack hands back all tasks of a part of which nothing has been sent yet, and returns
+// how many. Calls that run are finished.
+func (o *Owner) HandBack(part Part) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.pools[part]
+	if p == nil {
+		return 0
+	}
+	return o.handBack(p, func(*openTask) bool { return true })
+}
+
+// handBack hands back the tasks that match and of which nothing has been sent yet, and
+// returns how many. The lock is held.
+func (o *Owner) handBack(p *owned, match func(*openTask) bool) int {
+	handed := 0
+	for ticket, task := range p.tasks {
+		if match(task) && p.queue.WaitingOf(ticket) == task.Pieces {
+			o.fail(p, ticket, OwnerLeft)
+			handed++
+		}
+	}
+	return handed
+}
+
+// busyParts returns the parts for which tasks wait or run here.
+func (o *Owner) busyParts() []Part {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var parts []Part
+	for part, p := range o.pools {
+		if len(p.tasks) > 0 {
+			parts = append(parts, part)
 		}
 	}
+	return parts
 }
 
 // submit queues a task for a session. The lock is held.
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -257,3 +257,31 @@
 	assert.Equal(t, w.backlog(part, now.Add(time.Second)), 2*time.Second)
 	assert.Equal(t, w.backlog(part, now.Add(time.Minute)), time.Duration(0))
 }
+
+// TestAPartIsHandedOverOnceAnotherHasOwnedItForAWhile: what has not begun goes back, and
+// what was sent is finished.
+func TestAPartIsHandedOverOnceAnotherHasOwnedItForAWhile(t *testing.T) {
+	sent, goOn := make(chan struct{}), make(chan struct{})
+	o, _ := newOwner(t, func(items []stagecall.Item) (int, []stagecall.Result) {
+		close(sent)
+		<-goOn
+		return makes(items)
+	})
+	running := submit(o.Session(true), 1, task("a"), nil)
+	<-sent
+	waiting := submit(o.Session(false), 2, task("b"), nil)
+	part := Part{Service: "enc", Count: 1}
+	assert.DeepEqual(t, o.busyParts(), []Part{part})
+	assert.Equal(t, o.HandBack(part), 1)
+	assert.Equal(t, (<-waiting).Failure, OwnerLeft)
+	close(goOn)
+	assert.DeepEqual(t, (<-running).Handles, []string{"h/a"})
+
+	h, now := &handover{since: map[Part]time.Time{}}, time.Unix(1000, 0)
+	assert.Assert(t, !h.due(part, false, now))
+	assert.Assert(t, !h.due(part, false, now.Add(handOverAfter/2)))
+	assert.Assert(t, h.due(part, false, now.Add(handOverAfter)))
+	assert.Assert(t, !h.due(part, false, now.Add(handOverAfter+time.Millisecond)), "once for each wait")
+	assert.Assert(t, !h.due(part, true, now.Add(2*handOverAfter)))
+	assert.Assert(t, !h.due(part, false, now.Add(3*handOverAfter)), "the wait begins anew")
+}
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -47,7 +47,8 @@
 	Failed Failure = "failed"
 	// OwnerLost: the owner fell silent before it answered.
 	OwnerLost Failure = "owner_lost"
-	// OwnerLeft: the owner is stopping and did not begin the task.
+	// OwnerLeft: the owner is stopping, or another one took its place, and it did not
+	// begin the task.
 	OwnerLeft Failure = "owner_left"
 )
 
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -36,4 +36,5 @@
 	PoolOwnerLost   = define(10052, "pool_owner_lost", "The owner of pools is silent or gone; its tasks go to the next.", "owner", "tasks", "error")
 	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools is open.", "owner")
 	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself after a while.", "upstream", "handles", "error")
+	PoolHandedOver  = define(10055, "pool_handed_over", "Tasks that wait here were given to the process that owns the pool now.", "service", "part", "owner", "tasks")
 )
