Trust keys to the end of a watch's wait, and refuse late tasks with less time

Requests with keys were refused from 1.5 to 3 s after its end on, as a watch counted as proof from when it was asked; one of 1.5 s without changes says that nothing had changed while the store held it. It now counts to 0.5 s before the end of its wait, if the answer took that long and brought no change. Late tasks are refused once four times their place in the queue doesn't fit, in place of 1.5: what was held until it failed cost clients more than the few served late gain.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -59,7 +59,7 @@
 
 // doubt is how many times the wait that the queue gives must be left to a late task:
 // those that are in time come in ahead of it.
-const doubt = 1.5
+const doubt = 4
 
 // drop removes the tasks that match, or that have no items left, and returns their items.
 func (p *Pool) drop(match func(*group) bool) []*Item {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -162,13 +162,29 @@
 	}
 	f.to.apply(changes)
 	f.revision = max(f.revision, revision)
-	f.to.confirm(began)
+	f.to.confirm(provedAt(began, clock.Boot(), f.wait, len(changes)))
 	if len(changes) > 0 {
 		f.sleep(ctx, f.gather)
 	}
 	return nil
 }
 
+// proofMargin is taken off the time up to which a watch without changes is a proof: a
+// tenth of the bound on keys, for a store that measures its waits otherwise or tells of
+// changes late. It answers in 4 ms.
+const proofMargin = 500 * time.Millisecond
+
+// provedAt returns the boot time up to which the answer to a watch proves what there is.
+// One without changes that came after the whole wait proves that nothing had changed
+// while the store held it; any other only what was so when it was asked. With the first
+// kind counted from its beginning too, keys are trusted a second less of an outage.
+func provedAt(began, ended, wait time.Duration, changes int) time.Duration {
+	if changes > 0 || ended-began < wait {
+		return began
+	}
+	return began + max(0, wait-proofMargin)
+}
+
 // sleep waits, unless ctx ends or the call is to begin anew.
 func (f *follower) sleep(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
