--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -68,6 +68,9 @@
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasWorkspaces tells whether there are workspaces, whose keys routes may need.
+func (t *Table) HasWorkspaces() bool { return t.workspaces }
+
 // NeedsKey tells whether requests of a route must bring a key.
 func (t *Table) NeedsKey(route *Route) bool { return t.workspaces && !route.Anonymous }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -63,7 +63,7 @@
 
 // ready answers the platform's balancer.
 func (s *servers) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() || !s.process.view.Ready() {
+	if s.draining.Load() || !s.process.view.TakesNew() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -103,9 +103,23 @@
 }
 
 // KeysTrusted tells whether requests with keys may run.
-func (v *View) KeysTrusted() bool {
+func (v *View) KeysTrusted() bool { return v.keysTrustedFor(0) }
+
+// keysTrustedFor tells whether requests with keys may run for a while longer without
+// another word of the store.
+func (v *View) keysTrustedFor(while time.Duration) bool {
 	age, known := v.KeysAge()
-	return known && age < time.Duration(v.confirmWithin.Load())
+	return known && age+while < time.Duration(v.confirmWithin.Load())
+}
+
+// leadTime is how long before requests with keys must be refused new connections are
+// asked to go elsewhere: the balancer asks once a second and acts on the second answer.
+const leadTime = 1500 * time.Millisecond
+
+// TakesNew tells whether new connections should come to this process. One that the store
+// does not answer would soon refuse what the others can serve.
+func (v *View) TakesNew() bool {
+	return v.Ready() && (!v.Table().HasWorkspaces() || v.keysTrustedFor(leadTime))
 }
 
 // OnChange registers what is called after each change of upstreams, members or
