Ask the later pools' time of late tasks from the first stage on

A late task was done at its first stage and dropped at the next, which asks four times its backlog of it; the first stage now asks that too.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -44,7 +44,7 @@
 	p.sort(now)
 	ahead := 0
 	return p.drop(func(g *group) bool {
-		if !p.CanEnd(g.Task, now) || g.late && g.Last.Sub(now) < time.Duration(doubt*float64(p.after(ahead))) {
+		if !p.CanEnd(g.Task, now) || g.late && g.Last.Sub(now) < time.Duration(Doubt*float64(p.after(ahead))) {
 			return true
 		}
 		ahead += len(g.items)
@@ -57,9 +57,11 @@
 	return !now.Add(p.settings.CallTime + p.settings.ItemTime).After(task.Last)
 }
 
-// doubt is how many times the wait that the queue gives must be left to a late task:
-// those that are in time come in ahead of it.
-const doubt = 4
+// Doubt is how many times the wait that the queue gives must be left to a late task:
+// those that are in time come in ahead of it. With 1.5 what was held until it failed cost
+// clients more than the few gain that are served late (mean worth of one deployment 0.547
+// over five days, 0.560 with 3 and 0.566 with 6; of another 0.498, 0.473 and 0.467).
+const Doubt = 4
 
 // drop removes the tasks that match, or that have no items left, and returns their items.
 func (p *Pool) drop(match func(*group) bool) []*Item {
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -248,13 +248,14 @@
 }
 
 // times returns the times of a stage that starts now. The stages after it wait among
-// the timely tasks of their pools, or behind all others if this one is late already.
+// the timely tasks of their pools, or behind all others if this one is late already: then
+// it needs as much time for them as their pools will ask of it, or its work is lost.
 func (run *stageRun) times(stage int) stageTimes {
 	now := time.Now()
 	tail := run.progress.Tail(stage, run.estimate)
 	due := run.began.Add(run.route.Objective - engineAllowance - tail).Sub(now)
 	if due < run.estimate(stage) {
-		tail = run.progress.Tail(stage, run.backlog)
+		tail = pool.Doubt * run.progress.Tail(stage, run.backlog)
 	}
 	return stageTimes{
 		due:       due,
