--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -136,7 +136,9 @@
 	running := p.Next(start)
 	assert.Equal(t, len(running.Items), 1)
 	for ticket := Ticket(2); ticket < 10; ticket++ {
-		p.Add(task(ticket, -time.Second), settings.Batch)
+		late := task(ticket, -time.Second)
+		late.Last = start.Add(time.Minute)
+		p.Add(late, settings.Batch)
 		lower := task(100+ticket, 10*time.Second)
 		lower.Rank = 2
 		p.Add(lower, settings.Batch)
