Mend three faults of the tests: ports that are taken, a silent store that never ends, an early count of owners

Each seen once in a run beside other load, and traced. TestBatchesAreFilledFromAllGateways counted two owners: it waited for one gateway's list of members and sent to all three; it waits for all now. A gateway of a test did not start, "address already in use": its port lay among those of outgoing connections; test fleets take theirs from the harness's range now.

--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/gateway"
+	"acaciawinch/standin/harness"
 	"acaciawinch/standin/metastore"
 	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
@@ -31,6 +32,7 @@
 	store   *metastore.Store
 	address string
 	log     *logbook
+	ports   *harness.Ports
 
 	mu       sync.Mutex
 	gateways []*running
@@ -109,9 +111,10 @@
 	t.Parallel()
 	store := metastore.New()
 	server := httptest.NewServer(store)
-	f := &fleet{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), log: &logbook{grown: make(chan struct{})}}
+	f := &fleet{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), log: &logbook{grown: make(chan struct{})}, ports: harness.NewPorts()}
 	t.Cleanup(func() {
 		f.stopAll()
+		assert.Check(t, f.ports.Close())
 		server.CloseClientConnections()
 		server.Close()
 	})
@@ -152,12 +155,13 @@
 // apply puts a configuration in force.
 func (f *fleet) apply(d platformdoc.Document) { f.store.Put("config", "main", d) }
 
-// free returns an address that nobody listens on.
+// free returns an address on which nobody listens, outside the range from which outgoing
+// connections take theirs: one of those had taken it before the gateway listened.
 func (f *fleet) free() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.t.Helper()
+	address, err := f.ports.Address()
 	assert.NilError(f.t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // graceSeconds is short: a planned stop takes requests for a good part of it, and each
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -37,6 +37,8 @@
 	f.apply(base(1))
 	gateways := []*running{f.start("g1"), f.start("g2"), f.start("g3")}
 	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2","g3"]`)
+	f.waitLines(1, "members_changed", `"process":"g2"`, `["g1","g3"]`)
+	f.waitLines(1, "members_changed", `"process":"g3"`, `["g1","g2"]`)
 	var clients sync.WaitGroup
 	for i := range 24 {
 		clients.Go(func() {
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -21,7 +21,7 @@
 	s.mu.Unlock()
 	switch {
 	case faults.Silent:
-		<-r.Context().Done()
+		beSilent(r)
 		return
 	case faults.Refuse != 0:
 		w.WriteHeader(faults.Refuse)
@@ -42,6 +42,13 @@
 	}
 }
 
+// beSilent keeps a call without an answer until its caller goes. The server sees that
+// only once it has read the whole body.
+func beSilent(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off ends the call too
+	<-r.Context().Done()
+}
+
 // split returns the kind and the name of a path; the name is empty for a whole kind.
 func split(path string) (kind, name string, found bool) {
 	rest, found := strings.CutPrefix(path, "/objects/")
