Let relays of the soak listen on the port that was found free

Ruled out: ports of outgoing connections (another range), two owners of a lane (its first port is held), lanes freed by the garbage collector (all but one are kept, and that one has a single port), forks that inherit a listener (60 s of relays beside forks in one process: none). Who held the port was not found, as once before; it stays open. Relays take an open listener now, so that nothing can come in between; gateways' ports still have that moment.

--- a/standin/harness/ports.go
+++ b/standin/harness/ports.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// Listen listens on a free address. Unlike an address that is found free and used later
+// it can't be taken by another in between, which stopped one of 52 runs of the soak.
+func (p *Ports) Listen() (net.Listener, error) {
+	for range lanePorts {
+		address, err := p.Address()
+		if err != nil {
+			return nil, err
+		}
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("%d ports in a row were taken by others", lanePorts)
+}
+
 // free tells whether nobody listens on an address. No process is forked meanwhile:
 // until it executes its program it would hold a copy of the listener, and the port
 // would still be in use a moment after this has closed it.
--- a/standin/harness/relay.go
+++ b/standin/harness/relay.go
@@ -41,9 +41,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return RelayOn(listener, target), nil
+}
+
+// RelayOn passes connections that come in at a listener on to target. It closes the
+// listener in the end.
+func RelayOn(listener net.Listener, target string) *Relay {
 	r := &Relay{target: target, listener: listener, conns: map[net.Conn]struct{}{}}
 	go r.accept()
-	return r, nil
+	return r
 }
 
 // Cut closes all connections, and new ones as they come.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -116,18 +116,14 @@
 
 // through puts a relay before a target.
 func (s *soak) through(name, target string) (string, error) {
-	address, err := s.ports.Address()
+	listener, err := s.ports.Listen()
 	if err != nil {
 		return "", err
 	}
-	relay, err := harness.NewRelay(address, target)
-	if err != nil {
-		return "", err
-	}
-	s.links[name] = relay
+	s.links[name] = harness.RelayOn(listener, target)
 	s.names = append(s.names, name)
 	sort.Strings(s.names)
-	return address, nil
+	return listener.Addr().String(), nil
 }
 
 // play lets clients send while the steps are made, and then while nothing is wrong.
