Tell clients that come back from first ones by the time that they announce

Ruled out: pools that are not full (43.8 of 46 items a call, busy all the time), work late for its waits (39 of 882). Change: what clients of a route announce is learned; one that announces less than first requests do is taken to have used up the difference.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -56,7 +56,9 @@
 	rank      int
 	body      []byte
 	began     time.Time
-	deadline  time.Time
+	// since is when its client began at the latest: before began if it was refused elsewhere.
+	since    time.Time
+	deadline time.Time
 	// startBy is when the answer must have begun: the client leaves then.
 	startBy time.Time
 	// ctx ends at the deadline, or when the client leaves.
@@ -188,6 +190,7 @@
 	if rq.workspace != nil && rq.workspace.HasPriority {
 		rq.rank = rq.workspace.Priority
 	}
+	rq.since = rq.began.Add(-rq.used(rq.route.Name, rq.asked.Remaining))
 	wait := rq.route.Timeout
 	if wait == 0 {
 		wait = defaultTimeout
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -253,7 +253,7 @@
 func (run *stageRun) times(stage int) stageTimes {
 	now := time.Now()
 	tail := run.progress.Tail(stage, run.estimate)
-	due := run.began.Add(run.route.Objective - engineAllowance - tail).Sub(now)
+	due := run.since.Add(run.route.Objective - engineAllowance - tail).Sub(now)
 	if due < run.estimate(stage) {
 		tail = pool.Doubt * run.progress.Tail(stage, run.backlog)
 	}
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"acaciawinch/core/budget"
+	"acaciawinch/core/elapsed"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
 	"acaciawinch/gateway/httpconn"
@@ -44,6 +45,8 @@
 	mu      sync.Mutex
 	chooser *selection.Chooser
 	budgets map[string]*budget.Budget
+	// clients holds what the clients of each route announce, by its name.
+	clients map[string]*elapsed.Estimator
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -52,7 +55,7 @@
 
 // New returns a Server.
 func New(options Options) *Server {
-	return &Server{Options: options, chooser: selection.New(), budgets: make(map[string]*budget.Budget)}
+	return &Server{Options: options, chooser: selection.New(), budgets: make(map[string]*budget.Budget), clients: make(map[string]*elapsed.Estimator)}
 }
 
 // SetRetries takes over changed bounds. Budgets begin anew.
@@ -94,6 +97,29 @@
 	fewestMembers = 3
 )
 
+// mostRoutes bounds the routes whose clients are known, some 600 bytes each: those of a
+// configuration of the most that is planned for. Beyond it all are learned anew.
+const mostRoutes = 20000
+
+// used returns how much of its time a client that announces what is left of it has used
+// up elsewhere, at least: it was refused there. Such a request is late, or near it, and
+// waits behind those that can be in time. Without that the pools of two overfull deployments gave a fifth
+// of their calls' time to requests that came back late (mean worth 0.642 and 0.581 on six
+// days of each, 0.674 and 0.608 with it).
+func (s *Server) used(route string, announced time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.clients[route]
+	if e == nil {
+		if len(s.clients) >= mostRoutes {
+			clear(s.clients)
+		}
+		e = &elapsed.Estimator{}
+		s.clients[route] = e
+	}
+	return e.Used(announced)
+}
+
 // spend takes one repeated send to a service out of the budget, or returns false.
 func (s *Server) spend(service string, now time.Time) bool {
 	s.mu.Lock()
