Let what counts for most go first where a pool can't make all in time

Cause: where all workspaces have one priority, it replaced the route's, and all tasks ranked alike. Change: the workspace's priority ranks; within it a task's value by item, from the route's priority and the size that the client announces, decides in classes of factor two, then the newest.

--- a/core/pool/bench_test.go
+++ b/core/pool/bench_test.go
@@ -18,7 +18,7 @@
 		ticket := Ticket(1000 + n)
 		p.Add(task(ticket, 2*time.Second), 6)
 		p.Next(start)
-		p.Wait(0)
+		p.Wait(0, 0)
 		p.Cancel(ticket)
 	}
 }
--- a/core/pool/chain_test.go
+++ b/core/pool/chain_test.go
@@ -81,7 +81,7 @@
 func (c *chainRun) add(at int, began time.Time) {
 	due := began.Add(c.objective)
 	for later := at + 1; later < len(c.pools); later++ {
-		due = due.Add(-c.pools[later].Wait(0))
+		due = due.Add(-c.pools[later].Wait(0, 0))
 	}
 	c.next++
 	t := &Task{Ticket: c.next, Due: due, Last: began.Add(4 * c.objective)}
--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -36,20 +36,28 @@
 	p.slowdown += learnRate * (ratio - p.slowdown)
 }
 
-// Wait estimates how long a task of a rank that is queued now, and can be in time,
-// waits until its call ends. Tasks that are late or of a lower rank wait behind it and
-// don't count: with them a burst would make the tasks of every earlier stage look late
-// too, and the pool would end in serving late ones only.
-func (p *Pool) Wait(rank int) time.Duration {
+// Wait estimates how long a task of a rank and value that is queued now, and can be in
+// time, waits until its call ends. Tasks that are late, of a lower rank or of much less value
+// wait behind it and don't count: with them a burst would make the tasks of every earlier
+// stage look late too, and the pool would end in serving late ones only.
+func (p *Pool) Wait(rank int, value float64) time.Duration {
 	ahead := 0
 	for _, g := range p.queue {
-		if !g.late && g.Rank <= rank {
+		if !g.late && !g.waitsBehind(rank, value) {
 			ahead += len(g.items)
 		}
 	}
 	return p.after(ahead)
 }
 
+// waitsBehind tells whether a task lets one of a rank and value go first.
+func (g *group) waitsBehind(rank int, value float64) bool {
+	if g.Rank != rank {
+		return g.Rank > rank
+	}
+	return g.Value*classFactor < value
+}
+
 // Backlog estimates how long a task waits that is queued behind all others.
 func (p *Pool) Backlog() time.Duration { return p.after(p.waiting) }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -28,6 +28,8 @@
 	Ticket Ticket
 	// Rank orders tasks: the lowest goes first among those that are in time.
 	Rank int
+	// Value is what the request counts for against others of its rank; 0 if unknown.
+	Value float64
 	// Due is when the task must be done for the request to be on time.
 	Due time.Time
 	// Last is when the request ends; no item starts after it.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -145,9 +145,9 @@
 	}
 	p.Add(task(20, 10*time.Second), settings.Batch)
 	p.Expire(start)
-	assert.Equal(t, p.Wait(0), 2*p.callTime(settings.Batch))
-	assert.Equal(t, p.Wait(2), 10*p.callTime(settings.Batch))
-	assert.Assert(t, p.Backlog() > p.Wait(2))
+	assert.Equal(t, p.Wait(0, 0), 2*p.callTime(settings.Batch))
+	assert.Equal(t, p.Wait(2, 0), 10*p.callTime(settings.Batch))
+	assert.Assert(t, p.Backlog() > p.Wait(2, 0))
 }
 
 func TestCallsStayWithinTheRoomForResults(t *testing.T) {
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -1,14 +1,13 @@
 package pool
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // group is the waiting items of one task. They stay together, as none is of use alone.
 type group struct {
 	*Task
 	items []*Item
+	// class is the place of its class among those of the queue, as sort left it.
+	class int
 }
 
 // Add queues the items of a task.
@@ -100,36 +99,3 @@
 	}
 	return 0
 }
-
-// sort orders the queue. Tasks that can still be on time go before those that are
-// late already: under a burst, time spent on late ones makes the others late too.
-// Among those in time the rank decides, then the later due time.
-func (p *Pool) sort(now time.Time) {
-	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
-	for _, g := range p.queue {
-		if now.Add(shortest).After(g.Due) {
-			g.late = true
-		}
-	}
-	sort.SliceStable(p.queue, func(i, j int) bool { return before(p.queue[i].Task, p.queue[j].Task) })
-}
-
-// before tells whether a goes before b. Of two timely tasks of a rank the newer one goes
-// first: with the older one first a burst leaves each task just in time at one pool and
-// late at the next. In a replay of 1.5 times what a chain of three pools takes, 171 tasks
-// a second are in time of the 186 that fit; with the older one first, and a wait estimated
-// over all tasks, 73.
-func before(a, b *Task) bool {
-	switch {
-	case a.late != b.late:
-		return b.late
-	case a.Rank != b.Rank:
-		return a.Rank < b.Rank
-	case a.late && !a.Due.Equal(b.Due):
-		return a.Due.Before(b.Due)
-	case !a.Due.Equal(b.Due):
-		return a.Due.After(b.Due)
-	default:
-		return a.Ticket < b.Ticket
-	}
-}
--- a/core/pool/replay_test.go
+++ b/core/pool/replay_test.go
@@ -63,6 +63,9 @@
 	now    time.Time
 	limit  time.Duration
 	ends   []ending
+	// valued gives the value of a task, done is told of one that is in time; both may be nil.
+	valued func(Ticket) float64
+	done   func(Ticket)
 	// left counts the items that a task still lacks.
 	left                        map[Ticket]int
 	tasks, timely, items, calls int
@@ -83,7 +86,11 @@
 	}
 	ticket := Ticket(s.tasks)
 	s.left[ticket] = s.site.itemsPerTask
-	s.pool.Add(&Task{Ticket: ticket, Due: s.now.Add(s.limit), Last: s.now.Add(10 * s.limit), Bytes: s.site.resultBytes}, s.site.itemsPerTask)
+	one := &Task{Ticket: ticket, Due: s.now.Add(s.limit), Last: s.now.Add(10 * s.limit), Bytes: s.site.resultBytes}
+	if s.valued != nil {
+		one.Value = s.valued(ticket)
+	}
+	s.pool.Add(one, s.site.itemsPerTask)
 	s.pump()
 }
 
@@ -130,6 +137,9 @@
 		s.left[item.Task.Ticket]--
 		if s.left[item.Task.Ticket] == 0 && !s.now.After(item.Task.Due) {
 			s.timely++
+			if s.done != nil {
+				s.done(item.Task.Ticket)
+			}
 		}
 	}
 }
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -13,7 +13,9 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
+	"acaciawinch/core/value"
 	"acaciawinch/gateway/framing"
+	"acaciawinch/gateway/pools"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -53,9 +55,11 @@
 	// workspace is who holds the client's key; nil on routes without keys.
 	workspace *routes.Workspace
 	service   string
-	rank      int
-	body      []byte
-	began     time.Time
+	class     pools.Class
+	// value is what the request counts for against others of its class's rank.
+	value float64
+	body  []byte
+	began time.Time
 	// since is when its client began at the latest: before began if it was refused elsewhere.
 	since    time.Time
 	deadline time.Time
@@ -183,13 +187,14 @@
 	return rq.refuse(status, "request.admit", detail, 0)
 }
 
-// plan sets the request's service, rank and deadline.
+// plan sets the request's service, class and times.
 func (rq *request) plan() {
 	rq.service = pick(rq.route.Targets, rq.asked.ID)
-	rq.rank = rq.route.Priority
+	rq.class = pools.Class{Priority: rq.route.Priority}
 	if rq.workspace != nil && rq.workspace.HasPriority {
-		rq.rank = rq.workspace.Priority
+		rq.class.Rank = rq.workspace.Priority
 	}
+	rq.value = value.Of(value.Request{Priority: rq.route.Priority, PromptTokens: rq.asked.PromptTokens, OutputTokens: rq.asked.OutputTokens})
 	rq.since = rq.began.Add(-rq.used(rq.route.Name, rq.asked.Remaining))
 	wait := rq.route.Timeout
 	if wait == 0 {
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -195,7 +195,7 @@
 // estimate returns how long a stage takes.
 func (run *stageRun) estimate(stage int) time.Duration {
 	name := run.route.Stages[stage].Service
-	return max(run.Asker.Wait(name, run.rank), run.shortestCall(name))
+	return max(run.Asker.Wait(name, run.class), run.shortestCall(name))
 }
 
 // backlog returns how long a stage takes that is late, and so waits behind all others.
@@ -277,7 +277,8 @@
 		ResultBytes: described.ResultBytes,
 		Remaining:   times.remaining,
 		Due:         times.due,
-		Rank:        run.rank,
+		Class:       run.class,
+		Value:       run.value,
 		Pulls:       run.pulls(stage, run.progress.IsLast(stage), inputs),
 	}, func() { run.news <- stageNews{stage: stage, begun: true} })
 	run.news <- stageNews{stage: stage, result: result, owner: owner, took: time.Since(began), err: err}
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -9,6 +9,7 @@
 	"acaciawinch/core/fault"
 	"acaciawinch/core/selection"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/pools"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -89,7 +90,7 @@
 			Instance:  choice.Upstream.ID,
 			Workspace: workspace,
 			Remaining: time.Until(rq.deadline),
-			Rank:      rq.rank,
+			Rank:      engineRank(rq.class),
 			Engine:    engine,
 			CopyFrom:  choice.CopyFrom,
 			Inputs:    rq.results.handles(),
@@ -99,6 +100,19 @@
 	}
 }
 
+// Engines take ranks from 0 to 9.
+const (
+	// ranksPerWorkspace is how many priorities of routes an engine tells apart under each
+	// rank of a workspace, which goes first.
+	ranksPerWorkspace = 3
+	lastEngineRank    = 9
+)
+
+// engineRank returns the rank of a class of requests at engines.
+func engineRank(class pools.Class) int {
+	return min(lastEngineRank, ranksPerWorkspace*class.Rank+min(class.Priority, ranksPerWorkspace-1))
+}
+
 // lost classifies a send without an answer.
 func (rq *request) lost(err error) error {
 	if fault.Is(err, fault.Unavailable) {
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -151,13 +151,13 @@
 func (a *Asker) learn(task Task, result Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waits.learn(task.Part, task.Rank, result, time.Now())
+	a.waits.learn(task.Part, task.Class, result, time.Now())
 }
 
-// Wait returns the estimate of the time that a stage of a request of a rank takes at a
+// Wait returns the estimate of the time that a stage of a request of a class takes at a
 // service while it can be in time; 0 if there is none.
-func (a *Asker) Wait(service string, rank int) time.Duration {
-	return a.slowestPart(service, func(part Part, now time.Time) time.Duration { return a.waits.timely(part, rank, now) })
+func (a *Asker) Wait(service string, class Class) time.Duration {
+	return a.slowestPart(service, func(part Part, now time.Time) time.Duration { return a.waits.timely(part, class, now) })
 }
 
 // Backlog returns the estimate of the time that a stage takes at a service behind all
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -151,7 +151,7 @@
 	task.left--
 	if task.left == 0 {
 		p.end(item.Task.Ticket)
-		task.notify.Done(Result{Handles: task.handles, Wait: p.queue.Wait(task.Rank), Backlog: p.queue.Backlog()})
+		task.notify.Done(Result{Handles: task.handles, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
 	}
 }
 
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -246,7 +246,8 @@
 		number:  number,
 		core: &pool.Task{
 			Ticket: o.ticket,
-			Rank:   task.Rank,
+			Rank:   task.Class.Rank,
+			Value:  task.Value,
 			Due:    now.Add(task.Due),
 			Last:   now.Add(task.Remaining),
 			Bytes:  task.ResultBytes,
@@ -356,7 +357,7 @@
 		return
 	}
 	p.free(task.handles)
-	task.notify.Done(Result{Failure: why, Wait: p.queue.Wait(task.Rank), Backlog: p.queue.Backlog()})
+	task.notify.Done(Result{Failure: why, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
 }
 
 // cancel ends a task that nobody waits for. The lock is held.
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -253,9 +253,10 @@
 func TestWhatOwnersSaidOfWaitsGetsShorterWithAge(t *testing.T) {
 	w, now := newWaits(), time.Unix(1000, 0)
 	part := Part{Service: "enc", Count: 1}
-	w.learn(part, 1, Result{Wait: time.Second, Backlog: 3 * time.Second}, now)
-	assert.Equal(t, w.timely(part, 1, now.Add(400*time.Millisecond)), 600*time.Millisecond)
-	assert.Equal(t, w.timely(part, 0, now), time.Duration(0), "another rank has its own wait")
+	w.learn(part, Class{Rank: 1}, Result{Wait: time.Second, Backlog: 3 * time.Second}, now)
+	assert.Equal(t, w.timely(part, Class{Rank: 1}, now.Add(400*time.Millisecond)), 600*time.Millisecond)
+	assert.Equal(t, w.timely(part, Class{}, now), time.Duration(0), "another rank has its own wait")
+	assert.Equal(t, w.timely(part, Class{Rank: 1, Priority: 1}, now), time.Duration(0), "and another priority")
 	assert.Equal(t, w.backlog(part, now.Add(time.Second)), 2*time.Second)
 	assert.Equal(t, w.backlog(part, now.Add(time.Minute)), time.Duration(0))
 }
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -94,7 +94,8 @@
 		ResultBytes: int64(m.GetResultBytes()),
 		Remaining:   time.Duration(m.GetRemainingMs()) * time.Millisecond,
 		Due:         time.Duration(m.GetDueMs()) * time.Millisecond,
-		Rank:        int(m.GetRank()),
+		Class:       Class{Rank: int(m.GetRank())},
+		Value:       m.GetValue(),
 		Pulls:       pullsOf(m.GetPulls()),
 	}
 }
@@ -142,7 +143,8 @@
 		ResultBytes: uint64(t.ResultBytes),
 		RemainingMs: t.Remaining.Milliseconds(),
 		DueMs:       t.Due.Milliseconds(),
-		Rank:        uint32(max(0, t.Rank)),
+		Rank:        uint32(max(0, t.Class.Rank)),
+		Value:       t.Value,
 		Pulls:       pullMessages(t.Pulls),
 		Part:        uint32(t.Index),
 		Parts:       uint32(t.Count),
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -28,12 +28,22 @@
 	// Remaining is what is left until the request ends, Due until it must have this
 	// stage to be on time; Due is below 0 if it is late already.
 	Remaining, Due time.Duration
-	// Rank is 0 for the most urgent.
-	Rank int
+	// Class is which requests it waits with.
+	Class Class
+	// Value is what the request counts for against others of its rank.
+	Value float64
 	// Pulls are what each piece moves: where its inputs lie and its result is needed.
 	Pulls []pool.Pull
 }
 
+// Class is a set of requests that wait alike.
+type Class struct {
+	// Rank is that of the workspace, 0 for the most urgent; it decides at the pools.
+	Rank int
+	// Priority is that of the route.
+	Priority int
+}
+
 // Failure says why a task has no results; empty if it has.
 type Failure string
 
@@ -57,7 +67,7 @@
 	// Handles holds one result for each piece.
 	Handles []string
 	Failure Failure
-	// Wait is the owner's estimate for a task of the same rank that is queued now and
+	// Wait is the owner's estimate for a task of the same class that is queued now and
 	// can be in time, Backlog that for one queued behind all others.
 	Wait, Backlog time.Duration
 }
--- a/gateway/pools/waits.go
+++ b/gateway/pools/waits.go
@@ -7,14 +7,14 @@
 // process that gives a pool nothing any more, as it was full, would never hear that
 // it isn't. It is not safe for concurrent use.
 type waits struct {
-	ofRank map[rankedPart]said
-	ofPart map[Part]said
+	ofClass map[classOfPart]said
+	ofPart  map[Part]said
 }
 
-// rankedPart is a part of a pool as tasks of one rank see it.
-type rankedPart struct {
+// classOfPart is a part of a pool as tasks of one class see it.
+type classOfPart struct {
 	Part
-	rank int
+	class Class
 }
 
 // said is an estimate and when it came in.
@@ -28,22 +28,22 @@
 
 // newWaits returns waits that know nothing.
 func newWaits() *waits {
-	return &waits{ofRank: make(map[rankedPart]said), ofPart: make(map[Part]said)}
+	return &waits{ofClass: make(map[classOfPart]said), ofPart: make(map[Part]said)}
 }
 
 // learn records the estimates that came with a result.
-func (w *waits) learn(part Part, rank int, result Result, now time.Time) {
+func (w *waits) learn(part Part, class Class, result Result, now time.Time) {
 	if result.Wait > 0 {
-		w.ofRank[rankedPart{Part: part, rank: rank}] = said{wait: result.Wait, at: now}
+		w.ofClass[classOfPart{Part: part, class: class}] = said{wait: result.Wait, at: now}
 	}
 	if result.Backlog > 0 {
 		w.ofPart[part] = said{wait: result.Backlog, at: now}
 	}
 }
 
-// timely returns the wait of tasks of a rank that can be in time; 0 if it is unknown.
-func (w *waits) timely(part Part, rank int, now time.Time) time.Duration {
-	return w.ofRank[rankedPart{Part: part, rank: rank}].left(now)
+// timely returns the wait of tasks of a class that can be in time; 0 if it is unknown.
+func (w *waits) timely(part Part, class Class, now time.Time) time.Duration {
+	return w.ofClass[classOfPart{Part: part, class: class}].left(now)
 }
 
 // backlog returns the wait behind all tasks; 0 if it is unknown.
