--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,6 +8,7 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -20,6 +21,8 @@
 type Fleet interface {
 	Table() *routes.Table
 	Upstreams() *routes.Upstreams
+	// GiveProof returns how old what is known of the configuration is, for another process.
+	GiveProof() (view.Proof, bool)
 }
 
 // Owner queues and calls for the pools that askers give it. It may be used by many
