--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -191,9 +191,8 @@
 	if f.share == 0 {
 		return f.wait
 	}
-	lean := f.view.mayLean()
-	f.view.leaning.Store(lean)
-	if lean {
+	if f.view.mayLean() {
+		f.view.startLeaning()
 		return leanWait
 	}
 	return min(f.wait, f.view.trustTime()/time.Duration(f.share))
--- a/gateway/view/proof.go
+++ b/gateway/view/proof.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // Proof tells that a configuration was the store's newest a while ago. Processes hand theirs
@@ -105,8 +107,18 @@
 // stopLeaning ends a long watch of the configuration, once, and lets it be read anew: that
 // proves it at once, where a short watch without changes would prove it at its end only.
 func (v *View) stopLeaning() {
-	if v.leaning.CompareAndSwap(true, false) {
-		v.relist.Store(true)
-		v.config.again()
+	if !v.leaning.CompareAndSwap(true, false) {
+		return
 	}
+	v.relist.Store(true)
+	v.config.again()
+	age, _ := v.KeysAge()
+	v.options.Logger.Event(event.ProofsEnded, observe.Fields{"version": v.Table().Version, "age_ms": age.Milliseconds(), "behind": v.behind.Load()})
+}
+
+// startLeaning begins a long watch.
+func (v *View) startLeaning() {
+	age, _ := v.KeysAge()
+	v.leaning.Store(true)
+	v.options.Logger.Event(event.ProofsTaken, observe.Fields{"version": v.Table().Version, "age_ms": age.Milliseconds()})
 }
--- a/gateway/view/proof_test.go
+++ b/gateway/view/proof_test.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -8,11 +9,15 @@
 
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
 )
 
 // viewOf returns a View with a configuration whose last proof is some time old.
-func viewOf(version int64, age time.Duration) *View {
-	v := New(Options{Source: Source{Store: "127.0.0.1:1", ConfirmWithin: 4500 * time.Millisecond}})
+func viewOf(t *testing.T, version int64, age time.Duration) *View {
+	t.Helper()
+	logger, err := observe.NewLogger(io.Discard, "test", "error")
+	assert.NilError(t, err)
+	v := New(Options{Logger: logger, Source: Source{Store: "127.0.0.1:1", ConfirmWithin: 4500 * time.Millisecond}})
 	v.table.Store(routes.NewTable(version, routes.Limits{}, nil, nil, nil))
 	v.confirmed.Store(int64(clock.Boot() - age))
 	return v
@@ -25,21 +30,21 @@
 }
 
 func TestAnotherProcessProvesTheSameConfiguration(t *testing.T) {
-	v := viewOf(7, 4*time.Second)
+	v := viewOf(t, 7, 4*time.Second)
 	v.TakeProof(Proof{Version: 7, Age: time.Second}, clock.Boot())
 	assert.Assert(t, !olderThan(v, 3*time.Second) && olderThan(v, time.Second), "as old as there, counted from the question")
 	assert.Assert(t, v.mayLean())
 }
 
 func TestAProofOfAnOlderConfigurationHoldsForANewerOne(t *testing.T) {
-	v := viewOf(8, 4*time.Second)
+	v := viewOf(t, 8, 4*time.Second)
 	v.TakeProof(Proof{Version: 7, Age: time.Second}, clock.Boot())
 	assert.Assert(t, !olderThan(v, 3*time.Second), "what was taken away by then is in it")
 }
 
 // TestAProofOfANewerConfigurationProvesNothing: keys may have been taken away in it.
 func TestAProofOfANewerConfigurationProvesNothing(t *testing.T) {
-	v := viewOf(7, 4*time.Second)
+	v := viewOf(t, 7, 4*time.Second)
 	v.leaning.Store(true)
 	v.TakeProof(Proof{Version: 8}, clock.Boot())
 	assert.Assert(t, olderThan(v, 4*time.Second))
@@ -51,23 +56,23 @@
 }
 
 func TestAnOlderProofDoesNotReplaceANewerOne(t *testing.T) {
-	v := viewOf(7, time.Second)
+	v := viewOf(t, 7, time.Second)
 	v.TakeProof(Proof{Version: 7, Age: 3 * time.Second}, clock.Boot())
 	assert.Assert(t, !olderThan(v, 2*time.Second))
 }
 
 func TestAProcessFollowsTheStoreItselfWhenNobodyProvesForIt(t *testing.T) {
-	assert.Assert(t, !viewOf(7, 0).mayLean(), "nobody has")
+	assert.Assert(t, !viewOf(t, 7, 0).mayLean(), "nobody has")
 
-	stale := viewOf(7, 4*time.Second)
+	stale := viewOf(t, 7, 4*time.Second)
 	stale.TakeProof(Proof{Version: 7, Age: 3 * time.Second}, clock.Boot())
 	assert.Assert(t, !stale.mayLean(), "the proof is too old: the other may have lost the store")
 
-	silent := viewOf(7, 0)
+	silent := viewOf(t, 7, 0)
 	silent.TakeProof(Proof{Version: 7}, clock.Boot()-leanFor)
 	assert.Assert(t, !silent.mayLean(), "the other answers no more")
 
-	asked := viewOf(7, 0)
+	asked := viewOf(t, 7, 0)
 	asked.TakeProof(Proof{Version: 7}, clock.Boot())
 	assert.Assert(t, asked.mayLean())
 	asked.GiveProof()
@@ -75,7 +80,7 @@
 }
 
 func TestALongWatchFitsIntoTheTimeForWhichKeysAreTrusted(t *testing.T) {
-	v := viewOf(7, 0)
+	v := viewOf(t, 7, 0)
 	assert.Equal(t, v.config.longest(), configWait)
 	v.TakeProof(Proof{Version: 7}, clock.Boot())
 	assert.Equal(t, v.config.longest(), leanWait)
@@ -87,6 +92,6 @@
 func TestAProofIsGivenWithItsAge(t *testing.T) {
 	_, known := New(Options{}).GiveProof()
 	assert.Assert(t, !known)
-	proof, known := viewOf(7, time.Second).GiveProof()
+	proof, known := viewOf(t, 7, time.Second).GiveProof()
 	assert.Assert(t, known && proof.Version == 7 && proof.Age >= time.Second)
 }
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -14,13 +14,15 @@
 	MemberUnreadable   = define(10010, "member_unreadable", "A gateway's object can't be read; it gets no work.", "member", "error")
 	RegisterFailed     = define(10011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
 	SettingsReloaded   = define(10012, "settings_reloaded", "The settings file was read again.", "changed", "error")
+	ProofsTaken        = define(10014, "proofs_taken", "Another gateway's word proves the configuration; this one calls the store less often.", "version", "age_ms")
+	ProofsEnded        = define(10015, "proofs_ended", "Other gateways' word no longer proves the configuration; this one follows the store itself.", "version", "age_ms", "behind")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway answered a request itself. With 429 or 503 nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
-	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "idle", "remaining_ms", "after")
+	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
 	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error")
 	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
