--- a/gateway/pools/link.go
+++ b/gateway/pools/link.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"acaciawinch/core/fault"
-	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -40,9 +39,6 @@
 	// heard is when the owner last said something.
 	heard  time.Time
 	broken bool
-	// pings counts the pings; pingedAt is the boot time of the last one.
-	pings    uint64
-	pingedAt time.Duration
 }
 
 // newOwnerLink returns a link whose run must be called.
@@ -183,22 +179,7 @@
 		cancel(fault.New(fault.Unavailable, "pool.receive", l.owner.Name, "silent for %v", silent))
 		return nil
 	}
-	l.pings++
-	l.pingedAt = clock.Boot()
-	return &wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Ping{Ping: l.pings}}
-}
-
-// pong takes the owner's proof. That of an earlier ping is left out: when it was sent is
-// no longer known.
-func (l *ownerLink) pong(m *wirepb.PoolPong) {
-	l.mu.Lock()
-	l.heard = time.Now()
-	asked, last := l.pingedAt, m.GetPing() == l.pings
-	l.mu.Unlock()
-	if !last || m.GetVersion() == 0 {
-		return
-	}
-	l.asker.view.TakeProof(view.Proof{Version: m.GetVersion(), Age: time.Duration(m.GetProofAgeMs()) * time.Millisecond}, asked)
+	return &wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Ping{Ping: 1}}
 }
 
 // take hands an owner's reply to who waits for it. Results that nobody waits for any
@@ -213,8 +194,8 @@
 		if notify, waited := l.find(kind.Begun, false); waited {
 			notify.Begun()
 		}
-	case *wirepb.PoolReply_Pong:
-		l.pong(kind.Pong)
+	default:
+		l.find(0, false)
 	}
 }
 
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,7 +8,6 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
-	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -21,8 +20,6 @@
 type Fleet interface {
 	Table() *routes.Table
 	Upstreams() *routes.Upstreams
-	// GiveProof returns how old what is known of the configuration is, for another process.
-	GiveProof() (view.Proof, bool)
 }
 
 // Owner queues and calls for the pools that askers give it. It may be used by many
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -15,7 +15,6 @@
 
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
-	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -29,9 +28,6 @@
 // Table implements Fleet.
 func (k known) Table() *routes.Table { return k.table }
 
-// GiveProof implements Fleet.
-func (k known) GiveProof() (view.Proof, bool) { return view.Proof{}, false }
-
 // Upstreams implements Fleet.
 func (k known) Upstreams() *routes.Upstreams { return k.upstreams }
 
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -78,7 +78,7 @@
 	case *wirepb.PoolRequest_Free:
 		session.Free(partOf(kind.Free), kind.Free.GetHandles())
 	case *wirepb.PoolRequest_Ping:
-		reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Pong{Pong: session.pong(kind.Ping)}})
+		reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Pong{Pong: kind.Ping}})
 	}
 }
 
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -1,11 +1,6 @@
 package pools
 
-import (
-	"time"
-
-	"acaciawinch/core/pool"
-	"acaciawinch/wire/wirepb"
-)
+import "acaciawinch/core/pool"
 
 // Session is one asker at an owner. When it ends, its open tasks are cancelled. The
 // Owner's lock guards its state.
@@ -62,17 +57,6 @@
 	}
 }
 
-// pong returns the answer to a ping, with this process's proof if there is one. Its age is
-// rounded up: a proof must not look younger than it is.
-func (s *Session) pong(ping uint64) *wirepb.PoolPong {
-	answer := &wirepb.PoolPong{Ping: ping}
-	if proof, known := s.owner.fleet.GiveProof(); known {
-		answer.Version = proof.Version
-		answer.ProofAgeMs = uint64(max(0, proof.Age)/time.Millisecond) + 1
-	}
-	return answer
-}
-
 // End cancels all open tasks.
 func (s *Session) End() {
 	s.owner.mu.Lock()
--- a/gateway/view/config.go
+++ b/gateway/view/config.go
@@ -33,7 +33,7 @@
 // confirm implements receiver.
 func (f *configFollower) confirm(at time.Duration) {
 	if f.view.table.Load() != nil {
-		f.view.prove(at)
+		f.view.confirmed.Store(int64(at))
 	}
 }
 
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -69,14 +69,15 @@
 	upstreams.gather = upstreamGather
 	members := v.newFollower(MemberKind, memberWait, newMemberFollower(v))
 	members.gather = memberGather
-	v.config.onRegained = func() {
+	config := v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
+	config.share = confirmShare
+	config.onRegained = func() {
 		upstreams.again()
 		members.again()
 	}
-	for _, f := range []*follower{upstreams, members, v.config} {
+	for _, f := range []*follower{upstreams, members, config} {
 		group.Go(func() error { return f.run(ctx) })
 	}
-	group.Go(func() error { return v.lean(ctx) })
 	return group.Wait()
 }
 
@@ -151,9 +152,6 @@
 // step makes one call and hands on what it brought.
 func (f *follower) step(ctx context.Context) error {
 	began := clock.Boot()
-	if f.share > 0 && f.view.relist.Swap(false) {
-		f.listed = false
-	}
 	if !f.listed {
 		objects, revision, err := f.view.store.Load().List(ctx, f.kind)
 		if err != nil {
@@ -166,7 +164,6 @@
 	}
 	wait := f.longest()
 	changes, revision, err := f.view.store.Load().Watch(ctx, f.kind, f.revision, wait)
-	f.ended()
 	if err != nil {
 		return err
 	}
@@ -179,22 +176,11 @@
 	return nil
 }
 
-// ended notes that no watch waits.
-func (f *follower) ended() {
-	if f.share > 0 {
-		f.view.leaning.Store(false)
-	}
-}
-
 // longest returns how long the next watch waits.
 func (f *follower) longest() time.Duration {
 	if f.share == 0 {
 		return f.wait
 	}
-	if f.view.mayLean() {
-		f.view.startLeaning()
-		return leanWait
-	}
 	return min(f.wait, f.view.trustTime()/time.Duration(f.share))
 }
 
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -12,7 +12,6 @@
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
-	"acaciawinch/platform/document"
 	"acaciawinch/platform/store"
 )
 
@@ -59,18 +58,6 @@
 	// store's began.
 	confirmed atomic.Int64
 
-	// config follows the configuration.
-	config *follower
-	// leaning is set while its watch is a long one, as others prove the configuration.
-	leaning atomic.Bool
-	// relist is set when the configuration is to be read anew.
-	relist atomic.Bool
-	// behind is set while another process is known to have a newer configuration.
-	behind atomic.Bool
-	// provedByOtherAt is the boot time of the question for another process's last proof,
-	// askedAt that at which another last asked for one; 0 for never.
-	provedByOtherAt, askedAt atomic.Int64
-
 	mu       sync.Mutex
 	onChange []func()
 }
@@ -81,8 +68,6 @@
 	v.SetSource(options.Source)
 	v.members.Store(&[]Member{})
 	v.confirmed.Store(-1)
-	v.config = v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
-	v.config.share = confirmShare
 	return v
 }
 
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -14,8 +14,6 @@
 	MemberUnreadable   = define(10010, "member_unreadable", "A gateway's object can't be read; it gets no work.", "member", "error")
 	RegisterFailed     = define(10011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
 	SettingsReloaded   = define(10012, "settings_reloaded", "The settings file was read again.", "changed", "error")
-	ProofsTaken        = define(10014, "proofs_taken", "Another gateway's word proves the configuration; this one calls the store less often.", "version", "age_ms")
-	ProofsEnded        = define(10015, "proofs_ended", "Other gateways' word no longer proves the configuration; this one follows the store itself.", "version", "age_ms", "behind")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
