--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -160,8 +160,8 @@
 	kept := make(map[string]*worker, len(list))
 	for _, upstream := range list {
 		w := p.workers[upstream.ID]
-		if w == nil {
-			w = &worker{slow: 1}
+		if w == nil || w.upstream.Born != upstream.Born {
+			w = &worker{slow: 1} // one that has started again holds nothing of before
 		}
 		w.upstream = upstream
 		kept[upstream.ID] = w
@@ -173,7 +173,7 @@
 // order, and returns the items that nobody will try again. Those with outcome
 // Again are queued unless they were tried often enough; want of room is no try.
 func (p *Pool) Finish(call *Call, outcomes []Outcome, now time.Time) (failed []*Item) {
-	w := p.workers[call.Upstream.ID]
+	w := p.worker(call.Upstream)
 	for i, item := range call.Items {
 		if outcomes[i] == Made {
 			continue
@@ -199,7 +199,7 @@
 
 // Succeed records that an upstream answered a call.
 func (p *Pool) Succeed(call *Call, now time.Time) {
-	if w := p.workers[call.Upstream.ID]; w != nil {
+	if w := p.worker(call.Upstream); w != nil {
 		w.failures = 0
 		p.learn(w, call, now)
 	}
@@ -232,7 +232,7 @@
 // Fail records that an upstream's call failed as a whole, so that it is left alone
 // for a while.
 func (p *Pool) Fail(call *Call, now time.Time) {
-	w := p.workers[call.Upstream.ID]
+	w := p.worker(call.Upstream)
 	if w == nil {
 		return
 	}
@@ -255,9 +255,18 @@
 // average that this pool alone calls. One that two owners call takes twice as long.
 const aloneSlow = 1.25
 
+// worker returns what is known of one start of an upstream, nil if it is gone.
+func (p *Pool) worker(upstream routes.Upstream) *worker {
+	w := p.workers[upstream.ID]
+	if w == nil || w.upstream.Born != upstream.Born {
+		return nil
+	}
+	return w
+}
+
 // Free records that results of an upstream, of a total size, are gone.
-func (p *Pool) Free(id string, bytes int64) {
-	if w := p.workers[id]; w != nil {
+func (p *Pool) Free(upstream routes.Upstream, bytes int64) {
+	if w := p.worker(upstream); w != nil {
 		w.room = max(0, w.room-bytes)
 	}
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -164,7 +164,7 @@
 	p.Finish(call, all(call, Made), start)
 	p.Succeed(call, start)
 	assert.Assert(t, p.Next(start) == nil, "the results still lie there")
-	p.Free("a", 3000)
+	p.Free(call.Upstream, 3000)
 	assert.Equal(t, len(p.Next(start).Items), 1)
 }
 
@@ -268,3 +268,34 @@
 	assert.Equal(t, len(p.Expire(start.Add(1))), 2)
 	assert.Equal(t, p.Waiting(), 1)
 }
+
+// TestAnUpstreamThatStartedAgainHoldsNothingOfBefore: its room is empty, and the end of a
+// call to the one before says nothing of it.
+func TestAnUpstreamThatStartedAgainHoldsNothingOfBefore(t *testing.T) {
+	p := newPool(1)
+	small := settings
+	small.RoomBytes = 8000
+	p.Configure(small)
+	first := task(1, time.Second)
+	first.Bytes = 1000
+	p.Add(first, 8)
+	call := p.Next(start)
+	assert.Equal(t, len(call.Items), 8)
+
+	list := upstreams(1)
+	list[0].Born = 5
+	p.SetUpstreams(list)
+	second := task(2, time.Second)
+	second.Bytes = 1000
+	p.Add(second, 8)
+	again := p.Next(start)
+	assert.Assert(t, again != nil, "it is idle")
+	assert.Equal(t, len(again.Items), 8, "all of its room is free")
+
+	p.Finish(call, all(call, Again), start)
+	p.Fail(call, start)
+	p.Free(call.Upstream, 8000)
+	assert.Equal(t, p.workers["a"].calls, 1, "the call to the new one still runs")
+	assert.Equal(t, p.workers["a"].room, int64(8000))
+	assert.Assert(t, !start.Before(p.workers["a"].avoid), "the failure was that of the one before")
+}
--- a/core/pool/replay_test.go
+++ b/core/pool/replay_test.go
@@ -127,7 +127,7 @@
 // end plays one ending.
 func (s *simulation) end(e ending) {
 	if e.free {
-		s.pool.Free(e.call.Upstream.ID, int64(len(e.call.Items))*s.site.resultBytes)
+		s.pool.Free(e.call.Upstream, int64(len(e.call.Items))*s.site.resultBytes)
 		return
 	}
 	s.pool.Finish(e.call, all(e.call, Made), s.now)
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -7,8 +7,8 @@
 
 // Upstream is one running back end as discovery last told of it.
 type Upstream struct {
-	// ID names one start of the upstream; it is sent along so that whoever has
-	// the address later does not run the request.
+	// ID names the upstream; it is sent along so that whoever has the address later does
+	// not run the request.
 	ID      string
 	Service string
 	// Address is IP:port.
@@ -17,6 +17,9 @@
 	Slots   int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Born tells two starts under one ID apart: the later one has the higher number. It
+	// is the Unix millisecond of the start, 0 if that isn't known.
+	Born int64
 	// Cold is how much longer the upstream is slow after its start.
 	Cold time.Duration
 }
@@ -53,6 +56,19 @@
 	return known
 }
 
+// Find returns the upstream with an ID, and false if there is none.
+func (u *Upstreams) Find(id string) (Upstream, bool) {
+	upstream, known := u.byID[id]
+	return upstream, known
+}
+
+// Each calls visit for each upstream, in no order.
+func (u *Upstreams) Each(visit func(Upstream)) {
+	for _, upstream := range u.byID {
+		visit(upstream)
+	}
+}
+
 // ZoneOf returns the availability zone of the upstream at an address, empty if there
 // is none.
 func (u *Upstreams) ZoneOf(address string) string { return u.byAddress[address].Zone }
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -42,6 +42,8 @@
 	engines map[string]*state
 	// parts holds where shared parts last went, by their keys.
 	parts map[string]sentPart
+	// born holds the last start known of each engine.
+	born map[string]int64
 }
 
 // state is what is known of one engine.
@@ -57,7 +59,7 @@
 
 // New returns a Chooser that knows nothing.
 func New() *Chooser {
-	return &Chooser{engines: make(map[string]*state), parts: make(map[string]sentPart)}
+	return &Chooser{engines: make(map[string]*state), parts: make(map[string]sentPart), born: make(map[string]int64)}
 }
 
 // Choice is an engine and why it was taken.
@@ -232,8 +234,12 @@
 	s.sent++
 }
 
-// Ended records the end of a request at an engine.
-func (c *Chooser) Ended(id string) { c.of(id).own-- }
+// Ended records the end of a request at an engine. One that began before the engine
+// started again is no longer counted.
+func (c *Chooser) Ended(id string) {
+	s := c.of(id)
+	s.own = max(0, s.own-1)
+}
 
 // Heard records what an engine said of its load.
 func (c *Chooser) Heard(id string, load Load) {
@@ -255,11 +261,29 @@
 	return s
 }
 
-// Keep forgets all engines but those in list.
+// Keep forgets all engines but those in list, and what was known of those that started
+// again: they hold no parts and no requests of before.
 func (c *Chooser) Keep(list *routes.Upstreams) {
 	for id, s := range c.engines {
 		if s.own == 0 && !list.Knows(id) {
 			delete(c.engines, id)
 		}
 	}
+	for id, born := range c.born {
+		if upstream, known := list.Find(id); known && upstream.Born != born {
+			c.startedAgain(id)
+		}
+	}
+	clear(c.born)
+	list.Each(func(upstream routes.Upstream) { c.born[upstream.ID] = upstream.Born })
+}
+
+// startedAgain forgets what is known of an engine.
+func (c *Chooser) startedAgain(id string) {
+	delete(c.engines, id)
+	for key, part := range c.parts {
+		if part.engine == id {
+			delete(c.parts, key)
+		}
+	}
 }
--- a/core/selection/parts_test.go
+++ b/core/selection/parts_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/routes"
 )
 
 // TestAnEngineCopiesAPartFromWhereItLastWent: a request that load sends elsewhere copies
@@ -57,3 +59,26 @@
 	_, known := c.parts[""]
 	assert.Assert(t, !known, "a request without a shared part says nothing")
 }
+
+// TestAnEngineThatStartedAgainHoldsNothing: neither load nor parts of before count.
+func TestAnEngineThatStartedAgainHoldsNothing(t *testing.T) {
+	c, list := New(), engines(3)
+	c.Keep(routes.NewUpstreams(list))
+	home, _ := c.Choose(list, "part", nil, now)
+	c.Started(home.Upstream.ID)
+	c.SentPart("part", home.Upstream.ID, now)
+	c.Failed(home.Upstream.ID, now)
+	for i := range list {
+		if list[i].ID == home.Upstream.ID {
+			list[i].Born++
+		}
+	}
+	c.Keep(routes.NewUpstreams(list))
+	again, _ := c.Choose(list, "part", nil, now)
+	assert.Equal(t, again.Upstream.ID, home.Upstream.ID, "its failure is that of the one before")
+	assert.Equal(t, again.Load, 0.0)
+	_, known := c.parts["part"]
+	assert.Assert(t, !known)
+	c.Ended(home.Upstream.ID)
+	assert.Equal(t, c.estimate(again.Upstream, now), 0.0, "the end of a request of before")
+}
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -206,6 +206,6 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	p.queue.Free(upstream.ID, at.bytes)
+	p.queue.Free(upstream, at.bytes)
 	o.pump(p, time.Now())
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -127,7 +127,7 @@
 	for handle, result := range p.results {
 		if now.After(result.until) {
 			delete(p.results, handle)
-			p.queue.Free(result.upstream.ID, result.bytes)
+			p.queue.Free(result.upstream, result.bytes)
 		}
 	}
 }
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -56,19 +56,26 @@
 // confirm implements receiver.
 func (f *upstreamFollower) confirm(time.Duration) {}
 
-// take decodes an entry. One that can't be read leaves what was known of it.
+// take decodes an entry. One that can't be read names no upstream to use, and one of an
+// earlier start that comes late does not replace that of the later one.
 func (f *upstreamFollower) take(object store.Object) {
 	upstream, err := document.Upstream(object.Name, object.Spec)
 	if err != nil {
 		f.view.options.Logger.Warn(event.UpstreamUnreadable, observe.Fields{"upstream": object.Name, "revision": object.Revision, "error": err.Error()})
+		delete(f.known, object.Name)
 		return
 	}
 	old, known := f.known[upstream.ID]
+	if known && old.Born > upstream.Born {
+		f.view.options.Logger.Warn(event.UpstreamUnreadable, observe.Fields{"upstream": object.Name, "revision": object.Revision,
+			"error": "it tells of an earlier start"})
+		return
+	}
 	f.known[upstream.ID] = upstream
-	if !known || old.Leaving != upstream.Leaving {
+	if !known || old.Leaving != upstream.Leaving || old.Born != upstream.Born {
 		f.view.options.Logger.Event(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
-			"leaving": upstream.Leaving, "revision": object.Revision})
+			"leaving": upstream.Leaving, "born": upstream.Born, "revision": object.Revision})
 	}
 }
 
--- /dev/null
+++ b/gateway/view/upstreams_test.go
@@ -0,0 +1,52 @@
+package view
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/observe"
+	"acaciawinch/platform/store"
+)
+
+// entry returns an upstream's object.
+func entry(name, state string, born int64) store.Object {
+	spec := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"born":%d}`, state, born)
+	return store.Object{Name: name, Spec: json.RawMessage(spec)}
+}
+
+// following returns a follower of upstreams and its View.
+func following(t *testing.T) (*upstreamFollower, *View) {
+	t.Helper()
+	logger, err := observe.NewLogger(io.Discard, "test", "error")
+	assert.NilError(t, err)
+	v := New(Options{Logger: logger})
+	return newUpstreamFollower(v), v
+}
+
+func TestAnEntryThatCanNotBeReadNamesNoUpstreamAndTheOthersHold(t *testing.T) {
+	f, v := following(t)
+	broken := store.Object{Name: "b", Spec: json.RawMessage(`{"service":7}`)}
+	f.reset([]store.Object{entry("a", "ready", 1), broken, entry("c", "ready", 1)})
+	assert.Equal(t, len(v.Upstreams().Of("s")), 2)
+
+	f.apply([]store.Change{{Object: store.Object{Name: "a", Spec: json.RawMessage(`"x"`)}}})
+	assert.Assert(t, !v.Upstreams().Knows("a"), "what it said before is no longer its word")
+	assert.Assert(t, v.Upstreams().Knows("c"))
+	f.apply([]store.Change{{Object: entry("a", "ready", 1)}})
+	assert.Assert(t, v.Upstreams().Knows("a"))
+}
+
+func TestAnEntryOfAnEarlierStartDoesNotReplaceThatOfALaterOne(t *testing.T) {
+	f, v := following(t)
+	f.reset([]store.Object{entry("a", "ready", 9)})
+	f.apply([]store.Change{{Object: entry("a", "draining", 8)}})
+	upstream, _ := v.Upstreams().Find("a")
+	assert.Assert(t, !upstream.Leaving && upstream.Born == 9)
+	f.apply([]store.Change{{Object: entry("a", "draining", 9)}})
+	upstream, _ = v.Upstreams().Find("a")
+	assert.Assert(t, upstream.Leaving)
+}
