--- a/acaciawinch/command.go
+++ b/acaciawinch/command.go
@@ -144,6 +144,7 @@
 		{"rollback", "bring back an earlier configuration", "Accepts a new change with the content of an earlier revision.", &rollbackCommand{env: e}},
 		{"status", "show what is in force at the store and at entries", "Asks the store and the entries that the settings name.", &statusCommand{env: e}},
 		{"explain", "tell what was decided about a request and why", "Asks entries for the trace of a recent request.", &explainCommand{env: e}},
+		{"account", "tell from gateways' logs what became of requests and why", "Counts, by route, what was answered in time, late, refused or failed, and what held it up.", &accountCommand{env: e}},
 		{"drain", "take an upstream out of service", "Ends new work at the upstream; what is in flight finishes.", &drainCommand{env: e}},
 		{"undrain", "put a drained upstream back", "Allows new work at the upstream again.", &drainCommand{env: e, resume: true}},
 		{"charts", "print the state charts", "Prints the state charts as Markdown with Mermaid diagrams.", &chartsCommand{env: e}},
--- a/acaciawinch/command_test.go
+++ b/acaciawinch/command_test.go
@@ -289,3 +289,14 @@
 	b.expect(exitDone, "accepted as revision 4", "rollback", "2")
 	b.expect(exitBadInput, gone, "get", "--revision", "1")
 }
+
+func TestAccountCountsTheLinesOfAFile(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "log")
+	line := `{"fields":{"event":10023,"request":"a","route":"r","status":200,"first_us":400000,"objective_ms":1000}}` + "\n"
+	assert.NilError(t, os.WriteFile(name, []byte(line+"no line of a gateway\n"), 0o600))
+	var out, errOut strings.Builder
+	assert.Equal(t, run(context.Background(), []string{"account", "--log", name}, &out, &errOut), exitDone, errOut.String())
+	assert.Assert(t, strings.Contains(out.String(), "r      1        0     0        0       0"), out.String())
+	assert.Assert(t, strings.Contains(out.String(), "1 lines could not be read"), out.String())
+	assert.Equal(t, run(context.Background(), []string{"account", "--log", name + "x"}, &out, &errOut), exitBadInput)
+}
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -133,5 +133,6 @@
 	}
 	rq.Metrics.ended("answered_"+strconv.Itoa(status), took)
 	rq.Logger.Event(event.GatewayAnswered, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name, "status": status,
-		"upstream": id, "events": rq.events, "first_us": first.Microseconds(), "duration_us": took.Microseconds()})
+		"upstream": id, "events": rq.events, "first_us": first.Microseconds(),
+		"used_ms": rq.began.Sub(rq.since).Milliseconds(), "objective_ms": rq.route.Objective.Milliseconds(), "duration_us": took.Microseconds()})
 }
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -22,7 +22,7 @@
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway answered a request itself. With 429 or 503 nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
 	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
 	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error")
-	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "duration_us")
+	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "used_ms", "objective_ms", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
 	GatewayLeft     = define(10025, "gateway_left", "The client left before its answer; the work was ended.", "request", "route", "step", "duration_us")
 	StageDone       = define(10026, "stage_done", "A stage of a request has its results.", "request", "stage", "service", "owner", "pieces", "duration_us")
