--- a/acaciawinch/client.go
+++ b/acaciawinch/client.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, step, base, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // it was only read
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, step, base, err)
--- a/core/config/keys.go
+++ b/core/config/keys.go
@@ -34,6 +34,6 @@
 // ShardOf returns which shard holds the workspace.
 func ShardOf(workspace string) int {
 	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(workspace))
+	_, _ = hash.Write([]byte(workspace)) // a hash takes every byte
 	return int(hash.Sum64() % ShardCount)
 }
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -109,9 +109,9 @@
 // templates, models, drained upstreams and workspaces.
 func (s *Snapshot) Digest() uint64 {
 	hash := sha256.New()
-	_, _ = hash.Write([]byte(s.templatesHash))
+	_, _ = hash.Write([]byte(s.templatesHash)) // a hash takes every byte
 	for _, shard := range s.shards {
-		_, _ = hash.Write([]byte("/" + shard.hash))
+		_, _ = hash.Write([]byte("/" + shard.hash)) // a hash takes every byte
 	}
 	return max(binary.BigEndian.Uint64(hash.Sum(nil)), 1)
 }
--- a/core/elapsed/elapsed.go
+++ b/core/elapsed/elapsed.go
@@ -16,8 +16,8 @@
 	remembered = 64
 	// fewest is how many are needed to say anything.
 	fewest = 16
-	// refresh is after how many new ones the limit is worked out anew: sorting at each
-	// request would cost some 3 µs.
+	// refresh is after how many new ones the limit is worked out anew: that takes 0.7 µs, a
+	// request 0.1 µs on average with it (BenchmarkShortest, BenchmarkUsed).
 	refresh = 8
 	// spreadFactor is how far below the median the shortest time of a first request is
 	// taken to lie, against the distance of the longest above it. 1 would do if first
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -6,7 +6,8 @@
 )
 
 // classFactor is how much less than the most valuable item of a class one may count for
-// and still be of that class. Values are estimates: within them the age of a task says more.
+// and still be of that class: estimates are within a factor of 1.8 of what operators gave
+// (TestTheEstimateAgreesWithWhatOperatorsGave), and within that the age of a task says more.
 const classFactor = 2
 
 // sort orders the queue. Tasks that can still be on time go before those that are
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -32,6 +32,15 @@
 	return p
 }
 
+// newPoolWithRoom returns a pool with one upstream that has room for some bytes of results.
+func newPoolWithRoom(bytes int64) *Pool {
+	p := newPool(1)
+	small := settings
+	small.RoomBytes = bytes
+	p.Configure(small)
+	return p
+}
+
 // task returns a task that is due in a time.
 func task(ticket Ticket, due time.Duration) *Task {
 	return &Task{Ticket: ticket, Due: start.Add(due), Last: start.Add(10 * time.Second), Bytes: 1000}
@@ -151,10 +160,7 @@
 }
 
 func TestCallsStayWithinTheRoomForResults(t *testing.T) {
-	p := newPool(1)
-	small := settings
-	small.RoomBytes = 10_000
-	p.Configure(small)
+	p := newPoolWithRoom(10_000)
 	first := task(1, time.Second)
 	first.Bytes = 3000
 	p.Add(first, 4)
@@ -169,10 +175,7 @@
 }
 
 func TestWantOfRoomIsNoTryAndBlocksThatMuchForAWhile(t *testing.T) {
-	p := newPool(1)
-	small := settings
-	small.RoomBytes = 10_000
-	p.Configure(small)
+	p := newPoolWithRoom(10_000)
 	one := task(1, 5*time.Second)
 	one.Bytes = 6000
 	p.Add(one, 1)
@@ -272,10 +275,7 @@
 // TestAnUpstreamThatStartedAgainHoldsNothingOfBefore: its room is empty, and the end of a
 // call to the one before says nothing of it.
 func TestAnUpstreamThatStartedAgainHoldsNothingOfBefore(t *testing.T) {
-	p := newPool(1)
-	small := settings
-	small.RoomBytes = 8000
-	p.Configure(small)
+	p := newPoolWithRoom(8000)
 	first := task(1, time.Second)
 	first.Bytes = 1000
 	p.Add(first, 8)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -104,8 +104,8 @@
 	var length [8]byte
 	binary.LittleEndian.PutUint64(length[:], uint64(len(key)))
 	hash := xxhash.New()
-	_, _ = hash.Write(length[:])
-	_, _ = hash.WriteString(key)
-	_, _ = hash.WriteString(host)
+	_, _ = hash.Write(length[:])  // a hash takes every byte
+	_, _ = hash.WriteString(key)  // a hash takes every byte
+	_, _ = hash.WriteString(host) // a hash takes every byte
 	return hash.Sum64()
 }
--- a/core/routing/rendezvous.go
+++ b/core/routing/rendezvous.go
@@ -19,12 +19,12 @@
 func prefixKey(q Query) uint64 {
 	d := xxhash.New()
 	for _, part := range []string{q.Service, q.Model.Name, q.Model.Version} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(part) // a hash takes every byte
+		_, _ = d.Write([]byte{0})  // a hash takes every byte
 	}
 	var prefix [8]byte
 	binary.LittleEndian.PutUint64(prefix[:], q.Prefix)
-	_, _ = d.Write(prefix[:])
+	_, _ = d.Write(prefix[:]) // a hash takes every byte
 	return d.Sum64()
 }
 
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -42,7 +42,7 @@
 	engines map[string]*state
 	// parts holds where shared parts last went, by their keys.
 	parts map[string]sentPart
-	// born holds the last start known of each engine.
+	// born holds the last start known of each upstream.
 	born map[string]int64
 }
 
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -103,7 +103,7 @@
 // Engines take ranks from 0 to 9.
 const (
 	// ranksPerWorkspace is how many priorities of routes an engine tells apart under each
-	// rank of a workspace, which goes first.
+	// rank of a workspace, which goes first: the deployments known have 0 to 2.
 	ranksPerWorkspace = 3
 	lastEngineRank    = 9
 )
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -67,8 +67,8 @@
 	}
 	old, known := f.known[upstream.ID]
 	if known && old.Born > upstream.Born {
-		f.view.options.Logger.Warn(event.UpstreamUnreadable, observe.Fields{"upstream": object.Name, "revision": object.Revision,
-			"error": "it tells of an earlier start"})
+		f.view.options.Logger.Warn(event.UpstreamOutdated, observe.Fields{"upstream": object.Name, "revision": object.Revision,
+			"born": upstream.Born, "known_born": old.Born})
 		return
 	}
 	f.known[upstream.ID] = upstream
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -9,11 +9,12 @@
 	TableRefused       = define(10005, "table_refused", "A configuration can't be read; the one before stays in force.", "revision", "error")
 	UpstreamChanged    = define(10006, "upstream_changed", "An upstream came, started again, or said that it is leaving.", "upstream", "service", "address", "leaving", "born", "revision")
 	UpstreamGone       = define(10007, "upstream_gone", "An upstream's entry was removed; it gets no new work.", "upstream", "service", "address")
-	UpstreamUnreadable = define(10008, "upstream_unreadable", "An upstream's entry can't be read, so that it names none to use; or it tells of an earlier start and is passed over.", "upstream", "revision", "error")
+	UpstreamUnreadable = define(10008, "upstream_unreadable", "An upstream's entry can't be read, so that it names none to use.", "upstream", "revision", "error")
 	MembersChanged     = define(10009, "members_changed", "The list of the other gateways changed.", "members")
 	MemberUnreadable   = define(10010, "member_unreadable", "A gateway's object can't be read; it gets no work.", "member", "error")
 	RegisterFailed     = define(10011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
 	SettingsReloaded   = define(10012, "settings_reloaded", "The settings file was read again.", "changed", "error")
+	UpstreamOutdated   = define(10014, "upstream_outdated", "An upstream's entry tells of an earlier start than the one known, and is passed over.", "upstream", "revision", "born", "known_born")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
--- a/standin/answer/answer.go
+++ b/standin/answer/answer.go
@@ -25,8 +25,8 @@
 // Token returns the chunk with number i that an engine gives.
 func Token(input []byte, i int) []byte {
 	hash := xxhash.New()
-	_, _ = hash.Write(input)
-	_, _ = hash.WriteString(strconv.Itoa(i))
+	_, _ = hash.Write(input)                 // a hash takes every byte
+	_, _ = hash.WriteString(strconv.Itoa(i)) // a hash takes every byte
 	return fmt.Appendf(nil, "%08x ", uint32(hash.Sum64()))
 }
 
