--- /dev/null
+++ b/core/replica/replica_test.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// change returns a change of an object.
+func change(name string, revision int64) Change {
+	return Change{Object: Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))}}
+}
+
+// filled returns a Replica of revision 10 with objects a and b.
+func filled(t *testing.T) *Replica {
+	t.Helper()
+	r := New()
+	_, err := r.Apply(Delta{Reset: true, Revision: 10, Changes: []Change{change("a", 4), change("b", 9)}})
+	assert.NilError(t, err)
+	return r
+}
+
+func TestACopyThatKnowsNothingTellsNothing(t *testing.T) {
+	r := New()
+	_, told := r.Since(-1)
+	assert.Assert(t, !told && !r.Known())
+	_, err := r.Apply(Delta{After: 1, Revision: 2})
+	assert.ErrorContains(t, err, "do not fit")
+}
+
+func TestChangesThatLeaveAGapAreRefused(t *testing.T) {
+	r := filled(t)
+	_, err := r.Apply(Delta{After: 11, Revision: 12, Changes: []Change{change("a", 12)}})
+	assert.ErrorContains(t, err, "do not fit")
+	assert.Equal(t, r.Revision(), int64(10))
+}
+
+func TestACopyNeverGoesBack(t *testing.T) {
+	r := filled(t)
+	news, err := r.Apply(Delta{Reset: true, Revision: 9})
+	assert.NilError(t, err)
+	assert.Assert(t, !news)
+	assert.Equal(t, r.Size(), 2)
+}
+
+func TestAnEndThatMovesWithoutChangesIsNoNews(t *testing.T) {
+	r := filled(t)
+	news, err := r.Apply(Delta{After: 10, Revision: 30})
+	assert.NilError(t, err)
+	assert.Assert(t, !news)
+	assert.Equal(t, r.Revision(), int64(30))
+	d, told := r.Since(10)
+	assert.Assert(t, told && !d.Reset && len(d.Changes) == 0 && d.Revision == 30)
+}
+
+func TestOldCopiesGetAllObjectsOnceTheChangesAreMore(t *testing.T) {
+	r := filled(t)
+	for revision := int64(11); revision < 15; revision++ {
+		_, err := r.Apply(Delta{After: revision - 1, Revision: revision, Changes: []Change{change("a", revision)}})
+		assert.NilError(t, err)
+	}
+	d, told := r.Since(13)
+	assert.Assert(t, told && !d.Reset && len(d.Changes) == 1)
+	d, told = r.Since(10)
+	assert.Assert(t, told && d.Reset && len(d.Changes) == 2)
+}
+
+// TestCopiesThatFollowCopiesEndAlike: over random chains, with deltas that overlap, come
+// late or twice, each copy holds what the store held at its revision.
+func TestCopiesThatFollowCopiesEndAlike(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		store, states := New(), map[int64]map[string]Object{}
+		_, err := store.Apply(Delta{Reset: true, Revision: 1})
+		assert.NilError(t, err)
+		copies := []*Replica{store, New(), New(), New()}
+		var late []Delta
+		for revision := int64(2); revision < 60; revision++ {
+			one := change(fmt.Sprint("o", random.IntN(6)), revision)
+			one.Deleted = random.IntN(4) == 0
+			_, err := store.Apply(Delta{After: revision - 1, Revision: revision, Changes: []Change{one}})
+			assert.NilError(t, err)
+			states[revision] = copied(store.objects)
+			to := copies[1+random.IntN(3)]
+			from := copies[random.IntN(len(copies))]
+			at := to.revision
+			if !to.known {
+				at = -1
+			}
+			if d, told := from.Since(at); told {
+				late = append(late, d)
+				take(t, to, d, states)
+			}
+			if len(late) > 0 && random.IntN(2) == 0 {
+				d := late[random.IntN(len(late))]
+				if d.Reset || to.known && d.After <= to.revision {
+					take(t, to, d, states)
+				}
+			}
+		}
+	}
+}
+
+// take applies a delta and compares the copy with what the store held.
+func take(t *testing.T, to *Replica, d Delta, states map[int64]map[string]Object) {
+	t.Helper()
+	_, err := to.Apply(d)
+	assert.NilError(t, err)
+	if want, known := states[to.revision]; known {
+		assert.DeepEqual(t, to.objects, want)
+	}
+}
+
+// copied returns a copy of a map.
+func copied(objects map[string]Object) map[string]Object {
+	own := make(map[string]Object, len(objects))
+	for name, object := range objects {
+		own[name] = object
+	}
+	return own
+}
--- /dev/null
+++ b/core/source/source.go
@@ -0,0 +1,323 @@
+// Package source decides from whom a gateway learns what the platform's store holds: from
+// the store itself, or from another gateway that passes on what it knows.
+//
+// In each availability zone the first few members by rendezvous score read the store; the
+// others follow one of these. Nobody agrees on that: each process computes it from the
+// members that it knows, without those that failed it lately. Where two processes differ,
+// one more or one fewer reads, or one follows another that follows a third; that costs
+// calls or some ms. What must never go wrong does not depend on the choice: each copy
+// carries its revision and never goes back (package replica), and each proof of the keys
+// carries its time (package gateway/relay).
+//
+// Load that it answers: a fleet of N gateways in which each follows the store makes calls
+// in proportion to N, and to N squared when all are restarted one after the other.
+package source
+
+import (
+	"time"
+
+	"acaciawinch/core/rendezvous"
+)
+
+// Member is one gateway.
+type Member struct {
+	Name, Zone, Incarnation string
+}
+
+// Settings are the figures of a Selector.
+type Settings struct {
+	// Readers is how many members of each zone read the store.
+	Readers int
+	// StaleAfter is how old the newest proof of a source may be before another one is
+	// looked for.
+	StaleAfter time.Duration
+}
+
+// MaxHops bounds the processes through which a word of the store may come: a reader that
+// the store turns away follows a reader elsewhere, and is followed itself.
+const MaxHops = 2
+
+// Timing of the choice.
+const (
+	// lostRest is how long a source that broke off or can't be reached is passed over at
+	// first, and staleRest one whose word is old: the time in which the store may come back
+	// to it. Each further time it is twice as long, up to longestRest: one that is gone for
+	// good stays a member.
+	lostRest    = 3 * time.Second
+	staleRest   = 2 * time.Second
+	longestRest = 30 * time.Second
+	// firstSwitch is the least time between two sources that are left for being stale,
+	// doubled up to longestSwitch while none is better: in an outage of the store all are.
+	firstSwitch   = 500 * time.Millisecond
+	longestSwitch = 4 * time.Second
+	// aloneAfter is how long a process without a good source waits before it asks the
+	// store itself, and aloneSpread by how much more, by a hash of its name: a hundred
+	// that lose their source at once ask over a second.
+	aloneAfter  = 500 * time.Millisecond
+	aloneSpread = time.Second
+	// tryFor is how long it then asks, time for a call and its timeout, and firstPause the
+	// pause after a try that failed, doubled up to longestPause: in an outage of 14 s a
+	// process makes two tries.
+	tryFor       = time.Second
+	firstPause   = 4 * time.Second
+	longestPause = 16 * time.Second
+)
+
+// Reason tells why a plan is as it is.
+type Reason string
+
+// The reasons.
+const (
+	// Reader: this process is one of its zone's readers.
+	Reader Reason = "reader"
+	// ReaderStale: it is, but the store does not answer it, and it follows another one too.
+	ReaderStale Reason = "reader_stale"
+	// Follower: it follows a source whose word is fresh.
+	Follower Reason = "follower"
+	// Seeking: it has no source with a fresh word and looks for one.
+	Seeking Reason = "seeking"
+	// Alone: it has found none and asks the store itself.
+	Alone Reason = "alone"
+)
+
+// Plan is what a process does from now on.
+type Plan struct {
+	// Read is set if it follows the store.
+	Read bool
+	// Follow is the member that it follows; without a name, none.
+	Follow Member
+	Reason Reason
+}
+
+// Selector holds what a process knows of its sources. Times are those of the boot clock.
+// It is not safe for concurrent use.
+type Selector struct {
+	settings Settings
+	self     Member
+	members  []Member
+	rests    map[string]rest
+
+	current source
+	// switchAt is when a stale source may be left, and switchPause the time until the next.
+	switchAt, switchPause time.Duration
+
+	// storeProved is the time of the store's newest proof to this process itself.
+	storeProved time.Duration
+	// readSince is when this process began to read as one of its zone's readers.
+	readSince time.Duration
+	reading   bool
+
+	// good is when a source or the store last was fresh; tries are counted from then.
+	good     time.Duration
+	tryUntil time.Duration
+	tryPause time.Duration
+}
+
+// rest is for how long a member is passed over.
+type rest struct {
+	until, length time.Duration
+}
+
+// source is the member that is followed.
+type source struct {
+	Member
+	// heard is set once it has said how fresh its word is.
+	heard  bool
+	proved time.Duration
+	hops   int
+}
+
+// never is a time before all others.
+const never = time.Duration(-1 << 62)
+
+// New returns a Selector of the process self that knows no other member.
+func New(self Member, settings Settings, now time.Duration) *Selector {
+	return &Selector{
+		settings:    settings,
+		self:        self,
+		rests:       make(map[string]rest),
+		storeProved: never,
+		switchPause: firstSwitch,
+		good:        now,
+		tryPause:    firstPause,
+	}
+}
+
+// SetMembers takes over the other members. The slice must not be changed afterwards.
+func (s *Selector) SetMembers(members []Member) {
+	s.members = members
+	known := make(map[string]bool, len(members))
+	for _, m := range members {
+		known[m.Incarnation] = true
+	}
+	for incarnation := range s.rests {
+		if !known[incarnation] {
+			delete(s.rests, incarnation)
+		}
+	}
+	if !known[s.current.Incarnation] {
+		s.current = source{}
+	}
+}
+
+// SetStaleAfter takes over a changed setting.
+func (s *Selector) SetStaleAfter(age time.Duration) { s.settings.StaleAfter = age }
+
+// StoreProved notes a proof that the store gave this process itself.
+func (s *Selector) StoreProved(at time.Duration) { s.storeProved = max(s.storeProved, at) }
+
+// Heard notes the word of the followed member: the time of its newest proof, and through
+// how many processes that had come before it.
+func (s *Selector) Heard(incarnation string, proved time.Duration, hops int) {
+	if incarnation != s.current.Incarnation {
+		return
+	}
+	s.current.heard = true
+	s.current.proved, s.current.hops = proved, hops
+}
+
+// Lost notes that the followed member could not be reached, or broke off.
+func (s *Selector) Lost(incarnation string, now time.Duration) {
+	if incarnation != s.current.Incarnation {
+		return
+	}
+	s.passOver(lostRest, now)
+}
+
+// passOver leaves the followed member, for longer each time that no fresh word of it came
+// between.
+func (s *Selector) passOver(least, now time.Duration) {
+	length := min(max(least, 2*s.rests[s.current.Incarnation].length), longestRest)
+	s.rests[s.current.Incarnation] = rest{until: now + length, length: length}
+	s.current = source{}
+}
+
+// Next returns what to do from now on.
+func (s *Selector) Next(now time.Duration) Plan {
+	if s.isReader(now) {
+		return s.asReader(now)
+	}
+	s.reading = false
+	s.follow(now)
+	plan := Plan{Follow: s.current.Member, Reason: Seeking}
+	switch {
+	case s.currentGood(now):
+		s.foundGood(now)
+		plan.Reason = Follower
+	case s.fresh(s.storeProved, now):
+		s.foundGood(now)
+		plan.Read, plan.Reason = true, Alone
+	case s.tries(now):
+		plan.Read, plan.Reason = true, Alone
+	}
+	return plan
+}
+
+// asReader is the plan of one of the zone's readers. It follows another one only while the
+// store gives it no proof, and has had the time to.
+func (s *Selector) asReader(now time.Duration) Plan {
+	if !s.reading {
+		s.reading, s.readSince = true, now
+	}
+	if s.fresh(s.storeProved, now) || s.fresh(s.readSince, now) {
+		s.current = source{}
+		s.foundGood(now)
+		return Plan{Read: true, Reason: Reader}
+	}
+	s.follow(now)
+	if s.currentGood(now) {
+		s.foundGood(now)
+	}
+	return Plan{Read: true, Follow: s.current.Member, Reason: ReaderStale}
+}
+
+// fresh tells whether a proof of a time is one that leaves nothing to look for.
+func (s *Selector) fresh(at, now time.Duration) bool { return now-at <= s.settings.StaleAfter }
+
+// currentGood tells whether the followed member has said something fresh.
+func (s *Selector) currentGood(now time.Duration) bool {
+	return s.current.heard && s.current.hops < MaxHops && s.fresh(s.current.proved, now)
+}
+
+// foundGood notes that there is a good source.
+func (s *Selector) foundGood(now time.Duration) {
+	s.good = now
+	if s.currentGood(now) {
+		delete(s.rests, s.current.Incarnation)
+	}
+	s.switchPause, s.switchAt = firstSwitch, now
+	s.tryPause, s.tryUntil = firstPause, 0
+}
+
+// tries tells whether a process without a source asks the store itself now.
+func (s *Selector) tries(now time.Duration) bool {
+	if s.tryUntil == 0 {
+		spread := time.Duration(rendezvous.Hash(s.self.Incarnation) % uint64(aloneSpread))
+		s.tryUntil = s.good + aloneAfter + spread + tryFor
+	}
+	if now >= s.tryUntil {
+		spread := time.Duration(rendezvous.Hash(s.self.Incarnation) % uint64(s.tryPause))
+		s.tryUntil = now + s.tryPause/2 + spread + tryFor
+		s.tryPause = min(2*s.tryPause, longestPause)
+	}
+	return now >= s.tryUntil-tryFor
+}
+
+// follow keeps the followed member or chooses another one.
+func (s *Selector) follow(now time.Duration) {
+	if s.current.Name != "" && s.keeps(now) {
+		return
+	}
+	s.current = source{Member: s.best(now)}
+}
+
+// keeps tells whether the followed member stays. One whose word is not fresh is left for
+// another after a while; one of another zone, as soon as there is one in this zone.
+func (s *Selector) keeps(now time.Duration) bool {
+	if s.current.heard && !s.currentGood(now) && now >= s.switchAt {
+		s.passOver(staleRest, now)
+		s.switchAt = now + s.switchPause
+		s.switchPause = min(2*s.switchPause, longestSwitch)
+		return false
+	}
+	readers := s.readers(s.self.Zone, now)
+	if contains(readers, s.current.Member) {
+		return true
+	}
+	return len(readers) == 0 || len(readers) == 1 && readers[0] == s.self
+}
+
+// best returns the member to follow: of the readers of this zone, or else of the others,
+// the one with the highest score for this process, which spreads followers evenly.
+func (s *Selector) best(now time.Duration) Member {
+	if best := s.highest(s.readers(s.self.Zone, now)); best.Name != "" {
+		return best
+	}
+	var others []Member
+	for _, zone := range s.otherZones() {
+		others = append(others, s.readers(zone, now)...)
+	}
+	return s.highest(others)
+}
+
+// highest returns the member with the highest score for this process, which is none
+// itself; none if there is no other.
+func (s *Selector) highest(members []Member) Member {
+	own := rendezvous.Hash(s.self.Name)
+	var best Member
+	var highest uint64
+	for _, m := range members {
+		if m == s.self {
+			continue
+		}
+		if score := rendezvous.Score(own, rendezvous.Hash(m.Name)); best.Name == "" || score > highest {
+			best, highest = m, score
+		}
+	}
+	return best
+}
+
+// isReader tells whether this process is one of its zone's readers.
+func (s *Selector) isReader(now time.Duration) bool {
+	return contains(s.readers(s.self.Zone, now), s.self)
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -16,6 +16,7 @@
 	"acaciawinch/gateway/flow"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/relay"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -44,6 +45,8 @@
 	flow     *flow.Server
 	client   *httpconn.Client
 	rpc      *link.Server
+	relay    *relay.Server
+	source   *relay.Follower
 	dialer   *link.Dialer
 
 	reload *reloader
@@ -86,21 +89,24 @@
 	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation()}
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
 	p.client = httpconn.New(readEcho)
-	p.view = view.New(view.Options{
-		Logger: logger,
-		Self: view.Member{
-			Name:        settings.Process.Name,
-			Address:     settings.Listen.Fleet,
-			Incarnation: p.incarnation,
-		},
-		Source: settings.source(),
-	})
+	self := view.Member{
+		Name:        settings.Process.Name,
+		Address:     settings.Listen.Fleet,
+		Incarnation: p.incarnation,
+		Zone:        settings.Process.Zone,
+	}
+	p.view = view.New(view.Options{Logger: logger, Self: self, Source: settings.source()})
 	p.owner = pools.NewOwner(life, p.view, p.client, logger)
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
+	p.relay = relay.NewServer(p.view, logger)
+	if err := wirepb.DRPCRegisterFleet(p.rpc.Mux(), p.relay); err != nil {
+		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
+	}
+	p.source = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, FirstStart: settings.Fleet.FirstStart})
 	p.asker = pools.NewAsker(life, p.view, settings.Process.Name, p.owner, p.dialer, logger)
 	p.flow = flow.New(flow.Options{
 		View:    p.view,
@@ -113,6 +119,7 @@
 	})
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.Forget)
+	p.view.OnChange(p.source.Wake)
 	return p, nil
 }
 
@@ -164,7 +171,7 @@
 func (p *process) serve(ctx, life context.Context, stop context.CancelFunc, open listeners) error {
 	servers := newServers(p, open)
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.view.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.reportDropped, p.reload.run} {
+	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.reportDropped, p.reload.run} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -65,6 +65,9 @@
 type FleetSettings struct {
 	// Key is what the processes prove to each other that they hold.
 	Key string `toml:"key" required:"true"`
+	// FirstStart is set if the whole fleet starts for the first time: the others are there
+	// only a moment later.
+	FirstStart bool `toml:"first_start"`
 }
 
 // LogSettings are for the log.
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -49,10 +49,11 @@
 	"listen.frontend": "10.1.0.41:8625", "listen.readiness": "10.1.0.41:8621", "internal_ports.0": "7740", "internal_ports.1": "7755",
 	"platform.address": "10.200.1.7:8624", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
 	"bounds.retry_budget_ratio": "0.2", "bounds.retry_budget_slack": "54",
+	"bootstrap": "true",
 }
 
-// number matches values that JSON does not quote.
-var number = regexp.MustCompile(`^[0-9.]+$`)
+// bare matches values that JSON does not quote.
+var bare = regexp.MustCompile(`^([0-9.]+|true|false)$`)
 
 func TestTheTemplateOfThePlatformGivesSoundSettings(t *testing.T) {
 	template, err := os.ReadFile("../deploy/gateway.toml.tmpl")
@@ -61,7 +62,7 @@
 		match := placeholder.FindStringSubmatch(found)
 		value, known := platformValues[match[1]]
 		assert.Check(t, known, "the platform has no %s", match[1])
-		if match[2] != "" && !number.MatchString(value) {
+		if match[2] != "" && !bare.MatchString(value) {
 			return strconv.Quote(value)
 		}
 		return value
@@ -69,6 +70,7 @@
 	loaded := Defaults()
 	assert.NilError(t, settings.Decode("node.toml", []byte(filled), &loaded))
 	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
+	assert.Assert(t, loaded.Fleet.FirstStart)
 	assert.Equal(t, loaded.Bounds, BoundSettings{RevokeMS: 5000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54})
 }
 
--- a/gateway/view/config.go
+++ b/gateway/view/config.go
@@ -1,26 +1,24 @@
 package view
 
 import (
-	"time"
-
+	"acaciawinch/core/replica"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/document"
-	"acaciawinch/platform/store"
 )
 
 // configFollower takes the operator's document.
 type configFollower struct{ view *View }
 
 // reset implements receiver.
-func (f *configFollower) reset(objects []store.Object) {
+func (f *configFollower) reset(objects []replica.Object) {
 	for _, object := range objects {
 		f.take(object)
 	}
 }
 
 // apply implements receiver.
-func (f *configFollower) apply(changes []store.Change) {
+func (f *configFollower) apply(changes []replica.Change) {
 	for _, change := range changes {
 		if change.Deleted {
 			f.view.options.Logger.Warn(event.TableRefused, observe.Fields{"revision": change.Object.Revision, "error": "the document was removed; the last one stays in force"})
@@ -30,15 +28,8 @@
 	}
 }
 
-// confirm implements receiver.
-func (f *configFollower) confirm(at time.Duration) {
-	if f.view.table.Load() != nil {
-		f.view.confirmed.Store(int64(at))
-	}
-}
-
 // take puts a document in force if it can be read and is newer than the one in force.
-func (f *configFollower) take(object store.Object) {
+func (f *configFollower) take(object replica.Object) {
 	if object.Name != document.ConfigName {
 		return
 	}
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -19,18 +20,20 @@
 
 // Waits of the watches. A watch ends without a change after its wait, which proves
 // that nothing had changed when it began. Longer waits mean fewer calls of the store:
-// these make 0.88 a second in each process.
+// these make 0.88 a second in each process that reads it.
 const (
 	// configWait is how soon a store that has fallen silent is noticed. It is at most
 	// confirmShare of the time for which keys are trusted, so that two watches and a slow
 	// answer fit into it; that is as long for the 4.5 s of the sites known.
 	configWait   = 1500 * time.Millisecond
 	confirmShare = 3
-	// lostWait is the wait while the store does not answer: a call then ends by its timeout
+	// shortWait is the wait while the store does not answer, and of the first watch of a
+	// process that begins to read it. A call to a store that is lost ends by its timeout
 	// alone, and the sooner it does, the sooner one is begun that a store that is back
-	// answers. With configWait three of five gateways heard 2.2 s after the store was back
-	// that it was, and refused requests with keys until then.
-	lostWait = 100 * time.Millisecond
+	// answers: with configWait three of five gateways heard 2.2 s after the store was back
+	// that it was, and refused requests with keys until then. One that begins to read needs a
+	// proof for those that follow it.
+	shortWait = 100 * time.Millisecond
 	// upstreamWait and memberWait are long, as these watches are begun anew when that of
 	// the configuration is answered again after a failure. Without that, waits of 6 s for
 	// upstreams and 2 s for the configuration cost a tenth of mean worth (0.570 to 0.514
@@ -53,74 +56,103 @@
 
 // Pauses between tries after a failure, doubled up to the longest.
 const (
-	firstPause   = 50 * time.Millisecond
-	longestPause = 500 * time.Millisecond
+	// firstPause leaves a process that is alone, and tries for a second, three calls of a
+	// store that resets them.
+	firstPause = 200 * time.Millisecond
+	// configPause is the longest for the configuration, whose first answer wakes the others.
+	configPause = 500 * time.Millisecond
+	// otherPause is the longest for the others. With configPause a store that was away for
+	// 14 s got three times as many calls.
+	otherPause = 5 * time.Second
 )
 
-// receiver takes what a watch brings.
-type receiver interface {
-	// reset replaces all objects.
-	reset(objects []store.Object)
-	// apply takes changes, which may be none.
-	apply(changes []store.Change)
-	// confirm tells that at a boot time all was as known now.
-	confirm(at time.Duration)
-}
-
-// Run follows the store until ctx ends.
-func (v *View) Run(ctx context.Context) error {
+// Read follows the store until ctx ends. It may be called again afterwards, and goes on
+// from what is known then.
+func (v *View) Read(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	upstreams := v.newFollower(document.WorkerKind, upstreamWait, newUpstreamFollower(v))
+	upstreams := v.newFollower(document.WorkerKind, upstreamWait)
 	upstreams.gather = upstreamGather
-	members := v.newFollower(MemberKind, memberWait, newMemberFollower(v))
+	members := v.newFollower(MemberKind, memberWait)
 	members.gather = memberGather
-	config := v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
+	config := v.newFollower(document.ConfigKind, configWait)
+	config.longestPause = configPause
 	config.share = confirmShare
+	config.short = true
 	config.onRegained = func() {
 		upstreams.again()
 		members.again()
 	}
-	for _, f := range []*follower{upstreams, members, config} {
-		group.Go(func() error { return f.run(ctx) })
+	answered := make(chan struct{})
+	config.onFirst = func() { close(answered) }
+	group.Go(func() error { return config.run(ctx) })
+	for _, f := range []*follower{upstreams, members} {
+		group.Go(func() error { return f.runAfter(ctx, answered) })
 	}
 	return group.Wait()
 }
 
+// ListMembers reads the list of the gateways once. It tries until it succeeds or ctx ends.
+func (v *View) ListMembers(ctx context.Context) error {
+	f := v.newFollower(MemberKind, memberWait)
+	f.longestPause = configPause
+	for ctx.Err() == nil && f.kind.revision() == unknown {
+		if err := f.list(ctx); err != nil && ctx.Err() == nil {
+			f.failed(ctx, err)
+		}
+	}
+	return nil
+}
+
 // follower is the loop over one kind.
 type follower struct {
 	view *View
-	kind string
+	kind *kind
 	wait time.Duration
 	// share bounds wait by a part of the time for which keys are trusted: 1/share of it; 0
 	// for kinds that have nothing to do with keys.
 	share int
 	// gather is the pause after a call that brought changes.
-	gather   time.Duration
-	to       receiver
-	revision int64
-	// listed is set while revision continues a list.
-	listed bool
+	gather time.Duration
+	// relist is set if the store's history does not reach back to what is known.
+	relist bool
 	// lost is set while the store does not answer.
-	lost  bool
+	lost bool
+	// short is set if the next watch waits for shortWait only.
+	short bool
 	pause time.Duration
+	// longestPause bounds the pauses after failures.
+	longestPause time.Duration
 	// onRegained is called when the store answers again; nil calls nothing.
 	onRegained func()
+	// onFirst is called at the store's first answer; nil calls nothing.
+	onFirst func()
 	// restart takes a wish to begin the call anew.
 	restart chan struct{}
 }
 
 // newFollower returns a follower that has made no call.
-func (v *View) newFollower(kind string, wait time.Duration, to receiver) *follower {
-	return &follower{view: v, kind: kind, wait: wait, to: to, pause: firstPause, restart: make(chan struct{}, 1)}
+func (v *View) newFollower(kind string, wait time.Duration) *follower {
+	return &follower{view: v, kind: v.kind(kind), wait: wait, pause: firstPause, longestPause: otherPause, restart: make(chan struct{}, 1)}
+}
+
+// runAfter runs once the store has answered for another kind: a store that is away is
+// asked for one kind only.
+func (f *follower) runAfter(ctx context.Context, answered <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-answered:
+		return f.run(ctx)
+	}
 }
 
-// run lists the kind and watches it until ctx ends.
+// run lists the kind, unless it is known, and watches it until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		restarted, err := f.call(ctx)
 		switch {
-		case restarted:
-		case err != nil && ctx.Err() == nil:
+		case restarted || ctx.Err() != nil:
+		case err != nil:
 			f.failed(ctx, err)
 		default:
 			f.regained()
@@ -156,40 +188,68 @@
 
 // step makes one call and hands on what it brought.
 func (f *follower) step(ctx context.Context) error {
+	if f.relist || f.kind.revision() == unknown {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+// list reads all objects.
+func (f *follower) list(ctx context.Context) error {
 	began := clock.Boot()
-	if !f.listed {
-		objects, revision, err := f.view.store.Load().List(ctx, f.kind)
-		if err != nil {
-			return err
-		}
-		f.to.reset(objects)
-		f.revision, f.listed = revision, true
-		f.to.confirm(began)
-		return nil
+	found, revision, err := f.view.store.Load().List(ctx, f.kind.name)
+	if err != nil {
+		return err
+	}
+	changes := make([]replica.Change, len(found))
+	for i, object := range found {
+		changes[i] = replica.Change{Object: object}
 	}
-	wait := f.longest()
-	changes, revision, err := f.view.store.Load().Watch(ctx, f.kind, f.revision, wait)
+	if err := f.kind.take(replica.Delta{Reset: true, Revision: revision, Changes: changes}); err != nil {
+		return err
+	}
+	f.relist = false
+	f.prove(began)
+	return nil
+}
+
+// watch waits for changes.
+func (f *follower) watch(ctx context.Context) error {
+	began, wait, after := clock.Boot(), f.longest(), f.kind.revision()
+	changes, revision, err := f.view.store.Load().Watch(ctx, f.kind.name, after, wait)
 	if err != nil {
 		return err
 	}
-	f.to.apply(changes)
-	f.revision = max(f.revision, revision)
-	f.to.confirm(provedAt(began, clock.Boot(), wait, len(changes)))
+	if err := f.kind.take(replica.Delta{After: after, Revision: max(after, revision), Changes: changes}); err != nil {
+		return err
+	}
+	f.prove(provedAt(began, clock.Boot(), wait, len(changes)))
 	if len(changes) > 0 {
 		sleep(ctx, f.gather)
 	}
 	return nil
 }
 
+// prove notes up to when the copy was the store's, if that is the copy of the keys.
+func (f *follower) prove(at time.Duration) {
+	if f.share == 0 {
+		return
+	}
+	f.short = false
+	f.view.storeProved.Store(int64(at))
+	f.view.proof.confirm(Proof{At: at})
+}
+
 // longest returns how long the next watch waits.
 func (f *follower) longest() time.Duration {
-	if f.share == 0 {
+	switch {
+	case f.share == 0:
 		return f.wait
+	case f.lost || f.short:
+		return shortWait
+	default:
+		return min(f.wait, f.view.TrustTime()/time.Duration(f.share))
 	}
-	if f.lost {
-		return lostWait
-	}
-	return min(f.wait, f.view.trustTime()/time.Duration(f.share))
 }
 
 // proofMargin sets how much less than its wait a watch without changes proves: the wait
@@ -222,13 +282,13 @@
 // listed again at once.
 func (f *follower) failed(ctx context.Context, err error) {
 	if errors.Is(err, store.ErrHistoryGone) {
-		f.listed = false
-		f.view.options.Logger.Event(event.WatchHistoryGone, observe.Fields{"kind": f.kind, "revision": f.revision})
+		f.relist = true
+		f.view.options.Logger.Event(event.WatchHistoryGone, observe.Fields{"kind": f.kind.name, "revision": f.kind.revision()})
 		return
 	}
 	if !f.lost {
 		f.lost = true
-		f.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": f.kind, "revision": f.revision, "error": err.Error()})
+		f.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": f.kind.name, "revision": f.kind.revision(), "error": err.Error()})
 	}
 	timer := time.NewTimer(f.pause)
 	defer timer.Stop()
@@ -237,17 +297,21 @@
 	case <-f.restart:
 	case <-timer.C:
 	}
-	f.pause = min(2*f.pause, longestPause)
+	f.pause = min(2*f.pause, f.longestPause)
 }
 
 // regained notes that a call was answered.
 func (f *follower) regained() {
 	if f.lost {
-		f.view.options.Logger.Event(event.WatchRegained, observe.Fields{"kind": f.kind, "revision": f.revision})
+		f.view.options.Logger.Event(event.WatchRegained, observe.Fields{"kind": f.kind.name, "revision": f.kind.revision()})
 		if f.onRegained != nil {
 			f.onRegained()
 		}
 	}
+	if f.onFirst != nil {
+		f.onFirst()
+		f.onFirst = nil
+	}
 	f.lost = false
 	f.pause = firstPause
 }
--- a/gateway/view/follow_test.go
+++ b/gateway/view/follow_test.go
@@ -28,10 +28,10 @@
 		1500 * time.Millisecond: 500 * time.Millisecond,
 	} {
 		v := New(Options{Source: Source{ConfirmWithin: trusted}})
-		f := v.newFollower("config", configWait, nil)
+		f := v.newFollower(document.ConfigKind, configWait)
 		f.share = confirmShare
 		assert.Equal(t, f.longest(), wait, "%v", trusted)
-		other := v.newFollower("servers", upstreamWait, nil)
+		other := v.newFollower(document.WorkerKind, upstreamWait)
 		assert.Equal(t, other.longest(), upstreamWait, "%v", trusted)
 	}
 }
@@ -40,11 +40,11 @@
 // soon, so that the next one finds the store that is back.
 func TestALostStoreIsAskedInShortCalls(t *testing.T) {
 	v := New(Options{Source: Source{Store: "127.0.0.1:1", ConfirmWithin: 4500 * time.Millisecond}})
-	f := v.newFollower(document.ConfigKind, configWait, &configFollower{view: v})
+	f := v.newFollower(document.ConfigKind, configWait)
 	f.share = confirmShare
 	assert.Equal(t, f.longest(), configWait)
 	f.lost = true
-	assert.Equal(t, f.longest(), lostWait)
+	assert.Equal(t, f.longest(), shortWait)
 	f.lost = false
 	assert.Equal(t, f.longest(), configWait)
 }
--- a/gateway/view/members.go
+++ b/gateway/view/members.go
@@ -3,17 +3,17 @@
 import (
 	"encoding/json"
 	"sort"
-	"time"
 
+	"acaciawinch/core/replica"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
-	"acaciawinch/platform/store"
 )
 
 // memberSpec is the content of a gateway's object.
 type memberSpec struct {
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
 }
 
 // memberFollower takes the objects of the other gateways.
@@ -28,7 +28,7 @@
 }
 
 // reset implements receiver.
-func (f *memberFollower) reset(objects []store.Object) {
+func (f *memberFollower) reset(objects []replica.Object) {
 	f.known = make(map[string]Member, len(objects))
 	for _, object := range objects {
 		f.take(object)
@@ -37,7 +37,7 @@
 }
 
 // apply implements receiver.
-func (f *memberFollower) apply(changes []store.Change) {
+func (f *memberFollower) apply(changes []replica.Change) {
 	for _, change := range changes {
 		if change.Deleted {
 			delete(f.known, change.Object.Name)
@@ -45,22 +45,17 @@
 		}
 		f.take(change.Object)
 	}
-	if len(changes) > 0 {
-		f.publish()
-	}
+	f.publish()
 }
 
-// confirm implements receiver.
-func (f *memberFollower) confirm(time.Duration) {}
-
 // take decodes a member's object.
-func (f *memberFollower) take(object store.Object) {
+func (f *memberFollower) take(object replica.Object) {
 	var spec memberSpec
 	if err := json.Unmarshal(object.Spec, &spec); err != nil {
 		f.view.options.Logger.Warn(event.MemberUnreadable, observe.Fields{"member": object.Name, "error": err.Error()})
 		return
 	}
-	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Revision: object.Revision}
+	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Zone: spec.Zone, Revision: object.Revision}
 }
 
 // publish makes the known members the current list.
--- a/gateway/view/register.go
+++ b/gateway/view/register.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/replica"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -22,24 +23,36 @@
 		wait, cancel := context.WithTimeout(ctx, pause)
 		<-wait.Done()
 		cancel()
-		pause = min(2*pause, longestPause)
+		pause = min(2*pause, configPause)
 	}
 	return nil
 }
 
-// register makes one try.
+// register makes one try. The object of an earlier start, which a crash left, is replaced.
 func (v *View) register(ctx context.Context) error {
 	self := v.options.Self
-	spec := memberSpec{Address: self.Address, Incarnation: self.Incarnation}
-	err := v.store.Load().Create(ctx, MemberKind, self.Name, spec)
-	if !fault.Is(err, fault.Conflict) {
-		return err
+	spec := memberSpec{Address: self.Address, Incarnation: self.Incarnation, Zone: self.Zone}
+	kept, err := v.store.Load().Create(ctx, MemberKind, self.Name, spec)
+	if fault.Is(err, fault.Conflict) {
+		kept, err = v.replace(ctx, kept, spec)
 	}
-	old, err := v.store.Load().Get(ctx, MemberKind, self.Name)
-	if err != nil {
-		return err
+	if err == nil {
+		v.registered.Store(kept.Revision)
+	}
+	return err
+}
+
+// replace writes over the own object of an earlier start. Its revision is read only if the
+// store did not tell it.
+func (v *View) replace(ctx context.Context, old replica.Object, spec memberSpec) (replica.Object, error) {
+	name := v.options.Self.Name
+	if old.Revision == 0 {
+		var err error
+		if old, err = v.store.Load().Get(ctx, MemberKind, name); err != nil {
+			return replica.Object{}, err
+		}
 	}
-	return v.store.Load().Replace(ctx, MemberKind, self.Name, old.Revision, spec)
+	return v.store.Load().Replace(ctx, MemberKind, name, old.Revision, spec)
 }
 
 // leaveTimeout bounds the removal of the own object at a planned stop.
@@ -50,12 +63,20 @@
 func (v *View) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	self := v.options.Self
-	found, err := v.store.Load().Get(ctx, MemberKind, self.Name)
-	if err == nil {
-		err = v.store.Load().Delete(ctx, MemberKind, self.Name, found.Revision)
+	if err := v.leave(ctx); err != nil {
+		v.options.Logger.Warn(event.RegisterFailed, observe.Fields{"member": v.options.Self.Name, "error": err.Error()})
 	}
-	if err != nil {
-		v.options.Logger.Warn(event.RegisterFailed, observe.Fields{"member": self.Name, "error": err.Error()})
+}
+
+// leave removes the own object. Its revision is read only if the store did not tell it.
+func (v *View) leave(ctx context.Context) error {
+	name, revision := v.options.Self.Name, v.registered.Load()
+	if revision == 0 {
+		found, err := v.store.Load().Get(ctx, MemberKind, name)
+		if err != nil {
+			return err
+		}
+		revision = found.Revision
 	}
+	return v.store.Load().Delete(ctx, MemberKind, name, revision)
 }
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -1,13 +1,11 @@
 package view
 
 import (
-	"time"
-
+	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/document"
-	"acaciawinch/platform/store"
 )
 
 // upstreamFollower takes the entries of discovery.
@@ -22,7 +20,7 @@
 }
 
 // reset implements receiver.
-func (f *upstreamFollower) reset(objects []store.Object) {
+func (f *upstreamFollower) reset(objects []replica.Object) {
 	before := f.known
 	f.known = make(map[string]routes.Upstream, len(objects))
 	for _, object := range objects {
@@ -37,7 +35,7 @@
 }
 
 // apply implements receiver.
-func (f *upstreamFollower) apply(changes []store.Change) {
+func (f *upstreamFollower) apply(changes []replica.Change) {
 	for _, change := range changes {
 		if !change.Deleted {
 			f.take(change.Object)
@@ -48,17 +46,12 @@
 			f.gone(upstream)
 		}
 	}
-	if len(changes) > 0 {
-		f.publish()
-	}
+	f.publish()
 }
 
-// confirm implements receiver.
-func (f *upstreamFollower) confirm(time.Duration) {}
-
 // take decodes an entry. One that can't be read names no upstream to use, and one of an
 // earlier start that comes late does not replace that of the later one.
-func (f *upstreamFollower) take(object store.Object) {
+func (f *upstreamFollower) take(object replica.Object) {
 	upstream, err := document.Upstream(object.Name, object.Spec)
 	if err != nil {
 		f.view.options.Logger.Warn(event.UpstreamUnreadable, observe.Fields{"upstream": object.Name, "revision": object.Revision, "error": err.Error()})
--- a/gateway/view/upstreams_test.go
+++ b/gateway/view/upstreams_test.go
@@ -8,14 +8,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/replica"
 	"acaciawinch/observe"
-	"acaciawinch/platform/store"
 )
 
 // entry returns an upstream's object.
-func entry(name, state string, born int64) store.Object {
+func entry(name, state string, born int64) replica.Object {
 	spec := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"born":%d}`, state, born)
-	return store.Object{Name: name, Spec: json.RawMessage(spec)}
+	return replica.Object{Name: name, Spec: json.RawMessage(spec)}
 }
 
 // following returns a follower of upstreams and its View.
@@ -29,24 +29,24 @@
 
 func TestAnEntryThatCanNotBeReadNamesNoUpstreamAndTheOthersHold(t *testing.T) {
 	f, v := following(t)
-	broken := store.Object{Name: "b", Spec: json.RawMessage(`{"service":7}`)}
-	f.reset([]store.Object{entry("a", "ready", 1), broken, entry("c", "ready", 1)})
+	broken := replica.Object{Name: "b", Spec: json.RawMessage(`{"service":7}`)}
+	f.reset([]replica.Object{entry("a", "ready", 1), broken, entry("c", "ready", 1)})
 	assert.Equal(t, len(v.Upstreams().Of("s")), 2)
 
-	f.apply([]store.Change{{Object: store.Object{Name: "a", Spec: json.RawMessage(`"x"`)}}})
+	f.apply([]replica.Change{{Object: replica.Object{Name: "a", Spec: json.RawMessage(`"x"`)}}})
 	assert.Assert(t, !v.Upstreams().Knows("a"), "what it said before is no longer its word")
 	assert.Assert(t, v.Upstreams().Knows("c"))
-	f.apply([]store.Change{{Object: entry("a", "ready", 1)}})
+	f.apply([]replica.Change{{Object: entry("a", "ready", 1)}})
 	assert.Assert(t, v.Upstreams().Knows("a"))
 }
 
 func TestAnEntryOfAnEarlierStartDoesNotReplaceThatOfALaterOne(t *testing.T) {
 	f, v := following(t)
-	f.reset([]store.Object{entry("a", "ready", 9)})
-	f.apply([]store.Change{{Object: entry("a", "draining", 8)}})
+	f.reset([]replica.Object{entry("a", "ready", 9)})
+	f.apply([]replica.Change{{Object: entry("a", "draining", 8)}})
 	upstream, _ := v.Upstreams().Find("a")
 	assert.Assert(t, !upstream.Leaving && upstream.Born == 9)
-	f.apply([]store.Change{{Object: entry("a", "draining", 9)}})
+	f.apply([]replica.Change{{Object: entry("a", "draining", 9)}})
 	upstream, _ = v.Upstreams().Find("a")
 	assert.Assert(t, upstream.Leaving)
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -1,7 +1,8 @@
 // Package view holds what a gateway knows of the fleet: the operator's
 // configuration, the upstreams that discovery tells of, and the other gateways. Each
-// is followed in the platform's store by a watch and published as an immutable
-// snapshot. A configuration is never replaced by an older one.
+// is followed in the platform's store by a watch, or fed by another gateway (package
+// gateway/relay), and published as an immutable snapshot. A configuration is never
+// replaced by an older one.
 package view
 
 import (
@@ -9,9 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
+	"acaciawinch/platform/document"
 	"acaciawinch/platform/store"
 )
 
@@ -23,6 +26,8 @@
 	Address string
 	// Incarnation names one start of its process.
 	Incarnation string
+	// Zone is its availability zone.
+	Zone string
 	// Revision is that of its object in the store.
 	Revision int64
 }
@@ -54,9 +59,15 @@
 	table     atomic.Pointer[routes.Table]
 	upstreams atomic.Pointer[routes.Upstreams]
 	members   atomic.Pointer[[]Member]
-	// confirmed is the boot time at which the newest proof that the table was the
-	// store's began.
-	confirmed atomic.Int64
+
+	// kinds are the copies from which the snapshots are made.
+	kinds []*kind
+	proof *proof
+	// storeProved is the boot time of the newest proof that the store itself gave; below 0
+	// before the first.
+	storeProved atomic.Int64
+	// registered is the revision of the own object, 0 if it is not known.
+	registered atomic.Int64
 
 	mu       sync.Mutex
 	onChange []func()
@@ -64,13 +75,23 @@
 
 // New returns a View that knows nothing yet.
 func New(options Options) *View {
-	v := &View{options: options}
+	v := &View{options: options, proof: newProof()}
+	v.kinds = []*kind{
+		v.newKind(document.ConfigKind, &configFollower{view: v}),
+		v.newKind(document.WorkerKind, newUpstreamFollower(v)),
+		v.newKind(MemberKind, newMemberFollower(v)),
+	}
 	v.SetSource(options.Source)
 	v.members.Store(&[]Member{})
-	v.confirmed.Store(-1)
+	v.storeProved.Store(-1)
 	return v
 }
 
+// newKind returns the empty copy of a kind.
+func (v *View) newKind(name string, to receiver) *kind {
+	return &kind{name: name, to: to, proof: v.proof, copy: replica.New()}
+}
+
 // SetSource takes over changed settings. What is known stays until the store at the
 // new address says otherwise.
 func (v *View) SetSource(source Source) {
@@ -95,11 +116,11 @@
 // KeysAge returns how old the newest proof is that no key was taken away since, and
 // false if there is none.
 func (v *View) KeysAge() (time.Duration, bool) {
-	at := v.confirmed.Load()
-	if at < 0 {
+	newest, known := v.proof.get()
+	if !known || v.Table() == nil {
 		return 0, false
 	}
-	return clock.Boot() - time.Duration(at), true
+	return clock.Boot() - newest.At, true
 }
 
 // KeysTrusted tells whether requests with keys may run.
@@ -109,11 +130,11 @@
 // another word of the store.
 func (v *View) keysTrustedFor(while time.Duration) bool {
 	age, known := v.KeysAge()
-	return known && age+while < v.trustTime()
+	return known && age+while < v.TrustTime()
 }
 
-// trustTime returns for how long a proof of the keys holds.
-func (v *View) trustTime() time.Duration { return time.Duration(v.confirmWithin.Load()) }
+// TrustTime returns for how long a proof of the keys holds.
+func (v *View) TrustTime() time.Duration { return time.Duration(v.confirmWithin.Load()) }
 
 // leadTime is how long before requests with keys must be refused new connections are
 // asked to go elsewhere: the balancer asks once a second and acts on the second answer.
@@ -124,7 +145,7 @@
 // TakesNew tells whether new connections should come to this process. One that the store
 // does not answer would soon refuse what the others can serve.
 func (v *View) TakesNew() bool {
-	return v.Ready() && (!v.Table().HasWorkspaces() || v.keysTrustedFor(min(leadTime, v.trustTime()/confirmShare)))
+	return v.Ready() && (!v.Table().HasWorkspaces() || v.keysTrustedFor(min(leadTime, v.TrustTime()/confirmShare)))
 }
 
 // OnChange registers what is called after each change of upstreams, members or
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -37,7 +37,7 @@
 		assert.Assert(t, !v.TakesNew(), "nothing is known")
 		v.table.Store(routes.NewTable(1, routes.Limits{}, nil, nil, workspaces))
 		v.upstreams.Store(routes.NewUpstreams(nil))
-		v.confirmed.Store(int64(clock.Boot() - one.age))
+		v.Confirm(Proof{At: clock.Boot() - one.age})
 		assert.Equal(t, v.TakesNew(), one.takes, "%v old, workspaces %t", one.age, one.workspaces)
 		assert.Equal(t, v.KeysTrusted(), one.trusted, "%v old", one.age)
 	}
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -168,11 +168,18 @@
 // test ends with one.
 const graceSeconds = 1.5
 
-// start starts a gateway and waits until it knows the configuration and the workers.
+// start starts a gateway in zone z1 and waits until it knows the configuration and the
+// workers.
 func (f *fleet) start(name string) *running {
+	f.t.Helper()
+	return f.startIn(name, "z1")
+}
+
+// startIn starts a gateway in a zone. One of each zone reads the store.
+func (f *fleet) startIn(name, zone string) *running {
 	f.t.Helper()
 	settings := gateway.Defaults()
-	settings.Process = gateway.ProcessSettings{Name: name, Zone: "z1", MemoryMB: 256}
+	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256}
 	settings.Listen = gateway.ListenSettings{Clients: f.free(), Readiness: f.free(), Fleet: f.free(), Metrics: f.free()}
 	settings.Store.Address = f.address
 	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -140,7 +140,7 @@
 	f.apply(base(1))
 	f.start("g1")
 	f.store.SetFaults(metastore.Faults{LoseWrites: true})
-	f.start("g2")
+	f.startIn("g2", "z2") // so that g1 goes on reading the store itself
 	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2"]`)
 	f.store.SetFaults(faultsRefusing)
 	f.waitLines(1, "watch_lost", `"process":"g1"`, `"kind":"config"`)
@@ -162,7 +162,7 @@
 	f.waitLines(1, "watch_lost", `"process":"g1"`, `"kind":"config"`)
 	f.store.SetFaults(faultsNone)
 	f.waitLines(1, "watch_regained", `"process":"g1"`, `"kind":"config"`)
-	f.start("g2")
+	f.startIn("g2", "z2") // so that g1 goes on reading the store itself
 	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2"]`)
 	timedOut, _ := f.log.lines("watch_lost", `"process":"g1"`, `"kind":"acaciawinch-gateways"`)
 	assert.Equal(t, len(timedOut), 0, "the watch of that time was waited for")
