--- a/core/source/source.go
+++ b/core/source/source.go
@@ -52,14 +52,15 @@
 	longestSwitch = 4 * time.Second
 	// aloneAfter is how long a process without a good source waits before it asks the
 	// store itself, and aloneSpread by how much more, by a hash of its name: a hundred
-	// that lose their source at once ask over a second.
+	// that lose their source at once ask over two seconds. Together they are what is left of
+	// the time for which keys are trusted.
 	aloneAfter  = 500 * time.Millisecond
-	aloneSpread = time.Second
+	aloneSpread = 2 * time.Second
 	// tryFor is how long it then asks, time for a call and its timeout, and firstPause the
 	// pause after a try that failed, doubled up to longestPause: in an outage of 14 s a
 	// process makes two tries.
 	tryFor       = time.Second
-	firstPause   = 4 * time.Second
+	firstPause   = 6 * time.Second
 	longestPause = 16 * time.Second
 )
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -89,7 +89,9 @@
 
 // drain carries out a planned stop: not ready at once, so that no new connections
 // come; requests are taken for a while longer, each answer closing its connection;
-// then what is in flight is finished.
+// then what is in flight is finished. All of it fits into the grace time, counted from the
+// signal: with the removal of the own object counted on top, up to a second while the store
+// was away, some processes of each fleet-wide restart were killed by the platform.
 func (s *servers) drain() {
 	p := s.process
 	s.draining.Store(true)
@@ -97,12 +99,12 @@
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.flow.InFlight()})
 	p.asker.Leave()
 	p.owner.Leave()
-	p.view.Leave(context.Background())
 	grace := time.Duration(p.settings.Bounds.GraceSeconds*float64(time.Second)) - endBefore
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	accepting := time.NewTimer(min(acceptFor, grace/2))
 	defer accepting.Stop()
+	p.view.Leave(ctx)
 	<-accepting.C
 	if err := s.clients.Shutdown(ctx); err != nil {
 		p.logger.Warn(event.ProcessDraining, observe.Fields{"in_flight": p.flow.InFlight()})
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -27,12 +27,14 @@
 	// answer fit into it; that is as long for the 4.5 s of the sites known.
 	configWait   = 1500 * time.Millisecond
 	confirmShare = 3
-	// shortWait is the wait while the store does not answer, and of the first watch of a
-	// process that begins to read it. A call to a store that is lost ends by its timeout
+	// shortWait is the wait while the store does not answer, of the first watch of a process
+	// that begins to read it, and of the one after a change. A call to a store that is lost ends by its timeout
 	// alone, and the sooner it does, the sooner one is begun that a store that is back
 	// answers: with configWait three of five gateways heard 2.2 s after the store was back
 	// that it was, and refused requests with keys until then. One that begins to read needs a
-	// proof for those that follow it.
+	// proof for those that follow it. And a watch that brought a change proves what was so at
+	// its beginning only: with a wait of configWait after it the proof got 3 s old, and each
+	// of 98 followers looked for another source.
 	shortWait = 100 * time.Millisecond
 	// upstreamWait and memberWait are long, as these watches are begun anew when that of
 	// the configuration is answered again after a failure. Without that, waits of 6 s for
@@ -56,9 +58,9 @@
 
 // Pauses between tries after a failure, doubled up to the longest.
 const (
-	// firstPause leaves a process that is alone, and tries for a second, three calls of a
-	// store that resets them.
-	firstPause = 200 * time.Millisecond
+	// firstPause leaves a process that is alone, and tries for a second, two calls of a store
+	// that resets them.
+	firstPause = 400 * time.Millisecond
 	// configPause is the longest for the configuration, whose first answer wakes the others.
 	configPause = 500 * time.Millisecond
 	// otherPause is the longest for the others. With configPause a store that was away for
@@ -224,6 +226,7 @@
 		return err
 	}
 	f.prove(provedAt(began, clock.Boot(), wait, len(changes)))
+	f.short = len(changes) > 0
 	if len(changes) > 0 {
 		sleep(ctx, f.gather)
 	}
