--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -1,11 +1,11 @@
 package flow
 
 import (
+	"fmt"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -165,13 +165,14 @@
 	return true
 }
 
-// keysAge tells how old what is known of keys is, for people.
+// keysAge tells how old what is known of keys is and who told it, for people.
 func (rq *request) keysAge() string {
 	age, known := rq.View.KeysAge()
 	if !known {
 		return "never"
 	}
-	return strconv.FormatInt(age.Milliseconds(), 10) + " ms ago"
+	proved, _ := rq.View.Proof()
+	return fmt.Sprintf("%d ms ago, by %s through %d processes", age.Milliseconds(), proved.From, proved.Hops)
 }
 
 // knownWithin is the age of what is known up to which a route or key that is not
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -103,11 +103,11 @@
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
-	p.relay = relay.NewServer(p.view, logger)
+	p.relay = relay.NewServer(p.view, logger, p.metrics.Scope())
 	if err := wirepb.DRPCRegisterFleet(p.rpc.Mux(), p.relay); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
-	p.source = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, FirstStart: settings.Fleet.FirstStart})
+	p.source = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope(), FirstStart: settings.Fleet.FirstStart})
 	p.asker = pools.NewAsker(life, p.view, settings.Process.Name, p.owner, p.dialer, logger)
 	p.flow = flow.New(flow.Options{
 		View:    p.view,
--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"acaciawinch/core/source"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/view"
@@ -38,7 +40,9 @@
 	self   view.Member
 	dialer *wirelink.Dialer
 	logger *observe.Logger
-	first  bool
+	// metrics may be used by many goroutines.
+	metrics metrics
+	first   bool
 
 	wake chan struct{}
 
@@ -58,6 +62,7 @@
 	Self   view.Member
 	Dialer *wirelink.Dialer
 	Logger *observe.Logger
+	Scope  tally.Scope
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
 }
@@ -65,12 +70,13 @@
 // NewFollower returns a Follower. Run must be called.
 func NewFollower(options Options) *Follower {
 	return &Follower{
-		view:   options.View,
-		self:   options.Self,
-		dialer: options.Dialer,
-		logger: options.Logger,
-		first:  options.FirstStart,
-		wake:   make(chan struct{}, 1),
+		view:    options.View,
+		self:    options.Self,
+		dialer:  options.Dialer,
+		logger:  options.Logger,
+		metrics: newMetrics(options.Scope),
+		first:   options.FirstStart,
+		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -141,8 +147,10 @@
 	plan := f.selector.Next(clock.Boot())
 	if plan != f.plan {
 		f.plan = plan
+		f.metrics.changes.Inc(1)
 		f.note(plan)
 	}
+	f.measure(plan)
 	return plan
 }
 
@@ -160,6 +168,16 @@
 	f.selector.SetMembers(list)
 }
 
+// measure shows a plan and the age of what is known.
+func (f *Follower) measure(plan source.Plan) {
+	f.metrics.reads.Update(one(plan.Read))
+	f.metrics.follows.Update(one(plan.Follow.Name != ""))
+	if age, hops := f.age(); age >= 0 {
+		f.metrics.proofAge.Update(float64(age) / 1000)
+		f.metrics.hops.Update(float64(hops))
+	}
+}
+
 // note logs a plan. The lock is held.
 func (f *Follower) note(plan source.Plan) {
 	age, hops := f.age()
@@ -212,6 +230,7 @@
 		return // it is no longer wanted
 	}
 	age, _ := f.age()
+	f.metrics.lost.Inc(1)
 	f.logger.Warn(event.SourceLost, observe.Fields{"source": to.Name, "incarnation": to.Incarnation, "proof_age_ms": age, "error": err.Error()})
 	f.mu.Lock()
 	f.selector.Lost(to.Incarnation, clock.Boot())
--- a/gateway/relay/link.go
+++ b/gateway/relay/link.go
@@ -132,7 +132,7 @@
 		word.proof = view.Proof{At: at, Hops: int(m.GetHops())}
 	}
 	if word.known {
-		l.follower.view.Confirm(view.Proof{At: word.proof.At, Hops: word.proof.Hops + 1})
+		l.follower.view.Confirm(view.Proof{At: word.proof.At, Hops: word.proof.Hops + 1, From: l.source.Name})
 	}
 	l.follower.tell(word)
 	return nil
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"acaciawinch/core/proof"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/view"
@@ -35,15 +37,17 @@
 	logger    *observe.Logger
 	packer    *packer
 	followers atomic.Int64
+	// shown is the number of followers.
+	shown tally.Gauge
 }
 
 // NewServer returns a Server of what is known.
-func NewServer(knowledge Knowledge, logger *observe.Logger) *Server {
-	return &Server{knowledge: knowledge, logger: logger, packer: newPacker()}
+func NewServer(knowledge Knowledge, logger *observe.Logger, scope tally.Scope) *Server {
+	return &Server{knowledge: knowledge, logger: logger, packer: newPacker(), shown: scope.Gauge("followers")}
 }
 
-// Followers returns how many processes follow this one now.
-func (s *Server) Followers() int { return int(s.followers.Load()) }
+// count notes that followers came or went.
+func (s *Server) count(more int64) { s.shown.Update(float64(s.followers.Add(more))) }
 
 // Follow implements the generated server.
 func (s *Server) Follow(stream wirepb.DRPCFleet_FollowStream) error {
@@ -54,8 +58,8 @@
 	began := clock.Boot()
 	f := &session{server: s, stream: stream, positions: positionsOf(first.GetPositions())}
 	f.received(first)
-	s.followers.Add(1)
-	defer s.followers.Add(-1)
+	s.count(1)
+	defer s.count(-1)
 	s.logger.Event(event.FollowerCame, observe.Fields{"peer": first.GetName(), "behind": len(f.positions)})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -240,7 +240,7 @@
 	}
 	f.short = false
 	f.view.storeProved.Store(int64(at))
-	f.view.proof.confirm(Proof{At: at})
+	f.view.proof.confirm(Proof{At: at, From: FromStore})
 }
 
 // longest returns how long the next watch waits.
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -79,8 +79,13 @@
 	At time.Duration
 	// Hops is through how many processes it came: 0 if the store gave it.
 	Hops int
+	// From is the gateway that passed it on, or FromStore.
+	From string
 }
 
+// FromStore is where a proof is from that the store gave this process itself.
+const FromStore = "store"
+
 // proof holds the newest Proof, and wakes who waits for it or for changes.
 type proof struct {
 	mu      sync.Mutex
