--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -1,9 +1,9 @@
 package flow
 
 import (
-	"fmt"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
