--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -40,19 +40,6 @@
 	early []earlyTask
 }
 
-// earlyTask is a task that waits for the owner to know what to do with it.
-type earlyTask struct {
-	session *Session
-	number  uint64
-	task    Task
-	notify  Notify
-	came    time.Time
-}
-
-// maxEarly bounds them: at 800 tasks a second, and a third of a second until a process that
-// starts knows what it needs, some 270 come.
-const maxEarly = 1024
-
 // owned is one pool at its owner. The Owner's lock guards it.
 type owned struct {
 	Part
@@ -147,35 +134,6 @@
 	}
 }
 
-// knows tells whether the configuration and the upstreams are known.
-func (o *Owner) knows() bool { return o.fleet.Table() != nil && o.fleet.Upstreams() != nil }
-
-// keepEarly keeps a task until the configuration is known, and tells whether it did. When
-// all gateways are lost at once, those that start first give their tasks to an owner that
-// does not know its pools yet; refused at once, 310 of the 1,000 tries of that second failed so.
-func (o *Owner) keepEarly(session *Session, number uint64, task Task, notify Notify) bool {
-	if o.knows() || o.leaving || len(o.early) >= maxEarly {
-		return false
-	}
-	o.early = append(o.early, earlyTask{session: session, number: number, task: task, notify: notify, came: time.Now()})
-	return true
-}
-
-// submitEarly queues the tasks that waited for the configuration. The lock is held.
-func (o *Owner) submitEarly() {
-	if len(o.early) == 0 || !o.knows() {
-		return
-	}
-	early := o.early
-	o.early = nil
-	for _, one := range early {
-		waited := time.Since(one.came)
-		one.task.Remaining -= waited
-		one.task.Due -= waited
-		one.session.submit(one.number, one.task, one.notify)
-	}
-}
-
 // Refresh takes over changed upstreams and settings of all pools.
 func (o *Owner) Refresh() {
 	o.mu.Lock()
@@ -234,11 +192,7 @@
 	for _, p := range o.pools {
 		o.handBack(p, func(task *openTask) bool { return !task.session.local })
 	}
-	early := o.early
-	o.early = nil
-	for _, one := range early {
-		one.session.submit(one.number, one.task, one.notify)
-	}
+	o.submitAll()
 }
 
 // HandBack hands back all tasks of a part of which nothing has been sent yet, and returns
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -229,6 +229,73 @@
 	assert.Equal(t, len(w.calls), 1)
 }
 
+// learning is a fleet of which nothing is known until learn is called.
+type learning struct {
+	mu    sync.Mutex
+	knows bool
+	later Fleet
+}
+
+// Table implements Fleet.
+func (l *learning) Table() *routes.Table {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.knows {
+		return nil
+	}
+	return l.later.Table()
+}
+
+// Upstreams implements Fleet.
+func (l *learning) Upstreams() *routes.Upstreams {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.knows {
+		return nil
+	}
+	return l.later.Upstreams()
+}
+
+// learn makes the fleet known.
+func (l *learning) learn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.knows = true
+}
+
+// newOwnerThatKnowsNothing returns an owner whose fleet is known once learn is called.
+func newOwnerThatKnowsNothing(t *testing.T) (*Owner, *learning) {
+	t.Helper()
+	o, _ := newOwner(t, makes)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	fleet := &learning{later: o.fleet}
+	o.fleet = fleet
+	return o, fleet
+}
+
+// TestTasksThatComeEarlyWaitUntilTheConfigurationIsKnown: an owner that has just started
+// does not fail them; one that was cancelled meanwhile is forgotten.
+func TestTasksThatComeEarlyWaitUntilTheConfigurationIsKnown(t *testing.T) {
+	o, fleet := newOwnerThatKnowsNothing(t)
+	s := o.Session(false)
+	early := submit(s, 1, task("a"), nil)
+	cancelled := submit(s, 2, task("b"), nil)
+	s.Cancel(2)
+	fleet.learn()
+	o.Refresh()
+	assert.DeepEqual(t, (<-early).Handles, []string{"h/a"})
+	assert.Equal(t, len(cancelled), 0)
+}
+
+// TestAStoppingOwnerHandsBackWhatCameEarly: it will not know its pools any more.
+func TestAStoppingOwnerHandsBackWhatCameEarly(t *testing.T) {
+	o, _ := newOwnerThatKnowsNothing(t)
+	early := submit(o.Session(false), 1, task("a"), nil)
+	o.Leave()
+	assert.Equal(t, (<-early).Failure, OwnerLeft)
+}
+
 // TestATaskWithoutTimeIsRefusedAtOnce: no call is made that its own request would cut.
 func TestATaskWithoutTimeIsRefusedAtOnce(t *testing.T) {
 	o, w := newOwner(t, makes)
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -1,10 +1,6 @@
 package pools
 
-import (
-	"slices"
-
-	"acaciawinch/core/pool"
-)
+import "acaciawinch/core/pool"
 
 // Session is one asker at an owner. When it ends, its open tasks are cancelled. The
 // Owner's lock guards its state.
@@ -58,7 +54,7 @@
 	if at, known := s.open[number]; known {
 		at.pool.cancel(at.ticket)
 	}
-	s.owner.early = slices.DeleteFunc(s.owner.early, func(one earlyTask) bool { return one.session == s && one.number == number })
+	s.owner.forgetEarly(s, number)
 }
 
 // Free gives results of a part of a pool back.
