--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -83,7 +83,7 @@
 // Run keeps the View up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	if f.first {
-		pause(ctx, settle)
+		clock.Sleep(ctx, settle)
 	}
 	if err := f.view.ListMembers(ctx); err != nil {
 		return err
@@ -107,16 +107,6 @@
 	}
 }
 
-// pause waits, unless ctx ends.
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // staleAfter returns the age after which a proof is stale.
 func (f *Follower) staleAfter() time.Duration {
 	return time.Duration(staleShare * float64(f.view.TrustTime()))
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -228,7 +228,7 @@
 	f.prove(provedAt(began, clock.Boot(), wait, len(changes)))
 	f.short = len(changes) > 0
 	if len(changes) > 0 {
-		sleep(ctx, f.gather)
+		clock.Sleep(ctx, f.gather)
 	}
 	return nil
 }
@@ -271,16 +271,6 @@
 	return began + wait - wait/proofMargin
 }
 
-// sleep waits, unless ctx ends.
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // failed notes that a call failed and pauses. Where the history is gone the kind is
 // listed again at once.
 func (f *follower) failed(ctx context.Context, err error) {
--- a/gateway/view/register.go
+++ b/gateway/view/register.go
@@ -6,6 +6,7 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/replica"
+	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -20,9 +21,7 @@
 			return nil
 		}
 		v.options.Logger.Warn(event.RegisterFailed, observe.Fields{"member": v.options.Self.Name, "error": err.Error()})
-		wait, cancel := context.WithTimeout(ctx, pause)
-		<-wait.Done()
-		cancel()
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, configPause)
 	}
 	return nil
