Queue for up to 48 upstreams in one part, at the gateways with the most cores

Cause: pools of 37 to 43 upstreams were cut in two by hash, so that each queue found four upstreams in the zone of an item's data in place of eight, and filled its calls from half of the tasks. The queue's processor time goes to the machines with the most of it, 0.8 of a core here beside 0.144.

--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -21,7 +21,7 @@
 // Asker gives tasks to the owners of pools. It may be used by many goroutines.
 type Asker struct {
 	view   *view.View
-	self   string
+	self   view.Member
 	dialer *link.Dialer
 	logger *observe.Logger
 	local  *Session
@@ -37,9 +37,9 @@
 	number  uint64
 }
 
-// NewAsker returns an Asker of the process with the name self, whose own Owner is
-// owner. Its links end with life.
-func NewAsker(life context.Context, v *view.View, self string, owner *Owner, dialer *link.Dialer, logger *observe.Logger) *Asker {
+// NewAsker returns an Asker of the process self, whose own Owner is owner. Its links end
+// with life.
+func NewAsker(life context.Context, v *view.View, self view.Member, owner *Owner, dialer *link.Dialer, logger *observe.Logger) *Asker {
 	return &Asker{
 		view:     v,
 		self:     self,
@@ -92,7 +92,7 @@
 	number := a.next()
 	notify := Notify{Begun: begun, Done: func(r Result) { results <- r }}
 	var cancel func()
-	if owner.Name == a.self {
+	if owner.Name == a.self.Name {
 		a.local.Submit(number, task, notify)
 		cancel = func() { a.local.Cancel(number) }
 	} else {
@@ -120,7 +120,7 @@
 	}
 	for part, own := range byPart(a.view.Upstreams(), service, handles) {
 		owner := a.owner(part, time.Now())
-		if owner.Name == a.self {
+		if owner.Name == a.self.Name {
 			a.local.Free(part, own)
 			continue
 		}
@@ -186,28 +186,36 @@
 }
 
 // owner returns the owner of a part of a pool: of the members that are not under
-// suspicion, this process among them, the one with the highest score. This process is
-// taken if there is no other.
+// suspicion, this process among them, one with the most of a processor, and of these the
+// one with the highest score. This process is taken if there is no other.
 func (a *Asker) owner(part Part, now time.Time) view.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := rendezvous.Hash(part.key())
-	best := view.Member{Name: a.self}
-	var highest uint64
+	best := view.Member{Name: a.self.Name, Cores: -1}
 	if !a.leaving {
-		highest = rendezvous.Score(key, rendezvous.Hash(a.self))
+		best = a.self
 	}
 	for _, member := range a.view.Members() {
 		if now.Before(a.suspects[member.Incarnation]) {
 			continue
 		}
-		if score := rendezvous.Score(key, rendezvous.Hash(member.Name)); score > highest {
-			best, highest = member, score
+		if ownsBefore(key, member, best) {
+			best = member
 		}
 	}
 	return best
 }
 
+// ownsBefore tells whether a is to own what has a key rather than b. A queue for 43 upstreams
+// takes some hundredths of a core, a good part of what the smallest machines have.
+func ownsBefore(key uint64, a, b view.Member) bool {
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
+	return rendezvous.Score(key, rendezvous.Hash(a.Name)) > rendezvous.Score(key, rendezvous.Hash(b.Name))
+}
+
 // link returns the open link to an owner, or a new one.
 func (a *Asker) link(owner view.Member) *ownerLink {
 	a.mu.Lock()
--- a/gateway/pools/handover.go
+++ b/gateway/pools/handover.go
@@ -65,7 +65,7 @@
 func (a *Asker) handOver(h *handover, now time.Time) {
 	for _, part := range a.local.owner.busyParts() {
 		owner := a.owner(part, now)
-		if h.due(part, owner.Name == a.self, now) {
+		if h.due(part, owner.Name == a.self.Name, now) {
 			a.giveTo(owner, part)
 		}
 	}
--- a/gateway/pools/part.go
+++ b/gateway/pools/part.go
@@ -18,9 +18,11 @@
 	Index, Count int
 }
 
-// partUpstreams is the most upstreams of a part. At calls of 370 ms with 8 items they
-// do some 65 calls and 520 items a second at full load.
-const partUpstreams = 24
+// partUpstreams is the most upstreams of a part. One queue for all fills calls better and
+// finds more upstreams in the zone of an item's data than two do: a day with bursts gained 0.041 to
+// 0.058 of its worth with pools of 37 to 43 upstreams (three pairs of two days, parts of 24 before). At calls of
+// 330 ms 48 upstreams do some 145 calls a second at full load.
+const partUpstreams = 48
 
 // partsOf returns how many parts a pool with a number of upstreams has.
 func partsOf(upstreams int) int { return max(1, (upstreams+partUpstreams-1)/partUpstreams) }
--- a/gateway/pools/part_test.go
+++ b/gateway/pools/part_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core/routes"
+	"acaciawinch/gateway/view"
 )
 
 // many returns a snapshot with n upstreams of one service.
@@ -19,7 +20,7 @@
 }
 
 func TestEachUpstreamBelongsToOnePart(t *testing.T) {
-	for _, n := range []int{0, 1, 24, 25, 220} {
+	for _, n := range []int{0, 1, 24, 25, partUpstreams, partUpstreams + 1, 220} {
 		upstreams := many(n)
 		count := partsOf(n)
 		seen := map[string]int{}
@@ -36,8 +37,8 @@
 			assert.Equal(t, times, 1, id)
 		}
 	}
-	assert.Equal(t, partsOf(24), 1)
-	assert.Equal(t, partsOf(25), 2)
+	assert.Equal(t, partsOf(partUpstreams), 1)
+	assert.Equal(t, partsOf(partUpstreams+1), 2)
 }
 
 func TestResultsGoBackToThePartThatHasTheirUpstream(t *testing.T) {
@@ -59,3 +60,14 @@
 	}
 	assert.Equal(t, found, 60)
 }
+
+// TestTheProcessWithTheMostCoresOwns: the smallest machines own pools only if there are no
+// others.
+func TestTheProcessWithTheMostCoresOwns(t *testing.T) {
+	const key = 7
+	small, large := view.Member{Name: "a", Cores: 0.1}, view.Member{Name: "b", Cores: 0.8}
+	assert.Assert(t, ownsBefore(key, large, small) && !ownsBefore(key, small, large))
+	alike := view.Member{Name: "c", Cores: 0.8}
+	assert.Assert(t, ownsBefore(key, large, alike) != ownsBefore(key, alike, large), "one of the two owns")
+	assert.Assert(t, !ownsBefore(key, large, large))
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -95,6 +95,7 @@
 		Incarnation: p.incarnation,
 		Zone:        settings.Process.Zone,
 		LinkMbps:    int(settings.Process.LinkMbps),
+		Cores:       settings.Process.Cores,
 	}
 	p.view = view.New(view.Options{Logger: logger, Self: self, Source: settings.source()})
 	p.owner = pools.NewOwner(life, p.view, p.client, logger)
@@ -108,7 +109,7 @@
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
 	p.source = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope(), FirstStart: settings.Fleet.FirstStart})
-	p.asker = pools.NewAsker(life, p.view, settings.Process.Name, p.owner, p.dialer, logger)
+	p.asker = pools.NewAsker(life, p.view, self, p.owner, p.dialer, logger)
 	p.flow = flow.New(flow.Options{
 		View:    p.view,
 		Asker:   p.asker,
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,6 +34,9 @@
 	Zone string `toml:"zone" required:"true"`
 	// MemoryMB is what the process may use.
 	MemoryMB int `toml:"memory_mb" required:"true"`
+	// Cores is what the process may use of the machine's processor, in cores; 0 if it is not
+	// known.
+	Cores float64 `toml:"cores"`
 	// LinkMbps is the rate of the machine's network link in Mbit/s; 0 if it is not known.
 	LinkMbps float64 `toml:"link_mbps"`
 }
@@ -92,6 +95,9 @@
 	if p.MemoryMB < leastMemoryMB || p.MemoryMB > mostMemoryMB {
 		return settings.Invalid("memory_mb", "must be from %d to %d", leastMemoryMB, mostMemoryMB)
 	}
+	if p.Cores < 0 {
+		return settings.Invalid("cores", "must not be below 0")
+	}
 	if p.LinkMbps < 0 {
 		return settings.Invalid("link_mbps", "must not be below 0")
 	}
--- a/gateway/view/members.go
+++ b/gateway/view/members.go
@@ -15,6 +15,8 @@
 	Incarnation string `json:"incarnation"`
 	Zone        string `json:"zone"`
 	LinkMbps    int    `json:"link_mbps"`
+	// Cores is left out by gateways that do not know it.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // memberFollower takes the objects of the other gateways.
@@ -56,7 +58,7 @@
 		f.view.options.Logger.Warn(event.MemberUnreadable, observe.Fields{"member": object.Name, "error": err.Error()})
 		return
 	}
-	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Zone: spec.Zone, LinkMbps: spec.LinkMbps, Revision: object.Revision}
+	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Zone: spec.Zone, LinkMbps: spec.LinkMbps, Cores: spec.Cores, Revision: object.Revision}
 }
 
 // publish makes the known members the current list.
--- a/gateway/view/register.go
+++ b/gateway/view/register.go
@@ -30,7 +30,7 @@
 // register makes one try. The object of an earlier start, which a crash left, is replaced.
 func (v *View) register(ctx context.Context) error {
 	self := v.options.Self
-	spec := memberSpec{Address: self.Address, Incarnation: self.Incarnation, Zone: self.Zone, LinkMbps: self.LinkMbps}
+	spec := memberSpec{Address: self.Address, Incarnation: self.Incarnation, Zone: self.Zone, LinkMbps: self.LinkMbps, Cores: self.Cores}
 	kept, err := v.store.Load().Create(ctx, MemberKind, self.Name, spec)
 	if fault.Is(err, fault.Conflict) {
 		kept, err = v.replace(ctx, kept, spec)
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -30,6 +30,8 @@
 	Zone string
 	// LinkMbps is the rate of its machine's link in Mbit/s, 0 if it is not known.
 	LinkMbps int
+	// Cores is what its process may use of its machine's processor, 0 if it is not known.
+	Cores float64
 	// Revision is that of its object in the store.
 	Revision int64
 }
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -196,7 +196,7 @@
 	f := newFleet(t)
 	f.worker("llm-1", "llm", worker.Engine)
 	var pool []*worker.Worker
-	for i := range 30 {
+	for i := range 60 {
 		pool = append(pool, f.worker(fmt.Sprintf("enc-%d", i), "enc", worker.Stage))
 	}
 	f.apply(base(1))
