--- a/core/source/fleet_test.go
+++ b/core/source/fleet_test.go
@@ -158,7 +158,7 @@
 	}
 	n.heard = f.now
 	if !to.known {
-		n.selector.Heard(to.Incarnation, 0, 0, f.now)
+		n.selector.Heard(to.Incarnation, Never, 0, f.now)
 		return
 	}
 	n.selector.Heard(to.Incarnation, to.proved, to.hops, f.now)
@@ -358,6 +358,18 @@
 	}
 }
 
+// TestAWordWithoutAProofIsNotFresh: also on a machine whose clock has just begun.
+func TestAWordWithoutAProofIsNotFresh(t *testing.T) {
+	other := Member{Name: "b", Zone: "z", Incarnation: "ib", LinkMbps: 200}
+	s := New(Member{Name: "a", Zone: "z", Incarnation: "ia", LinkMbps: 20}, Settings{FollowersPerReader: 24, StaleAfter: modelStale}, 0)
+	s.SetMembers([]Member{other})
+	assert.Equal(t, s.Next(0).Follow, other)
+	s.Heard(other.Incarnation, Never, 0, time.Millisecond)
+	assert.Equal(t, s.Next(time.Millisecond).Reason, Seeking)
+	s.Heard(other.Incarnation, time.Millisecond, 0, 2*time.Millisecond)
+	assert.Equal(t, s.Next(2*time.Millisecond).Reason, Follower)
+}
+
 // BenchmarkChoice is one look at the sources in a fleet of 340.
 func BenchmarkChoice(b *testing.B) {
 	f := newFleet(11, 31)
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -2,10 +2,10 @@
 // the store itself, or from another gateway that passes on what it knows.
 //
 // In each availability zone the first few members, by the rate of their link and then by
-// rendezvous score, read the store; the others follow one of these. Nobody agrees on that: each process computes it from the
-// members that it knows, without those that failed it lately. Where two processes differ,
-// one more or one fewer reads, or one follows another that follows a third; that costs
-// calls or some ms. What must never go wrong does not depend on the choice: each copy
+// rendezvous score, read the store; the others follow one of these. Nobody agrees on that:
+// each process computes it from the members that it knows, without those that failed it
+// lately. Where two processes differ, one more or one fewer reads, or one follows another
+// that follows a third; that costs calls or some ms. What must never go wrong does not depend on the choice: each copy
 // carries its revision and never goes back (package replica), and each proof of the keys
 // carries its time (package gateway/relay).
 //
@@ -158,8 +158,8 @@
 	hops    int
 }
 
-// never is a time before all others.
-const never = time.Duration(-1 << 62)
+// Never is a time before all others: that of a proof that was not made.
+const Never = time.Duration(-1 << 62)
 
 // New returns a Selector of the process self that knows no other member.
 func New(self Member, settings Settings, now time.Duration) *Selector {
@@ -167,7 +167,7 @@
 		settings:    settings,
 		self:        self,
 		rests:       make(map[string]rest),
-		storeProved: never,
+		storeProved: Never,
 		switchPause: firstSwitch,
 		good:        now,
 		new:         true,
@@ -201,8 +201,8 @@
 // StoreProved notes a proof that the store gave this process itself.
 func (s *Selector) StoreProved(at time.Duration) { s.storeProved = max(s.storeProved, at) }
 
-// Heard notes the word of the followed member: the time of its newest proof, and through
-// how many processes that had come before it.
+// Heard notes the word of the followed member: the time of its newest proof, Never if it has
+// none, and through how many processes that had come before it.
 func (s *Selector) Heard(incarnation string, proved time.Duration, hops int, now time.Duration) {
 	if incarnation != s.current.Incarnation {
 		return
--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -241,7 +241,7 @@
 	}
 	at := word.proof.At
 	if !word.known {
-		at = 0
+		at = source.Never
 	}
 	f.selector.Heard(word.incarnation, at, word.proof.Hops, clock.Boot())
 	good := f.plan.Reason == source.Follower
