--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -60,7 +60,7 @@
 	f.received(first)
 	s.count(1)
 	defer s.count(-1)
-	s.logger.Event(event.FollowerCame, observe.Fields{"peer": first.GetName(), "behind": len(f.positions)})
+	s.logger.Event(event.FollowerCame, observe.Fields{"peer": first.GetName()})
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	go f.tell(ctx, cancel)
