Let followers leave a source at once that the store does not answer

A source says now that the store does not answer it, and is left at once for up to four other readers; the watch of who reads takes at most a quarter of the time within which a change must be in force, and a proof is stale after 0.6 of it; who finds no source asks the store itself sooner in small fleets.

--- a/core/source/fleet_test.go
+++ b/core/source/fleet_test.go
@@ -42,6 +42,8 @@
 	proved time.Duration
 	hops   int
 	known  bool
+	// failing is set while the store does not answer it.
+	failing bool
 	// followed is since when, and heard when last.
 	followed, heard time.Duration
 	// asked is when the store was last asked, and calls how often.
@@ -54,12 +56,15 @@
 	nodes []*node
 	now   time.Duration
 	down  bool
+	// watch, margin and stale are modelWatch, modelMargin and modelStale, or what a shorter
+	// time for changes asks for.
+	watch, margin, stale time.Duration
 }
 
 // newFleet returns a fleet with a number of processes in each of some zones, all of which
 // know each other.
 func newFleet(zones, perZone int) *fleet {
-	f := &fleet{now: 1000 * time.Second}
+	f := &fleet{now: 1000 * time.Second, watch: modelWatch, margin: modelMargin, stale: modelStale}
 	for i := range zones * perZone {
 		m := Member{Name: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%zones), Incarnation: fmt.Sprint("i", i), LinkMbps: 20}
 		f.nodes = append(f.nodes, &node{Member: m, alive: true})
@@ -72,7 +77,7 @@
 
 // begin starts a process that knows the members.
 func (f *fleet) begin(n *node) {
-	n.selector = New(n.Member, Settings{FollowersPerReader: 24, StaleAfter: modelStale}, f.now)
+	n.selector = New(n.Member, Settings{FollowersPerReader: 24, StaleAfter: f.stale}, f.now)
 	n.selector.SetMembers(f.others(n))
 	n.known, n.plan, n.asked = false, Plan{}, 0
 }
@@ -108,6 +113,8 @@
 	}
 	if n.plan.Read {
 		f.read(n)
+	} else {
+		n.failing = false
 	}
 	if n.plan.Follow.Name != "" {
 		f.listen(n, f.find(n.plan.Follow))
@@ -116,7 +123,7 @@
 
 // read asks the store, if it is time.
 func (f *fleet) read(n *node) {
-	every := modelWatch
+	every := f.watch
 	if f.down || n.away {
 		every = modelFailed
 	}
@@ -125,9 +132,10 @@
 	}
 	n.asked = f.now
 	n.calls++
+	n.failing = f.down || n.away
 	if !f.down && !n.away {
-		n.confirm(f.now-modelMargin, 0)
-		n.selector.StoreProved(f.now - modelMargin)
+		n.confirm(f.now-f.margin, 0)
+		n.selector.StoreProved(f.now - f.margin)
 	}
 }
 
@@ -158,10 +166,10 @@
 	}
 	n.heard = f.now
 	if !to.known {
-		n.selector.Heard(to.Incarnation, Never, 0, f.now)
+		n.selector.Heard(Word{Incarnation: to.Incarnation, Proved: Never, Failing: to.failing}, f.now)
 		return
 	}
-	n.selector.Heard(to.Incarnation, to.proved, to.hops, f.now)
+	n.selector.Heard(Word{Incarnation: to.Incarnation, Proved: to.proved, Hops: to.hops, Failing: to.failing}, f.now)
 	n.confirm(to.proved, to.hops+1)
 }
 
@@ -273,6 +281,52 @@
 	}
 }
 
+// within sets the times that a bound on changes asks for: the share of a watch, of what it
+// proves before its end, and of a stale proof.
+func (f *fleet) within(bound time.Duration) {
+	f.watch, f.margin, f.stale = bound/4, bound/12, bound*6/10
+	for _, n := range f.nodes {
+		f.begin(n)
+	}
+}
+
+// oldest plays a time and returns the age of the oldest proof of a process that the store
+// serves.
+func (f *fleet) oldest(length time.Duration) time.Duration {
+	var oldest time.Duration
+	for end := f.now + length; f.now < end; {
+		f.play(modelStep)
+		for _, n := range f.nodes {
+			if n.alive && !n.away {
+				oldest = max(oldest, f.now-n.proved)
+			}
+		}
+	}
+	return oldest
+}
+
+// TestWhoIsServedKnowsChangesInTime: where the store turns some machines away, readers among
+// them, all others have what it had accepted by the bound before, 2 s in a fleet of 5 or 23
+// and 4 s in one of 105.
+func TestWhoIsServedKnowsChangesInTime(t *testing.T) {
+	for _, one := range []struct {
+		zones, perZone int
+		bound          time.Duration
+	}{{3, 2, 2 * time.Second}, {3, 8, 2 * time.Second}, {5, 21, 4 * time.Second}} {
+		for seed := range uint64(40) {
+			random := rand.New(rand.NewPCG(seed, 11))
+			f := newFleet(one.zones, one.perZone)
+			f.within(one.bound)
+			f.play(5*time.Second + time.Duration(random.Int64N(int64(time.Second))))
+			for _, n := range f.nodes {
+				n.away = random.IntN(10) < 4
+			}
+			oldest := f.oldest(12 * time.Second)
+			assert.Assert(t, oldest < one.bound, "%d processes, seed %d: a proof of %v", len(f.nodes), seed, oldest)
+		}
+	}
+}
+
 // TestAllGoOnWhenTheStoreTurnsJustTheReadersAway: the others find that out for themselves,
 // and the readers that some of the others know more, within 10 s.
 func TestAllGoOnWhenTheStoreTurnsJustTheReadersAway(t *testing.T) {
@@ -364,9 +418,9 @@
 	s := New(Member{Name: "a", Zone: "z", Incarnation: "ia", LinkMbps: 20}, Settings{FollowersPerReader: 24, StaleAfter: modelStale}, 0)
 	s.SetMembers([]Member{other})
 	assert.Equal(t, s.Next(0).Follow, other)
-	s.Heard(other.Incarnation, Never, 0, time.Millisecond)
+	s.Heard(Word{Incarnation: other.Incarnation, Proved: Never}, time.Millisecond)
 	assert.Equal(t, s.Next(time.Millisecond).Reason, Seeking)
-	s.Heard(other.Incarnation, time.Millisecond, 0, 2*time.Millisecond)
+	s.Heard(Word{Incarnation: other.Incarnation, Proved: time.Millisecond}, 2*time.Millisecond)
 	assert.Equal(t, s.Next(2*time.Millisecond).Reason, Follower)
 }
 
--- a/core/source/follow.go
+++ b/core/source/follow.go
@@ -11,18 +11,46 @@
 	if s.current.Name != "" && s.keeps(now) {
 		return
 	}
-	s.current = source{Member: s.best(now), since: now}
+	probed := s.current.probe
+	s.current = source{}
+	if best := s.reader(now); best.Name != "" {
+		s.current = source{Member: best, since: now}
+		return
+	}
+	if any := s.highest(s.anyone(now)); any.Name != "" && !probed {
+		s.current = source{Member: any, since: now, probe: true}
+		return
+	}
+	s.current = source{Member: s.soonest(), since: now}
 }
 
-// keeps tells whether the followed member stays. One whose word is not fresh is left for
-// another after a while; one of another zone, as soon as there is one in this zone.
+// keeps tells whether the followed member stays, and passes over one that does not for its
+// word. One whose word is not fresh is left for another after a while; one of another zone,
+// as soon as there is one in this zone.
 func (s *Selector) keeps(now time.Duration) bool {
-	if s.current.heard && !s.currentGood(now) && now >= max(s.switchAt, s.current.since+staleGrace) {
+	switch {
+	case s.currentGood(now):
+		return s.nearest(now)
+	case s.current.heard && s.current.probe:
+		s.passOver(staleRest, false, now)
+		s.current.probe = true
+		return false
+	case s.current.failing && s.quick > 0 && len(s.otherReaders(now)) > 0:
+		s.quick--
+		s.passOver(staleRest, false, now)
+		return false
+	case s.current.heard && now >= max(s.switchAt, s.current.since+staleGrace):
 		s.leaveStale(now)
 		s.switchAt = now + s.switchPause
 		s.switchPause = min(2*s.switchPause, longestSwitch)
 		return false
+	default:
+		return s.nearest(now)
 	}
+}
+
+// nearest tells whether no reader of this zone is to be followed rather.
+func (s *Selector) nearest(now time.Duration) bool {
 	return contains(s.readers(s.self.Zone, now), s.current.Member) || len(s.sources(s.self.Zone, now)) == 0
 }
 
@@ -35,34 +63,55 @@
 	s.passOver(staleRest, false, now)
 }
 
-// best returns the member to follow: of the readers of this zone, or else of the others, or
-// else of all, the one with the highest score for this process, which spreads followers
-// evenly.
-func (s *Selector) best(now time.Duration) Member {
+// reader returns the reader to follow: of those of this zone, or else of the others, the one
+// with the highest score for this process, which spreads followers evenly. Without a name
+// there is none that isn't passed over.
+func (s *Selector) reader(now time.Duration) Member {
 	if best := s.highest(s.sources(s.self.Zone, now)); best.Name != "" {
 		return best
 	}
+	return s.highest(s.otherReaders(now))
+}
+
+// otherReaders returns the readers that may be followed beside the followed one.
+func (s *Selector) otherReaders(now time.Duration) []Member {
 	var others []Member
-	for _, zone := range s.otherZones() {
-		others = append(others, s.sources(zone, now)...)
+	for zone := range s.zones {
+		for _, m := range s.sources(zone, now) {
+			if m != s.current.Member {
+				others = append(others, m)
+			}
+		}
 	}
-	if best := s.highest(others); best.Name != "" {
-		return best
+	return others
+}
+
+// soonest returns the reader that was passed over for its old word and whose rest ends
+// first, or else any such member. That is where a process waits while nobody knows more: a
+// reader hears first that the store is back, and one that has died since is found out by who
+// tries it.
+func (s *Selector) soonest() Member {
+	var readers []Member
+	for _, order := range s.zones {
+		readers = append(readers, order[:min(len(order), s.wanted(len(order)))]...)
 	}
-	if best := s.highest(s.anyone(now)); best.Name != "" {
+	if best := s.firstRested(readers); best.Name != "" {
 		return best
 	}
-	return s.soonest()
+	return s.firstRested(s.members)
 }
 
-// soonest returns the member that was passed over for its old word and whose rest ends
-// first: it may have died since, and only who tries finds that out.
-func (s *Selector) soonest() Member {
+// firstRested returns the member whose rest ends first of those that are not lost; without a
+// name if there is none.
+func (s *Selector) firstRested(members []Member) Member {
 	var best Member
 	var until time.Duration
-	for _, m := range s.members {
+	for _, m := range members {
 		r := s.rests[m.Incarnation]
-		if !r.lost && (best.Name == "" || r.until < until) {
+		if m == s.self || r.lost {
+			continue
+		}
+		if best.Name == "" || r.until < until || r.until == until && m.Name < best.Name {
 			best, until = m, r.until
 		}
 	}
@@ -70,7 +119,8 @@
 }
 
 // anyone returns the members that are not passed over. Where the store turns all readers
-// away, some of the others ask it themselves and know more.
+// away, some of the others ask it themselves and know more: one is tried now and then, and
+// left at its first word if it does not.
 func (s *Selector) anyone(now time.Duration) []Member {
 	var list []Member
 	for _, m := range s.members {
--- a/core/source/readers.go
+++ b/core/source/readers.go
@@ -71,17 +71,5 @@
 	return rendezvous.Score(key, rendezvous.Hash(a.Name)) > rendezvous.Score(key, rendezvous.Hash(b.Name))
 }
 
-// otherZones returns the zones of the other members, in order.
-func (s *Selector) otherZones() []string {
-	var zones []string
-	for zone := range s.zones {
-		if zone != s.self.Zone {
-			zones = append(zones, zone)
-		}
-	}
-	sort.Strings(zones)
-	return zones
-}
-
 // contains tells whether a member is in a list.
 func contains(list []Member, m Member) bool { return slices.Contains(list, m) }
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -66,12 +66,17 @@
 	// doubled up to longestSwitch while none is better: in an outage of the store all are.
 	firstSwitch   = 500 * time.Millisecond
 	longestSwitch = 2 * time.Second
+	// quickSwitches is how many sources that say that the store does not answer them are left
+	// without a pause before one is found that it does: the store may turn some machines away
+	// and serve the others, and what is in force at those must be so here too.
+	quickSwitches = 4
 	// aloneAfter is how long a process without a good source waits before it asks the
-	// store itself, and aloneSpread by how much more, by a hash of its name: a hundred
-	// that lose their source at once ask over two seconds. Together they are what is left of
-	// the time for which keys are trusted.
-	aloneAfter  = 500 * time.Millisecond
-	aloneSpread = 2 * time.Second
+	// store itself, and aloneSpread by how much more for each member, by a hash of its
+	// incarnation, up to longestSpread: of a hundred that lose their source at once 100 ask in a
+	// second. With 1.2 s after which a source is stale, and a fleet of 25, that stays within 2 s.
+	aloneAfter    = 300 * time.Millisecond
+	aloneSpread   = 10 * time.Millisecond
+	longestSpread = time.Second
 	// newAfter and newSpread are the same for one that has known nothing yet, and refuses
 	// requests until it does.
 	newAfter  = 300 * time.Millisecond
@@ -80,8 +85,8 @@
 	// pause after a try that failed, doubled up to longestPause: in an outage of 14 s a
 	// process makes two tries.
 	tryFor       = time.Second
-	firstPause   = 6 * time.Second
-	longestPause = 8 * time.Second
+	firstPause   = 10 * time.Second
+	longestPause = 20 * time.Second
 )
 
 // Reason tells why a plan is as it is.
@@ -123,6 +128,8 @@
 	current source
 	// switchAt is when a stale source may be left, and switchPause the time until the next.
 	switchAt, switchPause time.Duration
+	// quick is how many sources may still be left at once for failing.
+	quick int
 
 	// storeProved is the time of the store's newest proof to this process itself.
 	storeProved time.Duration
@@ -156,6 +163,10 @@
 	heardAt time.Duration
 	proved  time.Duration
 	hops    int
+	// failing is set while the store does not answer it.
+	failing bool
+	// probe is set for one that is no reader and is only tried.
+	probe bool
 }
 
 // Never is a time before all others: that of a proof that was not made.
@@ -169,6 +180,7 @@
 		rests:       make(map[string]rest),
 		storeProved: Never,
 		switchPause: firstSwitch,
+		quick:       quickSwitches,
 		good:        now,
 		new:         true,
 		tryPause:    firstPause,
@@ -201,14 +213,25 @@
 // StoreProved notes a proof that the store gave this process itself.
 func (s *Selector) StoreProved(at time.Duration) { s.storeProved = max(s.storeProved, at) }
 
-// Heard notes the word of the followed member: the time of its newest proof, Never if it has
-// none, and through how many processes that had come before it.
-func (s *Selector) Heard(incarnation string, proved time.Duration, hops int, now time.Duration) {
-	if incarnation != s.current.Incarnation {
+// Word is what a source says of what it knows.
+type Word struct {
+	// Incarnation is the source's.
+	Incarnation string
+	// Proved is the time of its newest proof, Never if it has none.
+	Proved time.Duration
+	// Hops is through how many processes that had come before it.
+	Hops int
+	// Failing is set if it reads the store, and the store does not answer it.
+	Failing bool
+}
+
+// Heard notes a word of the followed member.
+func (s *Selector) Heard(w Word, now time.Duration) {
+	if w.Incarnation != s.current.Incarnation {
 		return
 	}
 	s.current.heard, s.current.heardAt = true, now
-	s.current.proved, s.current.hops = proved, hops
+	s.current.proved, s.current.hops, s.current.failing = w.Proved, w.Hops, w.Failing
 }
 
 // Filling notes that the followed member sends a long list, of which more is to come: no
@@ -283,7 +306,7 @@
 
 // currentGood tells whether the followed member has said something fresh.
 func (s *Selector) currentGood(now time.Duration) bool {
-	return s.current.heard && s.current.hops < MaxHops && s.fresh(s.current.proved, now)
+	return s.current.heard && !s.current.failing && s.current.hops < MaxHops && s.fresh(s.current.proved, now)
 }
 
 // mayFollowBack tells whether the followed member could be one that follows this process,
@@ -301,14 +324,14 @@
 	if s.currentGood(now) {
 		delete(s.rests, s.current.Incarnation)
 	}
-	s.switchPause, s.switchAt = firstSwitch, now
+	s.switchPause, s.switchAt, s.quick = firstSwitch, now, quickSwitches
 	s.tryPause, s.tryUntil = firstPause, 0
 }
 
 // tries tells whether a process without a source asks the store itself now.
 func (s *Selector) tries(now time.Duration) bool {
 	if s.tryUntil == 0 {
-		after, within := aloneAfter, aloneSpread
+		after, within := aloneAfter, min(aloneSpread*time.Duration(len(s.members)+1), longestSpread)
 		if s.new {
 			after, within = newAfter, newSpread
 		}
--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -22,10 +22,13 @@
 	// at once in some 0.5 s.
 	followersPerReader = 24
 	// staleShare is the part of the time for which keys are trusted after which a source
-	// whose proof is older is left for another one. Of the usual 4.5 s that is 2.5 s; a
-	// watch of 1.5 s proves up to 0.5 s before its end, so that a sound source's proof is at
-	// most 2 s old, 2.2 s at a store that answers slowly.
+	// whose proof is older is left for another one, and applyShare that of the time within
+	// which a change must be in force; the shorter one counts. Of 4.5 s and 2 s these are 2.5 s
+	// and 1.2 s. A watch of a quarter of the latter proves up to a third of its wait before its
+	// end, so that a sound source's proof is at most 0.7 s old, 1.2 s at a store that is 60
+	// times slower than usual.
 	staleShare = 0.55
+	applyShare = 0.6
 	// lookEvery is how often the choice is looked at without cause.
 	lookEvery = 250 * time.Millisecond
 	// settle is how long a process waits at the first start of the whole fleet before it
@@ -109,7 +112,7 @@
 
 // staleAfter returns the age after which a proof is stale.
 func (f *Follower) staleAfter() time.Duration {
-	return time.Duration(staleShare * float64(f.view.TrustTime()))
+	return min(time.Duration(staleShare*float64(f.view.TrustTime())), time.Duration(applyShare*float64(f.view.ApplyTime())))
 }
 
 // memberOf returns a member in the words of the choice.
@@ -243,10 +246,10 @@
 	if !word.known {
 		at = source.Never
 	}
-	f.selector.Heard(word.incarnation, at, word.proof.Hops, clock.Boot())
-	good := f.plan.Reason == source.Follower
+	f.selector.Heard(source.Word{Incarnation: word.incarnation, Proved: at, Hops: word.proof.Hops, Failing: word.failing}, clock.Boot())
+	calm := f.plan.Reason == source.Follower && !word.failing
 	f.mu.Unlock()
-	if !good {
+	if !calm {
 		f.Wake()
 	}
 }
--- a/gateway/relay/link.go
+++ b/gateway/relay/link.go
@@ -28,6 +28,8 @@
 // heard tells of a word of the source.
 type heard struct {
 	incarnation string
+	// failing is set if the store does not answer the source.
+	failing bool
 	// partial is set if more of a list is to come.
 	partial bool
 	// proof is known if the source told one.
@@ -115,7 +117,7 @@
 
 // take hands an update to the View: the changes first, then the proof that holds for them.
 func (l *link) take(update *wirepb.FollowUpdate) error {
-	word := heard{incarnation: l.source.Incarnation}
+	word := heard{incarnation: l.source.Incarnation, failing: update.GetFailing()}
 	for _, m := range update.GetDeltas() {
 		word.partial = word.partial || len(m.GetPiece()) > 0
 		delta, whole, err := l.gatherer.take(m)
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -28,6 +28,7 @@
 type Knowledge interface {
 	Since(positions []view.Position) ([]view.KindDelta, view.Proof, bool)
 	Changed() <-chan struct{}
+	Failing() bool
 }
 
 // Server tells followers what this process knows. It may be used by many goroutines.
@@ -112,15 +113,16 @@
 	beat := time.NewTimer(beatEvery)
 	defer beat.Stop()
 	var sent view.Proof
-	due := true
+	due, told := true, false
 	for {
 		changed := f.server.knowledge.Changed()
+		failing := f.server.knowledge.Failing()
 		deltas, proved, known := f.server.knowledge.Since(f.positions)
-		if due || hasChanges(deltas) || known && proved.At-sent.At >= proofStep {
-			if err := f.send(deltas, proved, known); err != nil {
+		if due || failing != told || hasChanges(deltas) || known && proved.At-sent.At >= proofStep {
+			if err := f.send(deltas, proved, known, failing); err != nil {
 				return // the follower is gone; listen ends as well
 			}
-			sent, due = proved, false
+			sent, due, told = proved, false, failing
 			beat.Reset(beatEvery)
 		}
 		select {
@@ -145,8 +147,8 @@
 
 // send sends what the follower lacks and moves its positions. Long changes go ahead, in
 // pieces; the proof comes last, as it holds for all that went before.
-func (f *session) send(deltas []view.KindDelta, proved view.Proof, known bool) error {
-	last := &wirepb.FollowUpdate{}
+func (f *session) send(deltas []view.KindDelta, proved view.Proof, known, failing bool) error {
+	last := &wirepb.FollowUpdate{Failing: failing}
 	for _, d := range deltas {
 		if !isLong(d) {
 			last.Deltas = append(last.Deltas, deltaMessage(d))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -58,6 +58,9 @@
 type BoundSettings struct {
 	// RevokeMS is the time in ms after which a key that was taken away must not work.
 	RevokeMS int `toml:"revoke_ms" required:"true"`
+	// ConfigApplyMS is the time in ms after which a change that the store has accepted must be
+	// in force.
+	ConfigApplyMS int `toml:"config_apply_ms"`
 	// GraceSeconds is the time in s that a planned stop may take.
 	GraceSeconds float64 `toml:"grace_s" required:"true"`
 	// RetryRatio and RetrySlack bound the repeated sends to a service in a window,
@@ -82,7 +85,12 @@
 }
 
 // Defaults returns the settings of keys that a file may leave out.
-func Defaults() Settings { return Settings{Log: LogSettings{Level: "info"}} }
+func Defaults() Settings {
+	return Settings{Log: LogSettings{Level: "info"}, Bounds: BoundSettings{ConfigApplyMS: defaultApplyMS}}
+}
+
+// defaultApplyMS is the shortest bound of the sites known, in ms.
+const defaultApplyMS = 2000
 
 // Bounds of process.memory_mb: a Go process needs some 16 MB to run at all.
 const (
@@ -133,11 +141,17 @@
 	return nil
 }
 
+// leastApplyMS is the least of bounds.config_apply_ms: below it the store's readers could not
+// be watched closely enough.
+const leastApplyMS = 200
+
 // Validate implements settings.Validator.
 func (b *BoundSettings) Validate() error {
 	switch {
 	case b.RevokeMS < 1:
 		return settings.Invalid("revoke_ms", "must be at least 1")
+	case b.ConfigApplyMS < leastApplyMS:
+		return settings.Invalid("config_apply_ms", "must be at least %d", leastApplyMS)
 	case b.GraceSeconds <= 0:
 		return settings.Invalid("grace_s", "must be above 0")
 	case b.RetryRatio < 0 || b.RetryRatio > 1:
@@ -159,7 +173,11 @@
 
 // source returns what the settings say of the store.
 func (s *Settings) source() view.Source {
-	return view.Source{Store: s.Store.Address, ConfirmWithin: s.Bounds.confirmWithin()}
+	return view.Source{
+		Store:         s.Store.Address,
+		ConfirmWithin: s.Bounds.confirmWithin(),
+		ApplyWithin:   time.Duration(s.Bounds.ConfigApplyMS) * time.Millisecond,
+	}
 }
 
 // retries returns what the settings say of repeated sends.
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -47,7 +47,7 @@
 var platformValues = map[string]string{
 	"node_name": "edge-1", "zone": "sala-inaquito", "ip": "10.1.0.41", "limits.memory_mb": "284", "limits.link_mbps": "1000.0", "limits.cpu_share": "0.304",
 	"listen.frontend": "10.1.0.41:8625", "listen.readiness": "10.1.0.41:8621", "internal_ports.0": "7740", "internal_ports.1": "7755",
-	"platform.address": "10.200.1.7:8624", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
+	"platform.address": "10.200.1.7:8624", "bounds.revoke_ms": "5000", "bounds.config_apply_ms": "4000", "bounds.grace_s": "8",
 	"bounds.retry_budget_ratio": "0.2", "bounds.retry_budget_slack": "54",
 	"bootstrap": "true",
 }
@@ -71,7 +71,7 @@
 	assert.NilError(t, settings.Decode("node.toml", []byte(filled), &loaded))
 	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
 	assert.Assert(t, loaded.Fleet.FirstStart)
-	assert.Equal(t, loaded.Bounds, BoundSettings{RevokeMS: 5000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54})
+	assert.Equal(t, loaded.Bounds, BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54})
 }
 
 func TestKeysAreTrustedShorterThanTheBound(t *testing.T) {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -24,9 +24,13 @@
 const (
 	// configWait is how soon a store that has fallen silent is noticed. It is at most
 	// confirmShare of the time for which keys are trusted, so that two watches and a slow
-	// answer fit into it; that is as long for the 4.5 s of the sites known.
+	// answer fit into it; that is as long for the 4.5 s of the sites known. It is also at most
+	// applyShare of the time within which a change must be in force: a process whose source the
+	// store has turned away must find another one before that. With 1.5 s a key that was taken
+	// away ran 2.4 s after, where 2 s are allowed.
 	configWait   = 1500 * time.Millisecond
 	confirmShare = 3
+	applyShare   = 4
 	// shortWait is the wait while the store does not answer, of the first watch of a process
 	// that begins to read it, and of the one after a change. A call to a store that is lost ends by its timeout
 	// alone, and the sooner it does, the sooner one is begun that a store that is back
@@ -86,7 +90,10 @@
 	}
 	answered := make(chan struct{})
 	config.onFirst = func() { close(answered) }
-	group.Go(func() error { return config.run(ctx) })
+	group.Go(func() error {
+		defer config.noteFailing(false)
+		return config.run(ctx)
+	})
 	for _, f := range []*follower{upstreams, members} {
 		group.Go(func() error { return f.runAfter(ctx, answered) })
 	}
@@ -251,7 +258,7 @@
 	case f.lost || f.short:
 		return shortWait
 	default:
-		return min(f.wait, f.view.TrustTime()/time.Duration(f.share))
+		return min(f.wait, f.view.TrustTime()/time.Duration(f.share), f.view.ApplyTime()/applyShare)
 	}
 }
 
@@ -279,6 +286,7 @@
 		f.view.options.Logger.Event(event.WatchHistoryGone, observe.Fields{"kind": f.kind.name, "revision": f.kind.revision()})
 		return
 	}
+	f.noteFailing(true)
 	if !f.lost {
 		f.lost = true
 		f.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": f.kind.name, "revision": f.kind.revision(), "error": err.Error()})
@@ -307,4 +315,13 @@
 	}
 	f.lost = false
 	f.pause = firstPause
+	f.noteFailing(false)
+}
+
+// noteFailing notes whether the store answers for the configuration, and tells those that
+// follow this process, so that they need not wait until its proof is old.
+func (f *follower) noteFailing(failing bool) {
+	if f.share != 0 && f.view.failing.Swap(failing) != failing {
+		f.view.proof.wake()
+	}
 }
--- a/gateway/view/follow_test.go
+++ b/gateway/view/follow_test.go
@@ -27,7 +27,7 @@
 		4500 * time.Millisecond: configWait,
 		1500 * time.Millisecond: 500 * time.Millisecond,
 	} {
-		v := New(Options{Source: Source{ConfirmWithin: trusted}})
+		v := New(Options{Source: Source{ConfirmWithin: trusted, ApplyWithin: 8 * time.Second}})
 		f := v.newFollower(document.ConfigKind, configWait)
 		f.share = confirmShare
 		assert.Equal(t, f.longest(), wait, "%v", trusted)
@@ -39,7 +39,7 @@
 // TestALostStoreIsAskedInShortCalls: a call that was begun during a silence of the store ends
 // soon, so that the next one finds the store that is back.
 func TestALostStoreIsAskedInShortCalls(t *testing.T) {
-	v := New(Options{Source: Source{Store: "127.0.0.1:1", ConfirmWithin: 4500 * time.Millisecond}})
+	v := New(Options{Source: Source{Store: "127.0.0.1:1", ConfirmWithin: 4500 * time.Millisecond, ApplyWithin: 8 * time.Second}})
 	f := v.newFollower(document.ConfigKind, configWait)
 	f.share = confirmShare
 	assert.Equal(t, f.longest(), configWait)
@@ -48,3 +48,12 @@
 	f.lost = false
 	assert.Equal(t, f.longest(), configWait)
 }
+
+// TestWatchesOfTheConfigurationFitIntoTheTimeForAChange: who follows a reader that has lost
+// the store must find another one before a change has to be in force.
+func TestWatchesOfTheConfigurationFitIntoTheTimeForAChange(t *testing.T) {
+	v := New(Options{Source: Source{ConfirmWithin: 4500 * time.Millisecond, ApplyWithin: 2 * time.Second}})
+	f := v.newFollower(document.ConfigKind, configWait)
+	f.share = confirmShare
+	assert.Equal(t, f.longest(), 500*time.Millisecond)
+}
--- a/gateway/view/share.go
+++ b/gateway/view/share.go
@@ -70,6 +70,10 @@
 // Proof returns the newest proof, and false if there is none.
 func (v *View) Proof() (Proof, bool) { return v.proof.get() }
 
+// Failing tells whether the store does not answer this process, which reads it. One that
+// follows another gateway knows nothing of that.
+func (v *View) Failing() bool { return v.failing.Load() }
+
 // StoreProved returns the time of the newest proof that the store gave this process
 // itself, and false if there is none.
 func (v *View) StoreProved() (time.Duration, bool) {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -51,6 +51,8 @@
 	Store string
 	// ConfirmWithin bounds the age of what is known of keys.
 	ConfirmWithin time.Duration
+	// ApplyWithin bounds the time until a change that the store has accepted is in force.
+	ApplyWithin time.Duration
 }
 
 // View follows the fleet. Its readers may be called by many goroutines.
@@ -59,6 +61,7 @@
 
 	store         atomic.Pointer[store.Client]
 	confirmWithin atomic.Int64
+	applyWithin   atomic.Int64
 
 	table     atomic.Pointer[routes.Table]
 	upstreams atomic.Pointer[routes.Upstreams]
@@ -70,6 +73,8 @@
 	// storeProved is the boot time of the newest proof that the store itself gave; below 0
 	// before the first.
 	storeProved atomic.Int64
+	// failing is set while the store does not answer this process for the configuration.
+	failing atomic.Bool
 	// registered is the revision of the own object, 0 if it is not known.
 	registered atomic.Int64
 
@@ -100,6 +105,7 @@
 // new address says otherwise.
 func (v *View) SetSource(source Source) {
 	v.confirmWithin.Store(int64(source.ConfirmWithin))
+	v.applyWithin.Store(int64(source.ApplyWithin))
 	if old := v.store.Load(); old == nil || old.Address() != source.Store {
 		v.store.Store(store.New(source.Store))
 	}
@@ -140,6 +146,9 @@
 // TrustTime returns for how long a proof of the keys holds.
 func (v *View) TrustTime() time.Duration { return time.Duration(v.confirmWithin.Load()) }
 
+// ApplyTime returns the time within which a change must be in force.
+func (v *View) ApplyTime() time.Duration { return time.Duration(v.applyWithin.Load()) }
+
 // leadTime is how long before requests with keys must be refused new connections are
 // asked to go elsewhere: the balancer asks once a second and acts on the second answer.
 // It is at most a third of the time for which a proof holds, which a watch that waits for
--- a/standin/gatewaytest/relay_test.go
+++ b/standin/gatewaytest/relay_test.go
@@ -133,11 +133,7 @@
 		f.start(name)
 	}
 	f.waitLines(3, "source_changed", `"reason":"follower"`, `"reads":false`)
-	f.store.SetFaults(faultsRefusing)
-	f.waitLines(1, "watch_lost", `"kind":"config"`)
-	f.apply(base(2))
-	f.store.Forget()
-	f.store.SetFaults(faultsNone)
+	f.store.PutForgotten("config", "main", base(2))
 	for _, name := range names {
 		f.waitLines(1, "table_in_force", `"process":"`+name+`"`, `"version":2`)
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -78,6 +78,20 @@
 	s.wake()
 }
 
+// PutForgotten writes an object as Put does, and drops the history with it, so that a watch
+// that waits learns only that its history is gone.
+func (s *Store) PutForgotten(kind, name string, spec any) {
+	content, err := json.Marshal(spec)
+	if err != nil {
+		panic("metastore: a spec that can't be encoded: " + err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: content})
+	s.forgotten = s.revision
+	s.events = nil
+}
+
 // Calls returns how many calls came.
 func (s *Store) Calls() int {
 	s.mu.Lock()
