--- a/core/source/follow.go
+++ b/core/source/follow.go
@@ -17,8 +17,8 @@
 		s.current = source{Member: best, since: now}
 		return
 	}
-	if any := s.highest(s.anyone(now)); any.Name != "" && !probed {
-		s.current = source{Member: any, since: now, probe: true}
+	if other := s.highest(s.anyone(now)); other.Name != "" && !probed {
+		s.current = source{Member: other, since: now, probe: true}
 		return
 	}
 	s.current = source{Member: s.soonest(), since: now}
@@ -33,7 +33,7 @@
 		return s.nearest(now)
 	case s.current.heard && s.current.probe:
 		s.passOver(staleRest, false, now)
-		s.current.probe = true
+		s.current.probe = true // the next one is a reader, not another try
 		return false
 	case s.current.failing && s.quick > 0 && len(s.otherReaders(now)) > 0:
 		s.quick--
