--- a/core/proof/proof.go
+++ b/core/proof/proof.go
@@ -4,7 +4,7 @@
 //
 // A follower numbers its requests and notes, by its own clock, when it sends each. The
 // source notes, by its own, when it receives one, and says of a proof how long after that
-// receipt it was made (or before it, then below 0). The follower takes the proof for made
+// moment it was made (or before it, then below 0). The follower takes the proof for made
 // that long after its sending.
 //
 // Why no proof is ever taken for younger than it is: a request is received after it was
@@ -19,11 +19,11 @@
 
 import "time"
 
-// Word says when a proof was made, relative to the receipt of a request.
+// Word says when a proof was made, relative to the arrival of a request.
 type Word struct {
 	// Number is the request's.
 	Number uint64
-	// After is from its receipt until the proof.
+	// After is from its arrival until the proof.
 	After time.Duration
 }
 
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// received notes a request. The time is that after its receipt.
+// received notes a request. The time is that after its arrival.
 func (f *session) received(request *wirepb.FollowRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
