Empty evacuated zones: nothing new is sent to their upstreams

Cause: the operator's wishes that a zone be emptied were not read at all, so that each evacuation broke the rule on them. They are a kind of objects like the others now: read by those that read the store, handed on to the followers, and marked on the upstreams, which choosers, pools and owners pass over as they do leaving ones. What waits at a pool goes to the other zones; where all upstreams of a service are evacuated a request is refused before any stage is done for it.

Where the settings name no bound, nothing more is asked of the store.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -43,7 +43,7 @@
 	busy := 0
 	for _, w := range p.workers {
 		switch {
-		case w.upstream.Leaving:
+		case !w.upstream.TakesWork():
 		case now.Before(w.avoid):
 			avoided = append(avoided, w)
 		case w.calls >= max(1, p.settings.Slots):
@@ -140,7 +140,7 @@
 		return false
 	}
 	for _, other := range p.workers {
-		if other == w || other.upstream.Leaving || now.Before(other.avoid) {
+		if other == w || !other.upstream.TakesWork() || now.Before(other.avoid) {
 			continue
 		}
 		if here-task.crossing(other.upstream.Zone) <= smallCrossing {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -155,7 +155,7 @@
 // Configure replaces the settings.
 func (p *Pool) Configure(settings routes.Pool) { p.settings = settings }
 
-// SetUpstreams replaces the upstreams that get calls. Leaving ones get none.
+// SetUpstreams replaces the upstreams that get calls; those that take no new work get none.
 func (p *Pool) SetUpstreams(list []routes.Upstream) {
 	kept := make(map[string]*worker, len(list))
 	for _, upstream := range list {
@@ -169,6 +169,28 @@
 	p.workers = kept
 }
 
+// Evacuated tells whether all upstreams are in zones that are to be emptied: nothing can be
+// made until one is taken back.
+func (p *Pool) Evacuated() bool {
+	for _, w := range p.workers {
+		if !w.upstream.Evacuated {
+			return false
+		}
+	}
+	return len(p.workers) > 0
+}
+
+// CallsIn returns how many calls run at the upstreams of a zone.
+func (p *Pool) CallsIn(zone string) int {
+	calls := 0
+	for _, w := range p.workers {
+		if w.upstream.Zone == zone {
+			calls += w.calls
+		}
+	}
+	return calls
+}
+
 // Finish records that a call ended with an outcome for each of its items, in their
 // order, and returns the items that nobody will try again. Those with outcome
 // Again are queued unless they were tried often enough; want of room is no try.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -38,8 +38,12 @@
 
 // Expire drops and returns the waiting items that can't be made before their request
 // ends: those for which no time is left, and late ones with too many others ahead of
-// them. The latter are told at once, while their clients can still come back in time.
+// them. The latter are told at once, while their clients can still come back in time. An
+// evacuated pool makes none.
 func (p *Pool) Expire(now time.Time) []*Item {
+	if p.Evacuated() {
+		return p.drop(func(*group) bool { return true })
+	}
 	p.sort(now)
 	ahead := 0
 	return p.drop(func(g *group) bool {
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -17,6 +17,8 @@
 	Slots   int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Evacuated upstreams get no new work either: their availability zone is to be emptied.
+	Evacuated bool
 	// Born tells two starts under one ID apart: the later one has the higher number. It
 	// is the Unix millisecond of the start, 0 if that isn't known.
 	Born int64
@@ -24,6 +26,9 @@
 	Cold time.Duration
 }
 
+// TakesWork tells whether an upstream may get new work.
+func (u Upstream) TakesWork() bool { return !u.Leaving && !u.Evacuated }
+
 // Upstreams is an immutable snapshot of all upstreams.
 type Upstreams struct {
 	byService map[string][]Upstream
@@ -50,6 +55,18 @@
 // not change the slice.
 func (u *Upstreams) Of(service string) []Upstream { return u.byService[service] }
 
+// Evacuated tells whether all upstreams of a service are in zones that are to be emptied, so
+// that its work can be done nowhere until one is taken back.
+func (u *Upstreams) Evacuated(service string) bool {
+	list := u.byService[service]
+	for _, upstream := range list {
+		if !upstream.Evacuated {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
 // Knows tells whether there is an upstream with an ID.
 func (u *Upstreams) Knows(id string) bool {
 	_, known := u.byID[id]
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -175,7 +175,7 @@
 func (c *Chooser) candidates(list []routes.Upstream, tried []string, now time.Time) []routes.Upstream {
 	var good, avoided []routes.Upstream
 	for _, u := range list {
-		if u.Leaving || contains(tried, u.ID) {
+		if !u.TakesWork() || contains(tried, u.ID) {
 			continue
 		}
 		if s := c.engines[u.ID]; s != nil && now.Before(s.avoid) {
@@ -241,6 +241,14 @@
 	s.own = max(0, s.own-1)
 }
 
+// Open returns how many requests of this process are open at an engine.
+func (c *Chooser) Open(id string) int {
+	if s := c.engines[id]; s != nil {
+		return s.own
+	}
+	return 0
+}
+
 // Heard records what an engine said of its load.
 func (c *Chooser) Heard(id string, load Load) {
 	s := c.of(id)
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -256,6 +256,10 @@
 
 // serve runs the stages and sends the request until it has an answer.
 func (rq *request) serve() {
+	if service := rq.evacuated(); service != "" {
+		rq.refuse(http.StatusServiceUnavailable, "request.choose", "all upstreams of "+service+" are in evacuated zones", retryBusy)
+		return
+	}
 	defer func() { rq.results.free() }()
 	rq.deposit(rq.service, rq.began)
 	for {
@@ -274,6 +278,21 @@
 	}
 }
 
+// evacuated returns a service that the request needs and whose upstreams are all in evacuated
+// zones, empty if there is none: its client is told before any stage is done in vain.
+func (rq *request) evacuated() string {
+	upstreams := rq.View.Upstreams()
+	if upstreams.Evacuated(rq.service) {
+		return rq.service
+	}
+	for i, stage := range rq.route.Stages {
+		if rq.asked.Pieces[i] > 0 && upstreams.Evacuated(stage.Service) {
+			return stage.Service
+		}
+	}
+	return ""
+}
+
 // mayGoOn tells whether the request may be sent once more after a send that failed
 // with err.
 func (rq *request) mayGoOn(err error) bool {
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -75,6 +75,23 @@
 // InFlight returns how many requests are open.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// OpenIn returns how many requests are open at the upstreams of a zone.
+func (s *Server) OpenIn(zone string) int {
+	upstreams := s.View.Upstreams()
+	if upstreams == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := 0
+	upstreams.Each(func(upstream routes.Upstream) {
+		if upstream.Zone == zone {
+			open += s.chooser.Open(upstream.ID)
+		}
+	})
+	return open
+}
+
 // Forget drops what is known of upstreams that are gone. It is called when the
 // upstreams change.
 func (s *Server) Forget() {
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -110,8 +110,12 @@
 			delete(o.pools, part) // the pool is cut into other parts now
 			continue
 		}
+		expired := Late
+		if p.queue.Evacuated() {
+			expired = Evacuated
+		}
 		for _, item := range p.queue.Expire(now) {
-			o.fail(p, item.Task.Ticket, Late)
+			o.fail(p, item.Task.Ticket, expired)
 		}
 		p.lapse(now)
 		o.sendFrees(p)
@@ -233,6 +237,17 @@
 	return parts
 }
 
+// CallsIn returns how many calls run at the upstreams of a zone.
+func (o *Owner) CallsIn(zone string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	calls := 0
+	for _, p := range o.pools {
+		calls += p.queue.CallsIn(zone)
+	}
+	return calls
+}
+
 // submit queues a task for a session. The lock is held.
 func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify) bool {
 	p := o.pool(task.Part)
@@ -260,7 +275,11 @@
 	}
 	p.tasks[o.ticket] = open
 	session.open[number] = openTicket{pool: p, ticket: o.ticket}
-	if !p.queue.CanEnd(open.core, now) {
+	switch {
+	case p.queue.Evacuated():
+		o.fail(p, o.ticket, Evacuated)
+		return true
+	case !p.queue.CanEnd(open.core, now):
 		// A call for it would be cut while its upstream works, which looks like a fault.
 		o.fail(p, o.ticket, Late)
 		return true
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -54,6 +54,8 @@
 	Late Failure = "late"
 	// Gone: an input no longer exists; the stages before must be done again.
 	Gone Failure = "gone"
+	// Evacuated: all upstreams of the pool are in zones that are to be emptied.
+	Evacuated Failure = "evacuated"
 	// Failed: the upstreams failed.
 	Failed Failure = "failed"
 	// OwnerLost: the owner fell silent before it answered.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -61,6 +61,9 @@
 	// ConfigApplyMS is the time in ms after which a change that the store has accepted must be
 	// in force.
 	ConfigApplyMS int `toml:"config_apply_ms"`
+	// EvacuateMS is the time in ms after which a zone that the operator has evacuated must get
+	// nothing new; 0 if zones are not evacuated here.
+	EvacuateMS int `toml:"evacuate_ms"`
 	// GraceSeconds is the time in s that a planned stop may take.
 	GraceSeconds float64 `toml:"grace_s" required:"true"`
 	// RetryRatio and RetrySlack bound the repeated sends to a service in a window,
@@ -141,8 +144,8 @@
 	return nil
 }
 
-// leastApplyMS is the least of bounds.config_apply_ms: below it the store's readers could not
-// be watched closely enough.
+// leastApplyMS is the least of bounds.config_apply_ms and bounds.evacuate_ms: below it the
+// store's readers could not be watched closely enough.
 const leastApplyMS = 200
 
 // Validate implements settings.Validator.
@@ -152,6 +155,8 @@
 		return settings.Invalid("revoke_ms", "must be at least 1")
 	case b.ConfigApplyMS < leastApplyMS:
 		return settings.Invalid("config_apply_ms", "must be at least %d", leastApplyMS)
+	case b.EvacuateMS != 0 && b.EvacuateMS < leastApplyMS:
+		return settings.Invalid("evacuate_ms", "must be 0 or at least %d", leastApplyMS)
 	case b.GraceSeconds <= 0:
 		return settings.Invalid("grace_s", "must be above 0")
 	case b.RetryRatio < 0 || b.RetryRatio > 1:
@@ -176,10 +181,20 @@
 	return view.Source{
 		Store:         s.Store.Address,
 		ConfirmWithin: s.Bounds.confirmWithin(),
-		ApplyWithin:   time.Duration(s.Bounds.ConfigApplyMS) * time.Millisecond,
+		ApplyWithin:   s.Bounds.applyWithin(),
+		Evacuations:   s.Bounds.EvacuateMS > 0,
 	}
 }
 
+// applyWithin returns within which time all that the operator writes must be in force.
+func (b *BoundSettings) applyWithin() time.Duration {
+	within := b.ConfigApplyMS
+	if b.EvacuateMS > 0 {
+		within = min(within, b.EvacuateMS)
+	}
+	return time.Duration(within) * time.Millisecond
+}
+
 // retries returns what the settings say of repeated sends.
 func (s *Settings) retries() flow.Retries {
 	return flow.Retries{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"os"
 	"regexp"
 	"strconv"
@@ -28,6 +29,7 @@
 		"memory_mb = 284|memory_mb = 1":               "process.memory_mb: must be from 16",
 		"\"127.0.0.1:8625\"|\"localhost:8625\"":       "listen.clients: must be IP:port",
 		"revoke_ms = 5000|revoke_ms = 0":              "bounds.revoke_ms: must be at least 1",
+		"grace_s = 8|grace_s = 8\nevacuate_ms = 10":   "bounds.evacuate_ms: must be 0 or at least 200",
 		"retry_ratio = 0.2|retry_ratio = 2.0":         "bounds.retry_ratio: must be from 0 to 1",
 		"[fleet]|[log]\nlevel = \"loud\"\n[fleet]":    "log.level: must be debug",
 		"retry_slack = 54|retry_slack = 54\nmore = 1": "bounds.more: unknown key",
@@ -55,12 +57,28 @@
 // bare matches values that JSON does not quote.
 var bare = regexp.MustCompile(`^([0-9.]+|true|false)$`)
 
-func TestTheTemplateOfThePlatformGivesSoundSettings(t *testing.T) {
+// section matches what a template has only where the platform has a value.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z_0-9.]+)\}\}(.*?)\{\{/[a-z_0-9.]+\}\}`)
+
+// placeValues are values that the platform gives only where zones may be evacuated and
+// upstreams start cold.
+var placeValues = map[string]string{"bounds.evacuate_ms": "5000"}
+
+// fill returns the settings that the template gives with the platform's values.
+func fill(t *testing.T, values map[string]string) Settings {
+	t.Helper()
 	template, err := os.ReadFile("../deploy/gateway.toml.tmpl")
 	assert.NilError(t, err)
-	filled := placeholder.ReplaceAllStringFunc(string(template), func(found string) string {
+	present := section.ReplaceAllStringFunc(string(template), func(found string) string {
+		match := section.FindStringSubmatch(found)
+		if _, known := values[match[1]]; !known {
+			return ""
+		}
+		return match[2]
+	})
+	filled := placeholder.ReplaceAllStringFunc(present, func(found string) string {
 		match := placeholder.FindStringSubmatch(found)
-		value, known := platformValues[match[1]]
+		value, known := values[match[1]]
 		assert.Check(t, known, "the platform has no %s", match[1])
 		if match[2] != "" && !bare.MatchString(value) {
 			return strconv.Quote(value)
@@ -69,9 +87,27 @@
 	})
 	loaded := Defaults()
 	assert.NilError(t, settings.Decode("node.toml", []byte(filled), &loaded))
+	return loaded
+}
+
+func TestTheTemplateOfThePlatformGivesSoundSettings(t *testing.T) {
+	loaded := fill(t, platformValues)
 	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
 	assert.Assert(t, loaded.Fleet.FirstStart)
-	assert.Equal(t, loaded.Bounds, BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54})
+	plain := BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54}
+	assert.Equal(t, loaded.Bounds, plain)
+
+	all := maps.Clone(platformValues)
+	maps.Copy(all, placeValues)
+	plain.EvacuateMS = 5000
+	assert.Equal(t, fill(t, all).Bounds, plain)
+}
+
+// TestTheShorterBoundOnTheOperatorsWritesCounts: a source is left in time for either.
+func TestTheShorterBoundOnTheOperatorsWritesCounts(t *testing.T) {
+	assert.Equal(t, (&BoundSettings{ConfigApplyMS: 4000}).applyWithin(), 4*time.Second)
+	assert.Equal(t, (&BoundSettings{ConfigApplyMS: 4000, EvacuateMS: 3000}).applyWithin(), 3*time.Second)
+	assert.Equal(t, (&BoundSettings{ConfigApplyMS: 4000, EvacuateMS: 5000}).applyWithin(), 4*time.Second)
 }
 
 func TestKeysAreTrustedShorterThanTheBound(t *testing.T) {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -46,6 +46,9 @@
 	// over six days and three seeds of one deployment).
 	upstreamWait = 6 * time.Second
 	memberWait   = 20 * time.Second
+	// evacuationWait is long as well: evacuations are rare, and a connection that has gone
+	// silent is found by the client's probes within 3 s.
+	evacuationWait = 20 * time.Second
 )
 
 // Pauses after changes, in which further ones gather, so that one call brings them all:
@@ -80,13 +83,20 @@
 	upstreams.gather = upstreamGather
 	members := v.newFollower(MemberKind, memberWait)
 	members.gather = memberGather
+	others := []*follower{upstreams, members}
+	if v.zones != nil {
+		evacuations := v.newFollower(document.EvacuationKind, evacuationWait)
+		evacuations.longestPause = configPause
+		others = append(others, evacuations)
+	}
 	config := v.newFollower(document.ConfigKind, configWait)
 	config.longestPause = configPause
 	config.share = confirmShare
 	config.short = true
 	config.onRegained = func() {
-		upstreams.again()
-		members.again()
+		for _, f := range others {
+			f.again()
+		}
 	}
 	answered := make(chan struct{})
 	config.onFirst = func() { close(answered) }
@@ -94,7 +104,7 @@
 		defer config.noteFailing(false)
 		return config.run(ctx)
 	})
-	for _, f := range []*follower{upstreams, members} {
+	for _, f := range others {
 		group.Go(func() error { return f.runAfter(ctx, answered) })
 	}
 	return group.Wait()
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"sync"
+
 	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
 	"acaciawinch/observe"
@@ -10,17 +12,51 @@
 
 // upstreamFollower takes the entries of discovery.
 type upstreamFollower struct {
-	view  *View
-	known map[string]routes.Upstream
+	view *View
+
+	mu sync.Mutex
+	// listed is set once the entries were listed.
+	listed bool
+	known  map[string]routes.Upstream
+	// evacuated holds the zones that are to be emptied; nil before they are known.
+	evacuated map[string]bool
 }
 
 // newUpstreamFollower returns a follower that knows no upstream.
 func newUpstreamFollower(v *View) *upstreamFollower {
-	return &upstreamFollower{view: v, known: make(map[string]routes.Upstream)}
+	f := &upstreamFollower{view: v, known: make(map[string]routes.Upstream)}
+	if !v.options.Source.Evacuations {
+		f.evacuated = make(map[string]bool)
+	}
+	return f
+}
+
+// setEvacuated replaces the zones that are to be emptied.
+func (f *upstreamFollower) setEvacuated(zones map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated = zones
+	f.publish()
+}
+
+// countIn returns how many upstreams a zone has.
+func (f *upstreamFollower) countIn(zone string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, upstream := range f.known {
+		if upstream.Zone == zone {
+			count++
+		}
+	}
+	return count
 }
 
 // reset implements receiver.
 func (f *upstreamFollower) reset(objects []replica.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
 	before := f.known
 	f.known = make(map[string]routes.Upstream, len(objects))
 	for _, object := range objects {
@@ -36,6 +72,8 @@
 
 // apply implements receiver.
 func (f *upstreamFollower) apply(changes []replica.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, change := range changes {
 		if !change.Deleted {
 			f.take(change.Object)
@@ -77,10 +115,15 @@
 	f.view.options.Logger.Event(event.UpstreamGone, observe.Fields{"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address})
 }
 
-// publish makes the known upstreams the current snapshot.
+// publish makes the known upstreams the current snapshot. There is none before it is known
+// which zones are to be emptied: a process that starts sends nothing there. The lock is held.
 func (f *upstreamFollower) publish() {
+	if !f.listed || f.evacuated == nil {
+		return
+	}
 	list := make([]routes.Upstream, 0, len(f.known))
 	for _, upstream := range f.known {
+		upstream.Evacuated = f.evacuated[upstream.Zone]
 		list = append(list, upstream)
 	}
 	f.view.upstreams.Store(routes.NewUpstreams(list))
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -53,6 +53,9 @@
 	ConfirmWithin time.Duration
 	// ApplyWithin bounds the time until a change that the store has accepted is in force.
 	ApplyWithin time.Duration
+	// Evacuations is set if the operator may ask that zones be emptied. It holds from the
+	// start of the process.
+	Evacuations bool
 }
 
 // View follows the fleet. Its readers may be called by many goroutines.
@@ -69,6 +72,8 @@
 
 	// kinds are the copies from which the snapshots are made.
 	kinds []*kind
+	// zones are the evacuated zones; nil if they are not followed.
+	zones *evacuationFollower
 	proof *proof
 	// storeProved is the boot time of the newest proof that the store itself gave; below 0
 	// before the first.
@@ -85,11 +90,16 @@
 // New returns a View that knows nothing yet.
 func New(options Options) *View {
 	v := &View{options: options, proof: newProof()}
+	upstreams := newUpstreamFollower(v)
 	v.kinds = []*kind{
 		v.newKind(document.ConfigKind, &configFollower{view: v}),
-		v.newKind(document.WorkerKind, newUpstreamFollower(v)),
+		v.newKind(document.WorkerKind, upstreams),
 		v.newKind(MemberKind, newMemberFollower(v)),
 	}
+	if options.Source.Evacuations {
+		v.zones = newEvacuationFollower(v, upstreams)
+		v.kinds = append(v.kinds, v.newKind(document.EvacuationKind, v.zones))
+	}
 	v.SetSource(options.Source)
 	v.members.Store(&[]Member{})
 	v.storeProved.Store(-1)
@@ -114,7 +124,7 @@
 // Table returns the newest configuration, nil before the first.
 func (v *View) Table() *routes.Table { return v.table.Load() }
 
-// Upstreams returns the upstreams, nil before the first list.
+// Upstreams returns the upstreams, nil before the first list of them and of evacuated zones.
 func (v *View) Upstreams() *routes.Upstreams { return v.upstreams.Load() }
 
 // Members returns the other gateways. The caller must not change the slice.
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -15,6 +15,9 @@
 	RegisterFailed     = define(10011, "register_failed", "This process's own object could not be written or removed.", "member", "error")
 	SettingsReloaded   = define(10012, "settings_reloaded", "The settings file was read again.", "changed", "error")
 	UpstreamOutdated   = define(10014, "upstream_outdated", "An upstream's entry tells of an earlier start than the one known, and is passed over.", "upstream", "revision", "born", "known_born")
+	ZoneEvacuated      = define(10015, "zone_evacuated", "The operator asks that a zone be emptied: its upstreams get nothing new.", "zone", "revision", "upstreams")
+	ZoneTakenBack      = define(10016, "zone_taken_back", "A zone's evacuation has ended: its upstreams take work again.", "zone", "after_ms", "upstreams")
+	ZoneEmptied        = define(10017, "zone_emptied", "Nothing that this process sent to an evacuated zone is open there any more.", "zone", "after_ms")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -133,7 +133,12 @@
 
 // register writes a worker's entry.
 func (f *fleet) register(w *worker.Worker, service, state string) {
-	f.store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: "z1", Slots: 8, State: state})
+	f.registerIn("z1", w, service, state)
+}
+
+// registerIn writes the entry of a worker in a zone.
+func (f *fleet) registerIn(zone string, w *worker.Worker, service, state string) {
+	f.store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: zone, Slots: 8, State: state})
 }
 
 // base returns a configuration with a route of each kind.
@@ -182,7 +187,7 @@
 	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256}
 	settings.Listen = gateway.ListenSettings{Clients: f.free(), Readiness: f.free(), Fleet: f.free(), Metrics: f.free()}
 	settings.Store.Address = f.address
-	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
+	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, EvacuateMS: 5000, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
 	settings.Fleet.Key = "test"
 	ctx, stop := context.WithCancel(context.Background())
 	g := &running{settings: settings, stop: stop, ended: make(chan error, 1)}
