Bound what reaches cold upstreams by who may send there

Cause: an upstream that has just started takes few requests a second (13 here, of which 24.5 may come) and crashes at far more; nothing kept to that, load alone kept the number down.

Ways weighed in a model of fleets in which processes know different others (`go test ./core/slowstart`): each process its part of the rate breaks the bound once there are more processes than requests allowed, as all may send in the same second; as many senders as the bound breaks it when some do not know of each other. Taken: the first of the members by rendezvous score, as many as half of the bound, one request each in 1.8 s. The package's comment has the argument.

Cold is what an entry says, by the clock of the process from when it heard of it; and for a start's time and 2.5 s each upstream of a zone that was taken back, as it may have become cold unheard.

--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -84,6 +84,10 @@
 	Name string
 	// MaxConnections is what an upstream accepts from all processes together.
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after its start, and ColdPerSecond how many
+	// requests a second it takes while it is; 0 if it takes any number.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Pool is set for services that do stages.
 	Pool *Pool
 	// Engine is set for services that generate.
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -22,8 +22,27 @@
 	// Born tells two starts under one ID apart: the later one has the higher number. It
 	// is the Unix millisecond of the start, 0 if that isn't known.
 	Born int64
-	// Cold is how much longer the upstream is slow after its start.
+	// Cold is how much longer the upstream said it is cold after its start: it takes few
+	// requests a second then.
 	Cold time.Duration
+	// ColdUntil is when it is warm by that, by this process's clock.
+	ColdUntil time.Time
+	// TakenBack is when the last evacuation of its zone ended; the zero time if there was none.
+	TakenBack time.Time
+}
+
+// wordDelay is how long after a zone's evacuation its upstreams may be cold without this
+// process having heard of it: a heartbeat of theirs, a call of the store and the ways.
+const wordDelay = 2500 * time.Millisecond
+
+// IsCold tells whether an upstream must be taken for cold, given how long those of its
+// service are after a start. In a zone that was just taken back it may have become cold
+// unheard.
+func (u Upstream) IsCold(start time.Duration, now time.Time) bool {
+	if now.Before(u.ColdUntil) {
+		return true
+	}
+	return !u.TakenBack.IsZero() && now.Before(u.TakenBack.Add(start+wordDelay))
 }
 
 // TakesWork tells whether an upstream may get new work.
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -157,7 +157,7 @@
 	rq.Metrics.sent(rq.service, len(rq.tried) > 1)
 	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name, "version": rq.table.Version,
 		"service": rq.service, "upstream": choice.Upstream.ID, "attempt": len(rq.tried), "reason": choice.Reason,
-		"load": fmt.Sprintf("%.1f", choice.Load), "idle": choice.Idle, "copy_from": choice.CopyFrom,
+		"load": fmt.Sprintf("%.1f", choice.Load), "cold": rq.isCold(choice.Upstream), "idle": choice.Idle, "copy_from": choice.CopyFrom,
 		"used_ms": rq.began.Sub(rq.since).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
 }
 
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -14,6 +14,7 @@
 	"acaciawinch/core/elapsed"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
+	"acaciawinch/core/slowstart"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/view"
@@ -36,6 +37,11 @@
 	Metrics *Metrics
 	Zone    string
 	Retries Retries
+	// Name is this process's among the gateways.
+	Name string
+	// ColdOverrun and ColdSlack say how many more requests than its configured number a cold
+	// upstream may get in any second: that number × ColdOverrun + ColdSlack.
+	ColdOverrun, ColdSlack float64
 }
 
 // Server serves requests. It may be used by many goroutines.
@@ -44,6 +50,7 @@
 
 	mu      sync.Mutex
 	chooser *selection.Chooser
+	cold    *slowstart.Limiter
 	budgets map[string]*budget.Budget
 	// clients holds what the clients of each route announce, by its name.
 	clients map[string]*elapsed.Estimator
@@ -55,7 +62,7 @@
 
 // New returns a Server.
 func New(options Options) *Server {
-	return &Server{Options: options, chooser: selection.New(), budgets: make(map[string]*budget.Budget), clients: make(map[string]*elapsed.Estimator)}
+	return &Server{Options: options, chooser: selection.New(), cold: slowstart.New(options.Name), budgets: make(map[string]*budget.Budget), clients: make(map[string]*elapsed.Estimator)}
 }
 
 // SetRetries takes over changed bounds. Budgets begin anew.
@@ -92,16 +99,17 @@
 	return open
 }
 
-// Forget drops what is known of upstreams that are gone. It is called when the
-// upstreams change.
+// Forget drops what is known of upstreams that are gone, and takes over the other gateways. It
+// is called when either change.
 func (s *Server) Forget() {
-	upstreams := s.View.Upstreams()
-	if upstreams == nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Keep(upstreams)
+	if s.View.MembersKnown() {
+		s.cold.SetMembers(s.View.MemberNames())
+	}
+	if upstreams := s.View.Upstreams(); upstreams != nil {
+		s.chooser.Keep(upstreams)
+	}
 }
 
 // Shares of the fleet's bound on repeated sends that one process uses. Windows slide
@@ -179,6 +187,9 @@
 	defer s.mu.Unlock()
 	choice, found := s.best(service, name, key, tried)
 	if found {
+		if s.isColdOf(service, choice.Upstream, time.Now()) {
+			s.cold.Sent(choice.Upstream.ID, time.Now())
+		}
 		s.chooser.Started(choice.Upstream.ID)
 		s.chooser.SentPart(key, choice.Upstream.ID, time.Now())
 	}
@@ -194,11 +205,12 @@
 
 // best returns the best upstream for a request. The lock is held.
 func (s *Server) best(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
-	upstreams, now := s.View.Upstreams(), time.Now()
+	now := time.Now()
+	list := s.withoutCold(service, s.View.Upstreams().Of(name), now)
 	if service != nil && service.Engine != nil {
-		return s.chooser.Choose(upstreams.Of(name), key, tried, now)
+		return s.chooser.Choose(list, key, tried, now)
 	}
-	return s.chooser.Least(upstreams.Of(name), s.Zone, tried, now)
+	return s.chooser.Least(list, s.Zone, tried, now)
 }
 
 // ended counts the end of a request at an upstream.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -118,6 +118,10 @@
 		Metrics: flow.NewMetrics(p.metrics.Scope()),
 		Zone:    settings.Process.Zone,
 		Retries: settings.retries(),
+		Name:    settings.Process.Name,
+
+		ColdOverrun: settings.Bounds.ColdOverrun,
+		ColdSlack:   settings.Bounds.ColdSlack,
 	})
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.Forget)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -64,6 +64,10 @@
 	// EvacuateMS is the time in ms after which a zone that the operator has evacuated must get
 	// nothing new; 0 if zones are not evacuated here.
 	EvacuateMS int `toml:"evacuate_ms"`
+	// ColdOverrun and ColdSlack bound what a cold upstream gets in any second, over all
+	// gateways: overrun × the number that the configuration says it takes + slack.
+	ColdOverrun float64 `toml:"cold_overrun"`
+	ColdSlack   float64 `toml:"cold_slack"`
 	// GraceSeconds is the time in s that a planned stop may take.
 	GraceSeconds float64 `toml:"grace_s" required:"true"`
 	// RetryRatio and RetrySlack bound the repeated sends to a service in a window,
@@ -89,12 +93,15 @@
 
 // Defaults returns the settings of keys that a file may leave out.
 func Defaults() Settings {
-	return Settings{Log: LogSettings{Level: "info"}, Bounds: BoundSettings{ConfigApplyMS: defaultApplyMS}}
+	return Settings{Log: LogSettings{Level: "info"}, Bounds: BoundSettings{ConfigApplyMS: defaultApplyMS, ColdOverrun: defaultOverrun}}
 }
 
 // defaultApplyMS is the shortest bound of the sites known, in ms.
 const defaultApplyMS = 2000
 
+// defaultOverrun leaves cold upstreams the number that the configuration says they take.
+const defaultOverrun = 1
+
 // Bounds of process.memory_mb: a Go process needs some 16 MB to run at all.
 const (
 	leastMemoryMB = 16
@@ -157,6 +164,10 @@
 		return settings.Invalid("config_apply_ms", "must be at least %d", leastApplyMS)
 	case b.EvacuateMS != 0 && b.EvacuateMS < leastApplyMS:
 		return settings.Invalid("evacuate_ms", "must be 0 or at least %d", leastApplyMS)
+	case b.ColdOverrun <= 0:
+		return settings.Invalid("cold_overrun", "must be above 0")
+	case b.ColdSlack < 0:
+		return settings.Invalid("cold_slack", "must not be below 0")
 	case b.GraceSeconds <= 0:
 		return settings.Invalid("grace_s", "must be above 0")
 	case b.RetryRatio < 0 || b.RetryRatio > 1:
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -62,7 +62,7 @@
 
 // placeValues are values that the platform gives only where zones may be evacuated and
 // upstreams start cold.
-var placeValues = map[string]string{"bounds.evacuate_ms": "5000"}
+var placeValues = map[string]string{"bounds.evacuate_ms": "5000", "bounds.cold_overrun": "1.5", "bounds.cold_slack": "5"}
 
 // fill returns the settings that the template gives with the platform's values.
 func fill(t *testing.T, values map[string]string) Settings {
@@ -94,12 +94,12 @@
 	loaded := fill(t, platformValues)
 	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
 	assert.Assert(t, loaded.Fleet.FirstStart)
-	plain := BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54}
+	plain := BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54, ColdOverrun: 1}
 	assert.Equal(t, loaded.Bounds, plain)
 
 	all := maps.Clone(platformValues)
 	maps.Copy(all, placeValues)
-	plain.EvacuateMS = 5000
+	plain.EvacuateMS, plain.ColdOverrun, plain.ColdSlack = 5000, 1.5, 5
 	assert.Equal(t, fill(t, all).Bounds, plain)
 }
 
--- a/gateway/view/members.go
+++ b/gateway/view/members.go
@@ -61,6 +61,16 @@
 	f.known[object.Name] = Member{Name: object.Name, Address: spec.Address, Incarnation: spec.Incarnation, Zone: spec.Zone, LinkMbps: spec.LinkMbps, Cores: spec.Cores, Revision: object.Revision}
 }
 
+// MemberNames returns the names of the other gateways.
+func (v *View) MemberNames() []string {
+	members := v.Members()
+	names := make([]string, len(members))
+	for i, member := range members {
+		names[i] = member.Name
+	}
+	return names
+}
+
 // publish makes the known members the current list.
 func (f *memberFollower) publish() {
 	list := make([]Member, 0, len(f.known))
@@ -74,6 +84,7 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	sort.Strings(names)
 	f.view.members.Store(&list)
+	f.view.membersKnown.Store(true)
 	f.view.options.Logger.Event(event.MembersChanged, observe.Fields{"members": names})
 	f.view.changed()
 }
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
@@ -20,11 +21,13 @@
 	known  map[string]routes.Upstream
 	// evacuated holds the zones that are to be emptied; nil before they are known.
 	evacuated map[string]bool
+	// takenBack holds when the last evacuations of zones ended.
+	takenBack map[string]time.Time
 }
 
 // newUpstreamFollower returns a follower that knows no upstream.
 func newUpstreamFollower(v *View) *upstreamFollower {
-	f := &upstreamFollower{view: v, known: make(map[string]routes.Upstream)}
+	f := &upstreamFollower{view: v, known: make(map[string]routes.Upstream), takenBack: make(map[string]time.Time)}
 	if !v.options.Source.Evacuations {
 		f.evacuated = make(map[string]bool)
 	}
@@ -35,6 +38,11 @@
 func (f *upstreamFollower) setEvacuated(zones map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for zone := range f.evacuated {
+		if !zones[zone] {
+			f.takenBack[zone] = time.Now()
+		}
+	}
 	f.evacuated = zones
 	f.publish()
 }
@@ -102,11 +110,14 @@
 			"born": upstream.Born, "known_born": old.Born})
 		return
 	}
+	if upstream.Cold > 0 {
+		upstream.ColdUntil = time.Now().Add(upstream.Cold)
+	}
 	f.known[upstream.ID] = upstream
-	if !known || old.Leaving != upstream.Leaving || old.Born != upstream.Born {
+	if !known || old.Leaving != upstream.Leaving || old.Born != upstream.Born || old.Cold == 0 && upstream.Cold > 0 {
 		f.view.options.Logger.Event(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
-			"leaving": upstream.Leaving, "born": upstream.Born, "revision": object.Revision})
+			"leaving": upstream.Leaving, "born": upstream.Born, "cold_ms": upstream.Cold.Milliseconds(), "revision": object.Revision})
 	}
 }
 
@@ -124,6 +135,7 @@
 	list := make([]routes.Upstream, 0, len(f.known))
 	for _, upstream := range f.known {
 		upstream.Evacuated = f.evacuated[upstream.Zone]
+		upstream.TakenBack = f.takenBack[upstream.Zone]
 		list = append(list, upstream)
 	}
 	f.view.upstreams.Store(routes.NewUpstreams(list))
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -69,6 +69,8 @@
 	table     atomic.Pointer[routes.Table]
 	upstreams atomic.Pointer[routes.Upstreams]
 	members   atomic.Pointer[[]Member]
+	// membersKnown is set once members were listed.
+	membersKnown atomic.Bool
 
 	// kinds are the copies from which the snapshots are made.
 	kinds []*kind
@@ -130,6 +132,9 @@
 // Members returns the other gateways. The caller must not change the slice.
 func (v *View) Members() []Member { return *v.members.Load() }
 
+// MembersKnown tells whether the list of the other gateways was read once.
+func (v *View) MembersKnown() bool { return v.membersKnown.Load() }
+
 // Ready tells whether requests can be served.
 func (v *View) Ready() bool { return v.Table() != nil && v.Upstreams() != nil }
 
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -7,7 +7,7 @@
 	WatchHistoryGone   = define(10003, "watch_history_gone", "The store no longer has the changes after a revision; the kind is listed again.", "kind", "revision")
 	TableInForce       = define(10004, "table_in_force", "A newer configuration is in force in this process.", "version", "revision")
 	TableRefused       = define(10005, "table_refused", "A configuration can't be read; the one before stays in force.", "revision", "error")
-	UpstreamChanged    = define(10006, "upstream_changed", "An upstream came, started again, or said that it is leaving.", "upstream", "service", "address", "leaving", "born", "revision")
+	UpstreamChanged    = define(10006, "upstream_changed", "An upstream came, started again, or said that it is leaving or cold.", "upstream", "service", "address", "leaving", "born", "cold_ms", "revision")
 	UpstreamGone       = define(10007, "upstream_gone", "An upstream's entry was removed; it gets no new work.", "upstream", "service", "address")
 	UpstreamUnreadable = define(10008, "upstream_unreadable", "An upstream's entry can't be read, so that it names none to use.", "upstream", "revision", "error")
 	MembersChanged     = define(10009, "members_changed", "The list of the other gateways changed.", "members")
@@ -24,7 +24,7 @@
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway answered a request itself. With 429 or 503 nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
-	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
+	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
 	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error")
 	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "used_ms", "objective_ms", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -187,7 +187,7 @@
 	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256}
 	settings.Listen = gateway.ListenSettings{Clients: f.free(), Readiness: f.free(), Fleet: f.free(), Metrics: f.free()}
 	settings.Store.Address = f.address
-	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, EvacuateMS: 5000, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
+	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, EvacuateMS: 5000, ColdOverrun: 1.5, ColdSlack: 5, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
 	settings.Fleet.Key = "test"
 	ctx, stop := context.WithCancel(context.Background())
 	g := &running{settings: settings, stop: stop, ended: make(chan error, 1)}
--- a/standin/platformdoc/document.go
+++ b/standin/platformdoc/document.go
@@ -9,6 +9,8 @@
 	Zone    string `json:"zone"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
+	// ColdLeftMS is how much longer it is cold, in ms.
+	ColdLeftMS int `json:"cold_left_ms"`
 }
 
 // Document is the operator's configuration.
@@ -44,9 +46,13 @@
 
 // Service is one service.
 type Service struct {
-	Name   string  `json:"name"`
-	Pieces *Pieces `json:"pieces,omitempty"`
-	Engine *Engine `json:"engine,omitempty"`
+	Name string `json:"name"`
+	// ColdStartS is how long a worker is cold after its start, in s, and ColdPerS what it takes
+	// meanwhile, in requests a second.
+	ColdStartS float64 `json:"cold_start_s"`
+	ColdPerS   float64 `json:"cold_per_s"`
+	Pieces     *Pieces `json:"pieces,omitempty"`
+	Engine     *Engine `json:"engine,omitempty"`
 }
 
 // Pieces is how a stage service works.
