--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -309,11 +309,16 @@
 	if f.unsent {
 		return len(rq.tried) < maxUnsent
 	}
+	if f.replaced {
+		// Many engines that crashed and came back under new names turn away what is sent to
+		// the old ones until discovery drops these; given up, all stages would be lost.
+		return len(rq.tried) < maxUnsent && rq.spend(rq.service, time.Now())
+	}
 	again := rq.sends < rq.route.MaxAttempts && rq.spend(rq.service, time.Now())
 	return again
 }
 
-// maxUnsent bounds the upstreams to which no connection could be opened.
+// maxUnsent bounds the upstreams that could not be reached, or had ended.
 const maxUnsent = 4
 
 // giveUp answers a request that can't be served. The client's connection is ended if
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -17,9 +17,10 @@
 
 // sendFailure is a send that brought no answer to hand on.
 type sendFailure struct {
-	// unsent: not a byte left this process. ran: the request may have run.
-	unsent, ran bool
-	err         error
+	// unsent: not a byte left this process. ran: the request may have run. replaced: the
+	// upstream has ended, and another one at its address turned the request away.
+	unsent, ran, replaced bool
+	err                   error
 }
 
 // Error implements error.
@@ -130,7 +131,7 @@
 		rq.heard(id, selection.Load{Running: said.Load.Running, Waiting: said.Load.Waiting, Slots: said.Load.Slots, At: time.Now()})
 	}
 	if said.NotRun {
-		return rq.notRun(answer)
+		return rq.notRun(answer, said.Replaced)
 	}
 	rq.mayHaveRun = true
 	switch {
@@ -144,12 +145,15 @@
 }
 
 // notRun handles an answer which says that the request did not run.
-func (rq *request) notRun(answer *httpconn.Answer) error {
+func (rq *request) notRun(answer *httpconn.Answer, replaced bool) error {
+	if replaced {
+		rq.sends-- // it reached no upstream that it was meant for
+	}
 	if answer.Status == http.StatusConflict {
 		// An input is gone: the stages are done again for the next send.
 		rq.results.free()
 	}
-	return &sendFailure{err: fault.New(fault.Refused, "upstream.receive", last(rq.tried), "status %d, not run", answer.Status)}
+	return &sendFailure{replaced: replaced, err: fault.New(fault.Refused, "upstream.receive", last(rq.tried), "status %d, not run", answer.Status)}
 }
 
 // noteSend logs and counts a send.
--- a/standin/gatewaytest/requests_test.go
+++ b/standin/gatewaytest/requests_test.go
@@ -95,6 +95,32 @@
 	}
 }
 
+// TestARequestOfAnUpstreamThatWasReplacedGoesElsewhere: the one that it was sent to has ended,
+// so that it counts as no attempt. The results of its stages are still used.
+func TestARequestOfAnUpstreamThatWasReplacedGoesElsewhere(t *testing.T) {
+	f := newFleet(t)
+	now := f.worker("llm-1", "llm", worker.Engine)
+	enc := f.worker("enc-1", "enc", worker.Stage)
+	f.store.Put("servers", "llm-2", platformdoc.Worker{Service: "llm", Address: now.Address(), Zone: "z1", Slots: 8, State: "ready"})
+	document := base(1)
+	document.Routes[3].Stages = document.Routes[2].Stages
+	f.apply(document)
+	g := f.start("g1")
+	for i := range 4 {
+		id := fmt.Sprintf("r%d", i)
+		part := hotPart("llm-2", "llm-1")
+		got := f.ask(g, id, "POST", "/strict/x", "p", "X-Pieces", "1,1", "X-Piece-Key", "k", "X-Prompt-Prefix", part+":9,"+id+":1")
+		assert.Equal(t, got.body, stream(id))
+		assert.Equal(t, runsOf(id, now), 1)
+	}
+	f.waitLines(1, "gateway_failed", "status 421")
+	items := 0
+	for _, batch := range enc.Batches() {
+		items += len(batch)
+	}
+	assert.Equal(t, items, 8, "each stage was done once for each request")
+}
+
 func TestAnIdempotentRequestIsTriedElsewhere(t *testing.T) {
 	f := newFleet(t)
 	one, two := f.worker("desk-1", "desk", worker.Plain), f.worker("desk-2", "desk", worker.Plain)
