--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -25,10 +25,8 @@
 }
 
 // classify sorts the tasks into classes: of each rank, those that count for about the same
-// by item. Where a pool can't make all in time, its items go where they count for most. In
-// replays of three times the standard rate of six pools, with two kinds of task of which one
-// counts for 2.6 times as much, 0.71 to 0.80 of the value offered is in time, 0.51 to 0.64
-// if all count alike (`go test -v -run Overfull ./core/pool`).
+// by item. Where a pool can't make all in time, its items go where they count for most
+// (TestAnOverfullPoolMakesWhatCountsForMost).
 func (p *Pool) classify() {
 	sort.SliceStable(p.queue, func(i, j int) bool {
 		a, b := p.queue[i], p.queue[j]
@@ -50,11 +48,10 @@
 // perItem returns what each waiting item of a task counts for.
 func (g *group) perItem() float64 { return g.Value / float64(max(1, len(g.items))) }
 
-// before tells whether a goes before b. What others of a task wait for goes first. Of two timely tasks of a class the newer one goes
-// first: with the older one first a burst leaves each task just in time at one pool and
-// late at the next. In a replay of 1.5 times what a chain of three pools takes, 171 tasks
-// a second are in time of the 186 that fit; with the older one first, and a wait estimated
-// over all tasks, 73.
+// before tells whether a goes before b. What others of a task wait for goes first. Of two
+// timely tasks of a class the newer one goes first: with the older one first a burst leaves each
+// task just in time at one pool and late at the next
+// (TestABurstOnAChainLeavesMostOfWhatItsPoolsTakeInTime).
 func before(a, b *group) bool {
 	switch {
 	case a.late != b.late:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -240,9 +240,8 @@
 }
 
 // roomLeft returns how many bytes of results an upstream can still take. All of its room
-// is used: to keep a tenth for results above the configured size cost more items a call
-// (mean worth of one deployment 0.441 against 0.467, six days) than the few that find no
-// room and are tried again.
+// is used: to keep some for results above the configured size costs more items a call than the
+// few that find no room and are tried again.
 func (p *Pool) roomLeft(w *worker, now time.Time) int64 {
 	left := p.settings.RoomBytes - w.room
 	if now.Before(w.unknownUntil) {
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -64,9 +64,8 @@
 }
 
 // Doubt is how many times the wait that the queue gives must be left to a late task:
-// those that are in time come in ahead of it. With 1.5 what was held until it failed cost
-// clients more than the few gain that are served late (mean worth of one deployment 0.547
-// over five days, 0.560 with 3 and 0.566 with 6; of another 0.498, 0.473 and 0.467).
+// those that are in time come in ahead of it. With less, what is held until it fails costs
+// clients more than the few gain that are served late.
 const Doubt = 4
 
 // drop removes the tasks that match, or that have no items left, and returns their items.
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -110,7 +110,7 @@
 
 // idle tells whether an engine has slots to spare: by its own word, or, where there is
 // none of late, if by the words of all others that spoke lately they have. A process of
-// a fleet of 23 before 43 engines hears from each of them every five seconds.
+// a large fleet hears from each engine only every few seconds.
 func (c *Chooser) idle(u routes.Upstream, list []routes.Upstream, now time.Time) bool {
 	if fresh, idle := c.saidIdle(u, now); fresh {
 		return idle
@@ -130,8 +130,7 @@
 
 // saidIdle tells whether an engine's last word is fresh, and whether by it the engine has
 // slots to spare. Requests whose prompts are not read yet count as waiting, also where
-// they have a slot: to ask that none waits left half of the sends for not idle, and gave
-// five items a call in place of 6.5 at the pool with the largest results.
+// they have a slot: an engine at which some wait may still be idle.
 func (c *Chooser) saidIdle(u routes.Upstream, now time.Time) (fresh, idle bool) {
 	s := c.engines[u.ID]
 	if s == nil || s.load.At.IsZero() || now.Sub(s.load.At) >= loadLife {
--- a/core/selection/parts.go
+++ b/core/selection/parts.go
@@ -8,10 +8,8 @@
 
 // Limits of what is remembered of shared parts.
 const (
-	// partLife is how long an engine is taken to keep a part that was sent to it. Engines
-	// have memory for some 450,000 tokens, and each of 12 read some 6,000 a second over a
-	// day of 50 s, so that a part stays about a minute; older knowledge is of little use, as
-	// parts that are in use are sent again within seconds.
+	// partLife is how long an engine is taken to keep a part that was sent to it, well below the
+	// minute in which its memory fills; parts that are in use are sent again within seconds.
 	partLife = 10 * time.Second
 	// mostParts bounds the parts remembered, at an estimated 100 bytes each.
 	mostParts = 4096
@@ -49,9 +47,7 @@
 // keeper returns the address of an engine from which the chosen one had better copy what
 // that keeps of a prompt than read it again, empty if there is none: the engine that the
 // shared part last went to, or the first other in the order of its key, where the part, or
-// those before it, lie after a change of load or of the fleet. With that 40 to 54 % fewer
-// tokens of shared parts were read again on five of six deployments, the sixth not measured
-// (paired plays of the same days, without processor time).
+// those before it, lie after a change of load or of the fleet.
 func (c *Chooser) keeper(ordered []routes.Upstream, key string, chosen routes.Upstream, now time.Time) string {
 	if key == "" {
 		return ""
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -55,8 +55,7 @@
 	quietAfter = time.Second
 	// refusedRest is the first rest of one that refused within refusedWithin, a round trip
 	// and a busy processor: its machine is there, and its process may be about to start, as
-	// this one did. With lostRest a fleet of 103 that lost all of its processes knew its
-	// configuration 0.5 s after the start in the middle, in place of 0.05 s.
+	// this one did. A fleet that lost all of its processes knows its configuration sooner so.
 	refusedRest   = 150 * time.Millisecond
 	refusedWithin = 100 * time.Millisecond
 	// staleGrace is how long one that was just chosen may still be stale: it may have lost its
--- a/core/value/value.go
+++ b/core/value/value.go
@@ -8,9 +8,8 @@
 // Weights of what is known of a request.
 const (
 	// rankShare is what a request counts for against one of the next more urgent priority.
-	// Operators of three deployments gave their kinds of request worths of 5.5, 1 and 0.39;
-	// 2, 3.4 and 0.65 (twice) for the priorities 0, 1 and 2: with half for each priority and the
-	// root of the size, the estimate is within a factor of 1.8 of these, scaled to the first.
+	// With half for each priority and the root of the size the estimate agrees with what operators
+	// give their kinds of request (TestTheEstimateAgreesWithWhatOperatorsGave).
 	rankShare = 0.5
 	// outputWeight is how many tokens of the prompt one of the output counts for: operators
 	// count them so.
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -348,8 +348,7 @@
 // whenServed estimates after which time a request that found no place finds one: as a
 // late task is asked for pool.Doubt times what waits at the fullest pool of its route,
 // what is there now and what comes in ahead of it has been worked off then. With one
-// time the backlog, clients came back into the same burst: on one day of bursts 0.122 of
-// the requests were refused in the end, with this 0.104.
+// time the backlog clients come back into the same burst and are refused again.
 func (rq *request) whenServed() time.Duration {
 	longest := retryBusy
 	for _, stage := range rq.route.Stages {
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -128,10 +128,8 @@
 
 // used returns how much of its time a client that announces what is left of it has used
 // up elsewhere, at least: it was refused there. Such a request is late, or near it, and
-// waits behind those that can be in time. Without that a fifth of what an overfull
-// deployment answered in a burst was late, of first requests 39 in 882 (mean worth 0.642 on six
-// days and 0.581 on those of another, 0.674 and 0.608 with it; one seed, 95 % intervals of
-// 0.035 and 0.028).
+// waits behind those that can be in time. Without that a good part of what an overfull
+// deployment answers in a burst is late, though few first requests are.
 func (s *Server) used(route string, announced time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/flow/times.go
+++ b/gateway/flow/times.go
@@ -7,8 +7,8 @@
 )
 
 // engineAllowance is taken off the time by which the last stage is due. It is the time
-// from there to the first event, which came within 0.07 to 0.25 s for nine requests of
-// ten; with 450 ms most tasks of a chain of three stages count as late from the start.
+// from there to the first event of nine requests in ten; with much more most tasks of a chain of
+// three stages count as late from the start.
 const engineAllowance = 250 * time.Millisecond
 
 // estimate returns how long a stage takes.
@@ -46,8 +46,7 @@
 const lapseMargin = 200 * time.Millisecond
 
 // inputsLeft returns how long the inputs of a stage are still kept. A stage that waits
-// longer would find them gone, and all stages would be done again: that was so for 1,328 items
-// on a day of bursts that made 81,831.
+// longer would find them gone, and all stages would be done again.
 func (run *stageRun) inputsLeft(stage int) time.Duration {
 	left := run.route.Timeout
 	for _, before := range run.route.Stages[stage].After {
--- a/gateway/pools/early.go
+++ b/gateway/pools/early.go
@@ -23,7 +23,7 @@
 
 // keepEarly keeps a task until the configuration is known, and tells whether it did. When
 // all gateways are lost at once, those that start first give their tasks to an owner that
-// does not know its pools yet; refused at once, 310 of the 1,000 tries of that second failed so.
+// does not know its pools yet, and a third of what it refused at once could have been served.
 func (o *Owner) keepEarly(session *Session, number uint64, task Task, notify Notify) bool {
 	if o.knows() || o.leaving || len(o.early) >= maxEarly {
 		return false
--- a/gateway/pools/handover.go
+++ b/gateway/pools/handover.go
@@ -44,9 +44,8 @@
 }
 
 // Run hands parts over that other processes own, until ctx ends. After a crash of many
-// processes two owners of a pool, each with seconds of work waiting, kept its upstreams
-// waiting for each other for six seconds: calls took 400 ms in place of 300, and each
-// owner took the room that the other's results need for its own.
+// processes two owners of a pool, each with seconds of work waiting, would keep its upstreams
+// waiting for each other, and take the room that the other's results need for their own.
 func (a *Asker) Run(ctx context.Context) error {
 	ticker := time.NewTicker(handOverEvery)
 	defer ticker.Stop()
--- a/gateway/pools/part.go
+++ b/gateway/pools/part.go
@@ -19,10 +19,8 @@
 }
 
 // partUpstreams is the most upstreams of a part. One queue for all fills calls better and
-// finds more upstreams in the zone of an item's data than two do: days with bursts, with
-// pools of 37 to 43 upstreams, gained 0.046 ± 0.009 of worth against parts of up to 24 (four
-// pairs of two days). At calls of 330 ms 48 upstreams do some 145 calls a second at full
-// load.
+// finds more upstreams in the zone of an item's data than two do; at calls of 330 ms 48
+// upstreams do some 145 calls a second at full load, which one process can make.
 const partUpstreams = 48
 
 // partsOf returns how many parts a pool with a number of upstreams has.
--- a/gateway/relay/packed.go
+++ b/gateway/relay/packed.go
@@ -59,8 +59,8 @@
 }
 
 // pieces returns the messages that carry long changes. Packed, entries of upstreams take a
-// sixth of their size or less: the list of 3,000 is 750 KB, and 60 gateways of a zone that
-// started at once got it from one source with 20 Mbit/s in 8 s.
+// sixth of their size or less, so that a whole zone that starts at once has its lists from one
+// source with a narrow link within a second or two.
 func (p *packer) pieces(d view.KindDelta) ([]*wirepb.FollowDelta, error) {
 	content, err := p.pack(d)
 	if err != nil {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -26,24 +26,20 @@
 	// confirmShare of the time for which keys are trusted, so that two watches and a slow
 	// answer fit into it; that is as long for the 4.5 s of the sites known. It is also at most
 	// applyShare of the time within which a change must be in force: a process whose source the
-	// store has turned away must find another one before that. With 1.5 s a key that was taken
-	// away ran 2.4 s after, where 2 s are allowed.
+	// store has turned away must find another one before that.
 	configWait   = 1500 * time.Millisecond
 	confirmShare = 3
 	applyShare   = 4
 	// shortWait is the wait while the store does not answer, of the first watch of a process
 	// that begins to read it, and of the one after a change. A call to a store that is lost ends by its timeout
 	// alone, and the sooner it does, the sooner one is begun that a store that is back
-	// answers: with configWait three of five gateways heard 2.2 s after the store was back
-	// that it was, and refused requests with keys until then. One that begins to read needs a
+	// answers; until then requests with keys are refused. One that begins to read needs a
 	// proof for those that follow it. And a watch that brought a change proves what was so at
-	// its beginning only: with a wait of configWait after it the proof got 3 s old, and each
-	// of 98 followers looked for another source.
+	// its beginning only: with a wait of configWait after it the proof would get so old that
+	// all followers look for another source.
 	shortWait = 100 * time.Millisecond
 	// upstreamWait and memberWait are long, as these watches are begun anew when that of
-	// the configuration is answered again after a failure. Without that, waits of 6 s for
-	// upstreams and 2 s for the configuration cost a tenth of mean worth (0.570 to 0.514
-	// over six days and three seeds of one deployment).
+	// the configuration is answered again after a failure.
 	upstreamWait = 6 * time.Second
 	memberWait   = 20 * time.Second
 	// evacuationWait is long as well: evacuations are rare, and a connection that has gone
@@ -70,8 +66,7 @@
 	firstPause = 400 * time.Millisecond
 	// configPause is the longest for the configuration, whose first answer wakes the others.
 	configPause = 500 * time.Millisecond
-	// otherPause is the longest for the others. With configPause a store that was away for
-	// 14 s got three times as many calls.
+	// otherPause is the longest for the others: a store that is away gets few calls.
 	otherPause = 5 * time.Second
 )
 
@@ -280,7 +275,7 @@
 // provedAt returns the boot time up to which the answer to a watch proves what there is.
 // One without changes that came after the whole wait proves that nothing had changed
 // while the store held it; any other only what was so when it was asked. With the first
-// kind counted from its beginning too, keys are trusted a second less of an outage.
+// kind counted from its beginning too, keys would be trusted a second less of an outage.
 func provedAt(began, ended, wait time.Duration, changes int) time.Duration {
 	if changes > 0 || ended-began < wait {
 		return began
