--- a/gateway/process.go
+++ b/gateway/process.go
@@ -177,7 +177,7 @@
 func (p *process) serve(ctx, life context.Context, stop context.CancelFunc, open listeners) error {
 	servers := newServers(p, open)
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.source.Run, p.register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
@@ -197,15 +197,6 @@
 	return group.Wait()
 }
 
-// register makes this process a member of the fleet, once it can serve. At the first start of the
-// whole fleet it does so at once: who reads the store for the others follows from the members.
-func (p *process) register(ctx context.Context) error {
-	if !p.settings.Fleet.FirstStart {
-		p.view.WaitReady(ctx)
-	}
-	return p.view.Register(ctx)
-}
-
 // noteEnd logs the end of the process.
 func (p *process) noteEnd(err error) {
 	if err != nil {
--- a/gateway/view/register.go
+++ b/gateway/view/register.go
@@ -11,29 +11,6 @@
 	"acaciawinch/observe/event"
 )
 
-// readyWait bounds how long a process that starts again stays out of the list of members until
-// it knows enough to serve: with the store slow it learns that later than the others would hear
-// of it.
-const readyWait = time.Second
-
-// WaitReady returns when requests can be served, after readyWait or at the end of ctx. Who is a
-// member gets the tasks of pools, and would only keep them until then.
-func (v *View) WaitReady(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readyWait)
-	defer cancel()
-	for {
-		changed := v.Changed()
-		if v.Ready() {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
 // Register writes this process's own object into the store. It tries until it
 // succeeds or ctx ends; a lost answer is resolved by reading the object back.
 func (v *View) Register(ctx context.Context) error {
