Keep requests in the regions of their route and workspace

Cause: the regions that a route or a workspace may be processed in were not read; nothing kept a request from an upstream of another one. Pieces of stages are not bound, as the rule speaks of requests alone.

--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -4,7 +4,10 @@
 // is a new Table.
 package routes
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Repeat says what may be done again when an answer is lost.
 type Repeat int
@@ -19,6 +22,14 @@
 	Resumable
 )
 
+// Regions are the regions that may process something; without any, all may.
+type Regions []string
+
+// Allow tells whether a region is among them.
+func (r Regions) Allow(region string) bool {
+	return len(r) == 0 || slices.Contains(r, region)
+}
+
 // Target is one service that a route sends to, with its share of the requests.
 type Target struct {
 	Service string
@@ -63,6 +74,8 @@
 	Stages      []Stage
 	// Anonymous routes need no key.
 	Anonymous bool
+	// Regions are those whose upstreams may run the route's requests.
+	Regions Regions
 }
 
 // Pool is how the upstreams of a stage service work.
@@ -117,4 +130,6 @@
 	Priority    int
 	HasPriority bool
 	Keys        []string
+	// Regions are those whose upstreams may run the workspace's requests, beside the route's.
+	Regions Regions
 }
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -14,7 +14,9 @@
 	// Address is IP:port.
 	Address string
 	Zone    string
-	Slots   int
+	// Region is that of its zone, empty if it isn't known.
+	Region string
+	Slots  int
 	// Leaving upstreams get no new work.
 	Leaving bool
 	// Evacuated upstreams get no new work either: their availability zone is to be emptied.
--- a/gateway/flow/cold.go
+++ b/gateway/flow/cold.go
@@ -11,25 +11,6 @@
 // cold upstream: one that is cut off can't tell who else sends.
 const coldKnowledge = 2500 * time.Millisecond
 
-// withoutCold returns the upstreams of a service without those that are cold and to which this
-// process may send nothing now. The lock is held.
-func (s *Server) withoutCold(service *routes.Service, list []routes.Upstream, now time.Time) []routes.Upstream {
-	var kept []routes.Upstream
-	for i, upstream := range list {
-		passed := s.isColdOf(service, upstream, now) && !s.allowsCold(service, upstream, now)
-		if passed && kept == nil {
-			kept = append(make([]routes.Upstream, 0, len(list)), list[:i]...)
-		}
-		if !passed && kept != nil {
-			kept = append(kept, upstream)
-		}
-	}
-	if kept == nil {
-		return list
-	}
-	return kept
-}
-
 // isColdOf tells whether an upstream of a service is cold and takes few requests then.
 func (s *Server) isColdOf(service *routes.Service, upstream routes.Upstream, now time.Time) bool {
 	return service != nil && service.ColdPerSecond > 0 && upstream.IsCold(service.ColdStart, now)
--- a/gateway/flow/pulls.go
+++ b/gateway/flow/pulls.go
@@ -53,7 +53,7 @@
 
 // likelyZone returns the zone of the upstream that the request would get now.
 func (rq *request) likelyZone() string {
-	choice, found := rq.look(rq.table.Service(rq.service), rq.service, rq.asked.SharedPart, rq.tried)
+	choice, found := rq.look(rq.want())
 	if !found {
 		return ""
 	}
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -32,8 +32,8 @@
 // send sends the request to one upstream and hands its answer to the client. A nil
 // error tells that the client has its whole answer.
 func (rq *request) send() error {
-	service := rq.table.Service(rq.service)
-	choice, found := rq.choose(service, rq.service, rq.asked.SharedPart, rq.tried)
+	wanted := rq.want()
+	choice, found := rq.choose(wanted)
 	if !found {
 		return fault.New(fault.Unavailable, "request.choose", rq.service, "no upstream takes requests")
 	}
@@ -45,7 +45,7 @@
 	defer cancel()
 	early := rq.freeWhenRead(choice)
 	defer early()
-	answer, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, service != nil && service.Engine != nil))
+	answer, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, wanted.service != nil && wanted.service.Engine != nil))
 	if err == nil {
 		rq.sends++
 		defer answer.Close()
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -179,38 +179,6 @@
 	return b
 }
 
-// choose returns the upstream for a request and counts it as sent there.
-func (s *Server) choose(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	choice, found := s.best(service, name, key, tried)
-	if found {
-		if s.isColdOf(service, choice.Upstream, time.Now()) {
-			s.cold.Sent(choice.Upstream.ID, time.Now())
-		}
-		s.chooser.Started(choice.Upstream.ID)
-		s.chooser.SentPart(key, choice.Upstream.ID, time.Now())
-	}
-	return choice, found
-}
-
-// look returns the upstream that a request would get now.
-func (s *Server) look(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.best(service, name, key, tried)
-}
-
-// best returns the best upstream for a request. The lock is held.
-func (s *Server) best(service *routes.Service, name, key string, tried []string) (selection.Choice, bool) {
-	now := time.Now()
-	list := s.withoutCold(service, s.View.Upstreams().Of(name), now)
-	if service != nil && service.Engine != nil {
-		return s.chooser.Choose(list, key, tried, now)
-	}
-	return s.chooser.Least(list, s.Zone, tried, now)
-}
-
 // ended counts the end of a request at an upstream.
 func (s *Server) ended(id string) {
 	s.mu.Lock()
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -97,7 +97,11 @@
 		LinkMbps:    int(settings.Process.LinkMbps),
 		Cores:       settings.Process.Cores,
 	}
-	p.view = view.New(view.Options{Logger: logger, Self: self, Source: settings.source()})
+	regions, err := settings.Process.regions()
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, "gateway.settings", "", err)
+	}
+	p.view = view.New(view.Options{Logger: logger, Self: self, Source: settings.source(), Regions: regions})
 	p.owner = pools.NewOwner(life, p.view, p.client, logger)
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +33,9 @@
 	Name string `toml:"name" required:"true"`
 	// Zone is the availability zone.
 	Zone string `toml:"zone" required:"true"`
+	// Regions says in which region each zone lies: zone=region, separated by commas. Upstreams of
+	// other zones run nothing that is bound to regions.
+	Regions string `toml:"regions"`
 	// MemoryMB is what the process may use.
 	MemoryMB int `toml:"memory_mb" required:"true"`
 	// Cores is what the process may use of the machine's processor, in cores; 0 if it is not
@@ -113,6 +117,9 @@
 	if p.MemoryMB < leastMemoryMB || p.MemoryMB > mostMemoryMB {
 		return settings.Invalid("memory_mb", "must be from %d to %d", leastMemoryMB, mostMemoryMB)
 	}
+	if _, err := p.regions(); err != nil {
+		return err
+	}
 	if p.Cores < 0 {
 		return settings.Invalid("cores", "must not be below 0")
 	}
@@ -122,6 +129,22 @@
 	return nil
 }
 
+// regions returns the region of each zone.
+func (p *ProcessSettings) regions() (map[string]string, error) {
+	byZone := make(map[string]string)
+	if p.Regions == "" {
+		return byZone, nil
+	}
+	for _, one := range strings.Split(p.Regions, ",") {
+		zone, region, found := strings.Cut(one, "=")
+		if !found || zone == "" || region == "" {
+			return nil, settings.Invalid("regions", "must be zone=region, separated by commas, has %q", one)
+		}
+		byZone[zone] = region
+	}
+	return byZone, nil
+}
+
 // Validate implements settings.Validator.
 func (l *ListenSettings) Validate() error {
 	return errors.Join(
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -25,14 +25,15 @@
 
 func TestWrongSettingsAreNamed(t *testing.T) {
 	for change, message := range map[string]string{
-		"zone = \"sala-inaquito\"\n|":                 "process.zone: missing",
-		"memory_mb = 284|memory_mb = 1":               "process.memory_mb: must be from 16",
-		"\"127.0.0.1:8625\"|\"localhost:8625\"":       "listen.clients: must be IP:port",
-		"revoke_ms = 5000|revoke_ms = 0":              "bounds.revoke_ms: must be at least 1",
-		"grace_s = 8|grace_s = 8\nevacuate_ms = 10":   "bounds.evacuate_ms: must be 0 or at least 200",
-		"retry_ratio = 0.2|retry_ratio = 2.0":         "bounds.retry_ratio: must be from 0 to 1",
-		"[fleet]|[log]\nlevel = \"loud\"\n[fleet]":    "log.level: must be debug",
-		"retry_slack = 54|retry_slack = 54\nmore = 1": "bounds.more: unknown key",
+		"zone = \"sala-inaquito\"\n|":                      "process.zone: missing",
+		"memory_mb = 284|memory_mb = 284\nregions = \"z\"": "process.regions: must be zone=region",
+		"memory_mb = 284|memory_mb = 1":                    "process.memory_mb: must be from 16",
+		"\"127.0.0.1:8625\"|\"localhost:8625\"":            "listen.clients: must be IP:port",
+		"revoke_ms = 5000|revoke_ms = 0":                   "bounds.revoke_ms: must be at least 1",
+		"grace_s = 8|grace_s = 8\nevacuate_ms = 10":        "bounds.evacuate_ms: must be 0 or at least 200",
+		"retry_ratio = 0.2|retry_ratio = 2.0":              "bounds.retry_ratio: must be from 0 to 1",
+		"[fleet]|[log]\nlevel = \"loud\"\n[fleet]":         "log.level: must be debug",
+		"retry_slack = 54|retry_slack = 54\nmore = 1":      "bounds.more: unknown key",
 	} {
 		from, to, _ := strings.Cut(change, "|")
 		text := strings.Replace(example(t), from, to, 1)
@@ -64,12 +65,16 @@
 // upstreams start cold.
 var placeValues = map[string]string{"bounds.evacuate_ms": "5000", "bounds.cold_overrun": "1.5", "bounds.cold_slack": "5"}
 
+// zonesSection is the template's list over the zones and their regions.
+const zonesSection = "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}"
+
 // fill returns the settings that the template gives with the platform's values.
 func fill(t *testing.T, values map[string]string) Settings {
 	t.Helper()
 	template, err := os.ReadFile("../deploy/gateway.toml.tmpl")
 	assert.NilError(t, err)
-	present := section.ReplaceAllStringFunc(string(template), func(found string) string {
+	listed := strings.Replace(string(template), zonesSection, "sala-inaquito=sierra-norte,sala-carcelen=sierra-norte", 1)
+	present := section.ReplaceAllStringFunc(listed, func(found string) string {
 		match := section.FindStringSubmatch(found)
 		if _, known := values[match[1]]; !known {
 			return ""
@@ -94,6 +99,9 @@
 	loaded := fill(t, platformValues)
 	assert.Equal(t, loaded.Listen.Fleet, "10.1.0.41:7740")
 	assert.Assert(t, loaded.Fleet.FirstStart)
+	regions, err := loaded.Process.regions()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, regions, map[string]string{"sala-inaquito": "sierra-norte", "sala-carcelen": "sierra-norte"})
 	plain := BoundSettings{RevokeMS: 5000, ConfigApplyMS: 4000, GraceSeconds: 8, RetryRatio: 0.2, RetrySlack: 54, ColdOverrun: 1}
 	assert.Equal(t, loaded.Bounds, plain)
 
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -110,6 +110,7 @@
 			"born": upstream.Born, "known_born": old.Born})
 		return
 	}
+	upstream.Region = f.view.options.Regions[upstream.Zone]
 	if upstream.Cold > 0 {
 		upstream.ColdUntil = time.Now().Add(upstream.Cold)
 	}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -43,6 +43,8 @@
 	Self Member
 	// Source is where the store is and how long its word counts.
 	Source Source
+	// Regions holds the region of each zone.
+	Regions map[string]string
 }
 
 // Source is what the settings say of the store. It may change while the process runs.
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -184,7 +184,7 @@
 func (f *fleet) startIn(name, zone string) *running {
 	f.t.Helper()
 	settings := gateway.Defaults()
-	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256}
+	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256, Regions: "z1=r1,z2=r2"}
 	settings.Listen = gateway.ListenSettings{Clients: f.free(), Readiness: f.free(), Fleet: f.free(), Metrics: f.free()}
 	settings.Store.Address = f.address
 	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, EvacuateMS: 5000, ColdOverrun: 1.5, ColdSlack: 5, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
--- a/standin/platformdoc/document.go
+++ b/standin/platformdoc/document.go
@@ -24,17 +24,19 @@
 
 // Route is one route.
 type Route struct {
-	Name        string  `json:"name"`
-	Host        string  `json:"host"`
-	Prefix      string  `json:"path_prefix"`
-	Kind        string  `json:"route_kind"`
-	TimeoutMS   int     `json:"timeout_ms"`
-	GoalMS      int     `json:"goal_ms"`
-	Priority    int     `json:"priority"`
-	Service     string  `json:"service"`
-	MaxAttempts int     `json:"max_attempts"`
-	Resumable   bool    `json:"resumable"`
-	Stages      []Stage `json:"stages,omitempty"`
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	Prefix      string `json:"path_prefix"`
+	Kind        string `json:"route_kind"`
+	TimeoutMS   int    `json:"timeout_ms"`
+	GoalMS      int    `json:"goal_ms"`
+	Priority    int    `json:"priority"`
+	Service     string `json:"service"`
+	MaxAttempts int    `json:"max_attempts"`
+	Resumable   bool   `json:"resumable"`
+	// AllowedRegions are those that may process its requests; none allows all.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	Stages         []Stage  `json:"stages,omitempty"`
 }
 
 // Stage is one stage of a route.
@@ -81,7 +83,9 @@
 
 // Tenant is a workspace.
 type Tenant struct {
-	Name     string   `json:"name"`
-	APIKeys  []string `json:"api_keys"`
-	Priority int      `json:"priority"`
+	Name    string   `json:"name"`
+	APIKeys []string `json:"api_keys"`
+	// AllowedRegions are those that may process its requests; none allows all.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	Priority       int      `json:"priority"`
 }
