--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -48,10 +48,9 @@
 // perItem returns what each waiting item of a task counts for.
 func (g *group) perItem() float64 { return g.Value / float64(max(1, len(g.items))) }
 
-// before tells whether a goes before b. Of two timely tasks of a class the newer one
-// goes first: with the older one first a burst leaves each
-// task just in time at one pool and late at the next
-// (TestABurstOnAChainLeavesMostOfWhatItsPoolsTakeInTime).
+// before tells whether a goes before b. Of two timely tasks of a class the newer one goes
+// first: with the older one first a burst leaves each task just in time at one pool and late at
+// the next (TestABurstOnAChainLeavesMostOfWhatItsPoolsTakeInTime).
 func before(a, b *group) bool {
 	switch {
 	case a.late != b.late:
--- a/gateway/pools/early.go
+++ b/gateway/pools/early.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // earlyTask is a task that waits for the owner to know what to do with it.
@@ -20,8 +23,8 @@
 	handles []string
 }
 
-// maxEarly bounds the tasks, and the wishes to free: at 800 tasks a second, and a third of a second until a process that
-// starts knows what it needs, some 270 come.
+// maxEarly bounds the tasks and the wishes to free, each for itself: at 800 tasks a second, and
+// a third of a second until a process that starts knows what it needs, some 270 come.
 const maxEarly = 1024
 
 // knows tells whether the configuration and the upstreams are known.
@@ -40,9 +43,11 @@
 
 // keepEarlyFree keeps a wish to free results until the configuration is known. The lock is held.
 func (o *Owner) keepEarlyFree(part Part, handles []string) {
-	if len(o.earlyFrees) < maxEarly {
-		o.earlyFrees = append(o.earlyFrees, earlyFree{part: part, handles: handles})
+	if len(o.earlyFrees) >= maxEarly {
+		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": "", "handles": len(handles), "error": "too many wait for the configuration"})
+		return
 	}
+	o.earlyFrees = append(o.earlyFrees, earlyFree{part: part, handles: handles})
 }
 
 // submitEarly frees what was to be freed, and queues the tasks that waited, once the
