--- /dev/null
+++ b/core/pool/evacuated_test.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAnEvacuatedPoolEndsWhatWaits: it can be made nowhere. What runs is finished.
+func TestAnEvacuatedPoolEndsWhatWaits(t *testing.T) {
+	p := newPool(2)
+	p.Add(task(1, time.Second), 8)
+	p.Add(task(2, time.Second), 3)
+	running := p.Next(start)
+	list := upstreams(2)
+	for i := range list {
+		list[i].Evacuated = true
+	}
+	p.SetUpstreams(list)
+	assert.Assert(t, p.Evacuated())
+	assert.Assert(t, p.Next(start) == nil)
+	assert.Equal(t, len(p.Expire(start)), 3)
+	assert.Equal(t, p.Waiting(), 0)
+	assert.Equal(t, p.CallsIn(running.Upstream.Zone), 1)
+	assert.Equal(t, len(p.Finish(running, all(running, Made), start)), 0)
+	assert.Equal(t, p.CallsIn(running.Upstream.Zone), 0)
+}
+
+// TestAPoolWithAZoneLeftServesThere: and with all of them again once it is taken back.
+func TestAPoolWithAZoneLeftServesThere(t *testing.T) {
+	p := newPool(2)
+	list := upstreams(2)
+	list[0].Evacuated = true
+	p.SetUpstreams(list)
+	assert.Assert(t, !p.Evacuated())
+	p.Add(task(1, time.Second), 8)
+	p.Add(task(2, time.Second), 8)
+	assert.Equal(t, p.Next(start).Upstream.ID, list[1].ID)
+	assert.Assert(t, p.Next(start) == nil, "the other one is not used")
+	assert.Equal(t, len(p.Expire(start)), 0)
+	p.SetUpstreams(upstreams(2))
+	assert.Equal(t, p.Next(start).Upstream.ID, list[0].ID)
+}
--- /dev/null
+++ b/gateway/zones_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/gateway/view"
+	"acaciawinch/observe"
+)
+
+// TestAnEmptiedZoneIsToldOnceForEachEvacuation: when nothing is open there any more.
+func TestAnEmptiedZoneIsToldOnceForEachEvacuation(t *testing.T) {
+	var log strings.Builder
+	logger, err := observe.NewLogger(&log, "g", "info")
+	assert.NilError(t, err)
+	open := 2
+	evacuations := []view.Evacuation{{Zone: "z1", Since: time.Second}}
+	scope := tally.NewTestScope("", nil)
+	w := &zoneWatch{
+		evacuations: func() []view.Evacuation { return evacuations },
+		open:        func(string) int { return open },
+		logger:      logger,
+		scope:       scope,
+		emptied:     make(map[string]view.Evacuation),
+	}
+	told := func() int { return strings.Count(log.String(), "zone_emptied") }
+	w.look()
+	assert.Equal(t, told(), 0)
+	assert.Equal(t, scope.Snapshot().Gauges()["evacuated_open+zone=z1"].Value(), 2.0)
+	open = 0
+	w.look()
+	w.look()
+	assert.Equal(t, told(), 1)
+	evacuations[0].Since = time.Minute
+	w.look()
+	assert.Equal(t, told(), 2, "it was evacuated again")
+	evacuations = nil
+	w.look()
+	assert.Equal(t, scope.Snapshot().Gauges()["evacuated_zones+"].Value(), 0.0)
+}
