Choose an engine in one look at the list, without sorting or copying it

Cause: the choice sorted and copied all engines for each request, and once more for each last stage, to use the first that fits.

--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -6,7 +6,7 @@
 package selection
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"acaciawinch/core/rendezvous"
@@ -88,17 +88,31 @@
 		total += c.estimate(u, now)
 	}
 	bound := boundedLoad*total/float64(len(candidates)) + loadSlack
-	ordered := byKey(candidates, key)
-	for i, u := range ordered {
-		if load := c.estimate(u, now); load <= bound {
-			reason := "prefix"
-			if i > 0 {
-				reason = "load"
-			}
-			return Choice{Upstream: u, Reason: reason, Load: load, Idle: c.idle(u, list, now), CopyFrom: c.keeper(ordered, key, u, now)}, true
+	hashed := rendezvous.Hash(key)
+	first := firstOf(candidates, hashed, func(routes.Upstream) bool { return true })
+	within := firstOf(candidates, hashed, func(u routes.Upstream) bool { return c.estimate(u, now) <= bound })
+	chosen, reason := within, "prefix"
+	switch {
+	case within < 0:
+		chosen, reason = first, "only"
+	case within != first:
+		reason = "load"
+	}
+	u := candidates[chosen]
+	return Choice{Upstream: u, Reason: reason, Load: c.estimate(u, now), Idle: within >= 0 && c.idle(u, list, now), CopyFrom: c.keeper(candidates, key, u, now)}, true
+}
+
+// firstOf returns the place of the engine with the highest score for a key among those that
+// match, -1 if none does. Of equal scores the one that stands first counts.
+func firstOf(list []routes.Upstream, key uint64, match func(routes.Upstream) bool) int {
+	best, highest := -1, uint64(0)
+	for i, u := range list {
+		score := rendezvous.Score(key, rendezvous.Hash(u.ID))
+		if (best < 0 || score > highest) && match(u) {
+			best, highest = i, score
 		}
 	}
-	return Choice{Upstream: ordered[0], Reason: "only", Load: c.estimate(ordered[0], now), CopyFrom: c.keeper(ordered, key, ordered[0], now)}, true
+	return best
 }
 
 // idleShare is the part of its slots up to which an engine takes a request at once.
@@ -172,41 +186,29 @@
 // candidates returns the engines that may get a request: the untried ones, without
 // those that failed lately if any others are left.
 func (c *Chooser) candidates(list []routes.Upstream, tried []string, now time.Time) []routes.Upstream {
-	var good, avoided []routes.Upstream
-	for _, u := range list {
-		if !u.TakesWork() || contains(tried, u.ID) {
-			continue
-		}
-		if s := c.engines[u.ID]; s != nil && now.Before(s.avoid) {
-			avoided = append(avoided, u)
-			continue
-		}
-		good = append(good, u)
-	}
+	usable := filtered(list, func(u routes.Upstream) bool { return u.TakesWork() && !slices.Contains(tried, u.ID) })
+	good := filtered(usable, func(u routes.Upstream) bool {
+		s := c.engines[u.ID]
+		return s == nil || !now.Before(s.avoid)
+	})
 	if len(good) == 0 {
-		return avoided
+		return usable
 	}
 	return good
 }
 
-// contains tells whether list holds name.
-func contains(list []string, name string) bool {
-	for _, one := range list {
-		if one == name {
-			return true
+// filtered returns those of a list that match; the list itself, uncopied, if all do.
+func filtered(list []routes.Upstream, match func(routes.Upstream) bool) []routes.Upstream {
+	if !slices.ContainsFunc(list, func(u routes.Upstream) bool { return !match(u) }) {
+		return list
+	}
+	matching := make([]routes.Upstream, 0, len(list))
+	for _, u := range list {
+		if match(u) {
+			matching = append(matching, u)
 		}
 	}
-	return false
-}
-
-// byKey returns engines in the order of their scores for a key.
-func byKey(list []routes.Upstream, key string) []routes.Upstream {
-	ordered := append([]routes.Upstream(nil), list...)
-	hashed := rendezvous.Hash(key)
-	sort.Slice(ordered, func(i, j int) bool {
-		return rendezvous.Score(hashed, rendezvous.Hash(ordered[i].ID)) > rendezvous.Score(hashed, rendezvous.Hash(ordered[j].ID))
-	})
-	return ordered
+	return matching
 }
 
 // estimate returns how many requests an engine has: what it last said, changed by
--- a/core/selection/parts.go
+++ b/core/selection/parts.go
@@ -1,8 +1,10 @@
 package selection
 
 import (
+	"slices"
 	"time"
 
+	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
 )
 
@@ -48,7 +50,7 @@
 // that keeps of a prompt than read it again, empty if there is none: the engine that the
 // shared part last went to, or the first other in the order of its key, where the part, or
 // those before it, lie after a change of load or of the fleet.
-func (c *Chooser) keeper(ordered []routes.Upstream, key string, chosen routes.Upstream, now time.Time) string {
+func (c *Chooser) keeper(candidates []routes.Upstream, key string, chosen routes.Upstream, now time.Time) string {
 	if key == "" {
 		return ""
 	}
@@ -57,17 +59,15 @@
 	if recent && part.engine == chosen.ID {
 		return ""
 	}
-	first := ""
-	for _, engine := range ordered {
-		if engine.ID == chosen.ID {
-			continue
-		}
-		if recent && engine.ID == part.engine {
-			return engine.Address
-		}
-		if first == "" {
-			first = engine.Address
-		}
+	from := -1
+	if recent {
+		from = slices.IndexFunc(candidates, func(u routes.Upstream) bool { return u.ID == part.engine })
+	}
+	if from < 0 {
+		from = firstOf(candidates, rendezvous.Hash(key), func(u routes.Upstream) bool { return u.ID != chosen.ID })
+	}
+	if from < 0 {
+		return ""
 	}
-	return first
+	return candidates[from].Address
 }
