--- a/gateway/pools/link.go
+++ b/gateway/pools/link.go
@@ -15,11 +15,14 @@
 // Timing of a link to an owner.
 const (
 	// pingEvery is how often an owner with open tasks is asked for a sign of life, and
-	// silentAfter when one without an answer is given up. An owner answers within a
-	// few ms unless it is frozen or cut off; at 0.3 of a core a busy one may take some
-	// hundred.
-	pingEvery   = 400 * time.Millisecond
-	silentAfter = 1200 * time.Millisecond
+	// silentAfter when one without an answer is given up: all that waits for its pools stands
+	// still until then. An owner answers within a few ms unless it is frozen or cut off; a busy
+	// one on a small machine may take some hundred.
+	pingEvery   = 200 * time.Millisecond
+	silentAfter = 600 * time.Millisecond
+	// heldUp is how long after the last ping this process counts as held up itself: what the
+	// owner said meanwhile may wait to be read.
+	heldUp = 2 * pingEvery
 	// openTimeout bounds the opening of the link.
 	openTimeout = time.Second
 )
@@ -36,9 +39,9 @@
 
 	mu    sync.Mutex
 	tasks map[uint64]Notify
-	// heard is when the owner last said something.
-	heard  time.Time
-	broken bool
+	// heard is when the owner last said something, pinged when it was last asked to.
+	heard, pinged time.Time
+	broken        bool
 }
 
 // newOwnerLink returns a link whose run must be called.
@@ -175,7 +178,9 @@
 	if len(l.tasks) == 0 {
 		return nil
 	}
-	if silent := now.Sub(l.heard); silent > silentAfter {
+	late := now.Sub(l.pinged) > heldUp
+	l.pinged = now
+	if silent := now.Sub(l.heard); silent > silentAfter && !late {
 		cancel(fault.New(fault.Unavailable, "pool.receive", l.owner.Name, "silent for %v", silent))
 		return nil
 	}
