--- a/core/slowstart/slowstart.go
+++ b/core/slowstart/slowstart.go
@@ -45,7 +45,8 @@
 	Overrun, Slack float64
 }
 
-// senders returns how many processes are meant to send to a cold upstream.
+// senders returns how many processes are meant to send to a cold upstream: none if fewer than
+// two requests a second may come.
 func (b Bound) senders() int { return int((b.PerSecond*b.Overrun + b.Slack) / unaware) }
 
 // Limiter is one process's part of the bound. It is not safe for concurrent use.
