Log the fingerprint of requests and what upstreams ask for in their answers

Sends and failures now carry a fingerprint of workspace, method, host, target and body; upstream_asked says who leaves or wants nothing for a while. Nothing decides by either yet.

--- /dev/null
+++ b/core/fingerprint/fingerprint.go
@@ -0,0 +1,53 @@
+// Package fingerprint recognises a request that is sent again under another id: attempts with
+// the same workspace, method, host, target and body have the same fingerprint.
+package fingerprint
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"acaciawinch/core/fault"
+)
+
+// size is the number of bytes of a Fingerprint: too many for a client to find a request with
+// the fingerprint of another one.
+const size = 16
+
+// Fingerprint identifies what a request asks for.
+type Fingerprint [size]byte
+
+// Request is what a Fingerprint is made of.
+type Request struct {
+	// Workspace is who holds the client's key, empty on routes without keys.
+	Workspace string
+	Method    string
+	Host      string
+	// Target is the path and query as the client sent them.
+	Target string
+	Body   []byte
+}
+
+// Of returns the fingerprint of a request.
+func Of(r Request) Fingerprint {
+	hash := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{[]byte(r.Workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part))) // keeps parts of different lengths apart
+		_, _ = hash.Write(length[:])                             // a hash never fails to write
+		_, _ = hash.Write(part)
+	}
+	return Fingerprint(hash.Sum(nil)[:size])
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Parse returns the fingerprint that String wrote.
+func Parse(text string) (Fingerprint, error) {
+	content, err := hex.DecodeString(text)
+	if err != nil || len(content) != size {
+		return Fingerprint{}, fault.New(fault.Invalid, "fingerprint.parse", "", "%q is no fingerprint", text)
+	}
+	return Fingerprint(content), nil
+}
--- /dev/null
+++ b/core/fingerprint/fingerprint_test.go
@@ -0,0 +1,47 @@
+package fingerprint
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/fault"
+)
+
+func TestEachPartTellsRequestsApart(t *testing.T) {
+	base := Request{Workspace: "w", Method: "POST", Host: "h", Target: "/a?b=1", Body: []byte("body")}
+	seen := map[Fingerprint]bool{Of(base): true}
+	for _, change := range []func(*Request){
+		func(r *Request) { r.Workspace = "v" },
+		func(r *Request) { r.Method = "PUT" },
+		func(r *Request) { r.Host = "g" },
+		func(r *Request) { r.Target = "/a?b=2" },
+		func(r *Request) { r.Body = []byte("other") },
+		func(r *Request) { r.Body = nil },
+		func(r *Request) { r.Workspace, r.Method = "wP", "OST" },
+	} {
+		other := base
+		change(&other)
+		assert.Assert(t, !seen[Of(other)], "%+v", other)
+		seen[Of(other)] = true
+	}
+	assert.Equal(t, Of(base), Of(base))
+}
+
+func TestAFingerprintIsReadAsItIsWritten(t *testing.T) {
+	written := Of(Request{Target: "/x"})
+	read, err := Parse(written.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read, written)
+	for _, text := range []string{"", "00", "zz", written.String() + "00"} {
+		_, err := Parse(text)
+		assert.Assert(t, fault.Is(err, fault.Invalid), "%q", text)
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	r := Request{Workspace: "pensionistas", Method: "POST", Host: "bonos.example", Target: "/zika511/ab/12", Body: make([]byte, 5000)}
+	for b.Loop() {
+		Of(r)
+	}
+}
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/fingerprint"
 	"acaciawinch/core/pool"
 	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
@@ -59,7 +60,9 @@
 	// value is what the request counts for against others of its class's rank.
 	value float64
 	body  []byte
-	began time.Time
+	// fingerprint is that of all attempts that ask for the same.
+	fingerprint fingerprint.Fingerprint
+	began       time.Time
 	// since is when its client began at the latest: before began if it was refused elsewhere.
 	since    time.Time
 	deadline time.Time
@@ -251,9 +254,19 @@
 		return rq.refuse(http.StatusBadRequest, "request.body", err.Error(), 0)
 	}
 	rq.body = body
+	rq.fingerprint = rq.identify()
 	return true
 }
 
+// identify returns the fingerprint of the request.
+func (rq *request) identify() fingerprint.Fingerprint {
+	asked := fingerprint.Request{Method: rq.r.Method, Host: rq.r.Host, Target: rq.r.RequestURI, Body: rq.body}
+	if rq.workspace != nil {
+		asked.Workspace = rq.workspace.Name
+	}
+	return fingerprint.Of(asked)
+}
+
 // serve runs the stages and sends the request until it has an answer.
 func (rq *request) serve() {
 	if service := rq.evacuated(); service != "" {
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -127,6 +127,9 @@
 // take decides what becomes of an answer.
 func (rq *request) take(id string, answer *httpconn.Answer) error {
 	said := header.ReadAnswer(answer.Status, answer.Header)
+	if said.Leaving || said.RetryAfter > 0 {
+		rq.noteAsked(id, answer.Status, said)
+	}
 	if said.Load.Known {
 		rq.heard(id, selection.Load{Running: said.Load.Running, Waiting: said.Load.Waiting, Slots: said.Load.Slots, At: time.Now()})
 	}
@@ -156,10 +159,16 @@
 	return &sendFailure{replaced: replaced, err: fault.New(fault.Refused, "upstream.receive", last(rq.tried), "status %d, not run", answer.Status)}
 }
 
+// noteAsked logs what an upstream's answer asks of this process.
+func (rq *request) noteAsked(id string, status int, said header.Answer) {
+	rq.Logger.Event(event.UpstreamAsked, observe.Fields{"upstream": id, "service": rq.service, "request": rq.asked.ID,
+		"status": status, "leaving": said.Leaving, "retry_after_ms": said.RetryAfter.Milliseconds()})
+}
+
 // noteSend logs and counts a send.
 func (rq *request) noteSend(choice selection.Choice) {
 	rq.Metrics.sent(rq.service, len(rq.tried) > 1)
-	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name, "version": rq.table.Version,
+	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.asked.ID, "fingerprint": rq.fingerprint.String(), "route": rq.route.Name, "version": rq.table.Version,
 		"service": rq.service, "upstream": choice.Upstream.ID, "attempt": len(rq.tried), "reason": choice.Reason,
 		"load": fmt.Sprintf("%.1f", choice.Load), "cold": rq.isCold(choice.Upstream), "idle": choice.Idle, "copy_from": choice.CopyFrom,
 		"used_ms": rq.began.Sub(rq.since).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
@@ -172,6 +181,6 @@
 	if ok && rq.ctx.Err() == nil {
 		rq.failed(id)
 	}
-	rq.Logger.Event(event.GatewayFailed, observe.Fields{"request": rq.asked.ID, "upstream": id, "attempt": len(rq.tried),
+	rq.Logger.Event(event.GatewayFailed, observe.Fields{"request": rq.asked.ID, "fingerprint": rq.fingerprint.String(), "upstream": id, "attempt": len(rq.tried),
 		"step": stepOf(err), "ran": ok && f.ran, "error": err.Error()})
 }
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -18,14 +18,15 @@
 	ZoneEvacuated      = define(10015, "zone_evacuated", "The operator asks that a zone be emptied: its upstreams get nothing new.", "zone", "revision", "upstreams")
 	ZoneTakenBack      = define(10016, "zone_taken_back", "A zone's evacuation has ended: its upstreams take work again.", "zone", "after_ms", "upstreams")
 	ZoneEmptied        = define(10017, "zone_emptied", "Nothing that this process sent to an evacuated zone is open there any more.", "zone", "after_ms")
+	UpstreamAsked      = define(10018, "upstream_asked", "An upstream's answer said that it leaves, or for how long it wants nothing from this process.", "upstream", "service", "request", "status", "leaving", "retry_after_ms")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway answered a request itself. With 429 or 503 nothing of it ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
-	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream.", "request", "route", "version", "service", "upstream", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
-	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "upstream", "attempt", "step", "ran", "error")
+	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream. Attempts with one fingerprint have the same workspace, target and body.", "request", "fingerprint", "route", "version", "service", "upstream", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
+	GatewayFailed   = define(10022, "gateway_failed", "A sent request brought no usable answer.", "request", "fingerprint", "upstream", "attempt", "step", "ran", "error")
 	GatewayAnswered = define(10023, "gateway_answered", "An answer was handed to the client whole.", "request", "route", "status", "upstream", "events", "first_us", "used_ms", "objective_ms", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "An answer could not be completed; the client's connection was ended.", "request", "route", "upstream", "events", "error", "duration_us")
 	GatewayLeft     = define(10025, "gateway_left", "The client left before its answer; the work was ended.", "request", "route", "step", "duration_us")
