--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -48,6 +48,8 @@
 type Run struct {
 	ID, Method, Target, Body string
 	Header                   http.Header
+	// At is when it began.
+	At time.Time
 }
 
 // Worker is a running stand-in.
@@ -59,6 +61,9 @@
 	// CallTime is what a stage call takes, WorkTime what other requests take before their
 	// answer begins.
 	CallTime, WorkTime time.Duration
+	// CrashBody is the body of requests under which the worker crashes as soon as it runs them;
+	// empty for none. It is set before the worker is used.
+	CrashBody string
 	// Advertised is the IP:port that callers know if something stands before the worker;
 	// empty if nothing does. It is set before the worker is used.
 	Advertised string
@@ -76,6 +81,9 @@
 	made  int
 	hold  chan struct{}
 	left  int
+	// crashed is closed once the worker has crashed, under request crashedBy.
+	crashed   chan struct{}
+	crashedBy Run
 }
 
 // Item is one piece that a stage worker was asked for.
@@ -89,11 +97,16 @@
 
 // Start starts a worker on a free port.
 func Start(id string, kind Kind) (*Worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartAt("127.0.0.1:0", id, kind)
+}
+
+// StartAt starts a worker on an address, as one that comes back after a crash does.
+func StartAt(address, id string, kind Kind) (*Worker, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, Kind: kind, Events: 5, listener: listener, kept: make(map[string]bool), makes: make(map[string]Item)}
+	w := &Worker{ID: id, Kind: kind, Events: 5, listener: listener, kept: make(map[string]bool), makes: make(map[string]Item), crashed: make(chan struct{})}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(listener) }() // it ends with Close
 	return w, nil
@@ -113,6 +126,34 @@
 // Close ends the worker at once.
 func (w *Worker) Close() { _ = w.server.Close() }
 
+// Crashed returns what is closed once the worker has crashed.
+func (w *Worker) Crashed() <-chan struct{} { return w.crashed }
+
+// CrashedBy returns the request under which the worker crashed, and false if it has not.
+func (w *Worker) CrashedBy() (Run, bool) {
+	select {
+	case <-w.crashed:
+		return w.crashedBy, true
+	default:
+		return Run{}, false
+	}
+}
+
+// crash ends the worker at once, with all that it runs.
+func (w *Worker) crash(under Run) {
+	w.mu.Lock()
+	first := w.crashedBy.ID == ""
+	if first {
+		w.crashedBy = under
+	}
+	w.mu.Unlock()
+	w.Close()
+	if first {
+		close(w.crashed)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Set replaces the faults.
 func (w *Worker) Set(faults Faults) {
 	w.mu.Lock()
@@ -208,10 +249,14 @@
 		return
 	}
 	id := r.Header.Get("X-Attempt-Id")
+	run := Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body, Header: r.Header.Clone(), At: time.Now()}
 	w.mu.Lock()
-	w.runs = append(w.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body, Header: r.Header.Clone()})
+	w.runs = append(w.runs, run)
 	hold := w.hold
 	w.mu.Unlock()
+	if w.CrashBody != "" && body == w.CrashBody {
+		w.crash(run)
+	}
 	if hold != nil {
 		select {
 		case <-hold:
