Refuse a request under which two upstreams have crashed, at all gateways

Cause: nothing knew a request over several attempts of its client, and gateways told each other nothing. All bounds hold for one attempt or one service.

Fix: requests are known by a fingerprint of workspace, method, host, target and body. A gateway whose connection an upstream closes suspects the request; the crash is confirmed if the upstream takes no more connections. Confirmed crashes go into a record of the gateway in the platform's store, which is followed like the other kinds and read back after a start. Two crashes of different starts of upstreams refuse the request with 503 (502 if this attempt ran). A request that runs to its end clears itself everywhere. Two trials, each held by who creates its object, let through what was refused by mistake.

--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,289 @@
+// Package quarantine decides which requests are no longer sent because upstreams crash under
+// them. Requests are known by their fingerprints, so that further attempts of a client count
+// with the first, through whichever gateway they come.
+//
+// Each gateway keeps a Record of the crashes that it saw and of those that it has cleared, and
+// publishes it; each one merges the records of all. A record has one writer and is replaced as a
+// whole, so that records need no order among each other: the merged crashes are the union of all
+// crashes without the union of all that was cleared.
+//
+// Why the bound holds: a fingerprint under which Limit starts of upstreams have crashed is sent
+// by nobody who knows of these crashes. Who does not know them yet sends at most what it gets
+// until the records arrive. After that only trials are sent, MaxTrials at most, each held by
+// the gateway that has created its object in the store.
+//
+// Why others are spared: many requests run at an upstream that crashes, and all of them count as
+// suspect. One that then runs to its end anywhere clears itself of all crashes known. A single
+// crash keeps nothing from being sent, and what is refused by mistake is let through by a trial.
+//
+// The package does no I/O and knows no wall clock: times are those since the machine's start.
+// It is not safe for concurrent use.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"acaciawinch/core/fingerprint"
+)
+
+// Figures of the decision.
+const (
+	// Limit is under how many crashes a request is refused. With one, all that ran beside a
+	// crash would be refused.
+	Limit = 2
+	// MaxTrials bounds how often a refused request is sent all the same.
+	MaxTrials = 2
+	// firstTrial is how long after the last crash the first trial may be made: upstreams
+	// that crashed together, as by a loss of power, are back then. Each later one waits
+	// trialFactor times as long.
+	firstTrial  = 15 * time.Second
+	trialFactor = 8
+	// noTrial is when a client whose request gets no more trials is asked to come back.
+	noTrial = time.Minute
+	// settleFor is how long after a crash further attempts of its request wait: the other
+	// gateways' words of other crashes arrive meanwhile, so that a client which comes again
+	// at once through one gateway after the other doesn't outrun them.
+	settleFor = 300 * time.Millisecond
+	// keepFor is how long a crash counts.
+	keepFor = time.Hour
+	// mostCrashes bounds the crashes of a record, some 80 bytes each; the oldest go first.
+	mostCrashes = 512
+)
+
+// Crash is the end of one start of an upstream while a request ran there.
+type Crash struct {
+	Request fingerprint.Fingerprint
+	// Upstream names the start.
+	Upstream string
+}
+
+// Record is what one gateway tells the others.
+type Record struct {
+	// Crashes are those that it saw, oldest first.
+	Crashes []Crash
+	// Cleared are crashes that others saw and whose request has run to its end since.
+	Cleared []Crash
+}
+
+// Book holds what one gateway knows.
+type Book struct {
+	self string
+	own  Record
+	// adopted is set once the record of an earlier start of this gateway was taken over, or
+	// there was none.
+	adopted bool
+	// records holds those of the other gateways, by their names.
+	records map[string]Record
+	// unconfirmed are crashes of which it is not known yet whether the upstream has ended.
+	unconfirmed map[Crash]bool
+	// suspects holds the merged crashes.
+	suspects map[fingerprint.Fingerprint][]Crash
+	// learned is when each merged crash became known here.
+	learned map[Crash]time.Duration
+	// trials is how many trials of a request are known to be used up.
+	trials map[fingerprint.Fingerprint]int
+	// due is when the own record must be written, below 0 if it need not.
+	due time.Duration
+}
+
+// New returns the Book of the gateway self, which knows nothing.
+func New(self string) *Book {
+	return &Book{
+		self:        self,
+		records:     make(map[string]Record),
+		unconfirmed: make(map[Crash]bool),
+		suspects:    make(map[fingerprint.Fingerprint][]Crash),
+		learned:     make(map[Crash]time.Duration),
+		trials:      make(map[fingerprint.Fingerprint]int),
+		due:         never,
+	}
+}
+
+// Verdict is what becomes of a request.
+type Verdict struct {
+	// Crashes is under how many starts of upstreams it was.
+	Crashes int
+	// Refused is set if it must not be sent, unless a trial is made.
+	Refused bool
+	// Unsure is set if it is refused for crashes of which some are not confirmed yet, without
+	// which it would not be.
+	Unsure bool
+	// Trial is the number of the trial that may be made now, from 1; 0 if none may.
+	Trial int
+	// RetryAfter is when a refused request may be sent.
+	RetryAfter time.Duration
+}
+
+// Judge returns what becomes of a request now.
+func (b *Book) Judge(request fingerprint.Fingerprint, now time.Duration) Verdict {
+	crashes := b.suspects[request]
+	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= Limit}
+	if !verdict.Refused {
+		return verdict
+	}
+	verdict.Unsure = len(crashes)-b.unconfirmedOf(crashes) < Limit
+	used := b.trials[request]
+	if used >= MaxTrials {
+		verdict.RetryAfter = noTrial
+		return verdict
+	}
+	wait := firstTrial
+	for range used {
+		wait *= trialFactor
+	}
+	left := b.newest(crashes) + wait - now
+	if left <= 0 {
+		verdict.Trial = used + 1
+		return verdict
+	}
+	verdict.RetryAfter = min(left, firstTrial) // a trial that is under way may clear it any time
+	return verdict
+}
+
+// unconfirmedOf returns how many of the crashes are not confirmed yet.
+func (b *Book) unconfirmedOf(crashes []Crash) int {
+	count := 0
+	for _, crash := range crashes {
+		if b.unconfirmed[crash] {
+			count++
+		}
+	}
+	return count
+}
+
+// Settle returns how long a further attempt of a request must wait before it is judged.
+func (b *Book) Settle(request fingerprint.Fingerprint, now time.Duration) time.Duration {
+	crashes := b.suspects[request]
+	if len(crashes) == 0 {
+		return 0
+	}
+	return max(0, b.newest(crashes)+settleFor-now)
+}
+
+// newest returns when the last of the crashes became known.
+func (b *Book) newest(crashes []Crash) time.Duration {
+	var at time.Duration
+	for _, crash := range crashes {
+		at = max(at, b.learned[crash])
+	}
+	return at
+}
+
+// TrialUsed records that a trial of a request was made, by this gateway or another one.
+func (b *Book) TrialUsed(request fingerprint.Fingerprint, number int) {
+	b.trials[request] = max(b.trials[request], number)
+}
+
+// TrialsOf returns how many trials of a request are known to be used up.
+func (b *Book) TrialsOf(request fingerprint.Fingerprint) int { return b.trials[request] }
+
+// Suspect records that an upstream may have ended while a request ran there. It counts here
+// at once, and is published once it is confirmed.
+func (b *Book) Suspect(crash Crash, now time.Duration) {
+	if slices.Contains(b.own.Crashes, crash) {
+		return
+	}
+	b.unconfirmed[crash] = true
+	b.merge(now)
+}
+
+// Confirm records that the upstream of a suspected crash has ended.
+func (b *Book) Confirm(crash Crash, now time.Duration) {
+	if !b.unconfirmed[crash] {
+		return // its request has run to its end meanwhile
+	}
+	delete(b.unconfirmed, crash)
+	b.own.Crashes = append(b.own.Crashes, crash)
+	if excess := len(b.own.Crashes) - mostCrashes; excess > 0 {
+		b.own.Crashes = slices.Delete(b.own.Crashes, 0, excess)
+	}
+	b.merge(now)
+	b.publish(now)
+}
+
+// Dismiss records that the upstream of a suspected crash goes on.
+func (b *Book) Dismiss(crash Crash, now time.Duration) {
+	delete(b.unconfirmed, crash)
+	b.merge(now)
+}
+
+// Completed records that a request has run to its end: no crash known is its doing. It returns
+// whether there was any.
+func (b *Book) Completed(request fingerprint.Fingerprint, now time.Duration) bool {
+	crashes := b.suspects[request]
+	if len(crashes) == 0 {
+		return false
+	}
+	refused := len(crashes) >= Limit
+	for _, crash := range crashes {
+		delete(b.unconfirmed, crash)
+		if !slices.Contains(b.own.Cleared, crash) {
+			b.own.Cleared = append(b.own.Cleared, crash)
+		}
+	}
+	delete(b.trials, request)
+	b.merge(now)
+	if refused {
+		b.publish(now)
+	} else {
+		b.publish(now + tidyAfter)
+	}
+	return true
+}
+
+// merge brings suspects up to date, and the own record with them.
+func (b *Book) merge(now time.Duration) {
+	cleared := make(map[Crash]bool)
+	b.each(func(record Record) {
+		for _, crash := range record.Cleared {
+			cleared[crash] = true
+		}
+	})
+	reported := make(map[Crash]bool)
+	b.suspects = make(map[fingerprint.Fingerprint][]Crash)
+	add := func(crash Crash) {
+		if reported[crash] {
+			return
+		}
+		reported[crash] = true
+		if _, known := b.learned[crash]; !known {
+			b.learned[crash] = now
+		}
+		if !cleared[crash] && now-b.learned[crash] < keepFor {
+			b.suspects[crash.Request] = append(b.suspects[crash.Request], crash)
+		}
+	}
+	b.each(func(record Record) {
+		for _, crash := range record.Crashes {
+			add(crash)
+		}
+	})
+	for crash := range b.unconfirmed {
+		add(crash)
+	}
+	b.tidy(cleared, now)
+	b.forget(reported)
+}
+
+// each calls visit for all records, the own one first.
+func (b *Book) each(visit func(Record)) {
+	visit(b.own)
+	for _, record := range b.records {
+		visit(record)
+	}
+}
+
+// forget drops what is known of crashes and requests that nobody tells of any more.
+func (b *Book) forget(reported map[Crash]bool) {
+	for crash := range b.learned {
+		if !reported[crash] {
+			delete(b.learned, crash)
+		}
+	}
+	for request := range b.trials {
+		if len(b.suspects[request]) == 0 {
+			delete(b.trials, request)
+		}
+	}
+}
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,125 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/fingerprint"
+)
+
+// of returns the fingerprint of a request with a target.
+func of(target string) fingerprint.Fingerprint {
+	return fingerprint.Of(fingerprint.Request{Target: target})
+}
+
+// under returns the crash of an upstream under a request.
+func under(target, upstream string) Crash { return Crash{Request: of(target), Upstream: upstream} }
+
+// seen returns the Book of a gateway that was the first to see crashes.
+func seen(crashes ...Crash) *Book {
+	b := New("g1")
+	b.Reset(nil, 0)
+	for _, crash := range crashes {
+		b.Suspect(crash, 0)
+		b.Confirm(crash, 0)
+	}
+	return b
+}
+
+func TestARequestIsRefusedAfterCrashesThatAnyGatewaySaw(t *testing.T) {
+	b := seen(under("a", "u1"))
+	assert.Assert(t, !b.Judge(of("a"), 0).Refused)
+	b.Take("g2", Record{Crashes: []Crash{under("a", "u1")}}, 0)
+	assert.Assert(t, !b.Judge(of("a"), 0).Refused, "two saw the same crash")
+	b.Take("g2", Record{Crashes: []Crash{under("a", "u2"), under("b", "u2")}}, 0)
+	assert.DeepEqual(t, b.Judge(of("a"), 0), Verdict{Crashes: 2, Refused: true, RetryAfter: firstTrial})
+	assert.Assert(t, !b.Judge(of("b"), 0).Refused, "it was there once")
+}
+
+func TestARequestThatRunsToItsEndIsClearedEverywhere(t *testing.T) {
+	first := seen(under("a", "u1"), under("a", "u2"))
+	second := New("g2")
+	second.Reset(map[string]Record{"g1": first.Own()}, 0)
+	assert.Assert(t, second.Judge(of("a"), 0).Refused)
+	assert.Assert(t, second.Completed(of("a"), 0))
+	assert.Assert(t, !second.Judge(of("a"), 0).Refused)
+	due, must := second.Due()
+	assert.Assert(t, must && due == 0, "others refuse it until they know")
+
+	first.Take("g2", second.Own(), 0)
+	assert.Assert(t, !first.Judge(of("a"), 0).Refused)
+	second.Take("g1", first.Own(), 0)
+	tidied := second.Own()
+	assert.Equal(t, len(tidied.Crashes)+len(tidied.Cleared), 0, "nobody tells of them any more")
+	assert.Assert(t, !second.Completed(of("a"), 0), "there is nothing to clear")
+	second.Suspect(under("a", "u3"), 0)
+	second.Suspect(under("a", "u4"), 0)
+	assert.Assert(t, second.Judge(of("a"), 0).Refused, "later crashes count")
+}
+
+func TestACrashThatIsNotConfirmedCountsHereOnly(t *testing.T) {
+	b := seen(under("a", "u1"))
+	b.Own()
+	b.Suspect(under("a", "u2"), 0)
+	assert.Assert(t, b.Judge(of("a"), 0).Refused)
+	assert.Assert(t, b.Judge(of("a"), 0).Unsure)
+	assert.Equal(t, len(b.Own().Crashes), 1)
+	b.Dismiss(under("a", "u2"), 0)
+	assert.Assert(t, !b.Judge(of("a"), 0).Refused)
+	b.Confirm(under("a", "u2"), 0)
+	assert.Equal(t, len(b.Own().Crashes), 1, "it was dismissed")
+}
+
+func TestTheRecordOfAnEarlierStartIsTakenOverOnce(t *testing.T) {
+	b := New("g1")
+	b.Suspect(under("a", "u2"), 0)
+	b.Confirm(under("a", "u2"), 0)
+	_, must := b.Due()
+	assert.Assert(t, !must, "the record of the earlier start would be lost")
+	b.Reset(map[string]Record{"g1": {Crashes: []Crash{under("a", "u1")}}}, 0)
+	assert.Assert(t, b.Judge(of("a"), 0).Refused)
+	_, must = b.Due()
+	assert.Assert(t, must)
+	assert.Equal(t, len(b.Own().Crashes), 2)
+	b.Completed(of("a"), 0)
+	b.Take("g1", Record{Crashes: []Crash{under("a", "u1"), under("a", "u2")}}, 0)
+	assert.Assert(t, !b.Judge(of("a"), 0).Refused, "its own older words bring nothing back")
+}
+
+func TestTrialsAreFewAndFarBetween(t *testing.T) {
+	b := seen(under("a", "u1"), under("a", "u2"))
+	assert.Equal(t, b.Judge(of("a"), firstTrial-time.Second).RetryAfter, time.Second)
+	assert.Equal(t, b.Judge(of("a"), firstTrial).Trial, 1)
+	b.TrialUsed(of("a"), 1)
+	assert.DeepEqual(t, b.Judge(of("a"), firstTrial), Verdict{Crashes: 2, Refused: true, RetryAfter: firstTrial})
+	assert.Equal(t, b.Judge(of("a"), trialFactor*firstTrial).Trial, 2)
+	b.TrialUsed(of("a"), 2)
+	assert.DeepEqual(t, b.Judge(of("a"), keepFor-1), Verdict{Crashes: 2, Refused: true, RetryAfter: noTrial})
+	b.Expire(keepFor)
+	assert.Assert(t, !b.Judge(of("a"), keepFor).Refused)
+}
+
+func TestAFurtherAttemptWaitsForTheWordsOfOthers(t *testing.T) {
+	b := seen(under("a", "u1"))
+	assert.Equal(t, b.Settle(of("a"), settleFor/3), settleFor-settleFor/3)
+	assert.Equal(t, b.Settle(of("a"), settleFor), time.Duration(0))
+	assert.Equal(t, b.Settle(of("b"), 0), time.Duration(0))
+}
+
+func TestARecordIsBounded(t *testing.T) {
+	b := seen()
+	for i := range mostCrashes + 5 {
+		crash := under("a", string(rune('a'+i)))
+		b.Suspect(crash, 0)
+		b.Confirm(crash, 0)
+	}
+	assert.Equal(t, len(b.Own().Crashes), mostCrashes)
+}
+
+func TestAnOperatorCanRemoveARecord(t *testing.T) {
+	b := seen(under("a", "u1"), under("a", "u2"))
+	b.Remove("g1", 0)
+	assert.Assert(t, !b.Judge(of("a"), 0).Refused)
+}
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -17,6 +17,7 @@
 	"acaciawinch/core/value"
 	"acaciawinch/gateway/framing"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/quarantine"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -74,6 +75,8 @@
 	// tried are the upstreams that the request was sent to, and sends how often.
 	tried []string
 	sends int
+	// crashPass lets it be sent although upstreams have crashed under it.
+	crashPass quarantine.Pass
 	// mayHaveRun is set once a send can't be proved not to have run.
 	mayHaveRun bool
 	// begun is set once the head of an answer has gone to the client.
@@ -276,11 +279,15 @@
 	defer func() { rq.results.free() }()
 	rq.deposit(rq.service, rq.began)
 	for {
-		if err := rq.prepare(); err != nil {
+		err := rq.checkCrashes()
+		if err == nil {
+			err = rq.prepare()
+		}
+		if err != nil {
 			rq.giveUp(err)
 			return
 		}
-		err := rq.send()
+		err = rq.send()
 		if err == nil {
 			return
 		}
@@ -291,6 +298,16 @@
 	}
 }
 
+// checkCrashes returns an error if the request must not be sent as upstreams crash under it.
+func (rq *request) checkCrashes() error {
+	pass, refusal := rq.Guard.Check(rq.ctx, rq.fingerprint, rq.asked.ID, rq.crashPass)
+	rq.crashPass = pass
+	if refusal != nil {
+		return fault.Wrap(fault.Refused, "request.quarantine", rq.service, refusal)
+	}
+	return nil
+}
+
 // evacuated returns a service that the request needs and whose upstreams are all in evacuated
 // zones, empty if there is none: its client is told before any stage is done in vain.
 func (rq *request) evacuated() string {
@@ -350,7 +367,7 @@
 			"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
 		panic(http.ErrAbortHandler)
 	case !rq.mayHaveRun:
-		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), rq.whenServed())
+		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), rq.retryAfter(err))
 	case rq.ctx.Err() != nil:
 		rq.refuse(http.StatusGatewayTimeout, stepOf(err), err.Error(), 0)
 	default:
@@ -358,6 +375,15 @@
 	}
 }
 
+// retryAfter returns when a client whose request did not run is asked to come back.
+func (rq *request) retryAfter(err error) time.Duration {
+	var refusal *quarantine.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.RetryAfter
+	}
+	return rq.whenServed()
+}
+
 // whenServed estimates after which time a request that found no place finds one: as a
 // late task is asked for pool.Doubt times what waits at the fullest pool of its route,
 // what is there now and what comes in ahead of it has been worked off then. With one
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -24,7 +24,7 @@
 func (rq *request) relayWhole(id string, answer *httpconn.Answer) error {
 	content, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
 	if err != nil {
-		return &sendFailure{ran: true, err: rq.readError("upstream.read", id, err)}
+		return &sendFailure{ran: true, cut: rq.cutByUpstream(err), err: rq.readError("upstream.read", id, err)}
 	}
 	if answer.Status/100 == 5 && rq.triesAgain() {
 		return &sendFailure{ran: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d", answer.Status)}
@@ -86,7 +86,7 @@
 			return nil
 		}
 		if err != nil {
-			return &sendFailure{ran: true, err: rq.readError("upstream.stream", id, err)}
+			return &sendFailure{ran: true, cut: rq.cutByUpstream(err), err: rq.readError("upstream.stream", id, err)}
 		}
 		if err := rq.pass(next, out); err != nil {
 			return &sendFailure{ran: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
@@ -126,6 +126,9 @@
 
 // noteAnswer logs and counts an answer that the client has whole.
 func (rq *request) noteAnswer(status int, id string) {
+	if status/100 == 2 {
+		rq.Guard.Completed(rq.fingerprint, rq.asked.ID)
+	}
 	took := time.Since(rq.began)
 	first := took
 	if !rq.firstAt.IsZero() {
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
@@ -20,7 +24,9 @@
 	// unsent: not a byte left this process. ran: the request may have run. replaced: the
 	// upstream has ended, and another one at its address turned the request away.
 	unsent, ran, replaced bool
-	err                   error
+	// cut: the upstream closed the connection before its answer was whole.
+	cut bool
+	err error
 }
 
 // Error implements error.
@@ -32,6 +38,12 @@
 // send sends the request to one upstream and hands its answer to the client. A nil
 // error tells that the client has its whole answer.
 func (rq *request) send() error {
+	if rq.sends == 0 {
+		rq.Guard.Settle(rq.ctx, rq.fingerprint)
+	}
+	if err := rq.checkCrashes(); err != nil {
+		return err // an upstream has crashed while the request's stages were done
+	}
 	wanted := rq.want()
 	choice, found := rq.choose(wanted)
 	if !found {
@@ -54,7 +66,7 @@
 		err = rq.lost(err)
 	}
 	if err != nil {
-		rq.noteFailure(id, err)
+		rq.noteFailure(choice.Upstream, err)
 	}
 	return err
 }
@@ -121,7 +133,21 @@
 	}
 	rq.sends++
 	rq.mayHaveRun = true
-	return &sendFailure{ran: true, err: err}
+	return &sendFailure{ran: true, cut: rq.cutByUpstream(err), err: err}
+}
+
+// cutByUpstream tells whether an exchange failed as the upstream closed the connection, by a
+// reset or at the end of its process.
+func (rq *request) cutByUpstream(err error) bool {
+	if rq.ctx.Err() != nil {
+		return false // this process closed it
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
 }
 
 // take decides what becomes of an answer.
@@ -176,11 +202,15 @@
 
 // noteFailure logs a failed send and passes its upstream over for a while, unless it
 // only said that it is full, or the request itself has ended.
-func (rq *request) noteFailure(id string, err error) {
+func (rq *request) noteFailure(upstream routes.Upstream, err error) {
+	id := upstream.ID
 	f, ok := err.(*sendFailure)
 	if ok && rq.ctx.Err() == nil {
 		rq.failed(id)
 	}
+	if ok && f.cut {
+		rq.Guard.Broken(rq.fingerprint, rq.asked.ID, upstream)
+	}
 	rq.Logger.Event(event.GatewayFailed, observe.Fields{"request": rq.asked.ID, "fingerprint": rq.fingerprint.String(), "upstream": id, "attempt": len(rq.tried),
 		"step": stepOf(err), "ran": ok && f.ran, "error": err.Error()})
 }
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -17,6 +17,7 @@
 	"acaciawinch/core/slowstart"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 )
@@ -33,6 +34,7 @@
 	View    *view.View
 	Asker   *pools.Asker
 	Client  *httpconn.Client
+	Guard   *quarantine.Guard
 	Logger  *observe.Logger
 	Metrics *Metrics
 	Zone    string
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -130,6 +130,34 @@
 	return newConn(opened, addr), nil
 }
 
+// acceptedFor is how long a connection must stay open to show that the other end serves it: what
+// stands before an upstream that has ended takes connections and closes them at once.
+const acceptedFor = 100 * time.Millisecond
+
+// Listens tells whether an address takes a new connection and keeps it. One that it takes is
+// kept for the next request.
+func (c *Client) Listens(ctx context.Context, addr string) bool {
+	opened, err := c.open(ctx, addr)
+	if err != nil {
+		return false
+	}
+	settle := time.NewTimer(acceptedFor)
+	defer settle.Stop()
+	select {
+	case <-ctx.Done():
+		opened.close()
+		return false
+	case <-settle.C:
+	}
+	opened.until = time.Now().Add(defaultIdle - idleMargin)
+	if !opened.usable(time.Now()) {
+		opened.close()
+		return false
+	}
+	c.put(opened)
+	return true
+}
+
 // limitUnacked sets the time after which a connection with unacknowledged bytes ends.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -16,11 +16,13 @@
 	"acaciawinch/gateway/flow"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/relay"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
+	"acaciawinch/platform/store"
 	"acaciawinch/wire/link"
 	"acaciawinch/wire/wirepb"
 )
@@ -43,6 +45,7 @@
 	owner    *pools.Owner
 	asker    *pools.Asker
 	flow     *flow.Server
+	guard    *quarantine.Guard
 	client   *httpconn.Client
 	rpc      *link.Server
 	relay    *relay.Server
@@ -101,7 +104,21 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, "gateway.settings", "", err)
 	}
-	p.view = view.New(view.Options{Logger: logger, Self: self, Source: settings.source(), Regions: regions})
+	p.guard = quarantine.New(quarantine.Options{
+		Name:    settings.Process.Name,
+		Store:   func() *store.Client { return p.view.Store() },
+		Listens: p.client.Listens,
+		Life:    life,
+		Logger:  logger,
+		Scope:   p.metrics.Scope(),
+	})
+	p.view = view.New(view.Options{
+		Logger:  logger,
+		Self:    self,
+		Source:  settings.source(),
+		Regions: regions,
+		Records: []view.Records{{Kind: quarantine.RecordKind, To: p.guard}},
+	})
 	p.owner = pools.NewOwner(life, p.view, p.client, logger)
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
@@ -118,6 +135,7 @@
 		View:    p.view,
 		Asker:   p.asker,
 		Client:  p.client,
+		Guard:   p.guard,
 		Logger:  logger,
 		Metrics: flow.NewMetrics(p.metrics.Scope()),
 		Zone:    settings.Process.Zone,
@@ -181,7 +199,7 @@
 func (p *process) serve(ctx, life context.Context, stop context.CancelFunc, open listeners) error {
 	servers := newServers(p, open)
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.guard.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
--- /dev/null
+++ b/gateway/quarantine/guard.go
@@ -0,0 +1,211 @@
+// Package quarantine carries out for one gateway what package core/quarantine decides: it notes
+// under which requests upstreams crash, tells the other gateways through the platform's store,
+// and says which requests must not be sent.
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"acaciawinch/core/fingerprint"
+	core "acaciawinch/core/quarantine"
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+	"acaciawinch/platform/store"
+)
+
+// Options are what a Guard needs.
+type Options struct {
+	// Name is this gateway's.
+	Name string
+	// Store returns the client of the store.
+	Store func() *store.Client
+	// Listens tells whether an upstream still takes connections at an address.
+	Listens func(ctx context.Context, address string) bool
+	// Life bounds what goes on in the background.
+	Life   context.Context
+	Logger *observe.Logger
+	Scope  tally.Scope
+}
+
+// Guard is one gateway's part. It may be used by many goroutines.
+type Guard struct {
+	options Options
+	metrics metrics
+	// wake tells the writer that the record may be due.
+	wake chan struct{}
+
+	mu   sync.Mutex
+	book *core.Book
+	// revision is that of the own object, 0 if there is none.
+	revision int64
+	// found is closed once a suspected crash is confirmed or dismissed.
+	found chan struct{}
+}
+
+// metrics count what is decided.
+type metrics struct {
+	confirmed, dismissed, refused, trials tally.Counter
+}
+
+// New returns a Guard. Run must be called.
+func New(options Options) *Guard {
+	return &Guard{
+		options: options,
+		metrics: metrics{
+			confirmed: options.Scope.Counter("crashes_confirmed"),
+			dismissed: options.Scope.Counter("crashes_dismissed"),
+			refused:   options.Scope.Counter("quarantine_refused"),
+			trials:    options.Scope.Counter("quarantine_trials"),
+		},
+		wake:  make(chan struct{}, 1),
+		book:  core.New(options.Name),
+		found: make(chan struct{}),
+	}
+}
+
+// Pass lets a request be sent.
+type Pass struct {
+	// crashes is how many crashes of the request were known when a trial of it was granted.
+	crashes int
+}
+
+// Refusal says why a request must not be sent.
+type Refusal struct {
+	// Crashes is how many upstreams have ended under it.
+	Crashes int
+	// RetryAfter is when it may be sent.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%d upstreams have ended while they ran this request", r.Crashes)
+}
+
+// Check returns a Pass for a request, or the Refusal. Before each further send the Pass that it
+// has is given: that of a trial holds until its request has crashed an upstream again.
+func (g *Guard) Check(ctx context.Context, request fingerprint.Fingerprint, attempt string, held Pass) (Pass, *Refusal) {
+	verdict := g.judgeSure(ctx, request)
+	if !verdict.Refused || verdict.Crashes <= held.crashes {
+		return held, nil
+	}
+	if verdict.Trial > 0 && g.beginTrial(ctx, request, verdict.Trial, attempt) {
+		return Pass{crashes: verdict.Crashes}, nil
+	}
+	verdict = g.judge(request)
+	g.metrics.refused.Inc(1)
+	return held, &Refusal{Crashes: verdict.Crashes, RetryAfter: max(verdict.RetryAfter, leastRetry)}
+}
+
+// Settle waits, at most until ctx ends, before an attempt is sent whose request has crashed an
+// upstream a moment ago.
+func (g *Guard) Settle(ctx context.Context, request fingerprint.Fingerprint) {
+	g.mu.Lock()
+	wait := g.book.Settle(request, clock.Boot())
+	g.mu.Unlock()
+	if wait > 0 {
+		clock.Sleep(ctx, wait)
+	}
+}
+
+// leastRetry is the least time that a refused client is asked to wait.
+const leastRetry = time.Second
+
+// judgeSure returns what becomes of a request once it is known which of its suspected crashes
+// were any, or ctx has ended: connections are also cut by upstreams that go on.
+func (g *Guard) judgeSure(ctx context.Context, request fingerprint.Fingerprint) core.Verdict {
+	for {
+		g.mu.Lock()
+		found := g.found
+		verdict := g.book.Judge(request, clock.Boot())
+		g.mu.Unlock()
+		if !verdict.Unsure {
+			return verdict
+		}
+		select {
+		case <-ctx.Done():
+			return verdict
+		case <-found:
+		}
+	}
+}
+
+// judge returns what becomes of a request now.
+func (g *Guard) judge(request fingerprint.Fingerprint) core.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Judge(request, clock.Boot())
+}
+
+// Broken notes that an upstream closed the connection on which it ran a request. Whether it has
+// ended is found out in the background.
+func (g *Guard) Broken(request fingerprint.Fingerprint, attempt string, upstream routes.Upstream) {
+	crash := core.Crash{Request: request, Upstream: startOf(upstream)}
+	g.mu.Lock()
+	g.book.Suspect(crash, clock.Boot())
+	g.mu.Unlock()
+	go g.find(crash, attempt, upstream.Address)
+}
+
+// startOf names one start of an upstream.
+func startOf(upstream routes.Upstream) string {
+	return fmt.Sprintf("%s/%d", upstream.ID, upstream.Born)
+}
+
+// find confirms a suspected crash unless the upstream still takes connections.
+func (g *Guard) find(crash core.Crash, attempt, address string) {
+	listens := g.options.Listens(g.options.Life, address)
+	if g.options.Life.Err() != nil {
+		return // the process ends; whether the upstream had is not known
+	}
+	now := clock.Boot()
+	g.mu.Lock()
+	if listens {
+		g.book.Dismiss(crash, now)
+	} else {
+		g.book.Confirm(crash, now)
+	}
+	verdict := g.book.Judge(crash.Request, now)
+	close(g.found)
+	g.found = make(chan struct{})
+	g.mu.Unlock()
+	if listens {
+		g.metrics.dismissed.Inc(1)
+	} else {
+		g.metrics.confirmed.Inc(1)
+	}
+	g.options.Logger.Event(event.CrashFound, observe.Fields{"fingerprint": crash.Request.String(), "request": attempt,
+		"upstream": crash.Upstream, "ended": !listens, "crashes": verdict.Crashes, "refused": verdict.Refused})
+	g.wakeWriter()
+}
+
+// Completed notes that a request has run to its end: it crashes no upstream.
+func (g *Guard) Completed(request fingerprint.Fingerprint, attempt string) {
+	g.mu.Lock()
+	trials := g.book.TrialsOf(request)
+	cleared := g.book.Completed(request, clock.Boot())
+	g.mu.Unlock()
+	if !cleared {
+		return
+	}
+	g.options.Logger.Event(event.CrashesCleared, observe.Fields{"fingerprint": request.String(), "request": attempt, "trials": trials})
+	g.wakeWriter()
+	if trials > 0 {
+		go g.endTrials(request, trials)
+	}
+}
+
+// wakeWriter lets the writer look again. It returns at once.
+func (g *Guard) wakeWriter() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
--- a/gateway/view/config.go
+++ b/gateway/view/config.go
@@ -10,15 +10,15 @@
 // configFollower takes the operator's document.
 type configFollower struct{ view *View }
 
-// reset implements receiver.
-func (f *configFollower) reset(objects []replica.Object) {
+// Reset implements Receiver.
+func (f *configFollower) Reset(objects []replica.Object) {
 	for _, object := range objects {
 		f.take(object)
 	}
 }
 
-// apply implements receiver.
-func (f *configFollower) apply(changes []replica.Change) {
+// Apply implements Receiver.
+func (f *configFollower) Apply(changes []replica.Change) {
 	for _, change := range changes {
 		if change.Deleted {
 			f.view.options.Logger.Warn(event.TableRefused, observe.Fields{"revision": change.Object.Revision, "error": "the document was removed; the last one stays in force"})
--- a/gateway/view/evacuations.go
+++ b/gateway/view/evacuations.go
@@ -27,8 +27,8 @@
 	return &evacuationFollower{view: v, upstreams: upstreams, since: make(map[string]time.Duration)}
 }
 
-// reset implements receiver.
-func (f *evacuationFollower) reset(objects []replica.Object) {
+// Reset implements Receiver.
+func (f *evacuationFollower) Reset(objects []replica.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wanted := make(map[string]bool, len(objects))
@@ -44,8 +44,8 @@
 	f.tell()
 }
 
-// apply implements receiver.
-func (f *evacuationFollower) apply(changes []replica.Change) {
+// Apply implements Receiver.
+func (f *evacuationFollower) Apply(changes []replica.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, change := range changes {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -45,6 +45,8 @@
 	// evacuationWait is long as well: evacuations are rare, and a connection that has gone
 	// silent is found by the client's probes within 3 s.
 	evacuationWait = 20 * time.Second
+	// recordWait is long for the same reason.
+	recordWait = 20 * time.Second
 )
 
 // Pauses after changes, in which further ones gather, so that one call brings them all:
@@ -57,6 +59,9 @@
 	// memberGather is short: until two gateways know the same others, a pool has two owners.
 	// Lists of others change at their starts and planned stops only.
 	memberGather = 200 * time.Millisecond
+	// recordGather brings what several gateways write of one event in few calls, and leaves
+	// most of the seconds within which all must know.
+	recordGather = 100 * time.Millisecond
 )
 
 // Pauses between tries after a failure, doubled up to the longest.
@@ -84,6 +89,12 @@
 		evacuations.longestPause = configPause
 		others = append(others, evacuations)
 	}
+	for _, records := range v.options.Records {
+		f := v.newFollower(records.Kind, recordWait)
+		f.gather = recordGather
+		f.longestPause = configPause
+		others = append(others, f)
+	}
 	config := v.newFollower(document.ConfigKind, configWait)
 	config.longestPause = configPause
 	config.share = confirmShare
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -7,19 +7,20 @@
 	"acaciawinch/core/replica"
 )
 
-// receiver takes what there is of one kind.
-type receiver interface {
-	// reset replaces all objects.
-	reset(objects []replica.Object)
-	// apply takes changes.
-	apply(changes []replica.Change)
+// Receiver takes what there is of one kind. It is called by one goroutine at a time and must
+// return at once.
+type Receiver interface {
+	// Reset replaces all objects.
+	Reset(objects []replica.Object)
+	// Apply takes changes.
+	Apply(changes []replica.Change)
 }
 
 // kind is this process's copy of one kind of objects, fed by the store or by another
 // gateway.
 type kind struct {
 	name  string
-	to    receiver
+	to    Receiver
 	proof *proof
 
 	mu   sync.Mutex
@@ -36,9 +37,9 @@
 	case err != nil || !news:
 		return err
 	case d.Reset:
-		k.to.reset(objects(d.Changes))
+		k.to.Reset(objects(d.Changes))
 	default:
-		k.to.apply(d.Changes)
+		k.to.Apply(d.Changes)
 	}
 	k.proof.wake()
 	return nil
--- a/gateway/view/members.go
+++ b/gateway/view/members.go
@@ -30,8 +30,8 @@
 	return &memberFollower{view: v, known: make(map[string]Member)}
 }
 
-// reset implements receiver.
-func (f *memberFollower) reset(objects []replica.Object) {
+// Reset implements Receiver.
+func (f *memberFollower) Reset(objects []replica.Object) {
 	f.known = make(map[string]Member, len(objects))
 	for _, object := range objects {
 		f.take(object)
@@ -39,8 +39,8 @@
 	f.publish()
 }
 
-// apply implements receiver.
-func (f *memberFollower) apply(changes []replica.Change) {
+// Apply implements Receiver.
+func (f *memberFollower) Apply(changes []replica.Change) {
 	for _, change := range changes {
 		if change.Deleted {
 			delete(f.known, change.Object.Name)
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -60,8 +60,8 @@
 	return count
 }
 
-// reset implements receiver.
-func (f *upstreamFollower) reset(objects []replica.Object) {
+// Reset implements Receiver.
+func (f *upstreamFollower) Reset(objects []replica.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = true
@@ -78,8 +78,8 @@
 	f.publish()
 }
 
-// apply implements receiver.
-func (f *upstreamFollower) apply(changes []replica.Change) {
+// Apply implements Receiver.
+func (f *upstreamFollower) Apply(changes []replica.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, change := range changes {
--- a/gateway/view/upstreams_test.go
+++ b/gateway/view/upstreams_test.go
@@ -30,23 +30,23 @@
 func TestAnEntryThatCanNotBeReadNamesNoUpstreamAndTheOthersHold(t *testing.T) {
 	f, v := following(t)
 	broken := replica.Object{Name: "b", Spec: json.RawMessage(`{"service":7}`)}
-	f.reset([]replica.Object{entry("a", "ready", 1), broken, entry("c", "ready", 1)})
+	f.Reset([]replica.Object{entry("a", "ready", 1), broken, entry("c", "ready", 1)})
 	assert.Equal(t, len(v.Upstreams().Of("s")), 2)
 
-	f.apply([]replica.Change{{Object: replica.Object{Name: "a", Spec: json.RawMessage(`"x"`)}}})
+	f.Apply([]replica.Change{{Object: replica.Object{Name: "a", Spec: json.RawMessage(`"x"`)}}})
 	assert.Assert(t, !v.Upstreams().Knows("a"), "what it said before is no longer its word")
 	assert.Assert(t, v.Upstreams().Knows("c"))
-	f.apply([]replica.Change{{Object: entry("a", "ready", 1)}})
+	f.Apply([]replica.Change{{Object: entry("a", "ready", 1)}})
 	assert.Assert(t, v.Upstreams().Knows("a"))
 }
 
 func TestAnEntryOfAnEarlierStartDoesNotReplaceThatOfALaterOne(t *testing.T) {
 	f, v := following(t)
-	f.reset([]replica.Object{entry("a", "ready", 9)})
-	f.apply([]replica.Change{{Object: entry("a", "draining", 8)}})
+	f.Reset([]replica.Object{entry("a", "ready", 9)})
+	f.Apply([]replica.Change{{Object: entry("a", "draining", 8)}})
 	upstream, _ := v.Upstreams().Find("a")
 	assert.Assert(t, !upstream.Leaving && upstream.Born == 9)
-	f.apply([]replica.Change{{Object: entry("a", "draining", 9)}})
+	f.Apply([]replica.Change{{Object: entry("a", "draining", 9)}})
 	upstream, _ = v.Upstreams().Find("a")
 	assert.Assert(t, upstream.Leaving)
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -45,6 +45,16 @@
 	Source Source
 	// Regions holds the region of each zone.
 	Regions map[string]string
+	// Records are kinds of objects that others take.
+	Records []Records
+}
+
+// Records is a kind of the gateways' own objects whose content is not the View's.
+type Records struct {
+	// Kind is its name in the store.
+	Kind string
+	// To takes the objects.
+	To Receiver
 }
 
 // Source is what the settings say of the store. It may change while the process runs.
@@ -104,6 +114,9 @@
 		v.zones = newEvacuationFollower(v, upstreams)
 		v.kinds = append(v.kinds, v.newKind(document.EvacuationKind, v.zones))
 	}
+	for _, records := range options.Records {
+		v.kinds = append(v.kinds, v.newKind(records.Kind, records.To))
+	}
 	v.SetSource(options.Source)
 	v.members.Store(&[]Member{})
 	v.storeProved.Store(-1)
@@ -111,7 +124,7 @@
 }
 
 // newKind returns the empty copy of a kind.
-func (v *View) newKind(name string, to receiver) *kind {
+func (v *View) newKind(name string, to Receiver) *kind {
 	return &kind{name: name, to: to, proof: v.proof, copy: replica.New()}
 }
 
@@ -125,6 +138,9 @@
 	}
 }
 
+// Store returns the client of the store.
+func (v *View) Store() *store.Client { return v.store.Load() }
+
 // Table returns the newest configuration, nil before the first.
 func (v *View) Table() *routes.Table { return v.table.Load() }
 
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -43,3 +43,14 @@
 	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself after a while.", "upstream", "handles", "error")
 	PoolHandedOver  = define(10055, "pool_handed_over", "Tasks that wait here were given to the process that owns the pool now.", "service", "part", "owner", "tasks")
 )
+
+// Events of requests under which upstreams crash: 10070 to 10079.
+var (
+	CrashFound       = define(10070, "crash_found", "An upstream closed the connection on which it ran a request; ended says whether it takes no more connections, crashes under how many upstreams the request was by now.", "fingerprint", "request", "upstream", "ended", "crashes", "refused")
+	CrashesCleared   = define(10071, "crashes_cleared", "A request has run to its end, and the crashes under which it was count no longer.", "fingerprint", "request", "trials")
+	CrashesLearned   = define(10072, "crashes_learned", "Another gateway's record of crashes was read; revision 0 if it was removed.", "gateway", "revision", "crashes", "cleared")
+	CrashesWritten   = define(10073, "crashes_written", "This gateway's record of crashes was written.", "revision", "crashes", "cleared")
+	RecordUnwritten  = define(10074, "crash_record_unwritten", "An object of crashes or trials could not be written or removed.", "object", "error")
+	RecordUnreadable = define(10075, "crash_record_unreadable", "A gateway's record of crashes can't be read; what was known of it stays.", "gateway", "revision", "error")
+	TrialAsked       = define(10076, "crash_trial_asked", "A request that is refused for its crashes is due for a trial; the outcome says whether this gateway makes it.", "fingerprint", "request", "trial", "outcome")
+)
