--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -29,8 +29,9 @@
 // Faults are what goes wrong with a worker's next requests. Each count falls by one
 // with each request that it strikes.
 type Faults struct {
-	// Reject answers 503 without running.
-	Reject int
+	// Reject answers 503 without running, with RetryAfter as its Retry-After if that is set.
+	Reject     int
+	RetryAfter time.Duration
 	// Fail runs and answers 500.
 	Fail int
 	// Cut runs and ends the connection: a stream after its first event, other answers
@@ -50,6 +51,17 @@
 	Header                   http.Header
 	// At is when it began.
 	At time.Time
+	// Leaving is set if the worker's answer says that it leaves.
+	Leaving bool
+}
+
+// Refusal is a request that a worker turned away.
+type Refusal struct {
+	// ID is that of the request, empty for a stage call.
+	ID string
+	At time.Time
+	// RetryAfter is for how long the worker asked for nothing more, 0 if it did not.
+	RetryAfter time.Duration
 }
 
 // Worker is a running stand-in.
@@ -73,7 +85,9 @@
 
 	mu      sync.Mutex
 	faults  Faults
+	leaving bool
 	runs    []Run
+	refused []Refusal
 	batches [][]Item
 	kept    map[string]bool
 	// makes holds what each result was made for, by its handle.
@@ -161,6 +175,47 @@
 	w.faults = faults
 }
 
+// Leave makes each answer from now on say that the worker leaves. It serves on.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// Stay ends Leave.
+func (w *Worker) Stay() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = false
+}
+
+// isLeaving tells whether answers say that the worker leaves.
+func (w *Worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
+// Refusals returns what the worker has turned away so far.
+func (w *Worker) Refusals() []Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Refusal(nil), w.refused...)
+}
+
+// reject turns a request away.
+func (w *Worker) reject(out http.ResponseWriter, id string) {
+	w.mu.Lock()
+	after := w.faults.RetryAfter
+	w.refused = append(w.refused, Refusal{ID: id, At: time.Now(), RetryAfter: after})
+	w.mu.Unlock()
+	out.Header().Set("X-Not-Executed", "1")
+	if after > 0 {
+		out.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+	out.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Hold keeps the answers of requests back until the returned function is called.
 func (w *Worker) Hold() (release func()) {
 	w.mu.Lock()
@@ -231,6 +286,9 @@
 	if err != nil {
 		return
 	}
+	if w.isLeaving() {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case w.Kind == Stage && r.URL.Path == "/stage-run":
 		w.runStage(out, body)
@@ -243,14 +301,14 @@
 
 // run runs one request of a client.
 func (w *Worker) run(out http.ResponseWriter, r *http.Request, body string) {
+	id := r.Header.Get("X-Attempt-Id")
 	if w.strike(&w.faults.Reject) {
-		out.Header().Set("X-Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+		w.reject(out, id)
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
 	run := Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body, Header: r.Header.Clone(), At: time.Now()}
 	w.mu.Lock()
+	run.Leaving = w.leaving
 	w.runs = append(w.runs, run)
 	hold := w.hold
 	w.mu.Unlock()
@@ -346,8 +404,7 @@
 // runStage makes the items of a call.
 func (w *Worker) runStage(out http.ResponseWriter, body []byte) {
 	if w.strike(&w.faults.Reject) {
-		out.Header().Set("X-Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+		w.reject(out, "")
 		return
 	}
 	var asked batch
