Take upstreams at their word: nothing new for those that leave, nothing until the end of a pause

An upstream that answered 503 with Retry-After got the next request at once.

Cause: what upstreams say of themselves in answers reached nothing that chooses. Only discovery told who leaves, and the store was silent for 12 s.

Fix: the copy of discovery holds beside each entry what that start of the upstream asked in an answer, of a request or of a stage call, and the published list has both: chooser, pools and calls that free results follow it alike. It outlives the entry, which a store in trouble drops and brings back, and ends with the start, or when discovery says that the upstream takes its leaving back. Requests whose upstreams have all asked for a longer pause than is left are refused before their stages, with the end of the first pause as Retry-After; one whose stages are done waits for it if it can still be served.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -43,7 +43,7 @@
 	busy := 0
 	for _, w := range p.workers {
 		switch {
-		case !w.upstream.TakesWork():
+		case !w.upstream.TakesWork(now):
 		case now.Before(w.avoid):
 			avoided = append(avoided, w)
 		case w.calls >= max(1, p.settings.Slots):
@@ -90,7 +90,7 @@
 		if len(call.Items) >= p.settings.Batch {
 			break
 		}
-		if len(g.items) == 0 || !p.CanEnd(g.Task, now) || p.waitsForNearer(g.Task, w, now) {
+		if len(g.items) == 0 || !p.endsInTime(g.Task, now) || p.waitsForNearer(g.Task, w, now) {
 			continue
 		}
 		taken := p.fits(call, g, room-call.bytes)
@@ -140,7 +140,7 @@
 		return false
 	}
 	for _, other := range p.workers {
-		if other == w || !other.upstream.TakesWork() || now.Before(other.avoid) {
+		if other == w || !other.upstream.TakesWork(now) || now.Before(other.avoid) {
 			continue
 		}
 		if here-task.crossing(other.upstream.Zone) <= smallCrossing {
--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -66,7 +66,7 @@
 func (p *Pool) after(ahead int) time.Duration {
 	usable := 0
 	for _, w := range p.workers {
-		if w.upstream.TakesWork() {
+		if w.upstream.Stays() {
 			usable++
 		}
 	}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"acaciawinch/core/routes"
+)
 
 // group is the waiting items of one task. They stay together, as none is of use alone.
 type group struct {
@@ -45,9 +49,10 @@
 		return p.drop(func(*group) bool { return true })
 	}
 	p.sort(now)
+	opens := p.opens(now)
 	ahead := 0
 	return p.drop(func(g *group) bool {
-		if !p.CanEnd(g.Task, now) || g.late && g.Last.Sub(now) < time.Duration(Doubt*float64(p.after(ahead))) {
+		if !p.endsInTime(g.Task, opens) || g.late && g.Last.Sub(now) < time.Duration(Doubt*float64(p.after(ahead))) {
 			return true
 		}
 		ahead += len(g.items)
@@ -55,9 +60,23 @@
 	})
 }
 
-// CanEnd tells whether a call that begins now would end before the task's request does.
-func (p *Pool) CanEnd(task *Task, now time.Time) bool {
-	return !now.Add(p.settings.CallTime + p.settings.ItemTime).After(task.Last)
+// CanEnd tells whether a call that begins as soon as an upstream takes one would end before the
+// task's request does.
+func (p *Pool) CanEnd(task *Task, now time.Time) bool { return p.endsInTime(task, p.opens(now)) }
+
+// endsInTime tells whether a call that begins at a time would end before the task's request does.
+func (p *Pool) endsInTime(task *Task, begins time.Time) bool {
+	return !begins.Add(p.settings.CallTime + p.settings.ItemTime).After(task.Last)
+}
+
+// opens returns when the first upstream takes a call, which is now unless all that stay have asked
+// for a pause.
+func (p *Pool) opens(now time.Time) time.Time {
+	list := make([]routes.Upstream, 0, len(p.workers))
+	for _, w := range p.workers {
+		list = append(list, w.upstream)
+	}
+	return routes.Opens(list, now)
 }
 
 // Doubt is how many times the wait that the queue gives must be left to a late task:
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -19,6 +19,9 @@
 	Slots  int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// PausedUntil is until when the upstream, which turned a request away, wants nothing from
+	// this process; the zero time if it did not ask for that.
+	PausedUntil time.Time
 	// Evacuated upstreams get no new work either: their availability zone is to be emptied.
 	Evacuated bool
 	// Born tells two starts under one ID apart: the later one has the higher number. It
@@ -47,8 +50,11 @@
 	return !u.TakenBack.IsZero() && now.Before(u.TakenBack.Add(start+wordDelay))
 }
 
-// TakesWork tells whether an upstream may get new work.
-func (u Upstream) TakesWork() bool { return !u.Leaving && !u.Evacuated }
+// Stays tells whether an upstream gets new work at some time.
+func (u Upstream) Stays() bool { return !u.Leaving && !u.Evacuated }
+
+// TakesWork tells whether an upstream may get new work now.
+func (u Upstream) TakesWork(now time.Time) bool { return u.Stays() && !now.Before(u.PausedUntil) }
 
 // Upstreams is an immutable snapshot of all upstreams.
 type Upstreams struct {
@@ -88,6 +94,27 @@
 	return len(list) > 0
 }
 
+// Opens returns when the first upstream of a service takes work, which is now unless all that
+// stay have asked for a pause.
+func (u *Upstreams) Opens(service string, now time.Time) time.Time {
+	return Opens(u.byService[service], now)
+}
+
+// Opens returns when the first upstream of a list takes work, which is now unless all that stay
+// have asked for a pause.
+func Opens(list []Upstream, now time.Time) time.Time {
+	first := now
+	for _, upstream := range list {
+		switch {
+		case upstream.TakesWork(now):
+			return now
+		case upstream.Stays() && (first.Equal(now) || upstream.PausedUntil.Before(first)):
+			first = upstream.PausedUntil
+		}
+	}
+	return first
+}
+
 // Knows tells whether there is an upstream with an ID.
 func (u *Upstreams) Knows(id string) bool {
 	_, known := u.byID[id]
--- a/core/routes/upstream_test.go
+++ b/core/routes/upstream_test.go
@@ -42,9 +42,22 @@
 }
 
 func TestWhoLeavesOrIsEvacuatedTakesNoWork(t *testing.T) {
-	assert.Assert(t, Upstream{}.TakesWork())
-	assert.Assert(t, !Upstream{Leaving: true}.TakesWork())
-	assert.Assert(t, !Upstream{Evacuated: true}.TakesWork())
+	assert.Assert(t, Upstream{}.TakesWork(now))
+	assert.Assert(t, !Upstream{Leaving: true}.TakesWork(now))
+	assert.Assert(t, !Upstream{Evacuated: true}.TakesWork(now))
+}
+
+// TestAPauseEndsByItself: and an upstream that leaves takes nothing after it either.
+func TestAPauseEndsByItself(t *testing.T) {
+	paused := Upstream{Service: "s", PausedUntil: now.Add(time.Second)}
+	assert.Assert(t, !paused.TakesWork(now) && paused.Stays())
+	assert.Assert(t, paused.TakesWork(now.Add(time.Second)))
+	longer := Upstream{Service: "s", PausedUntil: now.Add(time.Minute)}
+	gone := Upstream{Service: "s", Leaving: true}
+	assert.Equal(t, Opens([]Upstream{longer, gone, paused}, now), now.Add(time.Second))
+	assert.Equal(t, Opens([]Upstream{longer, {Service: "s"}, paused}, now), now)
+	assert.Equal(t, Opens([]Upstream{gone}, now), now)
+	assert.Equal(t, NewUpstreams([]Upstream{longer}).Opens("s", now), now.Add(time.Minute))
 }
 
 func TestRegionsAllowAllIfThereAreNone(t *testing.T) {
--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -186,7 +186,7 @@
 // candidates returns the engines that may get a request: the untried ones, without
 // those that failed lately if any others are left.
 func (c *Chooser) candidates(list []routes.Upstream, tried []string, now time.Time) []routes.Upstream {
-	usable := filtered(list, func(u routes.Upstream) bool { return u.TakesWork() && !slices.Contains(tried, u.ID) })
+	usable := filtered(list, func(u routes.Upstream) bool { return u.TakesWork(now) && !slices.Contains(tried, u.ID) })
 	good := filtered(usable, func(u routes.Upstream) bool {
 		s := c.engines[u.ID]
 		return s == nil || !now.Before(s.avoid)
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -272,8 +272,8 @@
 
 // serve runs the stages and sends the request until it has an answer.
 func (rq *request) serve() {
-	if service := rq.evacuated(); service != "" {
-		rq.refuse(http.StatusServiceUnavailable, "request.choose", "all upstreams of "+service+" are in evacuated zones", retryBusy)
+	if why, after := rq.closed(); why != "" {
+		rq.refuse(http.StatusServiceUnavailable, "request.choose", why, after)
 		return
 	}
 	defer func() { rq.results.free() }()
@@ -308,19 +308,25 @@
 	return nil
 }
 
-// evacuated returns a service that the request needs and whose upstreams are all in evacuated
-// zones, empty if there is none: its client is told before any stage is done in vain.
-func (rq *request) evacuated() string {
-	upstreams := rq.View.Upstreams()
-	if upstreams.Evacuated(rq.service) {
-		return rq.service
-	}
+// closed returns why a service that the request needs takes nothing until its deadline, and when to
+// come back; empty if all may: its client is told before any stage is done in vain.
+func (rq *request) closed() (why string, after time.Duration) {
+	services := []string{rq.service}
 	for i, stage := range rq.route.Stages {
-		if rq.asked.Pieces[i] > 0 && upstreams.Evacuated(stage.Service) {
-			return stage.Service
+		if rq.asked.Pieces[i] > 0 {
+			services = append(services, stage.Service)
+		}
+	}
+	upstreams, now := rq.View.Upstreams(), time.Now()
+	for _, service := range services {
+		if upstreams.Evacuated(service) {
+			return "all upstreams of " + service + " are in evacuated zones", retryBusy
+		}
+		if opens := upstreams.Opens(service, now); opens.After(rq.startBy) {
+			return "all upstreams of " + service + " have asked for a pause", opens.Sub(now)
 		}
 	}
-	return ""
+	return "", 0
 }
 
 // mayGoOn tells whether the request may be sent once more after a send that failed
@@ -389,7 +395,8 @@
 // what is there now and what comes in ahead of it has been worked off then. With one
 // time the backlog clients come back into the same burst and are refused again.
 func (rq *request) whenServed() time.Duration {
-	longest := retryBusy
+	now := time.Now()
+	longest := max(retryBusy, rq.View.Upstreams().Opens(rq.service, now).Sub(now))
 	for _, stage := range rq.route.Stages {
 		longest = max(longest, pool.Doubt*rq.Asker.Backlog(stage.Service))
 	}
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -12,8 +12,10 @@
 	"acaciawinch/core/fault"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
+	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -44,6 +46,7 @@
 	if err := rq.checkCrashes(); err != nil {
 		return err // an upstream has crashed while the request's stages were done
 	}
+	rq.awaitPause()
 	wanted := rq.want()
 	choice, found := rq.choose(wanted)
 	if !found {
@@ -61,7 +64,7 @@
 	if err == nil {
 		rq.sends++
 		defer answer.Close()
-		err = rq.take(choice.Upstream.ID, answer)
+		err = rq.take(choice.Upstream, answer)
 	} else {
 		err = rq.lost(err)
 	}
@@ -71,6 +74,16 @@
 	return err
 }
 
+// awaitPause waits for the end of the pause that all upstreams have asked for, if stages were done
+// for the request that would be lost else, and it can still be served then.
+func (rq *request) awaitPause() {
+	now := time.Now()
+	opens := rq.View.Upstreams().Opens(rq.service, now)
+	if rq.results != nil && opens.After(now) && opens.Before(rq.startBy.Add(-engineAllowance)) {
+		clock.Sleep(rq.ctx, opens.Sub(now))
+	}
+}
+
 // readAllowance is how long after a request was sent to an engine that has a place for
 // it the engine has read its inputs for certain; for some 4 MB that takes 4 ms at
 // 10,000 Mbit/s, and the rest is for the way and for busy links.
@@ -151,11 +164,10 @@
 }
 
 // take decides what becomes of an answer.
-func (rq *request) take(id string, answer *httpconn.Answer) error {
+func (rq *request) take(upstream routes.Upstream, answer *httpconn.Answer) error {
+	id := upstream.ID
 	said := header.ReadAnswer(answer.Status, answer.Header)
-	if said.Leaving || said.RetryAfter > 0 {
-		rq.noteAsked(id, answer.Status, said)
-	}
+	rq.View.UpstreamAsked(view.Asked{Upstream: upstream, Request: rq.asked.ID, Leaving: said.Leaving, Pause: said.RetryAfter})
 	if said.Load.Known {
 		rq.heard(id, selection.Load{Running: said.Load.Running, Waiting: said.Load.Waiting, Slots: said.Load.Slots, At: time.Now()})
 	}
@@ -185,12 +197,6 @@
 	return &sendFailure{replaced: replaced, err: fault.New(fault.Refused, "upstream.receive", last(rq.tried), "status %d, not run", answer.Status)}
 }
 
-// noteAsked logs what an upstream's answer asks of this process.
-func (rq *request) noteAsked(id string, status int, said header.Answer) {
-	rq.Logger.Event(event.UpstreamAsked, observe.Fields{"upstream": id, "service": rq.service, "request": rq.asked.ID,
-		"status": status, "leaving": said.Leaving, "retry_after_ms": said.RetryAfter.Milliseconds()})
-}
-
 // noteSend logs and counts a send.
 func (rq *request) noteSend(choice selection.Choice) {
 	rq.Metrics.sent(rq.service, len(rq.tried) > 1)
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -11,6 +11,7 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/header"
@@ -88,8 +89,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
 	}
+	said := header.ReadAnswer(answer.Status, answer.Header)
+	o.fleet.UpstreamAsked(view.Asked{Upstream: to, Leaving: said.Leaving, Pause: said.RetryAfter})
 	if answer.Status != http.StatusOK {
-		said := header.ReadAnswer(answer.Status, answer.Header)
 		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", answer.Status, said.NotRun)
 	}
 	return content, nil
@@ -176,18 +178,23 @@
 	}
 }
 
-// sendFrees tells the upstreams of a pool which results to drop. What lies at others
-// is gone with them.
-func (o *Owner) sendFrees(p *owned) {
+// sendFrees tells the upstreams of a pool which results to drop, those that have asked for a pause
+// after it. What lies at others is gone with them.
+func (o *Owner) sendFrees(p *owned, now time.Time) {
 	if len(p.freeing) == 0 {
 		return
 	}
+	later := make(map[string]*freeing)
 	for _, upstream := range o.fleet.Upstreams().Of(p.Service) {
-		if at := p.freeing[upstream.Address]; at != nil {
+		switch at := p.freeing[upstream.Address]; {
+		case at == nil:
+		case now.Before(upstream.PausedUntil):
+			later[upstream.Address] = at
+		default:
 			go o.sendFree(p, upstream, at)
 		}
 	}
-	clear(p.freeing)
+	p.freeing = later
 }
 
 // freeTimeout bounds a call that frees results.
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,6 +8,7 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -15,11 +16,13 @@
 // tickEvery is how often an owner drops what is late and forgets what has lapsed.
 const tickEvery = 20 * time.Millisecond
 
-// Fleet is what an Owner needs to know of the fleet. Both answers are nil before the
-// first configuration or list.
+// Fleet is what an Owner needs to know of the fleet, and tells it. Table and Upstreams are nil
+// before the first configuration or list.
 type Fleet interface {
 	Table() *routes.Table
 	Upstreams() *routes.Upstreams
+	// UpstreamAsked takes what an upstream asked in an answer. It may call Refresh.
+	UpstreamAsked(asked view.Asked)
 }
 
 // Owner queues and calls for the pools that askers give it. It may be used by many
@@ -120,7 +123,7 @@
 			o.fail(p, item.Task.Ticket, expired)
 		}
 		p.lapse(now)
-		o.sendFrees(p)
+		o.sendFrees(p, now)
 		o.pump(p, now)
 	}
 }
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -15,6 +15,7 @@
 
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
 )
@@ -31,6 +32,9 @@
 // Upstreams implements Fleet.
 func (k known) Upstreams() *routes.Upstreams { return k.upstreams }
 
+// UpstreamAsked implements Fleet.
+func (k known) UpstreamAsked(view.Asked) {}
+
 // stageWorker answers stage calls from a script, one step a call.
 type stageWorker struct {
 	mu     sync.Mutex
@@ -260,6 +264,9 @@
 	return l.later.Table()
 }
 
+// UpstreamAsked implements Fleet.
+func (l *learning) UpstreamAsked(view.Asked) {}
+
 // Upstreams implements Fleet.
 func (l *learning) Upstreams() *routes.Upstreams {
 	l.mu.Lock()
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -23,11 +23,31 @@
 	evacuated map[string]bool
 	// takenBack holds when the last evacuations of zones ended.
 	takenBack map[string]time.Time
+	// asked holds what upstreams asked of this process themselves, by their starts.
+	asked map[start]asked
 }
 
+// start names one start of an upstream.
+type start struct {
+	id   string
+	born int64
+}
+
+// asked is what a start of an upstream asked of this process.
+type asked struct {
+	leaving     bool
+	pausedUntil time.Time
+	// at is when it asked last.
+	at time.Time
+}
+
+// keepAsked is how long what an upstream asked holds without its entry. An entry that a store in
+// trouble drops comes back within seconds; a start that has left serves no longer than that.
+const keepAsked = 10 * time.Minute
+
 // newUpstreamFollower returns a follower that knows no upstream.
 func newUpstreamFollower(v *View) *upstreamFollower {
-	f := &upstreamFollower{view: v, known: make(map[string]routes.Upstream), takenBack: make(map[string]time.Time)}
+	f := &upstreamFollower{view: v, known: make(map[string]routes.Upstream), takenBack: make(map[string]time.Time), asked: make(map[start]asked)}
 	if !v.options.Source.Evacuations {
 		f.evacuated = make(map[string]bool)
 	}
@@ -47,6 +67,60 @@
 	f.publish()
 }
 
+// Asked is what an upstream asked of this process in an answer.
+type Asked struct {
+	// Upstream is who asked, as the request was sent to it.
+	Upstream routes.Upstream
+	// Request is that of the answer, empty for a stage call.
+	Request string
+	// Leaving is set if it takes nothing new.
+	Leaving bool
+	// Pause is for how long it wants nothing, 0 if it did not say.
+	Pause time.Duration
+}
+
+// UpstreamAsked notes what an upstream asked: it is told sooner here than by discovery, which
+// can't tell it while the store is away.
+func (v *View) UpstreamAsked(a Asked) {
+	if a.Leaving || a.Pause > 0 {
+		v.discovered.noteAsked(a, time.Now())
+	}
+}
+
+// noteAsked takes over what an upstream asked. The longest pause holds.
+func (f *upstreamFollower) noteAsked(a Asked, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	of := start{id: a.Upstream.ID, born: a.Upstream.Born}
+	before := f.asked[of]
+	after := asked{leaving: before.leaving || a.Leaving, pausedUntil: before.pausedUntil, at: now}
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(before.pausedUntil) {
+		after.pausedUntil = until
+	}
+	f.asked[of] = after
+	if after.leaving == before.leaving && after.pausedUntil.Equal(before.pausedUntil) {
+		return
+	}
+	f.view.options.Logger.Event(event.UpstreamAsked, observe.Fields{"upstream": a.Upstream.ID, "service": a.Upstream.Service,
+		"request": a.Request, "leaving": a.Leaving, "retry_after_ms": a.Pause.Milliseconds()})
+	f.publish()
+}
+
+// askedOf returns what a start of an upstream asked. The lock is held.
+func (f *upstreamFollower) askedOf(upstream routes.Upstream) asked {
+	return f.asked[start{id: upstream.ID, born: upstream.Born}]
+}
+
+// forgetAsked drops what starts asked that have been gone for long. The lock is held.
+func (f *upstreamFollower) forgetAsked(now time.Time) {
+	for of, one := range f.asked {
+		upstream, known := f.known[of.id]
+		if (!known || upstream.Born != of.born) && now.Sub(one.at) > keepAsked {
+			delete(f.asked, of)
+		}
+	}
+}
+
 // countIn returns how many upstreams a zone has.
 func (f *upstreamFollower) countIn(zone string) int {
 	f.mu.Lock()
@@ -115,6 +189,9 @@
 		upstream.ColdUntil = time.Now().Add(upstream.Cold)
 	}
 	f.known[upstream.ID] = upstream
+	if known && old.Leaving && !upstream.Leaving {
+		delete(f.asked, start{id: upstream.ID, born: upstream.Born}) // it has taken its leaving back
+	}
 	if !known || old.Leaving != upstream.Leaving || old.Born != upstream.Born || old.Cold == 0 && upstream.Cold > 0 {
 		f.view.options.Logger.Event(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
@@ -127,14 +204,18 @@
 	f.view.options.Logger.Event(event.UpstreamGone, observe.Fields{"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address})
 }
 
-// publish makes the known upstreams the current snapshot. There is none before it is known
+// publish makes the known upstreams, with what they asked themselves, the current snapshot. There is none before it is known
 // which zones are to be emptied: a process that starts sends nothing there. The lock is held.
 func (f *upstreamFollower) publish() {
 	if !f.listed || f.evacuated == nil {
 		return
 	}
+	f.forgetAsked(time.Now())
 	list := make([]routes.Upstream, 0, len(f.known))
 	for _, upstream := range f.known {
+		said := f.askedOf(upstream)
+		upstream.Leaving = upstream.Leaving || said.leaving
+		upstream.PausedUntil = said.pausedUntil
 		upstream.Evacuated = f.evacuated[upstream.Zone]
 		upstream.TakenBack = f.takenBack[upstream.Zone]
 		list = append(list, upstream)
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -86,6 +86,8 @@
 
 	// kinds are the copies from which the snapshots are made.
 	kinds []*kind
+	// discovered is where the upstreams are known.
+	discovered *upstreamFollower
 	// zones are the evacuated zones; nil if they are not followed.
 	zones *evacuationFollower
 	proof *proof
@@ -105,6 +107,7 @@
 func New(options Options) *View {
 	v := &View{options: options, proof: newProof()}
 	upstreams := newUpstreamFollower(v)
+	v.discovered = upstreams
 	v.kinds = []*kind{
 		v.newKind(document.ConfigKind, &configFollower{view: v}),
 		v.newKind(document.WorkerKind, upstreams),
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -18,7 +18,7 @@
 	ZoneEvacuated      = define(10015, "zone_evacuated", "The operator asks that a zone be emptied: its upstreams get nothing new.", "zone", "revision", "upstreams")
 	ZoneTakenBack      = define(10016, "zone_taken_back", "A zone's evacuation has ended: its upstreams take work again.", "zone", "after_ms", "upstreams")
 	ZoneEmptied        = define(10017, "zone_emptied", "Nothing that this process sent to an evacuated zone is open there any more.", "zone", "after_ms")
-	UpstreamAsked      = define(10018, "upstream_asked", "An upstream's answer said that it leaves, or for how long it wants nothing from this process.", "upstream", "service", "request", "status", "leaving", "retry_after_ms")
+	UpstreamAsked      = define(10018, "upstream_asked", "An upstream's answer said that it leaves, or for how long it wants nothing from this process; it gets nothing new, or not until then.", "upstream", "service", "request", "leaving", "retry_after_ms")
 	LinesDropped       = define(10013, "lines_dropped", "Log lines were dropped because standard output took them too slowly.", "lines")
 )
 
