Clear an upstream of its crash if it answers again; make the first trial after 6 s

A link that is cut closes connections and takes no new ones for a while, which looks like the end of an upstream: all that ran there counts as suspect until it has run elsewhere. An answer of the same start to a later request shows that it had not ended, and takes the crash back at all gateways.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -13,8 +13,9 @@
 // the gateway that has created its object in the store.
 //
 // Why others are spared: many requests run at an upstream that crashes, and all of them count as
-// suspect. One that then runs to its end anywhere clears itself of all crashes known. A single
-// crash keeps nothing from being sent, and what is refused by mistake is let through by a trial.
+// suspect. One that then runs to its end anywhere clears itself of all crashes known, and an
+// upstream that answers again, as after a cut of its links, clears all that ran there. A single crash
+// keeps nothing from being sent, and what is refused by mistake is let through by a trial.
 //
 // The package does no I/O and knows no wall clock: times are those since the machine's start.
 // It is not safe for concurrent use.
@@ -37,7 +38,7 @@
 	// firstTrial is how long after the last crash the first trial may be made: upstreams
 	// that crashed together, as by a loss of power, are back then. Each later one waits
 	// trialFactor times as long.
-	firstTrial  = 15 * time.Second
+	firstTrial  = 6 * time.Second
 	trialFactor = 8
 	// noTrial is when a client whose request gets no more trials is asked to come back.
 	noTrial = time.Minute
@@ -77,8 +78,9 @@
 	records map[string]Record
 	// unconfirmed are crashes of which it is not known yet whether the upstream has ended.
 	unconfirmed map[Crash]bool
-	// suspects holds the merged crashes.
+	// suspects holds the merged crashes by their requests, ended by their upstreams.
 	suspects map[fingerprint.Fingerprint][]Crash
+	ended    map[string][]Crash
 	// learned is when each merged crash became known here.
 	learned map[Crash]time.Duration
 	// trials is how many trials of a request are known to be used up.
@@ -94,6 +96,7 @@
 		records:     make(map[string]Record),
 		unconfirmed: make(map[Crash]bool),
 		suspects:    make(map[fingerprint.Fingerprint][]Crash),
+		ended:       make(map[string][]Crash),
 		learned:     make(map[Crash]time.Duration),
 		trials:      make(map[fingerprint.Fingerprint]int),
 		due:         never,
@@ -215,21 +218,42 @@
 	if len(crashes) == 0 {
 		return false
 	}
-	refused := len(crashes) >= Limit
+	delete(b.trials, request)
+	b.clear(crashes, len(crashes) >= Limit, now)
+	return true
+}
+
+// Answered records that a start of an upstream has answered a request that was sent at a time: it
+// had not ended by then. It returns whether that was believed.
+func (b *Book) Answered(upstream string, sent, now time.Duration) bool {
+	var wrong []Crash
+	refused := false
+	for _, crash := range b.ended[upstream] {
+		if b.learned[crash] < sent {
+			wrong = append(wrong, crash)
+			refused = refused || len(b.suspects[crash.Request]) >= Limit
+		}
+	}
+	if len(wrong) > 0 {
+		b.clear(wrong, refused, now)
+	}
+	return len(wrong) > 0
+}
+
+// clear takes crashes back. With urgent set a request is refused for them elsewhere.
+func (b *Book) clear(crashes []Crash, urgent bool, now time.Duration) {
 	for _, crash := range crashes {
 		delete(b.unconfirmed, crash)
 		if !slices.Contains(b.own.Cleared, crash) {
 			b.own.Cleared = append(b.own.Cleared, crash)
 		}
 	}
-	delete(b.trials, request)
 	b.merge(now)
-	if refused {
+	if urgent {
 		b.publish(now)
 	} else {
 		b.publish(now + tidyAfter)
 	}
-	return true
 }
 
 // merge brings suspects up to date, and the own record with them.
@@ -242,6 +266,7 @@
 	})
 	reported := make(map[Crash]bool)
 	b.suspects = make(map[fingerprint.Fingerprint][]Crash)
+	b.ended = make(map[string][]Crash)
 	add := func(crash Crash) {
 		if reported[crash] {
 			return
@@ -252,6 +277,7 @@
 		}
 		if !cleared[crash] && now-b.learned[crash] < keepFor {
 			b.suspects[crash.Request] = append(b.suspects[crash.Request], crash)
+			b.ended[crash.Upstream] = append(b.ended[crash.Upstream], crash)
 		}
 	}
 	b.each(func(record Record) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -72,6 +72,20 @@
 	assert.Equal(t, len(b.Own().Crashes), 1, "it was dismissed")
 }
 
+func TestAnUpstreamThatAnswersAgainHasNotCrashed(t *testing.T) {
+	b := seen(under("a", "u1"), under("a", "u2"), under("b", "u2"))
+	b.Take("g2", Record{Crashes: []Crash{under("a", "u2")}}, 0)
+	assert.Assert(t, !b.Answered("u2", 0, 1), "it may have been sent before")
+	assert.Assert(t, b.Judge(of("a"), 1).Refused)
+	assert.Assert(t, b.Answered("u2", 1, 2))
+	assert.Equal(t, b.Judge(of("a"), 2).Crashes, 1)
+	assert.Equal(t, b.Judge(of("b"), 2).Crashes, 0)
+	due, must := b.Due()
+	assert.Assert(t, must && due <= 2)
+	assert.DeepEqual(t, b.Own(), Record{Crashes: []Crash{under("a", "u1")}, Cleared: []Crash{under("a", "u2")}})
+	assert.Assert(t, !b.Answered("u3", 1, 2))
+}
+
 func TestTheRecordOfAnEarlierStartIsTakenOverOnce(t *testing.T) {
 	b := New("g1")
 	b.Suspect(under("a", "u2"), 0)
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -60,11 +60,12 @@
 	defer cancel()
 	early := rq.freeWhenRead(choice)
 	defer early()
+	sent := clock.Boot()
 	answer, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, wanted.service != nil && wanted.service.Engine != nil))
 	if err == nil {
 		rq.sends++
 		defer answer.Close()
-		err = rq.take(choice.Upstream, answer)
+		err = rq.take(choice.Upstream, answer, sent)
 	} else {
 		err = rq.lost(err)
 	}
@@ -163,11 +164,14 @@
 	return false
 }
 
-// take decides what becomes of an answer.
-func (rq *request) take(upstream routes.Upstream, answer *httpconn.Answer) error {
+// take decides what becomes of the answer to a send at a boot time.
+func (rq *request) take(upstream routes.Upstream, answer *httpconn.Answer, sent time.Duration) error {
 	id := upstream.ID
 	said := header.ReadAnswer(answer.Status, answer.Header)
 	rq.View.UpstreamAsked(view.Asked{Upstream: upstream, Request: rq.asked.ID, Leaving: said.Leaving, Pause: said.RetryAfter})
+	if !said.Replaced {
+		rq.Guard.Answered(upstream, sent)
+	}
 	if said.Load.Known {
 		rq.heard(id, selection.Load{Running: said.Load.Running, Waiting: said.Load.Waiting, Slots: said.Load.Slots, At: time.Now()})
 	}
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -202,6 +202,18 @@
 	}
 }
 
+// Answered notes that an upstream has answered a request that was sent at a boot time.
+func (g *Guard) Answered(upstream routes.Upstream, sent time.Duration) {
+	of := startOf(upstream)
+	g.mu.Lock()
+	believed := g.book.Answered(of, sent, clock.Boot())
+	g.mu.Unlock()
+	if believed {
+		g.options.Logger.Event(event.CrashDisproved, observe.Fields{"upstream": of})
+		g.wakeWriter()
+	}
+}
+
 // wakeWriter lets the writer look again. It returns at once.
 func (g *Guard) wakeWriter() {
 	select {
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -48,6 +48,7 @@
 var (
 	CrashFound       = define(10070, "crash_found", "An upstream closed the connection on which it ran a request; ended says whether it takes no more connections, crashes under how many upstreams the request was by now.", "fingerprint", "request", "upstream", "ended", "crashes", "refused")
 	CrashesCleared   = define(10071, "crashes_cleared", "A request has run to its end, and the crashes under which it was count no longer.", "fingerprint", "request", "trials")
+	CrashDisproved   = define(10077, "crash_disproved", "An upstream that counted as crashed has answered again; what ran there is cleared of it.", "upstream")
 	CrashesLearned   = define(10072, "crashes_learned", "Another gateway's record of crashes was read; revision 0 if it was removed.", "gateway", "revision", "crashes", "cleared")
 	CrashesWritten   = define(10073, "crashes_written", "This gateway's record of crashes was written.", "revision", "crashes", "cleared")
 	RecordUnwritten  = define(10074, "crash_record_unwritten", "An object of crashes or trials could not be written or removed.", "object", "error")
