--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -8,6 +8,7 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fingerprint"
+	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -65,9 +66,14 @@
 	return nil
 }
 
+// keepTrials is how long the objects of trials stay after their request was cleared: until all
+// gateways know that, none makes the same trial once more.
+const keepTrials = 2 * time.Second
+
 // endTrials removes the objects of the trials of a request that is cleared, so that it has trials
 // again if it is refused another time. What fails leaves it with fewer.
 func (g *Guard) endTrials(request fingerprint.Fingerprint, count int) {
+	clock.Sleep(g.options.Life, keepTrials)
 	for number := 1; number <= count; number++ {
 		name := trialName(request, number)
 		ctx, cancel := context.WithTimeout(g.options.Life, trialTimeout)
--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -74,3 +75,62 @@
 		})
 	}
 }
+
+// TestAGatewayThatStartsAgainKnowsWhatItSaw: its own record is all that is left of it.
+func TestAGatewayThatStartsAgainKnowsWhatItSaw(t *testing.T) {
+	f := newFleet(t)
+	engines := f.engines(5)
+	f.apply(base(1))
+	g := f.start("g1")
+	for i := range 3 {
+		f.ask(g, fmt.Sprint("crash-", i), "POST", "/strict/x", crashBody)
+	}
+	assert.Equal(t, len(crashed(engines)), 2)
+	f.waitLines(1, "crashes_written", `"crashes":2`)
+	f.stopAll()
+	g = f.start("g1")
+	assert.Equal(t, f.ask(g, "again", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
+	other := f.ask(g, "other", "POST", "/strict/x", "other")
+	assert.Equal(t, other.body, stream("other"))
+	f.stopAll()
+	assert.Equal(t, f.ask(f.start("g1"), "once more", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(crashed(engines)), 2)
+}
+
+// TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether: one of the gateways makes a
+// trial, and all serve it afterwards.
+func TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether(t *testing.T) {
+	f := newFleet(t)
+	var desks []*worker.Worker
+	for i := range 3 {
+		desks = append(desks, f.worker(fmt.Sprintf("desk-%d", i), "desk", worker.Plain))
+	}
+	f.apply(base(1))
+	gateways := []*running{f.startIn("g1", "z1"), f.startIn("g2", "z2")}
+	assert.Equal(t, f.ask(gateways[0], "before", "GET", "/safe/x", "").status, http.StatusOK)
+	for _, w := range desks {
+		w.Hold()
+	}
+	var clients sync.WaitGroup
+	for i := range 12 {
+		clients.Go(func() { f.ask(gateways[i%2], fmt.Sprint("held-", i), "GET", "/safe/x", "") })
+	}
+	f.waitUntil(func() bool { return workOf(desks[:1]) > 1 && workOf(desks[1:2]) > 0 && workOf(desks[2:]) > 0 }, "all desks work")
+	for _, w := range desks {
+		w.Close()
+	}
+	clients.Wait()
+	for _, w := range desks {
+		f.store.Remove("servers", w.ID)
+	}
+	f.worker("desk-again", "desk", worker.Plain)
+	f.waitLines(2, "upstream_changed", "desk-again")
+	for i, g := range gateways {
+		for n := 0; f.ask(g, fmt.Sprintf("after-%d-%d", i, n), "GET", "/safe/x", "").status != http.StatusOK; n++ {
+		}
+	}
+	f.waitLines(1, "crash_trial_asked", `"outcome":"granted"`)
+	f.waitLines(1, "crashes_cleared")
+	granted, _ := f.log.lines("crash_trial_asked", `"outcome":"granted"`)
+	assert.Equal(t, len(granted), 1)
+}
