--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -53,8 +53,9 @@
 	starts  int
 	// endedStarts holds the ids of the starts of workers that have ended.
 	endedStarts map[string]bool
-	// revivals are the waits for the crashes of workers.
+	// revivals are the waits for the crashes of workers, which end with reviving.
 	revivals sync.WaitGroup
+	reviving context.Context
 	// processes keep steps on one gateway apart; ended tells of each whether a step has
 	// ended it since its last start.
 	processes []sync.Mutex
@@ -151,10 +152,11 @@
 	}
 	clients.Go(func() { s.sendCrashing(sending, doors) })
 	defer s.revivals.Wait()
-	reviving, stopReviving := context.WithCancel(ctx)
+	var stopReviving context.CancelFunc
+	s.reviving, stopReviving = context.WithCancel(ctx)
 	defer stopReviving()
 	for _, at := range s.workers {
-		s.revivals.Go(func() { s.watchCrashes(reviving, at) })
+		s.revivals.Go(func() { s.watchCrashes(s.reviving, at) })
 	}
 	if err := s.makeSteps(ctx); err != nil {
 		return err
--- a/standin/soak/workers.go
+++ b/standin/soak/workers.go
@@ -115,7 +115,7 @@
 	}
 	s.mu.Unlock()
 	s.enter(next, "ready")
-	s.revivals.Go(func() { s.watchCrashes(ctx, next) })
+	s.revivals.Go(func() { s.watchCrashes(s.reviving, next) })
 }
 
 // endOnce notes the end of a start of a worker, and tells whether it is the first to do so.
