--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -72,11 +72,13 @@
 // opens returns when the first upstream takes a call, which is now unless all that stay have asked
 // for a pause.
 func (p *Pool) opens(now time.Time) time.Time {
-	list := make([]routes.Upstream, 0, len(p.workers))
-	for _, w := range p.workers {
-		list = append(list, w.upstream)
-	}
-	return routes.Opens(list, now)
+	return routes.Opens(func(yield func(routes.Upstream) bool) {
+		for _, w := range p.workers {
+			if !yield(w.upstream) {
+				return
+			}
+		}
+	}, now)
 }
 
 // Doubt is how many times the wait that the queue gives must be left to a late task:
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -271,6 +271,9 @@
 	return true
 }
 
+// Quiet tells whether no upstream counts as crashed.
+func (b *Book) Quiet() bool { return len(b.ended) == 0 }
+
 // Answered records that a start of an upstream has answered a request that was sent at a time: it
 // had not ended by then. It returns whether that was believed.
 func (b *Book) Answered(upstream string, sent, now time.Duration) bool {
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -1,6 +1,8 @@
 package routes
 
 import (
+	"iter"
+	"slices"
 	"sort"
 	"time"
 )
@@ -97,14 +99,14 @@
 // Opens returns when the first upstream of a service takes work, which is now unless all that
 // stay have asked for a pause.
 func (u *Upstreams) Opens(service string, now time.Time) time.Time {
-	return Opens(u.byService[service], now)
+	return Opens(slices.Values(u.byService[service]), now)
 }
 
-// Opens returns when the first upstream of a list takes work, which is now unless all that stay
-// have asked for a pause.
-func Opens(list []Upstream, now time.Time) time.Time {
+// Opens returns when the first of some upstreams takes work, which is now unless all that stay have
+// asked for a pause.
+func Opens(upstreams iter.Seq[Upstream], now time.Time) time.Time {
 	first := now
-	for _, upstream := range list {
+	for upstream := range upstreams {
 		switch {
 		case upstream.TakesWork(now):
 			return now
--- a/core/routes/upstream_test.go
+++ b/core/routes/upstream_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,9 +55,9 @@
 	assert.Assert(t, paused.TakesWork(now.Add(time.Second)))
 	longer := Upstream{Service: "s", PausedUntil: now.Add(time.Minute)}
 	gone := Upstream{Service: "s", Leaving: true}
-	assert.Equal(t, Opens([]Upstream{longer, gone, paused}, now), now.Add(time.Second))
-	assert.Equal(t, Opens([]Upstream{longer, {Service: "s"}, paused}, now), now)
-	assert.Equal(t, Opens([]Upstream{gone}, now), now)
+	assert.Equal(t, Opens(slices.Values([]Upstream{longer, gone, paused}), now), now.Add(time.Second))
+	assert.Equal(t, Opens(slices.Values([]Upstream{longer, {Service: "s"}, paused}), now), now)
+	assert.Equal(t, Opens(slices.Values([]Upstream{gone}), now), now)
 	assert.Equal(t, NewUpstreams([]Upstream{longer}).Opens("s", now), now.Add(time.Minute))
 }
 
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -15,6 +15,7 @@
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
+	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -63,7 +64,7 @@
 	sent := clock.Boot()
 	answer, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, wanted.service != nil && wanted.service.Engine != nil))
 	if err == nil {
-		rq.sends++
+		rq.sent()
 		defer answer.Close()
 		err = rq.take(choice.Upstream, answer, sent)
 	} else {
@@ -145,11 +146,17 @@
 	if fault.Is(err, fault.Unavailable) {
 		return &sendFailure{unsent: true, err: err}
 	}
-	rq.sends++
+	rq.sent()
 	rq.mayHaveRun = true
 	return &sendFailure{ran: true, cut: rq.cutByUpstream(err), err: err}
 }
 
+// sent counts a send that reached an upstream. A trial is one such send.
+func (rq *request) sent() {
+	rq.sends++
+	rq.crashPass = quarantine.Pass{}
+}
+
 // cutByUpstream tells whether an exchange failed as the upstream closed the connection, by a
 // reset or at the end of its process.
 func (rq *request) cutByUpstream(err error) bool {
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -45,8 +45,17 @@
 	book *core.Book
 	// revision is that of the own object, 0 if there is none.
 	revision int64
-	// found is closed once a suspected crash is confirmed or dismissed.
+	// found is closed once suspected crashes are confirmed or dismissed.
 	found chan struct{}
+	// checked holds the suspected crashes of each start of an upstream at which it is being looked
+	// whether it has ended.
+	checked map[string][]suspect
+}
+
+// suspect is a suspected crash and the attempt that was broken off.
+type suspect struct {
+	crash   core.Crash
+	attempt string
 }
 
 // metrics count what is decided.
@@ -67,10 +76,12 @@
 		wake:  make(chan struct{}, 1),
 		book:  core.New(options.Name),
 		found: make(chan struct{}),
+
+		checked: make(map[string][]suspect),
 	}
 }
 
-// Pass lets a request be sent.
+// Pass lets a request be sent once although it is refused.
 type Pass struct {
 	// crashes is how many crashes of the request were known when a trial of it was granted.
 	crashes int
@@ -89,8 +100,8 @@
 	return fmt.Sprintf("%d upstreams have ended while they ran this request", r.Crashes)
 }
 
-// Check returns a Pass for a request, or the Refusal. Before each further send the Pass that it
-// has is given: that of a trial holds until its request has crashed an upstream again.
+// Check returns the Pass for a request, or the Refusal. The Pass that it already has holds until
+// the request has crashed an upstream again; the caller drops it once the request has been sent.
 func (g *Guard) Check(ctx context.Context, request fingerprint.Fingerprint, attempt string, held Pass) (Pass, *Refusal) {
 	verdict := g.judgeSure(ctx, request)
 	if !verdict.Refused || verdict.Crashes <= held.crashes {
@@ -145,13 +156,18 @@
 }
 
 // Broken notes that an upstream closed the connection on which it ran a request. Whether it has
-// ended is found out in the background.
+// ended is found out in the background, once for all that it broke off.
 func (g *Guard) Broken(request fingerprint.Fingerprint, attempt string, upstream routes.Upstream) {
-	crash := core.Crash{Request: request, Upstream: startOf(upstream)}
+	start := startOf(upstream)
+	crash := core.Crash{Request: request, Upstream: start}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.book.Suspect(crash, clock.Boot())
-	g.mu.Unlock()
-	go g.find(crash, attempt, upstream.Address)
+	_, checking := g.checked[start]
+	g.checked[start] = append(g.checked[start], suspect{crash: crash, attempt: attempt})
+	if !checking {
+		go g.find(start, upstream.Address)
+	}
 }
 
 // startOf names one start of an upstream.
@@ -159,31 +175,38 @@
 	return fmt.Sprintf("%s/%d", upstream.ID, upstream.Born)
 }
 
-// find confirms a suspected crash unless the upstream still takes connections.
-func (g *Guard) find(crash core.Crash, attempt, address string) {
+// find confirms the suspected crashes of a start of an upstream, unless it still takes connections.
+// All that are there when that is known are meant: a connection that stays open until then was
+// not closed by the upstream's end before.
+func (g *Guard) find(start, address string) {
 	listens := g.options.Listens(g.options.Life, address)
 	if g.options.Life.Err() != nil {
 		return // the process ends; whether the upstream had is not known
 	}
-	now := clock.Boot()
 	g.mu.Lock()
-	if listens {
-		g.book.Dismiss(crash, now)
-	} else {
-		g.book.Confirm(crash, now)
+	defer g.mu.Unlock()
+	for _, one := range g.checked[start] {
+		g.conclude(one, !listens)
 	}
-	verdict := g.book.Judge(crash.Request, now)
+	delete(g.checked, start)
 	close(g.found)
 	g.found = make(chan struct{})
-	g.mu.Unlock()
-	if listens {
-		g.metrics.dismissed.Inc(1)
-	} else {
+	g.wakeWriter()
+}
+
+// conclude confirms or dismisses a suspected crash. The lock is held.
+func (g *Guard) conclude(one suspect, ended bool) {
+	now := clock.Boot()
+	if ended {
+		g.book.Confirm(one.crash, now)
 		g.metrics.confirmed.Inc(1)
+	} else {
+		g.book.Dismiss(one.crash, now)
+		g.metrics.dismissed.Inc(1)
 	}
-	g.options.Logger.Event(event.CrashFound, observe.Fields{"fingerprint": crash.Request.String(), "request": attempt,
-		"upstream": crash.Upstream, "ended": !listens, "crashes": verdict.Crashes, "refused": verdict.Refused})
-	g.wakeWriter()
+	verdict := g.book.Judge(one.crash.Request, now)
+	g.options.Logger.Event(event.CrashFound, observe.Fields{"fingerprint": one.crash.Request.String(), "request": one.attempt,
+		"upstream": one.crash.Upstream, "ended": ended, "crashes": verdict.Crashes, "refused": verdict.Refused})
 }
 
 // Completed notes that a request has run to its end: it crashes no upstream.
@@ -204,12 +227,14 @@
 
 // Answered notes that an upstream has answered a request that was sent at a boot time.
 func (g *Guard) Answered(upstream routes.Upstream, sent time.Duration) {
-	of := startOf(upstream)
 	g.mu.Lock()
-	believed := g.book.Answered(of, sent, clock.Boot())
-	g.mu.Unlock()
-	if believed {
-		g.options.Logger.Event(event.CrashDisproved, observe.Fields{"upstream": of})
+	defer g.mu.Unlock()
+	if g.book.Quiet() {
+		return // as nearly always
+	}
+	start := startOf(upstream)
+	if g.book.Answered(start, sent, clock.Boot()) {
+		g.options.Logger.Event(event.CrashDisproved, observe.Fields{"upstream": start})
 		g.wakeWriter()
 	}
 }
