Suspect a side at once when a decision leaves it for its timeout

Callers saw: the next request asked a silent side again and waited another 250 ms, on a busy host.

Cause: a decision that leaves a step at its timeout, and the suspicion of those that had not answered, hung on two timers. That of the probe was set by the probe's goroutine, which a busy host begins later; until it ran nothing said that the side was silent.

The earlier guess, that the probe itself begins late, had been tried and ruled out; what matters is its timer.

Fix: the watch over the timeout begins with the decision's question, and the decision that leaves at the timeout lets it expire before it goes on.

--- a/entry/route/background.go
+++ b/entry/route/background.go
@@ -37,7 +37,7 @@
 func (r *Router) probeDue(ctx context.Context, probes *errgroup.Group) {
 	for _, upstream := range r.due() {
 		probes.Go(func() error {
-			r.probe(context.WithoutCancel(ctx), upstream, Need{})
+			r.probe(context.WithoutCancel(ctx), upstream, Need{}, r.watch(upstream))
 			return nil
 		})
 	}
--- a/entry/route/inquiry.go
+++ b/entry/route/inquiry.go
@@ -50,27 +50,37 @@
 		q.router.start(ctx, q.need, upstream, func(routing.Answer) {})
 	}
 	known := false
+	var started []*watch
 	for _, answer := range q.router.remembered(ask) {
 		known = known || answer.Answered
-		q.add(ctx, answer)
+		if watch := q.add(ctx, answer); watch != nil {
+			started = append(started, watch)
+		}
 	}
 	if known {
 		return
 	}
 	timer := time.NewTimer(q.router.longest(ask.Upstreams))
 	defer timer.Stop()
-	q.await(ctx, timer.C)
+	if q.await(ctx, timer.C) {
+		// Left to the probes' own timers, on a busy host the next decision might ask them again
+		// before these run.
+		for _, watch := range started {
+			watch.expire()
+		}
+	}
 }
 
-// add takes a remembered answer, or probes for one.
-func (q *inquiry) add(ctx context.Context, answer routing.Answer) {
+// add takes a remembered answer, or probes for one; it returns the watch over that probe, nil if
+// there is none.
+func (q *inquiry) add(ctx context.Context, answer routing.Answer) *watch {
 	place := len(q.answers)
 	q.answers = append(q.answers, answer)
 	if answer.Answered || q.open == maxAsked {
-		return
+		return nil
 	}
 	q.open++
-	q.router.start(ctx, q.need, answer.Upstream, func(a routing.Answer) {
+	return q.router.start(ctx, q.need, answer.Upstream, func(a routing.Answer) {
 		q.replies <- indexed{place: place, answer: a}
 	})
 }
@@ -81,8 +91,9 @@
 }
 
 // await takes answers until all have come, until a while after the first usable
-// one, until timeout (never if nil), or until ctx ends.
-func (q *inquiry) await(ctx context.Context, timeout <-chan time.Time) {
+// one, until timeout (never if nil), or until ctx ends. It tells whether it was the
+// timeout.
+func (q *inquiry) await(ctx context.Context, timeout <-chan time.Time) bool {
 	query := queryOf(q.need, 0)
 	var linger <-chan time.Time
 	for q.open > 0 {
@@ -96,13 +107,14 @@
 				linger = timer.C
 			}
 		case <-linger:
-			return
+			return false
 		case <-timeout:
-			return
+			return true
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
+	return false
 }
 
 // lingerFor returns how long to wait on after an answer of upstream.
--- a/entry/route/probe.go
+++ b/entry/route/probe.go
@@ -51,11 +51,14 @@
 }
 
 // start probes one upstream in a goroutine of its own, which ends soon after the
-// probe's timeout, and hands on the answer. The probe outlives ctx, so that a caller who
-// gives up doesn't make the upstream look silent.
-func (r *Router) start(ctx context.Context, need Need, upstream routing.Upstream, done func(routing.Answer)) {
+// probe's timeout, and hands on the answer. It returns the watch over the timeout, which
+// runs from now on, however late the goroutine begins. The probe outlives ctx, so that a
+// caller who gives up doesn't make the upstream look silent.
+func (r *Router) start(ctx context.Context, need Need, upstream routing.Upstream, done func(routing.Answer)) *watch {
 	ctx = context.WithoutCancel(ctx)
-	go func() { done(r.probe(ctx, upstream, need)) }()
+	watch := r.watch(upstream)
+	go func() { done(r.probe(ctx, upstream, need, watch)) }()
+	return watch
 }
 
 // base returns the configured timeout of a probe and twice the way there.
@@ -84,12 +87,9 @@
 }
 
 // probe asks one upstream's side about a need and keeps what came of it.
-func (r *Router) probe(ctx context.Context, upstream routing.Upstream, need Need) routing.Answer {
-	timeout := r.timeout(upstream)
+func (r *Router) probe(ctx context.Context, upstream routing.Upstream, need Need, watch *watch) routing.Answer {
 	ctx, cancel := context.WithTimeout(ctx, lateFactor*r.base(upstream))
 	defer cancel()
-	late := time.AfterFunc(timeout, func() { r.late(upstream.ID) })
-	defer late.Stop()
 	request := &wirepb.ProbeRequest{
 		Revision:   uint64(r.opts.Revision()),
 		PrefixHash: need.PrefixHash,
@@ -99,6 +99,7 @@
 	sent := r.opts.Now()
 	r.metrics.sent.Inc(1)
 	reply, err := r.opts.Prober.Probe(ctx, upstream.Addr, request)
+	watch.end()
 	if err != nil {
 		r.metrics.unanswered.Inc(1)
 		r.silent(upstream.ID, routing.SilentProbe)
