Give a request that never ran well one trial; send nothing to an upstream that asked for that while the connection opened

Opening a connection may take 0.7 s, in which another answer may say that the upstream leaves or wants a pause: half a second after that it may get two requests more at most. The list is looked at again once the connection is open, which is kept for the next request.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -37,8 +37,9 @@
 	// provenLimit is the limit of a request that has run well before. One that many clients
 	// send is at several upstreams when they crash together.
 	provenLimit = 3
-	// MaxTrials bounds how often a refused request that never ran well is sent all the same.
-	MaxTrials = 2
+	// MaxTrials bounds how often a refused request that never ran well is sent all the same. Those
+	// that saw it crash may be cut off, so that two more crashes go before the others refuse it.
+	MaxTrials = 1
 	// firstTrial is how long after the last crash the first trial may be made: upstreams
 	// that crashed together, as by a loss of power, are back then. Each later one waits
 	// trialFactor times as long. Requests that ran well before go first, so that they are not
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -140,14 +140,11 @@
 	assert.Equal(t, len(m.places), 3)
 }
 
-func TestTrialsAreFewAndFarBetween(t *testing.T) {
+func TestARequestThatNeverRanWellHasOneTrial(t *testing.T) {
 	b := seen(under("a", "u1"), under("a", "u2"))
 	assert.Equal(t, b.Judge(of("a"), firstTrial-time.Second).RetryAfter, time.Second)
 	assert.Equal(t, b.Judge(of("a"), firstTrial).Trial, 1)
 	b.TrialUsed(of("a"), 1)
-	assert.DeepEqual(t, b.Judge(of("a"), firstTrial), Verdict{Crashes: 2, Refused: true, RetryAfter: firstTrial})
-	assert.Equal(t, b.Judge(of("a"), trialFactor*firstTrial).Trial, 2)
-	b.TrialUsed(of("a"), 2)
 	assert.DeepEqual(t, b.Judge(of("a"), keepFor-1), Verdict{Crashes: 2, Refused: true, RetryAfter: noTrial})
 	b.Expire(keepFor)
 	assert.Assert(t, !b.Judge(of("a"), keepFor).Refused)
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -114,6 +114,7 @@
 		Host:   rq.r.Host,
 		Body:   rq.body,
 		ID:     rq.asked.ID,
+		Wanted: func() bool { return rq.stillTakes(choice.Upstream) },
 		Header: header.Apply(rq.r.Header, header.Forward{
 			Instance:  choice.Upstream.ID,
 			Workspace: workspace,
@@ -128,6 +129,12 @@
 	}
 }
 
+// stillTakes tells whether an upstream that was chosen takes work by the newest list.
+func (rq *request) stillTakes(chosen routes.Upstream) bool {
+	now, known := rq.View.Upstreams().Find(chosen.ID)
+	return known && now.Born == chosen.Born && now.TakesWork(time.Now())
+}
+
 // Engines take ranks from 0 to 9.
 const (
 	// ranksPerWorkspace is how many priorities of routes an engine tells apart under each
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -49,6 +49,9 @@
 	Body   []byte
 	// ID must be echoed by the answer; empty if no echo is due.
 	ID string
+	// Wanted tells, once a connection is open, whether the request is still to be sent: opening
+	// one may take long, and meanwhile the upstream may have asked for nothing more. Nil sends it.
+	Wanted func() bool
 }
 
 // Client keeps connections to upstreams. It may be used by many goroutines.
@@ -149,15 +152,23 @@
 		return false
 	case <-settle.C:
 	}
-	opened.until = time.Now().Add(defaultIdle - idleMargin)
-	if !opened.usable(time.Now()) {
+	if !opened.quiet() {
 		opened.close()
 		return false
 	}
-	c.put(opened)
+	c.giveBack(opened)
 	return true
 }
 
+// giveBack keeps a connection on which nothing was sent. One that was just opened has no word of
+// the upstream on how long it may be idle.
+func (c *Client) giveBack(unused *conn) {
+	if unused.until.IsZero() {
+		unused.until = time.Now().Add(defaultIdle - idleMargin)
+	}
+	c.put(unused)
+}
+
 // limitUnacked sets the time after which a connection with unacknowledged bytes ends.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/gateway/httpconn/client_test.go
+++ b/gateway/httpconn/client_test.go
@@ -276,3 +276,38 @@
 	whole(t, a)
 	assert.Equal(t, len(accepted), 2)
 }
+
+// TestARequestThatIsNoLongerWantedIsNotSent: its connection is there for the next one.
+func TestARequestThatIsNoLongerWantedIsNotSent(t *testing.T) {
+	address, accepted := upstream(t, answers(answer2))
+	c := newClient(t)
+	unwanted := request("1")
+	unwanted.Wanted = func() bool { return false }
+	_, err := c.Do(t.Context(), address, unwanted)
+	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+	wanted := request("2")
+	wanted.Wanted = func() bool { return true }
+	answer, err := c.Do(t.Context(), address, wanted)
+	assert.NilError(t, err)
+	assert.Equal(t, whole(t, answer), "no")
+	assert.Equal(t, len(accepted), 1)
+}
+
+// TestAnAddressListensIfItKeepsANewConnection: one that stands before an upstream that has ended
+// takes connections and closes them.
+func TestAnAddressListensIfItKeepsANewConnection(t *testing.T) {
+	c := newClient(t)
+	open, accepted := upstream(t, answers(answer1))
+	assert.Assert(t, c.Listens(t.Context(), open))
+	answer, err := c.Do(t.Context(), open, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, whole(t, answer), "ok")
+	assert.Equal(t, len(accepted), 1, "the connection is used")
+
+	closing, _ := upstream(t, func(*testing.T, net.Conn, *bufio.Reader) {})
+	assert.Assert(t, !c.Listens(t.Context(), closing))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, !c.Listens(t.Context(), listener.Addr().String()))
+}
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -50,6 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Wanted != nil && !r.Wanted() {
+		c.giveBack(taken)
+		return nil, fault.New(fault.Unavailable, "upstream.send", addr, "the upstream takes nothing any more")
+	}
 	stop := context.AfterFunc(ctx, taken.close)
 	sent := send(taken, r)
 	answer, err := c.receive(taken, r, sent)
