Serve nothing before the records of crashes were read

Callers saw: a gateway that had just started sent a request that it had itself seen crash two upstreams, which crashed a third.

Cause: a gateway was ready with its configuration and upstreams; the records are listed beside these, and come later on a busy machine.

Fix: it is ready only once the records were listed too, or 2 s after its first configuration, so that a store that answers for all else does not keep it from serving. TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes holds the list back and failed each time before.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -116,7 +116,7 @@
 	ready := rq.View.Ready()
 	rq.table = rq.View.Table()
 	if !ready {
-		return rq.refuse(http.StatusServiceUnavailable, "request.admit", "the configuration is not known yet", retryUnready)
+		return rq.refuse(http.StatusServiceUnavailable, "request.admit", "the configuration, the upstreams or the records of crashes are not known yet", retryUnready)
 	}
 	if !strings.HasPrefix(rq.r.RequestURI, "/") {
 		return rq.refuse(http.StatusBadRequest, "request.read", "the target is no path", 0)
--- a/gateway/view/config.go
+++ b/gateway/view/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"acaciawinch/core/replica"
+	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 	"acaciawinch/platform/document"
@@ -38,9 +39,13 @@
 		f.view.options.Logger.Warn(event.TableRefused, observe.Fields{"revision": object.Revision, "error": err.Error()})
 		return
 	}
-	if old := f.view.table.Load(); old != nil && table.Version <= old.Version {
+	old := f.view.table.Load()
+	if old != nil && table.Version <= old.Version {
 		return
 	}
+	if old == nil {
+		f.view.tableSince.Store(int64(clock.Boot()))
+	}
 	f.view.table.Store(table)
 	f.view.options.Logger.Event(event.TableInForce, observe.Fields{"version": table.Version, "revision": object.Revision})
 	f.view.changed()
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -81,8 +81,10 @@
 	table     atomic.Pointer[routes.Table]
 	upstreams atomic.Pointer[routes.Upstreams]
 	members   atomic.Pointer[[]Member]
-	// membersKnown is set once members were listed.
-	membersKnown atomic.Bool
+	// membersKnown is set once members were listed, recordsListed once all Records were.
+	membersKnown, recordsListed atomic.Bool
+	// tableSince is the boot time of the first configuration.
+	tableSince atomic.Int64
 
 	// kinds are the copies from which the snapshots are made.
 	kinds []*kind
@@ -157,7 +159,26 @@
 func (v *View) MembersKnown() bool { return v.membersKnown.Load() }
 
 // Ready tells whether requests can be served.
-func (v *View) Ready() bool { return v.Table() != nil && v.Upstreams() != nil }
+func (v *View) Ready() bool { return v.Table() != nil && v.Upstreams() != nil && v.recordsKnown() }
+
+// recordsPatience is how long after the first configuration the gateways' records are waited for: a
+// store that answers for the rest answers for them within a call's timeout. A process that served
+// before would send what the others refuse.
+const recordsPatience = 2 * time.Second
+
+// recordsKnown tells whether the gateways' records were listed once, or are waited for no longer.
+func (v *View) recordsKnown() bool {
+	if v.recordsListed.Load() {
+		return true
+	}
+	for _, records := range v.options.Records {
+		if v.kind(records.Kind).revision() == unknown {
+			return clock.Boot()-time.Duration(v.tableSince.Load()) > recordsPatience
+		}
+	}
+	v.recordsListed.Store(true)
+	return true
+}
 
 // KeysAge returns how old the newest proof is that no key was taken away since, and
 // false if there is none.
--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/gateway/quarantine"
+	"acaciawinch/standin/metastore"
 	"acaciawinch/standin/worker"
 )
 
@@ -97,6 +99,38 @@
 	assert.Equal(t, len(crashed(engines)), 2)
 }
 
+// TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes: the store answers for all else before.
+func TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes(t *testing.T) {
+	f := newFleet(t)
+	engines := f.engines(5)
+	f.apply(base(1))
+	g := f.start("g1")
+	for i := range 2 {
+		f.ask(g, fmt.Sprint("crash-", i), "POST", "/strict/x", crashBody)
+	}
+	f.waitLines(1, "crashes_written", `"crashes":2`)
+	f.stopAll()
+	f.store.SetFaults(metastore.Faults{SilentKind: quarantine.RecordKind})
+	g = f.begin("g1", "z1")
+	f.waitLines(2, `"process":"g1"`, "table_in_force")
+	f.waitLines(10, `"process":"g1"`, "upstream_changed")
+	assert.Equal(t, f.ask(g, "early", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
+	f.store.SetFaults(faultsNone)
+	f.waitReady(g)
+	assert.Equal(t, f.ask(g, "late", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(crashed(engines)), 2)
+}
+
+// TestAGatewayServesWithoutTheCrashesAfterAWhile: a store that never answers for them must not keep it
+// from serving.
+func TestAGatewayServesWithoutTheCrashesAfterAWhile(t *testing.T) {
+	f := newFleet(t)
+	f.worker("desk-1", "desk", worker.Plain)
+	f.apply(base(1))
+	f.store.SetFaults(metastore.Faults{SilentKind: quarantine.RecordKind})
+	assert.Equal(t, f.ask(f.start("g1"), "r", "GET", "/safe/x", "").status, http.StatusOK)
+}
+
 // TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether: one of the gateways makes a
 // trial, and all serve it afterwards.
 func TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether(t *testing.T) {
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -182,6 +182,15 @@
 
 // startIn starts a gateway in a zone. One of each zone reads the store.
 func (f *fleet) startIn(name, zone string) *running {
+	f.t.Helper()
+	g := f.begin(name, zone)
+	f.waitLines(1, `"process":"`+name+`"`, "table_in_force")
+	f.waitReady(g)
+	return g
+}
+
+// begin starts a gateway and waits for nothing.
+func (f *fleet) begin(name, zone string) *running {
 	f.t.Helper()
 	settings := gateway.Defaults()
 	settings.Process = gateway.ProcessSettings{Name: name, Zone: zone, MemoryMB: 256, Regions: "z1=r1,z2=r2"}
@@ -197,8 +206,6 @@
 	f.mu.Lock()
 	f.gateways = append(f.gateways, g)
 	f.mu.Unlock()
-	f.waitLines(1, `"process":"`+name+`"`, "table_in_force")
-	f.waitReady(g)
 	return g
 }
 
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -29,6 +29,8 @@
 	}
 	kind, name, found := split(r.URL.Path)
 	switch {
+	case faults.SilentKind != "" && kind == faults.SilentKind:
+		beSilent(r)
 	case !found:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -52,6 +52,8 @@
 	Refuse int
 	// Silent keeps calls without an answer.
 	Silent bool
+	// SilentKind keeps calls for one kind of objects without an answer; empty for none.
+	SilentKind string
 	// LoseWrites carries writes out and ends their connections without an answer.
 	LoseWrites bool
 }
