See a crash behind an answer that ends with its connection

An answer without a length looks whole when its upstream's process ends, and counted as a sign that its request runs well: it cleared the crashes under which the request was. Such an answer is now a reason to look whether the upstream has ended. TestACrashBehindAnAnswerWithoutALengthIsSeen failed before (six of six upstreams would end unseen) and passes now.

--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -21,7 +21,8 @@
 const wholeBytes = 256 << 10
 
 // relayWhole hands on an answer that is no stream. One that fits is read whole first.
-func (rq *request) relayWhole(id string, answer *httpconn.Answer) error {
+func (rq *request) relayWhole(upstream routes.Upstream, answer *httpconn.Answer) error {
+	id := upstream.ID
 	content, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
 	if err != nil {
 		return &sendFailure{ran: true, cut: rq.cutByUpstream(err), err: rq.readError("upstream.read", id, err)}
@@ -41,7 +42,7 @@
 	if err != nil {
 		return &sendFailure{ran: true, err: fault.Wrap(fault.Ambiguous, "answer.write", id, err)}
 	}
-	rq.noteAnswer(answer.Status, id)
+	rq.noteAnswer(answer, upstream)
 	return nil
 }
 
@@ -72,7 +73,8 @@
 
 // relayStream hands on events as they come, each one whole. When the upstream breaks
 // off, a part of an event is dropped and the stream may go on elsewhere.
-func (rq *request) relayStream(id string, answer *httpconn.Answer) error {
+func (rq *request) relayStream(upstream routes.Upstream, answer *httpconn.Answer) error {
+	id := upstream.ID
 	if !rq.begun {
 		rq.head(answer)
 		rq.w.WriteHeader(answer.Status)
@@ -82,7 +84,7 @@
 	for {
 		next, err := reader.Next()
 		if err == io.EOF {
-			rq.noteAnswer(answer.Status, id)
+			rq.noteAnswer(answer, upstream)
 			return nil
 		}
 		if err != nil {
@@ -124,11 +126,21 @@
 	return nil
 }
 
-// noteAnswer logs and counts an answer that the client has whole.
-func (rq *request) noteAnswer(status int, id string) {
-	if status/100 == 2 {
+// noteEnd tells whether the upstream outlived a whole answer, as far as that is known. The end of an
+// answer that does not say where it ends may be that of the upstream's process.
+func (rq *request) noteEnd(answer *httpconn.Answer, upstream routes.Upstream) {
+	switch {
+	case !answer.Framed:
+		rq.Guard.Broken(rq.fingerprint, rq.asked.ID, upstream)
+	case answer.Status/100 == 2:
 		rq.Guard.Completed(rq.fingerprint, rq.asked.ID)
 	}
+}
+
+// noteAnswer logs and counts an answer that the client has whole.
+func (rq *request) noteAnswer(answer *httpconn.Answer, upstream routes.Upstream) {
+	rq.noteEnd(answer, upstream)
+	status := answer.Status
 	took := time.Since(rq.began)
 	first := took
 	if !rq.firstAt.IsZero() {
@@ -136,6 +148,6 @@
 	}
 	rq.Metrics.ended("answered_"+strconv.Itoa(status), took)
 	rq.Logger.Event(event.GatewayAnswered, observe.Fields{"request": rq.asked.ID, "route": rq.route.Name, "status": status,
-		"upstream": id, "events": rq.events, "first_us": first.Microseconds(),
+		"upstream": upstream.ID, "events": rq.events, "first_us": first.Microseconds(),
 		"used_ms": rq.began.Sub(rq.since).Milliseconds(), "objective_ms": rq.route.Objective.Milliseconds(), "duration_us": took.Microseconds()})
 }
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -197,9 +197,9 @@
 	case answer.Status/100 == 2 && said.Signature == "":
 		return &sendFailure{ran: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", answer.Status)}
 	case answer.Status/100 == 2 && rq.route.Stream:
-		return rq.relayStream(id, answer)
+		return rq.relayStream(upstream, answer)
 	default:
-		return rq.relayWhole(id, answer)
+		return rq.relayWhole(upstream, answer)
 	}
 }
 
--- a/gateway/httpconn/client_test.go
+++ b/gateway/httpconn/client_test.go
@@ -311,3 +311,18 @@
 	assert.NilError(t, listener.Close())
 	assert.Assert(t, !c.Listens(t.Context(), listener.Addr().String()))
 }
+
+// TestAnAnswerSaysWhetherItSaysWhereItEnds: by a length or in chunks, not by its connection.
+func TestAnAnswerSaysWhetherItSaysWhereItEnds(t *testing.T) {
+	for text, framed := range map[string]bool{
+		answer1: true,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok":                                                 false,
+	} {
+		address, _ := upstream(t, answers(text))
+		answer, err := newClient(t).Do(t.Context(), address, request("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, whole(t, answer), "ok")
+		assert.Equal(t, answer.Framed, framed, "%q", text)
+	}
+}
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -31,6 +31,9 @@
 	Header http.Header
 	// Body ends with io.EOF only if the whole body was read.
 	Body io.Reader
+	// Framed is set if the answer says where it ends. The end of another one is that of its
+	// connection, which the end of the upstream's process looks like.
+	Framed bool
 
 	client *Client
 	conn   *conn
@@ -183,6 +186,7 @@
 	a := &Answer{
 		Status: resp.StatusCode,
 		Header: resp.Header,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		client: c,
 		conn:   from,
 		body:   resp.Body,
--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -131,6 +131,30 @@
 	assert.Equal(t, f.ask(f.start("g1"), "r", "GET", "/safe/x", "").status, http.StatusOK)
 }
 
+// TestACrashBehindAnAnswerWithoutALengthIsSeen: the answer looks whole, and is no sign that the request
+// runs well.
+func TestACrashBehindAnAnswerWithoutALengthIsSeen(t *testing.T) {
+	f := newFleet(t)
+	var desks []*worker.Worker
+	for i := range 6 {
+		w := f.worker(fmt.Sprintf("desk-%d", i), "desk", worker.Plain)
+		w.CrashBody, w.CrashUnframed = crashBody, true
+		desks = append(desks, w)
+	}
+	f.apply(base(1))
+	g := f.start("g1")
+	for i := range 5 {
+		id := fmt.Sprint("crash-", i)
+		f.ask(g, id, "POST", "/once/x", crashBody)
+		f.waitUntil(func() bool {
+			found, _ := f.log.lines("crash_found", id)
+			return len(found) > 0 || runsOf(id, desks...) == 0
+		}, "it is known whether the desk has ended")
+	}
+	assert.Equal(t, len(crashed(desks)), 2)
+	assert.Equal(t, f.ask(g, "other", "POST", "/once/x", "b").status, http.StatusOK)
+}
+
 // TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether: one of the gateways makes a
 // trial, and all serve it afterwards.
 func TestARequestThatRanWellIsServedSoonAfterItsUpstreamsCrashedTogether(t *testing.T) {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -74,8 +74,10 @@
 	// answer begins.
 	CallTime, WorkTime time.Duration
 	// CrashBody is the body of requests under which the worker crashes as soon as it runs them;
-	// empty for none. It is set before the worker is used.
-	CrashBody string
+	// empty for none. With CrashUnframed it has sent a head without a length and a part of the body
+	// by then, so that the answer looks whole. Both are set before the worker is used.
+	CrashBody     string
+	CrashUnframed bool
 	// Advertised is the IP:port that callers know if something stands before the worker;
 	// empty if nothing does. It is set before the worker is used.
 	Advertised string
@@ -313,6 +315,9 @@
 	hold := w.hold
 	w.mu.Unlock()
 	if w.CrashBody != "" && body == w.CrashBody {
+		if w.CrashUnframed {
+			w.sendUnframed(out, id)
+		}
 		w.crash(run)
 	}
 	if hold != nil {
@@ -349,6 +354,17 @@
 	_, _ = io.WriteString(out, "answer of "+id) // a caller that is gone needs no answer
 }
 
+// sendUnframed writes an answer that ends with its connection, and ends that.
+func (w *Worker) sendUnframed(out http.ResponseWriter, id string) {
+	conn, buffer, err := out.(http.Hijacker).Hijack()
+	if err != nil {
+		panic("worker: the connection can't be taken over: " + err.Error())
+	}
+	defer func() { _ = conn.Close() }()                                                                                     // the answer is on its way or its reader gone
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.%s\r\n\r\nanswer", id, w.ID) // Flush tells
+	_ = buffer.Flush()                                                                                                      // a caller that is gone needs no answer
+}
+
 // sendForeign writes the whole answer of another request on the connection.
 func sendForeign(out http.ResponseWriter) {
 	conn, buffer, err := out.(http.Hijacker).Hijack()
