--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -78,17 +78,26 @@
 	}
 }
 
-// TestAGatewayThatStartsAgainKnowsWhatItSaw: its own record is all that is left of it.
-func TestAGatewayThatStartsAgainKnowsWhatItSaw(t *testing.T) {
-	f := newFleet(t)
+// crashTwice starts gateway g1 and lets a request crash two of five engines; the gateway has written
+// that it saw it.
+func (f *fleet) crashTwice() (*running, []*worker.Worker) {
+	f.t.Helper()
 	engines := f.engines(5)
 	f.apply(base(1))
 	g := f.start("g1")
-	for i := range 3 {
+	for i := range 2 {
 		f.ask(g, fmt.Sprint("crash-", i), "POST", "/strict/x", crashBody)
 	}
-	assert.Equal(t, len(crashed(engines)), 2)
 	f.waitLines(1, "crashes_written", `"crashes":2`)
+	assert.Equal(f.t, len(crashed(engines)), 2)
+	return g, engines
+}
+
+// TestAGatewayThatStartsAgainKnowsWhatItSaw: its own record is all that is left of it.
+func TestAGatewayThatStartsAgainKnowsWhatItSaw(t *testing.T) {
+	f := newFleet(t)
+	g, engines := f.crashTwice()
+	assert.Equal(t, f.ask(g, "third", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
 	f.stopAll()
 	g = f.start("g1")
 	assert.Equal(t, f.ask(g, "again", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
@@ -102,13 +111,7 @@
 // TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes: the store answers for all else before.
 func TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes(t *testing.T) {
 	f := newFleet(t)
-	engines := f.engines(5)
-	f.apply(base(1))
-	g := f.start("g1")
-	for i := range 2 {
-		f.ask(g, fmt.Sprint("crash-", i), "POST", "/strict/x", crashBody)
-	}
-	f.waitLines(1, "crashes_written", `"crashes":2`)
+	g, engines := f.crashTwice()
 	f.stopAll()
 	f.store.SetFaults(metastore.Faults{SilentKind: quarantine.RecordKind})
 	g = f.begin("g1", "z1")
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -4,14 +4,12 @@
 package worker
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -55,15 +53,6 @@
 	Leaving bool
 }
 
-// Refusal is a request that a worker turned away.
-type Refusal struct {
-	// ID is that of the request, empty for a stage call.
-	ID string
-	At time.Time
-	// RetryAfter is for how long the worker asked for nothing more, 0 if it did not.
-	RetryAfter time.Duration
-}
-
 // Worker is a running stand-in.
 type Worker struct {
 	ID   string
@@ -142,34 +131,6 @@
 // Close ends the worker at once.
 func (w *Worker) Close() { _ = w.server.Close() }
 
-// Crashed returns what is closed once the worker has crashed.
-func (w *Worker) Crashed() <-chan struct{} { return w.crashed }
-
-// CrashedBy returns the request under which the worker crashed, and false if it has not.
-func (w *Worker) CrashedBy() (Run, bool) {
-	select {
-	case <-w.crashed:
-		return w.crashedBy, true
-	default:
-		return Run{}, false
-	}
-}
-
-// crash ends the worker at once, with all that it runs.
-func (w *Worker) crash(under Run) {
-	w.mu.Lock()
-	first := w.crashedBy.ID == ""
-	if first {
-		w.crashedBy = under
-	}
-	w.mu.Unlock()
-	w.Close()
-	if first {
-		close(w.crashed)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // Set replaces the faults.
 func (w *Worker) Set(faults Faults) {
 	w.mu.Lock()
@@ -177,47 +138,6 @@
 	w.faults = faults
 }
 
-// Leave makes each answer from now on say that the worker leaves. It serves on.
-func (w *Worker) Leave() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving = true
-}
-
-// Stay ends Leave.
-func (w *Worker) Stay() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving = false
-}
-
-// isLeaving tells whether answers say that the worker leaves.
-func (w *Worker) isLeaving() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.leaving
-}
-
-// Refusals returns what the worker has turned away so far.
-func (w *Worker) Refusals() []Refusal {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]Refusal(nil), w.refused...)
-}
-
-// reject turns a request away.
-func (w *Worker) reject(out http.ResponseWriter, id string) {
-	w.mu.Lock()
-	after := w.faults.RetryAfter
-	w.refused = append(w.refused, Refusal{ID: id, At: time.Now(), RetryAfter: after})
-	w.mu.Unlock()
-	out.Header().Set("X-Not-Executed", "1")
-	if after > 0 {
-		out.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
-	}
-	out.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // Hold keeps the answers of requests back until the returned function is called.
 func (w *Worker) Hold() (release func()) {
 	w.mu.Lock()
@@ -354,29 +274,6 @@
 	_, _ = io.WriteString(out, "answer of "+id) // a caller that is gone needs no answer
 }
 
-// sendUnframed writes an answer that ends with its connection, and ends that.
-func (w *Worker) sendUnframed(out http.ResponseWriter, id string) {
-	conn, buffer, err := out.(http.Hijacker).Hijack()
-	if err != nil {
-		panic("worker: the connection can't be taken over: " + err.Error())
-	}
-	defer func() { _ = conn.Close() }()                                                                                     // the answer is on its way or its reader gone
-	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.%s\r\n\r\nanswer", id, w.ID) // Flush tells
-	_ = buffer.Flush()                                                                                                      // a caller that is gone needs no answer
-}
-
-// sendForeign writes the whole answer of another request on the connection.
-func sendForeign(out http.ResponseWriter) {
-	conn, buffer, err := out.(http.Hijacker).Hijack()
-	if err != nil {
-		panic("worker: the connection can't be taken over: " + err.Error())
-	}
-	defer func() { _ = conn.Close() }()                                                                                          // the answer is on its way or its reader gone
-	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother") // Flush tells
-	_ = buffer.Flush()                                                                                                           // a caller that is gone needs no answer
-	panic(http.ErrAbortHandler)
-}
-
 // stream sends events from the one after Last-Event-Id on.
 func (w *Worker) stream(out http.ResponseWriter, r *http.Request) {
 	first := 0
@@ -400,78 +297,3 @@
 		_ = http.NewResponseController(out).Flush()                                                      // a caller that is gone is seen by the server
 	}
 }
-
-// batch is the body of a stage call.
-type batch struct {
-	Items []Item `json:"items"`
-}
-
-// result is one item's end.
-type result struct {
-	Handle string `json:"handle,omitempty"`
-	Reason string `json:"reason,omitempty"`
-}
-
-// results is the answer to a stage call.
-type results struct {
-	Items []result `json:"items"`
-}
-
-// runStage makes the items of a call.
-func (w *Worker) runStage(out http.ResponseWriter, body []byte) {
-	if w.strike(&w.faults.Reject) {
-		w.reject(out, "")
-		return
-	}
-	var asked batch
-	if err := json.Unmarshal(body, &asked); err != nil {
-		out.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	time.Sleep(w.CallTime)
-	var answer results
-	w.mu.Lock()
-	w.batches = append(w.batches, asked.Items)
-	for _, item := range asked.Items {
-		w.made++
-		handle := fmt.Sprintf("%s/%s.%d", w.Address(), w.ID, w.made) // another start never makes the same
-		w.kept[handle] = true
-		w.makes[handle] = item
-		answer.Items = append(answer.Items, result{Handle: handle})
-	}
-	w.mu.Unlock()
-	for i := range answer.Items {
-		switch {
-		case w.strike(&w.faults.NoRoom):
-			answer.Items[i] = w.undo(answer.Items[i], "room")
-		case w.strike(&w.faults.Gone):
-			answer.Items[i] = w.undo(answer.Items[i], "gone")
-		}
-	}
-	out.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(out).Encode(answer) // a caller that is gone needs no answer
-}
-
-// undo takes a result back for a reason.
-func (w *Worker) undo(made result, reason string) result {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.kept, made.Handle)
-	return result{Reason: reason}
-}
-
-// free drops results.
-func (w *Worker) free(out http.ResponseWriter, body []byte) {
-	var asked struct {
-		Handles []string `json:"handles"`
-	}
-	if err := json.Unmarshal(body, &asked); err != nil {
-		out.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, handle := range asked.Handles {
-		delete(w.kept, strings.TrimSpace(handle))
-	}
-}
