Merge a record that a late write of an earlier start has left

The store may carry a write out seconds after it was given up. One of a gateway's earlier start replaced the record that the new start had read, which took its next one over it and lost what only the late one held. A revision that no write of the process has brought is now merged, over a watch and over a new list. TestARecordThatAGatewayHasNotWrittenIsMerged failed before. A fuzz target reads records.

--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -43,8 +43,10 @@
 
 	mu   sync.Mutex
 	book *core.Book
-	// revision is that of the own object, 0 if there is none.
+	// revision is that of the own object, 0 if there is none; writing is set while a write of it is
+	// under way.
 	revision int64
+	writing  bool
 	// found is closed once suspected crashes are confirmed or dismissed.
 	found chan struct{}
 	// checked holds the suspected crashes of each start of an upstream at which it is being looked
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -109,16 +109,30 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	records := make(map[string]core.Record, len(objects))
+	before := g.revision
 	g.revision = 0
+	foreign := false
 	for _, object := range objects {
+		foreign = foreign || object.Name == g.options.Name && g.isForeign(object, before)
 		if record, known := g.read(object); known {
 			records[object.Name] = record
 		}
 	}
-	g.book.Reset(records, clock.Boot())
+	now := clock.Boot()
+	g.book.Reset(records, now)
+	if own, known := records[g.options.Name]; known && foreign {
+		g.book.Adopt(own, now)
+	}
 	g.wakeWriter()
 }
 
+// isForeign tells whether the own record was written by an earlier start, whose write was carried out
+// late: no write of this process has brought its revision. While one is under way the store's
+// refusal of that tells. The lock is held.
+func (g *Guard) isForeign(own replica.Object, known int64) bool {
+	return !g.writing && own.Revision > known
+}
+
 // Apply takes changes of records.
 func (g *Guard) Apply(changes []replica.Change) {
 	g.mu.Lock()
@@ -128,13 +142,24 @@
 			g.remove(change.Object.Name)
 			continue
 		}
-		if record, known := g.read(change.Object); known {
-			g.book.Take(change.Object.Name, record, clock.Boot())
-		}
+		g.take(change.Object)
 	}
 	g.wakeWriter()
 }
 
+// take takes one record. An own one that this process has not written is merged. The lock is held.
+func (g *Guard) take(object replica.Object) {
+	foreign := object.Name == g.options.Name && g.isForeign(object, g.revision)
+	record, known := g.read(object)
+	switch {
+	case !known:
+	case foreign:
+		g.book.Adopt(record, clock.Boot())
+	default:
+		g.book.Take(object.Name, record, clock.Boot())
+	}
+}
+
 // remove drops a record that an operator has removed. The lock is held.
 func (g *Guard) remove(name string) {
 	if name == g.options.Name {
@@ -202,6 +227,7 @@
 func (g *Guard) write(ctx context.Context) {
 	g.mu.Lock()
 	record, revision := g.book.Own(), g.revision
+	g.writing = true
 	g.mu.Unlock()
 	spec := specOf(record)
 	var kept replica.Object
@@ -213,6 +239,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.writing = false
 	if err == nil {
 		g.revision = max(g.revision, kept.Revision)
 		g.options.Logger.Event(event.CrashesWritten, observe.Fields{"revision": kept.Revision, "crashes": len(record.Crashes), "cleared": len(record.Cleared)})
--- /dev/null
+++ b/gateway/quarantine/record_test.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/core/fingerprint"
+	core "acaciawinch/core/quarantine"
+	"acaciawinch/core/replica"
+)
+
+// record returns a record with something in each part.
+func record() core.Record {
+	a, b := fingerprint.Of(fingerprint.Request{Target: "/a"}), fingerprint.Of(fingerprint.Request{Target: "/b"})
+	return core.Record{
+		Crashes: []core.Crash{{Request: a, Upstream: "u1/7"}, {Request: b, Upstream: "u2/0"}},
+		Cleared: []core.Crash{{Request: b, Upstream: "u3/1"}},
+		Proven:  []fingerprint.Fingerprint{b},
+	}
+}
+
+func TestARecordIsReadAsItIsWritten(t *testing.T) {
+	for _, written := range []core.Record{record(), {Crashes: []core.Crash{}, Cleared: []core.Crash{}, Proven: []fingerprint.Fingerprint{}}} {
+		content, err := json.Marshal(specOf(written))
+		assert.NilError(t, err)
+		read, err := recordOf(replica.Object{Name: "g1", Spec: content})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, read, written)
+	}
+}
+
+func TestAnUnreadableRecordIsAnError(t *testing.T) {
+	for _, text := range []string{``, `7`, `{"crashes":7}`, `{"crashes":[{"request":"x","upstream":"u"}]}`, `{"cleared":[{"request":""}]}`, `{"proven":["00"]}`} {
+		_, err := recordOf(replica.Object{Name: "g1", Spec: json.RawMessage(text)})
+		assert.Assert(t, err != nil, "%q", text)
+	}
+}
+
+// FuzzRecord: whatever is in the store is a record or an error, and what is read can be written.
+func FuzzRecord(f *testing.F) {
+	content, err := json.Marshal(specOf(record()))
+	assert.NilError(f, err)
+	f.Add(content)
+	f.Add([]byte(`{"crashes":[{"request":"zz"}]}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		read, err := recordOf(replica.Object{Name: "g1", Spec: content})
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(specOf(read))
+		assert.NilError(t, err)
+		same, err := recordOf(replica.Object{Name: "g1", Spec: again})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, same, read)
+	})
+}
--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -1,6 +1,7 @@
 package gatewaytest
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -124,6 +125,26 @@
 	assert.Equal(t, len(crashed(engines)), 2)
 }
 
+// TestARecordThatAGatewayHasNotWrittenIsMerged: a write of its earlier start may be carried out late.
+func TestARecordThatAGatewayHasNotWrittenIsMerged(t *testing.T) {
+	f := newFleet(t)
+	engines := f.engines(5)
+	f.apply(base(1))
+	g := f.start("g1")
+	f.ask(g, "first", "POST", "/strict/x", crashBody)
+	f.waitLines(1, "crashes_written", `"crashes":1`)
+	fingerprint := decode(t, f.waitLines(1, "crash_found")[0], "fingerprint").(string)
+	late := func(upstream string) json.RawMessage {
+		return json.RawMessage(fmt.Sprintf(`{"crashes":[{"request":%q,"upstream":%q}]}`, fingerprint, upstream))
+	}
+	f.store.Put(quarantine.RecordKind, "g1", late("llm-of-before/7"))
+	f.waitLines(1, "crashes_written", `"crashes":2`)
+	f.store.PutForgotten(quarantine.RecordKind, "g1", late("llm-of-before/8"))
+	f.waitLines(1, "crashes_written", `"crashes":3`)
+	assert.Equal(t, f.ask(g, "second", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(crashed(engines)), 1)
+}
+
 // TestAGatewayServesWithoutTheCrashesAfterAWhile: a store that never answers for them must not keep it
 // from serving.
 func TestAGatewayServesWithoutTheCrashesAfterAWhile(t *testing.T) {
