--- a/standin/gatewaytest/asked_test.go
+++ b/standin/gatewaytest/asked_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -58,8 +59,9 @@
 	assert.Assert(t, workOf(second) > 0)
 }
 
-// pause is what upstreams of the test ask for; it is above the time of the test.
-const pause = 10 * time.Minute
+// pause is what upstreams of the test ask for; it is above the time of the test, and below the most
+// that they are believed.
+const pause = 4 * time.Minute
 
 // TestAnUpstreamThatAsksForAPauseGetsNothingUntilItEnds: requests go elsewhere, and are refused at
 // once if all upstreams have asked.
@@ -114,3 +116,26 @@
 	again := desk.Runs()[0]
 	assert.Assert(t, again.At.Sub(desk.Refusals()[0].At) >= 600*time.Millisecond)
 }
+
+// TestARequestWhoseStagesAreDoneWaitsForAShortPause: and one that can't be served before the end of a
+// long one is refused before its stages are done in vain.
+func TestARequestWhoseStagesAreDoneWaitsForAShortPause(t *testing.T) {
+	f := newFleet(t)
+	llm, enc := f.worker("llm-1", "llm", worker.Engine), f.worker("enc-1", "enc", worker.Stage)
+	f.apply(base(1))
+	g := f.start("g1")
+	llm.Set(worker.Faults{Reject: 1, RetryAfter: 700 * time.Millisecond})
+	assert.Equal(t, f.askStream(g, "turned-away").status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.askStream(g, "waits").body, stream("waits"))
+	assert.Assert(t, llm.Runs()[0].At.Sub(llm.Refusals()[0].At) >= 600*time.Millisecond)
+
+	llm.Set(worker.Faults{Reject: 1, RetryAfter: pause})
+	assert.Equal(t, f.askStream(g, "turned-away-again").status, http.StatusServiceUnavailable)
+	before := len(enc.Batches())
+	refused := f.askStream(g, "refused")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > pause.Seconds()/2 && after <= pause.Seconds(), "%v s", after)
+	assert.Equal(t, len(enc.Batches()), before, "stages were done in vain")
+}
