--- a/standin/gatewaytest/crash_test.go
+++ b/standin/gatewaytest/crash_test.go
@@ -112,10 +112,10 @@
 // TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes: the store answers for all else before.
 func TestAGatewayThatStartsSendsNothingBeforeItKnowsTheCrashes(t *testing.T) {
 	f := newFleet(t)
-	g, engines := f.crashTwice()
+	_, engines := f.crashTwice()
 	f.stopAll()
 	f.store.SetFaults(metastore.Faults{SilentKind: quarantine.RecordKind})
-	g = f.begin("g1", "z1")
+	g := f.begin("g1", "z1")
 	f.waitLines(2, `"process":"g1"`, "table_in_force")
 	f.waitLines(10, `"process":"g1"`, "upstream_changed")
 	assert.Equal(t, f.ask(g, "early", "POST", "/strict/x", crashBody).status, http.StatusServiceUnavailable)
