--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -150,7 +150,6 @@
 		c := &client{number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))), gateways: doors, report: s.take}
 		clients.Go(func() { c.run(sending) })
 	}
-	clients.Go(func() { s.sendCrashing(sending, doors) })
 	defer s.revivals.Wait()
 	var stopReviving context.CancelFunc
 	s.reviving, stopReviving = context.WithCancel(ctx)
@@ -158,6 +157,7 @@
 	for _, at := range s.workers {
 		s.revivals.Go(func() { s.watchCrashes(s.reviving, at) })
 	}
+	clients.Go(func() { s.sendCrashing(sending, doors) }) // no worker crashes before all are watched
 	if err := s.makeSteps(ctx); err != nil {
 		return err
 	}
