Say beside each dropped result why it may be dropped, and log one that should not be

Read again for what swallows errors: all but one were safe. A process of the entry and side roles that starts and can't read the platform itself said nothing of it; it logs feed_read_failed (5014) now and asks again as before.

--- a/acaciawinch/drain.go
+++ b/acaciawinch/drain.go
@@ -118,9 +118,9 @@
 	ctx, cancel := context.WithTimeout(c.env.ctx, drainTimeout)
 	defer cancel()
 	dialer := link.NewDialer(s.Fleet.Key)
-	defer func() { _ = dialer.Close() }()
+	defer func() { _ = dialer.Close() }() // the command ends
 	conn := dialer.Conn(ctx, host.Addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	_, err := wirepb.NewDRPCSideClient(conn).Drain(ctx, &wirepb.DrainRequest{Resume: c.resume, Reason: c.note()})
 	return fault.Wrap(fault.Unavailable, "drain", c.Args.Upstream, err)
 }
--- a/core/fingerprint/fingerprint.go
+++ b/core/fingerprint/fingerprint.go
@@ -35,7 +35,7 @@
 	for _, part := range [][]byte{[]byte(r.Workspace), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part))) // keeps parts of different lengths apart
 		_, _ = hash.Write(length[:])                             // a hash never fails to write
-		_, _ = hash.Write(part)
+		_, _ = hash.Write(part)                                  // as above
 	}
 	return Fingerprint(hash.Sum(nil)[:size])
 }
--- a/core/propertytest/main.go
+++ b/core/propertytest/main.go
@@ -28,6 +28,6 @@
 // set sets a flag that the command line leaves at its default.
 func set(name string, value int) {
 	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-		_ = flag.Set(name, strconv.Itoa(value))
+		_ = flag.Set(name, strconv.Itoa(value)) // a number that the flag takes
 	}
 }
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -103,7 +103,7 @@
 	// A caller that stops reading must not hold the request beyond its time. Not
 	// every ResponseWriter supports deadlines; the server's own does.
 	_ = control.SetWriteDeadline(started.Add(request.Deadline + writeGrace))
-	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // as above
 	out := s.writer(w, request.ID, stream)
 	result := s.opts.Runner.Run(r.Context(), request, out.chunk)
 	delivered := out.delivered()
--- a/entry/find.go
+++ b/entry/find.go
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	conn := f.dialer.Conn(ctx, addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	reply, err := wirepb.NewDRPCEntryClient(conn).Lookup(ctx, &wirepb.LookupRequest{RequestId: string(id)})
 	if err != nil || !reply.GetFound() {
 		return trace.Trace{}, false
--- a/entry/limit/home.go
+++ b/entry/limit/home.go
@@ -66,7 +66,7 @@
 		return l.acquire(a), l.opts.Incarnation, nil
 	}
 	conn := l.opts.Dialer.Conn(ctx, home.Addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	reply, err := wirepb.NewDRPCEntryClient(conn).AcquirePermit(ctx, &wirepb.AcquirePermitRequest{
 		Key:     keyOf(a.Workspace, a.Part, a.Permit),
 		Bound:   uint32(a.Bound),
@@ -89,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	conn := l.opts.Dialer.Conn(ctx, home.Addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	request := &wirepb.ReleasePermitRequest{Key: keyOf(workspace, part, permit)}
 	if _, err := wirepb.NewDRPCEntryClient(conn).ReleasePermit(ctx, request); err != nil {
 		l.metrics.lost.Inc(1)
--- a/entry/pipeline/calls.go
+++ b/entry/pipeline/calls.go
@@ -64,7 +64,7 @@
 // call makes one call to a side on a connection of its own.
 func (f *flow) call(ctx context.Context, addr string, do func(context.Context, wirepb.DRPCSideClient) error) error {
 	conn := f.runner.opts.Dialer.Conn(ctx, addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	return do(ctx, wirepb.NewDRPCSideClient(conn))
 }
 
--- a/entry/pipeline/receive.go
+++ b/entry/pipeline/receive.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				return err
 			}
-			defer func() { _ = events.Close() }()
+			defer func() { _ = events.Close() }() // the stream is read or given up
 			return s.read(events)
 		})
 		f.post(post{stream: s.number, event: request.Broken{
--- a/entry/process.go
+++ b/entry/process.go
@@ -285,6 +285,6 @@
 
 // close frees what the process holds.
 func (p *process) close() {
-	_ = p.dialer.Close()
-	_ = p.metrics.Close()
+	_ = p.dialer.Close()  // the process ends
+	_ = p.metrics.Close() // as above
 }
--- a/entry/route/prober.go
+++ b/entry/route/prober.go
@@ -25,7 +25,7 @@
 // Probe implements Prober.
 func (p linkProber) Probe(ctx context.Context, addr string, request *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
 	conn := p.dialer.Conn(ctx, addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	reply, err := wirepb.NewDRPCSideClient(conn).Probe(ctx, request)
 	return reply, fault.Wrap(fault.Unavailable, "route.probe", addr, err)
 }
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -36,7 +36,7 @@
 	opts = opts.complete()
 	policy, err := routing.NewPolicy(opts.Settings.Policy)
 	if err != nil {
-		policy, _ = routing.NewPolicy(routing.Probe2)
+		policy, _ = routing.NewPolicy(routing.Probe2) // this one always exists
 	}
 	return &Router{
 		opts:      opts,
--- a/entry/run.go
+++ b/entry/run.go
@@ -55,7 +55,7 @@
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			for _, other := range opened {
-				_ = other.Close()
+				_ = other.Close() // the error that is returned tells more
 			}
 			return listeners{}, fault.Wrap(fault.Unavailable, "entry.listen", addr, err)
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -101,8 +101,8 @@
 func (s *servers) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), adminStopTimeout)
 	defer cancel()
-	_ = s.callers.Shutdown(ctx)
-	_ = s.admin.Shutdown(ctx)
+	_ = s.callers.Shutdown(ctx) // what is open at the end of the time is cut
+	_ = s.admin.Shutdown(ctx)   // as above
 }
 
 // drain ends the admission of requests and waits until none is in flight and
--- a/feed/receive.go
+++ b/feed/receive.go
@@ -45,12 +45,12 @@
 	})
 	defer silent.Stop()
 	conn := r.feed.opts.Dialer.Conn(ctx, r.host.Addr)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // the call is over; a connection that fails to close is not used again
 	stream, err := wirepb.NewDRPCEntryClient(conn).Subscribe(ctx, r.request())
 	if err != nil {
 		return r.cause(ctx, err)
 	}
-	defer func() { _ = stream.Close() }()
+	defer func() { _ = stream.Close() }() // the stream is broken or no longer needed
 	for {
 		update, err := stream.Recv()
 		if err != nil {
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -47,7 +47,7 @@
 		case <-ctx.Done():
 		}
 	}
-	_ = group.Wait()
+	_ = group.Wait() // its parts end with ctx and have no other error
 }
 
 // changingPolls is the longest wait before the next read of a host list that has
--- a/feed/start.go
+++ b/feed/start.go
@@ -7,6 +7,8 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/fleet"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // Limits of the start of a process.
@@ -32,7 +34,7 @@
 		if failures > 0 {
 			pause(ctx, f.backoff(failures))
 		}
-		_ = f.readHosts(ctx)
+		_ = f.readHosts(ctx) // it logs itself, and is read again
 		floor, known := f.inForce(ctx)
 		if authority, ok := f.gather(ctx, floor, known, failures); ok {
 			f.begin(authority)
@@ -56,7 +58,9 @@
 func (f *Feed) gather(ctx context.Context, floor core.Revision, known bool, failures int) (string, bool) {
 	answers := f.askPeers(ctx, floor, known)
 	if known && !f.holds(floor) && (failures > 0 || answers == 0 && f.readsFirst()) {
-		_ = f.readPlatform(ctx)
+		if err := f.readPlatform(ctx); err != nil && ctx.Err() == nil {
+			f.warn(event.FeedReadFailed, observe.Fields{"wanted": floor, "error": err.Error()})
+		}
 	}
 	switch {
 	case known && f.holds(floor):
--- a/observe/event/feed.go
+++ b/observe/event/feed.go
@@ -16,4 +16,6 @@
 	ConfigCleaned    = define(5012, "config_cleaned", "A pass removed what is no longer kept of old configurations.", "outcome", "oldest", "listed", "copies", "parts", "spared", "detail")
 
 	ConfigCleanUnfinished = define(5013, "config_clean_unfinished", "A pass over old configurations did not come to its end; the next one goes on.", "outcome", "oldest", "listed", "copies", "parts", "spared", "detail")
+
+	FeedReadFailed = define(5014, "feed_read_failed", "A process that starts could not read the state from the platform itself; it asks again.", "wanted", "error")
 )
--- a/side/admin.go
+++ b/side/admin.go
@@ -129,7 +129,7 @@
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(options.status())
+		_ = json.NewEncoder(w).Encode(options.status()) // a caller that is gone needs no answer
 	})
 	mux.Handle("GET /metrics", options.metrics)
 	return mux
--- a/side/process.go
+++ b/side/process.go
@@ -171,8 +171,8 @@
 
 // close ends what outlives the parts.
 func (p *process) close() {
-	_ = p.dialer.Close()
-	_ = p.metrics.Close()
+	_ = p.dialer.Close()  // the process ends
+	_ = p.metrics.Close() // as above
 }
 
 // awaitStop waits for the end of ctx and then for the end of the planned stop. It
--- a/side/run.go
+++ b/side/run.go
@@ -48,7 +48,7 @@
 	}
 	adminListener, err := net.Listen("tcp", settings.Admin)
 	if err != nil {
-		_ = fleetListener.Close()
+		_ = fleetListener.Close() // the error that is returned tells more
 		return listeners{}, fault.Wrap(fault.Unavailable, step, settings.Admin, err)
 	}
 	return listeners{fleet: fleetListener, admin: adminListener}, nil
@@ -92,7 +92,7 @@
 // serveAdmin serves the admin paths until ctx ends.
 func serveAdmin(ctx context.Context, handler http.Handler, listener net.Listener) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // what is open is cut
 	defer stop()
 	return unlessDone(ctx, server.Serve(listener))
 }
--- a/standin/hostlist/gzip.go
+++ b/standin/hostlist/gzip.go
@@ -48,6 +48,6 @@
 // itself.
 func (z *zipped) close() {
 	if z.body != nil {
-		_ = z.body.Close()
+		_ = z.body.Close() // what was read is whole already
 	}
 }
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -54,7 +54,7 @@
 // split returns the kind and the name of a path; the name is empty for a whole kind.
 func split(path string) (kind, name string, found bool) {
 	rest, found := strings.CutPrefix(path, "/objects/")
-	kind, name, _ = strings.Cut(rest, "/")
+	kind, name, _ = strings.Cut(rest, "/") // without a slash there is no name
 	return kind, name, found && kind != ""
 }
 
--- a/standin/objectstore/server.go
+++ b/standin/objectstore/server.go
@@ -94,7 +94,7 @@
 	}
 	w.Header().Set(versionHeader, strconv.FormatUint(object.Version, 10))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(object.Value)
+	_, _ = w.Write(object.Value) // a caller that is gone needs no answer
 }
 
 // put answers PUT /v1/objects/{key}.
--- a/standin/upstream/run.go
+++ b/standin/upstream/run.go
@@ -77,11 +77,11 @@
 	case s.conditions.FailThis():
 		record.Event = ledger.Error
 		s.record(record)
-		_ = out.write(line{Error: "the upstream failed"})
+		_ = out.write(line{Error: "the upstream failed"}) // the ledger has it; a caller that is gone needs no answer
 	default:
 		record.Event = ledger.End
 		s.record(record)
-		_ = out.write(line{Done: true, Cost: &record.Cost})
+		_ = out.write(line{Done: true, Cost: &record.Cost}) // as above
 	}
 }
 
--- a/wire/link/call.go
+++ b/wire/link/call.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = stream.Close() }()
+	defer func() { _ = stream.Close() }() // the reply is there or the error is returned
 	if held, ok := stream.(flusher); ok {
 		held.SetManualFlush(true)
 	}
@@ -38,7 +38,7 @@
 	if err := stream.MsgRecv(out, enc); err != nil {
 		return missing(err, rpc)
 	}
-	_, _ = stream.(receiver).RawRecv()
+	_, _ = stream.(receiver).RawRecv() // only the end of the stream can come
 	return nil
 }
 
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -76,7 +76,7 @@
 func (d *Dialer) Over(ctx context.Context, opened net.Conn, addr string) (drpcpool.Conn, error) {
 	conn := countedConn{Conn: opened, traffic: &d.traffic}
 	if err := bounded(ctx, conn, d.patience, func() error { return answer(conn, d.key) }); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // the error that is returned tells more
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
 	return callConn{drpcconn.New(conn)}, nil
--- a/wire/link/handshake.go
+++ b/wire/link/handshake.go
@@ -90,7 +90,7 @@
 	other := nonce(answer[:nonceBytes])
 	proved := hmac.Equal(answer[nonceBytes:], prove(key, roleClient, own, other))
 	if !proved || key == "" {
-		_, _ = conn.Write(refusal(statusWrongKey, verdictBytes))
+		_, _ = conn.Write(refusal(statusWrongKey, verdictBytes)) // the refusal is returned; the peer may have gone
 		return fault.New(fault.Refused, stepHandshake, peer, "the peer does not hold this fleet's key")
 	}
 	verdict := append([]byte{byte(statusGood)}, prove(key, roleServer, own, other)...)
@@ -149,7 +149,7 @@
 func bounded(ctx context.Context, conn net.Conn, limit time.Duration, part func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) }) // a closed connection needs none
 	err := part()
 	if !stop() {
 		return fault.Wrap(fault.Unavailable, stepHandshake, conn.RemoteAddr().String(), context.Cause(ctx))
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -77,7 +77,7 @@
 // Serve accepts connections until ctx ends. It closes listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // the server ends
 	var connections sync.WaitGroup
 	defer func() {
 		cancel()
@@ -127,12 +127,12 @@
 // connection ends is no error of the server.
 func (s *Server) serveConn(ctx context.Context, calls *drpcserver.Server, conn net.Conn) {
 	conn = countedConn{Conn: conn, traffic: &s.traffic}
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = conn.Close() }() // its calls are over
 	if err := s.admit(ctx, conn); err != nil {
 		s.report(ctx, conn.RemoteAddr().String(), err)
 		return
 	}
-	_ = calls.ServeOne(ctx, conn)
+	_ = calls.ServeOne(ctx, conn) // how the connection ends is no error of the server
 }
 
 // admit makes the handshake, unless too many others are in it.
@@ -141,7 +141,7 @@
 	case s.handshakes <- struct{}{}:
 		defer func() { <-s.handshakes }()
 	default:
-		_, _ = conn.Write(refusal(statusBusy, challengeBytes))
+		_, _ = conn.Write(refusal(statusBusy, challengeBytes)) // the refusal is returned; the peer may have gone
 		return fault.New(fault.Refused, stepHandshake, conn.RemoteAddr().String(),
 			"%d connections are in the handshake already", cap(s.handshakes))
 	}
