--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -7,10 +7,10 @@
 // whole, so that records need no order among each other: the merged crashes are the union of all
 // crashes without the union of all that was cleared.
 //
-// Why the bound holds: a fingerprint under which Limit starts of upstreams have crashed is sent
+// Why the bound holds: a fingerprint under which crashLimit starts of upstreams have crashed is sent
 // by nobody who knows of these crashes. Who does not know them yet sends at most what it gets
-// until the records arrive. After that only trials are sent, MaxTrials at most, each held by
-// the gateway that has created its object in the store.
+// until the records arrive. After that only trials are sent, maxTrials at most, each held by
+// the gateway that has created its object in the store. Requests that ran well before have more.
 //
 // Why others are spared: many requests run at an upstream that crashes, and all of them count as
 // suspect. One that then runs to its end anywhere clears itself of all crashes known, and an
@@ -31,24 +31,25 @@
 
 // Figures of the decision.
 const (
-	// Limit is under how many crashes a request is refused. With one, all that ran beside a
+	// crashLimit is under how many crashes a request is refused. With one, all that ran beside a
 	// crash would be refused.
-	Limit = 2
+	crashLimit = 2
 	// provenLimit is the limit of a request that has run well before. One that many clients
 	// send is at several upstreams when they crash together.
 	provenLimit = 3
-	// MaxTrials bounds how often a refused request that never ran well is sent all the same. Those
+	// maxTrials bounds how often a refused request that never ran well is sent all the same. Those
 	// that saw it crash may be cut off, so that two more crashes go before the others refuse it.
-	MaxTrials = 1
+	maxTrials = 1
 	// firstTrial is how long after the last crash the first trial may be made: upstreams
 	// that crashed together, as by a loss of power, are back then. Each later one waits
 	// trialFactor times as long. Requests that ran well before go first, so that they are not
 	// at an upstream that the trial of another one crashes.
 	firstTrial       = 6 * time.Second
 	firstProvenTrial = time.Second
-	trialFactor      = 8
-	// longestTrial bounds the wait for a trial of a request that has run well before.
-	longestTrial = time.Minute
+	trialFactor      = 20
+	// longestTrial bounds the wait for a trial of a request that has run well before: one that
+	// crashes all upstreams since a release costs few of them.
+	longestTrial = 10 * time.Minute
 	// noTrial is when a client whose request gets no more trials is asked to come back.
 	noTrial = time.Minute
 	// settleFor is how long after a crash further attempts of its request wait: the other
@@ -141,12 +142,12 @@
 // Judge returns what becomes of a request now.
 func (b *Book) Judge(request fingerprint.Fingerprint, now time.Duration) Verdict {
 	crashes := b.suspects[request]
-	limit := b.limitOf(request)
-	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= limit}
+	allowed := b.limitOf(request)
+	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= allowed}
 	if !verdict.Refused {
 		return verdict
 	}
-	verdict.Unsure = len(crashes)-b.unconfirmedOf(crashes) < limit
+	verdict.Unsure = len(crashes)-b.unconfirmedOf(crashes) < allowed
 	wait, has := b.trialWait(request)
 	if !has {
 		verdict.RetryAfter = noTrial
@@ -171,7 +172,7 @@
 	if b.isProven(request) {
 		return provenLimit
 	}
-	return Limit
+	return crashLimit
 }
 
 // trialWait returns how long after the last crash of a request its next trial may be made, and false
@@ -179,7 +180,7 @@
 func (b *Book) trialWait(request fingerprint.Fingerprint) (time.Duration, bool) {
 	used := b.trials[request]
 	proven := b.isProven(request)
-	if !proven && used >= MaxTrials {
+	if !proven && used >= maxTrials {
 		return 0, false
 	}
 	wait := firstTrial
@@ -268,7 +269,7 @@
 		return false
 	}
 	delete(b.trials, request)
-	b.clear(crashes, len(crashes) >= Limit, now)
+	b.clear(crashes, len(crashes) >= crashLimit, now)
 	return true
 }
 
@@ -283,7 +284,7 @@
 	for _, crash := range b.ended[upstream] {
 		if b.learned[crash] < sent {
 			wrong = append(wrong, crash)
-			refused = refused || len(b.suspects[crash.Request]) >= Limit
+			refused = refused || len(b.suspects[crash.Request]) >= crashLimit
 		}
 	}
 	if len(wrong) > 0 {
@@ -360,7 +361,7 @@
 		b.publish(now + tidyAfter)
 	}
 	for request, crashes := range b.suspects {
-		if len(crashes) >= Limit && b.ranWell.has(request) && !b.proven[request] && !slices.Contains(b.own.Proven, request) {
+		if len(crashes) >= crashLimit && b.ranWell.has(request) && !b.proven[request] && !slices.Contains(b.own.Proven, request) {
 			b.own.Proven = append(b.own.Proven, request)
 			b.publish(now)
 		}
