Keep the port of a server that a test replaces

A run of the tests was red: TestEachConnectionIsCheckedAlsoBehindAPooledOne could not listen again at the port of the server that it had stopped (address already in use). Between the two the port was free, and other tests and connections of the machine take such ports.

--- a/wire/link/handshake_test.go
+++ b/wire/link/handshake_test.go
@@ -42,6 +42,12 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", addr)
 	assert.NilError(t, err)
+	return guardAt(t, key, listener, edit)
+}
+
+// guardAt is guard with a listener that is there.
+func guardAt(t *testing.T, key string, listener net.Listener, edit func(*Server)) (*guarded, func()) {
+	t.Helper()
 	g := &guarded{Server: NewServer(key), addr: listener.Addr().String(), refused: make(chan Refusal, 16)}
 	assert.NilError(t, wirepb.DRPCRegisterSide(g.Mux(), g))
 	g.OnRefused(func(r Refusal) { g.refused <- r })
@@ -289,15 +295,21 @@
 }
 
 func TestEachConnectionIsCheckedAlsoBehindAPooledOne(t *testing.T) {
-	first, stop := guard(t, fleetKey, "127.0.0.1:0", unhurried)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	held, err := listener.(*net.TCPListener).File() // so that nobody else gets the port in between
+	assert.NilError(t, err)
+	defer held.Close()
+	first, stop := guardAt(t, fleetKey, listener, unhurried)
 	dialer := newDialer(fleetKey)
 	defer dialer.Close()
 	assert.NilError(t, probe(t.Context(), dialer, first.addr))
 	assert.NilError(t, probe(t.Context(), dialer, first.addr))
 	stop()
 
-	second, _ := guard(t, "a new key", first.addr, unhurried)
-	var err error
+	again, err := net.FileListener(held)
+	assert.NilError(t, err)
+	second, _ := guardAt(t, "a new key", again, unhurried)
 	for err == nil || !errors.As(err, new(*fault.Error)) {
 		err = probe(t.Context(), dialer, first.addr)
 	}
