Bound requests that ran well before like all others; lose no trial

Cause: such requests were refused after three crashes, and had several trials, because a request of many clients had been refused for long after its upstreams crashed together. Traces of the model showed that most of that came from trials that were lost, not from their number: a grant whose answer was lost stayed used up, and objects of trials made before the request was last cleared stayed where the store was away then, and took away the trials of the next time.

Now all requests are refused after two crashes. A trial whose answer was lost is made later by the gateway that holds it; objects name the crashes that were known, so that one for crashes that were all cleared counts no more; the wait for a further trial counts from the last one, whose crash may not be known yet. A request that ran well has a second trial unless more than three crashes are known.

TestARequestThatRanWellBeforeIsRefusedLater... checked the earlier schedule; five tests of the new one, with its limits, replace it, and a clearing test now allows one crash less before a refusal.

--- a/core/quarantine/model_test.go
+++ b/core/quarantine/model_test.go
@@ -79,7 +79,7 @@
 	gateways []*gateway
 	// store holds the records, trials the trials that were created.
 	store  map[string]Record
-	trials map[string]bool
+	trials map[string]grant
 	// storeAway is until when the store answers nobody.
 	storeAway, storeBack time.Duration
 	// starts counts the starts of each upstream; running are the open requests at it.
@@ -94,6 +94,13 @@
 	refused string
 }
 
+// grant is a trial in the store.
+type grant struct {
+	Trial
+	holder *gateway
+	life   int
+}
+
 // gateway is one gateway.
 type gateway struct {
 	*model
@@ -106,6 +113,8 @@
 	// downUntil and cutUntil are when it runs and reaches the store again.
 	downUntil, cutUntil time.Duration
 	writing             bool
+	// unused are the trials that it holds and was not told of.
+	unused map[string]bool
 }
 
 // attempt is one request at a gateway.
@@ -121,7 +130,7 @@
 
 // newModel returns a fleet.
 func newModel(seed uint64, v variant) *model {
-	m := &model{variant: v, random: rand.New(rand.NewPCG(seed, 7)), store: make(map[string]Record), trials: make(map[string]bool),
+	m := &model{variant: v, random: rand.New(rand.NewPCG(seed, 7)), store: make(map[string]Record), trials: make(map[string]grant),
 		crashes: make(map[fingerprint.Fingerprint][]time.Duration), later: make(map[fingerprint.Fingerprint]int)}
 	for i := range 2 + m.random.IntN(6) {
 		g := &gateway{model: m, name: fmt.Sprint("g", i)}
@@ -179,7 +188,7 @@
 // begin starts a gateway that knows nothing.
 func (g *gateway) begin() {
 	g.life++
-	g.book, g.known, g.writing = New(g.name), false, false
+	g.book, g.known, g.writing, g.unused = New(g.name), false, false, make(map[string]bool)
 	g.list(g.life)
 }
 
@@ -284,18 +293,48 @@
 		return !verdict.Refused
 	}
 	if g.free {
-		g.book.TrialUsed(a.fingerprint, verdict.Trial)
+		g.book.TrialUsed(a.fingerprint, g.book.NextTrial(a.fingerprint, verdict.Trial), g.now)
 		return true
 	}
-	if !g.storeUp() {
-		return false
+	return g.storeUp() && g.beginTrial(a.fingerprint, verdict.Trial)
+}
+
+// beginTrial tells whether a gateway may make a trial now.
+func (g *gateway) beginTrial(request fingerprint.Fingerprint, number int) bool {
+	name := fmt.Sprint(request, number)
+	held, taken := g.trials[name]
+	if taken && g.book.IsPast(request, held.Trial) {
+		delete(g.unused, name)
+		taken = false
+	}
+	if !taken {
+		held = grant{Trial: g.book.NextTrial(request, number), holder: g, life: g.life}
+		g.trials[name] = held
+		if g.random.IntN(50) == 0 { // the store carried the call out after it was given up
+			g.unused[name] = true
+			return false
+		}
 	}
-	name := fmt.Sprint(a.fingerprint, verdict.Trial)
-	created := !g.trials[name]
-	g.trials[name] = true
-	g.book.TrialUsed(a.fingerprint, verdict.Trial)
-	late := g.random.IntN(50) == 0 // the store carried the call out after it was given up
-	return created && !late
+	mine := held.holder == g && held.life == g.life && (!taken || g.unused[name])
+	delete(g.unused, name)
+	g.book.TrialUsed(request, held.Trial, g.now)
+	return mine
+}
+
+// endTrials removes the trials of a request that is cleared, unless the store is away.
+func (g *gateway) endTrials(request fingerprint.Fingerprint) {
+	life, count := g.life, g.book.TrialsOf(request)
+	if count == 0 {
+		return
+	}
+	g.after(2*time.Second, 2100*time.Millisecond, func() {
+		if g.life != life || !g.storeUp() {
+			return
+		}
+		for number := 1; number <= count; number++ {
+			delete(g.trials, fmt.Sprint(request, number))
+		}
+	})
 }
 
 // end ends an attempt that still runs: well, or with its upstream.
@@ -310,6 +349,7 @@
 	}
 	delete(m.running[a.upstream], a)
 	if a.gateway.life == a.life && !m.stubborn {
+		a.gateway.endTrials(a.fingerprint)
 		a.gateway.book.Completed(a.fingerprint, m.now)
 		a.gateway.write()
 	}
@@ -376,8 +416,10 @@
 
 // broke returns what a model's course broke, empty if nothing.
 func (m *model) broke() string {
-	if m.later[crashing] > allowedLater {
-		return fmt.Sprintf("sent %d times more, %d crashes in all", m.later[crashing], len(m.crashes[crashing]))
+	for _, request := range []fingerprint.Fingerprint{crashing, turned} {
+		if m.later[request] > allowedLater {
+			return fmt.Sprintf("sent %d times more, %d crashes in all, ran well before: %t", m.later[request], len(m.crashes[request]), request == turned)
+		}
 	}
 	return m.refused
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -9,14 +9,14 @@
 //
 // Why the bound holds: a fingerprint under which crashLimit starts of upstreams have crashed is sent
 // by nobody who knows of these crashes. Who does not know them yet sends at most what it gets
-// until the records arrive. After that only trials are sent, maxTrials at most, each held by
-// the gateway that has created its object in the store. Requests that ran well before have more.
+// until the records arrive. After that only trials are sent, each held by the gateway that has
+// created its object in the store.
 //
 // Why others are spared: many requests run at an upstream that crashes, and all of them count as
 // suspect. One that then runs to its end anywhere clears itself of all crashes known, and an
 // upstream that answers again, as after a cut of its links, clears all that ran there. A single crash
-// keeps nothing from being sent. A request that any gateway has seen run well before is refused
-// later and tried sooner and without end: it does not crash each upstream that runs it.
+// keeps nothing from being sent. A request that any gateway has seen run well before is tried
+// sooner and has more trials: upstreams that crash together break off such requests at several.
 //
 // The package does no I/O and knows no wall clock: times are those since the machine's start.
 // It is not safe for concurrent use.
@@ -34,22 +34,6 @@
 	// crashLimit is under how many crashes a request is refused. With one, all that ran beside a
 	// crash would be refused.
 	crashLimit = 2
-	// provenLimit is the limit of a request that has run well before. One that many clients
-	// send is at several upstreams when they crash together.
-	provenLimit = 3
-	// maxTrials bounds how often a refused request that never ran well is sent all the same. Those
-	// that saw it crash may be cut off, so that two more crashes go before the others refuse it.
-	maxTrials = 1
-	// firstTrial is how long after the last crash the first trial may be made: upstreams
-	// that crashed together, as by a loss of power, are back then. Each later one waits
-	// trialFactor times as long. Requests that ran well before go first, so that they are not
-	// at an upstream that the trial of another one crashes.
-	firstTrial       = 6 * time.Second
-	firstProvenTrial = time.Second
-	trialFactor      = 20
-	// longestTrial bounds the wait for a trial of a request that has run well before: one that
-	// crashes all upstreams since a release costs few of them.
-	longestTrial = 10 * time.Minute
 	// noTrial is when a client whose request gets no more trials is asked to come back.
 	noTrial = time.Minute
 	// settleFor is how long after a crash further attempts of its request wait: the other
@@ -102,8 +86,8 @@
 	proven  map[fingerprint.Fingerprint]bool
 	// learned is when each merged crash became known here.
 	learned map[Crash]time.Duration
-	// trials is how many trials of a request are known to be used up.
-	trials map[fingerprint.Fingerprint]int
+	// trials holds the newest trial of each request that is known.
+	trials map[fingerprint.Fingerprint]Trial
 	// due is when the own record must be written, below 0 if it need not.
 	due time.Duration
 }
@@ -119,7 +103,7 @@
 		ranWell:     newMemory(mostProven),
 		proven:      make(map[fingerprint.Fingerprint]bool),
 		learned:     make(map[Crash]time.Duration),
-		trials:      make(map[fingerprint.Fingerprint]int),
+		trials:      make(map[fingerprint.Fingerprint]Trial),
 		due:         never,
 	}
 }
@@ -142,20 +126,19 @@
 // Judge returns what becomes of a request now.
 func (b *Book) Judge(request fingerprint.Fingerprint, now time.Duration) Verdict {
 	crashes := b.suspects[request]
-	allowed := b.limitOf(request)
-	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= allowed}
+	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= crashLimit}
 	if !verdict.Refused {
 		return verdict
 	}
-	verdict.Unsure = len(crashes)-b.unconfirmedOf(crashes) < allowed
-	wait, has := b.trialWait(request)
+	verdict.Unsure = len(crashes)-b.unconfirmedOf(crashes) < crashLimit
+	due, has := b.trialDue(request)
 	if !has {
 		verdict.RetryAfter = noTrial
 		return verdict
 	}
-	left := b.newest(crashes) + wait - now
+	left := due - now
 	if left <= 0 {
-		verdict.Trial = b.trials[request] + 1
+		verdict.Trial = b.trials[request].Number + 1
 		return verdict
 	}
 	verdict.RetryAfter = min(left, firstTrial) // a trial that is under way may clear it any time
@@ -167,32 +150,6 @@
 	return b.proven[request] || b.ranWell.has(request)
 }
 
-// limitOf returns under how many crashes a request is refused.
-func (b *Book) limitOf(request fingerprint.Fingerprint) int {
-	if b.isProven(request) {
-		return provenLimit
-	}
-	return crashLimit
-}
-
-// trialWait returns how long after the last crash of a request its next trial may be made, and false
-// if it has none.
-func (b *Book) trialWait(request fingerprint.Fingerprint) (time.Duration, bool) {
-	used := b.trials[request]
-	proven := b.isProven(request)
-	if !proven && used >= maxTrials {
-		return 0, false
-	}
-	wait := firstTrial
-	if proven {
-		wait = firstProvenTrial
-	}
-	for range used {
-		wait = min(wait*trialFactor, longestTrial)
-	}
-	return wait, true
-}
-
 // unconfirmedOf returns how many of the crashes are not confirmed yet.
 func (b *Book) unconfirmedOf(crashes []Crash) int {
 	count := 0
@@ -222,14 +179,6 @@
 	return at
 }
 
-// TrialUsed records that a trial of a request was made, by this gateway or another one.
-func (b *Book) TrialUsed(request fingerprint.Fingerprint, number int) {
-	b.trials[request] = max(b.trials[request], number)
-}
-
-// TrialsOf returns how many trials of a request are known to be used up.
-func (b *Book) TrialsOf(request fingerprint.Fingerprint) int { return b.trials[request] }
-
 // Suspect records that an upstream may have ended while a request ran there. It counts here
 // at once, and is published once it is confirmed.
 func (b *Book) Suspect(crash Crash, now time.Duration) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -22,8 +22,7 @@
 	b := New("g1")
 	b.Reset(nil, 0)
 	for _, crash := range crashes {
-		b.Suspect(crash, 0)
-		b.Confirm(crash, 0)
+		crashed(b, crash, 0)
 	}
 	return b
 }
@@ -54,7 +53,7 @@
 	tidied := second.Own()
 	assert.Equal(t, len(tidied.Crashes)+len(tidied.Cleared), 0, "nobody tells of them any more")
 	assert.Assert(t, !second.Completed(of("a"), 0), "there is nothing to clear")
-	for _, upstream := range []string{"u3", "u4", "u5"} {
+	for _, upstream := range []string{"u3", "u4"} {
 		assert.Assert(t, !second.Judge(of("a"), 0).Refused)
 		second.Suspect(under("a", upstream), 0)
 	}
@@ -104,31 +103,83 @@
 	assert.Assert(t, !b.Judge(of("a"), 0).Refused, "its own older words bring nothing back")
 }
 
-// TestARequestThatRanWellBeforeIsRefusedLaterAndTriedSooner: also where only another gateway knows.
-func TestARequestThatRanWellBeforeIsRefusedLaterAndTriedSooner(t *testing.T) {
-	knows := New("g2")
-	knows.Reset(nil, 0)
-	knows.Completed(of("a"), 0)
-	other := seen(under("a", "u1"), under("a", "u2"))
-	assert.Assert(t, other.Judge(of("a"), 0).Refused)
-	knows.Take("g1", other.Own(), 0)
-	assert.Assert(t, !knows.Judge(of("a"), 0).Refused)
+// provenRefused returns the book of a gateway that refuses a request since now, as another one, whose
+// book comes with it, has seen it run well before.
+func provenRefused(t *testing.T, now time.Duration, upstreams ...string) (refuses, knows *Book) {
+	knows = New("g2")
+	knows.Reset(nil, now)
+	knows.Completed(of("a"), now)
+	refuses = New("g1")
+	refuses.Reset(nil, now)
+	for _, upstream := range upstreams {
+		crashed(refuses, under("a", upstream), now)
+	}
+	assert.Assert(t, refuses.Judge(of("a"), now).Refused)
+	knows.Take("g1", refuses.Own(), now)
 	due, must := knows.Due()
-	assert.Assert(t, must && due == 0, "others refuse it until they know")
-	other.Take("g2", knows.Own(), 0)
-	assert.Assert(t, !other.Judge(of("a"), 0).Refused)
-
-	other.Suspect(under("a", "u3"), 0)
-	other.Confirm(under("a", "u3"), 0)
-	at := time.Duration(0)
-	for number, wait := range []time.Duration{firstProvenTrial, 8 * time.Second, 64 * time.Second, 512 * time.Second, longestTrial, longestTrial} {
-		assert.Assert(t, other.Judge(of("a"), at+wait-1).Trial == 0, "trial %d", number+1)
-		assert.Equal(t, other.Judge(of("a"), at+wait).Trial, number+1)
-		other.TrialUsed(of("a"), number+1)
+	assert.Assert(t, must && due == now, "others try it later until they know")
+	refuses.Take("g2", knows.Own(), now)
+	return refuses, knows
+}
+
+// crashed lets a gateway know of a crash.
+func crashed(b *Book, crash Crash, now time.Duration) {
+	b.Suspect(crash, now)
+	b.Confirm(crash, now)
+}
+
+func TestARequestThatRanWellBeforeIsTriedSoonerAndTwice(t *testing.T) {
+	b, _ := provenRefused(t, 0, "u1", "u2")
+	assert.Equal(t, b.Judge(of("a"), firstProvenTrial-1).Trial, 0)
+	assert.Equal(t, b.Judge(of("a"), firstProvenTrial).Trial, 1)
+	b.TrialUsed(of("a"), b.NextTrial(of("a"), 1), firstProvenTrial)
+	crashed(b, under("a", "u3"), firstProvenTrial)
+
+	second := firstProvenTrial + laterTrial
+	assert.Equal(t, b.Judge(of("a"), second-1).Trial, 0)
+	assert.Equal(t, b.Judge(of("a"), second).Trial, 2)
+	b.TrialUsed(of("a"), b.NextTrial(of("a"), 2), second)
+	crashed(b, under("a", "u4"), second)
+	assert.DeepEqual(t, b.Judge(of("a"), keepFor-1), Verdict{Crashes: 4, Refused: true, RetryAfter: noTrial})
+}
+
+// TestARequestWithCrashesThatOthersSawHasNoSecondTrial: they may lie before all that this gateway saw.
+func TestARequestWithCrashesThatOthersSawHasNoSecondTrial(t *testing.T) {
+	b, _ := provenRefused(t, 0, "u1", "u2")
+	b.TrialUsed(of("a"), b.NextTrial(of("a"), 1), 0)
+	crashed(b, under("a", "u3"), 0)
+	b.Take("g3", Record{Crashes: []Crash{under("a", "u4")}}, 0)
+	assert.Equal(t, b.Judge(of("a"), keepFor-1).Trial, 0)
+}
+
+func TestATrialThatCrashedNothingIsFollowedByOthers(t *testing.T) {
+	b, _ := provenRefused(t, 0, "u1", "u2", "u3", "u4", "u5")
+	now := firstProvenTrial
+	for number := 1; number < 10; number++ {
+		assert.Equal(t, b.Judge(of("a"), now-1).Trial, 0, "two trials at once")
+		assert.Equal(t, b.Judge(of("a"), now).Trial, number)
+		b.TrialUsed(of("a"), b.NextTrial(of("a"), number), now)
+		now += laterTrial
 	}
-	other.Completed(of("a"), at)
-	other.Take("g2", Record{}, at)
-	assert.Equal(t, len(other.Own().Proven), 0, "nobody has to be told any more")
+}
+
+func TestATrialForCrashesThatWereClearedIsPast(t *testing.T) {
+	b, _ := provenRefused(t, 0, "u1", "u2")
+	trial := b.NextTrial(of("a"), 1)
+	assert.Assert(t, !b.IsPast(of("a"), trial))
+	b.Completed(of("a"), 0)
+	crashed(b, under("a", "u3"), 0)
+	crashed(b, under("a", "u4"), 0)
+	assert.Assert(t, b.IsPast(of("a"), trial))
+}
+
+func TestNobodyTellsOfRequestsThatRanWellOnceTheyAreCleared(t *testing.T) {
+	b, knows := provenRefused(t, 0, "u1", "u2")
+	b.Completed(of("a"), 0)
+	knows.Take("g1", b.Own(), 0)
+	b.Take("g2", knows.Own(), 0)
+	knows.Take("g1", b.Own(), 0)
+	assert.Equal(t, len(b.Own().Proven)+len(knows.Own().Proven), 0)
 }
 
 func TestTheMemoryOfWhatRanWellIsBounded(t *testing.T) {
@@ -144,7 +195,7 @@
 	b := seen(under("a", "u1"), under("a", "u2"))
 	assert.Equal(t, b.Judge(of("a"), firstTrial-time.Second).RetryAfter, time.Second)
 	assert.Equal(t, b.Judge(of("a"), firstTrial).Trial, 1)
-	b.TrialUsed(of("a"), 1)
+	b.TrialUsed(of("a"), Trial{Number: 1}, firstTrial)
 	assert.DeepEqual(t, b.Judge(of("a"), keepFor-1), Verdict{Crashes: 2, Refused: true, RetryAfter: noTrial})
 	b.Expire(keepFor)
 	assert.Assert(t, !b.Judge(of("a"), keepFor).Refused)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -105,12 +105,13 @@
 		return nil, fault.Wrap(fault.Invalid, "gateway.settings", "", err)
 	}
 	p.guard = quarantine.New(quarantine.Options{
-		Name:    settings.Process.Name,
-		Store:   func() *store.Client { return p.view.Store() },
-		Listens: p.client.Listens,
-		Life:    life,
-		Logger:  logger,
-		Scope:   p.metrics.Scope(),
+		Name:        settings.Process.Name,
+		Incarnation: p.incarnation,
+		Store:       func() *store.Client { return p.view.Store() },
+		Listens:     p.client.Listens,
+		Life:        life,
+		Logger:      logger,
+		Scope:       p.metrics.Scope(),
 	})
 	p.view = view.New(view.Options{
 		Logger:  logger,
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -22,8 +22,8 @@
 
 // Options are what a Guard needs.
 type Options struct {
-	// Name is this gateway's.
-	Name string
+	// Name is this gateway's, Incarnation that of its start.
+	Name, Incarnation string
 	// Store returns the client of the store.
 	Store func() *store.Client
 	// Listens tells whether an upstream still takes connections at an address.
@@ -52,6 +52,8 @@
 	// checked holds the suspected crashes of each start of an upstream at which it is being looked
 	// whether it has ended.
 	checked map[string][]suspect
+	// taken are the objects of trials that this gateway holds and has made.
+	taken map[string]bool
 }
 
 // suspect is a suspected crash and the attempt that was broken off.
@@ -80,6 +82,7 @@
 		found: make(chan struct{}),
 
 		checked: make(map[string][]suspect),
+		taken:   make(map[string]bool),
 	}
 }
 
--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -8,6 +8,7 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fingerprint"
+	core "acaciawinch/core/quarantine"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -22,7 +23,11 @@
 // trialSpec says who holds a trial.
 type trialSpec struct {
 	Gateway string `json:"gateway"`
-	Attempt string `json:"attempt"`
+	// Incarnation tells the starts of a gateway apart: what an earlier one was granted was sent or lost.
+	Incarnation string `json:"incarnation"`
+	Attempt     string `json:"attempt"`
+	// Upstreams are the starts of upstreams that had crashed under the request before.
+	Upstreams []string `json:"upstreams"`
 }
 
 // trialName names the object of a trial.
@@ -35,35 +40,79 @@
 func (g *Guard) beginTrial(ctx context.Context, request fingerprint.Fingerprint, number int, attempt string) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	err := g.createTrial(ctx, trialName(request, number), attempt)
-	if err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.Ambiguous) {
-		g.mu.Lock()
-		g.book.TrialUsed(request, number)
-		g.mu.Unlock()
-	}
+	granted, err := g.askTrial(ctx, request, number, attempt)
 	outcome := "granted"
-	if err != nil {
+	switch {
+	case err != nil:
 		outcome = err.Error()
+	case !granted:
+		outcome = "made by another attempt"
 	}
 	g.metrics.trials.Inc(1)
 	g.options.Logger.Event(event.TrialAsked, observe.Fields{"fingerprint": request.String(), "request": attempt, "trial": number, "outcome": outcome})
-	return err == nil
+	return granted
 }
 
-// createTrial creates the object of a trial for an attempt. A lost answer is resolved by reading
-// the object.
-func (g *Guard) createTrial(ctx context.Context, name, attempt string) error {
-	wanted := trialSpec{Gateway: g.options.Name, Attempt: attempt}
-	_, err := g.options.Store().Create(ctx, TrialKind, name, wanted)
-	if !fault.Is(err, fault.Ambiguous) {
-		return err
+// askTrial creates the object of a trial, or looks who holds it. It returns whether this attempt
+// makes the trial; an error means that nothing is known.
+func (g *Guard) askTrial(ctx context.Context, request fingerprint.Fingerprint, number int, attempt string) (bool, error) {
+	name := trialName(request, number)
+	wanted := g.newTrial(request, number, attempt)
+	found, err := g.options.Store().Create(ctx, TrialKind, name, wanted)
+	if err == nil {
+		return g.useTrial(request, number, wanted), nil
+	}
+	if !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Ambiguous) {
+		return false, err
+	}
+	if found.Revision == 0 {
+		found, err = g.options.Store().Get(ctx, TrialKind, name)
+		if err != nil {
+			return false, err
+		}
 	}
-	found, readErr := g.options.Store().Get(ctx, TrialKind, name)
-	var holder trialSpec
-	if readErr != nil || json.Unmarshal(found.Spec, &holder) != nil || holder != wanted {
-		return err
+	var held trialSpec
+	if err := json.Unmarshal(found.Spec, &held); err != nil {
+		return false, fmt.Errorf("the trial %s: %w", name, err)
 	}
-	return nil
+	if g.isPast(request, number, held) {
+		return false, g.options.Store().Delete(ctx, TrialKind, name, found.Revision)
+	}
+	return g.useTrial(request, number, held), nil
+}
+
+// newTrial returns a trial for an attempt.
+func (g *Guard) newTrial(request fingerprint.Fingerprint, number int, attempt string) trialSpec {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	upstreams := g.book.NextTrial(request, number).Upstreams
+	return trialSpec{Gateway: g.options.Name, Incarnation: g.options.Incarnation, Attempt: attempt, Upstreams: upstreams}
+}
+
+// isPast tells whether a trial was made before its request was last cleared. Its object stayed as
+// the store could not be reached then.
+func (g *Guard) isPast(request fingerprint.Fingerprint, number int, held trialSpec) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	past := g.book.IsPast(request, core.Trial{Number: number, Upstreams: held.Upstreams})
+	if past {
+		delete(g.taken, trialName(request, number))
+	}
+	return past
+}
+
+// useTrial notes that a trial is used up, and tells whether it is this call that uses it: it is held
+// here and was not taken before, as when the answer of the store was lost.
+func (g *Guard) useTrial(request fingerprint.Fingerprint, number int, held trialSpec) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	name := trialName(request, number)
+	mine := held.Gateway == g.options.Name && held.Incarnation == g.options.Incarnation && !g.taken[name]
+	if mine {
+		g.taken[name] = true
+	}
+	g.book.TrialUsed(request, core.Trial{Number: number, Upstreams: held.Upstreams}, clock.Boot())
+	return mine
 }
 
 // keepTrials is how long the objects of trials stay after their request was cleared: until all
@@ -82,8 +131,16 @@
 			err = g.options.Store().Delete(ctx, TrialKind, name, found.Revision)
 		}
 		cancel()
+		g.dropTrial(name)
 		if err != nil && !fault.Is(err, fault.NotFound) {
 			g.options.Logger.Warn(event.RecordUnwritten, observe.Fields{"object": name, "error": err.Error()})
 		}
 	}
 }
+
+// dropTrial forgets that a trial was taken, as its object is gone.
+func (g *Guard) dropTrial(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.taken, name)
+}
