Believe what an upstream said of its leaving also against its entry

Cause: the worker had said so in its answers; an operator drained it as well for 0.9 s and wrote that it is ready again. The follower of discovery took that for the worker's own word and dropped what its answers had said. The published rule knows no taking back: a start that says that it leaves is not sent anything later.

Now only another start ends it. Left: an operator who calls off the leaving of a start that has said so gets no requests there until it starts anew.

TestAStartThatSaidThatItLeavesIsNotTakenBackByItsEntry fails before; the branch that went had no test.

--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -111,15 +111,6 @@
 	return f.asked[start{id: upstream.ID, born: upstream.Born}]
 }
 
-// stays notes that a start of an upstream has taken its leaving back in discovery. The lock is held.
-func (f *upstreamFollower) stays(upstream routes.Upstream) {
-	of := start{id: upstream.ID, born: upstream.Born}
-	if said, has := f.asked[of]; has {
-		said.leaving = false
-		f.asked[of] = said
-	}
-}
-
 // forgetAsked drops what starts asked that have been gone for long. The lock is held.
 func (f *upstreamFollower) forgetAsked(now time.Time) {
 	for of, one := range f.asked {
@@ -198,9 +189,6 @@
 		upstream.ColdUntil = time.Now().Add(upstream.Cold)
 	}
 	f.known[upstream.ID] = upstream
-	if known && old.Leaving && !upstream.Leaving {
-		f.stays(upstream)
-	}
 	if !known || old.Leaving != upstream.Leaving || old.Born != upstream.Born || old.Cold == 0 && upstream.Cold > 0 {
 		f.view.options.Logger.Event(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
--- a/gateway/view/upstreams_test.go
+++ b/gateway/view/upstreams_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -50,3 +51,20 @@
 	upstream, _ = v.Upstreams().Find("a")
 	assert.Assert(t, upstream.Leaving)
 }
+
+// TestAStartThatSaidThatItLeavesIsNotTakenBackByItsEntry: an operator who drains an upstream for a while writes
+// that it is ready again, whatever it has said itself meanwhile.
+func TestAStartThatSaidThatItLeavesIsNotTakenBackByItsEntry(t *testing.T) {
+	f, v := following(t)
+	f.Reset([]replica.Object{entry("a", "ready", 1)})
+	upstream, _ := v.Upstreams().Find("a")
+	f.noteAsked(Asked{Upstream: upstream, Leaving: true}, time.Now())
+	for _, state := range []string{"draining", "ready"} {
+		f.Apply([]replica.Change{{Object: entry("a", state, 1)}})
+		upstream, _ = v.Upstreams().Find("a")
+		assert.Assert(t, upstream.Leaving, state)
+	}
+	f.Apply([]replica.Change{{Object: entry("a", "ready", 2)}})
+	upstream, _ = v.Upstreams().Find("a")
+	assert.Assert(t, !upstream.Leaving, "another start")
+}
