Send no trial to a start that ended a moment ago

A request that crashes workers had taken both workers of the route along; two crashes refuse now, and the trial after 1 s went to a worker that had ended (its connections were reset by the relay before it) and that discovery still listed. It was lost, and the next one was due 20 s later.

Now a trial is asked for only if an upstream takes the request that did not crash under it in the last 5 s, and goes to none of these. Later they count again: a start that was only cut off would otherwise get no trial for an hour.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -163,6 +163,14 @@
 	}
 }
 
+func TestUpstreamsThatCrashedLatelyAreTold(t *testing.T) {
+	b := seen(under("a", "u1"))
+	crashed(b, under("a", "u2"), endedFor-1)
+	assert.DeepEqual(t, b.Ended(of("a"), endedFor-1), []string{"u1", "u2"})
+	assert.DeepEqual(t, b.Ended(of("a"), endedFor), []string{"u2"})
+	assert.Equal(t, len(b.Ended(of("b"), 0)), 0)
+}
+
 func TestATrialForCrashesThatWereClearedIsPast(t *testing.T) {
 	b, _ := provenRefused(t, 0, "u1", "u2")
 	trial := b.NextTrial(of("a"), 1)
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -25,6 +25,10 @@
 	// to who sent it may lie before them.
 	maxProvenTrials = 2
 	provenCrashes   = 3
+	// endedFor is how long after its crash a start of an upstream gets no trial: discovery lists
+	// one that has ended for some seconds more. After that it counts as alive, as one
+	// that was only cut off would get none for an hour.
+	endedFor = 5 * time.Second
 	// mostUpstreams bounds the upstreams of a Trial.
 	mostUpstreams = 32
 )
@@ -96,3 +100,15 @@
 
 // TrialsOf returns how many trials of a request are known to be used up.
 func (b *Book) TrialsOf(request fingerprint.Fingerprint) int { return b.trials[request].Number }
+
+// Ended returns the starts of upstreams that crashed under a request a moment ago, which discovery
+// may still list.
+func (b *Book) Ended(request fingerprint.Fingerprint, now time.Duration) []string {
+	var ended []string
+	for _, crash := range b.suspects[request] {
+		if now-b.learned[crash] < endedFor {
+			ended = append(ended, crash.Upstream)
+		}
+	}
+	return ended
+}
--- a/gateway/flow/choose.go
+++ b/gateway/flow/choose.go
@@ -6,6 +6,7 @@
 
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
+	"acaciawinch/gateway/quarantine"
 )
 
 // want is what a request asks of its upstream.
@@ -18,6 +19,8 @@
 	part string
 	// tried are upstreams that it was sent to before.
 	tried []string
+	// ended are the starts of upstreams that it must not be sent to.
+	ended []string
 	// bound are the regions that may run it; all of them bind.
 	bound []routes.Regions
 }
@@ -28,7 +31,7 @@
 	if rq.workspace != nil {
 		bound = append(bound, rq.workspace.Regions)
 	}
-	return want{service: rq.table.Service(rq.service), name: rq.service, part: rq.asked.SharedPart, tried: rq.tried, bound: bound}
+	return want{service: rq.table.Service(rq.service), name: rq.service, part: rq.asked.SharedPart, tried: rq.tried, ended: rq.crashPass.Ended, bound: bound}
 }
 
 // allows tells whether a region may run the request.
@@ -36,6 +39,11 @@
 	return !slices.ContainsFunc(w.bound, func(regions routes.Regions) bool { return !regions.Allow(region) })
 }
 
+// hasEnded tells whether a start of an upstream must not get the request.
+func (w want) hasEnded(upstream routes.Upstream) bool {
+	return len(w.ended) > 0 && slices.Contains(w.ended, quarantine.StartOf(upstream))
+}
+
 // choose returns the upstream for a request and counts it as sent there.
 func (s *Server) choose(w want) (selection.Choice, bool) {
 	s.mu.Lock()
@@ -69,11 +77,11 @@
 }
 
 // usable returns the upstreams of a request's service without those in regions that may not run
-// it, and those that are cold and to which this process may send nothing now. The lock is held.
+// it, starts that have ended under it, and those that are cold and to which this process may send nothing now. The lock is held.
 func (s *Server) usable(w want, now time.Time) []routes.Upstream {
 	list := s.View.Upstreams().Of(w.name)
 	passed := func(upstream routes.Upstream) bool {
-		return !w.allows(upstream.Region) || s.isColdOf(w.service, upstream, now) && !s.allowsCold(w.service, upstream, now)
+		return !w.allows(upstream.Region) || w.hasEnded(upstream) || s.isColdOf(w.service, upstream, now) && !s.allowsCold(w.service, upstream, now)
 	}
 	if !slices.ContainsFunc(list, passed) {
 		return list // as nearly always: nothing is copied
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -300,7 +300,7 @@
 
 // checkCrashes returns an error if the request must not be sent as upstreams crash under it.
 func (rq *request) checkCrashes() error {
-	pass, refusal := rq.Guard.Check(rq.ctx, rq.fingerprint, rq.asked.ID, rq.crashPass)
+	pass, refusal := rq.Guard.Check(rq.ctx, quarantine.Attempt{Request: rq.fingerprint, ID: rq.asked.ID, Held: rq.crashPass, Runs: rq.runsWithout})
 	rq.crashPass = pass
 	if refusal != nil {
 		return fault.Wrap(fault.Refused, "request.quarantine", rq.service, refusal)
@@ -308,6 +308,14 @@
 	return nil
 }
 
+// runsWithout tells whether an upstream takes the request now that is not one of some starts.
+func (rq *request) runsWithout(ended []string) bool {
+	wanted := rq.want()
+	wanted.ended = ended
+	_, found := rq.look(wanted)
+	return found
+}
+
 // closed returns why a service that the request needs takes nothing until its deadline, and when to
 // come back; empty if all may: its client is told before any stage is done in vain.
 func (rq *request) closed() (why string, after time.Duration) {
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -86,8 +86,21 @@
 	}
 }
 
+// Attempt is a request that comes to this gateway.
+type Attempt struct {
+	Request fingerprint.Fingerprint
+	ID      string
+	// Held is the Pass that it has.
+	Held Pass
+	// Runs tells whether an upstream takes it, without some starts of upstreams.
+	Runs func(ended []string) bool
+}
+
 // Pass lets a request be sent once although it is refused.
 type Pass struct {
+	// Ended are the starts of upstreams to which it must not be sent: they crashed under it a
+	// moment ago, and a trial there would be lost.
+	Ended []string
 	// crashes is how many crashes of the request were known when a trial of it was granted.
 	crashes int
 }
@@ -107,17 +120,27 @@
 
 // Check returns the Pass for a request, or the Refusal. The Pass that it already has holds until
 // the request has crashed an upstream again; the caller drops it once the request has been sent.
-func (g *Guard) Check(ctx context.Context, request fingerprint.Fingerprint, attempt string, held Pass) (Pass, *Refusal) {
-	verdict := g.judgeSure(ctx, request)
-	if !verdict.Refused || verdict.Crashes <= held.crashes {
-		return held, nil
+func (g *Guard) Check(ctx context.Context, attempt Attempt) (Pass, *Refusal) {
+	verdict := g.judgeSure(ctx, attempt.Request)
+	if !verdict.Refused || verdict.Crashes <= attempt.Held.crashes {
+		return attempt.Held, nil
 	}
-	if verdict.Trial > 0 && g.beginTrial(ctx, request, verdict.Trial, attempt) {
-		return Pass{crashes: verdict.Crashes}, nil
+	if verdict.Trial > 0 {
+		ended := g.ended(attempt.Request)
+		if attempt.Runs(ended) && g.beginTrial(ctx, attempt.Request, verdict.Trial, attempt.ID) {
+			return Pass{Ended: ended, crashes: verdict.Crashes}, nil
+		}
 	}
-	verdict = g.judge(request)
+	verdict = g.judge(attempt.Request)
 	g.metrics.refused.Inc(1)
-	return held, &Refusal{Crashes: verdict.Crashes, RetryAfter: max(verdict.RetryAfter, leastRetry)}
+	return attempt.Held, &Refusal{Crashes: verdict.Crashes, RetryAfter: max(verdict.RetryAfter, leastRetry)}
+}
+
+// ended returns the starts of upstreams that crashed under a request a moment ago.
+func (g *Guard) ended(request fingerprint.Fingerprint) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Ended(request, clock.Boot())
 }
 
 // Settle waits, at most until ctx ends, before an attempt is sent whose request has crashed an
@@ -163,7 +186,7 @@
 // Broken notes that an upstream closed the connection on which it ran a request. Whether it has
 // ended is found out in the background, once for all that it broke off.
 func (g *Guard) Broken(request fingerprint.Fingerprint, attempt string, upstream routes.Upstream) {
-	start := startOf(upstream)
+	start := StartOf(upstream)
 	crash := core.Crash{Request: request, Upstream: start}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -175,8 +198,8 @@
 	}
 }
 
-// startOf names one start of an upstream.
-func startOf(upstream routes.Upstream) string {
+// StartOf names one start of an upstream.
+func StartOf(upstream routes.Upstream) string {
 	return fmt.Sprintf("%s/%d", upstream.ID, upstream.Born)
 }
 
@@ -237,7 +260,7 @@
 	if g.book.Quiet() {
 		return // as nearly always
 	}
-	start := startOf(upstream)
+	start := StartOf(upstream)
 	if g.book.Answered(start, sent, clock.Boot()) {
 		g.options.Logger.Event(event.CrashDisproved, observe.Fields{"upstream": start})
 		g.wakeWriter()
--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
@@ -163,3 +164,31 @@
 	kept.specs[trialName(crashing, 1)] = json.RawMessage(`7`)
 	assert.Assert(t, !ask(t, list[0]))
 }
+
+// TestATrialIsNotSentToAStartThatEndedAMomentAgo: discovery still lists it, and the trial would be lost.
+func TestATrialIsNotSentToAStartThatEndedAMomentAgo(t *testing.T) {
+	list, kept := guards(t, 1)
+	g := list[0]
+	g.book.Reset(map[string]core.Record{"g2": {Proven: []fingerprint.Fingerprint{crashing}}}, clock.Boot())
+	check := func(runs bool) (Pass, *Refusal) {
+		return g.Check(t.Context(), Attempt{Request: crashing, ID: "attempt", Runs: func(ended []string) bool {
+			assert.DeepEqual(t, ended, []string{"u1", "u2"})
+			return runs
+		}})
+	}
+	waitFor(t, func() bool { return g.judge(crashing).Trial == 1 })
+	_, refusal := check(false)
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, len(kept.specs), 0, "it is not used up")
+	pass, refusal := check(true)
+	assert.Assert(t, refusal == nil)
+	assert.DeepEqual(t, pass.Ended, []string{"u1", "u2"})
+}
+
+// waitFor waits until something holds.
+func waitFor(t *testing.T, holds func() bool) {
+	for !holds() {
+		assert.NilError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+}
