Remove the objects of trials of requests that are never cleared

A request that crashes upstreams and never runs to its end left the object of its trial in the store for good; a client with ever new such requests would fill it.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -200,7 +200,7 @@
 func (p *process) serve(ctx, life context.Context, stop context.CancelFunc, open listeners) error {
 	servers := newServers(p, open)
 	group, life := errgroup.WithContext(life)
-	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.guard.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, part := range []func(context.Context) error{p.source.Run, p.view.Register, p.owner.Run, p.asker.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return part(life) })
 	}
 	group.Go(func() error { return p.rpc.Serve(life, open.fleet) })
--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -48,6 +48,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	name := strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, "/objects/"+TrialKind), "/")
+	if r.Method == http.MethodGet && name == "" {
+		assert.Check(s.t, json.NewEncoder(w).Encode(s.list()))
+		return
+	}
 	var asked storedObject
 	if r.Method == http.MethodPost {
 		assert.Check(s.t, json.NewDecoder(r.Body).Decode(&asked))
@@ -69,10 +73,29 @@
 	if s.loseAnswers {
 		panic(http.ErrAbortHandler)
 	}
-	answer := storedObject{Spec: spec}
-	answer.Metadata.Name, answer.Metadata.Revision = name, 1
 	w.WriteHeader(status)
-	assert.Check(s.t, json.NewEncoder(w).Encode(answer))
+	assert.Check(s.t, json.NewEncoder(w).Encode(stored(name, spec)))
+}
+
+// stored returns an object as the store keeps it.
+func stored(name string, spec json.RawMessage) storedObject {
+	object := storedObject{Spec: spec}
+	object.Metadata.Name, object.Metadata.Revision = name, 1
+	return object
+}
+
+// storedList is a list on the wire.
+type storedList struct {
+	Items []storedObject `json:"items"`
+}
+
+// list returns all objects.
+func (s *trialStore) list() storedList {
+	list := storedList{Items: []storedObject{}}
+	for name, spec := range s.specs {
+		list.Items = append(list.Items, stored(name, spec))
+	}
+	return list
 }
 
 // set changes how the store behaves.
