Merge a record of crashes by what changed in it

Each gateway takes the records of all the others within a moment then, under the lock that each request takes to be judged: 1.2 s in all, and as much again when the crashes are cleared.

--- a/core/quarantine/model_test.go
+++ b/core/quarantine/model_test.go
@@ -27,6 +27,8 @@
 	// crashes upstreams comes; calmFor is above the time of its trial.
 	troubleFor = 100 * time.Second
 	calmFor    = time.Minute
+	// lookEvery is how many events lie between two looks at what the gateways have merged.
+	lookEvery = 20
 	// sparedWithin is how long after the troubles an innocent request is served again: 12 s of
 	// the last cut or outage, a second trial, and what comes between.
 	sparedWithin = 30 * time.Second
@@ -90,6 +92,9 @@
 	// after the bound.
 	crashes map[fingerprint.Fingerprint][]time.Duration
 	later   map[fingerprint.Fingerprint]int
+	// wrong says what a gateway's merged records differ in from the union of them all, empty if
+	// in nothing.
+	wrong string
 	// refused says who refuses the popular request long after all troubles, empty if nobody.
 	refused string
 }
@@ -170,10 +175,13 @@
 	m.every(5*time.Second, 40*time.Second, troubleFor, m.cutOne)
 	m.every(10*time.Second, 60*time.Second, troubleFor, m.loseStore)
 	m.after(troubleFor+sparedWithin, troubleFor+sparedWithin, m.lookForRefused)
-	for len(m.queue) > 0 {
+	for number := 0; len(m.queue) > 0; number++ {
 		next := heap.Pop(&m.queue).(event)
 		m.now = next.at
 		next.run()
+		if number%lookEvery == 0 {
+			m.lookAtMerged()
+		}
 	}
 }
 
@@ -416,6 +424,9 @@
 
 // broke returns what a model's course broke, empty if nothing.
 func (m *model) broke() string {
+	if m.wrong != "" {
+		return m.wrong
+	}
 	for _, request := range []fingerprint.Fingerprint{crashing, turned} {
 		if m.later[request] > allowedLater {
 			return fmt.Sprintf("sent %d times more, %d crashes in all, ran well before: %t", m.later[request], len(m.crashes[request]), request == turned)
@@ -424,6 +435,34 @@
 	return m.refused
 }
 
+// lookAtMerged notes a gateway whose crashes that count are not all that somebody tells of without all that
+// somebody has cleared.
+func (m *model) lookAtMerged() {
+	for _, g := range m.gateways {
+		wanted := make(map[Crash]bool)
+		for _, record := range append(slices.Collect(maps.Values(g.book.records)), g.book.own) {
+			for _, crash := range record.Crashes {
+				wanted[crash] = true
+			}
+		}
+		maps.Copy(wanted, g.book.unconfirmed)
+		for _, record := range append(slices.Collect(maps.Values(g.book.records)), g.book.own) {
+			for _, crash := range record.Cleared {
+				delete(wanted, crash)
+			}
+		}
+		found := make(map[Crash]bool)
+		for _, crashes := range g.book.merged.suspects {
+			for _, crash := range crashes {
+				found[crash] = true
+			}
+		}
+		if !maps.Equal(wanted, found) {
+			m.wrong = fmt.Sprintf("%s counts %d crashes, the records say %d", g.name, len(found), len(wanted))
+		}
+	}
+}
+
 // lookForRefused notes a gateway that still refuses the popular request.
 func (m *model) lookForRefused() {
 	for _, g := range m.gateways {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -77,15 +77,10 @@
 	records map[string]Record
 	// unconfirmed are crashes of which it is not known yet whether the upstream has ended.
 	unconfirmed map[Crash]bool
-	// suspects holds the merged crashes by their requests, ended by their upstreams.
-	suspects map[fingerprint.Fingerprint][]Crash
-	ended    map[string][]Crash
-	// ranWell remembers requests that ran to their end here, proven those of which another
-	// gateway says so.
+	// merged is what all of these say together.
+	merged merged
+	// ranWell remembers requests that ran to their end here.
 	ranWell memory
-	proven  map[fingerprint.Fingerprint]bool
-	// learned is when each merged crash became known here.
-	learned map[Crash]time.Duration
 	// trials holds the newest trial of each request that is known.
 	trials map[fingerprint.Fingerprint]Trial
 	// due is when the own record must be written, below 0 if it need not.
@@ -98,11 +93,8 @@
 		self:        self,
 		records:     make(map[string]Record),
 		unconfirmed: make(map[Crash]bool),
-		suspects:    make(map[fingerprint.Fingerprint][]Crash),
-		ended:       make(map[string][]Crash),
+		merged:      newMerged(),
 		ranWell:     newMemory(mostProven),
-		proven:      make(map[fingerprint.Fingerprint]bool),
-		learned:     make(map[Crash]time.Duration),
 		trials:      make(map[fingerprint.Fingerprint]Trial),
 		due:         never,
 	}
@@ -125,7 +117,7 @@
 
 // Judge returns what becomes of a request now.
 func (b *Book) Judge(request fingerprint.Fingerprint, now time.Duration) Verdict {
-	crashes := b.suspects[request]
+	crashes := b.merged.suspects[request]
 	verdict := Verdict{Crashes: len(crashes), Refused: len(crashes) >= crashLimit}
 	if !verdict.Refused {
 		return verdict
@@ -147,7 +139,7 @@
 
 // isProven tells whether a request is known to have run well before.
 func (b *Book) isProven(request fingerprint.Fingerprint) bool {
-	return b.proven[request] || b.ranWell.has(request)
+	return b.merged.proven[request] > 0 || b.ranWell.has(request)
 }
 
 // unconfirmedOf returns how many of the crashes are not confirmed yet.
@@ -163,7 +155,7 @@
 
 // Settle returns how long a further attempt of a request must wait before it is judged.
 func (b *Book) Settle(request fingerprint.Fingerprint, now time.Duration) time.Duration {
-	crashes := b.suspects[request]
+	crashes := b.merged.suspects[request]
 	if len(crashes) == 0 || b.isProven(request) {
 		return 0
 	}
@@ -174,7 +166,7 @@
 func (b *Book) newest(crashes []Crash) time.Duration {
 	var at time.Duration
 	for _, crash := range crashes {
-		at = max(at, b.learned[crash])
+		at = max(at, b.merged.learnedAt(crash))
 	}
 	return at
 }
@@ -182,11 +174,12 @@
 // Suspect records that an upstream may have ended while a request ran there. It counts here
 // at once, and is published once it is confirmed.
 func (b *Book) Suspect(crash Crash, now time.Duration) {
-	if slices.Contains(b.own.Crashes, crash) {
+	if b.unconfirmed[crash] || slices.Contains(b.own.Crashes, crash) {
 		return
 	}
 	b.unconfirmed[crash] = true
-	b.merge(now)
+	b.merged.tell(crash, 1)
+	b.changed(now, crash)
 }
 
 // Confirm records that the upstream of a suspected crash has ended.
@@ -196,24 +189,36 @@
 	}
 	delete(b.unconfirmed, crash)
 	b.own.Crashes = append(b.own.Crashes, crash)
-	if excess := len(b.own.Crashes) - mostCrashes; excess > 0 {
-		b.own.Crashes = slices.Delete(b.own.Crashes, 0, excess)
+	touched := []Crash{crash}
+	for len(b.own.Crashes) > mostCrashes {
+		oldest := b.own.Crashes[0]
+		b.own.Crashes = slices.Delete(b.own.Crashes, 0, 1)
+		b.merged.tell(oldest, -1)
+		touched = append(touched, oldest)
 	}
-	b.merge(now)
+	b.changed(now, touched...)
 	b.publish(now)
 }
 
 // Dismiss records that the upstream of a suspected crash goes on.
 func (b *Book) Dismiss(crash Crash, now time.Duration) {
-	delete(b.unconfirmed, crash)
-	b.merge(now)
+	b.trust(crash)
+	b.changed(now, crash)
+}
+
+// trust drops the suspicion of a crash, if there is any.
+func (b *Book) trust(crash Crash) {
+	if b.unconfirmed[crash] {
+		delete(b.unconfirmed, crash)
+		b.merged.tell(crash, -1)
+	}
 }
 
 // Completed records that a request has run to its end: no crash known is its doing. It returns
 // whether there was any.
 func (b *Book) Completed(request fingerprint.Fingerprint, now time.Duration) bool {
 	b.ranWell.add(request)
-	crashes := b.suspects[request]
+	crashes := slices.Clone(b.merged.suspects[request]) // clearing changes the list
 	if len(crashes) == 0 {
 		return false
 	}
@@ -223,17 +228,17 @@
 }
 
 // Quiet tells whether no upstream counts as crashed.
-func (b *Book) Quiet() bool { return len(b.ended) == 0 }
+func (b *Book) Quiet() bool { return len(b.merged.ended) == 0 }
 
 // Answered records that a start of an upstream has answered a request that was sent at a time: it
 // had not ended by then. It returns whether that was believed.
 func (b *Book) Answered(upstream string, sent, now time.Duration) bool {
 	var wrong []Crash
 	refused := false
-	for _, crash := range b.ended[upstream] {
-		if b.learned[crash] < sent {
+	for _, crash := range b.merged.ended[upstream] {
+		if b.merged.learnedAt(crash) < sent {
 			wrong = append(wrong, crash)
-			refused = refused || len(b.suspects[crash.Request]) >= crashLimit
+			refused = refused || len(b.merged.suspects[crash.Request]) >= crashLimit
 		}
 	}
 	if len(wrong) > 0 {
@@ -245,96 +250,16 @@
 // clear takes crashes back. With urgent set a request is refused for them elsewhere.
 func (b *Book) clear(crashes []Crash, urgent bool, now time.Duration) {
 	for _, crash := range crashes {
-		delete(b.unconfirmed, crash)
+		b.trust(crash)
 		if !slices.Contains(b.own.Cleared, crash) {
 			b.own.Cleared = append(b.own.Cleared, crash)
+			b.merged.clear(crash, 1)
 		}
 	}
-	b.merge(now)
+	b.changed(now, crashes...)
 	if urgent {
 		b.publish(now)
 	} else {
 		b.publish(now + tidyAfter)
 	}
 }
-
-// merge brings suspects up to date, and the own record with them.
-func (b *Book) merge(now time.Duration) {
-	cleared := make(map[Crash]bool)
-	b.each(func(record Record) {
-		for _, crash := range record.Cleared {
-			cleared[crash] = true
-		}
-	})
-	reported := make(map[Crash]bool)
-	b.suspects = make(map[fingerprint.Fingerprint][]Crash)
-	b.ended = make(map[string][]Crash)
-	add := func(crash Crash) {
-		if reported[crash] {
-			return
-		}
-		reported[crash] = true
-		if _, known := b.learned[crash]; !known {
-			b.learned[crash] = now
-		}
-		if !cleared[crash] && now-b.learned[crash] < keepFor {
-			b.suspects[crash.Request] = append(b.suspects[crash.Request], crash)
-			b.ended[crash.Upstream] = append(b.ended[crash.Upstream], crash)
-		}
-	}
-	b.each(func(record Record) {
-		for _, crash := range record.Crashes {
-			add(crash)
-		}
-	})
-	for crash := range b.unconfirmed {
-		add(crash)
-	}
-	b.prove(now)
-	b.tidy(cleared, now)
-	b.forget(reported)
-}
-
-// prove takes over which requests other gateways have seen run well, and tells them of those that
-// are about to be refused and ran well here.
-func (b *Book) prove(now time.Duration) {
-	b.proven = make(map[fingerprint.Fingerprint]bool)
-	for _, record := range b.records {
-		for _, request := range record.Proven {
-			b.proven[request] = true
-		}
-	}
-	before := len(b.own.Proven)
-	b.own.Proven = slices.DeleteFunc(b.own.Proven, func(request fingerprint.Fingerprint) bool { return len(b.suspects[request]) == 0 })
-	if len(b.own.Proven) != before {
-		b.publish(now + tidyAfter)
-	}
-	for request, crashes := range b.suspects {
-		if len(crashes) >= crashLimit && b.ranWell.has(request) && !b.proven[request] && !slices.Contains(b.own.Proven, request) {
-			b.own.Proven = append(b.own.Proven, request)
-			b.publish(now)
-		}
-	}
-}
-
-// each calls visit for all records, the own one first.
-func (b *Book) each(visit func(Record)) {
-	visit(b.own)
-	for _, record := range b.records {
-		visit(record)
-	}
-}
-
-// forget drops what is known of crashes and requests that nobody tells of any more.
-func (b *Book) forget(reported map[Crash]bool) {
-	for crash := range b.learned {
-		if !reported[crash] {
-			delete(b.learned, crash)
-		}
-	}
-	for request := range b.trials {
-		if len(b.suspects[request]) == 0 {
-			delete(b.trials, request)
-		}
-	}
-}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,13 +16,21 @@
 // Reset replaces the records of all gateways: these are all there are.
 func (b *Book) Reset(records map[string]Record, now time.Duration) {
 	own, written := records[b.self]
-	b.records = make(map[string]Record, len(records))
-	for gateway, record := range records {
+	var named []Record
+	for gateway := range b.records {
+		if _, there := records[gateway]; !there {
+			named = append(named, b.swap(gateway, Record{}))
+			delete(b.records, gateway)
+		}
+	}
+	for _, gateway := range slices.Sorted(maps.Keys(records)) {
 		if gateway != b.self {
-			b.records[gateway] = record
+			named = append(named, b.swap(gateway, records[gateway]))
 		}
 	}
-	b.merge(now)
+	for _, record := range named {
+		b.settle(record, now)
+	}
 	if written {
 		b.Take(b.self, own, now)
 		return
@@ -36,8 +45,7 @@
 // earlier start and is taken over, so that what it saw outlives it; later ones are its own words.
 func (b *Book) Take(gateway string, record Record, now time.Duration) {
 	if gateway != b.self {
-		b.records[gateway] = record
-		b.merge(now)
+		b.replace(gateway, record, now)
 		return
 	}
 	if !b.adopted {
@@ -50,19 +58,22 @@
 func (b *Book) Adopt(record Record, now time.Duration) {
 	b.adopted = true
 	for _, crash := range record.Crashes {
+		b.trust(crash)
 		if !slices.Contains(b.own.Crashes, crash) {
 			b.own.Crashes = append(b.own.Crashes, crash)
+			b.merged.tell(crash, 1)
 		}
 	}
 	for _, crash := range record.Cleared {
 		if !slices.Contains(b.own.Cleared, crash) {
 			b.own.Cleared = append(b.own.Cleared, crash)
+			b.merged.clear(crash, 1)
 		}
 	}
 	for _, request := range record.Proven {
 		b.ranWell.add(request)
 	}
-	b.merge(now)
+	b.settle(record, now)
 	if !slices.Equal(b.own.Crashes, record.Crashes) || !slices.Equal(b.own.Cleared, record.Cleared) || !slices.Equal(b.own.Proven, record.Proven) {
 		b.publish(now)
 	}
@@ -71,14 +82,30 @@
 // Remove drops the record of a gateway. An own one that an operator has removed is forgotten.
 func (b *Book) Remove(gateway string, now time.Duration) {
 	if gateway == b.self {
-		b.own = Record{}
+		b.forgetOwn(now)
+		return
 	}
+	b.replace(gateway, Record{}, now)
 	delete(b.records, gateway)
-	b.merge(now)
+}
+
+// forgetOwn drops the own record.
+func (b *Book) forgetOwn(now time.Duration) {
+	own := b.own
+	b.own = Record{}
+	for _, crash := range own.Crashes {
+		b.merged.tell(crash, -1)
+	}
+	for _, crash := range own.Cleared {
+		b.merged.clear(crash, -1)
+	}
+	b.settle(own, now)
 }
 
 // Expire drops what counts no longer.
-func (b *Book) Expire(now time.Duration) { b.merge(now) }
+func (b *Book) Expire(now time.Duration) {
+	b.changed(now, slices.Collect(maps.Keys(b.merged.entries))...)
+}
 
 // Due returns when the own record must be written, and false if it need not: nothing has
 // changed, or the record of an earlier start, which would be lost, is not known yet.
@@ -99,23 +126,3 @@
 		b.due = at
 	}
 }
-
-// tidy drops from the own record the crashes that were cleared or lapsed, and what was cleared
-// of crashes that nobody tells of any more. The order keeps all gateways from counting a cleared
-// crash: its gateway drops it first, and then who cleared it.
-func (b *Book) tidy(cleared map[Crash]bool, now time.Duration) {
-	before := len(b.own.Crashes) + len(b.own.Cleared)
-	b.own.Crashes = slices.DeleteFunc(b.own.Crashes, func(crash Crash) bool {
-		return cleared[crash] || now-b.learned[crash] >= keepFor
-	})
-	told := make(map[Crash]bool)
-	for _, record := range b.records {
-		for _, crash := range record.Crashes {
-			told[crash] = true
-		}
-	}
-	b.own.Cleared = slices.DeleteFunc(b.own.Cleared, func(crash Crash) bool { return !told[crash] })
-	if len(b.own.Crashes)+len(b.own.Cleared) != before {
-		b.publish(now + tidyAfter)
-	}
-}
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -46,7 +46,7 @@
 // trialDue returns when the next trial of a request may be made, and false if it has none.
 func (b *Book) trialDue(request fingerprint.Fingerprint) (time.Duration, bool) {
 	wait, has := b.trialWait(request)
-	return max(b.newest(b.suspects[request]), b.trials[request].learned) + wait, has
+	return max(b.newest(b.merged.suspects[request]), b.trials[request].learned) + wait, has
 }
 
 // trialWait returns how long after the last crash or trial of a request its next trial may be
@@ -61,19 +61,19 @@
 	case !b.crashedSinceTrial(request):
 		return laterTrial, true
 	default:
-		return laterTrial, used < maxProvenTrials && len(b.suspects[request]) <= provenCrashes
+		return laterTrial, used < maxProvenTrials && len(b.merged.suspects[request]) <= provenCrashes
 	}
 }
 
 // crashedSinceTrial tells whether an upstream has crashed under a request since its newest trial.
 func (b *Book) crashedSinceTrial(request fingerprint.Fingerprint) bool {
 	before := b.trials[request].Upstreams
-	return slices.ContainsFunc(b.suspects[request], func(crash Crash) bool { return !slices.Contains(before, crash.Upstream) })
+	return slices.ContainsFunc(b.merged.suspects[request], func(crash Crash) bool { return !slices.Contains(before, crash.Upstream) })
 }
 
 // NextTrial returns a trial with a number, to be made now.
 func (b *Book) NextTrial(request fingerprint.Fingerprint, number int) Trial {
-	crashes := b.suspects[request]
+	crashes := b.merged.suspects[request]
 	trial := Trial{Number: number}
 	for _, crash := range crashes[max(0, len(crashes)-mostUpstreams):] {
 		trial.Upstreams = append(trial.Upstreams, crash.Upstream)
@@ -87,7 +87,7 @@
 	if len(trial.Upstreams) == 0 {
 		return false // by a gateway that does not say so
 	}
-	return !slices.ContainsFunc(b.suspects[request], func(crash Crash) bool { return slices.Contains(trial.Upstreams, crash.Upstream) })
+	return !slices.ContainsFunc(b.merged.suspects[request], func(crash Crash) bool { return slices.Contains(trial.Upstreams, crash.Upstream) })
 }
 
 // TrialUsed records that a trial of a request was made, by this gateway or another one.
@@ -105,8 +105,8 @@
 // may still list.
 func (b *Book) Ended(request fingerprint.Fingerprint, now time.Duration) []string {
 	var ended []string
-	for _, crash := range b.suspects[request] {
-		if now-b.learned[crash] < endedFor {
+	for _, crash := range b.merged.suspects[request] {
+		if now-b.merged.learnedAt(crash) < endedFor {
 			ended = append(ended, crash.Upstream)
 		}
 	}
