Make a trial again that did not run

Its workers had been taken along by a request that crashes them; its trial was sent to a worker that turned it away with 503, and the next one was due 20 s later (and for a request that never ran well there is none).

Now a trial that was not sent in the end, as no upstream took it, goes back to the gateway that holds its object, which makes it with a later attempt. One that reached an upstream and was turned away goes back only if the request ran well before: the published rule counts what reaches upstreams, and for other requests the bound is three of these.

TestATrialThatDidNotRunIsMadeAgain is new.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -137,8 +137,8 @@
 	return verdict
 }
 
-// isProven tells whether a request is known to have run well before.
-func (b *Book) isProven(request fingerprint.Fingerprint) bool {
+// IsProven tells whether a request is known to have run well before.
+func (b *Book) IsProven(request fingerprint.Fingerprint) bool {
 	return b.merged.proven[request] > 0 || b.ranWell.has(request)
 }
 
@@ -156,7 +156,7 @@
 // Settle returns how long a further attempt of a request must wait before it is judged.
 func (b *Book) Settle(request fingerprint.Fingerprint, now time.Duration) time.Duration {
 	crashes := b.merged.suspects[request]
-	if len(crashes) == 0 || b.isProven(request) {
+	if len(crashes) == 0 || b.IsProven(request) {
 		return 0
 	}
 	return max(0, b.newest(crashes)+settleFor-now)
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -54,7 +54,7 @@
 func (b *Book) trialWait(request fingerprint.Fingerprint) (time.Duration, bool) {
 	used := b.trials[request].Number
 	switch {
-	case !b.isProven(request):
+	case !b.IsProven(request):
 		return firstTrial, used < maxTrials
 	case used == 0:
 		return firstProvenTrial, true
@@ -98,6 +98,17 @@
 	}
 }
 
+// TrialReturned records that the newest trial of a request was not made and may be made again.
+func (b *Book) TrialReturned(request fingerprint.Fingerprint, number int) {
+	trial, known := b.trials[request]
+	if !known || trial.Number != number {
+		return
+	}
+	trial.Number--
+	trial.learned = 0
+	b.trials[request] = trial
+}
+
 // TrialsOf returns how many trials of a request are known to be used up.
 func (b *Book) TrialsOf(request fingerprint.Fingerprint) int { return b.trials[request].Number }
 
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -77,6 +77,8 @@
 	sends int
 	// crashPass lets it be sent although upstreams have crashed under it.
 	crashPass quarantine.Pass
+	// usedPass is the one with which it was sent last.
+	usedPass quarantine.Pass
 	// mayHaveRun is set once a send can't be proved not to have run.
 	mayHaveRun bool
 	// begun is set once the head of an answer has gone to the client.
@@ -277,6 +279,7 @@
 		return
 	}
 	defer func() { rq.results.free() }()
+	defer func() { rq.Guard.Return(rq.fingerprint, rq.asked.ID, rq.crashPass, false) }()
 	rq.deposit(rq.service, rq.began)
 	for {
 		err := rq.checkCrashes()
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -161,7 +161,7 @@
 // sent counts a send that reached an upstream. A trial is one such send.
 func (rq *request) sent() {
 	rq.sends++
-	rq.crashPass = quarantine.Pass{}
+	rq.crashPass, rq.usedPass = quarantine.Pass{}, rq.crashPass
 }
 
 // cutByUpstream tells whether an exchange failed as the upstream closed the connection, by a
@@ -205,6 +205,7 @@
 
 // notRun handles an answer which says that the request did not run.
 func (rq *request) notRun(answer *httpconn.Answer, replaced bool) error {
+	rq.Guard.Return(rq.fingerprint, rq.asked.ID, rq.usedPass, !replaced)
 	if replaced {
 		rq.sends-- // it reached no upstream that it was meant for
 	}
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -101,8 +101,9 @@
 	// Ended are the starts of upstreams to which it must not be sent: they crashed under it a
 	// moment ago, and a trial there would be lost.
 	Ended []string
-	// crashes is how many crashes of the request were known when a trial of it was granted.
-	crashes int
+	// trial is the number of the trial, 0 if there is none, and crashes how many crashes of the
+	// request were known when it was granted.
+	trial, crashes int
 }
 
 // Refusal says why a request must not be sent.
@@ -128,7 +129,7 @@
 	if verdict.Trial > 0 {
 		ended := g.ended(attempt.Request)
 		if attempt.Runs(ended) && g.beginTrial(ctx, attempt.Request, verdict.Trial, attempt.ID) {
-			return Pass{Ended: ended, crashes: verdict.Crashes}, nil
+			return Pass{Ended: ended, trial: verdict.Trial, crashes: verdict.Crashes}, nil
 		}
 	}
 	verdict = g.judge(attempt.Request)
--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -115,6 +115,23 @@
 	return mine
 }
 
+// Return gives the trial of a Pass back that did not run. With reached set an upstream turned it away:
+// a request that never ran well has used it up, as all that reach upstreams are bounded.
+func (g *Guard) Return(request fingerprint.Fingerprint, attempt string, unused Pass, reached bool) {
+	if unused.trial == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	name := trialName(request, unused.trial)
+	if !g.taken[name] || reached && !g.book.IsProven(request) {
+		return
+	}
+	delete(g.taken, name)
+	g.book.TrialReturned(request, unused.trial)
+	g.options.Logger.Event(event.TrialReturned, observe.Fields{"fingerprint": request.String(), "request": attempt, "trial": unused.trial, "reached": reached})
+}
+
 // keepTrials is how long the objects of trials stay after their request was cleared: until all
 // gateways know that, none makes the same trial once more.
 const keepTrials = 2 * time.Second
--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -208,6 +208,29 @@
 	assert.DeepEqual(t, pass.Ended, []string{"u1", "u2"})
 }
 
+// TestATrialThatDidNotRunIsMadeAgain: a request that all clients send would be refused until the next one.
+func TestATrialThatDidNotRunIsMadeAgain(t *testing.T) {
+	for _, c := range []struct{ proven, reached, again bool }{{false, false, true}, {false, true, false}, {true, false, true}, {true, true, true}} {
+		list, _ := guards(t, 2)
+		if c.proven {
+			list[0].book.Take("g2", core.Record{Proven: []fingerprint.Fingerprint{crashing}}, clock.Boot())
+		}
+		assert.Assert(t, ask(t, list[0]))
+		list[0].Return(crashing, "attempt", Pass{trial: 1, crashes: 2}, c.reached)
+		assert.Equal(t, list[0].book.TrialsOf(crashing) == 0, c.again)
+		assert.Assert(t, !ask(t, list[1]), "the first one holds it")
+		assert.Equal(t, ask(t, list[0]), c.again, "%+v", c)
+		assert.Assert(t, !ask(t, list[0]))
+	}
+}
+
+func TestARequestWithoutATrialReturnsNone(t *testing.T) {
+	list, _ := guards(t, 1)
+	assert.Assert(t, ask(t, list[0]))
+	list[0].Return(crashing, "attempt", Pass{}, false)
+	assert.Equal(t, list[0].book.TrialsOf(crashing), 1)
+}
+
 // waitFor waits until something holds.
 func waitFor(t *testing.T, holds func() bool) {
 	for !holds() {
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -54,6 +54,7 @@
 	RecordUnwritten  = define(10074, "crash_record_unwritten", "An object of crashes or trials could not be written or removed.", "object", "error")
 	RecordUnreadable = define(10075, "crash_record_unreadable", "A gateway's record of crashes can't be read; what was known of it stays.", "gateway", "revision", "error")
 	TrialAsked       = define(10076, "crash_trial_asked", "A request that is refused for its crashes is due for a trial; the outcome says whether this gateway makes it.", "fingerprint", "request", "trial", "outcome")
+	TrialReturned    = define(10080, "crash_trial_returned", "A trial did not run and may be made again by this gateway; reached says whether an upstream turned it away.", "fingerprint", "request", "trial", "reached")
 	TrialsRemoved    = define(10078, "crash_trials_removed", "Objects of trials were removed whose requests have no crashes that count; left says how many there are still.", "removed", "left")
 	TrialsUnlisted   = define(10079, "crash_trials_unlisted", "The objects of trials could not be listed; the next round looks for those that are left.", "error")
 )
