--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -40,22 +40,29 @@
 func (g *Guard) beginTrial(ctx context.Context, request fingerprint.Fingerprint, number int, attempt string) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	granted, err := g.askTrial(ctx, request, number, attempt)
-	outcome := "granted"
-	switch {
-	case err != nil:
-		outcome = err.Error()
-	case !granted:
-		outcome = "made by another attempt"
+	outcome, err := g.askTrial(ctx, request, number, attempt)
+	if err != nil {
+		outcome = trialOutcome(err.Error())
 	}
 	g.metrics.trials.Inc(1)
-	g.options.Logger.Event(event.TrialAsked, observe.Fields{"fingerprint": request.String(), "request": attempt, "trial": number, "outcome": outcome})
-	return granted
+	g.options.Logger.Event(event.TrialAsked, observe.Fields{"fingerprint": request.String(), "request": attempt, "trial": number, "outcome": string(outcome)})
+	return outcome == trialGranted
 }
 
-// askTrial creates the object of a trial, or looks who holds it. It returns whether this attempt
-// makes the trial; an error means that nothing is known.
-func (g *Guard) askTrial(ctx context.Context, request fingerprint.Fingerprint, number int, attempt string) (bool, error) {
+// trialOutcome is what became of the question for a trial, as it is logged.
+type trialOutcome string
+
+// Outcomes without an error.
+const (
+	trialGranted trialOutcome = "granted"
+	trialTaken   trialOutcome = "made by another attempt"
+	// trialRemoved means that the object of a trial for crashes that were cleared was in the way; the
+	// next attempt may make the trial.
+	trialRemoved trialOutcome = "an earlier one was removed"
+)
+
+// askTrial creates the object of a trial, or looks who holds it. An error means that nothing is known.
+func (g *Guard) askTrial(ctx context.Context, request fingerprint.Fingerprint, number int, attempt string) (trialOutcome, error) {
 	name := trialName(request, number)
 	wanted := g.newTrial(request, number, attempt)
 	found, err := g.options.Store().Create(ctx, TrialKind, name, wanted)
@@ -63,20 +70,20 @@
 		return g.useTrial(request, number, wanted), nil
 	}
 	if !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Ambiguous) {
-		return false, err
+		return "", err
 	}
 	if found.Revision == 0 {
 		found, err = g.options.Store().Get(ctx, TrialKind, name)
 		if err != nil {
-			return false, err
+			return "", err
 		}
 	}
 	var held trialSpec
 	if err := json.Unmarshal(found.Spec, &held); err != nil {
-		return false, fmt.Errorf("the trial %s: %w", name, err)
+		return "", fmt.Errorf("the trial %s: %w", name, err)
 	}
 	if g.isPast(request, number, held) {
-		return false, g.options.Store().Delete(ctx, TrialKind, name, found.Revision)
+		return trialRemoved, g.options.Store().Delete(ctx, TrialKind, name, found.Revision)
 	}
 	return g.useTrial(request, number, held), nil
 }
@@ -101,18 +108,18 @@
 	return past
 }
 
-// useTrial notes that a trial is used up, and tells whether it is this call that uses it: it is held
-// here and was not taken before, as when the answer of the store was lost.
-func (g *Guard) useTrial(request fingerprint.Fingerprint, number int, held trialSpec) bool {
+// useTrial notes that a trial is used up. It is granted to this call if it is held here and was not taken
+// before, as when the answer of the store was lost.
+func (g *Guard) useTrial(request fingerprint.Fingerprint, number int, held trialSpec) trialOutcome {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	name := trialName(request, number)
-	mine := held.Gateway == g.options.Name && held.Incarnation == g.options.Incarnation && !g.taken[name]
-	if mine {
-		g.taken[name] = true
-	}
 	g.book.TrialUsed(request, core.Trial{Number: number, Upstreams: held.Upstreams}, clock.Boot())
-	return mine
+	if held.Gateway != g.options.Name || held.Incarnation != g.options.Incarnation || g.taken[name] {
+		return trialTaken
+	}
+	g.taken[name] = true
+	return trialGranted
 }
 
 // Return gives the trial of a Pass back that did not run, so that a later attempt here may make it. With reached set
@@ -136,7 +143,7 @@
 const keepTrials = 2 * time.Second
 
 // endTrials removes the objects of the trials of a request that is cleared, so that it has trials
-// again if it is refused another time. What fails leaves it with fewer.
+// again if it is refused another time. One that stays is found to be past when it is in the way.
 func (g *Guard) endTrials(request fingerprint.Fingerprint, count int) {
 	clock.Sleep(g.options.Life, keepTrials)
 	for number := 1; number <= count; number++ {
