Start the workers of a fleet on a listener that is held

A worker's port was found free, closed and listened at again a moment later; in between somebody took it. By whom was not found: lanes of ports are owned by one run, the kernel gives these ports to no outgoing connection, and nothing listened there afterwards.

Workers now listen at the moment their port is found, as relays do. Gateways' ports, which are told to other processes, still have that moment.

--- a/standin/platformfleet/fleet.go
+++ b/standin/platformfleet/fleet.go
@@ -139,14 +139,11 @@
 // startWorkers starts and registers the workers of a service.
 func (f *Fleet) startWorkers(o Options, service string, kind worker.Kind) error {
 	for i := range workersEach {
-		address, err := f.ports.Address() // one that no outgoing connection takes while the worker is down
-		if err != nil {
-			return err
-		}
-		w, err := worker.StartAt(address, fmt.Sprintf("%s-%d", service, i+1), kind)
+		listener, err := f.ports.Listen() // at a port that no outgoing connection takes while the worker is down
 		if err != nil {
 			return err
 		}
+		w := worker.StartOn(listener, fmt.Sprintf("%s-%d", service, i+1), kind)
 		w.CallTime, w.WorkTime, w.CrashBody = 20*time.Millisecond, o.WorkTime, o.CrashBody
 		f.Add(service, w)
 		if w.Advertised, err = o.through(w.ID, w.Listens()); err != nil {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -111,10 +111,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return StartOn(listener, id, kind), nil
+}
+
+// StartOn starts a worker that takes the connections of a listener, which it closes in the end.
+func StartOn(listener net.Listener, id string, kind Kind) *Worker {
 	w := &Worker{ID: id, Kind: kind, Events: 5, listener: listener, kept: make(map[string]bool), makes: make(map[string]Item), crashed: make(chan struct{})}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(listener) }() // it ends with Close
-	return w, nil
+	return w
 }
 
 // Address returns the IP:port at which callers find the worker.
