--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -220,26 +219,14 @@
 
 func TestARequestThatNeverRanWellHasOneTrial(t *testing.T) {
 	b := seen(under("a", "u1"), under("a", "u2"))
-	wait := firstTrialOf(of("a"))
-	assert.Equal(t, b.Judge(of("a"), wait-time.Second).RetryAfter, time.Second)
-	assert.Equal(t, b.Judge(of("a"), wait).Trial, 1)
-	b.TrialUsed(of("a"), Trial{Number: 1}, wait)
+	assert.Equal(t, b.Judge(of("a"), firstTrial-time.Second).RetryAfter, time.Second)
+	assert.Equal(t, b.Judge(of("a"), firstTrial).Trial, 1)
+	b.TrialUsed(of("a"), Trial{Number: 1}, firstTrial)
 	assert.DeepEqual(t, b.Judge(of("a"), keepFor-1), Verdict{Crashes: 2, Refused: true, RetryAfter: noTrial})
 	b.Expire(keepFor)
 	assert.Assert(t, !b.Judge(of("a"), keepFor).Refused)
 }
 
-// TestRequestsThatCrashedTogetherAreTriedOneAfterTheOther: the one that crashes upstreams would take the others along again.
-func TestRequestsThatCrashedTogetherAreTriedOneAfterTheOther(t *testing.T) {
-	waits := make(map[time.Duration]bool)
-	for number := range 100 {
-		wait := firstTrialOf(of(fmt.Sprint(number)))
-		assert.Assert(t, wait >= firstTrial && wait < firstTrial+trialSpread)
-		waits[wait] = true
-	}
-	assert.Assert(t, len(waits) > 50)
-}
-
 func TestAFurtherAttemptWaitsForTheWordsOfOthers(t *testing.T) {
 	b := seen(under("a", "u1"))
 	assert.Equal(t, b.Settle(of("a"), settleFor/3), settleFor-settleFor/3)
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -14,9 +14,6 @@
 	// go first, so that they are not at an upstream that the trial of another one crashes.
 	firstTrial       = 6 * time.Second
 	firstProvenTrial = time.Second
-	// trialSpread is over how much time the first trials of requests that never ran well are
-	// spread: at the same moment they would be at one upstream with the request that crashes it.
-	trialSpread = 4 * time.Second
 	// laterTrial is the wait for a further trial after one that crashed an upstream. Gateways that
 	// were cut off from the store have told of their crashes by then.
 	laterTrial = 20 * time.Second
@@ -63,7 +60,7 @@
 	used := b.trials[request].Number
 	switch {
 	case !b.IsProven(request):
-		return firstTrialOf(request), used < maxTrials
+		return firstTrial, used < maxTrials
 	case used == 0:
 		return firstProvenTrial, true
 	case !b.crashedSinceTrial(request):
@@ -73,11 +70,6 @@
 	}
 }
 
-// firstTrialOf returns the wait for the first trial of a request that never ran well, the same at all gateways.
-func firstTrialOf(request fingerprint.Fingerprint) time.Duration {
-	return firstTrial + trialSpread*time.Duration(request[0])/256
-}
-
 // crashedSinceTrial tells whether an upstream has crashed under a request since its newest trial.
 func (b *Book) crashedSinceTrial(request fingerprint.Fingerprint) bool {
 	before := b.trials[request].Upstreams
