--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -105,8 +105,11 @@
 	change()
 }
 
-// guards returns the guards of gateways before one store that know of two crashes of a request, long
-// ago.
+// learnedBefore is how long the guards of these tests know of crashes: above the wait for the first trial of a request
+// that ran well before, and below the time for which an upstream that crashed gets none.
+const learnedBefore = 2 * time.Second
+
+// guards returns the guards of gateways before one store that know of two crashes of a request.
 func guards(t *testing.T, count int) ([]*Guard, *trialStore) {
 	kept := &trialStore{t: t, specs: make(map[string]json.RawMessage)}
 	server := httptest.NewServer(kept)
@@ -128,8 +131,8 @@
 func refuse(g *Guard, upstreams ...string) {
 	for _, upstream := range upstreams {
 		crash := core.Crash{Request: crashing, Upstream: upstream}
-		g.book.Suspect(crash, clock.Boot())
-		g.book.Confirm(crash, clock.Boot())
+		g.book.Suspect(crash, clock.Boot()-learnedBefore)
+		g.book.Confirm(crash, clock.Boot()-learnedBefore)
 	}
 }
 
@@ -199,7 +202,7 @@
 			return runs
 		}})
 	}
-	waitFor(t, func() bool { return g.judge(crashing).Trial == 1 })
+	assert.Equal(t, g.judge(crashing).Trial, 1)
 	_, refusal := check(false)
 	assert.Assert(t, refusal != nil)
 	assert.Equal(t, len(kept.specs), 0, "it is not used up")
@@ -230,11 +233,3 @@
 	list[0].Return(crashing, "attempt", Pass{}, false)
 	assert.Equal(t, list[0].book.TrialsOf(crashing), 1)
 }
-
-// waitFor waits until something holds.
-func waitFor(t *testing.T, holds func() bool) {
-	for !holds() {
-		assert.NilError(t, t.Context().Err())
-		time.Sleep(time.Millisecond)
-	}
-}
