Let the stand-in of the store return from an older copy

The platform's store may lose what it acknowledged: it comes back from a copy, gives its revisions out again and raises Store-Era, which is in all its answers. The stand-in keeps a copy, returns from it, and answers 410 to a watch of a revision that it no longer has. Calls in flight end without a response.

--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -17,8 +17,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	faults := s.faults
+	faults, era := s.faults, s.era
 	s.mu.Unlock()
+	w = &eraWriter{ResponseWriter: w, store: s, era: era}
 	switch {
 	case faults.Silent:
 		hang(r)
@@ -34,7 +35,7 @@
 	case !found:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
-		s.serveWatch(w, r, kind)
+		s.serveWatch(w, r, kind, era)
 	case r.Method == http.MethodGet && name == "":
 		s.serveList(w, r, kind)
 	case r.Method == http.MethodGet:
@@ -44,6 +45,26 @@
 	}
 }
 
+// eraHeader is the header of all responses that holds the store's era.
+const eraHeader = "Store-Era"
+
+// eraWriter writes the response to a call that began in an era. If the store has returned from a copy
+// since, it closes the connection instead: the content may be that of either era.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	era   int64
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if w.store.Era() != w.era {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(eraHeader, strconv.FormatInt(w.era, 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // hang leaves a call without a response until its caller disconnects. The server notices the
 // disconnection only after it has read the whole body.
 func hang(r *http.Request) {
@@ -77,8 +98,8 @@
 	writeJSON(w, http.StatusOK, listResponse{Items: items, HasMore: more, Revision: revision})
 }
 
-// serveWatch handles a watch.
-func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
+// serveWatch handles a watch that began in an era.
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string, era int64) {
 	revision, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -91,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	found, current, gone := s.watch(ctx, kind, revision)
+	found, current, gone := s.watch(ctx, kind, revision, era)
 	switch {
 	case s.silent():
 		<-r.Context().Done()
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -1,11 +1,13 @@
 // Package metastore is a stand-in of the platform's metadata store. It serves objects by kind
 // and name over HTTP, with paged lists, watches and revisions, and injects the faults that tests
-// need.
+// need. It can be replaced by an older copy of itself, which begins a new era.
 package metastore
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 )
@@ -45,6 +47,16 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     int
+	// era rises each time the store returns from a copy. kept is the latest copy.
+	era  int64
+	kept copied
+}
+
+// copied is a copy of the store's content at a revision.
+type copied struct {
+	revision int64
+	objects  map[string]map[string]Object
+	events   []Event
 }
 
 // Faults are the faults that the store injects into calls.
@@ -61,7 +73,7 @@
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Store{revision: 1, era: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults and wakes the waiting watches, which end if calls fail now.
@@ -95,6 +107,43 @@
 	s.events = nil
 }
 
+// Era returns the number of the store's present history, which counts from 1.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Copy keeps a copy of the present content, for ReturnFromCopy.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = copied{revision: s.revision, objects: clonedObjects(s.objects), events: slices.Clone(s.events)}
+}
+
+// ReturnFromCopy replaces the content with the latest copy, or with nothing if there is none, and begins a
+// new era. Everything written since the copy is lost, and its revisions are given out again. The calls
+// in flight end without a response.
+func (s *Store) ReturnFromCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = max(s.kept.revision, 1)
+	s.objects = clonedObjects(s.kept.objects)
+	s.events = slices.Clone(s.kept.events)
+	s.forgotten = min(s.forgotten, s.revision)
+	s.notifyWatches()
+}
+
+// clonedObjects returns a copy of objects by kind and name.
+func clonedObjects(kinds map[string]map[string]Object) map[string]map[string]Object {
+	clone := make(map[string]map[string]Object, len(kinds))
+	for kind, objects := range kinds {
+		clone[kind] = maps.Clone(objects)
+	}
+	return clone
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -187,7 +236,7 @@
 }
 
 // eventsSince returns the events of a kind after a revision, and the current revision of the store;
-// gone is set if the history does not reach back that far. The channel is closed at the next change.
+// gone is set if the history does not reach back that far, or the store does not have the revision. The channel is closed at the next change.
 func (s *Store) eventsSince(kind string, revision int64) (found []Event, current int64, gone bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,15 +245,15 @@
 			found = append(found, event)
 		}
 	}
-	return found, s.revision, revision < s.forgotten, s.changed
+	return found, s.revision, revision < s.forgotten || revision > s.revision, s.changed
 }
 
 // watch waits for events of a kind until ctx ends, and returns them as eventsSince does. It returns
-// early if the history is gone or calls fail.
-func (s *Store) watch(ctx context.Context, kind string, revision int64) ([]Event, int64, bool) {
+// early if the history is gone, calls fail or the era in which the call began has ended.
+func (s *Store) watch(ctx context.Context, kind string, revision, era int64) ([]Event, int64, bool) {
 	for {
 		found, current, gone, changed := s.eventsSince(kind, revision)
-		if gone || len(found) > 0 || s.faulty() {
+		if gone || len(found) > 0 || s.faulty() || s.Era() != era {
 			return found, current, gone
 		}
 		select {
