Let the store return from a copy in the soak

No run of the soak had a store that loses what it acknowledged. A step takes a copy of the store, lets the other steps go on, lets the store refuse calls or stay silent for 0.3 to 2.5 s, returns from the copy, and lets the operator and the workers write again within a second what they had written. After the last fault each run does that once more on a quiet fleet that has a drained worker, and takes a key away afterwards. The gateways' own objects must be in the store after the last fault.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	Gateways    int    `long:"gateways" default:"3" description:"gateways of a run"`
 	Clients     int    `long:"clients" default:"12" description:"clients of a run"`
 	Steps       int    `long:"steps" default:"24" description:"faults and changes of a run"`
+	Returns     int    `long:"returns" default:"1" description:"how often the store returns from an older copy in a run"`
 	Keep        string `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
 	Verbose     bool   `long:"verbose" description:"print the steps as they are made"`
 }
@@ -43,20 +44,17 @@
 }
 
 // selectSeeds returns the seeds to run.
-func selectSeeds(o options) []uint64 {
-	var seeds []uint64
+func selectSeeds(o options) []soak.Regression {
 	if o.Regressions {
-		for _, regression := range soak.Regressions {
-			seeds = append(seeds, regression.Seed)
-		}
-		return seeds
+		return soak.Regressions
 	}
+	var seeds []soak.Regression
 	first := o.Seed
 	if o.Fresh {
 		first = uint64(time.Now().UnixNano())
 	}
 	for i := range o.Seeds {
-		seeds = append(seeds, first+uint64(i))
+		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns})
 	}
 	return seeds
 }
@@ -71,7 +69,7 @@
 		group.Go(func() error {
 			passed, err := runSeed(ctx, o, seed)
 			if !passed {
-				failing <- seed
+				failing <- seed.Seed
 			}
 			return err
 		})
@@ -93,10 +91,11 @@
 }
 
 // runSeed runs one seed and reports whether all guarantees held.
-func runSeed(ctx context.Context, o options, seed uint64) (bool, error) {
+func runSeed(ctx context.Context, o options, played soak.Regression) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
-	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
+	seed := played.Seed
+	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
 		Keep: filepath.Join(o.Keep, fmt.Sprint(seed))}
 	if o.Verbose {
 		runOptions.Out = os.Stdout
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -46,6 +46,8 @@
 		s.leaveWorker(ctx, step)
 	case BackOffWorker:
 		s.backOffWorker(ctx, step)
+	case ReturnStore:
+		s.returnStore(ctx, step)
 	case ChangeConfiguration, RevokeKey:
 		s.configure(step.Kind == RevokeKey)
 	default:
@@ -167,7 +169,7 @@
 		sleep(ctx, step.For)
 		w.SetFaults(worker.Faults{})
 	case ForgetWorker:
-		s.fleet.Store.Remove("servers", w.ID)
+		s.unregister(w)
 		sleep(ctx, step.For)
 		s.register(w, "ready")
 	case DrainWorker:
@@ -183,6 +185,8 @@
 // onStore runs a step on the store. Of two steps that overlap, the faults of the later one are in
 // force.
 func (s *soak) onStore(ctx context.Context, step Step) {
+	s.away.RLock()
+	defer s.away.RUnlock()
 	defer s.beginDisruption(allGateways, false)()
 	var faults metastore.Faults
 	switch step.Kind {
@@ -204,11 +208,13 @@
 // configure writes the next configuration. If revoke is set, this and all later ones are without the
 // spare key; the time of the revocation is that of the acknowledgement by the store.
 func (s *soak) configure(revoke bool) {
+	s.away.RLock()
+	defer s.away.RUnlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
 	s.spareRevoked = s.spareRevoked || revoke
-	s.fleet.Store.Put("config", "main", configuration(s.version, s.spareRevoked))
+	s.putConfiguration()
 	if s.spareRevoked && s.evidence.revoked.IsZero() {
 		s.evidence.revoked = time.Now()
 	}
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -45,7 +45,11 @@
 	for i := range s.fleet.Gateways {
 		s.awaitService(limit, i)
 	}
+	s.awaitMembers(limit)
 	s.drainOne(ctx)
+	if s.options.Returns > 0 {
+		s.verifyReturn(ctx)
+	}
 	s.backOffOne(ctx)
 	return s.rollingStop(ctx)
 }
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -4,6 +4,8 @@
 type Regression struct {
 	Seed  uint64
 	Cause string
+	// Returns is how often the store returns from a copy.
+	Returns int
 }
 
 // Regressions are the seeds that failed once.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -26,6 +26,8 @@
 	// Seed determines the steps and the choices of the clients.
 	Seed                     uint64
 	Gateways, Clients, Steps int
+	// Returns is how often the store returns from a copy.
+	Returns int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
@@ -60,12 +62,17 @@
 	// has ended since its last start.
 	processes    []sync.Mutex
 	endedBySteps []atomic.Bool
+	// away is locked while the store returns from a copy, and locked for reading by other steps on the
+	// store and by writes of the operator and the workers.
+	away sync.RWMutex
 
 	mu           sync.Mutex
 	evidence     evidence
 	version      int64
 	spareRevoked bool
 	violations   map[string]bool
+	// states holds the latest state of the entries of workers by id; empty for an entry that was removed.
+	states map[string]string
 }
 
 // registeredWorker is a worker and the service that it is registered for.
@@ -87,6 +94,7 @@
 		violations:   make(map[string]bool),
 
 		endedIncarnations: make(map[string]bool),
+		states:            make(map[string]string),
 	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
@@ -114,6 +122,7 @@
 	s.fleet = fleet
 	fleet.Each(func(service string, w *worker.Worker) {
 		s.workers = append(s.workers, registeredWorker{Worker: w, service: service})
+		s.states[w.ID] = "ready"
 	})
 	sort.Slice(s.workers, func(i, j int) bool { return s.workers[i].ID < s.workers[j].ID })
 	s.configure(false)
@@ -184,7 +193,7 @@
 func (s *soak) runSteps(ctx context.Context) error {
 	began := time.Now()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, step := range append(Plan(s.options.Seed, s.options.Steps), planWorkers(s.options.Seed)...) {
+	for _, step := range planRun(s.options) {
 		group.Go(func() error {
 			sleep(ctx, time.Until(began.Add(step.At)))
 			s.note(step.String())
--- a/standin/soak/workers.go
+++ b/standin/soak/workers.go
@@ -146,13 +146,24 @@
 
 // register writes the entry of a worker, unless that incarnation has ended.
 func (s *soak) register(incarnation registeredWorker, state string) {
+	s.away.RLock()
+	defer s.away.RUnlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range s.workers {
 		if w.ID == incarnation.ID {
-			if _, crashed := incarnation.CrashedBy(); !crashed {
-				s.fleet.Register(incarnation.service, incarnation.Worker, state)
-			}
+			s.states[w.ID] = state
+			s.putEntry(w)
 		}
 	}
 }
+
+// unregister removes the entry of a worker.
+func (s *soak) unregister(w registeredWorker) {
+	s.away.RLock()
+	defer s.away.RUnlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states[w.ID] = ""
+	s.fleet.Store.Remove("servers", w.ID)
+}
