--- /dev/null
+++ b/standin/gatewaytest/era_test.go
@@ -0,0 +1,61 @@
+package gatewaytest
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/metastore"
+	"acaciawinch/standin/worker"
+)
+
+// revokeBound is the time after the store's acceptance of a configuration from which on no request
+// with a key that it takes away may run, as in the settings of launchIn.
+const revokeBound = 5 * time.Second
+
+// returnFromCopy replaces the store by its copy after a moment in which it does not respond.
+func (f *fleet) returnFromCopy() {
+	f.t.Helper()
+	f.store.SetFaults(metastore.Faults{Silent: true})
+	f.waitLines(1, "watch_lost", `"kind":"config"`)
+	f.store.ReturnFromCopy()
+	f.store.SetFaults(metastore.Faults{})
+}
+
+// TestAKeyTakenAwayAfterTheStoreReturnedFromACopyIsRefused: the store loses a configuration and gives
+// its revision out again, to few or many writes. The next version takes a key away: the reader of a zone
+// and its followers must all refuse the key within the bound.
+func TestAKeyTakenAwayAfterTheStoreReturnedFromACopyIsRefused(t *testing.T) {
+	for _, others := range []int{0, 3, 40} {
+		t.Run(fmt.Sprintf("%d other writes", others), func(t *testing.T) {
+			f := newFleet(t)
+			f.startWorker("desk-1", "desk", worker.Plain)
+			f.apply(configWithKey(1, "k1"))
+			gateways := []*runningGateway{f.start("g1"), f.start("g2"), f.start("g3")}
+			f.waitLines(2, "source_changed", `"reason":"follower"`, `"reads":false`)
+			f.store.Copy()
+			for version := int64(2); version < 12; version++ {
+				f.apply(configWithKey(version, "k1"))
+			}
+			f.waitLines(3, "table_in_force", `"version":11`)
+			f.returnFromCopy()
+			f.apply(configWithKey(11, "k1"))
+			for i := range others {
+				f.store.Put("others", fmt.Sprint("o", i), i)
+			}
+			f.apply(configWithKey(12, "k2"))
+			accepted := time.Now()
+			for _, g := range gateways {
+				f.waitUntil(func() bool {
+					return f.send(g, "r-new", "GET", "/safe/x", "", "Authorization", "Bearer k2").status == http.StatusOK
+				}, "the new key is served")
+				got := f.send(g, "r-old", "GET", "/safe/x", "", "Authorization", "Bearer k1")
+				assert.Equal(t, got.status, http.StatusUnauthorized)
+			}
+			assert.Assert(t, time.Since(accepted) < revokeBound, "in force only after %v", time.Since(accepted))
+		})
+	}
+}
