Read the era of the store's responses

The platform's store may return from an older copy and give its revisions out again. Its responses carry an era that rises then, which no caller could see. The client returns it with lists and watches and reports it for all responses, errors included; a list whose pages are of two eras fails. The View keeps the newest era and tells those that ask. Copies don't use it yet.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -34,6 +34,8 @@
 type Delta struct {
 	// Reset is set if Changes are all existing objects, none deleted, and replace the copy.
 	Reset bool
+	// Era is the era of the store to which the revisions belong; 0 if the store has none.
+	Era int64
 	// After is the revision up to which the copy must be complete; unused with Reset.
 	After int64
 	// Revision is the store's revision up to which the copy is complete afterwards.
--- a/gateway/quarantine/sweep.go
+++ b/gateway/quarantine/sweep.go
@@ -45,14 +45,14 @@
 // requests have no crashes that count. It returns the revisions of the remaining objects by name,
 // or those of the previous round if the objects could not be listed.
 func (g *Guard) sweep(ctx context.Context, before map[string]int64) map[string]int64 {
-	listed, _, err := g.options.Store().List(ctx, TrialKind)
+	listed, err := g.options.Store().List(ctx, TrialKind)
 	if err != nil {
 		g.options.Logger.Warn(event.TrialsUnlisted, observe.Fields{"error": err.Error()})
 		return before
 	}
-	kept := make(map[string]int64, len(listed))
+	kept := make(map[string]int64, len(listed.Objects))
 	removed := 0
-	for _, object := range listed {
+	for _, object := range listed.Objects {
 		if before[object.Name] == object.Revision && g.isOrphaned(object.Name) && g.removeTrial(ctx, object) {
 			removed++
 			continue
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -227,15 +227,15 @@
 // list lists all objects.
 func (w *watcher) list(ctx context.Context) error {
 	began := clock.Boot()
-	found, revision, err := w.view.store.Load().List(ctx, w.replica.name)
+	found, err := w.view.store.Load().List(ctx, w.replica.name)
 	if err != nil {
 		return err
 	}
-	changes := make([]replica.Change, len(found))
-	for i, object := range found {
+	changes := make([]replica.Change, len(found.Objects))
+	for i, object := range found.Objects {
 		changes[i] = replica.Change{Object: object}
 	}
-	if err := w.replica.apply(replica.Delta{Reset: true, Revision: revision, Changes: changes}); err != nil {
+	if err := w.replica.apply(replica.Delta{Reset: true, Revision: found.Revision, Changes: changes}); err != nil {
 		return err
 	}
 	w.relist = false
@@ -246,16 +246,16 @@
 // watch waits for changes and applies them.
 func (w *watcher) watch(ctx context.Context) error {
 	began, wait, after := clock.Boot(), w.watchWait(), w.replica.revision()
-	changes, revision, err := w.view.store.Load().Watch(ctx, w.replica.name, after, wait)
+	found, err := w.view.store.Load().Watch(ctx, w.replica.name, after, wait)
 	if err != nil {
 		return err
 	}
-	if err := w.replica.apply(replica.Delta{After: after, Revision: max(after, revision), Changes: changes}); err != nil {
+	if err := w.replica.apply(replica.Delta{After: after, Revision: max(after, found.Revision), Changes: found.Changes}); err != nil {
 		return err
 	}
-	w.confirm(proofTime(began, clock.Boot(), wait, len(changes)))
-	w.shortNext = len(changes) > 0
-	if len(changes) > 0 {
+	w.confirm(proofTime(began, clock.Boot(), wait, len(found.Changes)))
+	w.shortNext = len(found.Changes) > 0
+	if len(found.Changes) > 0 {
 		clock.Sleep(ctx, w.batchDelay)
 	}
 	return nil
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -17,6 +17,14 @@
 	Apply(changes []replica.Change)
 }
 
+// EraReceiver is a Receiver that must know when the store has returned from an older copy.
+type EraReceiver interface {
+	// EraChanged is called right before the first Reset with the objects of a later era than those
+	// received before. What the store had acknowledged since its copy was made may be missing until
+	// it is written again. EraChanged is called by the goroutine that calls Reset and must not block.
+	EraChanged(era int64)
+}
+
 // kindReplica is this process's copy of the objects of one kind, updated by the store or by
 // another gateway.
 type kindReplica struct {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -106,6 +106,9 @@
 	// ownRevision is the revision of this process's own object, 0 if unknown.
 	ownRevision atomic.Int64
 
+	// era is the store's newest era.
+	era eraTracker
+
 	mu       sync.Mutex
 	onChange []func()
 }
@@ -144,7 +147,9 @@
 	v.confirmWithin.Store(int64(options.ConfirmWithin))
 	v.applyWithin.Store(int64(options.ApplyWithin))
 	if old := v.store.Load(); old == nil || old.Address() != options.Store {
-		v.store.Store(store.New(options.Store))
+		client := store.New(options.Store)
+		client.OnEra(v.hearEra)
+		v.store.Store(client)
 	}
 }
 
