Order the copies of the store by era and revision

When the platform's store returned from an older copy, its revisions went back. The lists after that counted as older than the copies and were ignored, each next watch got 410, and the loop of the two ran some 200 times a second; once the store had given out the copies' revision again, the watches went on after it, beyond the changes made until then. So a gateway never learned of an upstream that leaves or a key that was taken away in between, and confirmed its copy all the while.

A position is an era and a revision in it now. A list of a later era replaces a copy whatever its revision; data of an earlier era changes and confirms nothing, and changes of a later era are refused like a gap. A response of a later era makes all kinds be listed at once. A proof counts only for a configuration of its era. Positions, changes and proofs carry the era between gateways; a gateway that knows no eras neither feeds one that does nor follows it while the store has eras. A watch whose history is gone right after a list backs off, and a list that is ignored leaves a log line. The store at a new address replaces all copies, whatever its era.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -25,7 +25,7 @@
 
 func TestAnEmptyCopyReturnsNoDelta(t *testing.T) {
 	r := New()
-	_, found := r.Since(-1)
+	_, found := r.Since(Empty)
 	assert.Assert(t, !found && !r.Known())
 	_, err := r.Apply(Delta{After: 1, Revision: 2})
 	assert.ErrorContains(t, err, "do not fit")
@@ -35,7 +35,7 @@
 	r := filled(t)
 	_, err := r.Apply(Delta{After: 11, Revision: 12, Changes: []Change{change("a", 12)}})
 	assert.ErrorContains(t, err, "do not fit")
-	assert.Equal(t, r.Revision(), int64(10))
+	assert.Equal(t, r.Position().Revision, int64(10))
 }
 
 func TestACopyNeverGoesBack(t *testing.T) {
@@ -51,8 +51,8 @@
 	changed, err := r.Apply(Delta{After: 10, Revision: 30})
 	assert.NilError(t, err)
 	assert.Assert(t, !changed)
-	assert.Equal(t, r.Revision(), int64(30))
-	d, found := r.Since(10)
+	assert.Equal(t, r.Position().Revision, int64(30))
+	d, found := r.Since(Position{Revision: 10})
 	assert.Assert(t, found && !d.Reset && len(d.Changes) == 0 && d.Revision == 30)
 }
 
@@ -62,12 +62,76 @@
 		_, err := r.Apply(Delta{After: revision - 1, Revision: revision, Changes: []Change{change("a", revision)}})
 		assert.NilError(t, err)
 	}
-	d, found := r.Since(13)
+	d, found := r.Since(Position{Revision: 13})
 	assert.Assert(t, found && !d.Reset && len(d.Changes) == 1)
-	d, found = r.Since(10)
+	d, found = r.Since(Position{Revision: 10})
 	assert.Assert(t, found && d.Reset && len(d.Changes) == 2)
 }
 
+func TestAResetOfALaterEraReplacesTheCopy(t *testing.T) {
+	r := filled(t)
+	changed, err := r.Apply(Delta{Reset: true, Era: 1, Revision: 3, Changes: []Change{change("c", 2)}})
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, r.Position(), Position{Era: 1, Revision: 3})
+	assert.Equal(t, r.Size(), 1)
+}
+
+func TestADeltaOfAnEarlierEraChangesNothing(t *testing.T) {
+	r := New()
+	_, err := r.Apply(Delta{Reset: true, Era: 2, Revision: 3, Changes: []Change{change("c", 2)}})
+	assert.NilError(t, err)
+	for _, d := range []Delta{
+		{Reset: true, Era: 1, Revision: 50, Changes: []Change{change("a", 50)}},
+		{Era: 1, After: 3, Revision: 50, Changes: []Change{change("a", 50)}},
+		{After: 3, Revision: 50, Changes: []Change{change("a", 50)}},
+	} {
+		changed, err := r.Apply(d)
+		assert.NilError(t, err)
+		assert.Assert(t, !changed)
+		assert.Equal(t, r.Position(), Position{Era: 2, Revision: 3})
+	}
+}
+
+func TestChangesOfALaterEraAreRefused(t *testing.T) {
+	r := filled(t)
+	_, err := r.Apply(Delta{Era: 1, After: 10, Revision: 12, Changes: []Change{change("a", 12)}})
+	assert.ErrorContains(t, err, "do not fit")
+	assert.Equal(t, r.Position(), Position{Revision: 10})
+}
+
+// TestACopyOfAnEarlierEraGetsAReset: the revision of the earlier copy may be below, at or above that of
+// the later one.
+func TestACopyOfAnEarlierEraGetsAReset(t *testing.T) {
+	r := New()
+	_, err := r.Apply(Delta{Reset: true, Era: 2, Revision: 3, Changes: []Change{change("c", 2)}})
+	assert.NilError(t, err)
+	_, err = r.Apply(Delta{Era: 2, After: 3, Revision: 9, Changes: []Change{change("c", 9)}})
+	assert.NilError(t, err)
+	for _, revision := range []int64{3, 5, 9, 40} {
+		d, found := r.Since(Position{Era: 1, Revision: revision})
+		assert.Assert(t, found && d.Reset && d.Era == 2, "revision %d", revision)
+		_, found = r.Since(Position{Era: 3, Revision: revision})
+		assert.Assert(t, !found, "a later era, revision %d", revision)
+	}
+	d, found := r.Since(Position{Era: 2, Revision: 5})
+	assert.Assert(t, found && !d.Reset && d.Era == 2 && len(d.Changes) == 1)
+}
+
+func TestADisplacedCopyTakesAnyReset(t *testing.T) {
+	r := filled(t)
+	r.Displace()
+	assert.Equal(t, r.Position(), Empty)
+	assert.Equal(t, r.Size(), 2, "its objects stay")
+	_, found := r.Since(Empty)
+	assert.Assert(t, !found)
+	_, err := r.Apply(Delta{After: 10, Revision: 12})
+	assert.ErrorContains(t, err, "do not fit")
+	_, err = r.Apply(Delta{Reset: true, Revision: 2})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Position(), Position{Revision: 2})
+}
+
 // TestChainedCopiesMatchTheStore: over random chains, with deltas that overlap or arrive late or
 // twice, each copy holds the store's state at the copy's revision.
 func TestChainedCopiesMatchTheStore(t *testing.T) {
@@ -86,17 +150,13 @@
 			states[revision] = cloned(store.objects)
 			to := copies[1+random.IntN(3)]
 			from := copies[random.IntN(len(copies))]
-			at := to.revision
-			if !to.known {
-				at = -1
-			}
-			if d, found := from.Since(at); found {
+			if d, found := from.Since(to.Position()); found {
 				sent = append(sent, d)
 				applyAndCompare(t, to, d, states)
 			}
 			if len(sent) > 0 && random.IntN(2) == 0 {
 				d := sent[random.IntN(len(sent))]
-				if d.Reset || to.known && d.After <= to.revision {
+				if d.Reset || to.known && d.After <= to.at.Revision {
 					applyAndCompare(t, to, d, states)
 				}
 			}
@@ -109,7 +169,7 @@
 	t.Helper()
 	_, err := to.Apply(d)
 	assert.NilError(t, err)
-	if want, known := states[to.revision]; known {
+	if want, known := states[to.at.Revision]; known {
 		assert.DeepEqual(t, to.objects, want)
 	}
 }
--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -244,11 +244,11 @@
 		f.mu.Unlock()
 		return
 	}
-	at := update.proof.At
+	at := update.proved
 	if !update.hasProof {
 		at = source.Never
 	}
-	f.selector.RecordReport(source.Report{Incarnation: update.incarnation, Proved: at, Hops: update.proof.Hops, Failing: update.failing}, clock.Boot())
+	f.selector.RecordReport(source.Report{Incarnation: update.incarnation, Proved: at, Hops: update.hops, Failing: update.failing}, clock.Boot())
 	steady := f.plan.Reason == source.Follower && !update.failing
 	f.mu.Unlock()
 	if !steady {
--- a/gateway/relay/link.go
+++ b/gateway/relay/link.go
@@ -32,8 +32,10 @@
 	failing bool
 	// partial is set if the update holds a piece of a list.
 	partial bool
-	// proof is the proof in the update; hasProof is set if there is one.
-	proof    view.Proof
+	// proved is the time of the proof in the update and hops the processes through which it came to the
+	// source; hasProof is set if there is one of the era of this process's configuration.
+	proved   time.Duration
+	hops     int
 	hasProof bool
 }
 
@@ -111,14 +113,17 @@
 
 // sendRequest sends a request. The time recorded for the request is read before it is sent.
 func (l *link) sendRequest(positions []*wirepb.FollowPosition) error {
-	request := &wirepb.FollowRequest{Number: l.requests.NextRequest(clock.Boot()), Positions: positions, Name: l.follower.self.Name}
+	request := &wirepb.FollowRequest{Number: l.requests.NextRequest(clock.Boot()), Positions: positions, Name: l.follower.self.Name, Eras: true}
 	return fault.Wrap(fault.Unavailable, "relay.send", l.source.Name, l.stream.Send(request))
 }
 
-// apply passes an update to the View and to the Follower: the changes first, then the proof that
-// covers them.
+// apply passes an update to the View and to the Follower: the era first, then the changes, then the
+// proof that covers them.
 func (l *link) apply(update *wirepb.FollowUpdate) error {
 	received := sourceUpdate{incarnation: l.source.Incarnation, failing: update.GetFailing()}
+	if err := l.hearEra(update); err != nil {
+		return err
+	}
 	for _, m := range update.GetDeltas() {
 		received.partial = received.partial || len(m.GetPiece()) > 0
 		delta, whole, err := l.assembler.add(m)
@@ -130,13 +135,29 @@
 		}
 	}
 	if m := update.GetProof(); m != nil {
-		var at time.Duration
-		at, received.hasProof = l.requests.Proved(proofReportOf(m), clock.Boot())
-		received.proof = view.Proof{At: at, Hops: int(m.GetHops())}
-	}
-	if received.hasProof {
-		l.follower.view.Confirm(view.Proof{At: received.proof.At, Hops: received.proof.Hops + 1, From: l.source.Name})
+		received.hops = int(m.GetHops())
+		received.proved, received.hasProof = l.confirm(m)
 	}
 	l.follower.reportUpdate(received)
 	return nil
 }
+
+// hearEra records the store's era that the source knows. It returns an error if the store has eras and
+// the source is of an older build, which knows none: its copies and proofs may be of any era.
+func (l *link) hearEra(update *wirepb.FollowUpdate) error {
+	if !update.GetEras() && l.follower.view.Era() != 0 {
+		return fault.New(fault.Invalid, "relay.take", l.source.Name, "the store has eras, which the source does not know")
+	}
+	l.follower.view.HearEra(update.GetEra())
+	return nil
+}
+
+// confirm passes a proof to the View and returns its time. It returns false if the proof relates to
+// no known request or is not of the era of this process's configuration.
+func (l *link) confirm(m *wirepb.FollowProof) (time.Duration, bool) {
+	at, known := l.requests.Proved(proofReportOf(m), clock.Boot())
+	if !known {
+		return 0, false
+	}
+	return at, l.follower.view.Confirm(proofOf(m, at, l.source.Name))
+}
--- a/gateway/relay/packed.go
+++ b/gateway/relay/packed.go
@@ -34,16 +34,16 @@
 	last map[string]compressedChanges
 }
 
-// compressedChanges holds the compressed changes between two revisions.
+// compressedChanges holds the compressed changes between two revisions of an era.
 type compressedChanges struct {
-	reset           bool
-	after, revision int64
-	content         []byte
+	reset                bool
+	era, after, revision int64
+	content              []byte
 }
 
 // matches reports whether c holds the changes of a delta.
 func (c compressedChanges) matches(d view.KindDelta) bool {
-	return c.reset == d.Reset && c.after == d.After && c.revision == d.Revision
+	return c.reset == d.Reset && c.era == d.Era && c.after == d.After && c.revision == d.Revision
 }
 
 // newCompressor returns a compressor that keeps nothing yet.
@@ -69,7 +69,7 @@
 	var list []*wirepb.FollowDelta
 	for {
 		size := min(len(content), maxPieceBytes)
-		m := &wirepb.FollowDelta{Kind: d.Kind, Reset_: d.Reset, After: d.After, Revision: d.Revision, Piece: content[:size], More: size < len(content)}
+		m := &wirepb.FollowDelta{Kind: d.Kind, Reset_: d.Reset, Era: d.Era, After: d.After, Revision: d.Revision, Piece: content[:size], More: size < len(content)}
 		list = append(list, m)
 		content = content[size:]
 		if !m.More {
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "relay.pack", "", err)
 	}
-	c.last[d.Kind] = compressedChanges{reset: d.Reset, after: d.After, revision: d.Revision, content: compressed.Bytes()}
+	c.last[d.Kind] = compressedChanges{reset: d.Reset, era: d.Era, after: d.After, revision: d.Revision, content: compressed.Bytes()}
 	return compressed.Bytes(), nil
 }
 
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -8,7 +8,9 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"acaciawinch/core/fault"
 	"acaciawinch/core/proof"
+	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
@@ -30,6 +32,7 @@
 	DeltasSince(positions []view.Position) ([]view.KindDelta, view.Proof, bool)
 	Changed() <-chan struct{}
 	StoreFailing() bool
+	Era() int64
 }
 
 // Server sends this process's state to followers. It is safe for concurrent use.
@@ -51,12 +54,18 @@
 // addFollowers changes the number of followers.
 func (s *Server) addFollowers(delta int64) { s.gauge.Update(float64(s.followers.Add(delta))) }
 
-// Follow implements wirepb.DRPCFleetServer: it serves one follower until the stream ends.
+// Follow implements wirepb.DRPCFleetServer: it serves one follower until the stream ends. It refuses a
+// follower of an older build, which knows no eras, if the store has them: that follower would ignore the
+// lists of a store that has returned from a copy, and count the proofs that come with them.
 func (s *Server) Follow(stream wirepb.DRPCFleet_FollowStream) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return err
 	}
+	if era := s.state.Era(); era != 0 && !first.GetEras() {
+		s.logger.Event(event.FollowerRefused, observe.Fields{"peer": first.GetName(), "era": era})
+		return fault.New(fault.Invalid, "relay.follow", first.GetName(), "the store has eras, which the follower does not know")
+	}
 	start := clock.Boot()
 	follower := &session{server: s, stream: stream, positions: positionsOf(first.GetPositions())}
 	follower.received(first)
@@ -75,8 +84,7 @@
 type session struct {
 	server *Server
 	stream wirepb.DRPCFleet_FollowStream
-	// positions are the revisions that the follower's copies have once it has applied what was
-	// sent. Only sendUpdates uses them.
+	// positions are those that the follower's copies have once it has applied what was sent. Only sendUpdates uses them.
 	positions []view.Position
 
 	mu     sync.Mutex
@@ -116,15 +124,17 @@
 	defer heartbeat.Stop()
 	var sent view.Proof
 	due, sentFailing := true, false
+	var sentEra int64
 	for {
 		changed := s.server.state.Changed()
 		failing := s.server.state.StoreFailing()
+		era := s.server.state.Era()
 		deltas, proved, known := s.server.state.DeltasSince(s.positions)
-		if due || failing != sentFailing || hasChanges(deltas) || known && proved.At-sent.At >= minProofAdvance {
+		if due || failing != sentFailing || era != sentEra || hasChanges(deltas) || known && (proved.Settled != sent.Settled || proved.At-sent.At >= minProofAdvance) {
 			if err := s.send(deltas, proved, known, failing); err != nil {
 				return // the follower is gone; receiveRequests ends as well
 			}
-			sent, due, sentFailing = proved, false, failing
+			sent, due, sentFailing, sentEra = proved, false, failing, era
 			heartbeat.Reset(heartbeatInterval)
 		}
 		select {
@@ -150,17 +160,18 @@
 // send sends what the follower lacks and advances its positions. Large changes go first, in
 // pieces; the proof goes last, as it covers everything sent before it.
 func (s *session) send(deltas []view.KindDelta, proved view.Proof, known, failing bool) error {
-	last := &wirepb.FollowUpdate{Failing: failing}
+	last := s.update()
+	last.Failing = failing
 	for _, d := range deltas {
 		if !worthCompressing(d) {
 			last.Deltas = append(last.Deltas, deltaMessage(d))
 		} else if err := s.sendLong(d); err != nil {
 			return err
 		}
-		s.setPosition(d.Kind, d.Revision)
+		s.setPosition(d.Kind, d.End())
 	}
 	if known {
-		last.Proof = proofMessage(s.proofReport(proved.At), proved.Hops)
+		last.Proof = proofMessage(s.proofReport(proved.At), proved)
 	}
 	return s.stream.Send(last)
 }
@@ -172,18 +183,25 @@
 		return err
 	}
 	for _, piece := range pieces {
-		if err := s.stream.Send(&wirepb.FollowUpdate{Deltas: []*wirepb.FollowDelta{piece}}); err != nil {
+		update := s.update()
+		update.Deltas = []*wirepb.FollowDelta{piece}
+		if err := s.stream.Send(update); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// setPosition records the revision that the follower's copy of a kind has.
-func (s *session) setPosition(kind string, revision int64) {
+// update returns an update that holds nothing but the store's era.
+func (s *session) update() *wirepb.FollowUpdate {
+	return &wirepb.FollowUpdate{Era: s.server.state.Era(), Eras: true}
+}
+
+// setPosition records the position that the follower's copy of a kind has.
+func (s *session) setPosition(kind string, position replica.Position) {
 	for i := range s.positions {
 		if s.positions[i].Kind == kind {
-			s.positions[i].Revision = revision
+			s.positions[i].Position = position
 		}
 	}
 }
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -108,6 +108,8 @@
 			w.restartCall()
 		}
 	}
+	v.setWatchers(append(others, config))
+	defer v.setWatchers(nil)
 	responded := make(chan struct{})
 	config.onFirstSuccess = func() { close(responded) }
 	group.Go(func() error {
@@ -120,11 +122,27 @@
 	return group.Wait()
 }
 
+// setWatchers records the watchers of a call of Read.
+func (v *View) setWatchers(watchers []*watcher) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watchers = watchers
+}
+
+// restartWatchers ends the calls of all watchers, so that each makes its next one at once.
+func (v *View) restartWatchers() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, w := range v.watchers {
+		w.restartCall()
+	}
+}
+
 // ListMembers lists the gateways once. It retries until it succeeds or ctx ends.
 func (v *View) ListMembers(ctx context.Context) error {
 	w := v.newWatcher(MemberKind, memberWait)
 	w.maxBackoff = configMaxBackoff
-	for ctx.Err() == nil && w.replica.revision() == unknownRevision {
+	for ctx.Err() == nil && !w.replica.listed() {
 		if err := w.list(ctx); err != nil && ctx.Err() == nil {
 			w.failed(ctx, err)
 		}
@@ -144,8 +162,11 @@
 	batchDelay time.Duration
 	// relist is set if the store's history no longer reaches back to the present revision.
 	relist bool
-	// lost is set while calls to the store fail.
-	lost bool
+	// justListed is set from a list until the next watch that succeeds.
+	justListed bool
+	// lost is set while calls to the store fail. lostEra is the store's era when they began to fail.
+	lost    bool
+	lostEra int64
 	// shortNext is set if the next watch waits for shortWait only.
 	shortNext bool
 	backoff   time.Duration
@@ -200,15 +221,24 @@
 	}
 }
 
-// call makes one step and reports whether the step was cancelled because a restart was requested.
+// call makes one step and reports whether the next one must follow at once: a restart was requested,
+// or the step failed while the store's era rose.
 func (w *watcher) call(ctx context.Context) (restarted bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	era := w.view.Era()
 	done := make(chan error, 1)
 	go func() { done <- w.step(ctx) }()
 	select {
 	case err = <-done:
-		return false, err
+		if err == nil || era == 0 || w.view.Era() == era {
+			return false, err
+		}
+		select { // the rise has requested a restart too
+		case <-w.restart:
+		default:
+		}
+		return true, nil
 	case <-w.restart:
 		cancel()
 		<-done
@@ -216,18 +246,27 @@
 	}
 }
 
-// step makes one call and applies what it returned.
+// step makes one call and applies what it returned. A copy that is not of the newest era is listed: its
+// revision stands for nothing in that era.
 func (w *watcher) step(ctx context.Context) error {
-	if w.relist || w.replica.revision() == unknownRevision {
+	position := w.replica.position()
+	era := w.view.Era()
+	if position.Era > era { // the copy is of another store
+		w.replica.displace()
+	}
+	if w.relist || position == replica.Empty || position.Era != era {
 		return w.list(ctx)
 	}
-	return w.watch(ctx)
+	return w.watch(ctx, position)
 }
 
 // list lists all objects.
 func (w *watcher) list(ctx context.Context) error {
 	began := clock.Boot()
 	found, err := w.view.store.Load().List(ctx, w.replica.name)
+	if err == nil {
+		err = w.view.checkEra(found.Era, began)
+	}
 	if err != nil {
 		return err
 	}
@@ -235,25 +274,29 @@
 	for i, object := range found.Objects {
 		changes[i] = replica.Change{Object: object}
 	}
-	if err := w.replica.apply(replica.Delta{Reset: true, Revision: found.Revision, Changes: changes}); err != nil {
+	if err := w.replica.apply(replica.Delta{Reset: true, Era: found.Era, Revision: found.Revision, Changes: changes}); err != nil {
 		return err
 	}
-	w.relist = false
-	w.confirm(began)
+	w.relist, w.justListed = false, true
+	w.confirm(began, found.Era)
 	return nil
 }
 
-// watch waits for changes and applies them.
-func (w *watcher) watch(ctx context.Context) error {
-	began, wait, after := clock.Boot(), w.watchWait(), w.replica.revision()
+// watch waits for changes after a position and applies them.
+func (w *watcher) watch(ctx context.Context, position replica.Position) error {
+	began, wait, after := clock.Boot(), w.watchWait(), position.Revision
 	found, err := w.view.store.Load().Watch(ctx, w.replica.name, after, wait)
+	if err == nil {
+		err = w.view.checkEra(found.Era, began)
+	}
 	if err != nil {
 		return err
 	}
-	if err := w.replica.apply(replica.Delta{After: after, Revision: max(after, found.Revision), Changes: found.Changes}); err != nil {
+	if err := w.replica.apply(replica.Delta{Era: found.Era, After: after, Revision: max(after, found.Revision), Changes: found.Changes}); err != nil {
 		return err
 	}
-	w.confirm(proofTime(began, clock.Boot(), wait, len(found.Changes)))
+	w.justListed = false
+	w.confirm(proofTime(began, clock.Boot(), wait, len(found.Changes)), found.Era)
 	w.shortNext = len(found.Changes) > 0
 	if len(found.Changes) > 0 {
 		clock.Sleep(ctx, w.batchDelay)
@@ -261,15 +304,16 @@
 	return nil
 }
 
-// confirm records a freshness proof of the configuration, which holds the keys. It does nothing
-// for other kinds.
-func (w *watcher) confirm(at time.Duration) {
+// confirm records a freshness proof of the configuration, which holds the keys, unless the copy is
+// of another era by now. It does nothing for other kinds.
+func (w *watcher) confirm(at time.Duration, era int64) {
 	if w.trustDivisor == 0 {
 		return
 	}
 	w.shortNext = false
-	w.view.storeProofAt.Store(int64(at))
-	w.view.proof.confirm(Proof{At: at, From: FromStore})
+	if w.view.Confirm(Proof{At: at, Era: era, From: FromStore}) {
+		w.view.storeProofAt.Store(int64(at))
+	}
 }
 
 // watchWait returns how long the next watch waits.
@@ -301,18 +345,27 @@
 }
 
 // failed records a failed call and waits for the backoff. If the store's history no longer reaches
-// back to the revision, failed returns at once, so that the kind is listed again.
+// back to the revision, failed returns at once, so that the kind is listed again; unless the revision is
+// that of a list just made, which the next list would not change.
 func (w *watcher) failed(ctx context.Context, err error) {
 	if errors.Is(err, store.ErrHistoryGone) {
 		w.relist = true
-		w.view.options.Logger.Event(event.WatchHistoryGone, observe.Fields{"kind": w.replica.name, "revision": w.replica.revision()})
+		w.view.options.Logger.Event(event.WatchHistoryGone, observe.Fields{"kind": w.replica.name, "revision": w.replica.position().Revision})
+		if w.justListed {
+			w.backOff(ctx)
+		}
 		return
 	}
 	w.setFailing(true)
 	if !w.lost {
-		w.lost = true
-		w.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": w.replica.name, "revision": w.replica.revision(), "error": err.Error()})
+		w.lost, w.lostEra = true, w.view.Era()
+		w.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": w.replica.name, "revision": w.replica.position().Revision, "error": err.Error()})
 	}
+	w.backOff(ctx)
+}
+
+// backOff waits for the backoff, and doubles it. A requested restart ends the wait.
+func (w *watcher) backOff(ctx context.Context) {
 	timer := time.NewTimer(w.backoff)
 	defer timer.Stop()
 	select {
@@ -326,8 +379,8 @@
 // succeeded records a successful call.
 func (w *watcher) succeeded() {
 	if w.lost {
-		w.view.options.Logger.Event(event.WatchRegained, observe.Fields{"kind": w.replica.name, "revision": w.replica.revision()})
-		if w.onRecovered != nil {
+		w.view.options.Logger.Event(event.WatchRegained, observe.Fields{"kind": w.replica.name, "revision": w.replica.position().Revision})
+		if w.onRecovered != nil && w.view.Era() == w.lostEra { // a rise of the era has restarted them
 			w.onRecovered()
 		}
 	}
@@ -336,7 +389,9 @@
 		w.onFirstSuccess = nil
 	}
 	w.lost = false
-	w.backoff = initialBackoff
+	if !w.justListed {
+		w.backoff = initialBackoff
+	}
 	w.setFailing(false)
 }
 
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -6,6 +6,8 @@
 
 	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // Receiver receives the objects of one kind and their changes. It is called by one goroutine
@@ -31,9 +33,12 @@
 	name     string
 	receiver Receiver
 	proof    *proofTracker
+	logger   *observe.Logger
 
 	mu      sync.Mutex
 	replica *replica.Replica
+	// seen is the era of the latest objects that the receiver has received; 0 if it has received none.
+	seen int64
 }
 
 // apply brings the copy up to date and passes what is new to the receiver. It returns an error
@@ -41,11 +46,18 @@
 func (k *kindReplica) apply(d replica.Delta) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	before, size := k.replica.Position(), k.replica.Size()
 	changed, err := k.replica.Apply(d)
 	switch {
-	case err != nil || !changed:
+	case err != nil:
 		return err
+	case d.End().Before(before):
+		k.logIgnored(d, before)
+		return nil
+	case !changed:
+		return nil
 	case d.Reset:
+		k.enterEra(before, size)
 		k.receiver.Reset(objectsOf(d.Changes))
 	default:
 		k.receiver.Apply(d.Changes)
@@ -54,6 +66,37 @@
 	return nil
 }
 
+// enterEra tells an EraReceiver, and the log, that the copy is of a later era than before. k.mu must
+// be held.
+func (k *kindReplica) enterEra(before replica.Position, size int) {
+	now := k.replica.Position()
+	if k.seen != 0 && now.Era != k.seen {
+		k.logger.Event(event.StoreEraChanged, observe.Fields{"kind": k.name, "old_era": k.seen, "old_revision": before.Revision,
+			"era": now.Era, "revision": now.Revision, "objects_before": size, "objects": k.replica.Size()})
+		if receiver, asks := k.receiver.(EraReceiver); asks {
+			receiver.EraChanged(now.Era)
+		}
+	}
+	k.seen = now.Era
+}
+
+// logIgnored logs that a list, or changes of an earlier era, were ignored as older than the copy. Changes
+// of the same era may come late, or twice, from two sources. k.mu must be held.
+func (k *kindReplica) logIgnored(d replica.Delta, at replica.Position) {
+	if !d.Reset && d.Era == at.Era {
+		return
+	}
+	k.logger.Event(event.StoreDataIgnored, observe.Fields{"kind": k.name, "list": d.Reset, "era": d.Era, "revision": d.Revision,
+		"known_era": at.Era, "known_revision": at.Revision})
+}
+
+// displace makes the next reset replace the copy, whatever its position.
+func (k *kindReplica) displace() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.replica.Displace()
+}
+
 // objectsOf returns the objects of changes.
 func objectsOf(changes []replica.Change) []replica.Object {
 	list := make([]replica.Object, len(changes))
@@ -63,31 +106,36 @@
 	return list
 }
 
-// unknownRevision is the revision of a copy that holds nothing yet.
-const unknownRevision = -1
-
-// revision returns the store's revision of the copy, or unknownRevision.
-func (k *kindReplica) revision() int64 {
+// position returns the position of the copy, replica.Empty if it holds nothing yet.
+func (k *kindReplica) position() replica.Position {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.replica.Known() {
-		return unknownRevision
-	}
-	return k.replica.Revision()
+	return k.replica.Position()
 }
 
-// since returns the changes that a copy at a revision lacks, and false if it lacks none.
-func (k *kindReplica) since(revision int64) (replica.Delta, bool) {
+// listed reports whether the copy is complete.
+func (k *kindReplica) listed() bool { return k.position() != replica.Empty }
+
+// since returns the changes that a copy at a position lacks, and false if it lacks none.
+func (k *kindReplica) since(position replica.Position) (replica.Delta, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.replica.Since(revision)
+	return k.replica.Since(position)
 }
 
-// Proof is a freshness proof: this process knows of every API key that was revoked up to the time
-// At.
+// Proof is a freshness proof: this process's configuration was the store's at the time At. Unless the
+// store has just returned from an older copy, this process then knows of every API key that was revoked
+// up to At.
 type Proof struct {
 	// At is a boot time.
 	At time.Duration
+	// Era is the store's era in which the proof was made; 0 if the store has none. The proof counts
+	// only for a configuration of that era.
+	Era int64
+	// Settled is set if the store had written again what it lost at its last return when the proof
+	// was made: the gateway that made the proof, or one that passed it on, knew the era for
+	// rewriteTime by then. Held is set if it is not, and the store has returned lately.
+	Settled, Held bool
 	// Hops counts the processes that passed the proof on: 0 if the store gave it.
 	Hops int
 	// From is the gateway that passed the proof on, or FromStore.
@@ -97,13 +145,19 @@
 // FromStore is the From of a proof that this process got from the store itself.
 const FromStore = "store"
 
-// proofTracker holds the newest Proof and notifies those that wait for a proof or a change.
+// proofTracker holds the newest Proofs and notifies those that wait for a proof or a change.
 type proofTracker struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// newest is the newest proof that counts for keys. It may be of an earlier era than read, and
+	// holds until it is too old: what it covers is known, as a configuration is never replaced by an
+	// older one.
 	newest Proof
 	known  bool
-	// gapEnded is the boot time at which the last proof arrived later than maxProofGap after the one
-	// before.
+	// read is the newest proof of the newest era, which may not count for keys yet.
+	read      Proof
+	readKnown bool
+	// gapEnded is the boot time at which the last proof arrived that was the first of its era or came
+	// later than maxProofGap after the one before.
 	gapEnded time.Duration
 	changed  chan struct{}
 }
@@ -115,33 +169,54 @@
 // newProofTracker returns a tracker without a proof.
 func newProofTracker() *proofTracker { return &proofTracker{changed: make(chan struct{})} }
 
-// confirm records a proof, unless a newer one is known.
-func (p *proofTracker) confirm(candidate Proof) {
+// confirm records a proof, unless a newer one is known. counts is set if it counts for keys.
+func (p *proofTracker) confirm(candidate Proof, counts bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.known && candidate.At <= p.newest.At {
+	if counts && (!p.known || candidate.At > p.newest.At) {
+		p.newest, p.known = candidate, true
+		p.notifyLocked()
+	}
+	if p.readKnown && (candidate.Era < p.read.Era || candidate.Era == p.read.Era && candidate.At <= p.read.At) {
 		return
 	}
-	if now := clock.Boot(); p.known && now-p.newest.At > maxProofGap {
+	if now := clock.Boot(); p.readKnown && (candidate.Era != p.read.Era || now-p.read.At > maxProofGap) {
 		p.gapEnded = now
 	}
-	p.newest, p.known = candidate, true
+	p.read, p.readKnown = candidate, true
 	p.notifyLocked()
 }
 
-// get returns the newest proof, and false if there is none.
+// get returns the newest proof that counts for keys, and false if there is none.
 func (p *proofTracker) get() (Proof, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.newest, p.known
 }
 
-// unbrokenFor reports whether no proof has been older than maxProofGap for the given time.
+// getRead returns the newest proof of the newest era, and false if there is none.
+func (p *proofTracker) getRead() (Proof, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.read, p.readKnown
+}
+
+// forgetRead forgets the proofs of the present store. Those that count for keys hold until they are
+// too old.
+func (p *proofTracker) forgetRead() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.read, p.readKnown = Proof{}, false
+	p.gapEnded = clock.Boot()
+}
+
+// unbrokenFor reports whether no proof has been older than maxProofGap, and no new era has begun, for
+// the given time.
 func (p *proofTracker) unbrokenFor(length time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Boot()
-	return p.known && now-p.newest.At <= maxProofGap && (p.gapEnded == 0 || now-p.gapEnded >= length)
+	return p.readKnown && now-p.read.At <= maxProofGap && (p.gapEnded == 0 || now-p.gapEnded >= length)
 }
 
 // notify notifies those that wait for a change.
--- a/gateway/view/share.go
+++ b/gateway/view/share.go
@@ -10,11 +10,10 @@
 // The methods in this file exchange updates with other gateways. They may be called by many
 // goroutines.
 
-// Position is the store's revision up to which the copy of one kind is current, or -1 if the
-// copy holds nothing yet.
+// Position is how far the copy of one kind is.
 type Position struct {
-	Kind     string
-	Revision int64
+	Kind string
+	replica.Position
 }
 
 // KindDelta holds the changes that bring the copy of one kind up to date.
@@ -27,23 +26,23 @@
 func (v *View) Positions() []Position {
 	positions := make([]Position, len(v.replicas))
 	for i, k := range v.replicas {
-		positions[i] = Position{Kind: k.name, Revision: k.revision()}
+		positions[i] = Position{Kind: k.name, Position: k.position()}
 	}
 	return positions
 }
 
-// DeltasSince returns what copies at the given positions lack, and the newest proof; it returns
-// false if there is no proof. The proof is read first, so that the changes are at least as new as
-// the proof.
+// DeltasSince returns what copies at the given positions lack, and the newest proof of the newest era,
+// which may not count for keys yet; it returns false if there is no proof. The proof is read first, so
+// that the changes are at least as new as the proof.
 func (v *View) DeltasSince(positions []Position) ([]KindDelta, Proof, bool) {
-	newest, known := v.proof.get()
+	newest, known := v.proof.getRead()
 	var deltas []KindDelta
 	for _, position := range positions {
 		k := v.replicaOf(position.Kind)
 		if k == nil {
 			continue
 		}
-		if d, stale := k.since(position.Revision); stale {
+		if d, stale := k.since(position.Position); stale {
 			deltas = append(deltas, KindDelta{Kind: k.name, Delta: d})
 		}
 	}
@@ -64,11 +63,18 @@
 	return fault.Wrap(fault.Invalid, "view.take", "", k.apply(delta.Delta))
 }
 
-// Confirm records another gateway's proof. The deltas that came with the proof must have been
+// Confirm records a proof, and reports whether it is of the era of this process's configuration;
+// otherwise it proves nothing here. The deltas that came with another gateway's proof must have been
 // applied before.
-func (v *View) Confirm(proved Proof) { v.proof.confirm(proved) }
+func (v *View) Confirm(proved Proof) bool {
+	if proved.Era != v.configReplica().position().Era {
+		return false
+	}
+	v.proof.confirm(proved, true)
+	return true
+}
 
-// Proof returns the newest proof, and false if there is none.
+// Proof returns the newest proof that counts for keys, and false if there is none.
 func (v *View) Proof() (Proof, bool) { return v.proof.get() }
 
 // StoreFailing reports whether the store fails to respond to this process as a reader. It is false
@@ -76,7 +82,7 @@
 func (v *View) StoreFailing() bool { return v.failing.Load() }
 
 // StoreProofTime returns the boot time of the newest proof that the store gave this process
-// itself, and false if there is none.
+// itself, whether or not it counts for keys, and false if there is none.
 func (v *View) StoreProofTime() (time.Duration, bool) {
 	at := time.Duration(v.storeProofAt.Load())
 	return at, at >= 0
--- a/gateway/view/share_test.go
+++ b/gateway/view/share_test.go
@@ -57,7 +57,7 @@
 func TestUnknownKindsAreIgnored(t *testing.T) {
 	v := newTestView(t)
 	assert.NilError(t, v.ApplyDelta(KindDelta{Kind: "unheard-of", Delta: replica.Delta{Reset: true, Revision: 3}}))
-	deltas, _, _ := v.DeltasSince([]Position{{Kind: "unheard-of", Revision: -1}})
+	deltas, _, _ := v.DeltasSince([]Position{{Kind: "unheard-of", Position: replica.Empty}})
 	assert.Equal(t, len(deltas), 0)
 }
 
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -111,6 +111,8 @@
 
 	mu       sync.Mutex
 	onChange []func()
+	// watchers are those of the present call of Read.
+	watchers []*watcher
 }
 
 // New returns a View without data.
@@ -130,6 +132,7 @@
 	for _, records := range options.Records {
 		v.replicas = append(v.replicas, v.newKindReplica(records.Kind, records.Receiver))
 	}
+	v.OnEra(func(int64) { v.restartWatchers() })
 	v.SetStoreOptions(options.Store)
 	v.members.Store(&[]Member{})
 	v.storeProofAt.Store(-1)
@@ -138,18 +141,30 @@
 
 // newKindReplica returns an empty copy of a kind.
 func (v *View) newKindReplica(name string, to Receiver) *kindReplica {
-	return &kindReplica{name: name, receiver: to, proof: v.proof, replica: replica.New()}
+	return &kindReplica{name: name, receiver: to, proof: v.proof, logger: v.options.Logger, replica: replica.New()}
 }
 
+// configReplica returns the copy of the configuration.
+func (v *View) configReplica() *kindReplica { return v.replicas[0] }
+
 // SetStoreOptions applies changed settings. The present data stays in force until the store at a
-// new address replaces it.
+// new address replaces it: that may be another store, whose eras and revisions can't be compared.
 func (v *View) SetStoreOptions(options StoreOptions) {
 	v.confirmWithin.Store(int64(options.ConfirmWithin))
 	v.applyWithin.Store(int64(options.ApplyWithin))
-	if old := v.store.Load(); old == nil || old.Address() != options.Store {
-		client := store.New(options.Store)
-		client.OnEra(v.hearEra)
-		v.store.Store(client)
+	old := v.store.Load()
+	if old != nil && old.Address() == options.Store {
+		return
+	}
+	client := store.New(options.Store)
+	client.OnEra(func(era int64) {
+		if v.store.Load() == client {
+			v.hearStoreEra(era)
+		}
+	})
+	v.store.Store(client)
+	if old != nil {
+		v.moveStore()
 	}
 }
 
@@ -184,7 +199,7 @@
 		return true
 	}
 	for _, records := range v.options.Records {
-		if v.replicaOf(records.Kind).revision() == unknownRevision {
+		if !v.replicaOf(records.Kind).listed() {
 			return clock.Boot()-time.Duration(v.firstTableAt.Load()) > recordsTimeout
 		}
 	}
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -22,6 +22,14 @@
 	LinesDropped        = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
+// Events of a store that has returned from an older copy of itself: 10100 to 10109.
+var (
+	StoreEraChanged  = define(10100, "store_era_changed", "The store has returned from an older copy of itself: the objects of a kind were replaced by those that it holds now.", "kind", "old_era", "old_revision", "era", "revision", "objects_before", "objects")
+	StoreDataIgnored = define(10101, "store_data_ignored", "A list or changes of a kind were ignored, as the copy is newer.", "kind", "list", "era", "revision", "known_era", "known_revision")
+	StoreEraForeign  = define(10102, "store_era_foreign", "Another gateway reported an era that the store of this process has not reached; all kinds are listed again.", "era", "heard")
+	FollowerRefused  = define(10105, "follower_refused", "A gateway of an older build, which knows no eras of the store, was refused as a follower.", "peer", "era")
+)
+
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway responded to a request itself; with status 429 or 503 no part of the request ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
