--- a/standin/gatewaytest/era_test.go
+++ b/standin/gatewaytest/era_test.go
@@ -59,3 +59,51 @@
 		})
 	}
 }
+
+// TestAKeyIsRefusedWhileTheStoreLacksTheVersionThatTookItAway: the store accepts a version that takes a
+// key away while no gateway reaches it, and returns from a copy without that version. Until the operator
+// has written it again, the store confirms the configuration that has the key: these proofs must not
+// count.
+func TestAKeyIsRefusedWhileTheStoreLacksTheVersionThatTookItAway(t *testing.T) {
+	const away, rewritten = 4 * time.Second, 6 * time.Second
+	f := newFleet(t)
+	f.startWorker("desk-1", "desk", worker.Plain)
+	f.apply(configWithKey(1, "k1"))
+	gateways := []*runningGateway{f.start("g1"), f.start("g2")}
+	f.waitLines(1, "source_changed", `"reason":"follower"`, `"reads":false`)
+	f.store.Copy()
+	f.store.SetFaults(metastore.Faults{Silent: true})
+	f.apply(configWithKey(2, "k2"))
+	accepted := time.Now()
+	steps := []struct {
+		at   time.Duration
+		take func()
+	}{
+		{away, func() {
+			f.store.ReturnFromCopy()
+			f.store.SetFaults(metastore.Faults{})
+		}},
+		{rewritten, func() { f.apply(configWithKey(2, "k2")) }},
+	}
+	f.waitUntil(func() bool {
+		sent := time.Since(accepted)
+		if len(steps) > 0 && sent >= steps[0].at {
+			steps[0].take()
+			steps = steps[1:]
+		}
+		refused := 0
+		for _, g := range gateways {
+			got := f.send(g, "r-old", "GET", "/safe/x", "", "Authorization", "Bearer k1")
+			assert.Assert(t, sent < revokeBound || got.status != http.StatusOK, "the key is served %v after it was taken away", sent)
+			if got.status == http.StatusUnauthorized {
+				refused++
+			}
+		}
+		return refused == len(gateways)
+	}, "the key is refused as unknown")
+	for _, g := range gateways {
+		f.waitUntil(func() bool {
+			return f.send(g, "r-new", "GET", "/safe/x", "", "Authorization", "Bearer k2").status == http.StatusOK
+		}, "the new key is served")
+	}
+}
