Count no proof of a new era until what the store lost is written again

A store that returned from an older copy may lack a version that it had acknowledged and that takes a key away. Its responses confirmed the configuration before it, and a gateway that had not seen the version went on running the key beyond the bound, until the operator had written the version again.

A proof of a new era counts for keys only if it was made 2.5 s after this process, or one that passed it on, heard of the era; the newest proof before holds meanwhile until it is too old. A process that starts after the return learns of it from its source, or takes it for possible if it could not reach the store before. Proofs that are held off still show that a source reads the store, so that no follower leaves it. A new era also begins the time in which a missing entry of an upstream tells nothing.

--- a/gateway/view/era.go
+++ b/gateway/view/era.go
@@ -10,6 +10,11 @@
 	"acaciawinch/observe/event"
 )
 
+// rewriteTime is the time after the store's return from an older copy within which what the store
+// lost is written again: the operator and the upstreams take about two seconds, and half a second is
+// left for their calls.
+const rewriteTime = 2500 * time.Millisecond
+
 // Era returns the newest era of the store that this process knows, heard from the store or from
 // another gateway; 0 if unknown.
 func (v *View) Era() int64 { return v.era.get() }
@@ -54,6 +59,7 @@
 func (v *View) moveStore() {
 	v.era.move()
 	v.proof.forgetRead()
+	v.proof.recordGap()
 	for _, k := range v.replicas {
 		k.displace()
 	}
@@ -67,6 +73,10 @@
 	// heardAt is the boot time at which this process first heard of the newest era. The era began
 	// before it.
 	heardAt time.Duration
+	// returned is set if the newest era began less than rewriteTime before heardAt, as far as this
+	// process can tell: it knew an earlier era, could not reach the store before, or another gateway
+	// says so. Otherwise the store has probably run for long.
+	returned bool
 	// fromStore is set once the store itself has reported the newest era.
 	fromStore bool
 	// moved is set until the store at a new address has reported its era, which may be any.
@@ -106,6 +116,7 @@
 	}
 	rose := t.newest != 0
 	t.newest, t.heardAt, t.fromStore = era, at, fromStore
+	t.returned = t.returned || rose
 	if !rose {
 		return nil
 	}
@@ -131,3 +142,41 @@
 	defer t.mu.Unlock()
 	return era > 0 && era < t.newest && !t.fromStore && t.heardAt < began
 }
+
+// suspectReturn records that the present era, or the first one if none is known yet, may have begun
+// less than rewriteTime before this process heard of it.
+func (t *eraTracker) suspectReturn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.returned = true
+}
+
+// settledAt returns the boot time from which on a proof shows that what the store lost at its last
+// return was written again.
+func (t *eraTracker) settledAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.settledAtLocked()
+}
+
+// settledAtLocked is settledAt for callers that hold t.mu.
+func (t *eraTracker) settledAtLocked() time.Duration {
+	if t.newest == 0 {
+		return 0
+	}
+	return t.heardAt + rewriteTime
+}
+
+// judge sets Settled and Held of a proof by what this process knows of its era. A proof of an earlier
+// era counts only if it has been found settled: a further return of the store may have followed too soon.
+func (t *eraTracker) judge(p Proof) Proof {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := p.Era == t.newest
+	if present && p.Held {
+		t.returned = true
+	}
+	p.Settled = p.Settled || present && p.At >= t.settledAtLocked()
+	p.Held = !p.Settled && (!present || t.returned)
+	return p
+}
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -324,10 +324,20 @@
 	case w.lost || w.shortNext:
 		return shortWait
 	default:
-		return min(w.wait, w.view.KeyTrustTime()/time.Duration(w.trustDivisor), w.view.ApplyTime()/applyDivisor)
+		return w.view.untilSettled(min(w.wait, w.view.KeyTrustTime()/time.Duration(w.trustDivisor), w.view.ApplyTime()/applyDivisor))
 	}
 }
 
+// untilSettled shortens the wait of a watch, to shortWait at least, so that its proof is the first one
+// that counts again after the store's return from a copy.
+func (v *View) untilSettled(wait time.Duration) time.Duration {
+	remaining := v.era.settledAt() - clock.Boot()
+	if remaining <= 0 {
+		return wait
+	}
+	return min(wait, max(shortWait, remaining+remaining/(proofMarginDivisor-1)+time.Millisecond))
+}
+
 // proofMarginDivisor sets the margin by which a watch without changes proves less than its wait:
 // the wait divided by proofMarginDivisor, 0.5 s of the usual 1.5 s. The margin allows for a store
 // whose clock differs or that reports changes late; the store responds in 4 ms.
@@ -361,6 +371,9 @@
 		w.lost, w.lostEra = true, w.view.Era()
 		w.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": w.replica.name, "revision": w.replica.position().Revision, "error": err.Error()})
 	}
+	if w.view.Era() == 0 {
+		w.view.era.suspectReturn()
+	}
 	w.backOff(ctx)
 }
 
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -156,8 +156,8 @@
 	// read is the newest proof of the newest era, which may not count for keys yet.
 	read      Proof
 	readKnown bool
-	// gapEnded is the boot time at which the last proof arrived that was the first of its era or came
-	// later than maxProofGap after the one before.
+	// gapEnded is the boot time at which the last proof arrived that came later than maxProofGap after the
+	// one before, or at which the last era began, if that was later.
 	gapEnded time.Duration
 	changed  chan struct{}
 }
@@ -180,7 +180,7 @@
 	if p.readKnown && (candidate.Era < p.read.Era || candidate.Era == p.read.Era && candidate.At <= p.read.At) {
 		return
 	}
-	if now := clock.Boot(); p.readKnown && (candidate.Era != p.read.Era || now-p.read.At > maxProofGap) {
+	if now := clock.Boot(); p.readKnown && now-p.read.At > maxProofGap {
 		p.gapEnded = now
 	}
 	p.read, p.readKnown = candidate, true
@@ -207,6 +207,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.read, p.readKnown = Proof{}, false
+}
+
+// recordGap records that the store may lack entries of upstreams that run from now on.
+func (p *proofTracker) recordGap() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.gapEnded = clock.Boot()
 }
 
--- a/gateway/view/share.go
+++ b/gateway/view/share.go
@@ -5,6 +5,9 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/replica"
+	"acaciawinch/gateway/clock"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 )
 
 // The methods in this file exchange updates with other gateways. They may be called by many
@@ -54,26 +57,50 @@
 
 // ApplyDelta applies a delta from another gateway. It ignores kinds of which this gateway keeps no
 // copy: the other one may run another version. It returns an error if changes are missing between
-// the copy and the delta.
+// the copy and the delta, or the delta's era was not heard before.
 func (v *View) ApplyDelta(delta KindDelta) error {
 	k := v.replicaOf(delta.Kind)
 	if k == nil {
 		return nil
 	}
+	if era := v.Era(); delta.Era > era {
+		return fault.New(fault.Invalid, "view.take", "", "changes of era %d, but the store's newest era is %d", delta.Era, era)
+	}
 	return fault.Wrap(fault.Invalid, "view.take", "", k.apply(delta.Delta))
 }
 
 // Confirm records a proof, and reports whether it is of the era of this process's configuration;
 // otherwise it proves nothing here. The deltas that came with another gateway's proof must have been
 // applied before.
+//
+// A proof of the present era shows only what the store holds. If the store has just returned from an
+// older copy, it may lack a configuration that it had acknowledged and that took a key away, until the
+// operator has written it again. So the proof counts for keys only if it was made rewriteTime after this
+// process, or one that passed it on, heard of the era. An older proof still holds until it is too old: it
+// was made before the store went away, and covers what the store acknowledged until then.
 func (v *View) Confirm(proved Proof) bool {
 	if proved.Era != v.configReplica().position().Era {
 		return false
 	}
-	v.proof.confirm(proved, true)
+	proved = v.era.judge(proved)
+	v.logHold(proved)
+	v.proof.confirm(proved, !proved.Held)
 	return true
 }
 
+// logHold logs the first proof of an era that is held off, and the first that counts after it.
+func (v *View) logHold(proved Proof) {
+	if v.holding.Swap(proved.Held) == proved.Held {
+		return
+	}
+	fields := observe.Fields{"era": proved.Era, "from": proved.From, "hops": proved.Hops, "age_ms": (clock.Boot() - proved.At).Milliseconds()}
+	if proved.Held {
+		v.options.Logger.Event(event.ProofHeldOff, fields)
+		return
+	}
+	v.options.Logger.Event(event.ProofCountsAgain, fields)
+}
+
 // Proof returns the newest proof that counts for keys, and false if there is none.
 func (v *View) Proof() (Proof, bool) { return v.proof.get() }
 
--- a/gateway/view/share_test.go
+++ b/gateway/view/share_test.go
@@ -70,7 +70,7 @@
 	v.Confirm(Proof{At: 9 * time.Second, Hops: 1, From: "g1"})
 	v.Confirm(Proof{At: 8 * time.Second, From: FromStore})
 	newest, _ := v.Proof()
-	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Hops: 1, From: "g1"})
+	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Settled: true, Hops: 1, From: "g1"})
 }
 
 func TestFollowersAreNotifiedOfChangesAndProofs(t *testing.T) {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -103,6 +103,8 @@
 	storeProofAt atomic.Int64
 	// failing is set while the store fails to respond to this process about the configuration.
 	failing atomic.Bool
+	// holding is set while the newest proof does not count for keys.
+	holding atomic.Bool
 	// ownRevision is the revision of this process's own object, 0 if unknown.
 	ownRevision atomic.Int64
 
@@ -132,7 +134,11 @@
 	for _, records := range options.Records {
 		v.replicas = append(v.replicas, v.newKindReplica(records.Kind, records.Receiver))
 	}
-	v.OnEra(func(int64) { v.restartWatchers() })
+	v.OnEra(func(int64) {
+		v.proof.recordGap()
+		v.proof.notify()
+		v.restartWatchers()
+	})
 	v.SetStoreOptions(options.Store)
 	v.members.Store(&[]Member{})
 	v.storeProofAt.Store(-1)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -27,7 +27,9 @@
 	StoreEraChanged  = define(10100, "store_era_changed", "The store has returned from an older copy of itself: the objects of a kind were replaced by those that it holds now.", "kind", "old_era", "old_revision", "era", "revision", "objects_before", "objects")
 	StoreDataIgnored = define(10101, "store_data_ignored", "A list or changes of a kind were ignored, as the copy is newer.", "kind", "list", "era", "revision", "known_era", "known_revision")
 	StoreEraForeign  = define(10102, "store_era_foreign", "Another gateway reported an era that the store of this process has not reached; all kinds are listed again.", "era", "heard")
+	ProofHeldOff     = define(10103, "proof_held_off", "Proofs do not count for API keys yet: the store may lack what it had acknowledged before its return.", "era", "from", "hops", "age_ms")
 	FollowerRefused  = define(10105, "follower_refused", "A gateway of an older build, which knows no eras of the store, was refused as a follower.", "peer", "era")
+	ProofCountsAgain = define(10104, "proof_counts_again", "Proofs count for API keys again: what the store lost at its return was written again.", "era", "from", "hops", "age_ms")
 )
 
 // Events of requests at a gateway: 10020 to 10049.
