--- a/gateway/view/share_test.go
+++ b/gateway/view/share_test.go
@@ -57,7 +57,7 @@
 func TestUnknownKindsAreIgnored(t *testing.T) {
 	v := newTestView(t)
 	assert.NilError(t, v.ApplyDelta(KindDelta{Kind: "unheard-of", Delta: replica.Delta{Reset: true, Revision: 3}}))
-	deltas, _, _ := v.DeltasSince([]Position{{Kind: "unheard-of", Revision: -1}})
+	deltas, _, _ := v.DeltasSince([]Position{{Kind: "unheard-of", Position: replica.Empty}})
 	assert.Equal(t, len(deltas), 0)
 }
 
@@ -70,7 +70,7 @@
 	v.Confirm(Proof{At: 9 * time.Second, Hops: 1, From: "g1"})
 	v.Confirm(Proof{At: 8 * time.Second, From: FromStore})
 	newest, _ := v.Proof()
-	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Hops: 1, From: "g1"})
+	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Settled: true, Hops: 1, From: "g1"})
 }
 
 func TestFollowersAreNotifiedOfChangesAndProofs(t *testing.T) {
