Write the gateway's own object again after a return of the store

When the store returned from an older copy, the object of a gateway that had started since was gone, or was that of its earlier run: the others sent it no work and gateways that started later did not know it, until its next start. One that stopped removed its object only at the revision that it had been told, and the object of another incarnation if it knew none.

The first members of a new era now tell each gateway whether its own object is missing or of another incarnation; it writes the object again, without a further read. All that must write are spread by the number of lost objects, 5 ms each. A gateway that has left removes an object that came back while it drains. Its removal reads the object if the revision is another, and never removes that of another incarnation.

What remains: the object of a gateway that ended before the return of a store that had lost its removal stays as that of a crashed one does, until its machine starts again or an operator removes it. Calls to it fail at once and go to the next owner.

--- a/gateway/view/members.go
+++ b/gateway/view/members.go
@@ -23,6 +23,8 @@
 type memberReceiver struct {
 	view  *View
 	known map[string]Member
+	// returned is set if the next Reset has the first members of a new era of the store.
+	returned bool
 }
 
 // newMemberReceiver returns a receiver that knows no member.
@@ -30,13 +32,32 @@
 	return &memberReceiver{view: v, known: make(map[string]Member)}
 }
 
+// EraChanged implements EraReceiver.
+func (r *memberReceiver) EraChanged(int64) { r.returned = true }
+
 // Reset implements Receiver.
 func (r *memberReceiver) Reset(objects []replica.Object) {
+	before := r.known
 	r.known = make(map[string]Member, len(objects))
 	for _, object := range objects {
 		r.update(object)
 	}
 	r.publish()
+	if r.returned {
+		r.returned = false
+		r.view.verifyOwn(r.known, r.lost(before))
+	}
+}
+
+// lost returns the number of members that have no object any more, or one of another incarnation.
+func (r *memberReceiver) lost(before map[string]Member) int {
+	count := 0
+	for name, member := range before {
+		if r.known[name].Incarnation != member.Incarnation {
+			count++
+		}
+	}
+	return count
 }
 
 // Apply implements Receiver.
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -107,6 +107,10 @@
 	holding atomic.Bool
 	// ownRevision is the revision of this process's own object, 0 if unknown.
 	ownRevision atomic.Int64
+	// left is set once this process leaves the fleet.
+	left atomic.Bool
+	// ownOutdated makes Register write or remove this process's own object after a delay.
+	ownOutdated chan time.Duration
 
 	// era is the store's newest era.
 	era eraTracker
@@ -119,7 +123,7 @@
 
 // New returns a View without data.
 func New(options Options) *View {
-	v := &View{options: options, proof: newProofTracker()}
+	v := &View{options: options, proof: newProofTracker(), ownOutdated: make(chan time.Duration, 1)}
 	upstreams := newUpstreamReceiver(v)
 	v.upstreamEntries = upstreams
 	v.replicas = []*kindReplica{
