Keep and write again the crash records that the store has lost

When the store returned from an older copy, each gateway forgot the crashes that the others had written since: a request that crashes upstreams was sent again (502 in place of 503, one more engine ended). A gateway whose own record was older than what it knew did not write it again, or replaced it at a revision that the store no longer had, without end.

In a new era each gateway writes its record again from memory, if it or the one in the store has anything in it; all that do are spread, 5 ms for each. It does not merge its own older record, whose crashes may have been cleared since. Records carry the era in which they were written: until the record of another gateway is of the new era or changes, what was known of it counts too, that of a gateway that has ended for the hour for which a crash counts. After a conflict the revision is that of the object in the store, also if it is lower.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -83,8 +83,13 @@
 	Proven []fingerprint.Fingerprint
 	// TrialCrashes are those of Crashes that happened in a trial of their request.
 	TrialCrashes []Crash
+	// Era is the store's era in which the record was written, 0 if unknown.
+	Era int64
 }
 
+// isEmpty reports whether a record reports nothing.
+func (r Record) isEmpty() bool { return len(r.Crashes)+len(r.Cleared)+len(r.Proven) == 0 }
+
 // State holds one gateway's view of all crash records.
 type State struct {
 	self string
@@ -94,6 +99,13 @@
 	adopted bool
 	// records holds the records of the other gateways by gateway name.
 	records map[string]Record
+	// returned is the era in which the store last returned from an older copy, 0 if it has not. kept
+	// holds the names of the gateways whose records in records may be of an earlier era.
+	returned int64
+	kept     map[string]bool
+	// rewriteDelay is the delay after the next Reset with which this gateway's record is written again;
+	// noRewrite if it need not be.
+	rewriteDelay time.Duration
 	// unconfirmed holds crashes of upstreams that may still be running.
 	unconfirmed map[Crash]bool
 	// merged combines own, records and unconfirmed.
@@ -112,11 +124,14 @@
 	return &State{
 		self:        self,
 		records:     make(map[string]Record),
+		kept:        make(map[string]bool),
 		unconfirmed: make(map[Crash]bool),
 		merged:      newMergedRecords(),
 		completed:   newBoundedSet(maxCompleted),
 		trials:      make(map[fingerprint.Fingerprint]Trial),
 		due:         notDue,
+
+		rewriteDelay: noRewrite,
 	}
 }
 
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -13,39 +13,103 @@
 // notDue is the due time of a record that need not be written.
 const notDue = -1
 
-// Reset replaces the records of all gateways with the given ones.
+// noRewrite is the rewriteDelay of a record that need not be written again.
+const noRewrite = -1
+
+// EraChanged records that the store has returned from an older copy of itself, in a new era. The
+// records of the next Reset may lack what gateways had written since the copy; each gateway writes
+// its own again, this one with the given delay after the Reset.
+func (s *State) EraChanged(era int64, delay time.Duration) {
+	if !s.adopted {
+		return // no record is known yet
+	}
+	s.returned, s.rewriteDelay = era, delay
+	for gateway := range s.records {
+		s.kept[gateway] = true
+	}
+}
+
+// IsRestored reports whether the store has returned with a record as it was in an earlier era, so
+// that its gateway may have reported more since.
+func (s *State) IsRestored(record Record) bool { return record.Era < s.returned }
+
+// Records returns the number of the other gateways' records.
+func (s *State) Records() int { return len(s.records) }
+
+// Reset replaces the records of all gateways with the given ones. A record that its gateway has not
+// written again since the store returned from an older copy does not take back what is known.
 func (s *State) Reset(records map[string]Record, now time.Duration) {
 	own, found := records[s.self]
 	var affected []Record
 	for gateway := range s.records {
-		if _, present := records[gateway]; !present {
+		if _, present := records[gateway]; !present && !s.kept[gateway] {
 			affected = append(affected, s.swapRecord(gateway, Record{}))
 			delete(s.records, gateway)
 		}
 	}
 	for _, gateway := range slices.Sorted(maps.Keys(records)) {
 		if gateway != s.self {
-			affected = append(affected, s.swapRecord(gateway, records[gateway]))
+			affected = append(affected, s.swapRecord(gateway, s.newestRecord(gateway, records[gateway])))
 		}
 	}
 	for _, record := range affected {
 		s.reevaluateRecord(record, now)
 	}
+	delayed := s.rewriteOwn(found, now)
 	if found {
 		s.ReplaceRecord(s.self, own, now)
 		return
 	}
 	s.adopted = true
-	if len(s.own.Crashes)+len(s.own.Cleared)+len(s.own.Proven) > 0 {
+	if !s.own.isEmpty() && !delayed {
 		s.scheduleWrite(now)
 	}
 }
 
+// newestRecord returns the listed record of another gateway, together with the known one if the gateway
+// has not written it again since the store returned from an older copy.
+func (s *State) newestRecord(gateway string, listed Record) Record {
+	if !s.kept[gateway] || !s.IsRestored(listed) {
+		delete(s.kept, gateway)
+		return listed
+	}
+	known := s.records[gateway]
+	return Record{
+		Crashes:      unionOf(known.Crashes, listed.Crashes),
+		Cleared:      unionOf(known.Cleared, listed.Cleared),
+		Proven:       unionOf(known.Proven, listed.Proven),
+		TrialCrashes: unionOf(known.TrialCrashes, listed.TrialCrashes),
+	}
+}
+
+// unionOf returns the elements of both lists, each once.
+func unionOf[T comparable](first, second []T) []T {
+	union := slices.Clone(first)
+	for _, element := range second {
+		if !slices.Contains(union, element) {
+			union = append(union, element)
+		}
+	}
+	return union
+}
+
+// rewriteOwn schedules the write of this gateway's record if the store has returned from an older
+// copy, which it reports; stored is set if the store has a record of this gateway.
+func (s *State) rewriteOwn(stored bool, now time.Duration) bool {
+	returned := s.rewriteDelay != noRewrite
+	if returned && (stored || !s.own.isEmpty()) {
+		s.scheduleWrite(now + s.rewriteDelay)
+	}
+	s.rewriteDelay = noRewrite
+	return returned
+}
+
 // ReplaceRecord replaces the record of a gateway. The first record of this gateway itself was
 // written by its earlier incarnation and is adopted, so that the crashes it saw survive a restart;
 // later ones are its own writes and are ignored.
 func (s *State) ReplaceRecord(gateway string, record Record, now time.Duration) {
 	if gateway != s.self {
+		delete(s.kept, gateway)
 		s.replacePeerRecord(gateway, record, now)
 		return
 	}
@@ -96,6 +160,7 @@
 	}
 	s.replacePeerRecord(gateway, Record{}, now)
 	delete(s.records, gateway)
+	delete(s.kept, gateway)
 }
 
 // dropOwn drops this gateway's record.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -109,6 +109,7 @@
 		Name:        settings.Process.Name,
 		Incarnation: p.incarnation,
 		Store:       func() *store.Client { return p.view.Store() },
+		Era:         func() int64 { return p.view.Era() },
 		Listens:     p.client.Listens,
 		Leaves:      func(upstream routes.Upstream) bool { return p.view.Leaves(upstream) },
 		Lifetime:    runCtx,
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -33,6 +33,8 @@
 	Name, Incarnation string
 	// Store returns the client of the store.
 	Store func() *store.Client
+	// Era returns the newest era of the store that this process knows, 0 if unknown.
+	Era func() int64
 	// Listens reports whether an upstream still accepts connections at an address.
 	Listens func(ctx context.Context, address string) bool
 	// Leaves reports whether an upstream has announced that it ends, or is no longer in discovery.
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"acaciawinch/core/fault"
@@ -43,6 +44,8 @@
 	Proven []string `json:"proven,omitempty"`
 	// TrialCrashes are those of Crashes that happened in a trial of their request.
 	TrialCrashes []crashSpec `json:"trial_crashes,omitempty"`
+	// Era is the store's era that the gateway knew when it wrote the record.
+	Era int64 `json:"era,omitempty"`
 }
 
 // specsOf encodes crashes.
@@ -88,7 +91,7 @@
 		}
 	}
 	proven, err := requestsOf(spec.Proven)
-	return core.Record{Crashes: crashes, Cleared: cleared, Proven: proven, TrialCrashes: trialCrashes}, err
+	return core.Record{Crashes: crashes, Cleared: cleared, Proven: proven, TrialCrashes: trialCrashes, Era: spec.Era}, err
 }
 
 // requestsOf decodes fingerprints.
@@ -106,13 +109,28 @@
 
 // specOf encodes a record.
 func specOf(record core.Record) recordSpec {
-	spec := recordSpec{Crashes: specsOf(record.Crashes), Cleared: specsOf(record.Cleared), TrialCrashes: specsOf(record.TrialCrashes)}
+	spec := recordSpec{Crashes: specsOf(record.Crashes), Cleared: specsOf(record.Cleared), TrialCrashes: specsOf(record.TrialCrashes), Era: record.Era}
 	for _, request := range record.Proven {
 		spec.Proven = append(spec.Proven, request.String())
 	}
 	return spec
 }
 
+// rewriteInterval is the average time between the writes of gateways that write their records again
+// after the store has returned from an older copy: half of the least rate of writes that the known
+// sites allow.
+const rewriteInterval = 5 * time.Millisecond
+
+// EraChanged is called before the first Reset after the store has returned from an older copy.
+func (g *Guard) EraChanged(era int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.revision = 0
+	delay := rand.N(time.Duration(1+g.state.Records()) * rewriteInterval)
+	g.state.EraChanged(era, delay)
+	g.options.Logger.Event(event.RecordOutdated, observe.Fields{"era": era, "kept": g.state.Records(), "delay_ms": delay.Milliseconds()})
+}
+
 // Reset replaces the records of all gateways.
 func (g *Guard) Reset(objects []replica.Object) {
 	g.mu.Lock()
@@ -122,10 +140,12 @@
 	g.revision = 0
 	foreign := false
 	for _, object := range objects {
-		foreign = foreign || object.Name == g.options.Name && g.isForeign(object, before)
-		if record, known := g.decodeRecord(object); known {
-			records[object.Name] = record
+		record, known := g.decodeRecord(object)
+		if !known {
+			continue
 		}
+		records[object.Name] = record
+		foreign = foreign || object.Name == g.options.Name && g.isForeign(object, before) && !g.state.IsRestored(record)
 	}
 	now := clock.Boot()
 	g.state.Reset(records, now)
@@ -242,6 +262,7 @@
 	record, revision, confirmed := g.state.TakeOwnRecord(), g.revision, g.confirmed
 	g.writing = true
 	g.mu.Unlock()
+	record.Era = g.options.Era()
 	spec := specOf(record)
 	var object replica.Object
 	var err error
@@ -273,8 +294,10 @@
 		g.revision = 0
 		g.state.WriteFailed(now)
 	case fault.Is(err, fault.Conflict) && object.Revision > 0:
-		// A write of an earlier incarnation, or one whose response was lost.
-		if record, known := g.decodeRecord(object); known {
+		// A write of an earlier incarnation, or one whose response was lost, or the object of an older
+		// copy of the store.
+		g.revision = object.Revision
+		if record, known := g.decodeRecord(object); known && !g.state.IsRestored(record) {
 			g.state.Adopt(record, now)
 		}
 		g.state.WriteFailed(now)
--- a/gateway/quarantine/record_test.go
+++ b/gateway/quarantine/record_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/fault"
 	"acaciawinch/core/fingerprint"
 	core "acaciawinch/core/quarantine"
 	"acaciawinch/core/replica"
@@ -57,3 +58,16 @@
 		assert.DeepEqual(t, decoded, read)
 	})
 }
+
+// TestARecordAtALowerRevisionIsOverwritten: the store has returned from an older copy. A gateway that kept the
+// higher revision would never write its record again.
+func TestARecordAtALowerRevisionIsOverwritten(t *testing.T) {
+	list, _ := newGuards(t, 1)
+	g := list[0]
+	g.state.Reset(nil, 0)
+	g.revision = 60
+	content, err := json.Marshal(specOf(record()))
+	assert.NilError(t, err)
+	g.writeFailed(replica.Object{Name: "g1", Revision: 40, Spec: content}, fault.New(fault.Conflict, "test", "", "another revision"))
+	assert.Equal(t, g.revision, int64(40))
+}
--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	// loseResponses makes the store carry out writes without responding; unavailable makes it
 	// respond to nothing.
 	loseResponses, unavailable bool
+	// era is the store's era that the gateways know.
+	era atomic.Int64
 }
 
 // storedObject is an object on the wire.
@@ -132,6 +135,7 @@
 	for i := range count {
 		g := New(Options{Name: "g" + string(rune('1'+i)), Incarnation: "first", Lifetime: t.Context(),
 			Store:  func() *store.Client { return store.New(strings.TrimPrefix(server.URL, "http://")) },
+			Era:    func() int64 { return trials.era.Load() },
 			Logger: logger, Scope: tally.NoopScope})
 		addCrashes(g, "u1", "u2")
 		list = append(list, g)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -63,6 +63,7 @@
 	CrashesLearned   = define(10072, "crashes_learned", "Another gateway's crash record was read; revision is 0 if it was removed.", "gateway", "revision", "crashes", "cleared")
 	CrashesWritten   = define(10073, "crashes_written", "This gateway's crash record was written.", "revision", "crashes", "cleared")
 	RecordUnwritten  = define(10074, "crash_record_unwritten", "A crash record or trial object could not be written or removed.", "object", "error")
+	RecordOutdated   = define(10085, "crash_record_outdated", "The store returned from an older copy, in which crash records may be older or missing; this gateway's is written again, and those of kept other gateways stay in use until they are.", "era", "kept", "delay_ms")
 	RecordUnreadable = define(10075, "crash_record_unreadable", "A gateway's crash record can't be decoded; its last readable version stays in use.", "gateway", "revision", "error")
 	TrialAsked       = define(10076, "crash_trial_asked", "A quarantined request is due for a trial; outcome reports whether this gateway runs it.", "fingerprint", "request", "trial", "outcome")
 	TrialReturned    = define(10080, "crash_trial_returned", "A trial did not run and this gateway may retry it; reached reports whether an upstream rejected it.", "fingerprint", "request", "trial", "reached")
