Send no trial on the word of a store that has returned since

A trial and the reservation of its upstream are objects in the store. When the store returned from an older copy, both were lost, and another gateway could create them again while the first still sent its trial: two trials of a request that crashes upstreams, or two trials at one upstream, of which the innocent one is taken for the cause. Reservations and the objects of trials were also removed, or taken for expired, by a revision that may have been given out again.

Revisions that a gateway keeps are kept with the era. What belongs to an earlier era is neither removed nor expired by its revision.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -152,6 +152,7 @@
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.FleetChanged)
 	p.view.OnChange(p.follower.Wake)
+	p.view.OnEra(p.guard.StoreReturned)
 	return p, nil
 }
 
--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -51,6 +52,9 @@
 	metrics metrics
 	// wake makes Run check whether the record must be written.
 	wake chan struct{}
+	// returnedAt is the boot time at which the store's last return from an older copy was heard of, 0 if
+	// there was none.
+	returnedAt atomic.Int64
 
 	mu    sync.Mutex
 	state *core.State
@@ -178,7 +182,7 @@
 	if !verdict.Refused || verdict.Crashes <= attempt.Pass.crashes {
 		return attempt.Pass, nil
 	}
-	if verdict.Trial > 0 {
+	if verdict.Trial > 0 && !g.storeReturned() {
 		ended := g.crashedUpstreams(attempt.Request)
 		if attempt.HasUpstream(ended) && g.acquireTrial(ctx, attempt.Request, verdict.Trial, attempt.ID) {
 			return Pass{Ended: ended, Upstream: g.trialUpstream(attempt.Request), trial: verdict.Trial, crashes: verdict.Crashes}, nil
@@ -189,6 +193,21 @@
 	return attempt.Pass, &Refusal{Crashes: verdict.Crashes, RetryAfter: max(verdict.RetryAfter, minRetryAfter)}
 }
 
+// trialHold is how long after the store's return from an older copy no trial is made. What the store has
+// lost may include trials and reservations of other gateways and the crashes that they caused: by then
+// the other gateways no longer send a trial that they had reserved before, and have written their crash
+// records again.
+const trialHold = reservationTTL
+
+// StoreReturned records that the store has returned from an older copy. It does not block.
+func (g *Guard) StoreReturned(int64) { g.returnedAt.Store(int64(clock.Boot())) }
+
+// storeReturned reports whether the store has returned from an older copy within trialHold.
+func (g *Guard) storeReturned() bool {
+	at := time.Duration(g.returnedAt.Load())
+	return at != 0 && clock.Boot()-at < trialHold
+}
+
 // trialUpstream returns the incarnation that the newest trial of a request must go to, empty if any
 // may get it.
 func (g *Guard) trialUpstream(request fingerprint.Fingerprint) string {
--- a/gateway/quarantine/reservation.go
+++ b/gateway/quarantine/reservation.go
@@ -43,9 +43,15 @@
 
 // reservation is an upstream that is reserved for a trial of this gateway.
 type reservation struct {
-	name     string
-	revision int64
-	sendBy   time.Duration
+	name string
+	version
+	sendBy time.Duration
+}
+
+// version is the revision of an object in an era of the store. Revisions are given out again in a
+// later era.
+type version struct {
+	era, revision int64
 }
 
 // Reserved is the outcome of Reserve.
@@ -101,20 +107,22 @@
 func (g *Guard) reserve(ctx context.Context, trial, incarnation string) (Reserved, error) {
 	name := reservationName(incarnation)
 	wanted := reservationSpec{Trial: trial, Gateway: g.options.Name, Incarnation: g.options.Incarnation}
+	era := g.options.Era()
 	found, err := g.options.Store().Create(ctx, TrialKind, name, wanted)
 	if fault.Is(err, fault.Conflict) || fault.Is(err, fault.Ambiguous) {
-		return g.reserveExisting(ctx, name, wanted, found)
+		return g.reserveExisting(ctx, name, wanted, era, found)
 	}
 	if err != nil {
 		return ReservationFailed, err
 	}
-	g.holdReservation(trial, name, found.Revision)
+	g.holdReservation(trial, name, version{era: era, revision: found.Revision})
 	return ReservationHeld, nil
 }
 
-// reserveExisting decides on a reservation that exists. One of the same trial is held, as the
-// response of the store was lost, and one that has expired is removed.
-func (g *Guard) reserveExisting(ctx context.Context, name string, wanted reservationSpec, found replica.Object) (Reserved, error) {
+// reserveExisting decides on a reservation that exists, in an era that was known before it was read.
+// One of the same trial is held, as the response of the store was lost, and one that has expired is
+// removed.
+func (g *Guard) reserveExisting(ctx context.Context, name string, wanted reservationSpec, era int64, found replica.Object) (Reserved, error) {
 	if found.Revision == 0 {
 		var err error
 		if found, err = g.options.Store().Get(ctx, TrialKind, name); err != nil {
@@ -125,11 +133,12 @@
 	if err := json.Unmarshal(found.Spec, &existing); err != nil {
 		return ReservationFailed, fault.Wrap(fault.Invalid, "quarantine.reserve", name, err)
 	}
+	seen := version{era: era, revision: found.Revision}
 	if existing == wanted {
-		g.holdReservation(wanted.Trial, name, found.Revision)
+		g.holdReservation(wanted.Trial, name, seen)
 		return ReservationHeld, nil
 	}
-	if !g.hasExpired(found) {
+	if !g.hasExpired(name, seen) || g.options.Era() != era {
 		return ReservationBusy, nil
 	}
 	err := g.options.Store().Delete(ctx, TrialKind, name, found.Revision)
@@ -141,13 +150,13 @@
 
 // hasExpired reports whether a reservation of another trial has been seen unchanged for
 // reservationTTL. Clocks of different machines are not compared.
-func (g *Guard) hasExpired(found replica.Object) bool {
+func (g *Guard) hasExpired(name string, found version) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := clock.Boot()
-	seen, known := g.foreign[found.Name]
-	if !known || seen.revision != found.Revision {
-		g.foreign[found.Name] = foreignReservation{revision: found.Revision, since: now}
+	seen, known := g.foreign[name]
+	if !known || seen.version != found {
+		g.foreign[name] = foreignReservation{version: found, since: now}
 		return false
 	}
 	return now-seen.since >= reservationTTL
@@ -155,15 +164,15 @@
 
 // foreignReservation is a reservation of another trial, and when this gateway first saw it.
 type foreignReservation struct {
-	revision int64
-	since    time.Duration
+	version
+	since time.Duration
 }
 
 // holdReservation records that this gateway holds a reservation for a trial.
-func (g *Guard) holdReservation(trial, name string, revision int64) {
+func (g *Guard) holdReservation(trial, name string, held version) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reservations[trial] = reservation{name: name, revision: revision, sendBy: clock.Boot() + sendWithin}
+	g.reservations[trial] = reservation{name: name, version: held, sendBy: clock.Boot() + sendWithin}
 	delete(g.foreign, name)
 }
 
@@ -189,15 +198,17 @@
 }
 
 // MaySend reports whether the trial of a Pass may still be sent under its reservation. After a freeze
-// of this process, other trials may already have been sent to the upstream.
+// of this process, or once the store has returned from an older copy, other trials may already have
+// been sent to the upstream.
 func (g *Guard) MaySend(request fingerprint.Fingerprint, pass Pass) bool {
 	if !pass.IsTrial() {
 		return true
 	}
+	era := g.options.Era()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held, reserved := g.reservations[trialName(request, pass.trial)]
-	return reserved && clock.Boot() < held.sendBy
+	return reserved && held.era == era && clock.Boot() < held.sendBy
 }
 
 // Release ends the reservation for the trial of a Pass, in the background.
@@ -215,8 +226,12 @@
 	}
 }
 
-// removeReservation removes the object of a reservation. One that could not be removed expires.
+// removeReservation removes the object of a reservation. One that could not be removed expires, and so
+// does one that the store has returned to in an older copy: its revision may be that of another by now.
 func (g *Guard) removeReservation(held reservation) {
+	if g.options.Era() != held.era {
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.options.Lifetime, trialTimeout)
 	defer cancel()
 	err := g.options.Store().Delete(ctx, TrialKind, held.name, held.revision)
--- a/gateway/quarantine/reservation_test.go
+++ b/gateway/quarantine/reservation_test.go
@@ -55,7 +55,7 @@
 	assert.Assert(t, list[0].MaySend(crashing, firstPass))
 	assert.Equal(t, reserveFor(t, list[1], innocent, firstPass, third), ReservationBusy)
 	name := reservationName(IncarnationOf(third))
-	list[1].foreign[name] = foreignReservation{revision: 1, since: clock.Boot() - reservationTTL}
+	list[1].foreign[name] = foreignReservation{version: version{revision: 1}, since: clock.Boot() - reservationTTL}
 	assert.Equal(t, reserveFor(t, list[1], innocent, firstPass, third), ReservationBusy, "this call removes it")
 	assert.Equal(t, reserveFor(t, list[1], innocent, firstPass, third), ReservationHeld)
 
--- a/gateway/quarantine/sweep.go
+++ b/gateway/quarantine/sweep.go
@@ -8,7 +8,6 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fingerprint"
-	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -25,7 +24,7 @@
 // objects at the same time.
 func (g *Guard) Sweep(ctx context.Context) error {
 	clock.Sleep(ctx, rand.N(sweepInterval))
-	var seen map[string]int64
+	var seen map[string]version
 	for ctx.Err() == nil {
 		seen = g.sweep(ctx, seen)
 		g.forgetForeign()
@@ -41,23 +40,25 @@
 	clear(g.foreign)
 }
 
-// sweep removes the trial objects that had the same revision in the previous round and whose
-// requests have no crashes that count. It returns the revisions of the remaining objects by name,
+// sweep removes the trial objects that had the same version in the previous round and whose
+// requests have no crashes that count. It returns the versions of the remaining objects by name,
 // or those of the previous round if the objects could not be listed.
-func (g *Guard) sweep(ctx context.Context, before map[string]int64) map[string]int64 {
+func (g *Guard) sweep(ctx context.Context, before map[string]version) map[string]version {
+	era := g.options.Era()
 	listed, err := g.options.Store().List(ctx, TrialKind)
 	if err != nil {
 		g.options.Logger.Warn(event.TrialsUnlisted, observe.Fields{"error": err.Error()})
 		return before
 	}
-	kept := make(map[string]int64, len(listed.Objects))
+	kept := make(map[string]version, len(listed.Objects))
 	removed := 0
 	for _, object := range listed.Objects {
-		if before[object.Name] == object.Revision && g.isOrphaned(object.Name) && g.removeTrial(ctx, object) {
+		found := version{era: era, revision: object.Revision}
+		if before[object.Name] == found && g.isOrphaned(object.Name) && g.removeTrial(ctx, object.Name, found) {
 			removed++
 			continue
 		}
-		kept[object.Name] = object.Revision
+		kept[object.Name] = found
 	}
 	if removed > 0 {
 		g.options.Logger.Event(event.TrialsRemoved, observe.Fields{"removed": removed, "left": len(kept)})
@@ -77,14 +78,17 @@
 	return err == nil && g.judge(request).Crashes == 0
 }
 
-// removeTrial removes an object that has not changed since it was listed, and reports whether
+// removeTrial removes an object that has not changed since it was found, and reports whether
 // the object is gone.
-func (g *Guard) removeTrial(ctx context.Context, object replica.Object) bool {
-	err := g.options.Store().Delete(ctx, TrialKind, object.Name, object.Revision)
+func (g *Guard) removeTrial(ctx context.Context, name string, found version) bool {
+	if g.options.Era() != found.era {
+		return false
+	}
+	err := g.options.Store().Delete(ctx, TrialKind, name, found.revision)
 	if err != nil && !fault.Is(err, fault.NotFound) { // another gateway may have removed it
-		g.options.Logger.Warn(event.RecordUnwritten, observe.Fields{"object": object.Name, "error": err.Error()})
+		g.options.Logger.Warn(event.RecordUnwritten, observe.Fields{"object": name, "error": err.Error()})
 		return false
 	}
-	g.forgetTrial(object.Name)
+	g.forgetTrial(name)
 	return true
 }
--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -145,7 +145,7 @@
 // endTrial learns from the store how far a trial got whose outcome is not known. A trial that was
 // not sent is ended, so that its gateway, which may only be slow, does not send it any more.
 func (g *Guard) endTrial(ctx context.Context, request fingerprint.Fingerprint, number int) error {
-	name := trialName(request, number)
+	name, era := trialName(request, number), g.options.Era()
 	last, revision, err := g.existingTrial(ctx, name, replica.Object{})
 	if fault.Is(err, fault.NotFound) {
 		return nil // the request was cleared, or an operator removed the object
@@ -159,6 +159,9 @@
 			return err // on a conflict the trial is being sent right now
 		}
 	}
+	if g.options.Era() != era {
+		return fault.New(fault.Conflict, "quarantine.trial", name, "the store has returned from an older copy")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.state.TrialUsed(request, last.trial(number), clock.Boot())
