Test streams whose end is not proved

An upstream's stream without a length or chunks ends with its connection, which its process may have ended. The tests stream from upstreams that end so, with and without events missing, and check what the client's response says of its end. They fail: any end after a whole event is passed on as the end of the stream, with the last chunk or a length.

--- /dev/null
+++ b/standin/gatewaytest/stream_test.go
@@ -0,0 +1,242 @@
+package gatewaytest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/platformdoc"
+)
+
+// frame is how a scripted response marks its end.
+type frame int
+
+// The frames of scripted responses.
+const (
+	// chunked marks the end by the last chunk, untilClose by the end of the connection only.
+	chunked frame = iota
+	untilClose
+	// cutChunks breaks the connection off before the last chunk, reset resets one whose end would be
+	// the end of the response.
+	cutChunks
+	reset
+)
+
+// answer is one scripted response to a request.
+type answer struct {
+	frame frame
+	// status is 200 if zero.
+	status int
+	body   string
+	// header holds further lines of the head, each with its line end.
+	header string
+}
+
+// script holds the answers to the requests that reach some upstreams, in order of arrival.
+type script struct {
+	mu      sync.Mutex
+	answers []answer
+	// after holds the Last-Event-Id of each request so far.
+	after []string
+}
+
+// startScripted starts upstreams of a service that answer by a script: the first request that reaches
+// any of them gets the first answer.
+func (f *fleet) startScripted(service string, upstreams int, answers ...answer) *script {
+	f.t.Helper()
+	s := &script{answers: answers}
+	for i := range upstreams {
+		listener, err := f.ports.Listen()
+		assert.NilError(f.t, err)
+		server := &http.Server{Handler: s}
+		go func() { _ = server.Serve(listener) }() // it returns when the server is closed
+		f.t.Cleanup(func() { _ = server.Close() })
+		f.store.Put("servers", fmt.Sprintf("%s-%d", service, i), platformdoc.Worker{Service: service, Address: listener.Addr().String(), Zone: "z1", Slots: 8, State: "ready"})
+	}
+	return s
+}
+
+// take records a request and returns its answer.
+func (s *script) take(r *http.Request) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.after = append(s.after, r.Header.Get("Last-Event-Id"))
+	if len(s.answers) == 0 {
+		return answer{status: http.StatusTeapot}
+	}
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	return next
+}
+
+// asked returns the Last-Event-Id of each request so far.
+func (s *script) asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.after...)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *script) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	next := s.take(r)
+	conn, _, err := out.(http.Hijacker).Hijack()
+	if err != nil {
+		panic("script: cannot hijack the connection: " + err.Error())
+	}
+	defer func() { _ = conn.Close() }() // the response is sent or its reader has disconnected
+	_, _ = io.WriteString(conn, next.text(r.Header.Get("X-Attempt-Id")))
+	if next.frame == reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// text returns an answer in wire format.
+func (a answer) text(id string) string {
+	status := a.status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n%s", status, id, a.header)
+	if a.frame == untilClose || a.frame == reset {
+		return head + "\r\n" + a.body
+	}
+	text := head + "Transfer-Encoding: chunked\r\n\r\n"
+	if a.body != "" {
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(a.body), a.body)
+	}
+	if a.frame == cutChunks {
+		return text
+	}
+	return text + "0\r\n\r\n"
+}
+
+// numbered returns events with IDs.
+func numbered(ids ...int) string {
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// received is what a client got on its connection.
+type received struct {
+	status int
+	header http.Header
+	body   string
+	// chunked is set if the end of the body is marked by chunks, length is its length if the head has
+	// one and -1 otherwise.
+	chunked bool
+	length  int64
+	// err is the error of the body: nil if it ended as its head says, which for a body with neither
+	// length nor chunks is the orderly end of the connection.
+	err error
+}
+
+// framed reports whether the head of the response marks the end of its body.
+func (r received) framed() bool { return r.chunked || r.length >= 0 }
+
+// fetch sends a request with the given version of HTTP and reads the response.
+func (f *fleet) fetch(g *runningGateway, version, method, target string, headers ...string) received {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+	assert.NilError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(f.t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	text := fmt.Sprintf("%s %s %s\r\nHost: h\r\nX-Attempt-Id: r1\r\nX-Deadline-Ms: 5000\r\n", method, target, version)
+	for i := 0; i < len(headers); i += 2 {
+		text += headers[i] + ": " + headers[i+1] + "\r\n"
+	}
+	_, err = io.WriteString(conn, text+"\r\n")
+	assert.NilError(f.t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	assert.NilError(f.t, err)
+	body, err := io.ReadAll(resp.Body)
+	return received{status: resp.StatusCode, header: resp.Header, body: string(body), chunked: len(resp.TransferEncoding) > 0, length: resp.ContentLength, err: err}
+}
+
+// versions are the versions of HTTP that clients use.
+var versions = []string{"HTTP/1.1", "HTTP/1.0"}
+
+// streamFleet starts scripted engines and a gateway in front of them.
+func streamFleet(t *testing.T, upstreams int, answers ...answer) (*fleet, *runningGateway, *script) {
+	t.Helper()
+	f := newFleet(t)
+	s := f.startScripted("llm", upstreams, answers...)
+	d := baseConfig(1)
+	d.Routes[2].Stages = nil
+	d.Routes[2].MaxAttempts = 3
+	f.apply(d)
+	return f, f.start("g1"), s
+}
+
+// TestAStreamWithoutProofOfItsEndGoesOnElsewhere: the end of a connection may be the end of the stream
+// or that of its upstream's process.
+func TestAStreamWithoutProofOfItsEndGoesOnElsewhere(t *testing.T) {
+	for _, version := range versions {
+		t.Run(version, func(t *testing.T) {
+			f, g, s := streamFleet(t, 2, answer{frame: untilClose, body: numbered(1, 2)}, answer{body: numbered(3, 4, 5)})
+			got := f.fetch(g, version, "POST", "/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, numbered(1, 2, 3, 4, 5))
+			assert.DeepEqual(t, s.asked(), []string{"", "2"})
+		})
+	}
+}
+
+// TestTheRemainderOfAWholeStreamIsEmpty: a resumed stream that ends at once proves that the one before
+// was complete.
+func TestTheRemainderOfAWholeStreamIsEmpty(t *testing.T) {
+	f, g, s := streamFleet(t, 2, answer{frame: untilClose, body: numbered(1, 2)}, answer{})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, numbered(1, 2))
+	assert.DeepEqual(t, s.asked(), []string{"", "2"})
+}
+
+// TestADoubtfulEndIsNotPassedOnAsAProvedOne: where a stream can't go on elsewhere, its events end with
+// the client's connection, as they did at the upstream.
+func TestADoubtfulEndIsNotPassedOnAsAProvedOne(t *testing.T) {
+	unproved := answer{frame: untilClose, body: numbered(1, 2)}
+	for name, c := range map[string]struct {
+		path    string
+		answers []answer
+	}{
+		"no resume":        {path: "/strict/x", answers: []answer{unproved}},
+		"nobody else":      {path: "/stream/x", answers: []answer{unproved}},
+		"rejected":         {path: "/stream/x", answers: []answer{unproved, {status: 503, header: "X-Not-Executed: 1\r\n"}}},
+		"broken at once":   {path: "/stream/x", answers: []answer{unproved, {frame: cutChunks}}},
+		"no proof, twice":  {path: "/stream/x", answers: []answer{unproved, {frame: untilClose}}},
+		"no event, strict": {path: "/strict/x", answers: []answer{{frame: untilClose}}},
+	} {
+		for _, version := range versions {
+			t.Run(name+" "+version, func(t *testing.T) {
+				f, g, _ := streamFleet(t, len(c.answers), c.answers...)
+				got := f.fetch(g, version, "POST", c.path)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, c.answers[0].body)
+				assert.Assert(t, !got.framed(), "%+v", got)
+			})
+		}
+	}
+}
+
+// TestAResumedStreamWithoutProofDoesNotEndAsWhole: the head of the response has promised chunks, so
+// that the last one would say that the stream is complete.
+func TestAResumedStreamWithoutProofDoesNotEndAsWhole(t *testing.T) {
+	f, g, _ := streamFleet(t, 2, answer{frame: cutChunks, body: numbered(1, 2)}, answer{frame: untilClose, body: numbered(3)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+	assert.Equal(t, got.body, numbered(1, 2, 3))
+	assert.Assert(t, got.chunked)
+	assert.ErrorContains(t, got.err, "unexpected EOF")
+}
