Take no stream for complete whose end proves nothing

Cause: any end of a stream after a whole event was taken for the end of the stream. Without a length or chunks, a stream ends with its upstream's connection, which may have been closed because the upstream's process ended.

Callers saw: status 200 and the last chunk, with events missing.

Change: on a resumable route such a stream goes on after its last event at another upstream, like a broken one, within the same attempts and budget. A remainder that is empty and framed proves that the stream was complete. Where nothing can prove it, the doubt is passed on: if the first upstream's head does not mark the end, the client's head does not either, and the response ends with the client's connection. If the head has promised chunks, the last one is left out. The quarantine gets to know of these ends as before. The upstream is not avoided, as it may have done nothing wrong.

Cost: one more send for each unframed stream on a resumable route; none on others.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -86,7 +86,13 @@
 	// mayHaveRun is set after a send that can't be proved not to have run.
 	mayHaveRun bool
 	// headSent is set once the head of a response was passed to the client.
-	headSent     bool
+	headSent bool
+	// endsWithConnection is set if only the end of the client's connection marks the end of the
+	// response.
+	endsWithConnection bool
+	// doubtful is the last response of an upstream if the events passed on end with it and nothing
+	// proves them to be complete.
+	doubtful     *passedOn
 	lastEvent    string
 	events       int
 	firstEventAt time.Time
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,7 +8,6 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/routes"
-	"acaciawinch/gateway/events"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -72,32 +70,6 @@
 	rq.closeIfDraining()
 }
 
-// relayStream passes on the events of a stream as they arrive, each one complete. If the
-// upstream fails, an incomplete event is dropped and the stream may continue at another
-// upstream.
-func (rq *request) relayStream(upstream routes.Upstream, response *httpconn.Response) error {
-	id := upstream.ID
-	if !rq.headSent {
-		rq.copyHead(response)
-		rq.w.WriteHeader(response.Status)
-	}
-	out := http.NewResponseController(rq.w)
-	reader := events.NewReader(response.Body)
-	for {
-		next, err := reader.Next()
-		if err == io.EOF {
-			rq.recordResponse(response, upstream)
-			return nil
-		}
-		if err != nil {
-			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
-		}
-		if err := rq.writeEvent(next, out); err != nil {
-			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
-		}
-	}
-}
-
 // readError returns the error of a response whose remainder could not be read: the end of the
 // request's context, if that closed the connection, or else err.
 func (rq *request) readError(step, id string, err error) error {
@@ -107,27 +79,6 @@
 	return fault.Wrap(fault.Ambiguous, step, id, err)
 }
 
-// writeEvent writes one event to the client.
-func (rq *request) writeEvent(next events.Event, out *http.ResponseController) error {
-	if rq.events == 0 {
-		rq.firstEventAt = time.Now()
-		rq.Metrics.firstEvent(rq.firstEventAt.Sub(rq.started))
-		// An engine reads the results of the stages before it sends its first event.
-		rq.results.free()
-	}
-	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
-		return err
-	}
-	if err := out.Flush(); err != nil {
-		return err
-	}
-	rq.events++
-	if next.ID != "" {
-		rq.lastEvent = next.ID
-	}
-	return nil
-}
-
 // recordOutcome reports a completed response to the quarantine guard: either the request has
 // completed, or the upstream closed the connection. A response whose end is only marked by the end
 // of the connection may have ended because the upstream's process crashed.
@@ -143,14 +94,31 @@
 // recordResponse logs a response that was passed on completely and records it in the metrics.
 func (rq *request) recordResponse(response *httpconn.Response, upstream routes.Upstream) {
 	rq.recordOutcome(response, upstream)
-	status := response.Status
+	rq.recordAnswer(passedOn{upstream: upstream, status: response.Status, proved: rq.provesEnd(response)})
+}
+
+// passedOn is a response that was passed on up to its end.
+type passedOn struct {
+	upstream routes.Upstream
+	status   int
+	// proved is set if the end of the response is known to be the end of what the upstream had to send.
+	proved bool
+}
+
+// provesEnd reports whether the end of a response proves that it is complete.
+func (rq *request) provesEnd(response *httpconn.Response) bool {
+	return response.Framed || !bodyAllowed(rq.r.Method, response.Status)
+}
+
+// recordAnswer logs the response that the client got and records it in the metrics.
+func (rq *request) recordAnswer(answer passedOn) {
 	took := time.Since(rq.started)
 	first := took
 	if !rq.firstEventAt.IsZero() {
 		first = rq.firstEventAt.Sub(rq.started)
 	}
-	rq.Metrics.requestEnded("answered_"+strconv.Itoa(status), took)
-	rq.Logger.Event(event.GatewayAnswered, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name, "status": status,
-		"upstream": upstream.ID, "events": rq.events, "first_us": first.Microseconds(),
+	rq.Metrics.requestEnded("answered_"+strconv.Itoa(answer.status), took)
+	rq.Logger.Event(event.GatewayAnswered, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name, "status": answer.status,
+		"upstream": answer.upstream.ID, "events": rq.events, "proved": answer.proved, "first_us": first.Microseconds(),
 		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "objective_ms": rq.route.Objective.Milliseconds(), "duration_us": took.Microseconds()})
 }
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -53,7 +53,8 @@
 }
 
 // giveUp ends a request that can't be served. It refuses the request, or closes the client's
-// connection if part of a response was already sent.
+// connection if part of a response was already sent. A stream that may be complete is ended, if its
+// head has not promised to mark the end.
 func (rq *request) giveUp(err error) {
 	if rq.wasBrokenOff {
 		rq.Guard.AwaitPublished(rq.ctx, rq.fingerprint)
@@ -65,6 +66,8 @@
 		rq.Logger.Event(event.GatewayLeft, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
 			"step": stepOf(err), "duration_us": took.Microseconds()})
 		panic(http.ErrAbortHandler)
+	case rq.doubtful != nil && rq.endsWithConnection:
+		rq.recordAnswer(*rq.doubtful)
 	case rq.headSent:
 		rq.Metrics.requestEnded("broken", took)
 		rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -30,7 +30,9 @@
 	// closedByUpstream is set if the upstream closed the connection before its response was
 	// complete.
 	closedByUpstream bool
-	err              error
+	// unproved is set if a stream was passed on up to an end that does not prove it to be complete.
+	unproved bool
+	err      error
 }
 
 // closedByUpstream reports whether a send failed because the upstream closed the connection.
@@ -260,11 +262,15 @@
 		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
 }
 
-// recordSendFailure logs a failed send. Unless the request itself has ended, the upstream is
-// avoided for a while.
+// recordSendFailure logs a failed send. Unless the request itself has ended, or only the proof of a
+// stream's end is missing, the upstream is avoided for a while.
 func (rq *request) recordSendFailure(upstream routes.Upstream, err error) {
 	id := upstream.ID
 	f, ok := err.(*sendFailure)
+	if ok && f.unproved {
+		rq.recordUnproved(upstream)
+		return
+	}
 	if ok && rq.ctx.Err() == nil {
 		rq.markFailed(id)
 	}
--- /dev/null
+++ b/gateway/flow/stream.go
@@ -0,0 +1,97 @@
+package flow
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/events"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+)
+
+// relayStream passes on the events of a stream as they arrive, each one complete. If the
+// upstream fails, an incomplete event is dropped and the stream may continue at another
+// upstream.
+func (rq *request) relayStream(upstream routes.Upstream, response *httpconn.Response) error {
+	id := upstream.ID
+	if !rq.headSent {
+		rq.startStream(response)
+	}
+	out := http.NewResponseController(rq.w)
+	reader := events.NewReader(response.Body)
+	for {
+		next, err := reader.Next()
+		if err == io.EOF {
+			return rq.endStream(upstream, response)
+		}
+		if err != nil {
+			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
+		}
+		if err := rq.writeEvent(next, out); err != nil {
+			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
+		}
+	}
+}
+
+// startStream writes the head of a stream. If the upstream's head does not mark the end of the
+// stream, the client's does not either: what only the end of the connection marks can't be known to
+// be complete.
+func (rq *request) startStream(response *httpconn.Response) {
+	rq.copyHead(response)
+	if !rq.provesEnd(response) || !rq.r.ProtoAtLeast(1, 1) {
+		rq.endWithConnection()
+	}
+	rq.w.WriteHeader(response.Status)
+}
+
+// endWithConnection makes the client's response end with its connection, without a length or
+// chunks. It must be called before the head of the response is written.
+func (rq *request) endWithConnection() {
+	rq.endsWithConnection = true
+	rq.w.Header().Set("Transfer-Encoding", "identity") // net/http then adds neither a length nor chunks
+}
+
+// endStream ends a stream whose upstream has sent its last whole event. If the end proves nothing,
+// endStream returns a sendFailure, so that another upstream is asked for what may be missing.
+func (rq *request) endStream(upstream routes.Upstream, response *httpconn.Response) error {
+	if rq.provesEnd(response) {
+		rq.recordResponse(response, upstream)
+		return nil
+	}
+	rq.recordOutcome(response, upstream)
+	rq.doubtful = &passedOn{upstream: upstream, status: response.Status}
+	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
+}
+
+// recordUnproved logs a stream whose end does not prove that it is complete.
+func (rq *request) recordUnproved(upstream routes.Upstream) {
+	rq.Logger.Event(event.GatewayUnproved, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
+		"events": rq.events, "last": rq.lastEvent})
+}
+
+// writeEvent writes one event to the client.
+func (rq *request) writeEvent(next events.Event, out *http.ResponseController) error {
+	if rq.events == 0 {
+		rq.firstEventAt = time.Now()
+		rq.Metrics.firstEvent(rq.firstEventAt.Sub(rq.started))
+		// An engine reads the results of the stages before it sends its first event.
+		rq.results.free()
+	}
+	rq.doubtful = nil // the stream did not end there
+	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	rq.events++
+	if next.ID != "" {
+		rq.lastEvent = next.ID
+	}
+	return nil
+}
