Test streams whose event IDs go back

Upstreams send IDs that repeat or go back, and runs that were asked to go on after an event and begin at or before it, also where the client itself resumes.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -240,3 +240,76 @@
 	assert.Assert(t, got.chunked)
 	assert.ErrorContains(t, got.err, "unexpected EOF")
 }
+
+// TestAStreamWhoseIDsGoBackGoesOnElsewhere: an upstream that sends an event again, or one from before,
+// has mixed up its run. Nothing of it is passed on from there.
+func TestAStreamWhoseIDsGoBackGoesOnElsewhere(t *testing.T) {
+	for name, ids := range map[string][]int{"again": {1, 2, 2, 4, 3}, "back": {1, 2, 1, 3}} {
+		t.Run(name, func(t *testing.T) {
+			f, g, s := streamFleet(t, 2, answer{body: numbered(ids...)}, answer{body: numbered(3, 4, 5)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, numbered(1, 2, 3, 4, 5))
+			assert.DeepEqual(t, s.asked(), []string{"", "2"})
+			f.waitLines(1, "gateway_event_out_of_order", `"request":"r1"`, `"last":"2"`)
+		})
+	}
+}
+
+// TestAStreamWhoseIDsGoBackEndsTruncatedWhereItMayNotBeResumed also has an upstream that answers a
+// second time, though it must not be asked.
+func TestAStreamWhoseIDsGoBackEndsTruncatedWhereItMayNotBeResumed(t *testing.T) {
+	f, g, s := streamFleet(t, 2, answer{body: numbered(1, 2, 2, 3)}, answer{body: numbered(3)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/strict/x")
+	assert.Equal(t, got.body, numbered(1, 2))
+	assert.ErrorContains(t, got.err, "unexpected EOF")
+	assert.Equal(t, len(s.asked()), 1)
+}
+
+// TestARunThatDoesNotGoOnWhereItWasAskedToIsNotJoined: a run that begins at or before the last event is
+// another one from the start, not the rest of the stream.
+func TestARunThatDoesNotGoOnWhereItWasAskedToIsNotJoined(t *testing.T) {
+	broken := answer{frame: cutChunks, body: numbered(1, 2)}
+	for name, ids := range map[string][]int{"from the start": {1, 2, 3, 4}, "at the last event": {2, 3, 4}} {
+		t.Run(name, func(t *testing.T) {
+			f, g, s := streamFleet(t, 3, broken, answer{body: numbered(ids...)}, answer{body: numbered(3, 4)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, numbered(1, 2, 3, 4))
+			assert.DeepEqual(t, s.asked(), []string{"", "2", "2"})
+		})
+		t.Run(name+", nobody else", func(t *testing.T) {
+			f, g, _ := streamFleet(t, 2, broken, answer{body: numbered(ids...)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.Equal(t, got.body, numbered(1, 2))
+			assert.ErrorContains(t, got.err, "unexpected EOF")
+		})
+	}
+}
+
+// TestAClientThatResumesGetsNothingAgain: the client's own last event counts like one of this response.
+func TestAClientThatResumesGetsNothingAgain(t *testing.T) {
+	f, g, s := streamFleet(t, 2, answer{body: numbered(3, 4, 5)}, answer{body: numbered(8, 9)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x", "Last-Event-Id", "7")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, numbered(8, 9))
+	assert.DeepEqual(t, s.asked(), []string{"7", "7"})
+}
+
+// TestIDsThatCannotBeComparedArePassedOn: IDs may skip numbers, need not be numbers, and may be left out.
+func TestIDsThatCannotBeComparedArePassedOn(t *testing.T) {
+	for name, body := range map[string]string{
+		"skipped":     numbered(2, 5, 6, 40),
+		"text":        "id: b\ndata: 1\n\nid: a\ndata: 2\n\nid: a\ndata: 3\n\n",
+		"left out":    "data: 1\n\ndata: 2\n\n",
+		"between":     "id: 1\ndata: 1\n\ndata: 2\n\nid: 3\ndata: 3\n\n",
+		"longer ones": "id: 9\ndata: 1\n\nid: 10\ndata: 2\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, g, _ := streamFleet(t, 1, answer{body: body})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, body)
+		})
+	}
+}
