Pass on no event whose ID is not above the last one

Cause: the IDs of events were never compared, neither with the last one of the same response nor, in a run that was to go on after an event, with the one that was asked for. The last event of a client that resumes by itself was forwarded, but not known to the gateway.

Callers saw: events twice or in another order, and the events of a second run from its start behind those of the first.

Change: an event whose ID is not above the last that the client has is not passed on. The connection to its upstream is closed, and the stream goes on elsewhere like a broken one, or ends visibly broken. Events are not dropped one by one until the IDs fit: a run that repeats itself is no continuation. The last event starts as the client's own on resumable routes.

IDs that are no numbers or are left out can't be compared. A first ID of a resumed run that is higher than the next number is passed on: IDs only have to increase, an event may hold several tokens, and a run that had advanced by one so far may do so again at any event, so that a gap proves nothing.

--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 )
 
 // maxEventBytes bounds one event.
@@ -18,6 +19,18 @@
 	ID string
 }
 
+// MayFollow reports whether an event with an ID may follow the event whose ID is last in a stream. IDs
+// increase, but may skip numbers. An ID that is empty or no number can't be compared and may follow
+// any.
+func MayFollow(id, last string) bool {
+	after, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	before, err := strconv.ParseUint(last, 10, 64)
+	return err != nil || after > before
+}
+
 // Reader reads the events of a stream.
 type Reader struct {
 	reader *bufio.Reader
--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -39,6 +39,19 @@
 	assert.Equal(t, event.ID, "7")
 }
 
+func TestIDsIncrease(t *testing.T) {
+	for _, c := range []struct {
+		last, id string
+		want     bool
+	}{
+		{"", "1", true}, {"", "0", true}, {"1", "2", true}, {"1", "7", true}, {"9", "10", true}, {"0", "1", true},
+		{"2", "2", false}, {"2", "1", false}, {"10", "9", false}, {"2", "02", false}, {"18446744073709551615", "0", false},
+		{"2", "", true}, {"2", "a", true}, {"a", "1", true}, {"2", "-1", true}, {"2", "18446744073709551616", true},
+	} {
+		assert.Equal(t, MayFollow(c.id, c.last), c.want, "%q after %q", c.id, c.last)
+	}
+}
+
 // FuzzReader checks that the returned events, concatenated, are a prefix of the stream, and the
 // whole stream if it ends after a complete event.
 func FuzzReader(f *testing.F) {
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -92,7 +92,9 @@
 	endsWithConnection bool
 	// doubtful is the last response of an upstream if the events passed on end with it and nothing
 	// proves them to be complete.
-	doubtful     *passedOn
+	doubtful *passedOn
+	// lastEvent is the ID of the last event that the client has, from this response or, if it
+	// resumes a stream, from an earlier one; empty if there is none.
 	lastEvent    string
 	events       int
 	firstEventAt time.Time
@@ -209,9 +211,12 @@
 	return rq.refuse(status, "request.admit", detail, 0)
 }
 
-// plan sets the request's service, class, value and deadlines.
+// plan sets the request's service, class, value, deadlines and last event.
 func (rq *request) plan() {
 	rq.service = pickTarget(rq.route.Targets, rq.hdr.ID)
+	if rq.route.RetryPolicy == routes.Resumable {
+		rq.lastEvent = rq.hdr.LastEvent // upstreams of other routes need not heed it
+	}
 	rq.class = pools.Class{Priority: rq.route.Priority}
 	if rq.workspace != nil && rq.workspace.HasPriority {
 		rq.class.Rank = rq.workspace.Priority
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -16,7 +16,8 @@
 
 // relayStream passes on the events of a stream as they arrive, each one complete. If the
 // upstream fails, an incomplete event is dropped and the stream may continue at another
-// upstream.
+// upstream. An upstream has also failed if the ID of an event is not above that of the last one: it
+// repeats itself, or does not go on where it was asked to.
 func (rq *request) relayStream(upstream routes.Upstream, response *httpconn.Response) error {
 	id := upstream.ID
 	if !rq.headSent {
@@ -32,6 +33,10 @@
 		if err != nil {
 			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
 		}
+		if !events.MayFollow(next.ID, rq.lastEvent) {
+			rq.recordOutOfOrder(upstream, next.ID)
+			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
+		}
 		if err := rq.writeEvent(next, out); err != nil {
 			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
 		}
@@ -68,6 +73,12 @@
 	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
 }
 
+// recordOutOfOrder logs an event that was not passed on because of its ID.
+func (rq *request) recordOutOfOrder(upstream routes.Upstream, got string) {
+	rq.Logger.Warn(event.GatewayDisorder, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
+		"events": rq.events, "last": rq.lastEvent, "got": got})
+}
+
 // recordUnproved logs a stream whose end does not prove that it is complete.
 func (rq *request) recordUnproved(upstream routes.Upstream) {
 	rq.Logger.Event(event.GatewayUnproved, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -251,7 +251,7 @@
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.body, numbered(1, 2, 3, 4, 5))
 			assert.DeepEqual(t, s.asked(), []string{"", "2"})
-			f.waitLines(1, "gateway_event_out_of_order", `"request":"r1"`, `"last":"2"`)
+			f.waitLines(1, "gateway_disorder", `"request":"r1"`, `"last":"2"`)
 		})
 	}
 }
