Test responses that are no streams among those of a resumed one

A resumed run is answered with an error status, or a long error response breaks off before a stream answers the next send. The tests fail: the client gets the bytes of both in one response, which ends as complete.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -313,3 +313,37 @@
 		})
 	}
 }
+
+// TestAFailureInAResumedStreamIsNoPartOfIt: once the client has the head of a stream, only events may
+// follow. The body of an error response would stand among them, and end the stream as complete.
+func TestAFailureInAResumedStreamIsNoPartOfIt(t *testing.T) {
+	broken := answer{frame: cutChunks, body: numbered(1, 2)}
+	for _, status := range []int{400, 404, 500, 504} {
+		failed := answer{status: status, body: "failed"}
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			f, g, s := streamFleet(t, 3, broken, failed, answer{body: numbered(3, 4)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, numbered(1, 2, 3, 4))
+			assert.DeepEqual(t, s.asked(), []string{"", "2", "2"})
+		})
+		t.Run(fmt.Sprint(status, " and nobody else"), func(t *testing.T) {
+			f, g, _ := streamFleet(t, 2, broken, failed)
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.Equal(t, got.body, numbered(1, 2))
+			assert.ErrorContains(t, got.err, "unexpected EOF")
+		})
+	}
+}
+
+// TestAStreamDoesNotFollowAPartOfAnotherResponse: a long error response that breaks off is no stream
+// that could go on elsewhere.
+func TestAStreamDoesNotFollowAPartOfAnotherResponse(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	f, g, s := streamFleet(t, 2, answer{status: 500, frame: cutChunks, body: long}, answer{body: numbered(1, 2)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+	assert.Equal(t, got.status, 500)
+	assert.Assert(t, strings.HasPrefix(long, got.body))
+	assert.ErrorContains(t, got.err, "unexpected EOF")
+	assert.Equal(t, len(s.asked()), 1)
+}
