Join only events to the part of a stream that the client has

Cause: a resumed run that was answered with an error status was passed on like a first response. net/http ignores its status, as the head is written, so that the bytes of the error followed the events and the response ended as complete. In the same way a long error response that broke off could be followed by the stream that answered the next send.

Callers saw: status 200, a stream that ends early with the text of an error, and the last chunk.

Change: once the head of a stream is sent, a response with an error status is a failed send. Only a stream goes on at another upstream, not a part of another response.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -87,6 +87,9 @@
 	mayHaveRun bool
 	// headSent is set once the head of a response was passed to the client.
 	headSent bool
+	// isStream is set if the client's response is a stream, of which upstreams send one event after
+	// the other.
+	isStream bool
 	// endsWithConnection is set if only the end of the client's connection marks the end of the
 	// response.
 	endsWithConnection bool
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -22,7 +22,7 @@
 	if !errors.As(err, &f) {
 		return false
 	}
-	if f.mayHaveRun && (rq.route.RetryPolicy == routes.AtMostOnce || rq.headSent && rq.route.RetryPolicy != routes.Resumable) {
+	if f.mayHaveRun && (rq.route.RetryPolicy == routes.AtMostOnce || rq.headSent && !rq.canResume()) {
 		return false
 	}
 	if f.unsent && wasRefused(f) {
@@ -40,6 +40,11 @@
 	return again
 }
 
+// canResume reports whether the response that the client has a part of may go on at another upstream.
+func (rq *request) canResume() bool {
+	return rq.isStream && rq.route.RetryPolicy == routes.Resumable
+}
+
 // maxUnreached bounds the upstreams that are tried for one request without reaching them, because
 // they don't respond or were replaced by others. It does not count those that refuse the connection:
 // that takes no time, and discovery still lists for seconds all that have ended together.
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -231,6 +231,9 @@
 	switch {
 	case response.Status/100 == 2 && info.Signature == "":
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", response.Status)}
+	case rq.headSent && response.Status/100 != 2:
+		// The client has a part of a stream, of which this response can't be the remainder.
+		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d for the remainder of a stream", response.Status)}
 	case response.Status/100 == 2 && rq.route.Stream:
 		return rq.relayStream(upstream, response)
 	default:
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -47,6 +47,7 @@
 // stream, the client's does not either: what only the end of the connection marks can't be known to
 // be complete.
 func (rq *request) startStream(response *httpconn.Response) {
+	rq.isStream = true
 	rq.copyHead(response)
 	if !rq.provesEnd(response) || !rq.r.ProtoAtLeast(1, 1) {
 		rq.endWithConnection()
