Test broken streams whose end only the connection marks

The upstream resets, stops within an event, repeats itself or stalls, or the gateway stops. The client's response has no length and no chunks, so that an orderly end of its connection says that it has ended. The tests fail: the connection ends in order.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -25,9 +25,10 @@
 	chunked frame = iota
 	untilClose
 	// cutChunks breaks the connection off before the last chunk, reset resets one whose end would be
-	// the end of the response.
+	// the end of the response, and stalled leaves it open until the caller closes it.
 	cutChunks
 	reset
+	stalled
 )
 
 // answer is one scripted response to a request.
@@ -46,13 +47,15 @@
 	answers []answer
 	// after holds the Last-Event-Id of each request so far.
 	after []string
+	// reached is closed at the first request.
+	reached chan struct{}
 }
 
 // startScripted starts upstreams of a service that answer by a script: the first request that reaches
 // any of them gets the first answer.
 func (f *fleet) startScripted(service string, upstreams int, answers ...answer) *script {
 	f.t.Helper()
-	s := &script{answers: answers}
+	s := &script{answers: answers, reached: make(chan struct{})}
 	for i := range upstreams {
 		listener, err := f.ports.Listen()
 		assert.NilError(f.t, err)
@@ -68,6 +71,9 @@
 func (s *script) take(r *http.Request) answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.after) == 0 {
+		close(s.reached)
+	}
 	s.after = append(s.after, r.Header.Get("Last-Event-Id"))
 	if len(s.answers) == 0 {
 		return answer{status: http.StatusTeapot}
@@ -94,8 +100,11 @@
 	}
 	defer func() { _ = conn.Close() }() // the response is sent or its reader has disconnected
 	_, _ = io.WriteString(conn, next.text(r.Header.Get("X-Attempt-Id")))
-	if next.frame == reset {
+	switch next.frame {
+	case reset:
 		_ = conn.(*net.TCPConn).SetLinger(0)
+	case stalled:
+		_, _ = conn.Read(make([]byte, 1)) // the caller sends no further request
 	}
 }
 
@@ -106,7 +115,7 @@
 		status = http.StatusOK
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n%s", status, id, a.header)
-	if a.frame == untilClose || a.frame == reset {
+	if a.frame == untilClose || a.frame == reset || a.frame == stalled {
 		return head + "\r\n" + a.body
 	}
 	text := head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -152,7 +161,7 @@
 	assert.NilError(f.t, err)
 	defer func() { _ = conn.Close() }()
 	assert.NilError(f.t, conn.SetDeadline(time.Now().Add(waitTimeout)))
-	text := fmt.Sprintf("%s %s %s\r\nHost: h\r\nX-Attempt-Id: r1\r\nX-Deadline-Ms: 5000\r\n", method, target, version)
+	text := fmt.Sprintf("%s %s %s\r\nHost: h\r\nX-Attempt-Id: r1\r\n", method, target, version)
 	for i := 0; i < len(headers); i += 2 {
 		text += headers[i] + ": " + headers[i+1] + "\r\n"
 	}
@@ -347,3 +356,59 @@
 	assert.ErrorContains(t, got.err, "unexpected EOF")
 	assert.Equal(t, len(s.asked()), 1)
 }
+
+// TestABrokenResponseThatEndsWithItsConnectionIsReset: an orderly end of the connection would mark the
+// response as ended, so that only a reset shows that it was broken off.
+func TestABrokenResponseThatEndsWithItsConnectionIsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		answers []answer
+	}{
+		"reset":              {path: "/strict/x", answers: []answer{{frame: reset, body: numbered(1, 2)}}},
+		"within an event":    {path: "/strict/x", answers: []answer{{frame: untilClose, body: numbered(1, 2) + "id: 3\n"}}},
+		"IDs go back":        {path: "/strict/x", answers: []answer{{frame: untilClose, body: numbered(1, 2, 2)}}},
+		"resumed, cut":       {path: "/stream/x", answers: []answer{{frame: reset, body: numbered(1)}, {frame: cutChunks, body: numbered(2)}}},
+		"unproved, then cut": {path: "/stream/x", answers: []answer{{frame: untilClose, body: numbered(1)}, {frame: cutChunks, body: numbered(2)}}},
+	} {
+		for _, version := range versions {
+			t.Run(name+" "+version, func(t *testing.T) {
+				f, g, _ := streamFleet(t, len(c.answers), c.answers...)
+				got := f.fetch(g, version, "POST", c.path)
+				assert.Equal(t, got.body, numbered(1, 2))
+				assert.Assert(t, !got.framed())
+				assert.ErrorContains(t, got.err, "reset")
+			})
+		}
+	}
+}
+
+// TestABrokenChunkedStreamIsResetForAClientWithoutChunks: HTTP/1.0 has no chunks, so that the end of the
+// connection marks the end of every stream.
+func TestABrokenChunkedStreamIsResetForAClientWithoutChunks(t *testing.T) {
+	f, g, _ := streamFleet(t, 1, answer{frame: cutChunks, body: numbered(1, 2)})
+	got := f.fetch(g, "HTTP/1.0", "POST", "/strict/x")
+	assert.Equal(t, got.body, numbered(1, 2))
+	assert.ErrorContains(t, got.err, "reset")
+}
+
+// TestADeadlineWithinAStreamResetsIt: the gateway itself ends the stream then.
+func TestADeadlineWithinAStreamResetsIt(t *testing.T) {
+	f, g, _ := streamFleet(t, 1, answer{frame: stalled, body: numbered(1, 2)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/strict/x", "X-Deadline-Ms", "1000")
+	assert.Equal(t, got.body, numbered(1, 2))
+	assert.Assert(t, !got.framed())
+	assert.ErrorContains(t, got.err, "reset")
+}
+
+// TestAStreamThatIsCutAtTheEndOfAStopIsReset: the same holds for what a stopping gateway can't finish.
+func TestAStreamThatIsCutAtTheEndOfAStopIsReset(t *testing.T) {
+	f, g, s := streamFleet(t, 1, answer{frame: stalled, body: numbered(1, 2)})
+	go func() {
+		<-s.reached
+		g.stop()
+	}()
+	got := f.fetch(g, "HTTP/1.1", "POST", "/strict/x")
+	assert.Equal(t, got.body, numbered(1, 2))
+	assert.Assert(t, !got.framed())
+	assert.ErrorContains(t, got.err, "reset")
+}
