Reset a broken stream whose end only the connection marks

Cause: a stream that was broken off at the gateway ended with an orderly close of the client's connection. For a response without a length or chunks, and for every stream to an HTTP/1.0 client, that close is the mark of its end.

Callers saw: a stream that looked ended after a reset of the upstream, a deadline, a repeated event or the end of the gateway's grace period.

Only a stream that ends in order gets an orderly end.

--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -72,12 +72,9 @@
 			"step": stepOf(err), "duration_us": took.Microseconds()})
 		panic(http.ErrAbortHandler)
 	case rq.doubtful != nil && rq.endsWithConnection:
-		rq.recordAnswer(*rq.doubtful)
+		rq.endInDoubt(*rq.doubtful)
 	case rq.headSent:
-		rq.Metrics.requestEnded("broken", took)
-		rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
-			"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
-		panic(http.ErrAbortHandler)
+		rq.breakOff(err)
 	case !rq.mayHaveRun:
 		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), rq.retryAfter(err))
 	case rq.ctx.Err() != nil:
@@ -87,6 +84,24 @@
 	}
 }
 
+// endInDoubt ends a stream that may be complete, as its upstream did.
+func (rq *request) endInDoubt(answer passedOn) {
+	if err := rq.endInOrder(); err != nil {
+		rq.breakOff(err)
+	}
+	rq.recordAnswer(answer)
+}
+
+// breakOff closes the client's connection within a response. It panics to abort the request, so it does
+// not return.
+func (rq *request) breakOff(err error) {
+	took := time.Since(rq.started)
+	rq.Metrics.requestEnded("broken", took)
+	rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
+		"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
+	panic(http.ErrAbortHandler)
+}
+
 // retryAfter returns the Retry-After value for a request that failed with err and did not run.
 func (rq *request) retryAfter(err error) time.Duration {
 	var refusal *quarantine.Refusal
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -9,6 +9,7 @@
 	"acaciawinch/core/fault"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/events"
+	"acaciawinch/gateway/framing"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -21,7 +22,9 @@
 func (rq *request) relayStream(upstream routes.Upstream, response *httpconn.Response) error {
 	id := upstream.ID
 	if !rq.headSent {
-		rq.startStream(response)
+		if err := rq.startStream(response); err != nil {
+			return &sendFailure{mayHaveRun: true, err: err}
+		}
 	}
 	out := http.NewResponseController(rq.w)
 	reader := events.NewReader(response.Body)
@@ -46,26 +49,45 @@
 // startStream writes the head of a stream. If the upstream's head does not mark the end of the
 // stream, the client's does not either: what only the end of the connection marks can't be known to
 // be complete.
-func (rq *request) startStream(response *httpconn.Response) {
-	rq.isStream = true
-	rq.copyHead(response)
+func (rq *request) startStream(response *httpconn.Response) error {
 	if !rq.provesEnd(response) || !rq.r.ProtoAtLeast(1, 1) {
-		rq.endWithConnection()
+		if err := rq.endWithConnection(); err != nil {
+			return err
+		}
 	}
+	rq.isStream = true
+	rq.copyHead(response)
 	rq.w.WriteHeader(response.Status)
+	return nil
 }
 
 // endWithConnection makes the client's response end with its connection, without a length or
-// chunks. It must be called before the head of the response is written.
-func (rq *request) endWithConnection() {
+// chunks. Until endInOrder is called, that end is a reset. It must be called before the head of the
+// response is written.
+func (rq *request) endWithConnection() error {
+	if err := framing.ResetOnClose(rq.r); err != nil {
+		return err
+	}
 	rq.endsWithConnection = true
 	rq.w.Header().Set("Transfer-Encoding", "identity") // net/http then adds neither a length nor chunks
+	return nil
+}
+
+// endInOrder ends the client's response as one that was not broken off.
+func (rq *request) endInOrder() error {
+	if !rq.endsWithConnection {
+		return nil // a length or the last chunk marks the end
+	}
+	return framing.EndInOrder(rq.r)
 }
 
 // endStream ends a stream whose upstream has sent its last whole event. If the end proves nothing,
 // endStream returns a sendFailure, so that another upstream is asked for what may be missing.
 func (rq *request) endStream(upstream routes.Upstream, response *httpconn.Response) error {
 	if rq.provesEnd(response) {
+		if err := rq.endInOrder(); err != nil {
+			return &sendFailure{mayHaveRun: true, err: err}
+		}
 		rq.recordResponse(response, upstream)
 		return nil
 	}
--- a/gateway/framing/framing.go
+++ b/gateway/framing/framing.go
@@ -2,7 +2,7 @@
 // Content-Length and a Transfer-Encoding. net/http's server accepts such a request and
 // ignores the Content-Length. A proxy in front of it may see the end of the body elsewhere,
 // and then treats the bytes in between as a second request that no client sent (request
-// smuggling).
+// smuggling). The package also tells clients of broken responses whose end only the connection marks.
 package framing
 
 import (
