Test responses without a length that are no streams

Short and long ones that end with their connection, and long ones that break off. What was read whole already has a length, and what can have no body has none.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -29,6 +29,9 @@
 	cutChunks
 	reset
 	stalled
+	// lengthGiven gives the length of the body, lengthMissed one that is a byte too long.
+	lengthGiven
+	lengthMissed
 )
 
 // answer is one scripted response to a request.
@@ -115,8 +118,13 @@
 		status = http.StatusOK
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n%s", status, id, a.header)
-	if a.frame == untilClose || a.frame == reset || a.frame == stalled {
+	switch a.frame {
+	case untilClose, reset, stalled:
 		return head + "\r\n" + a.body
+	case lengthGiven:
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(a.body)) + a.body
+	case lengthMissed:
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(a.body)+1) + a.body
 	}
 	text := head + "Transfer-Encoding: chunked\r\n\r\n"
 	if a.body != "" {
@@ -188,6 +196,15 @@
 	return f, f.start("g1"), s
 }
 
+// deskFleet starts a scripted upstream of a plain service and a gateway in front of it.
+func deskFleet(t *testing.T, answers ...answer) (*fleet, *runningGateway) {
+	t.Helper()
+	f := newFleet(t)
+	f.startScripted("desk", 1, answers...)
+	f.apply(baseConfig(1))
+	return f, f.start("g1")
+}
+
 // TestAStreamWithoutProofOfItsEndGoesOnElsewhere: the end of a connection may be the end of the stream
 // or that of its upstream's process.
 func TestAStreamWithoutProofOfItsEndGoesOnElsewhere(t *testing.T) {
@@ -412,3 +429,104 @@
 	assert.Assert(t, !got.framed())
 	assert.ErrorContains(t, got.err, "reset")
 }
+
+// TestAWholeResponseWithoutLengthGetsNone: a length of its own would say that the response is complete,
+// though its upstream may have ended within it.
+func TestAWholeResponseWithoutLengthGetsNone(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "short": "part", "long": strings.Repeat("x", 1<<20)} {
+		for _, path := range []string{"/safe/x", "/once/x"} {
+			for _, version := range versions {
+				t.Run(name+path+" "+version, func(t *testing.T) {
+					f, g := deskFleet(t, answer{frame: untilClose, body: body})
+					got := f.fetch(g, version, "POST", path)
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.status, http.StatusOK)
+					assert.Assert(t, got.body == body)
+					assert.Assert(t, !got.framed(), "length %d, chunked %t", got.length, got.chunked)
+				})
+			}
+		}
+	}
+}
+
+// TestALongResponseWithoutLengthThatBreaksOffIsReset: its first part has been passed on by then.
+func TestALongResponseWithoutLengthThatBreaksOffIsReset(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for name, c := range map[string]struct {
+		frame   frame
+		version string
+	}{
+		"deadline": {stalled, "HTTP/1.1"}, "deadline, HTTP/1.0": {stalled, "HTTP/1.0"}, "chunks, HTTP/1.0": {cutChunks, "HTTP/1.0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, g := deskFleet(t, answer{frame: c.frame, body: long})
+			got := f.fetch(g, c.version, "POST", "/once/x", "X-Deadline-Ms", "1000")
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Assert(t, !got.framed())
+			assert.ErrorContains(t, got.err, "reset")
+		})
+	}
+}
+
+// TestALongResponseKeepsItsFrame: a length is passed on, and one that breaks off is seen by it.
+func TestALongResponseKeepsItsFrame(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for _, version := range versions {
+		t.Run("length, "+version, func(t *testing.T) {
+			f, g := deskFleet(t, answer{frame: lengthGiven, body: long})
+			got := f.fetch(g, version, "POST", "/once/x")
+			assert.NilError(t, got.err)
+			assert.Assert(t, got.body == long)
+			assert.Equal(t, got.length, int64(len(long)))
+		})
+		t.Run("broken length, "+version, func(t *testing.T) {
+			f, g := deskFleet(t, answer{frame: lengthMissed, body: long})
+			got := f.fetch(g, version, "POST", "/once/x")
+			assert.Equal(t, got.length, int64(len(long)+1))
+			assert.ErrorContains(t, got.err, "unexpected EOF")
+		})
+	}
+	t.Run("chunks", func(t *testing.T) {
+		f, g := deskFleet(t, answer{body: long})
+		got := f.fetch(g, "HTTP/1.1", "POST", "/once/x")
+		assert.NilError(t, got.err)
+		assert.Assert(t, got.body == long)
+		assert.Assert(t, got.chunked)
+	})
+	t.Run("broken chunks", func(t *testing.T) {
+		f, g := deskFleet(t, answer{frame: cutChunks, body: long})
+		got := f.fetch(g, "HTTP/1.1", "POST", "/once/x")
+		assert.Assert(t, got.chunked)
+		assert.ErrorContains(t, got.err, "unexpected EOF")
+	})
+}
+
+// TestShortResponsesKeepTheirLength: what was read whole has a length of its own, and what can have no
+// body has none and leaves the connection open.
+func TestShortResponsesKeepTheirLength(t *testing.T) {
+	for name, c := range map[string]struct {
+		method string
+		answer answer
+		length int64
+	}{
+		"chunks":     {"POST", answer{body: "whole"}, 5},
+		"length":     {"POST", answer{frame: lengthGiven, body: "whole"}, 5},
+		"no content": {"POST", answer{frame: untilClose, status: 204}, 0},
+		"unchanged":  {"GET", answer{frame: untilClose, status: 304}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, g := deskFleet(t, c.answer)
+			got := f.fetch(g, "HTTP/1.1", c.method, "/safe/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.length, c.length)
+			assert.Equal(t, got.header.Get("Connection"), "")
+		})
+	}
+	t.Run("head", func(t *testing.T) {
+		f, g := deskFleet(t, answer{frame: untilClose})
+		got := f.fetch(g, "HTTP/1.1", "HEAD", "/safe/x")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.header.Get("Connection"), "")
+	})
+}
