Give a response without a length none of its own

Cause: a response that was read to its end got the length of what had come. Without a length or chunks, that end is the close of the upstream's connection, which its process may have ended. A response too long to be read whole went out in chunks; its known length was lost, and to an HTTP/1.0 client one that broke off ended in order.

Callers saw: the part that had come of a broken response, with a length that said it was complete.

Change: a response whose head does not mark its end is passed on without a mark and ends with the client's connection. A length that the upstream gives is passed on for long responses too. Responses to HEAD and those with status 204 or 304 are as before.

--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -29,15 +29,18 @@
 	if response.Status/100 == 5 && rq.mayReplaceServerError() {
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d", response.Status)}
 	}
-	rq.copyHead(response)
-	if len(content) <= maxBufferedResponse && bodyAllowed(rq.r.Method, response.Status) {
-		rq.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	if err := rq.frame(response, len(content)); err != nil {
+		return &sendFailure{mayHaveRun: true, err: err}
 	}
+	rq.copyHead(response)
 	rq.w.WriteHeader(response.Status)
 	_, err = rq.w.Write(content)
 	if err == nil && len(content) > maxBufferedResponse {
 		_, err = io.Copy(rq.w, response.Body)
 	}
+	if err == nil {
+		err = rq.endInOrder()
+	}
 	if err != nil {
 		return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Ambiguous, "answer.write", id, err)}
 	}
@@ -45,6 +48,24 @@
 	return nil
 }
 
+// frame sets how the end of the client's response is marked, of which the given number of bytes were
+// read: not at all if the upstream's head does not mark it, or else by a length where one is known.
+func (rq *request) frame(response *httpconn.Response, read int) error {
+	length := response.Length
+	if read <= maxBufferedResponse {
+		length = int64(read)
+	}
+	switch {
+	case !bodyAllowed(rq.r.Method, response.Status):
+		return nil
+	case !response.Framed, length < 0 && !rq.r.ProtoAtLeast(1, 1):
+		return rq.endWithConnection()
+	case length >= 0:
+		rq.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	return nil
+}
+
 // bodyAllowed reports whether a response to a method with a status may have a body.
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -35,6 +35,8 @@
 	// chunks. Otherwise the body ends with the connection, which can't be distinguished from a
 	// crash of the upstream's process.
 	Framed bool
+	// Length is the length of the body that the head of the response gives, -1 if it gives none.
+	Length int64
 
 	client   *Client
 	conn     *conn
@@ -188,6 +190,7 @@
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
 		Framed:   resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Length:   resp.ContentLength,
 		client:   c,
 		conn:     from,
 		body:     resp.Body,
