Test two sends with one ID on a kept connection

An upstream sends its response to the first send once more before the one to the second. The test fails: the second send gets the response to the first, here that it did not run, though it did.

--- a/gateway/httpconn/client_test.go
+++ b/gateway/httpconn/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -330,3 +331,61 @@
 		assert.Equal(t, response.Framed, framed, "%q", text)
 	}
 }
+
+// upstreamThatRepeats serves each connection by itself. It rejects the first request with ID 1, and
+// sends that rejection once more before the response to the next request with this ID that comes on the
+// same connection. It returns its address and the number of connections so far.
+func upstreamThatRepeats(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	const rejected = "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var connections, requests atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		assert.Check(t, err)
+		defer func() { _ = conn.Close() }()
+		connections.Add(1)
+		answers := map[string]string{"1": response1, "2": response2}
+		if requests.Add(1) == 1 {
+			answers["1"] = rejected
+		}
+		for id := "1"; err == nil; {
+			_, err = io.WriteString(conn, answers[id])
+			assert.Check(t, err)
+			answers["1"] = rejected + response1
+			var r *http.Request
+			if r, err = http.ReadRequest(buffer.Reader); err == nil {
+				id = r.Header.Get("Id")
+			}
+		}
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(listener) }() // it returns when the server is closed
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), &connections
+}
+
+// TestAResponseToTheFirstSendIsNotThatToTheSecond: an upstream may send a response once more, at the
+// point where the next one is due. Nothing distinguishes the responses to two sends with one ID.
+func TestAResponseToTheFirstSendIsNotThatToTheSecond(t *testing.T) {
+	for name, ids := range map[string][]string{"at once": {"1", "1"}, "after another": {"1", "2", "1"}} {
+		t.Run(name, func(t *testing.T) {
+			address, connections := upstreamThatRepeats(t)
+			c := newClient(t)
+			status := 0
+			for _, id := range ids {
+				response, err := c.Do(t.Context(), address, request(id))
+				assert.NilError(t, err)
+				status = response.Status
+				readAll(t, response)
+			}
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, connections.Load(), int64(2))
+
+			response, err := c.Do(t.Context(), address, request("2"))
+			assert.NilError(t, err)
+			assert.Equal(t, readAll(t, response), "no")
+			assert.Equal(t, connections.Load(), int64(2), "both connections are kept")
+		})
+	}
+}
