Send a request once on a connection

Cause: a response was matched to its request by the ID alone. If a request was sent again on the connection that had carried it before, an extra response to the first send was taken for the one to the second. Within one request the gateway asks no upstream twice, so that this needs a new start of an upstream at the same address.

Callers saw: at worst a 503 for a request that ran.

Change: the IDs of a connection's last eight requests are remembered, and a request with one of them takes another connection.

--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -82,10 +83,12 @@
 	return &Client{readInfo: readInfo, idle: make(map[string][]*conn)}
 }
 
-// acquire returns a usable idle connection, or opens a new one.
-func (c *Client) acquire(ctx context.Context, addr string) (*conn, error) {
+// acquire returns a usable idle connection for a request with an ID, or opens a new one. A connection
+// that has carried a request with this ID before is not usable: the upstream may send its response to
+// that request once more, and nothing would distinguish it from the expected one.
+func (c *Client) acquire(ctx context.Context, addr, id string) (*conn, error) {
 	for {
-		kept := c.popIdle(addr)
+		kept := c.popIdle(addr, id)
 		if kept == nil {
 			return c.dial(ctx, addr)
 		}
@@ -96,18 +99,19 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (c *Client) popIdle(addr string) *conn {
+// popIdle removes and returns the most recently used idle connection that has not carried a request
+// with an ID, or nil.
+func (c *Client) popIdle(addr, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, kept := range slices.Backward(list) {
+		if !kept.hasCarried(id) {
+			c.idle[addr] = slices.Delete(list, i, i+1)
+			return kept
+		}
 	}
-	last := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idle[addr] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // putIdle keeps a connection for the next request.
--- a/gateway/httpconn/conn.go
+++ b/gateway/httpconn/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -20,6 +22,32 @@
 	reader *bufio.Reader
 	// expires is the time after which an idle connection must not be used.
 	expires time.Time
+	// carried holds the hashes of the IDs of the last requests on the connection; sent is the number
+	// of requests with an ID.
+	carried [maxCarried]uint64
+	sent    int
+}
+
+// maxCarried is the number of requests on a connection whose IDs are remembered. A request is sent
+// again soon after its first send, and an extra response comes soon after the first one.
+const maxCarried = 8
+
+// idSeed is the seed of the hashes of IDs. IDs with equal hashes only cost a new connection.
+var idSeed = maphash.MakeSeed()
+
+// hasCarried reports whether one of the last requests on the connection had an ID.
+func (c *conn) hasCarried(id string) bool {
+	known := c.carried[:min(c.sent, maxCarried)]
+	return id != "" && slices.Contains(known, maphash.String(idSeed, id))
+}
+
+// carry records the ID of a request that is sent on the connection.
+func (c *conn) carry(id string) {
+	if id == "" {
+		return
+	}
+	c.carried[c.sent%maxCarried] = maphash.String(idSeed, id)
+	c.sent++
 }
 
 // newConn wraps an open connection.
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -51,7 +51,7 @@
 // Do sends a request and waits for the head of its response until ctx ends. If an error
 // has the code Unavailable, nothing was sent; with any other code the request may have run.
 func (c *Client) Do(ctx context.Context, addr string, r Request) (*Response, error) {
-	acquired, err := c.acquire(ctx, addr)
+	acquired, err := c.acquire(ctx, addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -59,6 +59,7 @@
 		c.release(acquired)
 		return nil, fault.New(fault.Unavailable, "upstream.send", addr, "upstream no longer accepts requests")
 	}
+	acquired.carry(r.ID)
 	stop := context.AfterFunc(ctx, acquired.close)
 	writer := startWrite(acquired, r)
 	response, err := c.receive(acquired, r, writer)
