Test streams that break off behind an event without an ID

Nobody can be asked for what follows such an event. The test fails: the stream goes on after the last ID, or from its start if there is none, so that events come twice. Another test holds already: an event without data, such as a comment, does not keep a stream from going on.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -530,3 +530,36 @@
 		assert.Equal(t, got.header.Get("Connection"), "")
 	})
 }
+
+// TestAStreamWhoseLastEventHasNoIDIsNotResumed: no upstream can be asked for what follows that event, so
+// that it would come again.
+func TestAStreamWhoseLastEventHasNoIDIsNotResumed(t *testing.T) {
+	for name, body := range map[string]string{"none has": "data: 1\n\n", "the last has none": numbered(1) + "data: 2\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			f, g, s := streamFleet(t, 2, answer{frame: cutChunks, body: body}, answer{body: body + numbered(3)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.Equal(t, got.body, body)
+			assert.ErrorContains(t, got.err, "unexpected EOF")
+			assert.Equal(t, len(s.asked()), 1)
+		})
+		t.Run(name+", without proof", func(t *testing.T) {
+			f, g, s := streamFleet(t, 2, answer{frame: untilClose, body: body}, answer{body: body + numbered(3)})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.Equal(t, got.body, body)
+			assert.NilError(t, got.err)
+			assert.Assert(t, !got.framed())
+			assert.Equal(t, len(s.asked()), 1)
+		})
+	}
+}
+
+// TestEventsWithoutDataDoNotKeepAStreamFromBeingResumed: such an event is no part of what the stream
+// brings.
+func TestEventsWithoutDataDoNotKeepAStreamFromBeingResumed(t *testing.T) {
+	first := numbered(1) + ": still here\n\n"
+	f, g, s := streamFleet(t, 2, answer{frame: cutChunks, body: first}, answer{body: numbered(2, 3)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, first+numbered(2, 3))
+	assert.DeepEqual(t, s.asked(), []string{"", "1"})
+}
