Resume no stream behind an event without an ID

Cause: a broken stream went on after the last ID that was passed on, also if events without an ID had followed, and from its start if no event had an ID.

Callers saw: those events twice.

Change: a stream goes on elsewhere only if the last event that brought data has an ID. Otherwise it ends broken, or in doubt if only the proof of its end is missing.

Evidence: the test of events without an ID failed before and passes.

--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -17,6 +17,8 @@
 	Bytes []byte
 	// ID is the ID of the event, empty if it has none.
 	ID string
+	// HasData is set if the event has a line of data. Others, such as comments, bring nothing.
+	HasData bool
 }
 
 // MayFollow reports whether an event with an ID may follow the event whose ID is last in a stream. IDs
@@ -68,5 +70,8 @@
 		if value, isID := bytes.CutPrefix(text, []byte("id:")); isID {
 			event.ID = string(bytes.TrimSpace(value))
 		}
+		if name, _, _ := bytes.Cut(text, []byte(":")); string(name) == "data" {
+			event.HasData = true
+		}
 	}
 }
--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -24,6 +24,17 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+func TestEventsWithDataAreToldFromOthers(t *testing.T) {
+	for text, want := range map[string]bool{
+		"data: a\n\n": true, "id: 1\ndata\n\n": true, "data:\r\n\r\n": true,
+		": data\n\n": false, "id: 1\n\n": false, "database: a\n\n": false, "\n": false,
+	} {
+		event, err := NewReader(strings.NewReader(text)).Next()
+		assert.NilError(t, err)
+		assert.Equal(t, event.HasData, want, "%q", text)
+	}
+}
+
 func TestAPartOfAnEventIsNeverHandedOut(t *testing.T) {
 	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n"} {
 		_, err := NewReader(strings.NewReader(text)).Next()
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -98,7 +98,10 @@
 	doubtful *passedOn
 	// lastEvent is the ID of the last event that the client has, from this response or, if it
 	// resumes a stream, from an earlier one; empty if there is none.
-	lastEvent    string
+	lastEvent string
+	// isPastLast is set if events without an ID have been passed on since the event with the ID
+	// lastEvent.
+	isPastLast   bool
 	events       int
 	firstEventAt time.Time
 	// results are the results of the stages; nil before the stages start, and on routes
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -41,8 +41,9 @@
 }
 
 // canResume reports whether the response that the client has a part of may go on at another upstream.
+// Events without an ID that follow the last one with an ID would come again.
 func (rq *request) canResume() bool {
-	return rq.isStream && rq.route.RetryPolicy == routes.Resumable
+	return rq.isStream && !rq.isPastLast && rq.route.RetryPolicy == routes.Resumable
 }
 
 // maxUnreached bounds the upstreams that are tried for one request without reaching them, because
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -124,8 +124,12 @@
 		return err
 	}
 	rq.events++
-	if next.ID != "" {
+	switch {
+	case next.ID != "":
 		rq.lastEvent = next.ID
+		rq.isPastLast = false
+	case next.HasData:
+		rq.isPastLast = true
 	}
 	return nil
 }
