--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -59,15 +59,21 @@
 func (f *fleet) startScripted(service string, upstreams int, answers ...answer) *script {
 	f.t.Helper()
 	s := &script{answers: answers, reached: make(chan struct{})}
+	f.startUpstreams(service, upstreams, s)
+	return s
+}
+
+// startUpstreams starts upstreams of a service with one handler for all.
+func (f *fleet) startUpstreams(service string, upstreams int, handler http.Handler) {
+	f.t.Helper()
 	for i := range upstreams {
 		listener, err := f.ports.Listen()
 		assert.NilError(f.t, err)
-		server := &http.Server{Handler: s}
+		server := &http.Server{Handler: handler}
 		go func() { _ = server.Serve(listener) }() // it returns when the server is closed
 		f.t.Cleanup(func() { _ = server.Close() })
 		f.store.Put("servers", fmt.Sprintf("%s-%d", service, i), platformdoc.Worker{Service: service, Address: listener.Addr().String(), Zone: "z1", Slots: 8, State: "ready"})
 	}
-	return s
 }
 
 // take records a request and returns its answer.
@@ -96,19 +102,7 @@
 // ServeHTTP implements http.Handler.
 func (s *script) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	next := s.take(r)
-	conn, _, err := out.(http.Hijacker).Hijack()
-	if err != nil {
-		panic("script: cannot hijack the connection: " + err.Error())
-	}
-	defer func() { _ = conn.Close() }() // the response is sent or its reader has disconnected
-	_, _ = io.WriteString(conn, next.text(r.Header.Get("X-Attempt-Id")))
-	switch next.frame {
-	case reset:
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	case stalled:
-		_, _ = conn.Read(make([]byte, 1)) // the caller sends no further request
-	}
+	serveAnswer(out, r.Header.Get("X-Attempt-Id"), s.take(r))
 }
 
 // text returns an answer in wire format.
@@ -117,7 +111,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n%s", status, id, a.header)
+	head := fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\nConnection: close\r\n%s", status, id, a.header)
 	switch a.frame {
 	case untilClose, reset, stalled:
 		return head + "\r\n" + a.body
@@ -164,19 +158,30 @@
 
 // fetch sends a request with the given version of HTTP and reads the response.
 func (f *fleet) fetch(g *runningGateway, version, method, target string, headers ...string) received {
+	f.t.Helper()
+	got := f.fetchAs("r1", g, version, method, target, headers...)
+	assert.Assert(f.t, got.status != 0, "no response: %v", got.err)
+	return got
+}
+
+// fetchAs sends a request with an ID like fetch. If the connection ends without the head of a response,
+// the status is 0.
+func (f *fleet) fetchAs(id string, g *runningGateway, version, method, target string, headers ...string) received {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
 	assert.NilError(f.t, err)
 	defer func() { _ = conn.Close() }()
 	assert.NilError(f.t, conn.SetDeadline(time.Now().Add(waitTimeout)))
-	text := fmt.Sprintf("%s %s %s\r\nHost: h\r\nX-Attempt-Id: r1\r\n", method, target, version)
+	text := fmt.Sprintf("%s %s %s\r\nHost: h\r\nX-Attempt-Id: %s\r\n", method, target, version, id)
 	for i := 0; i < len(headers); i += 2 {
 		text += headers[i] + ": " + headers[i+1] + "\r\n"
 	}
 	_, err = io.WriteString(conn, text+"\r\n")
 	assert.NilError(f.t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
-	assert.NilError(f.t, err)
+	if err != nil {
+		return received{err: err}
+	}
 	body, err := io.ReadAll(resp.Body)
 	return received{status: resp.StatusCode, header: resp.Header, body: string(body), chunked: len(resp.TransferEncoding) > 0, length: resp.ContentLength, err: err}
 }
