--- a/gateway/relay/eras_test.go
+++ b/gateway/relay/eras_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/replica"
 	"acaciawinch/core/source"
 	"acaciawinch/gateway/clock"
@@ -127,7 +128,7 @@
 // its source, as the store gives its revisions out again.
 func TestAFollowerOfAnEarlierEraGetsTheListAndTheProofOfTheLaterOne(t *testing.T) {
 	from := newView(t, replica.Position{Era: 2, Revision: 10})
-	assert.Assert(t, from.Confirm(view.Proof{At: clock.Boot(), Era: 2, From: view.FromStore, Settled: true}))
+	assert.Assert(t, from.Confirm(view.Proof{At: clock.Boot(), Era: 2, From: view.FromStore, Standing: era.Settled}))
 	to := newView(t, replica.Position{Era: 1, Revision: 50})
 	l := newLink(t, to)
 	s, _ := serve(t, from, &wirepb.FollowRequest{Number: 1, Eras: true, Positions: positionMessages(to.Positions())})
@@ -135,7 +136,7 @@
 	assert.Equal(t, to.Era(), int64(2))
 	assert.Equal(t, to.Positions()[0].Position, replica.Position{Era: 2, Revision: 10})
 	newest, known := to.Proof()
-	assert.Assert(t, known && newest.Era == 2 && newest.Settled && newest.Hops == 1)
+	assert.Assert(t, known && newest.Era == 2 && newest.Standing == era.Settled && newest.Hops == 1)
 	assert.NilError(t, from.ApplyDelta(view.KindDelta{Kind: document.ConfigKind, Delta: replica.Delta{Era: 2, After: 10, Revision: 11,
 		Changes: []replica.Change{{Object: replica.Object{Name: "other", Revision: 11}}}}}))
 	assert.NilError(t, l.apply(<-s.updates))
@@ -145,7 +146,7 @@
 // TestASourceOfAnEarlierEraChangesAndProvesNothing: the follower has heard of the later era from the store.
 func TestASourceOfAnEarlierEraChangesAndProvesNothing(t *testing.T) {
 	from := newView(t, replica.Position{Era: 1, Revision: 50})
-	assert.Assert(t, from.Confirm(view.Proof{At: clock.Boot(), Era: 1, From: view.FromStore, Settled: true}))
+	assert.Assert(t, from.Confirm(view.Proof{At: clock.Boot(), Era: 1, From: view.FromStore, Standing: era.Settled}))
 	to := newView(t, replica.Position{Era: 2, Revision: 10})
 	s, _ := serve(t, from, &wirepb.FollowRequest{Number: 1, Eras: true, Positions: []*wirepb.FollowPosition{{Kind: document.ConfigKind, Revision: -1}}})
 	assert.NilError(t, newLink(t, to).apply(<-s.updates))
--- a/gateway/relay/messages.go
+++ b/gateway/relay/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/proof"
 	"acaciawinch/core/replica"
 	"acaciawinch/gateway/view"
@@ -62,7 +63,7 @@
 // proofMessage encodes a proof, whose time a report holds.
 func proofMessage(report proof.Report, p view.Proof) *wirepb.FollowProof {
 	return &wirepb.FollowProof{Number: report.Number, AfterUs: report.After.Microseconds(), Hops: uint32(p.Hops),
-		Era: p.Era, Settled: p.Settled, Held: p.Held}
+		Era: p.Era, Settled: p.Standing == era.Settled, Held: p.Standing == era.Held}
 }
 
 // proofReportOf decodes the time of a proof. The lost fraction of a microsecond makes the proof appear
@@ -73,5 +74,17 @@
 
 // proofOf decodes a proof that a source made or received at a boot time.
 func proofOf(m *wirepb.FollowProof, at time.Duration, from string) view.Proof {
-	return view.Proof{At: at, Era: m.GetEra(), Settled: m.GetSettled(), Held: m.GetHeld(), Hops: int(m.GetHops()) + 1, From: from}
+	return view.Proof{At: at, Era: m.GetEra(), Standing: standingOf(m), Hops: int(m.GetHops()) + 1, From: from}
+}
+
+// standingOf decodes the standing of a proof.
+func standingOf(m *wirepb.FollowProof) era.Standing {
+	switch {
+	case m.GetHeld():
+		return era.Held
+	case m.GetSettled():
+		return era.Settled
+	default:
+		return era.Uncertain
+	}
 }
--- a/gateway/relay/server.go
+++ b/gateway/relay/server.go
@@ -130,7 +130,7 @@
 		failing := s.server.state.StoreFailing()
 		era := s.server.state.Era()
 		deltas, proved, known := s.server.state.DeltasSince(s.positions)
-		if due || failing != sentFailing || era != sentEra || hasChanges(deltas) || known && (proved.Settled != sent.Settled || proved.At-sent.At >= minProofAdvance) {
+		if due || failing != sentFailing || era != sentEra || hasChanges(deltas) || known && (proved.Standing != sent.Standing || proved.At-sent.At >= minProofAdvance) {
 			if err := s.send(deltas, proved, known, failing); err != nil {
 				return // the follower is gone; receiveRequests ends as well
 			}
--- a/gateway/view/era_test.go
+++ b/gateway/view/era_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
@@ -295,15 +296,18 @@
 	assert.Assert(t, !v.Confirm(Proof{At: clock.Boot(), Era: 1, From: FromStore}), "a proof of the earlier era")
 	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: FromStore}))
 	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: "g1"}), "the source has just started")
-	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: "g1", Held: true}))
+	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: "g1", Standing: era.Held}))
 	newest, _ := v.Proof()
 	assert.DeepEqual(t, newest, old)
-	assert.Assert(t, countsNow(t, v, Proof{Era: 2, From: "g1", Settled: true}), "the source knows the era for longer")
-	v.era.heardAt -= rewriteTime
+	assert.Assert(t, countsNow(t, v, Proof{Era: 2, From: "g1", Standing: era.Settled}), "the source knows the era for longer")
+	v = newTestView(t)
+	v.era.tracker.Hear(1, clock.Boot()-era.RewriteTime, true)
+	v.era.tracker.Hear(2, clock.Boot()-era.RewriteTime, true)
+	configAt(t, v, 2)
 	assert.Assert(t, countsNow(t, v, Proof{Era: 2, From: FromStore}))
-	assert.Assert(t, countsNow(t, v, Proof{Era: 2, From: "g1", Held: true}), "the source has heard of the era later")
+	assert.Assert(t, countsNow(t, v, Proof{Era: 2, From: "g1", Standing: era.Held}), "the source has heard of the era later")
 	read, _ := v.proof.getRead()
-	assert.Assert(t, read.Settled && !read.Held)
+	assert.Assert(t, read.Standing == era.Settled)
 }
 
 // TestAProofOfAnEraThatEndedTooSoonDoesNotCount: the store returns once more before it holds again what
@@ -321,10 +325,10 @@
 func TestAProcessThatStartsAfterTheReturnLearnsOfItFromItsSource(t *testing.T) {
 	v := newTestView(t)
 	configAt(t, v, 2)
-	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: "g1", Held: true}))
+	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: "g1", Standing: era.Held}))
 	assert.Assert(t, !countsNow(t, v, Proof{Era: 2, From: FromStore}))
 	late := newTestView(t)
-	late.era.suspectReturn()
+	late.era.callFailed()
 	configAt(t, late, 2)
 	assert.Assert(t, !countsNow(t, late, Proof{Era: 2, From: FromStore}))
 }
@@ -332,10 +336,9 @@
 // TestTheFirstProofThatCountsFollowsAtOnce: the wait of a watch ends so that its proof is the first one
 // that counts.
 func TestTheFirstProofThatCountsFollowsAtOnce(t *testing.T) {
-	v := newTestView(t)
-	v.HearEra(1)
 	for _, remaining := range []time.Duration{-time.Second, 0, 20 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
-		v.era.heardAt = clock.Boot() + remaining - rewriteTime
+		v := newTestView(t)
+		v.era.tracker.Hear(1, clock.Boot()+remaining-era.RewriteTime, true)
 		began := clock.Boot()
 		wait := v.untilSettled(500 * time.Millisecond)
 		assert.Assert(t, wait >= shortWait && wait <= 500*time.Millisecond, "%v: %v", remaining, wait)
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -371,9 +371,7 @@
 		w.lost, w.lostEra = true, w.view.Era()
 		w.view.options.Logger.Warn(event.WatchLost, observe.Fields{"kind": w.replica.name, "revision": w.replica.position().Revision, "error": err.Error()})
 	}
-	if w.view.Era() == 0 {
-		w.view.era.suspectReturn()
-	}
+	w.view.era.callFailed()
 	w.backOff(ctx)
 }
 
--- a/gateway/view/kind.go
+++ b/gateway/view/kind.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
@@ -132,10 +133,8 @@
 	// Era is the store's era in which the proof was made; 0 if the store has none. The proof counts
 	// only for a configuration of that era.
 	Era int64
-	// Settled is set if the store had written again what it lost at its last return when the proof
-	// was made: the gateway that made the proof, or one that passed it on, knew the era for
-	// rewriteTime by then. Held is set if it is not, and the store has returned lately.
-	Settled, Held bool
+	// Standing is whether the proof counts for keys.
+	Standing era.Standing
 	// Hops counts the processes that passed the proof on: 0 if the store gave it.
 	Hops int
 	// From is the gateway that passed the proof on, or FromStore.
@@ -169,11 +168,11 @@
 // newProofTracker returns a tracker without a proof.
 func newProofTracker() *proofTracker { return &proofTracker{changed: make(chan struct{})} }
 
-// confirm records a proof, unless a newer one is known. counts is set if it counts for keys.
-func (p *proofTracker) confirm(candidate Proof, counts bool) {
+// confirm records a proof, unless a newer one is known.
+func (p *proofTracker) confirm(candidate Proof) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if counts && (!p.known || candidate.At > p.newest.At) {
+	if candidate.Standing.Counts() && (!p.known || candidate.At > p.newest.At) {
 		p.newest, p.known = candidate, true
 		p.notifyLocked()
 	}
--- a/gateway/view/share.go
+++ b/gateway/view/share.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/fault"
 	"acaciawinch/core/replica"
 	"acaciawinch/gateway/clock"
@@ -73,28 +74,26 @@
 // otherwise it proves nothing here. The deltas that came with another gateway's proof must have been
 // applied before.
 //
-// A proof of the present era shows only what the store holds. If the store has just returned from an
-// older copy, it may lack a configuration that it had acknowledged and that took a key away, until the
-// operator has written it again. So the proof counts for keys only if it was made rewriteTime after this
-// process, or one that passed it on, heard of the era. An older proof still holds until it is too old: it
-// was made before the store went away, and covers what the store acknowledged until then.
+// Right after the store's return from an older copy, proofs don't count for keys (package era). The
+// newest proof before holds meanwhile, until it is too old.
 func (v *View) Confirm(proved Proof) bool {
 	if proved.Era != v.configReplica().position().Era {
 		return false
 	}
-	proved = v.era.judge(proved)
+	proved.Standing = v.era.judge(proved)
 	v.logHold(proved)
-	v.proof.confirm(proved, !proved.Held)
+	v.proof.confirm(proved)
 	return true
 }
 
 // logHold logs the first proof of an era that is held off, and the first that counts after it.
 func (v *View) logHold(proved Proof) {
-	if v.holding.Swap(proved.Held) == proved.Held {
+	held := proved.Standing == era.Held
+	if v.holding.Swap(held) == held {
 		return
 	}
 	fields := observe.Fields{"era": proved.Era, "from": proved.From, "hops": proved.Hops, "age_ms": (clock.Boot() - proved.At).Milliseconds()}
-	if proved.Held {
+	if held {
 		v.options.Logger.Event(event.ProofHeldOff, fields)
 		return
 	}
--- a/gateway/view/share_test.go
+++ b/gateway/view/share_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/era"
 	"acaciawinch/core/replica"
 	"acaciawinch/observe"
 	"acaciawinch/platform/document"
@@ -70,7 +71,7 @@
 	v.Confirm(Proof{At: 9 * time.Second, Hops: 1, From: "g1"})
 	v.Confirm(Proof{At: 8 * time.Second, From: FromStore})
 	newest, _ := v.Proof()
-	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Settled: true, Hops: 1, From: "g1"})
+	assert.DeepEqual(t, newest, Proof{At: 9 * time.Second, Standing: era.Settled, Hops: 1, From: "g1"})
 }
 
 func TestFollowersAreNotifiedOfChangesAndProofs(t *testing.T) {
--- a/gateway/view/upstreams_test.go
+++ b/gateway/view/upstreams_test.go
@@ -73,7 +73,7 @@
 
 // confirmAt confirms the configuration as of a time before now.
 func confirmAt(v *View, age time.Duration) {
-	v.proof.confirm(Proof{At: clock.Boot() - age, From: FromStore}, true)
+	v.proof.confirm(Proof{At: clock.Boot() - age, From: FromStore})
 }
 
 // TestUpstreamsLeaveOnceTheirEntryIsGoneOrSaysSo: the entry of an incarnation that another one has taken
