--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -103,11 +103,18 @@
 	storeProofAt atomic.Int64
 	// failing is set while the store fails to respond to this process about the configuration.
 	failing atomic.Bool
+	// holding is set while the newest proof does not count for keys.
+	holding atomic.Bool
 	// ownRevision is the revision of this process's own object, 0 if unknown.
 	ownRevision atomic.Int64
 
+	// era is the store's newest era.
+	era eraTracker
+
 	mu       sync.Mutex
 	onChange []func()
+	// watchers are those of the present call of Read.
+	watchers []*watcher
 }
 
 // New returns a View without data.
@@ -127,6 +134,11 @@
 	for _, records := range options.Records {
 		v.replicas = append(v.replicas, v.newKindReplica(records.Kind, records.Receiver))
 	}
+	v.OnEra(func(int64) {
+		v.proof.recordGap()
+		v.proof.notify()
+		v.restartWatchers()
+	})
 	v.SetStoreOptions(options.Store)
 	v.members.Store(&[]Member{})
 	v.storeProofAt.Store(-1)
@@ -135,16 +147,30 @@
 
 // newKindReplica returns an empty copy of a kind.
 func (v *View) newKindReplica(name string, to Receiver) *kindReplica {
-	return &kindReplica{name: name, receiver: to, proof: v.proof, replica: replica.New()}
+	return &kindReplica{name: name, receiver: to, proof: v.proof, logger: v.options.Logger, replica: replica.New()}
 }
 
+// configReplica returns the copy of the configuration.
+func (v *View) configReplica() *kindReplica { return v.replicas[0] }
+
 // SetStoreOptions applies changed settings. The present data stays in force until the store at a
-// new address replaces it.
+// new address replaces it: that may be another store, whose eras and revisions can't be compared.
 func (v *View) SetStoreOptions(options StoreOptions) {
 	v.confirmWithin.Store(int64(options.ConfirmWithin))
 	v.applyWithin.Store(int64(options.ApplyWithin))
-	if old := v.store.Load(); old == nil || old.Address() != options.Store {
-		v.store.Store(store.New(options.Store))
+	old := v.store.Load()
+	if old != nil && old.Address() == options.Store {
+		return
+	}
+	client := store.New(options.Store)
+	client.OnEra(func(era int64) {
+		if v.store.Load() == client {
+			v.hearStoreEra(era)
+		}
+	})
+	v.store.Store(client)
+	if old != nil {
+		v.moveStore()
 	}
 }
 
@@ -179,7 +205,7 @@
 		return true
 	}
 	for _, records := range v.options.Records {
-		if v.replicaOf(records.Kind).revision() == unknownRevision {
+		if !v.replicaOf(records.Kind).listed() {
 			return clock.Boot()-time.Duration(v.firstTableAt.Load()) > recordsTimeout
 		}
 	}
