Withdraw a batch whose upstream takes no work any more when the connection is open

Callers saw: an upstream that had said that it leaves was still asked for items of stages. The batch was chosen before, and nothing asked again before it was written: up to the time of a dial, 700 ms, or any time on a busy or frozen process.

A stage call now asks the newest list just before the write, as a request does. A withdrawn batch goes back to the queue: it is no attempt of its items and no failure of its upstream, and the queue takes over the list by which it was withdrawn, so that it doesn't choose the same upstream again. Each withdrawal is logged (10056 pool_call_withdrawn). Calls that free results still go to upstreams that leave: they are no work, and earlier calls need the room.

TestACallThatIsNotSentCountsAgainstNobody covers the queue.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -89,6 +89,8 @@
 	// NoRoom means that the upstream had no room for the result: it stores results that
 	// this pool does not know of.
 	NoRoom
+	// NotSent means that the call was not sent, because its upstream takes no new work any more.
+	NotSent
 	// Abandoned means that the item has no result and that no caller waits for it any more.
 	Abandoned
 )
@@ -198,7 +200,7 @@
 // Finish records that a call ended with an outcome for each of its items, in their
 // order, and returns the items that will not be retried. Items without a result are
 // queued again unless their outcome is Abandoned or they have had maxAttempts; NoRoom
-// does not count as an attempt.
+// and NotSent do not count as attempts.
 func (p *Pool) Finish(call *Call, outcomes []Outcome, now time.Time) (failed []*Item) {
 	s := p.stateOf(call.Upstream)
 	for i, item := range call.Items {
@@ -208,9 +210,12 @@
 		if s != nil {
 			s.usedBytes -= item.Task.Bytes
 		}
-		if outcomes[i] == NoRoom {
+		switch outcomes[i] {
+		case NoRoom:
 			item.attempts--
 			s.recordNoRoom(item.Task.Bytes, now)
+		case NotSent:
+			item.attempts--
 		}
 		if outcomes[i] == Abandoned || item.attempts >= maxAttempts {
 			failed = append(failed, item)
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -189,6 +189,27 @@
 	}
 }
 
+// TestACallThatIsNotSentCountsAgainstNobody: its items keep all their attempts, and its upstream its room
+// and its place among the others.
+func TestACallThatIsNotSentCountsAgainstNobody(t *testing.T) {
+	p := newPoolWithRoom(1000)
+	p.Add(task(1, time.Second), 1)
+	leaving := upstreams(1)
+	leaving[0].Leaving = true
+	for range maxAttempts + 1 {
+		call := p.Next(start)
+		assert.Assert(t, call != nil, "the upstream takes work again")
+		p.SetUpstreams(leaving)
+		assert.Equal(t, len(p.Finish(call, sameOutcomes(call, NotSent), start)), 0)
+		assert.Equal(t, p.Waiting(), 1)
+		assert.Assert(t, p.Next(start) == nil)
+		p.SetUpstreams(upstreams(1))
+	}
+	assert.Assert(t, p.RespondsPromptly("a"))
+	call := p.Next(start)
+	assert.Equal(t, call.Items[0].attempts, 1)
+}
+
 func TestFailedUpstreamIsAvoidedWhileOthersAreBusy(t *testing.T) {
 	p := newPool(2)
 	p.Add(task(1, time.Second), 8)
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -132,6 +132,13 @@
 	return upstream, known
 }
 
+// StillTakesWork reports whether an upstream that was chosen from an earlier snapshot takes new work, and
+// has not been replaced by another incarnation.
+func (u *Upstreams) StillTakesWork(chosen Upstream, now time.Time) bool {
+	current, known := u.byID[chosen.ID]
+	return known && current.Incarnation == chosen.Incarnation && current.TakesWork(now)
+}
+
 // Each calls visit for each upstream, in no order.
 func (u *Upstreams) Each(visit func(Upstream)) {
 	for _, upstream := range u.byID {
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -56,6 +56,9 @@
 	ShouldSend func() bool
 }
 
+// ErrWithdrawn reports that ShouldSend withdrew a request; nothing was sent.
+var ErrWithdrawn = errors.New("upstream no longer accepts requests")
+
 // Client sends requests to upstreams and keeps idle connections. It is safe for concurrent use.
 type Client struct {
 	// readInfo reads the head of a response.
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -55,7 +55,7 @@
 	}
 	if r.ShouldSend != nil && !r.ShouldSend() {
 		c.release(acquired)
-		return nil, fault.New(fault.Unavailable, "upstream.send", addr, "upstream no longer accepts requests")
+		return nil, fault.Wrap(fault.Unavailable, "upstream.send", addr, ErrWithdrawn)
 	}
 	stop := context.AfterFunc(ctx, acquired.close)
 	writer := startWrite(acquired, r)
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -28,6 +29,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took := now.Sub(call.StartedAt)
+	if errors.Is(err, httpconn.ErrWithdrawn) {
+		o.withdraw(p, call, now)
+		o.sendCalls(p, now)
+		return
+	}
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
@@ -45,6 +51,22 @@
 	o.sendCalls(p, now)
 }
 
+// withdraw queues the items of a call that was not sent again. The queue gets the list of upstreams by
+// which the call was withdrawn, so that it does not choose the same upstream again. o.mu must be held.
+func (o *Owner) withdraw(p *ownedPart, call *pool.Call, now time.Time) {
+	o.logger.Event(event.PoolCallWithdrawn, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
+		"items": len(call.Items), "duration_us": now.Sub(call.StartedAt).Microseconds()})
+	p.queue.SetUpstreams(p.of(o.fleet.Upstreams()))
+	outcomes := make([]pool.Outcome, len(call.Items))
+	for i, item := range call.Items {
+		outcomes[i] = pool.NotSent
+		if p.tasks[item.Task.Ticket] == nil {
+			outcomes[i] = pool.Abandoned
+		}
+	}
+	p.queue.Finish(call, outcomes, now)
+}
+
 // deadlineSlack is how long before the latest deadline of its requests a call counts as cut off
 // by that deadline: the upstream stops then too, and its response takes some ms.
 const deadlineSlack = 50 * time.Millisecond
@@ -65,22 +87,29 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
 	}
-	content, err := o.post(ctx, call.Upstream, stagecall.RunPath, body, maxRemaining)
+	request := o.message(call.Upstream, stagecall.RunPath, body, maxRemaining)
+	request.ShouldSend = func() bool { return o.fleet.Upstreams().StillTakesWork(call.Upstream, time.Now()) }
+	content, err := o.post(ctx, call.Upstream, request)
 	if err != nil {
 		return nil, err
 	}
 	return stagecall.Results(content, len(items))
 }
 
-// post sends one request to an upstream of a pool and returns the response body.
-func (o *Owner) post(ctx context.Context, to routes.Upstream, path string, body []byte, remaining time.Duration) ([]byte, error) {
-	response, err := o.client.Do(ctx, to.Address, httpconn.Request{
+// message returns a request to an upstream of a pool.
+func (o *Owner) message(to routes.Upstream, path string, body []byte, remaining time.Duration) httpconn.Request {
+	return httpconn.Request{
 		Method: http.MethodPost,
 		Target: path,
 		Host:   to.Address,
 		Header: stagecall.Headers(to.ID, remaining.Milliseconds()),
 		Body:   body,
-	})
+	}
+}
+
+// post sends one request to an upstream of a pool and returns the response body.
+func (o *Owner) post(ctx context.Context, to routes.Upstream, request httpconn.Request) ([]byte, error) {
+	response, err := o.client.Do(ctx, to.Address, request)
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +208,8 @@
 }
 
 // sendFrees tells the upstreams of a pool which results to drop. Upstreams that are backed off are
-// told once the backoff has ended. Results of upstreams that are no longer listed are gone with
+// told once the backoff has ended. Upstreams that leave are told too: calls that they accepted earlier need
+// the room, and this is no work. Results of upstreams that are no longer listed are gone with
 // them.
 func (o *Owner) sendFrees(p *ownedPart, now time.Time) {
 	if len(p.pendingFrees) == 0 {
@@ -208,7 +238,7 @@
 	defer cancel()
 	body, err := stagecall.FreeBody(pending.handles)
 	if err == nil {
-		_, err = o.post(ctx, upstream, stagecall.FreePath, body, freeTimeout)
+		_, err = o.post(ctx, upstream, o.message(upstream, stagecall.FreePath, body, freeTimeout))
 	}
 	if err != nil {
 		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(pending.handles), "error": err.Error()})
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -36,12 +36,13 @@
 
 // Events of stage pools and their owners: 10050 to 10069.
 var (
-	PoolCall        = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
-	PoolCallFailed  = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
-	PoolOwnerLost   = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
-	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
-	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
-	PoolHandedOver  = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCall          = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
+	PoolCallFailed    = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
+	PoolOwnerLost     = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
+	PoolOwnerJoined   = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
+	PoolFreeFailed    = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
+	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
