Hold upstreams that left before the store returned from an older copy

Callers would see: once the lists of a new era are taken, an upstream that had said that it leaves gets requests and stage calls again, because the copy from which the store returned lists it as ready. The same goes for an upstream whose entry had been removed and which serves on for a while.

When an era begins, the receiver holds the incarnations that had left by what it knew of the last era. An entry counts as written after the return if its revision is above all those of the first list. Within one era the newest entry decides as before, and an entry that was missing in the copy counts as soon as it is back. A hold and its end are logged (10090 upstream_held, 10091 upstream_hold_ended).

Two tests are new with this commit: for the end of a hold, and for an upstream that left and was then removed.

--- a/gateway/view/restored_test.go
+++ b/gateway/view/restored_test.go
@@ -18,9 +18,7 @@
 
 // returnFromCopy makes the store return from a copy that lists some objects.
 func returnFromCopy(f *upstreamReceiver, era int64, listed ...replica.Object) {
-	if r, ok := any(f).(interface{ EraChanged(era int64) }); ok {
-		r.EraChanged(era)
-	}
+	f.EraChanged(era)
 	f.Reset(listed)
 }
 
@@ -95,6 +93,38 @@
 	}
 }
 
+// TestAHeldUpstreamThatIsStillListedGetsWorkAgain: the store removes the entry of an upstream that has ended.
+func TestAHeldUpstreamThatIsStillListedGetsWorkAgain(t *testing.T) {
+	f, v := newTestReceiver(t)
+	a, b := entry("a", "ready", 0, 40), entry("b", "ready", 0, 41)
+	f.Reset([]replica.Object{a, b})
+	f.remove(a)
+	f.apply(entry("b", "draining", 0, 61))
+	began := time.Now()
+	returnFromCopy(f, 2, a, b)
+	f.expireHoldsAt(began.Add(removedHold - time.Second))
+	assert.Assert(t, !takesWork(v, "a") && !takesWork(v, "b"))
+	f.expireHoldsAt(time.Now().Add(removedHold))
+	assert.Assert(t, takesWork(v, "a") && !takesWork(v, "b"))
+	f.expireHoldsAt(time.Now().Add(leavingHold))
+	assert.Assert(t, takesWork(v, "b"))
+}
+
+// TestAnUpstreamThatLeftBeforeItsEntryWasRemovedLeavesForGood: the removal does not take back what it
+// announced.
+func TestAnUpstreamThatLeftBeforeItsEntryWasRemovedLeavesForGood(t *testing.T) {
+	f, v := newTestReceiver(t)
+	f.Reset([]replica.Object{entry("a", "draining", 0, 60)})
+	f.remove(entry("a", "draining", 0, 61))
+	returnFromCopy(f, 2, entry("a", "ready", 0, 40))
+	f.expireHoldsAt(time.Now().Add(removedHold))
+	assert.Assert(t, !takesWork(v, "a"))
+	f.remove(entry("a", "ready", 0, 45))
+	returnFromCopy(f, 3, entry("a", "ready", 0, 40))
+	f.expireHoldsAt(time.Now().Add(removedHold))
+	assert.Assert(t, !takesWork(v, "a"), "removed as ready from the copy")
+}
+
 // TestAnEntryThatExpiredInAnOutageIsUsedOnceItIsBack: an upstream that runs writes its entry again.
 func TestAnEntryThatExpiredInAnOutageIsUsedOnceItIsBack(t *testing.T) {
 	f, v := newTestReceiver(t)
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -25,6 +25,8 @@
 	evacuationEnded map[string]time.Time
 	// reports holds what upstreams reported to this process directly, by incarnation.
 	reports map[incarnation]report
+	// departures knows which upstreams left before the store returned from an older copy.
+	departures departures
 	// unlogged holds the events of changes that publish has not made current yet.
 	unlogged pendingEvents
 }
@@ -35,6 +37,11 @@
 	started int64
 }
 
+// incarnationOf returns the incarnation of an upstream.
+func incarnationOf(upstream routes.Upstream) incarnation {
+	return incarnation{id: upstream.ID, started: upstream.Incarnation}
+}
+
 // report is what an incarnation of an upstream has reported to this process.
 type report struct {
 	leaving      bool
@@ -50,7 +57,13 @@
 
 // newUpstreamReceiver returns a receiver that knows no upstream.
 func newUpstreamReceiver(v *View) *upstreamReceiver {
-	r := &upstreamReceiver{view: v, known: make(map[string]routes.Upstream), evacuationEnded: make(map[string]time.Time), reports: make(map[incarnation]report)}
+	r := &upstreamReceiver{
+		view:            v,
+		known:           make(map[string]routes.Upstream),
+		evacuationEnded: make(map[string]time.Time),
+		reports:         make(map[incarnation]report),
+		departures:      newDepartures(),
+	}
 	if !v.options.Store.Evacuations {
 		r.evacuated = make(map[string]bool)
 	}
@@ -113,7 +126,7 @@
 func (r *upstreamReceiver) recordReport(received UpstreamReport, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := incarnation{id: received.Upstream.ID, started: received.Upstream.Incarnation}
+	key := incarnationOf(received.Upstream)
 	before := r.reports[key]
 	after := report{leaving: before.leaving || received.Leaving, backoffUntil: before.backoffUntil, updated: now}
 	if until := now.Add(received.Backoff); received.Backoff > 0 && until.After(before.backoffUntil) {
@@ -130,7 +143,7 @@
 
 // reportOf returns what an upstream's incarnation reported. r.mu must be held.
 func (r *upstreamReceiver) reportOf(upstream routes.Upstream) report {
-	return r.reports[incarnation{id: upstream.ID, started: upstream.Incarnation}]
+	return r.reports[incarnationOf(upstream)]
 }
 
 // dropExpiredReports drops reports older than reportTTL of incarnations that have no entry.
@@ -162,6 +175,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = true
+	r.departures.list(objects)
 	before := r.known
 	r.known = make(map[string]routes.Upstream, len(objects))
 	for _, object := range objects {
@@ -169,7 +183,7 @@
 	}
 	for id, upstream := range before {
 		if _, present := r.known[id]; !present {
-			r.logGone(upstream)
+			r.gone(upstream)
 		}
 	}
 	r.publish()
@@ -186,7 +200,7 @@
 		}
 		if upstream, known := r.known[change.Object.Name]; known {
 			delete(r.known, change.Object.Name)
-			r.logGone(upstream)
+			r.gone(upstream)
 		}
 	}
 	r.publish()
@@ -212,6 +226,7 @@
 		upstream.ColdUntil = time.Now().Add(upstream.Cold)
 	}
 	r.known[upstream.ID] = upstream
+	r.checkHold(upstream, object.Revision)
 	if !known || old.Leaving != upstream.Leaving || old.Incarnation != upstream.Incarnation || old.Cold == 0 && upstream.Cold > 0 {
 		r.unlogged.add(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
@@ -219,8 +234,9 @@
 	}
 }
 
-// logGone records the event that an upstream's entry was removed.
-func (r *upstreamReceiver) logGone(upstream routes.Upstream) {
+// gone records that an upstream's entry was removed.
+func (r *upstreamReceiver) gone(upstream routes.Upstream) {
+	r.departures.recordRemoval(upstream, time.Now())
 	r.unlogged.add(event.UpstreamGone, observe.Fields{"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address})
 }
 
@@ -236,7 +252,7 @@
 	list := make([]routes.Upstream, 0, len(r.known))
 	for _, upstream := range r.known {
 		reported := r.reportOf(upstream)
-		upstream.Leaving = upstream.Leaving || reported.leaving
+		upstream.Leaving = upstream.Leaving || reported.leaving || r.departures.holds(upstream)
 		upstream.BackoffUntil = reported.backoffUntil
 		upstream.Evacuated = r.evacuated[upstream.Zone]
 		upstream.EvacuationEnded = r.evacuationEnded[upstream.Zone]
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -22,6 +22,12 @@
 	LinesDropped        = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
+// Events of upstreams after the store returned from an older copy: 10090 to 10099.
+var (
+	UpstreamHeld      = define(10090, "upstream_held", "The store returned from an older copy, in which the entry of an upstream is ready that was leaving or removed before; the upstream gets no new work until its entry is written again or the hold ends.", "upstream", "service", "address", "reason", "revision", "hold_ms")
+	UpstreamHoldEnded = define(10091, "upstream_hold_ended", "The entry of a held upstream counts again; cause is written if it was written since the return, expired if the hold has ended.", "upstream", "reason", "cause")
+)
+
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway responded to a request itself; with status 429 or 503 no part of the request ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
