Keep the later incarnation of an upstream when the store returned from an older copy

Callers would see: an upstream that was restarted under its ID is replaced in the list by its earlier incarnation, which has ended, because the copy from which the store returned holds that entry. Requests go to the old address until the entry is written again.

In the first list of an era, an incarnation that is earlier than the known one no longer replaces it, as in a change. The removal of the entry removes the upstream as before.

Evidence: TestACopyDoesNotBringAnEarlierIncarnationBack failed before and passes. It now also demands that the later incarnation stays known, and that the removal of the entry ends it.

--- a/gateway/view/restored.go
+++ b/gateway/view/restored.go
@@ -100,15 +100,17 @@
 	}
 }
 
-// list takes note of a list before its entries are read.
-func (d *departures) list(objects []replica.Object) {
+// list takes note of a list before its entries are read, and reports whether it is the first of an era that
+// began with a return from a copy.
+func (d *departures) list(objects []replica.Object) bool {
 	if !d.unlisted {
-		return
+		return false
 	}
 	d.unlisted, d.newestListed = false, 0
 	for _, object := range objects {
 		d.newestListed = max(d.newestListed, object.Revision)
 	}
+	return true
 }
 
 // holds reports whether an upstream gets no work because it left before the present era.
--- a/gateway/view/restored_test.go
+++ b/gateway/view/restored_test.go
@@ -147,5 +147,7 @@
 	f.Reset([]replica.Object{entry("a", "ready", 9, 60)})
 	returnFromCopy(f, 2, entry("a", "ready", 8, 40))
 	upstream, known := v.Upstreams().Find("a")
-	assert.Assert(t, !known || upstream.Incarnation == 9)
+	assert.Assert(t, known && upstream.Incarnation == 9)
+	f.remove(entry("a", "ready", 8, 61))
+	assert.Assert(t, !v.Upstreams().Knows("a"), "the store removes the entry")
 }
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -175,9 +175,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = true
-	r.departures.list(objects)
 	before := r.known
 	r.known = make(map[string]routes.Upstream, len(objects))
+	if r.departures.list(objects) {
+		r.keepLaterIncarnations(objects, before)
+	}
 	for _, object := range objects {
 		r.update(object)
 	}
@@ -189,6 +191,17 @@
 	r.publish()
 }
 
+// keepLaterIncarnations keeps the known upstreams of which the first list after the store returned from a
+// copy has an earlier incarnation. That one has ended. r.mu must be held.
+func (r *upstreamReceiver) keepLaterIncarnations(listed []replica.Object, known map[string]routes.Upstream) {
+	for _, object := range listed {
+		upstream, err := document.Upstream(object.Name, object.Spec)
+		if old := known[object.Name]; err == nil && old.Incarnation > upstream.Incarnation {
+			r.known[old.ID] = old
+		}
+	}
+}
+
 // Apply implements Receiver.
 func (r *upstreamReceiver) Apply(changes []replica.Change) {
 	r.mu.Lock()
