Do not take an upstream for gone whose entry a returned store may have lost

Callers would see: an upstream crashes soon after the store returned from an older copy that lacks its entry. The entry's absence counts as a planned end, so that the crash doesn't count against the request that ran there, which goes on to the next upstream.

An era begins with the same doubt as an outage ends: upstreams that run have written their entries again within 3 s.

Evidence: TestAnEntryThatMayBeMissingInACopyTellsNothing failed before the change and passes.

--- a/gateway/view/restored.go
+++ b/gateway/view/restored.go
@@ -5,6 +5,7 @@
 
 	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
+	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -141,12 +142,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.departures.beginEra(r.known, time.Now())
+	r.view.proof.recordGap()
 	if len(r.departures.held) > 0 {
 		time.AfterFunc(removedHold, r.expireHolds)
 		time.AfterFunc(leavingHold, r.expireHolds)
 	}
 }
 
+// recordGap records that discovery may lack entries of upstreams that run: the store has lost them.
+func (p *proofTracker) recordGap() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gapEnded = clock.Boot()
+}
+
 // expireHolds makes the upstreams available whose holds have ended.
 func (r *upstreamReceiver) expireHolds() { r.expireHoldsAt(time.Now()) }
 
--- a/gateway/view/restored_test.go
+++ b/gateway/view/restored_test.go
@@ -151,3 +151,16 @@
 	f.remove(entry("a", "ready", 8, 61))
 	assert.Assert(t, !v.Upstreams().Knows("a"), "the store removes the entry")
 }
+
+// TestAnEntryThatMayBeMissingInACopyTellsNothing: an upstream that runs writes the entry again that the store
+// has lost.
+func TestAnEntryThatMayBeMissingInACopyTellsNothing(t *testing.T) {
+	f, v := newTestReceiver(t)
+	confirmAt(v, 0)
+	f.Reset([]replica.Object{entry("a", "ready", 1, 60)})
+	a, _ := v.Upstreams().Find("a")
+	returnFromCopy(f, 2)
+	assert.Assert(t, !v.Leaves(a))
+	v.proof.gapEnded -= entryRestoreTime
+	assert.Assert(t, v.Leaves(a))
+}
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -104,7 +104,7 @@
 }
 
 // entryRestoreTime is the time within which discovery has restored the entries of upstreams that run
-// after an outage of the store.
+// after an outage of the store, or after its return from an older copy.
 const entryRestoreTime = 3 * time.Second
 
 // Leaves reports whether an incarnation of an upstream has announced that it leaves, or is no longer in
