Test that an upstream which left before the store returned from a copy gets nothing new

Complete gateways, a store that returns from a copy in which the upstreams are ready, and the write that they leave, repeated later; once with the entry set to leaving, once with the entry removed.

--- a/standin/gatewaytest/drain_test.go
+++ b/standin/gatewaytest/drain_test.go
@@ -74,3 +74,45 @@
 	assert.Equal(t, countWork(first), before)
 	assert.Assert(t, countWork(second) > 0)
 }
+
+// TestAnUpstreamThatLeftBeforeTheStoreReturnedFromACopyGetsNothingNew: the copy lists upstreams as ready that
+// have said since that they leave, or whose entries were removed.
+func TestAnUpstreamThatLeftBeforeTheStoreReturnedFromACopyGetsNothingNew(t *testing.T) {
+	t.Run("leaving", func(t *testing.T) {
+		testLeftBeforeTheReturn(t, func(f *fleet, w *worker.Worker) { f.registerIn("z1", w, serviceOf[w.Kind], "draining") })
+	})
+	t.Run("removed", func(t *testing.T) {
+		testLeftBeforeTheReturn(t, func(f *fleet, w *worker.Worker) { f.store.Remove("servers", w.ID) })
+	})
+}
+
+// testLeftBeforeTheReturn lets upstreams leave, by a write to the store, before the store returns from a copy,
+// and repeats the write afterwards.
+func testLeftBeforeTheReturn(t *testing.T, leave func(f *fleet, w *worker.Worker)) {
+	f := newFleet(t)
+	first, second := f.twoZones()
+	f.apply(baseConfig(1))
+	gateways := []*runningGateway{f.startIn("g1", "z1"), f.startIn("g2", "z2"), f.startIn("g3", "z1")}
+	f.sendMix(gateways, "before")
+	f.store.Copy()
+	for _, w := range first {
+		leave(f, w)
+	}
+	left := f.startWorkerIn("z2", "desk-3", "desk", worker.Plain)
+	f.waitLines(len(gateways), "upstream_changed", left.ID)
+	f.sendMix(gateways, "left")
+	before := countWork(first)
+	f.sendMix(gateways, "lost")
+
+	f.store.ReturnFromCopy()
+	returned := f.startWorkerIn("z2", "desk-4", "desk", worker.Plain)
+	f.waitLines(len(gateways), "upstream_changed", returned.ID)
+	f.sendMixFor(drainBound/2, gateways, "returned")
+	assert.Equal(t, countWork(first), before, "work came after the return")
+	for _, w := range first {
+		leave(f, w)
+	}
+	f.sendMixFor(drainBound/2, gateways, "repeated")
+	assert.Equal(t, countWork(first), before, "work came after the write was repeated")
+	assert.Assert(t, countWork(second) > 0)
+}
