--- a/gateway/view/restored.go
+++ b/gateway/view/restored.go
@@ -56,7 +56,7 @@
 // departures knows which incarnations left before the store returned from an older copy. The receiver's lock
 // guards it.
 type departures struct {
-	// removed holds the incarnations whose entries were removed in the present era of the store.
+	// removed holds the incarnations whose entries were removed and have not been listed since.
 	removed map[incarnation]departure
 	// held holds the incarnations that had left before the present era.
 	held map[incarnation]*hold
@@ -90,7 +90,6 @@
 			d.hold(incarnationOf(upstream), departure{leaving: true, at: now}, now)
 		}
 	}
-	clear(d.removed)
 	d.unlisted = true
 }
 
--- a/gateway/view/restored_test.go
+++ b/gateway/view/restored_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core/replica"
+	"acaciawinch/core/routes"
 )
 
 // entry returns the entry of an upstream as of a revision.
@@ -164,3 +165,17 @@
 	v.proof.gapEnded -= entryRestoreTime
 	assert.Assert(t, v.Leaves(a))
 }
+
+// TestEachReturnBeginsAHoldAnew: the store may return from copies in a row.
+func TestEachReturnBeginsAHoldAnew(t *testing.T) {
+	d, start := newDepartures(), time.Unix(1000, 0)
+	a := routes.Upstream{ID: "a"}
+	d.recordRemoval(a, start)
+	d.beginEra(nil, start)
+	again := start.Add(removedHold - time.Second)
+	d.beginEra(nil, again)
+	assert.Equal(t, len(d.expire(start.Add(removedHold))), 0)
+	assert.Assert(t, d.holds(a))
+	assert.Equal(t, len(d.expire(again.Add(removedHold))), 1)
+	assert.Assert(t, !d.holds(a))
+}
