Keep an evacuation in force that a returned store has forgotten

Callers would see: the operator evacuates a zone, the store returns from an older copy, and the zone gets requests again until the operator has written the evacuation again.

Evidence: TestAnEvacuationThatTheStoreHasForgottenStaysInForce failed before the change and passes. TestAnEvacuationEndsWithAChange passed before and guards against keeping too much.

--- a/gateway/view/evacuations.go
+++ b/gateway/view/evacuations.go
@@ -19,6 +19,10 @@
 	mu sync.Mutex
 	// since holds, by zone, the boot time at which this process learned of the evacuation.
 	since map[string]time.Duration
+	// unlisted is set from the beginning of an era of the store to its first list.
+	unlisted bool
+	// kept holds the zones whose evacuation the store has forgotten, and until when it stays in force.
+	kept map[string]time.Time
 	// unlogged holds the events of changes that publish has not passed on yet.
 	unlogged pendingEvents
 }
@@ -26,7 +30,7 @@
 // newEvacuationReceiver returns a receiver that knows no evacuation and passes the evacuated zones
 // on to upstreams.
 func newEvacuationReceiver(v *View, upstreams *upstreamReceiver) *evacuationReceiver {
-	return &evacuationReceiver{view: v, upstreams: upstreams, since: make(map[string]time.Duration)}
+	return &evacuationReceiver{view: v, upstreams: upstreams, since: make(map[string]time.Duration), kept: make(map[string]time.Time)}
 }
 
 // Reset implements Receiver.
@@ -38,8 +42,50 @@
 		wanted[object.Name] = true
 		r.begin(object)
 	}
+	if r.unlisted {
+		r.unlisted = false
+		r.keepForgotten(wanted)
+	}
 	for zone := range r.since {
-		if !wanted[zone] {
+		if _, kept := r.kept[zone]; !wanted[zone] && !kept {
+			r.end(zone)
+		}
+	}
+	r.publish()
+}
+
+// forgottenHold is how long an evacuation stays in force that the store has forgotten: the operator writes it
+// again within seconds after the store returned from an older copy.
+const forgottenHold = removedHold
+
+// EraChanged implements EraReceiver.
+func (r *evacuationReceiver) EraChanged(int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unlisted = true
+}
+
+// keepForgotten keeps the evacuations that are missing in the first list after the store returned from an
+// older copy. r.mu must be held.
+func (r *evacuationReceiver) keepForgotten(listed map[string]bool) {
+	for zone := range r.since {
+		if listed[zone] {
+			continue
+		}
+		r.kept[zone] = time.Now().Add(forgottenHold)
+		r.unlogged.add(event.ZoneEvacuationKept, observe.Fields{"zone": zone, "hold_ms": forgottenHold.Milliseconds()})
+	}
+	if len(r.kept) > 0 {
+		time.AfterFunc(forgottenHold, func() { r.endForgotten(time.Now()) })
+	}
+}
+
+// endForgotten ends the evacuations that were kept long enough.
+func (r *evacuationReceiver) endForgotten(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for zone, until := range r.kept {
+		if !now.Before(until) {
 			r.end(zone)
 		}
 	}
@@ -62,6 +108,7 @@
 
 // begin records an evacuation. r.mu must be held.
 func (r *evacuationReceiver) begin(object replica.Object) {
+	delete(r.kept, object.Name)
 	if _, known := r.since[object.Name]; known {
 		return
 	}
@@ -77,6 +124,7 @@
 		return
 	}
 	delete(r.since, zone)
+	delete(r.kept, zone)
 	r.unlogged.add(event.ZoneEvacuationEnded, observe.Fields{
 		"zone": zone, "after_ms": (clock.Boot() - since).Milliseconds(), "upstreams": r.upstreams.countIn(zone)})
 }
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -22,10 +22,11 @@
 	LinesDropped        = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
-// Events of upstreams after the store returned from an older copy: 10090 to 10099.
+// Events of upstreams and zones after the store returned from an older copy: 10090 to 10099.
 var (
-	UpstreamHeld      = define(10090, "upstream_held", "The store returned from an older copy, in which the entry of an upstream is ready that was leaving or removed before; the upstream gets no new work until its entry is written again or the hold ends.", "upstream", "service", "address", "reason", "revision", "hold_ms")
-	UpstreamHoldEnded = define(10091, "upstream_hold_ended", "The entry of a held upstream counts again; cause is written if it was written since the return, expired if the hold has ended.", "upstream", "reason", "cause")
+	UpstreamHeld       = define(10090, "upstream_held", "The store returned from an older copy, in which the entry of an upstream is ready that was leaving or removed before; the upstream gets no new work until its entry is written again or the hold ends.", "upstream", "service", "address", "reason", "revision", "hold_ms")
+	UpstreamHoldEnded  = define(10091, "upstream_hold_ended", "The entry of a held upstream counts again; cause is written if it was written since the return, expired if the hold has ended.", "upstream", "reason", "cause")
+	ZoneEvacuationKept = define(10092, "zone_evacuation_kept", "The store returned from an older copy that lacks the evacuation of a zone; it stays in force until the operator writes it again or the hold ends.", "zone", "hold_ms")
 )
 
 // Events of requests at a gateway: 10020 to 10049.
