--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -22,6 +22,13 @@
 	LinesDropped        = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
+// Events of upstreams and zones after the store returned from an older copy: 10090 to 10099.
+var (
+	UpstreamHeld       = define(10090, "upstream_held", "The store returned from an older copy, in which the entry of an upstream is ready that was leaving or removed before; the upstream gets no new work until its entry is written again or the hold ends.", "upstream", "service", "address", "reason", "revision", "hold_ms")
+	UpstreamHoldEnded  = define(10091, "upstream_hold_ended", "The entry of a held upstream counts again; cause is written if it was written since the return, expired if the hold has ended.", "upstream", "reason", "cause")
+	ZoneEvacuationKept = define(10092, "zone_evacuation_kept", "The store returned from an older copy that lacks the evacuation of a zone; it stays in force until the operator writes it again or the hold ends.", "zone", "hold_ms")
+)
+
 // Events of a store that has returned from an older copy of itself: 10100 to 10109.
 var (
 	StoreEraChanged  = define(10100, "store_era_changed", "The store has returned from an older copy of itself: the objects of a kind were replaced by those that it holds now.", "kind", "old_era", "old_revision", "era", "revision", "objects_before", "objects")
@@ -48,12 +55,13 @@
 
 // Events of stage pools and their owners: 10050 to 10069.
 var (
-	PoolCall        = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
-	PoolCallFailed  = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
-	PoolOwnerLost   = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
-	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
-	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
-	PoolHandedOver  = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCall          = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
+	PoolCallFailed    = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
+	PoolOwnerLost     = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
+	PoolOwnerJoined   = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
+	PoolFreeFailed    = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
+	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
