--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -24,6 +24,17 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+func TestEventsWithDataAreToldFromOthers(t *testing.T) {
+	for text, want := range map[string]bool{
+		"data: a\n\n": true, "id: 1\ndata\n\n": true, "data:\r\n\r\n": true,
+		": data\n\n": false, "id: 1\n\n": false, "database: a\n\n": false, "\n": false,
+	} {
+		event, err := NewReader(strings.NewReader(text)).Next()
+		assert.NilError(t, err)
+		assert.Equal(t, event.HasData, want, "%q", text)
+	}
+}
+
 func TestAPartOfAnEventIsNeverHandedOut(t *testing.T) {
 	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n"} {
 		_, err := NewReader(strings.NewReader(text)).Next()
@@ -39,6 +50,19 @@
 	assert.Equal(t, event.ID, "7")
 }
 
+func TestIDsIncrease(t *testing.T) {
+	for _, c := range []struct {
+		last, id string
+		want     bool
+	}{
+		{"", "1", true}, {"", "0", true}, {"1", "2", true}, {"1", "7", true}, {"9", "10", true}, {"0", "1", true},
+		{"2", "2", false}, {"2", "1", false}, {"10", "9", false}, {"2", "02", false}, {"18446744073709551615", "0", false},
+		{"2", "", true}, {"2", "a", true}, {"a", "1", true}, {"2", "-1", true}, {"2", "18446744073709551616", true},
+	} {
+		assert.Equal(t, MayFollow(c.id, c.last), c.want, "%q after %q", c.id, c.last)
+	}
+}
+
 // FuzzReader checks that the returned events, concatenated, are a prefix of the stream, and the
 // whole stream if it ends after a complete event.
 func FuzzReader(f *testing.F) {
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -30,7 +30,9 @@
 	// closedByUpstream is set if the upstream closed the connection before its response was
 	// complete.
 	closedByUpstream bool
-	err              error
+	// unproved is set if a stream was passed on up to an end that does not prove it to be complete.
+	unproved bool
+	err      error
 }
 
 // closedByUpstream reports whether a send failed because the upstream closed the connection.
@@ -229,6 +231,9 @@
 	switch {
 	case response.Status/100 == 2 && info.Signature == "":
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", response.Status)}
+	case rq.headSent && response.Status/100 != 2:
+		// The client has a part of a stream, of which this response can't be the remainder.
+		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d for the remainder of a stream", response.Status)}
 	case response.Status/100 == 2 && rq.route.Stream:
 		return rq.relayStream(upstream, response)
 	default:
@@ -260,11 +265,15 @@
 		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
 }
 
-// recordSendFailure logs a failed send. Unless the request itself has ended, the upstream is
-// avoided for a while.
+// recordSendFailure logs a failed send. Unless the request itself has ended, or only the proof of a
+// stream's end is missing, the upstream is avoided for a while.
 func (rq *request) recordSendFailure(upstream routes.Upstream, err error) {
 	id := upstream.ID
 	f, ok := err.(*sendFailure)
+	if ok && f.unproved {
+		rq.recordUnproved(upstream)
+		return
+	}
 	if ok && rq.ctx.Err() == nil {
 		rq.markFailed(id)
 	}
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -35,6 +35,8 @@
 	// chunks. Otherwise the body ends with the connection, which can't be distinguished from a
 	// crash of the upstream's process.
 	Framed bool
+	// Length is the length of the body that the head of the response gives, -1 if it gives none.
+	Length int64
 
 	client   *Client
 	conn     *conn
@@ -49,14 +51,15 @@
 // Do sends a request and waits for the head of its response until ctx ends. If an error
 // has the code Unavailable, nothing was sent; with any other code the request may have run.
 func (c *Client) Do(ctx context.Context, addr string, r Request) (*Response, error) {
-	acquired, err := c.acquire(ctx, addr)
+	acquired, err := c.acquire(ctx, addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
 	if r.ShouldSend != nil && !r.ShouldSend() {
 		c.release(acquired)
-		return nil, fault.New(fault.Unavailable, "upstream.send", addr, "upstream no longer accepts requests")
+		return nil, fault.Wrap(fault.Unavailable, "upstream.send", addr, ErrWithdrawn)
 	}
+	acquired.carry(r.ID)
 	stop := context.AfterFunc(ctx, acquired.close)
 	writer := startWrite(acquired, r)
 	response, err := c.receive(acquired, r, writer)
@@ -188,6 +191,7 @@
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
 		Framed:   resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Length:   resp.ContentLength,
 		client:   c,
 		conn:     from,
 		body:     resp.Body,
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -23,6 +23,13 @@
 	LinesDropped         = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
+// Events of upstreams and zones after the store returned from an older copy: 10090 to 10099.
+var (
+	UpstreamHeld       = define(10090, "upstream_held", "The store returned from an older copy, in which the entry of an upstream is ready that was leaving or removed before; the upstream gets no new work until its entry is written again or the hold ends.", "upstream", "service", "address", "reason", "revision", "hold_ms")
+	UpstreamHoldEnded  = define(10091, "upstream_hold_ended", "The entry of a held upstream counts again; cause is written if it was written since the return, expired if the hold has ended.", "upstream", "reason", "cause")
+	ZoneEvacuationKept = define(10092, "zone_evacuation_kept", "The store returned from an older copy that lacks the evacuation of a zone; it stays in force until the operator writes it again or the hold ends.", "zone", "hold_ms")
+)
+
 // Events of a store that has returned from an older copy of itself: 10100 to 10109.
 var (
 	StoreEraChanged  = define(10100, "store_era_changed", "The store has returned from an older copy of itself: the objects of a kind were replaced by those that it holds now.", "kind", "old_era", "old_revision", "era", "revision", "objects_before", "objects")
@@ -38,21 +45,24 @@
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway responded to a request itself; with status 429 or 503 no part of the request ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
 	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream. Attempts with one fingerprint have the same workspace, target and body.", "request", "fingerprint", "route", "version", "service", "upstream", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
 	GatewayFailed   = define(10022, "gateway_failed", "A request sent to an upstream got no usable response.", "request", "fingerprint", "upstream", "attempt", "step", "ran", "error")
-	GatewayAnswered = define(10023, "gateway_answered", "A response was sent to the client in full.", "request", "route", "status", "upstream", "events", "first_us", "used_ms", "objective_ms", "duration_us")
+	GatewayAnswered = define(10023, "gateway_answered", "A response was sent to the client up to its end; proved reports whether that end is known to be the end of the upstream's response.", "request", "route", "status", "upstream", "events", "proved", "first_us", "used_ms", "objective_ms", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "A response could not be completed; the client's connection was closed.", "request", "route", "upstream", "events", "error", "duration_us")
 	GatewayLeft     = define(10025, "gateway_left", "The client disconnected before its response; the work was cancelled.", "request", "route", "step", "duration_us")
+	GatewayUnproved = define(10028, "gateway_unproved", "A stream ended with its upstream's connection, which does not prove that it is complete; another upstream is asked for the remainder if that is allowed.", "request", "upstream", "attempt", "events", "last")
+	GatewayDisorder = define(10029, "gateway_disorder", "An event of an upstream's stream had an ID that is not above that of the last event that the client has; nothing more of that upstream is passed on.", "request", "upstream", "attempt", "events", "last", "got")
 	StageDone       = define(10026, "stage_done", "A stage of a request completed with results.", "request", "stage", "service", "owner", "pieces", "duration_us")
 	StageFailed     = define(10027, "stage_failed", "A stage of a request ended without results.", "request", "stage", "service", "owner", "reason", "duration_us")
 )
 
 // Events of stage pools and their owners: 10050 to 10069.
 var (
-	PoolCall        = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
-	PoolCallFailed  = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
-	PoolOwnerLost   = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
-	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
-	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
-	PoolHandedOver  = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCall          = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
+	PoolCallFailed    = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
+	PoolOwnerLost     = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
+	PoolOwnerJoined   = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
+	PoolFreeFailed    = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
+	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
+	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
