--- a/gateway/view/restored.go
+++ b/gateway/view/restored.go
@@ -5,7 +5,6 @@
 
 	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
-	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -148,13 +147,6 @@
 	}
 }
 
-// recordGap records that discovery may lack entries of upstreams that run: the store has lost them.
-func (p *proofTracker) recordGap() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.gapEnded = clock.Boot()
-}
-
 // expireHolds makes the upstreams available whose holds have ended.
 func (r *upstreamReceiver) expireHolds() { r.expireHoldsAt(time.Now()) }
 
