Hold trials back where a return of the store is learned late

No trial is made for 3 s after the store has returned from an older copy. A gateway that learned of the return by the store's response to the claim of a trial, and one that started just after the return, still sent theirs at once, while a trial reserved before ran. A trial is now not sent within that time either, and the time begins also with the first records that a gateway that starts has read.

Two tests fail without the changes.

--- a/gateway/quarantine/guard.go
+++ b/gateway/quarantine/guard.go
@@ -52,8 +52,8 @@
 	metrics metrics
 	// wake makes Run check whether the record must be written.
 	wake chan struct{}
-	// returnedAt is the boot time at which the store's last return from an older copy was heard of, 0 if
-	// there was none.
+	// returnedAt is the boot time at which the store's last return from an older copy, or its first era, was
+	// heard of, 0 if there was none.
 	returnedAt atomic.Int64
 
 	mu    sync.Mutex
@@ -62,6 +62,8 @@
 	// writing is set while a write of the record is in flight.
 	revision int64
 	writing  bool
+	// listed is set once the records were listed.
+	listed bool
 	// confirmed counts the confirmed crashes; for those up to reported, a write of the record has
 	// succeeded or failed. writeEnded is closed, and replaced, after each write.
 	confirmed, reported int
@@ -199,7 +201,8 @@
 // records again.
 const trialHold = reservationTTL
 
-// StoreReturned records that the store has returned from an older copy. It does not block.
+// StoreReturned records that the store has returned from an older copy, or may just have. It does not
+// block.
 func (g *Guard) StoreReturned(int64) { g.returnedAt.Store(int64(clock.Boot())) }
 
 // storeReturned reports whether the store has returned from an older copy within trialHold.
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -148,6 +148,10 @@
 		foreign = foreign || object.Name == g.options.Name && g.isForeign(object, before) && !g.state.IsRestored(record)
 	}
 	now := clock.Boot()
+	if era := g.options.Era(); era > 0 && !g.listed {
+		g.StoreReturned(era) // it may have returned just before this process started
+	}
+	g.listed = true
 	g.state.Reset(records, now)
 	if own, known := records[g.options.Name]; known && foreign {
 		g.state.Adopt(own, now)
--- a/gateway/quarantine/reservation.go
+++ b/gateway/quarantine/reservation.go
@@ -208,7 +208,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	held, reserved := g.reservations[trialName(request, pass.trial)]
-	return reserved && held.era == era && clock.Boot() < held.sendBy
+	return reserved && held.era == era && clock.Boot() < held.sendBy && !g.storeReturned()
 }
 
 // Release ends the reservation for the trial of a Pass, in the background.
--- a/gateway/quarantine/return_test.go
+++ b/gateway/quarantine/return_test.go
@@ -59,6 +59,27 @@
 	assert.Assert(t, pass.IsTrial())
 }
 
+// TestNoTrialIsSentRightAfterAReturnThatItsGatewayLearnsOfLate: the store's response to the claim of the trial
+// may be the first one of the new era.
+func TestNoTrialIsSentRightAfterAReturnThatItsGatewayLearnsOfLate(t *testing.T) {
+	list, _ := newGuards(t, 1)
+	assert.Assert(t, acquireFirstTrial(t, list[0]))
+	list[0].StoreReturned(2)
+	assert.Equal(t, reserveFor(t, list[0], crashing, firstPass, third), ReservationHeld)
+	assert.Assert(t, !list[0].MaySend(crashing, firstPass))
+}
+
+// TestAGatewayThatStartsMakesNoTrialAtOnce: the store may have returned just before.
+func TestAGatewayThatStartsMakesNoTrialAtOnce(t *testing.T) {
+	list, trials := newGuards(t, 1)
+	trials.era.Store(1)
+	list[0].Reset(nil)
+	assert.Assert(t, list[0].storeReturned())
+	list[0].returnedAt.Store(0)
+	list[0].Reset(nil)
+	assert.Assert(t, !list[0].storeReturned(), "a later list does not begin an era")
+}
+
 // TestALastTrialReadAcrossAReturnIsNotFollowedByAnother: what was written to its object may be lost.
 func TestALastTrialReadAcrossAReturnIsNotFollowedByAnother(t *testing.T) {
 	list, trials := newGuards(t, 2)
