--- a/core/quarantine/promises_test.go
+++ b/core/quarantine/promises_test.go
@@ -172,6 +172,8 @@
 		"a lost trial is the last one":             {identify: identity, noRetry: true, killedTrials: true},
 		"a lost trial is repeated anywhere":        {identify: identity, noRepeat: true},
 		"planned ends count as crashes":            {identify: identity, noPlannedEnds: true},
+		"what the store lost is forgotten":         {identify: identity, returns: true, noKeep: true},
+		"trials go on when the store returns":      {identify: identity, returns: true, noEras: true},
 	} {
 		found := ""
 		for seed := uint64(0); seed < 300 && found == ""; seed++ {
