--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -109,7 +109,13 @@
 func newOwner(t *testing.T, script ...func([]stagecall.Item) (int, []stagecall.Result)) (*Owner, *stageWorker) {
 	t.Helper()
 	w := &stageWorker{script: script}
-	server := httptest.NewServer(w)
+	return newOwnerOf(t, w), w
+}
+
+// newOwnerOf returns an owner with one worker, whose calls handler serves.
+func newOwnerOf(t *testing.T, handler http.Handler) *Owner {
+	t.Helper()
+	server := httptest.NewServer(handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := &routes.Pool{Slots: 1, Batch: 4, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, RoomBytes: 1 << 20, KeepTime: 4 * time.Second}
 	logger, err := observe.NewLogger(io.Discard, "test", "error")
@@ -130,7 +136,7 @@
 		client.Close()
 		server.Close()
 	})
-	return o, w
+	return o
 }
 
 // task returns a task with one item.
