Keep the results of a stage call that arrived whole before its answer broke off

A stage call whose answer broke off lost all of its results: the body was only read as one document. Requests waited for items that had already been made, and the results took room at their upstream until they expired. An upstream that stops in the middle of an answer, or an answer above the accepted size, was enough.

The response is now read result by result. Each is a JSON object, so it is known to be whole, and the end of the list marks the end of the answer, also if it has neither a length nor chunks. Only items whose result did not arrive are run again. The call still counts as failed, and its log line says how many items have a result. A status other than 200 counts also if its body breaks off.

TestResultsThatCameWholeOutliveABrokenAnswer failed before with 'failed' for the task in all four cases and passes now. Its case without a last chunk had a chunk size that was wrong; it is corrected here.

--- a/gateway/pools/answer_test.go
+++ b/gateway/pools/answer_test.go
@@ -86,7 +86,7 @@
 	for name, broken := range map[string]string{
 		"no length":            unframed(cut),
 		"shorter than length":  "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + cut,
-		"without last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1f\r\n\"items\":[{\"handle\":\"10.0.0.1/1\"},\r\n",
+		"without last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n21\r\n\"items\":[{\"handle\":\"10.0.0.1/1\"},\r\n",
 		"longer than accepted": unframed(`{"items":[{"handle":"ADDRESS/1"},{"handle":"` + strings.Repeat("x", maxResultBytes)),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -23,21 +23,23 @@
 
 // call makes one call and records its outcome.
 func (o *Owner) call(p *ownedPart, call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) {
-	results, err := o.run(call, items, maxRemaining)
+	response, err := o.run(call, items, maxRemaining)
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took := now.Sub(call.StartedAt)
-	if err != nil {
-		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
-			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
-		if !cutByDeadline(took, maxRemaining, call.Expected) {
-			p.queue.Fail(call, now)
-		}
-		results = nil
+	results, countErr := assign(response, len(items))
+	if err == nil {
+		err = countErr
+	}
+	if err != nil && !cutByDeadline(took, maxRemaining, call.Expected) {
+		p.queue.Fail(call, now)
 	}
 	made := o.finish(p, call, results, now)
-	if err == nil {
+	if err != nil {
+		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
+			"items": len(items), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
+	} else {
 		p.queue.Succeed(call, now)
 		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
@@ -57,22 +59,24 @@
 	return took >= maxRemaining-deadlineSlack && took < expected
 }
 
-// run sends a batch and returns its results.
-func (o *Owner) run(call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) ([]stagecall.Result, error) {
+// run sends a batch and returns its response. With an error, the response holds what arrived before it.
+func (o *Owner) run(call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) (stagecall.Response, error) {
 	ctx, cancel := context.WithTimeout(o.lifetime, min(call.Timeout, maxRemaining))
 	defer cancel()
 	body, err := stagecall.RunBody(items)
 	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
+		return stagecall.Response{}, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
 	}
 	content, err := o.post(ctx, call.Upstream, stagecall.RunPath, body, maxRemaining)
-	if err != nil {
-		return nil, err
+	response, decodeErr := stagecall.ReadResponse(content)
+	if err == nil {
+		err = decodeErr
 	}
-	return stagecall.Results(content, len(items))
+	return response, err
 }
 
-// post sends one request to an upstream of a pool and returns the response body.
+// post sends one request to an upstream of a pool and returns the response body. If the body breaks off,
+// post returns the part that arrived and an error.
 func (o *Owner) post(ctx context.Context, to routes.Upstream, path string, body []byte, remaining time.Duration) ([]byte, error) {
 	response, err := o.client.Do(ctx, to.Address, httpconn.Request{
 		Method: http.MethodPost,
@@ -86,8 +90,8 @@
 	}
 	defer response.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
-	if err != nil {
-		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
+	if err != nil && response.Status == http.StatusOK {
+		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
 	}
 	hints := header.ReadResponse(response.Status, response.Header)
 	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -37,7 +37,7 @@
 // Events of stage pools and their owners: 10050 to 10069.
 var (
 	PoolCall        = define(10050, "pool_call", "An upstream of a pool returned the results of a batch.", "service", "upstream", "items", "made", "waiting", "duration_us")
-	PoolCallFailed  = define(10051, "pool_call_failed", "A batch returned no results; its items are retried.", "service", "upstream", "items", "error", "duration_us")
+	PoolCallFailed  = define(10051, "pool_call_failed", "A call for a batch failed or its response broke off; items without a result are retried.", "service", "upstream", "items", "made", "error", "duration_us")
 	PoolOwnerLost   = define(10052, "pool_owner_lost", "An owner of pools does not respond or is gone; its tasks go to the next owner.", "owner", "tasks", "error")
 	PoolOwnerJoined = define(10053, "pool_owner_joined", "A connection to an owner of pools was opened.", "owner")
 	PoolFreeFailed  = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
