Free the results of a stage call that can't be assigned to its items

An answer to a stage call with fewer or more results than items was rejected, and its results stayed at their upstream until they expired: later items found no room there. Nobody else knows their handles. They are freed now.

TestResultsThatCanNotBeAssignedAreFreed failed before, as nothing was freed within 10 s, and passes now.

--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -28,9 +28,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took := now.Sub(call.StartedAt)
-	results, countErr := assign(response, len(items))
+	results, assignErr := p.assign(response, len(items))
 	if err == nil {
-		err = countErr
+		err = assignErr
 	}
 	if err != nil && !cutByDeadline(took, maxRemaining, call.Expected) {
 		p.queue.Fail(call, now)
--- a/gateway/pools/results.go
+++ b/gateway/pools/results.go
@@ -7,10 +7,11 @@
 
 // assign returns the result of each of a number of items. Items whose result did not arrive in a response
 // that broke off have failed. If the response has another number of results, it is unknown which items
-// they belong to, and assign returns none.
-func assign(response stagecall.Response, items int) ([]stagecall.Result, error) {
+// they belong to: assign frees them and returns none.
+func (p *ownedPart) assign(response stagecall.Response, items int) ([]stagecall.Result, error) {
 	received := len(response.Results)
 	if received > items || response.Ended && received < items {
+		p.free(handlesOf(response))
 		return nil, fault.New(fault.Unavailable, "stage.assign", "", "%d results for %d items", received, items)
 	}
 	results := response.Results
@@ -19,3 +20,14 @@
 	}
 	return results, nil
 }
+
+// handlesOf returns the handles in a response.
+func handlesOf(response stagecall.Response) []string {
+	var handles []string
+	for _, result := range response.Results {
+		if result.Handle != "" {
+			handles = append(handles, result.Handle)
+		}
+	}
+	return handles
+}
