Don't give a request the results of an earlier stage call

An upstream may send an answer twice. Answers to stage calls carry no ID, so the second one was taken for the answer to the next call on that connection, and a request got the results of another one as its inputs.

A result whose handle is already held for another item proves that the answer belongs to an earlier call. Such an answer counts as a failed call, and nothing in it is freed, as other requests need it.

--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -28,14 +28,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took := now.Sub(call.StartedAt)
-	results, assignErr := p.assign(response, len(items))
+	results, assignErr := o.assign(p, response, items)
 	if err == nil {
 		err = assignErr
 	}
 	if err != nil && !cutByDeadline(took, maxRemaining, call.Expected) {
 		p.queue.Fail(call, now)
 	}
-	made := o.finish(p, call, results, now)
+	made := o.finish(p, call, items, results, now)
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
@@ -103,7 +103,7 @@
 
 // finish records the results of a call, nil if it failed, and returns how many items have a
 // result.
-func (o *Owner) finish(p *ownedPart, call *pool.Call, results []stagecall.Result, now time.Time) int {
+func (o *Owner) finish(p *ownedPart, call *pool.Call, items []stagecall.Item, results []stagecall.Result, now time.Time) int {
 	outcomes := make([]pool.Outcome, len(call.Items))
 	reasons := make(map[*pool.Item]Failure)
 	made := 0
@@ -115,7 +115,8 @@
 		if result.Handle != "" {
 			outcomes[i] = pool.Done
 			made++
-			o.recordResult(p, call, item, result.Handle, now)
+			kept := keptResult{upstream: call.Upstream, item: keyOf(items[i]), bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+			o.recordResult(p, item, result.Handle, kept)
 			continue
 		}
 		outcomes[i], reasons[item] = p.outcome(item, result.Reason)
@@ -146,8 +147,8 @@
 
 // recordResult records one result. The last result of a task ends the task; a result whose task
 // has already ended is freed.
-func (o *Owner) recordResult(p *ownedPart, call *pool.Call, item *pool.Item, handle string, now time.Time) {
-	p.results[handle] = keptResult{upstream: call.Upstream, bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+func (o *Owner) recordResult(p *ownedPart, item *pool.Item, handle string, kept keptResult) {
+	p.results[handle] = kept
 	task := p.tasks[item.Task.Ticket]
 	if task == nil {
 		p.free([]string{handle})
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -81,6 +81,7 @@
 // keptResult is a result that an upstream keeps.
 type keptResult struct {
 	upstream routes.Upstream
+	item     itemKey
 	bytes    int64
 	until    time.Time
 }
