--- a/gateway/pools/answer_test.go
+++ b/gateway/pools/answer_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/gateway/view"
 	"acaciawinch/platform/stagecall"
 )
 
@@ -131,3 +132,30 @@
 	assert.Assert(t, strings.HasSuffix(other.Handles[0], "/2"), "%q", other.Handles)
 	assert.Equal(t, len(w.freed), 0, "the results of the first request must be kept")
 }
+
+// recordingFleet is a Fleet that passes on what upstreams report.
+type recordingFleet struct {
+	Fleet
+	reports chan view.UpstreamReport
+}
+
+// RecordUpstreamReport implements Fleet.
+func (f recordingFleet) RecordUpstreamReport(report view.UpstreamReport) { f.reports <- report }
+
+// TestAnnouncementInTheHeadOutlivesABrokenAnswer: the head of an answer counts, also if its body breaks
+// off.
+func TestAnnouncementInTheHeadOutlivesABrokenAnswer(t *testing.T) {
+	w := newRawWorker("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 500\r\n\r\n{")
+	o := newOwnerOf(t, w)
+	fleet := recordingFleet{Fleet: o.fleet, reports: make(chan view.UpstreamReport, 10)}
+	o.mu.Lock()
+	o.fleet = fleet
+	o.mu.Unlock()
+	result := submit(o.Session(true), 1, task("a"), nil)
+	select {
+	case report := <-fleet.reports:
+		assert.Assert(t, report.Leaving)
+	case failed := <-result:
+		t.Fatalf("nothing was reported; the task ended with %+v", failed)
+	}
+}
