Take what the head of a stage answer says also if its body breaks off

An upstream that ends in the middle of its answer to a stage call had announced in the head of that answer that it leaves, or asked for a pause. The gateway read the head only after the whole body, so the announcement was lost with the body, and the upstream was asked again.

The head is read first now. TestAnnouncementInTheHeadOutlivesABrokenAnswer failed before, as nothing was reported, and passes now.

--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -89,12 +89,12 @@
 		return nil, err
 	}
 	defer response.Close()
+	hints := header.ReadResponse(response.Status, response.Header)
+	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
 	if err != nil && response.Status == http.StatusOK {
 		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
 	}
-	hints := header.ReadResponse(response.Status, response.Header)
-	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
 	if response.Status != http.StatusOK {
 		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", response.Status, hints.NotRun)
 	}
