--- a/gateway/quarantine/trial_test.go
+++ b/gateway/quarantine/trial_test.go
@@ -96,12 +96,14 @@
 
 // storedList is a list on the wire.
 type storedList struct {
-	Items []storedObject `json:"items"`
+	Items    []storedObject `json:"items"`
+	HasMore  bool           `json:"has_more"`
+	Revision int64          `json:"store_revision"`
 }
 
 // list returns all objects.
 func (s *trialStore) list() storedList {
-	list := storedList{Items: []storedObject{}}
+	list := storedList{Items: []storedObject{}, Revision: 1}
 	for name, spec := range s.specs {
 		list.Items = append(list.Items, s.stored(name, spec))
 	}
