Play responses whose end is not marked and streams out of order in the soak

A worker may now send half of a response without a length or chunks (a stream up to the end of an event, a plain answer, a stage answer), repeat an event of a stream or begin it again in its middle. The judge takes a response as complete only if its length or chunks mark its end, and checks that what a client has of any response is the beginning of the right one: its IDs only go up, and no piece is missing or foreign.

--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -49,7 +49,8 @@
 	// Status is 0 if no response arrived.
 	Status int
 	Body   string
-	// Complete is set if the whole response arrived, Signed if it has the signature of an upstream.
+	// Complete is set if the response arrived up to the end that its length or chunks mark, Signed if it has
+	// the signature of an upstream.
 	Complete, Signed bool
 	// Err says why the response is missing or incomplete.
 	Err string
@@ -129,7 +130,8 @@
 	}
 	o.Status, o.Signed = response.StatusCode, response.Header.Get("X-Response-Stamp") != ""
 	body, err := io.ReadAll(response.Body)
-	o.Body, o.Complete = string(body), err == nil
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	o.Body, o.Complete = string(body), err == nil && framed
 	if err != nil {
 		o.Err = err.Error()
 	}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -46,6 +46,8 @@
 		s.leaveWorker(ctx, step)
 	case BackOffWorker:
 		s.backOffWorker(ctx, step)
+	case DisorderWorker:
+		s.disorderWorker(ctx, step)
 	case ChangeConfiguration, RevokeKey:
 		s.configure(step.Kind == RevokeKey)
 	default:
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -101,10 +101,20 @@
 		return "was read before a planned stop and got no answer"
 	case o.Status == http.StatusOK && o.Complete:
 		return judgeSuccess(o, runs)
+	case o.Status == http.StatusOK && !strings.HasPrefix(wholeBody(o), o.Body):
+		return fmt.Sprintf("got a part of a response with a gap, a repetition or foreign bytes: %q", o.Body)
 	}
 	return ""
 }
 
+// wholeBody returns the whole body of the response to a request.
+func wholeBody(o Outcome) string {
+	if o.Route == streamingRoute {
+		return completeStream(o.ID)
+	}
+	return "answer of " + o.ID
+}
+
 // judgeSuccess returns what is wrong with a complete successful response, or "".
 func judgeSuccess(o Outcome, runs int) string {
 	switch {
@@ -112,9 +122,9 @@
 		return "was answered and never ran"
 	case !o.Signed:
 		return "was answered without a signature"
-	case o.Route != streamingRoute && o.Body != "answer of "+o.ID:
+	case o.Route != streamingRoute && o.Body != wholeBody(o):
 		return fmt.Sprintf("got another answer: %q", o.Body)
-	case o.Route == streamingRoute && o.Body != completeStream(o.ID):
+	case o.Route == streamingRoute && o.Body != wholeBody(o):
 		return fmt.Sprintf("got a stream with a gap, a repetition or a foreign event: %q", o.Body)
 	}
 	return ""
--- a/standin/soak/judge_test.go
+++ b/standin/soak/judge_test.go
@@ -33,6 +33,17 @@
 	return strings.Join(e.violations(true), "; ")
 }
 
+// TestAPartOfAResponseIsNoViolation: a response whose end is not marked may end early.
+func TestAPartOfAResponseIsNoViolation(t *testing.T) {
+	for _, route := range []string{safeRoute, streamingRoute} {
+		for length := range len(served(route).Body) {
+			o := served(route)
+			o.Complete, o.Body = false, o.Body[:length]
+			assert.Equal(t, violationsOf(o, 1, evidence{}), "", o.Body)
+		}
+	}
+}
+
 // TestEachBrokenPromiseIsFound: each promise is broken in turn, so that a check that can't fail is
 // noticed.
 func TestEachBrokenPromiseIsFound(t *testing.T) {
@@ -52,6 +63,10 @@
 		{"without a signature", 1, func(o *Outcome) { o.Signed = false }, evidence{}, safeRoute},
 		{"another answer", 1, func(o *Outcome) { o.Body = "answer of q" }, evidence{}, safeRoute},
 		{"a gap", 1, func(o *Outcome) { o.Body = strings.Replace(o.Body, "id: 3\ndata: r 3\n\n", "", 1) }, evidence{}, streamingRoute},
+		{"a gap", 1, func(o *Outcome) { o.Body = o.Body[:strings.Index(o.Body, "id: 3")] }, evidence{}, streamingRoute},
+		{"a repetition", 1, func(o *Outcome) { o.Complete, o.Body = false, "id: 1\ndata: r 1\n\nid: 1\n" }, evidence{}, streamingRoute},
+		{"a repetition", 1, func(o *Outcome) { o.Complete, o.Body = false, "id: 2\ndata: r 2\n\n" }, evidence{}, streamingRoute},
+		{"foreign bytes", 1, func(o *Outcome) { o.Complete, o.Body = false, "answer of q" }, evidence{}, safeRoute},
 		{"allowed", 0, func(o *Outcome) { o.Status = 401 }, evidence{}, safeRoute},
 		{"allowed", 0, func(o *Outcome) { o.Status = 404 }, evidence{}, safeRoute},
 		{"key that had been taken away", 1, func(o *Outcome) { o.Key = spareKey }, revoked, safeRoute},
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -184,7 +184,9 @@
 func (s *soak) runSteps(ctx context.Context) error {
 	began := time.Now()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, step := range append(Plan(s.options.Seed, s.options.Steps), planWorkers(s.options.Seed)...) {
+	steps := append(Plan(s.options.Seed, s.options.Steps), planWorkers(s.options.Seed)...)
+	steps = append(steps, planDisorder(s.options.Seed)...)
+	for _, step := range steps {
 		group.Go(func() error {
 			sleep(ctx, time.Until(began.Add(step.At)))
 			s.note(step.String())
--- a/standin/worker/stage.go
+++ b/standin/worker/stage.go
@@ -56,6 +56,11 @@
 		}
 	}
 	out.Header().Set("Content-Type", "application/json")
+	if w.consume(&w.faults.Unmarked) {
+		content, _ := json.Marshal(response) // never fails for these fields
+		sendHalf(out, string(content))
+		return
+	}
 	_ = json.NewEncoder(out).Encode(response) // a caller that has disconnected needs no response
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -41,6 +41,11 @@
 	Unsigned int
 	// NoRoom and Gone fail stage items with the reasons "room" and "gone".
 	NoRoom, Gone int
+	// Unmarked sends half of a response without a length or chunks, a stream up to the end of an event, and
+	// closes the connection.
+	Unmarked int
+	// Repeat sends an event of a stream twice. Restart begins a stream again in its middle.
+	Repeat, Restart int
 }
 
 // Run is a request that a worker started to run.
@@ -280,6 +285,10 @@
 	if w.consume(&w.faults.Cut) {
 		panic(http.ErrAbortHandler)
 	}
+	if w.consume(&w.faults.Unmarked) {
+		sendHalf(out, "answer of "+id)
+		return
+	}
 	_, _ = io.WriteString(out, "answer of "+id) // a caller that has disconnected needs no response
 }
 
@@ -295,8 +304,13 @@
 		first = n
 	}
 	out.Header().Set("Content-Type", "text/event-stream")
-	cut := w.consume(&w.faults.Cut)
-	for number := first + 1; number <= w.Events; number++ {
+	cut, unmarked := w.consume(&w.faults.Cut), w.consume(&w.faults.Unmarked)
+	numbers := eventNumbers(first+1, w.Events, w.consume(&w.faults.Repeat), w.consume(&w.faults.Restart))
+	if unmarked {
+		removeMark(out)
+		numbers = numbers[:(len(numbers)+1)/2]
+	}
+	for _, number := range numbers {
 		if cut && number > first+1 {
 			_, _ = io.WriteString(out, "id: ")          // a part of an event before the connection is closed
 			_ = http.NewResponseController(out).Flush() // a caller that has disconnected needs no event
