--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -24,7 +24,7 @@
 
 // call makes one call and records its outcome.
 func (o *Owner) call(p *ownedPart, b *batch) {
-	results, err := o.run(p, b)
+	response, err := o.run(p, b)
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -34,16 +34,18 @@
 		o.sendCalls(p, now)
 		return
 	}
+	results, assignErr := o.assign(p, response, b.body)
+	if err == nil {
+		err = assignErr
+	}
+	if err != nil && !cutByDeadline(took, b.maxRemaining, b.Expected) {
+		p.queue.Fail(b.Call, now)
+	}
+	made := o.finish(p, b, results, now)
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": b.Upstream.ID,
-			"items": len(b.body), "error": err.Error(), "duration_us": took.Microseconds()})
-		if !cutByDeadline(took, b.maxRemaining, b.Expected) {
-			p.queue.Fail(b.Call, now)
-		}
-		results = nil
-	}
-	made := o.finish(p, b.Call, results, now)
-	if err == nil {
+			"items": len(b.body), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
+	} else {
 		p.queue.Succeed(b.Call, now)
 		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": b.Upstream.ID,
 			"items": len(b.body), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
@@ -79,13 +81,14 @@
 	return took >= maxRemaining-deadlineSlack && took < expected
 }
 
-// run sends a batch and returns its results. It sends nothing if the upstream takes no work any more.
-func (o *Owner) run(p *ownedPart, b *batch) ([]stagecall.Result, error) {
+// run sends a batch and returns its response. With an error, the response holds what arrived before it. It
+// sends nothing if the upstream takes no work any more.
+func (o *Owner) run(p *ownedPart, b *batch) (stagecall.Response, error) {
 	ctx, cancel := context.WithTimeout(o.lifetime, min(b.Timeout, b.maxRemaining))
 	defer cancel()
 	body, err := stagecall.RunBody(b.body)
 	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "stage.encode", b.Upstream.ID, err)
+		return stagecall.Response{}, fault.Wrap(fault.Internal, "stage.encode", b.Upstream.ID, err)
 	}
 	request := o.message(b.Upstream, stagecall.RunPath, body, b.maxRemaining)
 	request.ShouldSend = func() bool {
@@ -96,10 +99,11 @@
 		return true
 	}
 	content, err := o.post(ctx, b.Upstream, request)
-	if err != nil {
-		return nil, err
+	response, decodeErr := stagecall.ReadResponse(content)
+	if err == nil {
+		err = decodeErr
 	}
-	return stagecall.Results(content, len(b.body))
+	return response, err
 }
 
 // message returns a request to an upstream of a pool.
@@ -113,19 +117,20 @@
 	}
 }
 
-// post sends one request to an upstream of a pool and returns the response body.
+// post sends one request to an upstream of a pool and returns the response body. If the body breaks off,
+// post returns the part that arrived and an error.
 func (o *Owner) post(ctx context.Context, to routes.Upstream, request httpconn.Request) ([]byte, error) {
 	response, err := o.client.Do(ctx, to.Address, request)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
-	if err != nil {
-		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
-	}
 	hints := header.ReadResponse(response.Status, response.Header)
 	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
+	if err != nil && response.Status == http.StatusOK {
+		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
+	}
 	if response.Status != http.StatusOK {
 		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", response.Status, hints.NotRun)
 	}
@@ -134,11 +139,11 @@
 
 // finish records the results of a call, nil if it failed, and returns how many items have a
 // result.
-func (o *Owner) finish(p *ownedPart, call *pool.Call, results []stagecall.Result, now time.Time) int {
-	outcomes := make([]pool.Outcome, len(call.Items))
+func (o *Owner) finish(p *ownedPart, b *batch, results []stagecall.Result, now time.Time) int {
+	outcomes := make([]pool.Outcome, len(b.Items))
 	reasons := make(map[*pool.Item]Failure)
 	made := 0
-	for i, item := range call.Items {
+	for i, item := range b.Items {
 		result := stagecall.Result{Reason: stagecall.ReasonFailed}
 		if results != nil {
 			result = results[i]
@@ -146,12 +151,13 @@
 		if result.Handle != "" {
 			outcomes[i] = pool.Done
 			made++
-			o.recordResult(p, call, item, result.Handle, now)
+			kept := keptResult{upstream: b.Upstream, item: keyOf(b.body[i]), bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+			o.recordResult(p, item, result.Handle, kept)
 			continue
 		}
 		outcomes[i], reasons[item] = p.outcome(item, result.Reason)
 	}
-	for _, item := range p.queue.Finish(call, outcomes, now) {
+	for _, item := range p.queue.Finish(b.Call, outcomes, now) {
 		o.fail(p, item.Task.Ticket, reasons[item])
 	}
 	return made
@@ -177,8 +183,8 @@
 
 // recordResult records one result. The last result of a task ends the task; a result whose task
 // has already ended is freed.
-func (o *Owner) recordResult(p *ownedPart, call *pool.Call, item *pool.Item, handle string, now time.Time) {
-	p.results[handle] = keptResult{upstream: call.Upstream, bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+func (o *Owner) recordResult(p *ownedPart, item *pool.Item, handle string, kept keptResult) {
+	p.results[handle] = kept
 	task := p.tasks[item.Task.Ticket]
 	if task == nil {
 		p.free([]string{handle})
