--- a/core/source/source.go
+++ b/core/source/source.go
@@ -6,10 +6,12 @@
 // score, are readers; the others each follow a reader. There is no agreement between the processes:
 // each computes the choice from the members that it knows, without those that failed it recently.
 // If two processes differ, there is a reader more or less, or a process follows a follower; that
-// costs calls or some ms. Correctness does not depend on the choice: each copy carries its revision
+// costs calls or some ms. Correctness does not depend on the choice: each copy carries its position
 // and never goes back (package replica), and each proof carries its time (package gateway/relay). A
-// proof is the time up to which a gateway knows of every revoked API key; an update is fresh while
-// its proof is younger than Settings.StaleAfter.
+// proof is the time up to which a gateway knows what the store held; an update is fresh while its
+// proof is younger than Settings.StaleAfter. That the proof does not count for API keys yet, because
+// the store has just returned from a copy (package era), makes no difference here: no other source
+// would have a better one.
 //
 // Why not all gateways read the store: a fleet of N gateways that all watch the store makes calls
 // in proportion to N, and to N squared when all are restarted one after the other.
--- a/gateway/view/era.go
+++ b/gateway/view/era.go
@@ -9,6 +9,7 @@
 	"acaciawinch/gateway/clock"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
+	"acaciawinch/platform/store"
 )
 
 // Era returns the newest era of the store that this process knows, heard from the store or from
@@ -26,11 +27,15 @@
 // hearStoreEra records the era of a response of the store.
 func (v *View) hearStoreEra(era int64) { v.era.hear(era, true) }
 
-// checkEra returns an error if the response to a call that began at a boot time is not of the newest
-// era: it arrived late, or the store no longer reports its era. Such a response proves nothing. If the
-// newest era was only heard from another gateway before the call began, that gateway uses another
-// store, as the era of one store never goes back: then the response's era counts.
-func (v *View) checkEra(era int64, began time.Duration) error {
+// checkEra returns an error if the response to a client's call that began at a boot time is not of the
+// newest era: it arrived late, or the store no longer reports its era. Such a response proves nothing, and
+// neither does one of the store at an earlier address. If the newest era was only heard from another
+// gateway before the call began, that gateway uses another store, as the era of one store never goes
+// back: then the response's era counts.
+func (v *View) checkEra(client *store.Client, era int64, began time.Duration) error {
+	if client != v.store.Load() {
+		return fault.New(fault.Unavailable, "view.era", client.Address(), "the store's address has changed")
+	}
 	if v.era.isForeign(era, began) {
 		v.options.Logger.Warn(event.StoreEraForeign, observe.Fields{"era": era, "heard": v.Era()})
 		v.moveStore()
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -262,10 +262,10 @@
 
 // list lists all objects.
 func (w *watcher) list(ctx context.Context) error {
-	began := clock.Boot()
-	found, err := w.view.store.Load().List(ctx, w.replica.name)
+	began, client := clock.Boot(), w.view.store.Load()
+	found, err := client.List(ctx, w.replica.name)
 	if err == nil {
-		err = w.view.checkEra(found.Era, began)
+		err = w.view.checkEra(client, found.Era, began)
 	}
 	if err != nil {
 		return err
@@ -285,9 +285,10 @@
 // watch waits for changes after a position and applies them.
 func (w *watcher) watch(ctx context.Context, position replica.Position) error {
 	began, wait, after := clock.Boot(), w.watchWait(), position.Revision
-	found, err := w.view.store.Load().Watch(ctx, w.replica.name, after, wait)
+	client := w.view.store.Load()
+	found, err := client.Watch(ctx, w.replica.name, after, wait)
 	if err == nil {
-		err = w.view.checkEra(found.Era, began)
+		err = w.view.checkEra(client, found.Era, began)
 	}
 	if err != nil {
 		return err
--- a/standin/gatewaytest/era_test.go
+++ b/standin/gatewaytest/era_test.go
@@ -107,3 +107,29 @@
 		}, "the new key is served")
 	}
 }
+
+// TestNoKeysAreRefusedAndFewCallsMadeWhenTheStoreReturnsAtOnce: the proof before the return holds until those
+// of the new era count, and held proofs keep the followers from reading the store themselves.
+func TestNoKeysAreRefusedAndFewCallsMadeWhenTheStoreReturnsAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.startWorker("desk-1", "desk", worker.Plain)
+	f.apply(configWithKey(1, "k1"))
+	gateways := []*runningGateway{f.start("g1"), f.start("g2"), f.start("g3")}
+	f.waitLines(2, "source_changed", `"reason":"follower"`, `"reads":false`)
+	for name, others := range map[string]string{"g1": `["g2","g3"]`, "g2": `["g1","g3"]`, "g3": `["g1","g2"]`} {
+		f.waitLines(1, "members_changed", `"process":"`+name+`"`, others) // the copy holds all of them
+	}
+	f.store.Copy()
+	calls := f.store.Calls()
+	f.store.ReturnFromCopy()
+	f.waitUntil(func() bool {
+		for _, g := range gateways {
+			got := f.send(g, "r", "GET", "/safe/x", "", "Authorization", "Bearer k1")
+			assert.Equal(t, got.status, http.StatusOK)
+		}
+		counting, _ := f.log.lines("proof_counts_again")
+		return len(counting) == len(gateways)
+	}, "the proofs of the new era count")
+	calls = f.store.Calls() - calls
+	assert.Assert(t, calls < 60, "%d calls", calls)
+}
