--- a/standin/gatewaytest/era_test.go
+++ b/standin/gatewaytest/era_test.go
@@ -133,3 +133,40 @@
 	calls = f.store.Calls() - calls
 	assert.Assert(t, calls < 60, "%d calls", calls)
 }
+
+// leaveBound is the time within which a leaving upstream must get nothing new.
+const leaveBound = 2 * time.Second
+
+// TestAnUpstreamThatLeavesAfterTheStoreReturnedFromACopyIsKnownInTime: the entry that says that the upstream
+// leaves gets a revision that the gateways' copies had passed before the return, and further writes follow it.
+func TestAnUpstreamThatLeavesAfterTheStoreReturnedFromACopyIsKnownInTime(t *testing.T) {
+	for _, others := range []int{0, 3, 40} {
+		t.Run(fmt.Sprintf("%d other writes", others), func(t *testing.T) {
+			f := newFleet(t)
+			desk := f.startWorker("desk-1", "desk", worker.Plain)
+			f.apply(baseConfig(1))
+			names := []string{"g1", "g2", "g3"}
+			for _, name := range names {
+				f.start(name)
+			}
+			f.waitLines(2, "source_changed", `"reason":"follower"`, `"reads":false`)
+			f.store.Copy()
+			for range 10 {
+				f.register(desk, "desk", "ready")
+			}
+			f.startWorker("desk-2", "desk", worker.Plain)
+			f.waitLines(len(names), "upstream_changed", `"desk-2"`)
+			f.returnFromCopy()
+			f.waitLines(1, "watch_regained", `"kind":"config"`)
+			f.register(desk, "desk", "draining")
+			accepted := time.Now()
+			for i := range others {
+				f.store.Put("others", fmt.Sprint("o", i), i)
+			}
+			for _, name := range names {
+				f.waitLines(1, "upstream_changed", `"process":"`+name+`"`, `"desk-1"`, `"leaving":true`)
+			}
+			assert.Assert(t, time.Since(accepted) < leaveBound, "known only after %v", time.Since(accepted))
+		})
+	}
+}
