--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 )
 
 // maxEventBytes bounds one event.
@@ -16,6 +17,20 @@
 	Bytes []byte
 	// ID is the ID of the event, empty if it has none.
 	ID string
+	// HasData is set if the event has a line of data. Others, such as comments, bring nothing.
+	HasData bool
+}
+
+// MayFollow reports whether an event with an ID may follow the event whose ID is last in a stream. IDs
+// increase, but may skip numbers. An ID that is empty or no number can't be compared and may follow
+// any.
+func MayFollow(id, last string) bool {
+	after, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	before, err := strconv.ParseUint(last, 10, 64)
+	return err != nil || after > before
 }
 
 // Reader reads the events of a stream.
@@ -55,5 +70,8 @@
 		if value, isID := bytes.CutPrefix(text, []byte("id:")); isID {
 			event.ID = string(bytes.TrimSpace(value))
 		}
+		if name, _, _ := bytes.Cut(text, []byte(":")); string(name) == "data" {
+			event.HasData = true
+		}
 	}
 }
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -86,8 +86,22 @@
 	// mayHaveRun is set after a send that can't be proved not to have run.
 	mayHaveRun bool
 	// headSent is set once the head of a response was passed to the client.
-	headSent     bool
-	lastEvent    string
+	headSent bool
+	// isStream is set if the client's response is a stream, of which upstreams send one event after
+	// the other.
+	isStream bool
+	// endsWithConnection is set if only the end of the client's connection marks the end of the
+	// response.
+	endsWithConnection bool
+	// doubtful is the last response of an upstream if the events passed on end with it and nothing
+	// proves them to be complete.
+	doubtful *passedOn
+	// lastEvent is the ID of the last event that the client has, from this response or, if it
+	// resumes a stream, from an earlier one; empty if there is none.
+	lastEvent string
+	// isPastLast is set if events without an ID have been passed on since the event with the ID
+	// lastEvent.
+	isPastLast   bool
 	events       int
 	firstEventAt time.Time
 	// results are the results of the stages; nil before the stages start, and on routes
@@ -203,9 +217,12 @@
 	return rq.refuse(status, "request.admit", detail, 0)
 }
 
-// plan sets the request's service, class, value and deadlines.
+// plan sets the request's service, class, value, deadlines and last event.
 func (rq *request) plan() {
 	rq.service = pickTarget(rq.route.Targets, rq.hdr.ID)
+	if rq.route.RetryPolicy == routes.Resumable {
+		rq.lastEvent = rq.hdr.LastEvent // upstreams of other routes need not heed it
+	}
 	rq.class = pools.Class{Priority: rq.route.Priority}
 	if rq.workspace != nil && rq.workspace.HasPriority {
 		rq.class.Rank = rq.workspace.Priority
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -22,7 +22,7 @@
 	if !errors.As(err, &f) {
 		return false
 	}
-	if f.mayHaveRun && (rq.route.RetryPolicy == routes.AtMostOnce || rq.headSent && rq.route.RetryPolicy != routes.Resumable) {
+	if f.mayHaveRun && (rq.route.RetryPolicy == routes.AtMostOnce || rq.headSent && !rq.canResume()) {
 		return false
 	}
 	if f.unsent && wasRefused(f) {
@@ -40,6 +40,12 @@
 	return again
 }
 
+// canResume reports whether the response that the client has a part of may go on at another upstream.
+// Events without an ID that follow the last one with an ID would come again.
+func (rq *request) canResume() bool {
+	return rq.isStream && !rq.isPastLast && rq.route.RetryPolicy == routes.Resumable
+}
+
 // maxUnreached bounds the upstreams that are tried for one request without reaching them, because
 // they don't respond or were replaced by others. It does not count those that refuse the connection:
 // that takes no time, and discovery still lists for seconds all that have ended together.
@@ -53,7 +59,8 @@
 }
 
 // giveUp ends a request that can't be served. It refuses the request, or closes the client's
-// connection if part of a response was already sent.
+// connection if part of a response was already sent. A stream that may be complete is ended, if its
+// head has not promised to mark the end.
 func (rq *request) giveUp(err error) {
 	if rq.wasBrokenOff {
 		rq.Guard.AwaitPublished(rq.ctx, rq.fingerprint)
@@ -65,11 +72,10 @@
 		rq.Logger.Event(event.GatewayLeft, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
 			"step": stepOf(err), "duration_us": took.Microseconds()})
 		panic(http.ErrAbortHandler)
+	case rq.doubtful != nil && rq.endsWithConnection:
+		rq.endInDoubt(*rq.doubtful)
 	case rq.headSent:
-		rq.Metrics.requestEnded("broken", took)
-		rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
-			"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
-		panic(http.ErrAbortHandler)
+		rq.breakOff(err)
 	case !rq.mayHaveRun:
 		rq.refuse(http.StatusServiceUnavailable, stepOf(err), err.Error(), rq.retryAfter(err))
 	case rq.ctx.Err() != nil:
@@ -79,6 +85,24 @@
 	}
 }
 
+// endInDoubt ends a stream that may be complete, as its upstream did.
+func (rq *request) endInDoubt(answer passedOn) {
+	if err := rq.endInOrder(); err != nil {
+		rq.breakOff(err)
+	}
+	rq.recordAnswer(answer)
+}
+
+// breakOff closes the client's connection within a response. It panics to abort the request, so it does
+// not return.
+func (rq *request) breakOff(err error) {
+	took := time.Since(rq.started)
+	rq.Metrics.requestEnded("broken", took)
+	rq.Logger.Warn(event.GatewayBroken, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name,
+		"upstream": last(rq.tried), "events": rq.events, "error": err.Error(), "duration_us": took.Microseconds()})
+	panic(http.ErrAbortHandler)
+}
+
 // retryAfter returns the Retry-After value for a request that failed with err and did not run.
 func (rq *request) retryAfter(err error) time.Duration {
 	var refusal *quarantine.Refusal
--- /dev/null
+++ b/gateway/flow/stream.go
@@ -0,0 +1,135 @@
+package flow
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciawinch/core/fault"
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/events"
+	"acaciawinch/gateway/framing"
+	"acaciawinch/gateway/httpconn"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
+)
+
+// relayStream passes on the events of a stream as they arrive, each one complete. If the
+// upstream fails, an incomplete event is dropped and the stream may continue at another
+// upstream. An upstream has also failed if the ID of an event is not above that of the last one: it
+// repeats itself, or does not go on where it was asked to.
+func (rq *request) relayStream(upstream routes.Upstream, response *httpconn.Response) error {
+	id := upstream.ID
+	if !rq.headSent {
+		if err := rq.startStream(response); err != nil {
+			return &sendFailure{mayHaveRun: true, err: err}
+		}
+	}
+	out := http.NewResponseController(rq.w)
+	reader := events.NewReader(response.Body)
+	for {
+		next, err := reader.Next()
+		if err == io.EOF {
+			return rq.endStream(upstream, response)
+		}
+		if err != nil {
+			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
+		}
+		if !events.MayFollow(next.ID, rq.lastEvent) {
+			rq.recordOutOfOrder(upstream, next.ID)
+			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
+		}
+		if err := rq.writeEvent(next, out); err != nil {
+			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
+		}
+	}
+}
+
+// startStream writes the head of a stream. If the upstream's head does not mark the end of the
+// stream, the client's does not either: what only the end of the connection marks can't be known to
+// be complete.
+func (rq *request) startStream(response *httpconn.Response) error {
+	if !rq.provesEnd(response) || !rq.r.ProtoAtLeast(1, 1) {
+		if err := rq.endWithConnection(); err != nil {
+			return err
+		}
+	}
+	rq.isStream = true
+	rq.copyHead(response)
+	rq.w.WriteHeader(response.Status)
+	return nil
+}
+
+// endWithConnection makes the client's response end with its connection, without a length or
+// chunks. Until endInOrder is called, that end is a reset. It must be called before the head of the
+// response is written.
+func (rq *request) endWithConnection() error {
+	if err := framing.ResetOnClose(rq.r); err != nil {
+		return err
+	}
+	rq.endsWithConnection = true
+	rq.w.Header().Set("Transfer-Encoding", "identity") // net/http then adds neither a length nor chunks
+	return nil
+}
+
+// endInOrder ends the client's response as one that was not broken off.
+func (rq *request) endInOrder() error {
+	if !rq.endsWithConnection {
+		return nil // a length or the last chunk marks the end
+	}
+	return framing.EndInOrder(rq.r)
+}
+
+// endStream ends a stream whose upstream has sent its last whole event. If the end proves nothing,
+// endStream returns a sendFailure, so that another upstream is asked for what may be missing.
+func (rq *request) endStream(upstream routes.Upstream, response *httpconn.Response) error {
+	if rq.provesEnd(response) {
+		if err := rq.endInOrder(); err != nil {
+			return &sendFailure{mayHaveRun: true, err: err}
+		}
+		rq.recordResponse(response, upstream)
+		return nil
+	}
+	rq.recordOutcome(response, upstream)
+	rq.doubtful = &passedOn{upstream: upstream, status: response.Status}
+	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
+}
+
+// recordOutOfOrder logs an event that was not passed on because of its ID.
+func (rq *request) recordOutOfOrder(upstream routes.Upstream, got string) {
+	rq.Logger.Warn(event.GatewayDisorder, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
+		"events": rq.events, "last": rq.lastEvent, "got": got})
+}
+
+// recordUnproved logs a stream whose end does not prove that it is complete.
+func (rq *request) recordUnproved(upstream routes.Upstream) {
+	rq.Logger.Event(event.GatewayUnproved, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
+		"events": rq.events, "last": rq.lastEvent})
+}
+
+// writeEvent writes one event to the client.
+func (rq *request) writeEvent(next events.Event, out *http.ResponseController) error {
+	if rq.events == 0 {
+		rq.firstEventAt = time.Now()
+		rq.Metrics.firstEvent(rq.firstEventAt.Sub(rq.started))
+		// An engine reads the results of the stages before it sends its first event.
+		rq.results.free()
+	}
+	rq.doubtful = nil // the stream did not end there
+	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	rq.events++
+	switch {
+	case next.ID != "":
+		rq.lastEvent = next.ID
+		rq.isPastLast = false
+	case next.HasData:
+		rq.isPastLast = true
+	}
+	return nil
+}
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -22,29 +23,52 @@
 const maxResultBytes = 1 << 20
 
 // call makes one call and records its outcome.
-func (o *Owner) call(p *ownedPart, call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) {
-	results, err := o.run(call, items, maxRemaining)
+func (o *Owner) call(p *ownedPart, b *batch) {
+	response, err := o.run(p, b)
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	took := now.Sub(call.StartedAt)
-	if err != nil {
-		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
-			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
-		if !cutByDeadline(took, maxRemaining, call.Expected) {
-			p.queue.Fail(call, now)
-		}
-		results = nil
+	took := now.Sub(b.StartedAt)
+	if errors.Is(err, httpconn.ErrWithdrawn) {
+		o.withdraw(p, b.Call, now)
+		o.sendCalls(p, now)
+		return
 	}
-	made := o.finish(p, call, results, now)
+	results, assignErr := o.assign(p, response, b.body)
 	if err == nil {
-		p.queue.Succeed(call, now)
-		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
-			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
+		err = assignErr
+	}
+	if err != nil && !cutByDeadline(took, b.maxRemaining, b.Expected) {
+		p.queue.Fail(b.Call, now)
+	}
+	made := o.finish(p, b, results, now)
+	if err != nil {
+		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": b.Upstream.ID,
+			"items": len(b.body), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
+	} else {
+		p.queue.Succeed(b.Call, now)
+		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": b.Upstream.ID,
+			"items": len(b.body), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
 	}
 	o.sendCalls(p, now)
 }
 
+// withdraw queues the items of a call that was not sent again. The queue gets the list of upstreams by
+// which the call was withdrawn, so that it does not choose the same upstream again. o.mu must be held.
+func (o *Owner) withdraw(p *ownedPart, call *pool.Call, now time.Time) {
+	o.logger.Event(event.PoolCallWithdrawn, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
+		"items": len(call.Items), "duration_us": now.Sub(call.StartedAt).Microseconds()})
+	p.queue.SetUpstreams(p.of(o.fleet.Upstreams()))
+	outcomes := make([]pool.Outcome, len(call.Items))
+	for i, item := range call.Items {
+		outcomes[i] = pool.NotSent
+		if p.tasks[item.Task.Ticket] == nil {
+			outcomes[i] = pool.Abandoned
+		}
+	}
+	p.queue.Finish(call, outcomes, now)
+}
+
 // deadlineSlack is how long before the latest deadline of its requests a call counts as cut off
 // by that deadline: the upstream stops then too, and its response takes some ms.
 const deadlineSlack = 50 * time.Millisecond
@@ -57,40 +81,56 @@
 	return took >= maxRemaining-deadlineSlack && took < expected
 }
 
-// run sends a batch and returns its results.
-func (o *Owner) run(call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) ([]stagecall.Result, error) {
-	ctx, cancel := context.WithTimeout(o.lifetime, min(call.Timeout, maxRemaining))
+// run sends a batch and returns its response. With an error, the response holds what arrived before it. It
+// sends nothing if the upstream takes no work any more.
+func (o *Owner) run(p *ownedPart, b *batch) (stagecall.Response, error) {
+	ctx, cancel := context.WithTimeout(o.lifetime, min(b.Timeout, b.maxRemaining))
 	defer cancel()
-	body, err := stagecall.RunBody(items)
+	body, err := stagecall.RunBody(b.body)
 	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
+		return stagecall.Response{}, fault.Wrap(fault.Internal, "stage.encode", b.Upstream.ID, err)
 	}
-	content, err := o.post(ctx, call.Upstream, stagecall.RunPath, body, maxRemaining)
-	if err != nil {
-		return nil, err
+	request := o.message(b.Upstream, stagecall.RunPath, body, b.maxRemaining)
+	request.ShouldSend = func() bool {
+		if !o.fleet.Upstreams().StillTakesWork(b.Upstream, time.Now()) {
+			return false
+		}
+		o.reportInputsRead(p, b.inputsOf)
+		return true
+	}
+	content, err := o.post(ctx, b.Upstream, request)
+	response, decodeErr := stagecall.ReadResponse(content)
+	if err == nil {
+		err = decodeErr
 	}
-	return stagecall.Results(content, len(items))
+	return response, err
 }
 
-// post sends one request to an upstream of a pool and returns the response body.
-func (o *Owner) post(ctx context.Context, to routes.Upstream, path string, body []byte, remaining time.Duration) ([]byte, error) {
-	response, err := o.client.Do(ctx, to.Address, httpconn.Request{
+// message returns a request to an upstream of a pool.
+func (o *Owner) message(to routes.Upstream, path string, body []byte, remaining time.Duration) httpconn.Request {
+	return httpconn.Request{
 		Method: http.MethodPost,
 		Target: path,
 		Host:   to.Address,
 		Header: stagecall.Headers(to.ID, remaining.Milliseconds()),
 		Body:   body,
-	})
+	}
+}
+
+// post sends one request to an upstream of a pool and returns the response body. If the body breaks off,
+// post returns the part that arrived and an error.
+func (o *Owner) post(ctx context.Context, to routes.Upstream, request httpconn.Request) ([]byte, error) {
+	response, err := o.client.Do(ctx, to.Address, request)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
-	if err != nil {
-		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
-	}
 	hints := header.ReadResponse(response.Status, response.Header)
 	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
+	if err != nil && response.Status == http.StatusOK {
+		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
+	}
 	if response.Status != http.StatusOK {
 		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", response.Status, hints.NotRun)
 	}
@@ -99,11 +139,11 @@
 
 // finish records the results of a call, nil if it failed, and returns how many items have a
 // result.
-func (o *Owner) finish(p *ownedPart, call *pool.Call, results []stagecall.Result, now time.Time) int {
-	outcomes := make([]pool.Outcome, len(call.Items))
+func (o *Owner) finish(p *ownedPart, b *batch, results []stagecall.Result, now time.Time) int {
+	outcomes := make([]pool.Outcome, len(b.Items))
 	reasons := make(map[*pool.Item]Failure)
 	made := 0
-	for i, item := range call.Items {
+	for i, item := range b.Items {
 		result := stagecall.Result{Reason: stagecall.ReasonFailed}
 		if results != nil {
 			result = results[i]
@@ -111,12 +151,13 @@
 		if result.Handle != "" {
 			outcomes[i] = pool.Done
 			made++
-			o.recordResult(p, call, item, result.Handle, now)
+			kept := keptResult{upstream: b.Upstream, item: keyOf(b.body[i]), bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+			o.recordResult(p, item, result.Handle, kept)
 			continue
 		}
 		outcomes[i], reasons[item] = p.outcome(item, result.Reason)
 	}
-	for _, item := range p.queue.Finish(call, outcomes, now) {
+	for _, item := range p.queue.Finish(b.Call, outcomes, now) {
 		o.fail(p, item.Task.Ticket, reasons[item])
 	}
 	return made
@@ -142,8 +183,8 @@
 
 // recordResult records one result. The last result of a task ends the task; a result whose task
 // has already ended is freed.
-func (o *Owner) recordResult(p *ownedPart, call *pool.Call, item *pool.Item, handle string, now time.Time) {
-	p.results[handle] = keptResult{upstream: call.Upstream, bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+func (o *Owner) recordResult(p *ownedPart, item *pool.Item, handle string, kept keptResult) {
+	p.results[handle] = kept
 	task := p.tasks[item.Task.Ticket]
 	if task == nil {
 		p.free([]string{handle})
@@ -179,7 +220,8 @@
 }
 
 // sendFrees tells the upstreams of a pool which results to drop. Upstreams that are backed off are
-// told once the backoff has ended. Results of upstreams that are no longer listed are gone with
+// told once the backoff has ended. Upstreams that leave are told too: calls that they accepted earlier need
+// the room, and this is no work. Results of upstreams that are no longer listed are gone with
 // them.
 func (o *Owner) sendFrees(p *ownedPart, now time.Time) {
 	if len(p.pendingFrees) == 0 {
@@ -208,7 +250,7 @@
 	defer cancel()
 	body, err := stagecall.FreeBody(pending.handles)
 	if err == nil {
-		_, err = o.post(ctx, upstream, stagecall.FreePath, body, freeTimeout)
+		_, err = o.post(ctx, upstream, o.message(upstream, stagecall.FreePath, body, freeTimeout))
 	}
 	if err != nil {
 		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(pending.handles), "error": err.Error()})
