--- /dev/null
+++ b/standin/soak/answers_test.go
@@ -0,0 +1,17 @@
+package soak
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestASeedGivesTheSameStepsOfDisorder(t *testing.T) {
+	assert.DeepEqual(t, planDisorder(7), planDisorder(7))
+	assert.Equal(t, len(planDisorder(7)), disorderSteps)
+	for _, variants := range disorders {
+		for _, faults := range variants {
+			assert.Assert(t, faults.Unmarked+faults.Repeat+faults.Restart > 0)
+		}
+	}
+}
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -18,5 +18,7 @@
 	{Seed: 9102, Cause: "a request that all clients send was refused for 20 s, as a worker that was full turned its trial away and the gateway that held it was killed"},
 	{Seed: 20012, Cause: "a request that all clients send was refused for 20 s, as its trial was at the worker that another trial crashed 0.2 ms before"},
 	{Seed: 30003, Cause: "a request that all clients send was refused for an hour, as the link of its only trial broke; a first form of the fix presumed a crash once the worker had left"},
+	{Seed: 61003, Cause: "a stream that began again at its worker was passed on with its first events twice"},
+	{Seed: 61007, Cause: "a stream that ended behind its third event, with no mark of its end, was framed as complete; a plain response that was cut got a length"},
 	{Seed: 1796260130301604318, Cause: "a relay's port, found free a moment before, was taken; by whom was not found"},
 }
