--- a/gateway/relay/broken_test.go
+++ b/gateway/relay/broken_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/replica"
 	"acaciawinch/gateway/view"
 	"acaciawinch/wire/wirepb"
 )
@@ -54,7 +55,7 @@
 	assert.NilError(t, err)
 	for left := range len(pieces) + 2 {
 		stream := &brokenStream{left: left}
-		s := &session{server: &Server{compressor: newCompressor()}, stream: stream, positions: []view.Position{{Kind: "servers"}}}
+		s := &session{server: &Server{state: newView(t, replica.Empty), compressor: newCompressor()}, stream: stream, positions: []view.Position{{Kind: "servers"}}}
 		err := s.send([]view.KindDelta{list}, view.Proof{At: 1}, true, false)
 		assert.Equal(t, err == nil, left > len(pieces))
 		for i, m := range stream.sent {
