Remember the results of stage calls that were freed until they expire

An answer to a stage call that came twice after its results had been freed was taken for the answer to the next call on that connection: the owner forgot a handle as it freed it, so nothing told that the results belong to an earlier call. The second request got inputs that no longer exist.

Freed results are remembered until they would have expired, with the item that they were made for. TestFreedResultsOfAnEarlierCallAreNotUsed failed before, as the second request got the freed handle, and passes now.

--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -214,6 +214,7 @@
 		pending.handles = append(pending.handles, handle)
 		if result, known := p.results[handle]; known {
 			delete(p.results, handle)
+			p.freedResults[handle] = result
 			pending.bytes += result.bytes
 		}
 	}
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -54,6 +54,8 @@
 	tasks map[pool.Ticket]*openTask
 	// results holds the results that upstreams keep, by handle.
 	results map[string]keptResult
+	// freedResults holds those that were freed and not yet due to expire.
+	freedResults map[string]keptResult
 	// pendingFrees holds the results to be freed, by the address of their upstream.
 	pendingFrees map[string]*pendingFree
 	keepTime     time.Duration
@@ -147,6 +149,11 @@
 			p.queue.Free(result.upstream, result.bytes)
 		}
 	}
+	for handle, result := range p.freedResults {
+		if now.After(result.until) {
+			delete(p.freedResults, handle)
+		}
+	}
 }
 
 // Refresh applies changed upstreams and settings to all pools.
@@ -171,6 +178,7 @@
 		queue:        pool.New(routes.Pool{}),
 		tasks:        make(map[pool.Ticket]*openTask),
 		results:      make(map[string]keptResult),
+		freedResults: make(map[string]keptResult),
 		pendingFrees: make(map[string]*pendingFree),
 		ownedSince:   time.Now(),
 	}
--- a/gateway/pools/results.go
+++ b/gateway/pools/results.go
@@ -41,8 +41,8 @@
 func (o *Owner) madeForOthers(response stagecall.Response, items []stagecall.Item) bool {
 	for i, result := range response.Results {
 		for _, p := range o.pools {
-			kept, known := p.results[result.Handle]
-			if known && (i >= len(items) || kept.item != keyOf(items[i])) {
+			made, known := p.itemOf(result.Handle)
+			if known && (i >= len(items) || made != keyOf(items[i])) {
 				return true
 			}
 		}
@@ -50,6 +50,16 @@
 	return false
 }
 
+// itemOf returns the item that a result was made for, and false for a result that this owner does not know
+// or that has expired.
+func (p *ownedPart) itemOf(handle string) (itemKey, bool) {
+	if kept, known := p.results[handle]; known {
+		return kept.item, true
+	}
+	freed, known := p.freedResults[handle]
+	return freed.item, known
+}
+
 // handlesOf returns the handles in a response.
 func handlesOf(response stagecall.Response) []string {
 	var handles []string
