--- a/gateway/relay/broken_test.go
+++ b/gateway/relay/broken_test.go
@@ -6,7 +6,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"acaciawinch/core/replica"
 	"acaciawinch/gateway/view"
 	"acaciawinch/wire/wirepb"
 )
@@ -48,6 +47,12 @@
 	return nil
 }
 
+// stateWithoutEras is the state of a process whose store has no eras.
+type stateWithoutEras struct{ State }
+
+// Era implements State.
+func (stateWithoutEras) Era() int64 { return 0 }
+
 // TestAProofFollowsAllPieces: a stream that ends between two pieces has confirmed nothing.
 func TestAProofFollowsAllPieces(t *testing.T) {
 	list := listOf(8000)
@@ -55,7 +60,7 @@
 	assert.NilError(t, err)
 	for left := range len(pieces) + 2 {
 		stream := &brokenStream{left: left}
-		s := &session{server: &Server{state: newView(t, replica.Empty), compressor: newCompressor()}, stream: stream, positions: []view.Position{{Kind: "servers"}}}
+		s := &session{server: &Server{state: stateWithoutEras{}, compressor: newCompressor()}, stream: stream, positions: []view.Position{{Kind: "servers"}}}
 		err := s.send([]view.KindDelta{list}, view.Proof{At: 1}, true, false)
 		assert.Equal(t, err == nil, left > len(pieces))
 		for i, m := range stream.sent {
