--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -21,12 +21,16 @@
 	HasData bool
 }
 
+// maxIDDigits is the number of digits of the largest ID that is compared. Longer ones would also make
+// long log lines.
+const maxIDDigits = 20
+
 // MayFollow reports whether an event with an ID may follow the event whose ID is last in a stream. IDs
 // increase, but may skip numbers. An ID that is empty or no number can't be compared and may follow
 // any.
 func MayFollow(id, last string) bool {
 	after, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
+	if err != nil || len(id) > maxIDDigits {
 		return true
 	}
 	before, err := strconv.ParseUint(last, 10, 64)
--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -58,6 +58,7 @@
 		{"", "1", true}, {"", "0", true}, {"1", "2", true}, {"1", "7", true}, {"9", "10", true}, {"0", "1", true},
 		{"2", "2", false}, {"2", "1", false}, {"10", "9", false}, {"2", "02", false}, {"18446744073709551615", "0", false},
 		{"2", "", true}, {"2", "a", true}, {"a", "1", true}, {"2", "-1", true}, {"2", "18446744073709551616", true},
+		{"2", strings.Repeat("0", 20) + "1", true},
 	} {
 		assert.Equal(t, MayFollow(c.id, c.last), c.want, "%q after %q", c.id, c.last)
 	}
