Test streams whose end in doubt is held up

An upstream sends a stream whose end proves nothing, and the one that is asked for the remainder stays silent. The test fails: the client's stream ends only at the route's timeout, 9 s later, though clients abandon it after 2 s of silence.

--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -29,6 +29,8 @@
 	cutChunks
 	reset
 	stalled
+	// silent sends nothing until the caller closes the connection.
+	silent
 	// lengthGiven gives the length of the body, lengthMissed one that is a byte too long.
 	lengthGiven
 	lengthMissed
@@ -86,6 +88,13 @@
 	return next
 }
 
+// set replaces the answers that are left.
+func (s *script) set(answers ...answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = answers
+}
+
 // asked returns the Last-Event-Id of each request so far.
 func (s *script) asked() []string {
 	s.mu.Lock()
@@ -102,11 +111,13 @@
 		panic("script: cannot hijack the connection: " + err.Error())
 	}
 	defer func() { _ = conn.Close() }() // the response is sent or its reader has disconnected
-	_, _ = io.WriteString(conn, next.text(r.Header.Get("X-Attempt-Id")))
+	if next.frame != silent {
+		_, _ = io.WriteString(conn, next.text(r.Header.Get("X-Attempt-Id")))
+	}
 	switch next.frame {
 	case reset:
 		_ = conn.(*net.TCPConn).SetLinger(0)
-	case stalled:
+	case stalled, silent:
 		_, _ = conn.Read(make([]byte, 1)) // the caller sends no further request
 	}
 }
