Test streams that are known to be incomplete and end in doubt

One upstream sends a part of another event after a doubtful end; another is asked for the remainder of a stream that was reset, and sends an empty one whose end proves nothing. The tests fail: both streams end in order, as if they could be complete.

--- a/standin/gatewaytest/stream_review_test.go
+++ b/standin/gatewaytest/stream_review_test.go
@@ -34,3 +34,34 @@
 		})
 	}
 }
+
+// TestAPartOfAnotherEventShowsThatAStreamWasNotComplete: the rest of that event is missing, so that the
+// client's connection must not end in order.
+func TestAPartOfAnotherEventShowsThatAStreamWasNotComplete(t *testing.T) {
+	for name, frame := range map[string]frame{"cut": cutChunks, "end in order": untilClose} {
+		t.Run(name, func(t *testing.T) {
+			f, g, _ := streamFleet(t, 2, answer{frame: untilClose, body: numbered(1, 2)}, answer{frame: frame, body: "id: 3\ndata: 3\n"})
+			got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+			assert.Equal(t, got.body, numbered(1, 2))
+			assert.ErrorContains(t, got.err, "reset")
+		})
+	}
+}
+
+// TestAnEmptyRemainderWithoutProofDoesNotMendABrokenStream: the first upstream is known to have broken
+// off, and the second one may have ended before its first event.
+func TestAnEmptyRemainderWithoutProofDoesNotMendABrokenStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		frame   frame
+		version string
+	}{
+		"reset": {reset, "HTTP/1.1"}, "cut chunks, HTTP/1.0": {cutChunks, "HTTP/1.0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, g, _ := streamFleet(t, 2, answer{frame: c.frame, body: numbered(1, 2)}, answer{frame: untilClose})
+			got := f.fetch(g, c.version, "POST", "/stream/x")
+			assert.Equal(t, got.body, numbered(1, 2))
+			assert.ErrorContains(t, got.err, "reset")
+		})
+	}
+}
