Test broken streams after many ends in doubt

Forty streams are whole and their ends prove nothing; then one breaks off. The test fails: the requests for remainders have used up the budget of retries, so that the broken stream is not resumed.

--- a/standin/gatewaytest/stream_review_test.go
+++ b/standin/gatewaytest/stream_review_test.go
@@ -65,3 +65,20 @@
 		})
 	}
 }
+
+// TestEndsInDoubtLeaveRetriesForBrokenStreams: upstreams may send no response with a length. Asking for
+// a remainder each time must not take the retries from streams that are known to be broken.
+func TestEndsInDoubtLeaveRetriesForBrokenStreams(t *testing.T) {
+	const whole = 40
+	f, g, s := streamFleet(t, 2)
+	for range whole {
+		s.set(answer{frame: untilClose, body: numbered(1, 2)}, answer{frame: untilClose})
+		got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, numbered(1, 2))
+	}
+	s.set(answer{frame: cutChunks, body: numbered(1, 2)}, answer{body: numbered(3)})
+	got := f.fetch(g, "HTTP/1.1", "POST", "/stream/x")
+	assert.Equal(t, got.body, numbered(1, 2, 3))
+	assert.NilError(t, got.err)
+}
