--- a/standin/gatewaytest/stream_review_test.go
+++ b/standin/gatewaytest/stream_review_test.go
@@ -1,6 +1,11 @@
 package gatewaytest
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +87,24 @@
 	assert.Equal(t, got.body, numbered(1, 2, 3))
 	assert.NilError(t, got.err)
 }
+
+// TestAWholeResponseIsNotCutByTheRequestAfterIt: a client may send its next request early. Closing a
+// connection with unread bytes resets it, and the rest of the response would be lost.
+func TestAWholeResponseIsNotCutByTheRequestAfterIt(t *testing.T) {
+	long := strings.Repeat("x", 4<<20)
+	_, g := deskFleet(t, answer{frame: untilClose, body: long}, answer{body: "second"})
+	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	request := "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\n\r\n"
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), len(long))
+}
