--- a/standin/gatewaytest/stream_review_test.go
+++ b/standin/gatewaytest/stream_review_test.go
@@ -108,3 +108,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), len(long))
 }
+
+// TestTheRemainderIsNoLongerAskedForOnceTheClientHasLeft: the upstream that is asked must not go on for
+// nobody.
+func TestTheRemainderIsNoLongerAskedForOnceTheClientHasLeft(t *testing.T) {
+	f, g, _ := streamFleet(t, 2, answer{frame: untilClose, body: numbered(1, 2)}, answer{frame: silent})
+	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\n\r\n")
+	assert.NilError(t, err)
+	f.waitLines(2, "gateway_sent", `"request":"r1"`)
+	assert.NilError(t, conn.Close())
+	f.waitLines(1, "gateway_left", `"request":"r1"`)
+}
