--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -23,21 +23,23 @@
 
 // call makes one call and records its outcome.
 func (o *Owner) call(p *ownedPart, call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) {
-	results, err := o.run(call, items, maxRemaining)
+	response, err := o.run(call, items, maxRemaining)
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took := now.Sub(call.StartedAt)
+	results, assignErr := o.assign(p, response, items)
+	if err == nil {
+		err = assignErr
+	}
+	if err != nil && !cutByDeadline(took, maxRemaining, call.Expected) {
+		p.queue.Fail(call, now)
+	}
+	made := o.finish(p, call, items, results, now)
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
-			"items": len(items), "error": err.Error(), "duration_us": took.Microseconds()})
-		if !cutByDeadline(took, maxRemaining, call.Expected) {
-			p.queue.Fail(call, now)
-		}
-		results = nil
-	}
-	made := o.finish(p, call, results, now)
-	if err == nil {
+			"items": len(items), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
+	} else {
 		p.queue.Succeed(call, now)
 		o.logger.Event(event.PoolCall, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 			"items": len(items), "made": made, "waiting": p.queue.Waiting(), "duration_us": took.Microseconds()})
@@ -57,22 +59,24 @@
 	return took >= maxRemaining-deadlineSlack && took < expected
 }
 
-// run sends a batch and returns its results.
-func (o *Owner) run(call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) ([]stagecall.Result, error) {
+// run sends a batch and returns its response. With an error, the response holds what arrived before it.
+func (o *Owner) run(call *pool.Call, items []stagecall.Item, maxRemaining time.Duration) (stagecall.Response, error) {
 	ctx, cancel := context.WithTimeout(o.lifetime, min(call.Timeout, maxRemaining))
 	defer cancel()
 	body, err := stagecall.RunBody(items)
 	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
+		return stagecall.Response{}, fault.Wrap(fault.Internal, "stage.encode", call.Upstream.ID, err)
 	}
 	content, err := o.post(ctx, call.Upstream, stagecall.RunPath, body, maxRemaining)
-	if err != nil {
-		return nil, err
+	response, decodeErr := stagecall.ReadResponse(content)
+	if err == nil {
+		err = decodeErr
 	}
-	return stagecall.Results(content, len(items))
+	return response, err
 }
 
-// post sends one request to an upstream of a pool and returns the response body.
+// post sends one request to an upstream of a pool and returns the response body. If the body breaks off,
+// post returns the part that arrived and an error.
 func (o *Owner) post(ctx context.Context, to routes.Upstream, path string, body []byte, remaining time.Duration) ([]byte, error) {
 	response, err := o.client.Do(ctx, to.Address, httpconn.Request{
 		Method: http.MethodPost,
@@ -85,12 +89,12 @@
 		return nil, err
 	}
 	defer response.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
-	if err != nil {
-		return nil, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
-	}
 	hints := header.ReadResponse(response.Status, response.Header)
 	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
+	if err != nil && response.Status == http.StatusOK {
+		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
+	}
 	if response.Status != http.StatusOK {
 		return nil, fault.New(fault.Refused, "stage.call", to.ID, "status %d, not run %t", response.Status, hints.NotRun)
 	}
@@ -99,7 +103,7 @@
 
 // finish records the results of a call, nil if it failed, and returns how many items have a
 // result.
-func (o *Owner) finish(p *ownedPart, call *pool.Call, results []stagecall.Result, now time.Time) int {
+func (o *Owner) finish(p *ownedPart, call *pool.Call, items []stagecall.Item, results []stagecall.Result, now time.Time) int {
 	outcomes := make([]pool.Outcome, len(call.Items))
 	reasons := make(map[*pool.Item]Failure)
 	made := 0
@@ -111,7 +115,8 @@
 		if result.Handle != "" {
 			outcomes[i] = pool.Done
 			made++
-			o.recordResult(p, call, item, result.Handle, now)
+			kept := keptResult{upstream: call.Upstream, item: keyOf(items[i]), bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+			o.recordResult(p, item, result.Handle, kept)
 			continue
 		}
 		outcomes[i], reasons[item] = p.outcome(item, result.Reason)
@@ -142,8 +147,8 @@
 
 // recordResult records one result. The last result of a task ends the task; a result whose task
 // has already ended is freed.
-func (o *Owner) recordResult(p *ownedPart, call *pool.Call, item *pool.Item, handle string, now time.Time) {
-	p.results[handle] = keptResult{upstream: call.Upstream, bytes: item.Task.Bytes, until: now.Add(p.keepTime)}
+func (o *Owner) recordResult(p *ownedPart, item *pool.Item, handle string, kept keptResult) {
+	p.results[handle] = kept
 	task := p.tasks[item.Task.Ticket]
 	if task == nil {
 		p.free([]string{handle})
