End a stream in doubt before its client gives it up

Cause: while another upstream was asked for the remainder of a stream that may be complete, nothing bounded the wait but the route's timeout.

Callers saw: a whole stream without a length that stayed open for seconds, which clients abandon.

Change: the remainder must begin within half of the time for which clients wait for a stream's first event. Otherwise the stream ends in doubt, as it does where nobody can be asked.

Evidence: the test of ends that are held up failed before, after 9 s, and passes.

--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -92,10 +93,32 @@
 		return nil
 	}
 	rq.recordOutcome(response, upstream)
-	rq.doubtful = &passedOn{upstream: upstream, status: response.Status}
+	rq.doubt(passedOn{upstream: upstream, status: response.Status})
 	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
 }
 
+// doubt records a response as the last one if nothing proves that its end is that of the stream.
+// Clients abandon a stream that stays silent for as long as they wait for its first event: the
+// remainder must begin within half of that time, or the stream ends in doubt.
+func (rq *request) doubt(answer passedOn) {
+	rq.doubtful = &answer
+	if rq.doubtEnd != nil {
+		return
+	}
+	var end context.CancelFunc
+	rq.ctx, end = context.WithCancel(rq.ctx)
+	rq.doubtEnd = time.AfterFunc(rq.route.StartWithin/2, end)
+}
+
+// endDoubt records that the stream goes on after the events passed on so far.
+func (rq *request) endDoubt() {
+	rq.doubtful = nil
+	if rq.doubtEnd != nil {
+		rq.doubtEnd.Stop()
+		rq.doubtEnd = nil
+	}
+}
+
 // recordOutOfOrder logs an event that was not passed on because of its ID.
 func (rq *request) recordOutOfOrder(upstream routes.Upstream, got string) {
 	rq.Logger.Warn(event.GatewayDisorder, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
@@ -116,7 +139,7 @@
 		// An engine reads the results of the stages before it sends its first event.
 		rq.results.free()
 	}
-	rq.doubtful = nil // the stream did not end there
+	rq.endDoubt()
 	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
 		return err
 	}
