End no stream in doubt that is known to be incomplete

Cause: whether a stream may be complete was decided by the last response alone. An empty remainder without proof made good a response that was known to be broken, and a part of another event did not count after a doubtful end.

Callers saw: an orderly end of the connection after a stream of which more was to come.

Change: the first failure after the last event decides. A part of an event shows that the end before it was none.

Evidence: both tests of streams that are known to be incomplete failed before and pass. The drawn streams now take a doubtful end for allowed only if no send shows that more was to come. They fail with the first half of the change taken out; they draw no case of the second.

--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -42,6 +42,9 @@
 // NewReader returns a Reader for the body of a stream.
 func NewReader(body io.Reader) *Reader { return &Reader{reader: bufio.NewReaderSize(body, 4096)} }
 
+// WithinEvent reports whether a part of an event came before the error that Next returned last.
+func (r *Reader) WithinEvent() bool { return len(r.buffer) > 0 }
+
 // Next returns the next event, which is valid until the next call. It returns io.EOF only if
 // the stream ended after a complete event, and io.ErrUnexpectedEOF if it ended within one.
 func (r *Reader) Next() (Event, error) {
--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+func TestAPartOfAnEventIsSeen(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "data: a\n\n": false, "data: a\n\ni": true, "id: 1\n": true} {
+		r := NewReader(strings.NewReader(text))
+		_, err := r.Next()
+		for err == nil {
+			_, err = r.Next()
+		}
+		assert.Equal(t, r.WithinEvent(), want, "%q", text)
+	}
+}
+
 func TestAPartOfAnEventIsNeverHandedOut(t *testing.T) {
 	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n"} {
 		_, err := NewReader(strings.NewReader(text)).Next()
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -96,6 +96,8 @@
 	// doubtful is the last response of an upstream if the events passed on end with it and nothing
 	// proves them to be complete.
 	doubtful *passedOn
+	// isIncomplete is set if the events passed on end with a response that is known to be incomplete.
+	isIncomplete bool
 	// doubtEnd ends the request if it is in doubt for too long; nil if it isn't in doubt.
 	doubtEnd *time.Timer
 	// lastEvent is the ID of the last event that the client has, from this response or, if it
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -35,10 +35,12 @@
 			return rq.endStream(upstream, response)
 		}
 		if err != nil {
+			rq.streamBroke(reader.WithinEvent())
 			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
 		}
 		if !events.MayFollow(next.ID, rq.lastEvent) {
 			rq.recordOutOfOrder(upstream, next.ID)
+			rq.streamBroke(false)
 			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
 		}
 		if err := rq.writeEvent(next, out); err != nil {
@@ -97,10 +99,23 @@
 	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
 }
 
-// doubt records a response as the last one if nothing proves that its end is that of the stream.
+// streamBroke records that a response of an upstream broke off. An empty remainder is no evidence of a
+// doubtful end being wrong, but a part of an event is: more was to come.
+func (rq *request) streamBroke(withinEvent bool) {
+	if withinEvent {
+		rq.endDoubt()
+	}
+	rq.isIncomplete = rq.doubtful == nil
+}
+
+// doubt records a response as the last one if nothing proves that its end is that of the stream, unless
+// the response before it is known to be incomplete and it has added nothing.
 // Clients abandon a stream that stays silent for as long as they wait for its first event: the
 // remainder must begin within half of that time, or the stream ends in doubt.
 func (rq *request) doubt(answer passedOn) {
+	if rq.isIncomplete {
+		return
+	}
 	rq.doubtful = &answer
 	if rq.doubtEnd != nil {
 		return
@@ -140,6 +155,7 @@
 		rq.results.free()
 	}
 	rq.endDoubt()
+	rq.isIncomplete = false
 	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
 		return err
 	}
--- a/standin/gatewaytest/drawn_streams_test.go
+++ b/standin/gatewaytest/drawn_streams_test.go
@@ -113,14 +113,28 @@
 // incomplete which ends after an event: one send ended there in order and without a mark of its end, and
 // nothing that came after it was more of the stream.
 func mayEndInDoubt(sends []drawnSend, last int) bool {
+	doubtful, incomplete := false, false
 	for _, send := range sends {
-		if send.fate.frame == untilClose && send.fate.endsInOrder() && max(send.after, send.fate.last) == last {
-			return true
+		added := send.fate.addsAfter(send.after)
+		if added {
+			doubtful, incomplete = false, false
+		}
+		switch {
+		case send.fate.status != 0:
+		case send.fate.frame == untilClose && send.fate.endsInOrder():
+			doubtful = doubtful || !incomplete && max(send.after, send.fate.last) == last
+		case send.fate.isCut && send.fate.first >= 0 && send.fate.repeated == 0 && send.fate.frame != reset:
+			doubtful, incomplete = false, true // a part of another event has come; a reset may have lost it
+		default:
+			incomplete = incomplete || !doubtful
 		}
 	}
-	return false
+	return doubtful
 }
 
+// addsAfter reports whether a send that goes on after an event adds others.
+func (f fate) addsAfter(after int) bool { return f.status == 0 && f.first >= 0 && f.last > after }
+
 // TestDrawnStreamsAreWholeOrSeenToBeBroken sends requests whose upstreams stop, repeat themselves, begin
 // elsewhere, fail and end in every way, and checks what the client can conclude from each response.
 func TestDrawnStreamsAreWholeOrSeenToBeBroken(t *testing.T) {
