Leave retries for requests that have certainly failed

Cause: a request for the remainder of a stream that may be complete took a retry like any other.

Callers saw: where upstreams send streams without a length, broken streams that were not resumed, though they were before such ends were doubted.

Change: such a request takes a retry only while more than half of the burst is left. Otherwise the stream ends in doubt.

--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -34,10 +34,18 @@
 	if f.replaced {
 		// Engines that crashed and restarted under new IDs reject requests for their old IDs
 		// until discovery drops these. Giving up would lose the results of all stages.
-		return rq.mayReachAnother() && rq.withdrawRetry(rq.service, time.Now())
+		return rq.mayReachAnother() && rq.withdraw()
 	}
-	again := rq.sends < rq.route.MaxAttempts && rq.withdrawRetry(rq.service, time.Now())
-	return again
+	return rq.sends < rq.route.MaxAttempts && rq.withdraw()
+}
+
+// withdraw withdraws a retry from the budget of the request's service. Only a part of the budget is for
+// streams that may be complete: the remainder is for requests that have certainly failed.
+func (rq *request) withdraw() bool {
+	if rq.doubtful != nil {
+		return rq.withdrawSpareRetry(rq.service, time.Now())
+	}
+	return rq.withdrawRetry(rq.service, time.Now())
 }
 
 // canResume reports whether the response that the client has a part of may go on at another upstream.
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -160,6 +160,15 @@
 	return s.budgetOf(service, now).Withdraw(now)
 }
 
+// withdrawSpareRetry withdraws one retry from the budget of a service if more than half of its burst is
+// left.
+func (s *Server) withdrawSpareRetry(service string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgetOf(service, now)
+	return b.Tokens() > s.retryLimits().Burst/2 && b.Withdraw(now)
+}
+
 // canRetry reports whether withdrawRetry would succeed now.
 func (s *Server) canRetry(service string) bool {
 	s.mu.Lock()
@@ -178,16 +187,21 @@
 func (s *Server) budgetOf(service string, now time.Time) *budget.Budget {
 	b := s.budgets[service]
 	if b == nil {
-		members := max(minMembers, len(s.View.Members())+1)
-		b = budget.New(budget.Limits{
-			Ratio: s.Retries.Ratio * retryRatioShare,
-			Burst: s.Retries.Slack * retrySlackShare / float64(members),
-		}, now)
+		b = budget.New(s.retryLimits(), now)
 		s.budgets[service] = b
 	}
 	return b
 }
 
+// retryLimits returns the limits of this process's retry budgets. s.mu must be held.
+func (s *Server) retryLimits() budget.Limits {
+	members := max(minMembers, len(s.View.Members())+1)
+	return budget.Limits{
+		Ratio: s.Retries.Ratio * retryRatioShare,
+		Burst: s.Retries.Slack * retrySlackShare / float64(members),
+	}
+}
+
 // sendEnded records that a request sent to an upstream has ended.
 func (s *Server) sendEnded(needs requirements, upstream routes.Upstream) {
 	s.mu.Lock()
