Write a response before its connection may end in order

Cause: the linger time was put back while the end of a response could still be in the buffers of net/http.

Callers saw: nothing yet; a process that ended then would have left a part of a response that looks whole.

Change: the response is flushed first.

Evidence: the test of the order of writes and linger times failed before and passes.

--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -76,11 +76,15 @@
 	return nil
 }
 
-// endInOrder ends the client's response as one that was not broken off.
+// endInOrder ends the client's response as one that was not broken off. It is flushed first: if this
+// process ended meanwhile, an orderly end would make the part before the buffers look whole.
 func (rq *request) endInOrder() error {
 	if !rq.endsWithConnection {
 		return nil // a length or the last chunk marks the end
 	}
+	if err := http.NewResponseController(rq.w).Flush(); err != nil {
+		return fault.Wrap(fault.Cancelled, "answer.write", "", err)
+	}
 	return framing.EndInOrder(rq.r)
 }
 
