End a response in order also if its client has sent more

Cause: closing a connection with unread bytes resets it. Responses that end with their connection are followed by a close, where a length or chunks kept the connection open before.

Callers saw: a whole response without a length that broke off, if they had sent their next request meanwhile.

Change: such a connection is closed for writing first, and then read from until the client closes it, for 500 ms at most.

--- a/gateway/framing/framing.go
+++ b/gateway/framing/framing.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // maxHeadBytes bounds how much of a head is inspected. It exceeds the server's own limit.
@@ -38,6 +39,9 @@
 	inHead    bool
 	head      []byte
 	ambiguous bool
+
+	// drains is set if Close must let the last response end in order.
+	drains atomic.Bool
 }
 
 // Read implements net.Conn.
--- a/gateway/framing/reset.go
+++ b/gateway/framing/reset.go
@@ -1,7 +1,9 @@
 package framing
 
 import (
+	"io"
 	"net/http"
+	"time"
 
 	"acaciawinch/core/fault"
 )
@@ -21,14 +23,33 @@
 // orderly end of one that was broken off would make it look complete.
 func ResetOnClose(r *http.Request) error { return setLinger(r, resetOnClose) }
 
-// EndInOrder makes the close of a request's connection an orderly end again.
-func EndInOrder(r *http.Request) error { return setLinger(r, closeInOrder) }
+// EndInOrder makes the close of a request's connection an orderly end again, also if the client has
+// sent more.
+func EndInOrder(r *http.Request) error {
+	if err := setLinger(r, closeInOrder); err != nil {
+		return err
+	}
+	c, err := connOf(r)
+	if err == nil {
+		c.drains.Store(true)
+	}
+	return err
+}
 
-// setLinger sets the linger time of a request's connection.
-func setLinger(r *http.Request, seconds int) error {
+// connOf returns the connection of a request.
+func connOf(r *http.Request) (*conn, error) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
-		return fault.New(fault.Internal, "answer.linger", "", "connection is not of a Listener")
+		return nil, fault.New(fault.Internal, "answer.linger", "", "connection is not of a Listener")
+	}
+	return c, nil
+}
+
+// setLinger sets the linger time of a request's connection.
+func setLinger(r *http.Request, seconds int) error {
+	c, err := connOf(r)
+	if err != nil {
+		return err
 	}
 	accepted, ok := c.Conn.(lingerer)
 	if !ok {
@@ -36,3 +57,24 @@
 	}
 	return fault.Wrap(fault.Cancelled, "answer.linger", "", accepted.SetLinger(seconds))
 }
+
+// drainTime bounds how long a connection is read from after its last response.
+const drainTime = 500 * time.Millisecond
+
+// Close implements net.Conn. If the response must end in order, the connection is closed for writing
+// first and then read until the client closes it: closing a connection with unread bytes resets it, and
+// the end of the response would be lost.
+func (c *conn) Close() error {
+	if !c.drains.CompareAndSwap(true, false) {
+		return c.Conn.Close()
+	}
+	writer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || writer.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		return c.Conn.Close()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn) // whatever ends it, the connection is closed
+		_ = c.Conn.Close()                 // no response is left to fail
+	}()
+	return nil
+}
