Test streams with stages that break off late

A stream breaks off after the time within which clients wait for a first event. The test fails: the stages that the remainder needs are late before they start, so that the stream is not resumed.

--- a/standin/gatewaytest/stream_review_test.go
+++ b/standin/gatewaytest/stream_review_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/worker"
 )
 
 // clientPatience is the shortest time without an event after which clients abandon a stream.
@@ -121,3 +123,38 @@
 	assert.NilError(t, conn.Close())
 	f.waitLines(1, "gateway_left", `"request":"r1"`)
 }
+
+// breakOffLate serves streams that break off once clients would no longer wait for a first event. What
+// follows the last event comes at once.
+func breakOffLate(out http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	out.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	out.Header().Set("X-Response-Stamp", "s")
+	if r.Header.Get("Last-Event-Id") != "" {
+		_, _ = io.WriteString(out, numbered(3)) // a caller that has disconnected needs no event
+		return
+	}
+	_, _ = io.WriteString(out, numbered(1))     // a caller that has disconnected needs no event
+	_ = http.NewResponseController(out).Flush() // a caller that has disconnected needs no event
+	select {
+	case <-time.After(clientPatience + 500*time.Millisecond):
+	case <-r.Context().Done():
+	}
+	_, _ = io.WriteString(out, numbered(2))     // a caller that has disconnected needs no event
+	_ = http.NewResponseController(out).Flush() // a caller that has disconnected needs no event
+	panic(http.ErrAbortHandler)
+}
+
+// TestAStreamWithStagesThatBreaksOffLateGoesOn: the time within which a stream must start says nothing of
+// its remainder.
+func TestAStreamWithStagesThatBreaksOffLateGoesOn(t *testing.T) {
+	f := newFleet(t)
+	f.startWorker("enc-1", "enc", worker.Stage)
+	f.startUpstreams("llm", 2, http.HandlerFunc(breakOffLate))
+	d := baseConfig(1)
+	d.Routes[2].GoalMS = 400
+	f.apply(d)
+	got := f.fetch(f.start("g1"), "HTTP/1.1", "POST", "/stream/x", "X-Pieces", "2,2", "X-Piece-Key", "k")
+	assert.Equal(t, got.body, numbered(1, 2, 3))
+	assert.NilError(t, got.err)
+}
