Give the remainder of a stream its own time to start

Cause: the stages that the remainder of a broken stream needs had to end by the time at which the stream had to start. Later than that they were late before they began.

Callers saw: streams with stages that broke off after a few seconds and were not resumed.

Change: a stream that goes on must do so within the time for which clients wait for a first event, counted from then.

Evidence: the test of streams with stages that break off late failed before and passes.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -66,7 +66,8 @@
 	// is before started if another process refused an earlier attempt.
 	clientStarted time.Time
 	deadline      time.Time
-	// startBy is the time by which the response must have started; the client gives up then.
+	// startBy is the time by which the response must have started, or gone on if it broke off; the
+	// client gives up then.
 	startBy time.Time
 	// ctx ends at the deadline, or when the client disconnects.
 	ctx context.Context
@@ -241,10 +242,16 @@
 		wait = min(wait, remaining-responseMargin)
 	}
 	rq.deadline = rq.started.Add(wait)
-	rq.startBy = rq.deadline
-	if within := rq.route.StartWithin; within > 0 && within < wait {
-		rq.startBy = rq.started.Add(within - responseMargin)
+	rq.startBy = rq.startLimit(rq.started)
+}
+
+// startLimit returns until when the client waits for the next event if it waits since a given time.
+func (rq *request) startLimit(since time.Time) time.Time {
+	limit := since.Add(rq.route.StartWithin - responseMargin)
+	if rq.route.StartWithin == 0 || limit.After(rq.deadline) {
+		return rq.deadline
 	}
+	return limit
 }
 
 // pickTarget returns the service of one of the targets, chosen by weight. The choice depends
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -30,6 +30,9 @@
 	if len(rq.route.Stages) == 0 || rq.results != nil && !rq.results.isFreed() {
 		return nil
 	}
+	if rq.events > 0 {
+		rq.startBy = rq.startLimit(time.Now())
+	}
 	for range maxStageRestarts + 1 {
 		lost, err := rq.runStages()
 		if err != nil || !lost {
