Keep no connection after a response without an ID

Cause: a rejection need not have an ID, so that one that comes once more can't be told from the rejection of the next request on its connection.

Callers saw: at worst a 503 for a request that ran.

Change: a connection is closed after a response that lacks the ID of its request.

Evidence: the test of rejections without an ID failed before and passes.

--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -163,7 +163,11 @@
 		}
 		info := c.readInfo(resp.StatusCode, resp.Header)
 		if r.ID == "" || info.ID == r.ID || (info.ID == "" && info.NotRun) {
-			return c.newResponse(from, resp, info, writer), nil
+			response := c.newResponse(from, resp, info, writer)
+			if r.ID != "" && info.ID == "" {
+				response.reusable = false // it might come once more, and the next request could not tell
+			}
+			return response, nil
 		}
 		if err := discardBody(resp); err != nil {
 			return nil, err
