--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -34,10 +35,12 @@
 			return rq.endStream(upstream, response)
 		}
 		if err != nil {
+			rq.streamBroke(reader.WithinEvent())
 			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
 		}
 		if !events.MayFollow(next.ID, rq.lastEvent) {
 			rq.recordOutOfOrder(upstream, next.ID)
+			rq.streamBroke(false)
 			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
 		}
 		if err := rq.writeEvent(next, out); err != nil {
@@ -73,11 +76,15 @@
 	return nil
 }
 
-// endInOrder ends the client's response as one that was not broken off.
+// endInOrder ends the client's response as one that was not broken off. It is flushed first: if this
+// process ended meanwhile, an orderly end would make the part before the buffers look whole.
 func (rq *request) endInOrder() error {
 	if !rq.endsWithConnection {
 		return nil // a length or the last chunk marks the end
 	}
+	if err := http.NewResponseController(rq.w).Flush(); err != nil {
+		return fault.Wrap(fault.Cancelled, "answer.write", "", err)
+	}
 	return framing.EndInOrder(rq.r)
 }
 
@@ -92,10 +99,45 @@
 		return nil
 	}
 	rq.recordOutcome(response, upstream)
-	rq.doubtful = &passedOn{upstream: upstream, status: response.Status}
+	rq.doubt(passedOn{upstream: upstream, status: response.Status})
 	return &sendFailure{mayHaveRun: true, unproved: true, err: fault.New(fault.Ambiguous, "upstream.stream", upstream.ID, "the stream ended with its connection")}
 }
 
+// streamBroke records that a response of an upstream broke off. An empty remainder is no evidence of a
+// doubtful end being wrong, but a part of an event is: more was to come.
+func (rq *request) streamBroke(withinEvent bool) {
+	if withinEvent {
+		rq.endDoubt()
+	}
+	rq.isIncomplete = rq.doubtful == nil
+}
+
+// doubt records a response as the last one if nothing proves that its end is that of the stream, unless
+// the response before it is known to be incomplete and it has added nothing.
+// Clients abandon a stream that stays silent for as long as they wait for its first event: the
+// remainder must begin within half of that time, or the stream ends in doubt.
+func (rq *request) doubt(answer passedOn) {
+	if rq.isIncomplete {
+		return
+	}
+	rq.doubtful = &answer
+	if rq.doubtEnd != nil {
+		return
+	}
+	var end context.CancelFunc
+	rq.ctx, end = context.WithCancel(rq.ctx)
+	rq.doubtEnd = time.AfterFunc(rq.route.StartWithin/2, end)
+}
+
+// endDoubt records that the stream goes on after the events passed on so far.
+func (rq *request) endDoubt() {
+	rq.doubtful = nil
+	if rq.doubtEnd != nil {
+		rq.doubtEnd.Stop()
+		rq.doubtEnd = nil
+	}
+}
+
 // recordOutOfOrder logs an event that was not passed on because of its ID.
 func (rq *request) recordOutOfOrder(upstream routes.Upstream, got string) {
 	rq.Logger.Warn(event.GatewayDisorder, observe.Fields{"request": rq.hdr.ID, "upstream": upstream.ID, "attempt": len(rq.tried),
@@ -116,7 +158,8 @@
 		// An engine reads the results of the stages before it sends its first event.
 		rq.results.free()
 	}
-	rq.doubtful = nil // the stream did not end there
+	rq.endDoubt()
+	rq.isIncomplete = false
 	if _, err := io.Copy(rq.w, bytes.NewReader(next.Bytes)); err != nil {
 		return err
 	}
--- a/standin/gatewaytest/stream_test.go
+++ b/standin/gatewaytest/stream_test.go
@@ -29,6 +29,8 @@
 	cutChunks
 	reset
 	stalled
+	// silent sends nothing until the caller closes the connection.
+	silent
 	// lengthGiven gives the length of the body, lengthMissed one that is a byte too long.
 	lengthGiven
 	lengthMissed
@@ -92,6 +94,13 @@
 	return next
 }
 
+// set replaces the answers that are left.
+func (s *script) set(answers ...answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = answers
+}
+
 // asked returns the Last-Event-Id of each request so far.
 func (s *script) asked() []string {
 	s.mu.Lock()
