--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -141,12 +141,14 @@
 		workspace = rq.workspace.Name
 	}
 	return httpconn.Request{
-		Method:     rq.r.Method,
-		Target:     rq.r.RequestURI,
-		Host:       rq.r.Host,
-		Body:       rq.body,
-		ID:         rq.hdr.ID,
-		ShouldSend: func() bool { return rq.stillAccepts(choice.Upstream) && rq.Guard.MaySend(rq.fingerprint, rq.crashPass) },
+		Method: rq.r.Method,
+		Target: rq.r.RequestURI,
+		Host:   rq.r.Host,
+		Body:   rq.body,
+		ID:     rq.hdr.ID,
+		ShouldSend: func() bool {
+			return rq.View.Upstreams().StillTakesWork(choice.Upstream, time.Now()) && rq.Guard.MaySend(rq.fingerprint, rq.crashPass)
+		},
 		Header: header.ForUpstream(rq.r.Header, header.Forward{
 			Instance:  choice.Upstream.ID,
 			Workspace: workspace,
@@ -161,12 +163,6 @@
 	}
 }
 
-// stillAccepts reports whether a chosen upstream accepts work according to the newest list.
-func (rq *request) stillAccepts(chosen routes.Upstream) bool {
-	current, known := rq.View.Upstreams().Find(chosen.ID)
-	return known && current.Incarnation == chosen.Incarnation && current.TakesWork(time.Now())
-}
-
 // Engines accept ranks from 0, the most urgent, to 9.
 const (
 	// ranksPerWorkspace is the number of route priorities that an engine distinguishes within
