Count the announcement of a leaving worker only if its response came

The trace: the worker began to run c6-19 while it announced, the connection to it broke 3 ms after the request was sent, and the gateway sent that idempotent request to another worker, whose response the client got.

The judge took any run of a request with a complete response for a delivered announcement. Now the worker must have run the request last, or its stamp must be that of the response: then its head has come.

--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -52,6 +52,8 @@
 	// Complete is set if the response arrived up to the end that its length or chunks mark, Signed if it has
 	// the signature of an upstream.
 	Complete, Signed bool
+	// Stamp is that signature. It names the upstream that sent the head of the response.
+	Stamp string
 	// Err says why the response is missing or incomplete.
 	Err string
 }
@@ -128,7 +130,8 @@
 		o.Err = err.Error()
 		return false
 	}
-	o.Status, o.Signed = response.StatusCode, response.Header.Get("X-Response-Stamp") != ""
+	o.Status, o.Stamp = response.StatusCode, response.Header.Get("X-Response-Stamp")
+	o.Signed = o.Stamp != ""
 	body, err := io.ReadAll(response.Body)
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	o.Body, o.Complete = string(body), err == nil && framed
--- a/standin/soak/judge_workers_test.go
+++ b/standin/soak/judge_workers_test.go
@@ -57,6 +57,7 @@
 	first, second := served(safeRoute), served(safeRoute)
 	first.ID, first.Body = "first", "answer of first"
 	second.ID, second.Body = "second", "answer of second"
+	first.Stamp, second.Stamp = "stamp.w", "stamp.w"
 	second.Sent = first.Ended.Add(after)
 	second.Ended = second.Sent.Add(time.Second)
 	return &evidence{
@@ -81,6 +82,22 @@
 	assert.Equal(t, len(other.violations(true)), 0, "the other gateway got no such response")
 }
 
+// TestAnAnnouncementThatWasNotDeliveredDoesNotCount: a gateway sends a request again after its first worker
+// closed the connection without a response.
+func TestAnAnnouncementThatWasNotDeliveredDoesNotCount(t *testing.T) {
+	cut := leaving(drainWithin + time.Millisecond)
+	again := worker.Run{ID: "first", At: cut.outcomes[0].Sent.Add(time.Millisecond)}
+	cut.runs["first"] = 2
+	cut.workers = append(cut.workers, workerEvidence{id: "v", runs: []worker.Run{again}})
+	assert.Equal(t, len(cut.violations(true)), 1, "the client got the head of the first worker")
+	cut.outcomes[0].Stamp = "stamp.v"
+	assert.Equal(t, strings.Join(cut.violations(true), "; "), "")
+	cut.workers[1].runs[0].Leaving = true
+	cut.workers[1].runs = append(cut.workers[1].runs, cut.workers[0].runs[1])
+	cut.workers[0].runs = cut.workers[0].runs[:1]
+	assert.Equal(t, len(cut.violations(true)), 1, "the last worker has responded, as the response is complete")
+}
+
 // backedOff returns evidence of a worker that asked for a backoff, and of requests that reached it at the
 // given seconds.
 func backedOff(length time.Duration, arrivals ...float64) *evidence {
--- a/standin/worker/crash.go
+++ b/standin/worker/crash.go
@@ -42,9 +42,9 @@
 	if err != nil {
 		panic("worker: cannot hijack the connection: " + err.Error())
 	}
-	defer func() { _ = conn.Close() }()                                                                                     // the response is sent or its reader has disconnected
-	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.%s\r\n\r\nanswer", id, w.ID) // Flush returns the error
-	_ = buffer.Flush()                                                                                                      // a caller that has disconnected needs no response
+	defer func() { _ = conn.Close() }()                                                                                      // the response is sent or its reader has disconnected
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s\r\n\r\nanswer", id, Stamp(w.ID)) // Flush returns the error
+	_ = buffer.Flush()                                                                                                       // a caller that has disconnected needs no response
 }
 
 // sendForeign writes the complete response of another request and closes the connection. It panics to
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -131,6 +131,9 @@
 	return w
 }
 
+// Stamp returns the signature of a worker's responses.
+func Stamp(id string) string { return "stamp." + id }
+
 // Address returns the IP:port at which callers reach the worker.
 func (w *Worker) Address() string {
 	if w.Advertised != "" {
@@ -271,7 +274,7 @@
 	out.Header().Set("X-Attempt-Id", id)
 	out.Header().Set("X-Instance-Load", "1,0,8")
 	if !w.consume(&w.faults.Unsigned) {
-		out.Header().Set("X-Response-Stamp", "stamp."+w.ID)
+		out.Header().Set("X-Response-Stamp", Stamp(w.ID))
 	}
 	if w.consume(&w.faults.Fail) {
 		out.WriteHeader(http.StatusInternalServerError)
