--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -21,12 +21,16 @@
 	HasData bool
 }
 
+// maxIDDigits is the number of digits of the largest ID that is compared. Longer ones would also make
+// long log lines.
+const maxIDDigits = 20
+
 // MayFollow reports whether an event with an ID may follow the event whose ID is last in a stream. IDs
 // increase, but may skip numbers. An ID that is empty or no number can't be compared and may follow
 // any.
 func MayFollow(id, last string) bool {
 	after, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
+	if err != nil || len(id) > maxIDDigits {
 		return true
 	}
 	before, err := strconv.ParseUint(last, 10, 64)
@@ -42,6 +46,9 @@
 // NewReader returns a Reader for the body of a stream.
 func NewReader(body io.Reader) *Reader { return &Reader{reader: bufio.NewReaderSize(body, 4096)} }
 
+// WithinEvent reports whether a part of an event came before the error that Next returned last.
+func (r *Reader) WithinEvent() bool { return len(r.buffer) > 0 }
+
 // Next returns the next event, which is valid until the next call. It returns io.EOF only if
 // the stream ended after a complete event, and io.ErrUnexpectedEOF if it ended within one.
 func (r *Reader) Next() (Event, error) {
--- a/gateway/events/reader_test.go
+++ b/gateway/events/reader_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+func TestAPartOfAnEventIsSeen(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "data: a\n\n": false, "data: a\n\ni": true, "id: 1\n": true} {
+		r := NewReader(strings.NewReader(text))
+		_, err := r.Next()
+		for err == nil {
+			_, err = r.Next()
+		}
+		assert.Equal(t, r.WithinEvent(), want, "%q", text)
+	}
+}
+
 func TestAPartOfAnEventIsNeverHandedOut(t *testing.T) {
 	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n"} {
 		_, err := NewReader(strings.NewReader(text)).Next()
@@ -58,6 +69,7 @@
 		{"", "1", true}, {"", "0", true}, {"1", "2", true}, {"1", "7", true}, {"9", "10", true}, {"0", "1", true},
 		{"2", "2", false}, {"2", "1", false}, {"10", "9", false}, {"2", "02", false}, {"18446744073709551615", "0", false},
 		{"2", "", true}, {"2", "a", true}, {"a", "1", true}, {"2", "-1", true}, {"2", "18446744073709551616", true},
+		{"2", strings.Repeat("0", 20) + "1", true},
 	} {
 		assert.Equal(t, MayFollow(c.id, c.last), c.want, "%q after %q", c.id, c.last)
 	}
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	Clients     int    `long:"clients" default:"12" description:"clients of a run"`
 	Steps       int    `long:"steps" default:"24" description:"faults and changes of a run"`
 	Returns     int    `long:"returns" default:"1" description:"how often the store returns from an older copy in a run"`
+	Disorders   int    `long:"disorders" default:"4" description:"how often a worker responds out of order or without a mark of the end in a run"`
 	Keep        string `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
 	Verbose     bool   `long:"verbose" description:"print the steps as they are made"`
 }
@@ -54,7 +55,7 @@
 		first = uint64(time.Now().UnixNano())
 	}
 	for i := range o.Seeds {
-		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns})
+		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns, Disorders: o.Disorders})
 	}
 	return seeds
 }
@@ -95,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	seed := played.Seed
-	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
+	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
 		Keep: filepath.Join(o.Keep, fmt.Sprint(seed))}
 	if o.Verbose {
 		runOptions.Out = os.Stdout
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -32,7 +32,8 @@
 // planRun returns all steps of a run.
 func planRun(o Options) []Step {
 	plan := append(Plan(o.Seed, o.Steps), planWorkers(o.Seed)...)
-	return append(plan, planReturns(o.Seed, o.Returns)...)
+	plan = append(plan, planReturns(o.Seed, o.Returns)...)
+	return append(plan, planDisorder(o.Seed, o.Disorders)...)
 }
 
 // Timing of a return.
--- a/standin/soak/era_test.go
+++ b/standin/soak/era_test.go
@@ -31,11 +31,13 @@
 		9102:                "5880738ab90974d7",
 		20012:               "994aa679951d8a3b",
 		30003:               "515db6e38b17b622",
+		61003:               "beb568b63fc8c498",
+		61007:               "4b5288c15f27e5a9",
 		1796260130301604318: "3faa5b04df58053e",
 	}
 	for _, regression := range Regressions {
-		plan := planRun(Options{Seed: regression.Seed, Steps: steps, Returns: regression.Returns})
+		plan := planRun(Options{Seed: regression.Seed, Steps: steps, Returns: regression.Returns, Disorders: regression.Disorders})
 		assert.Equal(t, planDigest(plan[:steps+workerSteps]), digests[regression.Seed], "seed %d", regression.Seed)
-		assert.Equal(t, len(plan), steps+workerSteps+regression.Returns, "seed %d", regression.Seed)
+		assert.Equal(t, len(plan), steps+workerSteps+regression.Returns+regression.Disorders, "seed %d", regression.Seed)
 	}
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -28,6 +28,8 @@
 	Gateways, Clients, Steps int
 	// Returns is how often the store returns from a copy.
 	Returns int
+	// Disorders is how often a worker responds out of order or without a mark of the end.
+	Disorders int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
