List the course in which an innocent request stays refused after a return of the store

Trace: trial 1 lists the upstreams 0/28 and 1/38; the return brings the crashes at 0/23 and 1/37 back, which had been cleared before. Four crashes, a trial that its gateway never sent, and no second one: refused for an hour.

--- a/core/quarantine/model_returns_test.go
+++ b/core/quarantine/model_returns_test.go
@@ -4,6 +4,8 @@
 	"maps"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // copied is a copy of the store's content.
@@ -85,3 +87,12 @@
 		return newMixedModel(seed, variant{identify: identity, returns: true})
 	})
 }
+
+// TestAnInnocentRequestIsFreedAfterTheStoreReturned: the store returns to crashes that had been cleared, and
+// the only trial of their request is lost with its gateway.
+func TestAnInnocentRequestIsFreedAfterTheStoreReturned(t *testing.T) {
+	const seed = 476
+	m := newMixedModel(seed, variant{identify: identity, returns: true})
+	m.simulate()
+	assert.Equal(t, m.violation(), "", "seed %d", seed)
+}
