--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -18,25 +18,22 @@
 	"acaciawinch/standin/soak"
 )
 
-// runTimeout limits one run: 7 s in which faults start, the rest of the last faults,
-// recovery, and a planned stop of each gateway.
-const runTimeout = 2 * time.Minute
-
 // options are the command-line flags.
 type options struct {
-	Bin         string `long:"bin" default:"bin" description:"folder of the built binaries"`
-	Seed        uint64 `long:"seed" default:"1" description:"first seed"`
-	Seeds       int    `long:"seeds" default:"1" description:"number of seeds"`
-	Fresh       bool   `long:"fresh" description:"take the first seed from the clock"`
-	Regressions bool   `long:"regressions" description:"play the seeds that failed once, in place of others"`
-	Jobs        int    `long:"jobs" default:"1" description:"runs at the same time"`
-	Gateways    int    `long:"gateways" default:"3" description:"gateways of a run"`
-	Clients     int    `long:"clients" default:"12" description:"clients of a run"`
-	Steps       int    `long:"steps" default:"24" description:"faults and changes of a run"`
-	Returns     int    `long:"returns" default:"1" description:"how often the store returns from an older copy in a run"`
-	Disorders   int    `long:"disorders" default:"4" description:"how often a worker responds out of order or without a mark of the end in a run"`
-	Keep        string `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
-	Verbose     bool   `long:"verbose" description:"print the steps as they are made"`
+	Bin         string        `long:"bin" default:"bin" description:"folder of the built binaries"`
+	Seed        uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds       int           `long:"seeds" default:"1" description:"number of seeds"`
+	Fresh       bool          `long:"fresh" description:"take the first seed from the clock"`
+	Regressions bool          `long:"regressions" description:"play the seeds that failed once, in place of others"`
+	Jobs        int           `long:"jobs" default:"1" description:"runs at the same time"`
+	Gateways    int           `long:"gateways" default:"3" description:"gateways of a run"`
+	Clients     int           `long:"clients" default:"12" description:"clients of a run"`
+	Steps       int           `long:"steps" default:"24" description:"faults and changes of a run"`
+	Returns     int           `long:"returns" default:"1" description:"how often the store returns from an older copy in a run"`
+	Disorders   int           `long:"disorders" default:"4" description:"how often a worker responds out of order or without a mark of the end in a run"`
+	Timeout     time.Duration `long:"timeout" default:"2m" description:"limit of one run: 7 s in which faults start, the rest of the last faults, recovery, and a planned stop of each gateway"`
+	Keep        string        `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
+	Verbose     bool          `long:"verbose" description:"print the steps as they are made"`
 }
 
 func main() {
@@ -93,7 +90,7 @@
 
 // runSeed runs one seed and reports whether all guarantees held.
 func runSeed(ctx context.Context, o options, played soak.Regression) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
 	seed := played.Seed
 	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
