Correct the trace of the innocent request that stays refused

A trace of its whole length shows that nothing had been cleared: a disconnected gateway wrote two crashes late, 0.14 s before a trial was claimed that does not list them, and that trial was never sent.

--- a/core/quarantine/model_returns_test.go
+++ b/core/quarantine/model_returns_test.go
@@ -88,8 +88,8 @@
 	})
 }
 
-// TestAnInnocentRequestIsFreedAfterTheStoreReturned: the store returns to crashes that had been cleared, and
-// the only trial of their request is lost with its gateway.
+// TestAnInnocentRequestIsFreedAfterTheStoreReturned: a trial is claimed before its gateway knows of crashes
+// that another one reported late, and is never sent.
 func TestAnInnocentRequestIsFreedAfterTheStoreReturned(t *testing.T) {
 	const seed = 476
 	m := newMixedModel(seed, variant{identify: identity, returns: true})
