--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -79,9 +79,13 @@
 	listener net.Listener
 	server   *http.Server
 
-	mu         sync.Mutex
-	faults     Faults
-	leaving    bool
+	mu      sync.Mutex
+	faults  Faults
+	leaving bool
+	// limit holds the values of the header that names the limit, empty if there is none; arrivals holds
+	// everything that arrived.
+	limit      []string
+	arrivals   []Arrival
 	runs       []Run
 	rejections []Rejection
 	batches    [][]Item
@@ -217,6 +221,7 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w.recordArrival(out, r)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.ID {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
