--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -45,7 +45,7 @@
 		case !s.upstream.TakesWork(now):
 		case now.Before(s.avoidUntil):
 			avoided = append(avoided, s)
-		case s.calls >= max(1, p.settings.Slots):
+		case s.calls >= max(1, p.settings.Slots), !s.isPermitted(now):
 			busy++
 		default:
 			usable = append(usable, s)
@@ -62,7 +62,7 @@
 func (p *Pool) retryableUpstreams(list []*upstreamState, now time.Time) []*upstreamState {
 	var found []*upstreamState
 	for _, s := range list {
-		if s.calls < max(1, p.settings.Slots) && now.Sub(s.failedAt) >= minAvoidTime {
+		if s.calls < max(1, p.settings.Slots) && s.isPermitted(now) && now.Sub(s.failedAt) >= minAvoidTime {
 			found = append(found, s)
 		}
 	}
@@ -115,6 +115,7 @@
 	call.Expected = time.Duration(s.slowdown * float64(p.callTime(len(call.Items))))
 	call.Timeout = p.timeout(s, len(call.Items))
 	s.calls++
+	s.permitUntil = time.Time{}
 	s.busyUntil = call.StartedAt.Add(call.Expected)
 	s.usedBytes += call.bytes
 }
@@ -142,7 +143,7 @@
 		return false
 	}
 	for _, other := range p.upstreams {
-		if other == s || !other.upstream.TakesWork(now) || now.Before(other.avoidUntil) {
+		if other == s || !other.isPermitted(now) || !other.upstream.TakesWork(now) || now.Before(other.avoidUntil) {
 			continue
 		}
 		if here-task.crossZoneBytes(other.upstream.Zone) <= negligibleBytes {
--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -41,13 +41,18 @@
 // behind it and don't count: if they did, a burst would make the tasks of every earlier stage
 // look late too, until the pool served late tasks only.
 func (p *Pool) Wait(rank int, value float64) time.Duration {
+	return p.waitBehind(p.itemsAhead(rank, value))
+}
+
+// itemsAhead returns the number of items in time that a task of the given rank and value waits behind.
+func (p *Pool) itemsAhead(rank int, value float64) int {
 	ahead := 0
 	for _, q := range p.queue {
 		if !q.late && !q.yieldsTo(rank, value) {
 			ahead += len(q.items)
 		}
 	}
-	return p.waitBehind(ahead)
+	return ahead
 }
 
 // yieldsTo reports whether the task lets a task of the given rank and value go first.
@@ -64,18 +69,16 @@
 // waitBehind estimates the time until the call ends that serves an item with the given number
 // of items ahead of it.
 func (p *Pool) waitBehind(ahead int) time.Duration {
-	usable := 0
-	for _, s := range p.upstreams {
-		if s.upstream.Eligible() {
-			usable++
-		}
-	}
-	if usable == 0 || p.settings.Batch == 0 {
+	if p.settings.Batch == 0 {
 		return 0
 	}
 	items := p.itemsPerCall()
 	full := float64(p.settings.CallTime+time.Duration(items*float64(p.settings.ItemTime))) * p.slowdown
-	return time.Duration(full * (float64(ahead)/items/float64(usable) + 1))
+	usable := p.capacity(time.Duration(full))
+	if usable == 0 {
+		return 0
+	}
+	return time.Duration(full * (float64(ahead)/items/usable + 1))
 }
 
 // itemsPerCall returns how many items a call takes when more are waiting than fit: the
--- /dev/null
+++ b/core/pool/limit.go
@@ -0,0 +1,82 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"acaciawinch/core/routes"
+)
+
+// SetLimits replaces the limits that upstreams have named, in calls a second by the ID of the upstream. An
+// upstream with a limit gets calls only with a Permit.
+func (p *Pool) SetLimits(perSecond map[string]float64) {
+	for id, s := range p.upstreams {
+		s.limit, s.limited = perSecond[id]
+	}
+}
+
+// Permit allows one call to an upstream until a time.
+func (p *Pool) Permit(upstream routes.Upstream, until time.Time) {
+	if s := p.stateOf(upstream); s != nil {
+		s.permitUntil = until
+	}
+}
+
+// isPermitted reports whether an upstream may get a call now as far as its limit is concerned.
+func (s *upstreamState) isPermitted(now time.Time) bool {
+	return !s.limited || now.Before(s.permitUntil)
+}
+
+// NeedsPermit returns the upstreams that could take a call of waiting items if they had a permit, by ID, and
+// the rank and value of the first waiting task.
+func (p *Pool) NeedsPermit(now time.Time) (upstreams []routes.Upstream, rank int, value float64) {
+	if p.waiting == 0 {
+		return nil, 0, 0
+	}
+	for _, s := range p.upstreams {
+		if s.limited && !s.isPermitted(now) && s.upstream.TakesWork(now) && !now.Before(s.avoidUntil) && s.calls < max(1, p.settings.Slots) {
+			upstreams = append(upstreams, s.upstream)
+		}
+	}
+	if len(upstreams) == 0 {
+		return nil, 0, 0
+	}
+	p.sort(now)
+	slices.SortFunc(upstreams, func(a, b routes.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return upstreams, p.queue[0].Rank, p.queue[0].Value
+}
+
+// capacity returns how many upstreams without a limit, working all the time, would do what the
+// upstreams can do. A full call takes the given time.
+func (p *Pool) capacity(fullCall time.Duration) float64 {
+	total := 0.0
+	for _, s := range p.upstreams {
+		switch {
+		case !s.upstream.Eligible():
+		case s.limited:
+			total += min(1, s.limit*fullCall.Seconds())
+		default:
+			total++
+		}
+	}
+	return total
+}
+
+// allLimited reports whether all upstreams that take work have limits.
+func (p *Pool) allLimited() bool {
+	limited := false
+	for _, s := range p.upstreams {
+		if s.upstream.Eligible() && !s.limited {
+			return false
+		}
+		limited = limited || s.upstream.Eligible()
+	}
+	return limited
+}
+
+// exceedsLimits reports whether a task can't be done before its deadline because all upstreams have limits,
+// with a number of items ahead of it.
+func (p *Pool) exceedsLimits(t *Task, ahead int, now time.Time) bool {
+	return p.allLimited() && now.Add(p.waitBehind(ahead)).After(t.Deadline)
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -151,6 +151,11 @@
 	busyUntil time.Time
 	// slowdown is a moving average of the ratio of measured to configured call time.
 	slowdown float64
+	// limit is the rate of calls a second that the upstream has named, if limited is set; it then gets a call
+	// only with a permit, which can be used until permitUntil.
+	limited     bool
+	limit       float64
+	permitUntil time.Time
 }
 
 // New returns an empty Pool.
--- a/gateway/flow/choose.go
+++ b/gateway/flow/choose.go
@@ -24,6 +24,8 @@
 	// empty, is the one incarnation that it must be sent to.
 	excluded []string
 	only     string
+	// unlimited is set if the request must be sent to an upstream without a known limit.
+	unlimited bool
 	// keepTogether is set if copies of the request that run at the same time should run at one
 	// upstream; request is its fingerprint.
 	keepTogether bool
@@ -98,7 +100,7 @@
 func (s *Server) usable(needs requirements, now time.Time) []routes.Upstream {
 	list := s.View.Upstreams().Of(needs.serviceName)
 	skip := func(upstream routes.Upstream) bool {
-		return !needs.allows(upstream.Region) || needs.isExcluded(upstream) || s.isColdUpstream(needs.service, upstream, now) && !s.allowsCold(needs.service, upstream, now)
+		return !needs.allows(upstream.Region) || needs.isExcluded(upstream) || needs.unlimited && s.Limits.Limited(upstream) || s.isColdUpstream(needs.service, upstream, now) && !s.allowsCold(needs.service, upstream, now)
 	}
 	if slices.ContainsFunc(list, skip) {
 		list = slices.DeleteFunc(slices.Clone(list), skip)
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -313,6 +313,10 @@
 		rq.refuse(http.StatusServiceUnavailable, "request.choose", reason, retryAfter)
 		return
 	}
+	if err := rq.refusedByLimits(); err != nil {
+		rq.giveUp(err)
+		return
+	}
 	defer func() { rq.results.free() }()
 	defer func() { rq.Guard.ReturnTrial(rq.fingerprint, rq.hdr.ID, rq.crashPass, false) }()
 	rq.countRequest(rq.service, rq.started)
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -8,6 +8,7 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/quarantine"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -117,6 +118,10 @@
 	if errors.As(err, &refusal) {
 		return refusal.RetryAfter
 	}
+	var limited *ratelimit.Refusal
+	if errors.As(err, &limited) {
+		return limited.RetryAfter
+	}
 	return rq.estimateRetryAfter()
 }
 
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	core "acaciawinch/core/ratelimit"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -57,10 +59,11 @@
 		return err // upstreams may have crashed while the stages ran
 	}
 	rq.awaitBackoff()
-	choice, needs, err := rq.chooseUpstream()
+	choice, needs, permit, err := rq.chooseUpstream()
 	if err != nil {
 		return err
 	}
+	defer permit.Release()
 	trial := rq.crashPass
 	defer rq.Guard.Release(rq.fingerprint, trial)
 	defer rq.sendEnded(needs, choice.Upstream)
@@ -71,10 +74,17 @@
 	cancelFree := rq.freeWhenRead(choice)
 	defer cancelFree()
 	sent := clock.Boot()
-	response, err := rq.Client.Do(ctx, choice.Upstream.Address, rq.message(choice, needs.service != nil && needs.service.Engine != nil))
+	message := rq.message(choice, needs.service != nil && needs.service.Engine != nil)
+	var known core.Stamp
+	message.ShouldSend = func() bool {
+		known = rq.Limits.Stamp(choice.Upstream)
+		return rq.maySend(choice.Upstream) && rq.Limits.MaySend(choice.Upstream, permit, rq.hdr.ID)
+	}
+	response, err := rq.Client.Do(ctx, choice.Upstream.Address, message)
 	if err == nil {
 		rq.countSend()
 		defer response.Close()
+		rq.recordLimit(choice.Upstream, response, known)
 		err = rq.handleResponse(choice.Upstream, response, sent)
 	} else {
 		err = rq.classifySendError(err)
@@ -88,23 +98,27 @@
 	return err
 }
 
-// chooseUpstream returns the upstream to send the request to, and what the request needs of it. If the
-// request is sent as a trial, the upstream is reserved.
-func (rq *request) chooseUpstream() (selection.Choice, requirements, error) {
+// chooseUpstream returns the upstream to send the request to, what the request needs of it, and the
+// permit if a limit of the upstream is known. If the request is sent as a trial, the upstream is reserved.
+func (rq *request) chooseUpstream() (selection.Choice, requirements, *ratelimit.Permit, error) {
 	needs := rq.requirements()
 	if rq.crashPass.IsTrial() {
 		reserved, err := rq.reserveUpstream(needs)
 		if err != nil {
-			return selection.Choice{}, needs, err
+			return selection.Choice{}, needs, nil, err
 		}
 		needs.only = reserved
 	}
-	choice, found := rq.choose(needs)
-	if !found {
+	choice, permit, err := rq.chooseWithinLimits(needs)
+	if err != nil {
 		rq.Guard.Release(rq.fingerprint, rq.crashPass)
-		return choice, needs, fault.New(fault.Unavailable, "request.choose", rq.service, "no upstream accepts requests")
 	}
-	return choice, needs, nil
+	return choice, needs, permit, err
+}
+
+// maySend reports whether an upstream still takes work and the quarantine still allows the request.
+func (rq *request) maySend(upstream routes.Upstream) bool {
+	return rq.View.Upstreams().StillTakesWork(upstream, time.Now()) && rq.Guard.MaySend(rq.fingerprint, rq.crashPass)
 }
 
 // awaitBackoff waits, if all upstreams of the service are backed off, until the first backoff ends.
@@ -146,9 +160,6 @@
 		Host:   rq.r.Host,
 		Body:   rq.body,
 		ID:     rq.hdr.ID,
-		ShouldSend: func() bool {
-			return rq.View.Upstreams().StillTakesWork(choice.Upstream, time.Now()) && rq.Guard.MaySend(rq.fingerprint, rq.crashPass)
-		},
 		Header: header.ForUpstream(rq.r.Header, header.Forward{
 			Instance:  choice.Upstream.ID,
 			Workspace: workspace,
@@ -270,7 +281,7 @@
 		rq.recordUnproved(upstream)
 		return
 	}
-	if ok && rq.ctx.Err() == nil {
+	if ok && rq.ctx.Err() == nil && !errors.Is(err, httpconn.ErrWithdrawn) {
 		rq.markFailed(id)
 	}
 	if closedByUpstream(err) {
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -19,6 +19,7 @@
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 )
@@ -36,6 +37,7 @@
 	Dispatcher *pools.Dispatcher
 	Client     *httpconn.Client
 	Guard      *quarantine.Guard
+	Limits     *ratelimit.Limiter
 	Logger     *observe.Logger
 	Metrics    *Metrics
 	Zone       string
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -10,8 +10,10 @@
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/pool"
+	core "acaciawinch/core/ratelimit"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -59,6 +61,7 @@
 	o.logger.Event(event.PoolCallWithdrawn, observe.Fields{"service": p.Service, "upstream": call.Upstream.ID,
 		"items": len(call.Items), "duration_us": now.Sub(call.StartedAt).Microseconds()})
 	p.queue.SetUpstreams(p.of(o.fleet.Upstreams()))
+	o.applyLimits(p)
 	outcomes := make([]pool.Outcome, len(call.Items))
 	for i, item := range call.Items {
 		outcomes[i] = pool.NotSent
@@ -90,9 +93,10 @@
 	if err != nil {
 		return stagecall.Response{}, fault.Wrap(fault.Internal, "stage.encode", b.Upstream.ID, err)
 	}
+	defer b.permit.Release()
 	request := o.message(b.Upstream, stagecall.RunPath, body, b.maxRemaining)
 	request.ShouldSend = func() bool {
-		if !o.fleet.Upstreams().StillTakesWork(b.Upstream, time.Now()) {
+		if !o.fleet.Upstreams().StillTakesWork(b.Upstream, time.Now()) || !o.limits.MaySend(b.Upstream, b.permit, "") {
 			return false
 		}
 		o.reportInputsRead(p, b.inputsOf)
@@ -120,12 +124,20 @@
 // post sends one request to an upstream of a pool and returns the response body. If the body breaks off,
 // post returns the part that arrived and an error.
 func (o *Owner) post(ctx context.Context, to routes.Upstream, request httpconn.Request) ([]byte, error) {
+	known, mayWrite := core.Stamp{}, request.ShouldSend
+	request.ShouldSend = func() bool {
+		known = o.limits.Stamp(to)
+		return mayWrite()
+	}
 	response, err := o.client.Do(ctx, to.Address, request)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Close()
 	hints := header.ReadResponse(response.Status, response.Header)
+	if !hints.Replaced {
+		o.limits.Responded(to, known, hints.Limit, "")
+	}
 	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
 	if err != nil && response.Status == http.StatusOK {
@@ -208,7 +220,7 @@
 		address, _, _ := strings.Cut(handle, "/")
 		pending := p.pendingFrees[address]
 		if pending == nil {
-			pending = &pendingFree{}
+			pending = &pendingFree{until: time.Now().Add(p.keepTime)}
 			p.pendingFrees[address] = pending
 		}
 		pending.handles = append(pending.handles, handle)
@@ -216,29 +228,34 @@
 			delete(p.results, handle)
 			p.freedResults[handle] = result
 			pending.bytes += result.bytes
+			pending.until = later(pending.until, result.until)
 		}
 	}
 }
 
 // sendFrees tells the upstreams of a pool which results to drop. Upstreams that are backed off are
-// told once the backoff has ended. Upstreams that leave are told too: calls that they accepted earlier need
+// told once the backoff has ended, those with a limit now and then (sendLimitedFree). Upstreams that leave are told too: calls that they accepted earlier need
 // the room, and this is no work. Results of upstreams that are no longer listed are gone with
 // them.
 func (o *Owner) sendFrees(p *ownedPart, now time.Time) {
 	if len(p.pendingFrees) == 0 {
 		return
 	}
-	later := make(map[string]*pendingFree)
+	kept := make(map[string]*pendingFree)
 	for _, upstream := range o.fleet.Upstreams().Of(p.Service) {
 		switch pending := p.pendingFrees[upstream.Address]; {
 		case pending == nil:
 		case now.Before(upstream.BackoffUntil):
-			later[upstream.Address] = pending
+			kept[upstream.Address] = pending
+		case o.limits.Limited(upstream):
+			if !o.freeWithinLimit(p, upstream, pending, now) {
+				kept[upstream.Address] = pending
+			}
 		default:
-			go o.sendFree(p, upstream, pending)
+			go o.sendFree(p, upstream, pending, nil)
 		}
 	}
-	p.pendingFrees = later
+	p.pendingFrees = kept
 }
 
 // freeTimeout bounds a call that frees results.
@@ -246,12 +263,19 @@
 
 // sendFree tells one upstream which results to drop. The room that they take counts as available
 // only after the call.
-func (o *Owner) sendFree(p *ownedPart, upstream routes.Upstream, pending *pendingFree) {
+func (o *Owner) sendFree(p *ownedPart, upstream routes.Upstream, pending *pendingFree, permit *ratelimit.Permit) {
+	defer permit.Release()
 	ctx, cancel := context.WithTimeout(o.lifetime, freeTimeout)
 	defer cancel()
 	body, err := stagecall.FreeBody(pending.handles)
 	if err == nil {
-		_, err = o.post(ctx, upstream, o.message(upstream, stagecall.FreePath, body, freeTimeout))
+		request := o.message(upstream, stagecall.FreePath, body, freeTimeout)
+		request.ShouldSend = func() bool { return o.limits.MaySend(upstream, permit, "") }
+		_, err = o.post(ctx, upstream, request)
+	}
+	if errors.Is(err, httpconn.ErrWithdrawn) {
+		o.freeLater(p, upstream, pending)
+		return
 	}
 	if err != nil {
 		o.logger.Warn(event.PoolFreeFailed, observe.Fields{"upstream": upstream.ID, "handles": len(pending.handles), "error": err.Error()})
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,6 +8,7 @@
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
@@ -31,6 +32,7 @@
 type Owner struct {
 	fleet  Fleet
 	client *httpconn.Client
+	limits *ratelimit.Limiter
 	logger *observe.Logger
 
 	mu         sync.Mutex
@@ -59,6 +61,13 @@
 	// pendingFrees holds the results to be freed, by the address of their upstream.
 	pendingFrees map[string]*pendingFree
 	keepTime     time.Duration
+	// permits holds the permits for calls by the ID of the upstream; asking is set for the upstreams for which
+	// one is asked, and hasLimits if the queue knows of limits.
+	permits   map[string]*ratelimit.Permit
+	asking    map[string]bool
+	hasLimits bool
+	// nextFree holds the earliest time of the next call that frees results, by the ID of the upstream.
+	nextFree map[string]time.Time
 	// ownedSince is when this process became the owner.
 	ownedSince time.Time
 }
@@ -91,13 +100,15 @@
 // pendingFree holds the results that one upstream is to drop.
 type pendingFree struct {
 	handles []string
-	// bytes is the total size of those results that this owner has recorded.
+	// bytes is the total size of those results that this owner has recorded, until the time at which the
+	// upstream drops the last of them by itself.
 	bytes int64
+	until time.Time
 }
 
 // NewOwner returns an Owner. Run must be called before tasks are submitted.
-func NewOwner(lifetime context.Context, fleet Fleet, client *httpconn.Client, logger *observe.Logger) *Owner {
-	return &Owner{fleet: fleet, client: client, logger: logger, pools: make(map[Part]*ownedPart), lifetime: lifetime}
+func NewOwner(lifetime context.Context, fleet Fleet, client *httpconn.Client, limits *ratelimit.Limiter, logger *observe.Logger) *Owner {
+	return &Owner{fleet: fleet, client: client, limits: limits, logger: logger, pools: make(map[Part]*ownedPart), lifetime: lifetime}
 }
 
 // Run drops expired tasks and results until ctx ends.
@@ -180,6 +191,9 @@
 		results:      make(map[string]keptResult),
 		freedResults: make(map[string]keptResult),
 		pendingFrees: make(map[string]*pendingFree),
+		permits:      make(map[string]*ratelimit.Permit),
+		asking:       make(map[string]bool),
+		nextFree:     make(map[string]time.Time),
 		ownedSince:   time.Now(),
 	}
 	if !o.configure(p) {
@@ -203,6 +217,7 @@
 	p.keepTime = service.Pool.KeepTime
 	p.queue.Configure(*service.Pool)
 	p.queue.SetUpstreams(p.of(upstreams))
+	o.applyLimits(p)
 	return true
 }
 
@@ -296,6 +311,7 @@
 	}
 	p.tasks[o.lastTicket] = open
 	session.tasks[number] = taskRef{part: p, ticket: o.lastTicket}
+	o.applyLimits(p)
 	switch {
 	case p.queue.Evacuated():
 		o.fail(p, o.lastTicket, Evacuated)
@@ -339,12 +355,14 @@
 
 // sendCalls sends all calls that can be sent now.
 func (o *Owner) sendCalls(p *ownedPart, now time.Time) {
+	o.applyLimits(p)
+	defer o.askPermits(p, now)
 	for {
 		call := p.queue.Next(now)
 		if call == nil {
 			return
 		}
-		b := &batch{Call: call, inputsOf: o.inputsReadBy(p, call)}
+		b := &batch{Call: call, inputsOf: o.inputsReadBy(p, call), permit: p.takePermit(call.Upstream)}
 		b.body, b.maxRemaining = p.encode(call, now)
 		go o.call(p, b)
 	}
@@ -356,6 +374,8 @@
 	body []stagecall.Item
 	// maxRemaining is the longest time remaining for a request of the items.
 	maxRemaining time.Duration
+	// permit allows the call if a limit of the upstream is known; nil if none is.
+	permit *ratelimit.Permit
 	// inputsOf holds the tasks whose inputs have all been read soon after the batch is sent.
 	inputsOf []pool.Ticket
 }
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/platform/stagecall"
@@ -124,7 +126,7 @@
 	o := NewOwner(ctx, staticFleet{
 		table:     routes.NewTable(1, routes.Limits{}, nil, []*routes.Service{{Name: "enc", Pool: pool}}, nil),
 		upstreams: routes.NewUpstreams([]routes.Upstream{{ID: "w", Service: "enc", Address: strings.TrimPrefix(server.URL, "http://")}}),
-	}, client, logger)
+	}, client, ratelimit.New(ratelimit.Options{Logger: logger, Scope: tally.NoopScope}), logger)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -18,6 +18,7 @@
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
+	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/relay"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
@@ -47,6 +48,7 @@
 	dispatcher *pools.Dispatcher
 	flow       *flow.Server
 	guard      *quarantine.Guard
+	limits     *ratelimit.Limiter
 	client     *httpconn.Client
 	rpc        *link.Server
 	relay      *relay.Server
@@ -123,9 +125,13 @@
 		Regions: regions,
 		Records: []view.Records{{Kind: quarantine.RecordKind, Receiver: p.guard}},
 	})
-	p.owner = pools.NewOwner(runCtx, p.view, p.client, logger)
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
+	p.limits = ratelimit.New(ratelimit.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Lifetime: runCtx, Logger: logger, Scope: p.metrics.Scope()})
+	if err := wirepb.DRPCRegisterRateLimit(p.rpc.Mux(), ratelimit.NewServer(p.limits)); err != nil {
+		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
+	}
+	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -140,6 +146,7 @@
 		Dispatcher: p.dispatcher,
 		Client:     p.client,
 		Guard:      p.guard,
+		Limits:     p.limits,
 		Logger:     logger,
 		Metrics:    flow.NewMetrics(p.metrics.Scope()),
 		Zone:       settings.Process.Zone,
@@ -149,6 +156,7 @@
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
 	})
+	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.FleetChanged)
 	p.view.OnChange(p.follower.Wake)
@@ -204,7 +212,7 @@
 func (p *process) serve(ctx, runCtx context.Context, stop context.CancelFunc, ports listeners) error {
 	servers := newServers(p, ports)
 	group, runCtx := errgroup.WithContext(runCtx)
-	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return loop(runCtx) })
 	}
 	group.Go(func() error { return p.rpc.Serve(runCtx, ports.fleet) })
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -103,6 +103,7 @@
 	p.logger.Event(event.ProcessDraining, observe.Fields{"in_flight": p.flow.InFlight()})
 	p.dispatcher.Leave()
 	p.owner.Leave()
+	p.limits.Leave()
 	grace := time.Duration(p.settings.Bounds.GraceSeconds*float64(time.Second)) - graceMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -84,3 +84,14 @@
 	TrialsRemoved    = define(10078, "crash_trials_removed", "Trial objects of requests without counted crashes were removed; left is the number of trial objects that remain.", "removed", "left")
 	TrialsUnlisted   = define(10079, "crash_trials_unlisted", "The trial objects could not be listed; the next cleanup pass tries again.", "error")
 )
+
+// Events of limits that upstreams name in their responses: 10110 to 10119.
+var (
+	RateLimitChanged     = define(10110, "rate_limit_changed", "This process learned that an upstream names a limit on its requests, another one than before, or none any more. It was told by the response to a request (source response) or by a coordinator (source notice).", "upstream", "born", "service", "ended", "per_second", "before", "source", "request", "coordinator", "version")
+	RateLimitCoordinator = define(10111, "rate_limit_coordinator", "This process asks another coordinator than before for the permits of a service.", "service", "coordinator", "incarnation", "before", "gateways")
+	RateLimitVotes       = define(10112, "rate_limit_votes", "The number of gateways that gave this process their vote on a service changed; it grants that part of the limits.", "service", "votes", "before", "gateways")
+	RateLimitLinkLost    = define(10113, "rate_limit_link_lost", "A coordinator closed the connection, does not respond or is unreachable; its asks go to the next one.", "coordinator", "incarnation", "asks", "silent_ms", "error")
+	RateLimitPermit      = define(10114, "rate_limit_permit", "A request to an upstream with a limit got a permit, was refused one, or did not use it in time; the limit, its age and the coordinator that decided are given.", "request", "service", "outcome", "upstream", "per_second", "limit_age_ms", "coordinator", "waited_ms", "ahead", "optional", "retry_after_ms")
+	RateLimitNoticeLost  = define(10116, "rate_limit_notice_lost", "A gateway could not be told the limits of a service; it is told again later.", "service", "peer", "error")
+	RateLimitWithheld    = define(10115, "rate_limit_withheld", "A request was not written, as its upstream has named a limit since it was chosen, or its permit had expired.", "request", "upstream", "per_second", "permit_age_ms")
+)
