--- a/core/ratelimit/queue.go
+++ b/core/ratelimit/queue.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		if q.Preview {
-			s.grant(q, q.Upstreams[0].Upstream, now)
+			s.grant(q, Upstream{}, now)
 			continue
 		}
 		s.queue = append(s.queue, q)
--- a/gateway/ratelimit/limiter.go
+++ b/gateway/ratelimit/limiter.go
@@ -48,6 +48,9 @@
 	// wake makes Run renew the votes.
 	wake chan struct{}
 
+	// limits holds the limits in table, for reads without the lock.
+	limits atomic.Pointer[map[core.Upstream]float64]
+
 	mu         sync.Mutex
 	table      *core.Table
 	candidates *core.Candidates
@@ -156,12 +159,26 @@
 
 // Limit returns the known limit of an upstream in requests a second, and false if there is none.
 func (l *Limiter) Limit(upstream routes.Upstream) (perSecond float64, limited bool) {
-	if !l.active.Load() {
+	limits := l.limits.Load()
+	if limits == nil {
 		return 0, false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.Limit(keyOf(upstream))
+	perSecond, limited = (*limits)[keyOf(upstream)]
+	return perSecond, limited
+}
+
+// publish makes the limits in table visible to Limit. l.mu must be held.
+func (l *Limiter) publish() {
+	l.metrics.limited.Update(float64(len(l.serviceOf)))
+	if l.table.Empty() {
+		l.limits.Store(nil)
+		return
+	}
+	limits := make(map[core.Upstream]float64)
+	for _, upstream := range l.table.Upstreams() {
+		limits[upstream], _ = l.table.Limit(upstream)
+	}
+	l.limits.Store(&limits)
 }
 
 // Limited reports whether a limit of an upstream is known.
@@ -211,7 +228,7 @@
 		delete(l.serviceOf, upstream)
 		delete(l.learnedAt, upstream)
 	}
-	l.metrics.limited.Update(float64(len(l.serviceOf)))
+	l.publish()
 	l.active.Store(true)
 	l.wakeRun()
 }
--- a/gateway/ratelimit/link.go
+++ b/gateway/ratelimit/link.go
@@ -206,9 +206,13 @@
 	l.wakeRun()
 }
 
-// dropSilentLinks drops the links to coordinators that don't respond. l.mu must be held.
-func (l *Limiter) dropSilentLinks(now time.Duration) {
+// dropSilentLinks drops the links to coordinators that don't respond. After a stall of this process, their
+// replies may still be waiting to be read. l.mu must be held.
+func (l *Limiter) dropSilentLinks(now time.Duration, stalled bool) {
 	for _, c := range l.links {
+		if stalled {
+			c.lastHeard = now
+		}
 		if silent := now - c.lastHeard; silent > silenceTimeout {
 			l.dropLink(c, now, fault.New(fault.Unavailable, "ratelimit.receive", c.to.Name, "silent for %v", silent))
 		}
--- a/gateway/ratelimit/permit.go
+++ b/gateway/ratelimit/permit.go
@@ -69,6 +69,7 @@
 
 // openAsk is an ask without a decision.
 type openAsk struct {
+	service string
 	// to is the incarnation of the coordinator.
 	to      string
 	outcome chan outcome
@@ -143,7 +144,7 @@
 	defer l.mu.Unlock()
 	coordinator := l.choose(r.Service)
 	l.lastAsk++
-	ask = &openAsk{to: coordinator.Incarnation, outcome: make(chan outcome, 1)}
+	ask = &openAsk{service: r.Service, to: coordinator.Incarnation, outcome: make(chan outcome, 1)}
 	l.asks[l.lastAsk] = ask
 	message := core.Ask{Ticket: core.Ticket{Gateway: localSession, Number: l.lastAsk}, Service: r.Service, Rank: r.Rank, Value: r.Value,
 		Wait: r.Wait, Optional: r.Optional, Returns: r.Returns, Preview: r.Preview}
@@ -198,8 +199,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.asks, number)
+	l.withdraw(clock.Boot(), number, ask)
+}
+
+// withdraw tells the coordinator that nobody waits for an ask any more. l.mu must be held.
+func (l *Limiter) withdraw(now time.Duration, number uint64, ask *openAsk) {
 	if ask.to == l.options.Self.Incarnation {
-		l.coordinator.Cancel(clock.Boot(), core.Ticket{Gateway: localSession, Number: number})
+		l.coordinator.Cancel(now, core.Ticket{Gateway: localSession, Number: number})
 		return
 	}
 	if to := l.links[ask.to]; to != nil {
--- a/gateway/ratelimit/votes.go
+++ b/gateway/ratelimit/votes.go
@@ -46,9 +46,8 @@
 	l.lastTick = now
 	l.expire(now)
 	l.vote(now)
-	if !stalled {
-		l.dropSilentLinks(now)
-	}
+	l.moveAsks(now)
+	l.dropSilentLinks(now, stalled)
 	l.logVotes(now)
 	if now-l.lastNotice >= noticeInterval {
 		l.lastNotice = now
@@ -76,7 +75,7 @@
 			delete(l.notBefore, key)
 		}
 	}
-	l.metrics.limited.Update(float64(len(l.serviceOf)))
+	l.publish()
 	for _, service := range l.coordinator.Services() {
 		l.coordinator.Keep(service, listed)
 	}
@@ -134,6 +133,17 @@
 	}
 }
 
+// moveAsks gives back the open asks of coordinators that were replaced: these have no vote of this process any
+// more. l.mu must be held.
+func (l *Limiter) moveAsks(now time.Duration) {
+	for number, ask := range l.asks {
+		if l.choose(ask.service).Incarnation != ask.to {
+			l.withdraw(now, number, ask)
+			l.decided(number, ask.to, outcome{lost: true})
+		}
+	}
+}
+
 // logVotes logs changes of the number of votes that this process holds. l.mu must be held.
 func (l *Limiter) logVotes(now time.Duration) {
 	for _, service := range l.coordinator.Services() {
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -33,7 +33,8 @@
 func planRun(o Options) []Step {
 	plan := append(Plan(o.Seed, o.Steps), planWorkers(o.Seed)...)
 	plan = append(plan, planReturns(o.Seed, o.Returns)...)
-	return append(plan, planDisorder(o.Seed, o.Disorders)...)
+	plan = append(plan, planDisorder(o.Seed, o.Disorders)...)
+	return append(plan, planLimits(o.Seed, o.Limits)...)
 }
 
 // Timing of a return.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -46,6 +46,8 @@
 		s.leaveWorker(ctx, step)
 	case BackOffWorker:
 		s.backOffWorker(ctx, step)
+	case LimitWorker:
+		s.limitWorker(ctx, step)
 	case DisorderWorker:
 		s.disorderWorker(ctx, step)
 	case ReturnStore:
@@ -142,6 +144,7 @@
 	name := s.names[step.Target%len(s.names)]
 	relay := s.links[name]
 	defer s.beginDisruption(allGateways, false)()
+	defer s.beginLinkDisruption(name)()
 	switch step.Kind {
 	case BreakLink:
 		relay.Break()
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -34,6 +34,8 @@
 	workers []workerEvidence
 	// disruptions are the time spans in which gateways were not in contact with the other parts.
 	disruptions []disruption
+	// linkDisruptions are those of single links.
+	linkDisruptions []linkDisruption
 }
 
 // stop is a planned stop of a gateway.
@@ -76,6 +78,7 @@
 		}
 	}
 	found = append(found, e.judgeWorkers(outcomes)...)
+	found = append(found, e.judgeLimits(outcomes)...)
 	for id := range e.runs {
 		if _, known := outcomes[id]; all && !known && !strings.HasPrefix(id, probePrefix) {
 			found = append(found, id+" ran and no client had its outcome")
--- a/standin/soak/judge_workers.go
+++ b/standin/soak/judge_workers.go
@@ -40,6 +40,8 @@
 	id         string
 	runs       []worker.Run
 	rejections []worker.Rejection
+	arrivals   []worker.Arrival
+	limits     []worker.LimitPeriod
 	// crash is the request that crashed the worker, if crashed is set.
 	crash   worker.Run
 	crashed bool
@@ -48,7 +50,7 @@
 // workerEvidenceOf reads from a worker what it did.
 func workerEvidenceOf(w *worker.Worker) workerEvidence {
 	crash, crashed := w.CrashedBy()
-	return workerEvidence{id: w.ID, runs: w.Runs(), rejections: w.Rejections(), crash: crash, crashed: crashed}
+	return workerEvidence{id: w.ID, runs: w.Runs(), rejections: w.Rejections(), arrivals: w.Arrivals(), limits: w.LimitPeriods(), crash: crash, crashed: crashed}
 }
 
 // undisturbed reports whether a gateway had no disruption in the propagationTime before a given time.
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -51,6 +51,9 @@
 		s.verifyReturn(ctx)
 	}
 	s.backOffOne(ctx)
+	if s.options.Limits > 0 {
+		s.limitAll(ctx)
+	}
 	return s.rollingStop(ctx)
 }
 
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -8,6 +8,8 @@
 	Returns int
 	// Disorders is how often a worker responds out of order or without a mark of the end.
 	Disorders int
+	// Limits is how often a worker names a limit.
+	Limits int
 }
 
 // Regressions are the seeds that failed once.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -30,6 +30,8 @@
 	Returns int
 	// Disorders is how often a worker responds out of order or without a mark of the end.
 	Disorders int
+	// Limits is how often a worker names a limit.
+	Limits int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
--- a/standin/worker/limit.go
+++ b/standin/worker/limit.go
@@ -19,9 +19,26 @@
 	Named bool
 }
 
+// LimitPeriod is a time span in which responses named a limit.
+type LimitPeriod struct {
+	PerSecond float64
+	// From is when the limit was set, To when it ended; zero if it has not.
+	From, To time.Time
+}
+
 // NameLimit makes the responses from now on name a limit in requests a second.
 func (w *Worker) NameLimit(perSecond float64) {
 	w.NameLimitAs(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.periods = append(w.periods, LimitPeriod{PerSecond: perSecond, From: time.Now()})
+}
+
+// LimitPeriods returns the time spans in which NameLimit was in force.
+func (w *Worker) LimitPeriods() []LimitPeriod {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]LimitPeriod(nil), w.periods...)
 }
 
 // NameLimitAs makes the responses from now on name the limit by the given values of its header; none ends the
@@ -30,6 +47,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.limit = values
+	if last := len(w.periods) - 1; last >= 0 && w.periods[last].To.IsZero() {
+		w.periods[last].To = time.Now()
+	}
 }
 
 // Arrivals returns what has arrived so far.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -85,6 +85,7 @@
 	// limit holds the values of the header that names the limit, empty if there is none; arrivals holds
 	// everything that arrived.
 	limit      []string
+	periods    []LimitPeriod
 	arrivals   []Arrival
 	runs       []Run
 	rejections []Rejection
