--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -69,8 +69,12 @@
 	return found
 }
 
-// preferred reports whether a is used before b for a batch that begins with first.
+// preferred reports whether a is used before b for a batch that begins with first. Of those with a limit, only
+// the ones with a permit are compared.
 func preferred(a, b *upstreamState, first *Task) bool {
+	if a.limited != b.limited {
+		return a.limited // its permit expires
+	}
 	if a.slowdown > b.slowdown*slowerFactor || b.slowdown > a.slowdown*slowerFactor {
 		return a.slowdown < b.slowdown
 	}
@@ -116,6 +120,7 @@
 	call.Timeout = p.timeout(s, len(call.Items))
 	s.calls++
 	s.permitUntil = time.Time{}
+	s.lastCall, p.lastCall = call.StartedAt, call.StartedAt
 	s.busyUntil = call.StartedAt.Add(call.Expected)
 	s.usedBytes += call.bytes
 }
--- a/core/pool/limit.go
+++ b/core/pool/limit.go
@@ -28,23 +28,40 @@
 	return !s.limited || now.Before(s.permitUntil)
 }
 
-// NeedsPermit returns the upstreams that could take a call of waiting items if they had a permit, by ID, and
-// the rank and value of the first waiting task.
-func (p *Pool) NeedsPermit(now time.Time) (upstreams []routes.Upstream, rank int, value float64) {
-	if p.waiting == 0 {
-		return nil, 0, 0
-	}
+// restTime is the time without a call after which an upstream with a limit gets the next one although others
+// are free: only its response can say that the limit has ended.
+const restTime = 5 * time.Second
+
+// PermitNeed describes the permits that calls could use.
+type PermitNeed struct {
+	// Upstreams could take a call if they had a permit, in the order of their IDs.
+	Upstreams []routes.Upstream
+	// Rank and Value are those of the first waiting task.
+	Rank  int
+	Value float64
+}
+
+// NeedsPermit returns the permits that calls could use now: those for waiting items and, while the pool makes
+// calls, those for upstreams that have had none for restTime.
+func (p *Pool) NeedsPermit(now time.Time) PermitNeed {
+	var need PermitNeed
 	for _, s := range p.upstreams {
-		if s.limited && !s.isPermitted(now) && s.upstream.TakesWork(now) && !now.Before(s.avoidUntil) && s.calls < max(1, p.settings.Slots) {
-			upstreams = append(upstreams, s.upstream)
+		if s.limited && !s.isPermitted(now) && s.upstream.TakesWork(now) && !now.Before(s.avoidUntil) && s.calls < max(1, p.settings.Slots) && (p.waiting > 0 || p.rests(s, now)) {
+			need.Upstreams = append(need.Upstreams, s.upstream)
 		}
 	}
-	if len(upstreams) == 0 {
-		return nil, 0, 0
+	if len(need.Upstreams) == 0 || p.waiting == 0 {
+		return need
 	}
 	p.sort(now)
-	slices.SortFunc(upstreams, func(a, b routes.Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return upstreams, p.queue[0].Rank, p.queue[0].Value
+	slices.SortFunc(need.Upstreams, func(a, b routes.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	need.Rank, need.Value = p.queue[0].Rank, p.queue[0].Value
+	return need
+}
+
+// rests reports whether an upstream has had no call for restTime although the pool makes calls.
+func (p *Pool) rests(s *upstreamState, now time.Time) bool {
+	return now.Sub(s.lastCall) >= restTime && now.Sub(p.lastCall) < restTime
 }
 
 // capacity returns how many upstreams without a limit, working all the time, would do what the
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -126,6 +126,8 @@
 	queuedByTicket map[Ticket]*queuedTask
 	// waiting counts the waiting items.
 	waiting int
+	// lastCall is when the last call was closed.
+	lastCall time.Time
 	// slowdown is a moving average of the ratio of measured to configured call time.
 	slowdown float64
 	// meanFullCallItems is a moving average of the number of items in calls that left other
@@ -156,6 +158,8 @@
 	limited     bool
 	limit       float64
 	permitUntil time.Time
+	// lastCall is when it last got a call.
+	lastCall time.Time
 }
 
 // New returns an empty Pool.
--- a/core/ratelimit/coordinator.go
+++ b/core/ratelimit/coordinator.go
@@ -80,11 +80,14 @@
 
 // limit is the limit of one upstream.
 type limit struct {
-	named   Named
-	version uint64
+	upstream Upstream
+	named    Named
+	version  uint64
 	// changedAt is when it last changed.
 	changedAt time.Duration
 	bucket    bucket
+	// ahead is the number of asks that go before the one that is looked at.
+	ahead float64
 	// granted holds the times of the latest grants, for those that are not used.
 	granted map[Ticket]time.Duration
 }
@@ -154,7 +157,7 @@
 	case known == nil && !seen.Named.Limited:
 		return false
 	case known == nil:
-		s.limits[seen.Upstream] = c.newLimit(now, seen.Named)
+		s.limits[seen.Upstream] = c.newLimit(now, seen)
 		return true
 	case known.named == seen.Named:
 		return false
@@ -168,9 +171,9 @@
 }
 
 // newLimit returns the state of a limit that has just become known.
-func (c *Coordinator) newLimit(now time.Duration, named Named) *limit {
+func (c *Coordinator) newLimit(now time.Duration, seen Entry) *limit {
 	c.version++
-	return &limit{named: named, version: c.version, changedAt: now, bucket: bucket{at: now}, granted: make(map[Ticket]time.Duration)}
+	return &limit{upstream: seen.Upstream, named: seen.Named, version: c.version, changedAt: now, bucket: bucket{at: now}, granted: make(map[Ticket]time.Duration)}
 }
 
 // Learn takes the limits that a gateway knows and this process does not, and reports whether there are any.
@@ -178,7 +181,7 @@
 	s := c.service(name)
 	for _, entry := range known {
 		if s.limits[entry.Upstream] == nil && entry.Named.Limited {
-			s.limits[entry.Upstream] = c.newLimit(now, entry.Named)
+			s.limits[entry.Upstream] = c.newLimit(now, entry)
 			learned = true
 		}
 	}
@@ -191,7 +194,15 @@
 	learned = c.Learn(now, ask.Service, ask.Upstreams)
 	s := c.service(ask.Service)
 	c.arrivals++
-	s.queue = append(s.queue, &queuedAsk{Ask: ask, number: c.arrivals, askedAt: now, until: now + ask.Wait})
+	queued := &queuedAsk{Ask: ask, number: c.arrivals, askedAt: now, until: now + ask.Wait}
+	for _, entry := range ask.Upstreams {
+		l := s.limits[entry.Upstream]
+		if l == nil {
+			l = &limit{upstream: entry.Upstream} // an upstream without a limit
+		}
+		queued.limits = append(queued.limits, l)
+	}
+	s.queue = append(s.queue, queued)
 	return learned
 }
 
@@ -325,16 +336,16 @@
 		return nil
 	}
 	list := make([]Entry, 0, len(s.limits))
-	for upstream, l := range s.limits {
-		list = append(list, l.entry(upstream))
+	for _, l := range s.limits {
+		list = append(list, l.entry())
 	}
 	slices.SortFunc(list, func(a, b Entry) int { return compareUpstreams(a.Upstream, b.Upstream) })
 	return list
 }
 
 // entry returns the limit as it is told to gateways.
-func (l *limit) entry(upstream Upstream) Entry {
-	return Entry{Upstream: upstream, Named: l.named, Version: l.version}
+func (l *limit) entry() Entry {
+	return Entry{Upstream: l.upstream, Named: l.named, Version: l.version}
 }
 
 // NextAt returns when Advance should be called next, and false if nothing is queued.
--- a/core/ratelimit/model_test.go
+++ b/core/ratelimit/model_test.go
@@ -35,6 +35,8 @@
 	freeAlone bool
 	// ownBuckets makes each gateway its own coordinator of the whole limit.
 	ownBuckets bool
+	// evenSplit makes each gateway the coordinator of its own part of the limit.
+	evenSplit bool
 	// lateAge counts the age of a permit from its arrival.
 	lateAge bool
 }
@@ -183,12 +185,20 @@
 	}
 }
 
+// choose returns the coordinator that a gateway asks.
+func (w *world) choose(g *modelGateway) Candidate {
+	if w.without.ownBuckets || w.without.evenSplit {
+		return g.candidate()
+	}
+	return g.candidates.Choose(modelService)
+}
+
 // silence is the time without a message after which a gateway no longer chooses a coordinator.
 const silence = time.Second
 
 // vote renews a gateway's vote and tries silent candidates. A coordinator answers a vote, given or not.
 func (w *world) vote(g *modelGateway) {
-	chosen := g.candidates.Choose(modelService)
+	chosen := w.choose(g)
 	var services []string
 	if w.without.noVoter || g.voter.Vote(w.now, chosen.Incarnation) {
 		services = append(services, modelService)
@@ -227,14 +237,11 @@
 
 // request asks for a permit for one request.
 func (w *world) request(g *modelGateway) {
-	chosen := g.candidates.Choose(modelService)
+	chosen := w.choose(g)
 	if w.without.freeAlone && chosen == g.candidates.self && len(g.candidates.silent) >= maxSilent {
 		w.use(g, w.now)
 		return
 	}
-	if w.without.ownBuckets {
-		chosen = g.candidates.self
-	}
 	g.lastAsk++
 	number, self := g.lastAsk, g.candidate()
 	g.asks[number] = chosen
@@ -251,7 +258,7 @@
 func (w *world) prepare(c *modelGateway) {
 	s := c.coordinator.service(modelService)
 	if w.without.fullBucket && s.limits[w.upstream] == nil {
-		s.limits[w.upstream] = c.coordinator.newLimit(w.now, Named{Limited: true, PerSecond: w.limit})
+		s.limits[w.upstream] = c.coordinator.newLimit(w.now, Entry{Upstream: w.upstream, Named: Named{Limited: true, PerSecond: w.limit}})
 		s.limits[w.upstream].bucket.tokens = w.limit*window.Seconds() + windowSlack
 	}
 	if w.without.noVotes || w.without.ownBuckets {
@@ -410,7 +417,11 @@
 			}
 		}
 		if w.random.Float64() < perSecond*step.Seconds() {
-			if g := w.gateways[w.random.IntN(len(w.gateways))]; w.now >= g.frozenUntil {
+			g := w.gateways[w.random.IntN(len(w.gateways))]
+			if w.random.IntN(3) == 0 {
+				g = w.gateways[0] // balancers spread requests unevenly
+			}
+			if w.now >= g.frozenUntil {
 				w.request(g)
 			}
 		}
--- a/core/ratelimit/queue.go
+++ b/core/ratelimit/queue.go
@@ -13,6 +13,8 @@
 	number uint64
 	// askedAt is when it arrived, until when it can be granted.
 	askedAt, until time.Duration
+	// limits are those of its upstreams.
+	limits []*limit
 }
 
 // compareAsks orders asks by who is granted first: those that can go nowhere else, the lowest rank, the
@@ -32,102 +34,89 @@
 	slices.SortStableFunc(s.queue, compareAsks)
 	var waiting []*queuedAsk
 	for _, q := range s.queue {
-		if q.Preview {
-			waiting = append(waiting, q)
-		} else if upstream, ok := s.take(q, now); ok {
-			s.grant(q, upstream, now)
-		} else {
+		if q.Preview || !s.take(q, now) {
 			waiting = append(waiting, q)
 		}
 	}
+	for _, l := range s.limits {
+		l.ahead = 0
+	}
 	s.queue = s.queue[:0]
-	ahead := make(map[Upstream]float64, len(s.limits))
 	for _, q := range waiting {
-		start := s.expectedWait(q, ahead, now)
-		if now+start > q.until || now >= q.until && !q.Preview {
-			s.refuse(q, start, now)
-			continue
+		perSecond := q.perSecond()
+		start := q.expectedWait(perSecond)
+		switch {
+		case now+start > q.until, now >= q.until && !q.Preview:
+			s.refuse(q, start, perSecond, now)
+		case q.Preview:
+			s.grant(q, Entry{}, now)
+		default:
+			s.queue = append(s.queue, q)
+			q.addAhead(perSecond)
 		}
-		if q.Preview {
-			s.grant(q, Upstream{}, now)
-			continue
-		}
-		s.queue = append(s.queue, q)
-		s.addAhead(q, ahead)
 	}
 }
 
-// take takes a token for an ask: of its upstreams, from the one with the most tokens. An upstream
-// whose limit has ended needs none.
-func (s *service) take(q *queuedAsk, now time.Duration) (Upstream, bool) {
+// take takes a token for an ask, of its upstreams from the one with the most tokens, grants it and reports
+// whether it did. An upstream whose limit has ended needs no token.
+func (s *service) take(q *queuedAsk, now time.Duration) bool {
 	var best *limit
-	var chosen Upstream
-	for _, entry := range q.Upstreams {
-		l := s.limits[entry.Upstream]
-		if l == nil || !l.named.Limited {
-			return entry.Upstream, true
+	for _, l := range q.limits {
+		if !l.named.Limited {
+			s.grant(q, l.entry(), now)
+			return true
 		}
 		if best == nil || l.bucket.tokens > best.bucket.tokens {
-			best, chosen = l, entry.Upstream
+			best = l
 		}
 	}
 	if best == nil || !best.bucket.take() {
-		return Upstream{}, false
+		return false
 	}
 	best.granted[q.Ticket] = now
-	return chosen, true
+	s.grant(q, best.entry(), now)
+	return true
 }
 
 // grant records the decision that an ask is granted.
-func (s *service) grant(q *queuedAsk, upstream Upstream, now time.Duration) {
-	entry := Entry{Upstream: upstream}
-	if l := s.limits[upstream]; l != nil {
-		entry = l.entry(upstream)
-	}
+func (s *service) grant(q *queuedAsk, entry Entry, now time.Duration) {
 	s.decided = append(s.decided, Decision{Ticket: q.Ticket, Service: s.name, Granted: true, Entry: entry, At: now, Waited: now - q.askedAt})
 }
 
-// refuse records the decision that an ask is refused. Start is the expected wait.
-func (s *service) refuse(q *queuedAsk, start, now time.Duration) {
+// refuse records the decision that an ask is refused. Start is the expected wait, perSecond the rate of its
+// upstreams.
+func (s *service) refuse(q *queuedAsk, start time.Duration, perSecond float64, now time.Duration) {
 	decision := Decision{Ticket: q.Ticket, Service: s.name, RetryAfter: start, Waited: now - q.askedAt, Ahead: len(s.queue)}
 	if q.Returns {
-		decision.RetryAfter = s.returns.next(now, start, s.totalRate(q))
+		decision.RetryAfter = s.returns.next(now, start, perSecond)
 	}
 	s.decided = append(s.decided, decision)
 }
 
-// totalRate returns the rate of all upstreams of an ask together.
-func (s *service) totalRate(q *queuedAsk) float64 {
+// perSecond returns the rate of all upstreams of an ask together.
+func (q *queuedAsk) perSecond() float64 {
 	total := 0.0
-	for _, entry := range q.Upstreams {
-		if l := s.limits[entry.Upstream]; l != nil {
-			total += rate(l.named.PerSecond)
-		}
+	for _, l := range q.limits {
+		total += rate(l.named.PerSecond)
 	}
 	return max(total, minRate)
 }
 
-// addAhead adds an ask to the expected number of requests before others, spread over its upstreams by their
-// rates.
-func (s *service) addAhead(q *queuedAsk, ahead map[Upstream]float64) {
-	total := s.totalRate(q)
-	for _, entry := range q.Upstreams {
-		if l := s.limits[entry.Upstream]; l != nil {
-			ahead[entry.Upstream] += rate(l.named.PerSecond) / total
-		}
+// addAhead counts an ask, spread over its upstreams by their rates, to those before later ones.
+func (q *queuedAsk) addAhead(perSecond float64) {
+	for _, l := range q.limits {
+		l.ahead += rate(l.named.PerSecond) / perSecond
 	}
 }
 
 // expectedWait returns the time until an ask is granted behind those that are ahead of it.
-func (s *service) expectedWait(q *queuedAsk, ahead map[Upstream]float64, now time.Duration) time.Duration {
+func (q *queuedAsk) expectedWait(perSecond float64) time.Duration {
 	before, tokens := 0.0, 0.0
-	for _, entry := range q.Upstreams {
-		before += ahead[entry.Upstream]
-		if l := s.limits[entry.Upstream]; l != nil {
-			tokens += l.bucket.tokens
-		}
+	for _, l := range q.limits {
+		before += l.ahead
+		tokens += l.bucket.tokens
 	}
-	return max(0, timeFor(before+1-tokens, s.totalRate(q)))
+	return max(0, timeFor(before+1-tokens, perSecond))
 }
 
 const (
--- a/gateway/pools/limits.go
+++ b/gateway/pools/limits.go
@@ -14,6 +14,9 @@
 	// minAskInterval and maxAskInterval bound the time until a permit is asked again after a refusal.
 	minAskInterval = 50 * time.Millisecond
 	maxAskInterval = 500 * time.Millisecond
+	// unusedTime is how long a permit is kept for a call: long enough for the next item of a pool in use, short
+	// enough for the permit to be granted again.
+	unusedTime = core.PermitTTL / 2
 	// callsPerFree is the number of calls that an upstream with a limit could take in the time between two calls
 	// that free results: most of its limit is for work.
 	callsPerFree = 5
@@ -49,11 +52,11 @@
 	if !p.hasLimits {
 		return
 	}
-	upstreams, rank, value := p.queue.NeedsPermit(now)
-	for _, upstream := range upstreams {
+	need := p.queue.NeedsPermit(now)
+	for _, upstream := range need.Upstreams {
 		if !p.asking[upstream.ID] {
 			p.asking[upstream.ID] = true
-			go o.acquirePermit(p, upstream, ratelimit.Request{Service: p.Service, Upstreams: []routes.Upstream{upstream}, Rank: rank, Value: value, Wait: permitWait})
+			go o.acquirePermit(p, upstream, ratelimit.Request{Service: p.Service, Upstreams: []routes.Upstream{upstream}, Rank: need.Rank, Value: need.Value, Wait: permitWait})
 		}
 	}
 }
@@ -65,14 +68,14 @@
 		o.askLater(p, upstream, err)
 		return
 	}
-	defer o.releaseUnused(p, upstream, permit)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(p.asking, upstream.ID)
 	now := time.Now()
 	p.permits[upstream.ID] = permit
-	p.queue.Permit(upstream, now.Add(core.PermitTTL))
+	p.queue.Permit(upstream, now.Add(unusedTime))
 	o.sendCalls(p, now)
+	time.AfterFunc(unusedTime, func() { o.releaseUnused(p, upstream, permit) })
 }
 
 // releaseUnused returns a permit that no call has taken.
--- a/standin/gatewaytest/limit_test.go
+++ b/standin/gatewaytest/limit_test.go
@@ -202,6 +202,48 @@
 	assert.Check(t, got.refused == 0, "%d refused although another upstream could serve", got.refused)
 }
 
+func TestAPoolWhoseUpstreamsAllHaveLimitsUsesThemAndRefusesTheRest(t *testing.T) {
+	f := newFleet(t)
+	const limit = 2.0
+	f.startWorker("llm-1", "llm", worker.Engine)
+	limited := []*worker.Worker{f.startWorker("enc-1", "enc", worker.Stage), f.startWorker("enc-2", "enc", worker.Stage)}
+	f.apply(baseConfig(1))
+	gateways := f.startMany(3)
+	for _, w := range limited {
+		w.NameLimit(limit)
+	}
+	since := time.Now()
+	got := f.offer(40, loadTime, gateways, f.sendStream)
+	arrived := 0
+	for _, w := range limited {
+		assertLimit(t, w, limit, since)
+		for _, arrival := range w.Arrivals() {
+			if arrival.At.After(since.Add(learnTime)) && arrival.At.Before(since.Add(loadTime)) {
+				arrived++
+			}
+		}
+	}
+	used := float64(arrived) / (limit * float64(len(limited)) * (loadTime - learnTime).Seconds())
+	assert.Check(t, used >= 0.9, "%.2f of the limits were used", used)
+	assert.Check(t, got.served > 0 && got.refused > 0 && len(got.retryAfter) == got.refused, "%d served, %d refused, %d of them with a Retry-After", got.served, got.refused, len(got.retryAfter))
+}
+
+// TestALimitedUpstreamOfAnIdlePoolIsAskedAgain: the other upstream could do all the work.
+func TestALimitedUpstreamOfAnIdlePoolIsAskedAgain(t *testing.T) {
+	f := newFleet(t)
+	f.startWorker("llm-1", "llm", worker.Engine)
+	limited := f.startWorker("enc-1", "enc", worker.Stage)
+	f.startWorker("enc-2", "enc", worker.Stage)
+	f.apply(baseConfig(1))
+	gateways := f.startMany(2)
+	limited.NameLimit(1)
+	f.offer(4, time.Second, gateways, f.sendStream)
+	f.waitLines(2, "rate_limit_changed", `"upstream":"enc-1"`, `"per_second":1`)
+	limited.NameLimitAs()
+	f.offer(4, limitWindow+learnTime, gateways, f.sendStream)
+	f.waitLines(2, "rate_limit_changed", `"upstream":"enc-1"`, `"ended":true`)
+}
+
 func TestRetriesAndResumedStreamsKeepALimit(t *testing.T) {
 	f := newFleet(t)
 	failing := f.startWorker("llm-1", "llm", worker.Engine)
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -29,5 +29,6 @@
 	{Seed: 30003, Cause: "a request that all clients send was refused for an hour, as the link of its only trial broke; a first form of the fix presumed a crash once the worker had left"},
 	{Seed: 61003, Disorders: 4, Cause: "a stream that began again at its worker was passed on with its first events twice"},
 	{Seed: 61007, Disorders: 4, Cause: "a stream that ended behind its third event, with no mark of its end, was framed as complete; a plain response that was cut got a length"},
+	{Seed: 41002, Returns: 1, Disorders: 4, Limits: 3, Cause: "workers that named 0.4 and 1 requests a second got up to 118 and 234 in 4 s"},
 	{Seed: 1796260130301604318, Cause: "a relay's port, found free a moment before, was taken; by whom was not found"},
 }
