--- a/gateway/flow/limits.go
+++ b/gateway/flow/limits.go
@@ -87,6 +87,7 @@
 
 // limitedUpstreams returns the upstreams with a known limit that the request may be sent to now.
 func (rq *request) limitedUpstreams(needs requirements) []routes.Upstream {
+	needs.keepTogether = false // where all have limits, a copy takes the first permit
 	rq.mu.Lock()
 	defer rq.mu.Unlock()
 	now := time.Now()
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -76,9 +76,14 @@
 	sent := clock.Boot()
 	message := rq.message(choice, needs.service != nil && needs.service.Engine != nil)
 	var known core.Stamp
+	withheld := false
 	message.ShouldSend = func() bool {
 		known = rq.Limits.Stamp(choice.Upstream)
-		return rq.maySend(choice.Upstream) && rq.Limits.MaySend(choice.Upstream, permit, rq.hdr.ID)
+		if !rq.maySend(choice.Upstream) {
+			return false
+		}
+		withheld = !rq.Limits.MaySend(choice.Upstream, permit, rq.hdr.ID)
+		return !withheld
 	}
 	response, err := rq.Client.Do(ctx, choice.Upstream.Address, message)
 	if err == nil {
@@ -92,6 +97,9 @@
 	if err != nil {
 		rq.recordSendFailure(choice.Upstream, err)
 	}
+	if withheld {
+		rq.tried = rq.tried[:len(rq.tried)-1] // it may be sent there with a permit
+	}
 	if trial.IsTrial() {
 		rq.trialEnded(choice.Upstream, trial, err)
 	}
--- a/gateway/ratelimit/limiter.go
+++ b/gateway/ratelimit/limiter.go
@@ -57,8 +57,9 @@
 	// serviceOf holds the services of the upstreams in table, learnedAt when their limits last changed.
 	serviceOf map[core.Upstream]string
 	learnedAt map[core.Upstream]time.Duration
-	// members holds the other gateways by incarnation.
-	members map[string]view.Member
+	// memberList is the last list of the other gateways, members holds them by incarnation.
+	memberList []view.Member
+	members    map[string]view.Member
 	voters  map[string]*core.Voter
 	// chosen holds the coordinator of each service that was asked last, heldVotes the logged number of votes.
 	chosen    map[string]core.Candidate
@@ -120,6 +121,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := l.options.Fleet.Members()
+	if len(list) == len(l.memberList) && (len(list) == 0 || &list[0] == &l.memberList[0]) {
+		return // the list of upstreams has changed, not this one: the View makes a new one for each change
+	}
+	l.memberList = list
 	others := make([]core.Candidate, len(list))
 	l.members = make(map[string]view.Member, len(list))
 	for i, member := range list {
