--- a/gateway/ratelimit/limiter.go
+++ b/gateway/ratelimit/limiter.go
@@ -60,7 +60,7 @@
 	// memberList is the last list of the other gateways, members holds them by incarnation.
 	memberList []view.Member
 	members    map[string]view.Member
-	voters  map[string]*core.Voter
+	voters     map[string]*core.Voter
 	// chosen holds the coordinator of each service that was asked last, heldVotes the logged number of votes.
 	chosen    map[string]core.Candidate
 	heldVotes map[string]int
