--- a/core/pool/limit.go
+++ b/core/pool/limit.go
@@ -92,8 +92,8 @@
 	return limited
 }
 
-// exceedsLimits reports whether a task can't be done before its deadline because all upstreams have limits,
-// with a number of items ahead of it.
-func (p *Pool) exceedsLimits(t *Task, ahead int, now time.Time) bool {
-	return p.allLimited() && now.Add(p.waitBehind(ahead)).After(t.Deadline)
+// endsTooLate reports whether a task is expected to end after its deadline with a number of items ahead of it.
+// With limits, no upstream becomes free sooner than expected.
+func (p *Pool) endsTooLate(t *Task, ahead int, now time.Time) bool {
+	return now.Add(p.waitBehind(ahead)).After(t.Deadline)
 }
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -50,10 +50,10 @@
 		return p.removeMatching(func(*queuedTask) bool { return true })
 	}
 	p.sort(now)
-	available := p.availableAt(now)
+	available, allLimited := p.availableAt(now), p.allLimited()
 	ahead := 0
 	return p.removeMatching(func(q *queuedTask) bool {
-		if !p.meetsDeadline(q.Task, available) || p.exceedsLimits(q.Task, ahead, now) || q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead))) {
+		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead))) {
 			return true
 		}
 		ahead += len(q.items)
@@ -64,7 +64,7 @@
 // CanFinish reports whether a call of a task ends before the deadline of its request if it
 // starts as soon as an upstream accepts calls and, where all have limits, it has its turn.
 func (p *Pool) CanFinish(t *Task, now time.Time) bool {
-	return p.meetsDeadline(t, p.availableAt(now)) && !p.exceedsLimits(t, p.itemsAhead(t.Rank, t.Value), now)
+	return p.meetsDeadline(t, p.availableAt(now)) && !(p.allLimited() && p.endsTooLate(t, p.itemsAhead(t.Rank, t.Value), now))
 }
 
 // meetsDeadline reports whether a call that starts at the given time ends before the
--- a/core/ratelimit/coordinator.go
+++ b/core/ratelimit/coordinator.go
@@ -231,7 +231,7 @@
 			}
 			delete(l.granted, ticket)
 			if now-at < PermitTTL {
-				l.bucket.putBack(rate(l.named.PerSecond))
+				l.bucket.putBack(Rate(l.named.PerSecond))
 			}
 			return
 		}
@@ -263,7 +263,7 @@
 	}
 	part := s.part(gateways)
 	for _, l := range s.limits {
-		l.bucket.fill(now, rate(l.named.PerSecond)*part)
+		l.bucket.fill(now, Rate(l.named.PerSecond)*part)
 	}
 }
 
@@ -367,7 +367,7 @@
 	next, part := now+VoteInterval, s.part(gateways)
 	for _, l := range s.limits {
 		if l.named.Limited {
-			next = min(next, now+l.bucket.untilNext(rate(l.named.PerSecond)*part))
+			next = min(next, now+l.bucket.untilNext(Rate(l.named.PerSecond)*part))
 		}
 	}
 	for _, q := range s.queue {
--- a/core/ratelimit/coordinator_test.go
+++ b/core/ratelimit/coordinator_test.go
@@ -12,7 +12,7 @@
 func coordinating(perSecond float64) *Coordinator {
 	c := NewCoordinator()
 	c.Observe(0, "s", Entry{Upstream: up, Named: limited(perSecond)})
-	keepVoting(c, 0, timeFor(1, rate(perSecond))+10*time.Millisecond)
+	keepVoting(c, 0, timeFor(1, Rate(perSecond))+10*time.Millisecond)
 	return c
 }
 
--- a/core/ratelimit/queue.go
+++ b/core/ratelimit/queue.go
@@ -97,7 +97,7 @@
 func (q *queuedAsk) perSecond() float64 {
 	total := 0.0
 	for _, l := range q.limits {
-		total += rate(l.named.PerSecond)
+		total += Rate(l.named.PerSecond)
 	}
 	return max(total, minRate)
 }
@@ -105,7 +105,7 @@
 // addAhead counts an ask, spread over its upstreams by their rates, to those before later ones.
 func (q *queuedAsk) addAhead(perSecond float64) {
 	for _, l := range q.limits {
-		l.ahead += rate(l.named.PerSecond) / perSecond
+		l.ahead += Rate(l.named.PerSecond) / perSecond
 	}
 }
 
--- a/core/ratelimit/upstream.go
+++ b/core/ratelimit/upstream.go
@@ -20,8 +20,8 @@
 // that gets nothing can't say that its limit has ended.
 const minRate = 0.1
 
-// rate returns the rate of permits for a limit.
-func rate(perSecond float64) float64 { return max(perSecond, minRate) }
+// Rate returns the rate of permits for a limit, in requests a second.
+func Rate(perSecond float64) float64 { return max(perSecond, minRate) }
 
 // Entry is a known limit of an upstream.
 type Entry struct {
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -234,7 +234,7 @@
 }
 
 // sendFrees tells the upstreams of a pool which results to drop. Upstreams that are backed off are
-// told once the backoff has ended, those with a limit now and then (sendLimitedFree). Upstreams that leave are told too: calls that they accepted earlier need
+// told once the backoff has ended, those with a limit now and then. Upstreams that leave are told too: calls that they accepted earlier need
 // the room, and this is no work. Results of upstreams that are no longer listed are gone with
 // them.
 func (o *Owner) sendFrees(p *ownedPart, now time.Time) {
--- a/gateway/pools/limits.go
+++ b/gateway/pools/limits.go
@@ -32,7 +32,7 @@
 	perSecond := make(map[string]float64)
 	for _, upstream := range p.of(o.fleet.Upstreams()) {
 		if limit, limited := o.limits.Limit(upstream); limited {
-			perSecond[upstream.ID] = limit
+			perSecond[upstream.ID] = core.Rate(limit)
 		}
 	}
 	p.hasLimits = len(perSecond) > 0
@@ -124,17 +124,14 @@
 		return false
 	}
 	limit, _ := o.limits.Limit(upstream)
-	p.nextFree[upstream.ID] = now.Add(freeInterval(limit))
+	p.nextFree[upstream.ID] = now.Add(freeInterval(core.Rate(limit)))
 	go o.acquireFree(p, upstream, pending)
 	return true
 }
 
 // freeInterval returns the time between two calls that free results at an upstream with a limit.
 func freeInterval(perSecond float64) time.Duration {
-	if perSecond*maxFreeInterval.Seconds() <= callsPerFree {
-		return maxFreeInterval
-	}
-	return time.Duration(callsPerFree / perSecond * float64(time.Second))
+	return min(maxFreeInterval, time.Duration(callsPerFree/perSecond*float64(time.Second)))
 }
 
 // acquireFree asks for a permit for a call that frees results, and makes the call.
