--- a/standin/gatewaytest/limit_test.go
+++ b/standin/gatewaytest/limit_test.go
@@ -113,6 +113,23 @@
 	assert.Check(t, most <= allowed(perSecond), "%s named a limit of %v a second and got %d requests in %v; %d are allowed", w.ID, perSecond, most, limitWindow, allowed(perSecond))
 }
 
+// assertLimitsUsed checks that workers which all named a limit at a given time, and were offered more for loadTime
+// since then, got what they allow and at least nine tenths of it.
+func assertLimitsUsed(t *testing.T, limited []*worker.Worker, perSecond float64, since time.Time) {
+	t.Helper()
+	arrived := 0
+	for _, w := range limited {
+		assertLimit(t, w, perSecond, since)
+		for _, arrival := range w.Arrivals() {
+			if arrival.At.After(since.Add(learnTime)) && arrival.At.Before(since.Add(loadTime)) {
+				arrived++
+			}
+		}
+	}
+	used := float64(arrived) / (perSecond * float64(len(limited)) * (loadTime - learnTime).Seconds())
+	assert.Check(t, used >= 0.9, "%.2f of the limits were used", used)
+}
+
 // loadTime is how long the tests offer requests: learnTime and two windows.
 const loadTime = learnTime + 2*limitWindow
 
@@ -169,17 +186,7 @@
 		w.NameLimit(limit)
 	}
 	got := f.offer(40, loadTime, gateways, f.plain)
-	arrived := 0
-	for _, w := range limited {
-		assertLimit(t, w, limit, since)
-		for _, arrival := range w.Arrivals() {
-			if arrival.At.After(since.Add(learnTime)) && arrival.At.Before(since.Add(loadTime)) {
-				arrived++
-			}
-		}
-	}
-	used := float64(arrived) / (limit * count * (loadTime - learnTime).Seconds())
-	assert.Check(t, used >= 0.9, "%.2f of the limits were used", used)
+	assertLimitsUsed(t, limited, limit, since)
 	assert.Check(t, got.refused > 0 && len(got.retryAfter) == got.refused, "%d refused, %d of them with a Retry-After", got.refused, len(got.retryAfter))
 	distinct := make(map[float64]bool)
 	for _, seconds := range got.retryAfter {
@@ -214,17 +221,7 @@
 	}
 	since := time.Now()
 	got := f.offer(40, loadTime, gateways, f.sendStream)
-	arrived := 0
-	for _, w := range limited {
-		assertLimit(t, w, limit, since)
-		for _, arrival := range w.Arrivals() {
-			if arrival.At.After(since.Add(learnTime)) && arrival.At.Before(since.Add(loadTime)) {
-				arrived++
-			}
-		}
-	}
-	used := float64(arrived) / (limit * float64(len(limited)) * (loadTime - learnTime).Seconds())
-	assert.Check(t, used >= 0.9, "%.2f of the limits were used", used)
+	assertLimitsUsed(t, limited, limit, since)
 	assert.Check(t, got.served > 0 && got.refused > 0 && len(got.retryAfter) == got.refused, "%d served, %d refused, %d of them with a Retry-After", got.served, got.refused, len(got.retryAfter))
 }
 
