--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -20,7 +20,7 @@
 
 // Waits of the watches. A watch without a change ends after its wait, which proves that
 // nothing had changed when it began. Longer waits mean fewer calls to the store: these
-// make 0.88 calls a second in each reader.
+// make 1.1 calls a second in each reader.
 const (
 	// configWait bounds how long a store that stopped responding goes unnoticed. watchWait reduces
 	// the wait to 1/confirmDivisor of the time for which keys are trusted, so that two watches and
@@ -47,8 +47,10 @@
 	// evacuationWait is long too: evacuations are rare, and the TCP keep-alive probes of the client
 	// detect a silent connection within 3 s.
 	evacuationWait = 20 * time.Second
-	// recordWait is long for the same reasons as evacuationWait.
-	recordWait = 20 * time.Second
+	// recordWait bounds how long a lost response hides a record: a store that lost a response to one
+	// watch may still respond to all others, and the connection stays open. With the timeout of a call
+	// it is below the 8 s within which a request that crashes nothing must be served again.
+	recordWait = 5 * time.Second
 )
 
 // Delays between a watch that returned changes and the next one, so that the next one returns all
