--- a/core/ratelimit/model_test.go
+++ b/core/ratelimit/model_test.go
@@ -17,14 +17,14 @@
 var courses = []course{{5, 1, 40}, {5, 0.4, 40}, {5, 8, 60}, {12, 1, 60}, {12, 20, 80}, {100, 8, 60}, {100, 40, 160}}
 
 // play plays a course of a seed.
-func (c course) play(seed uint64, kinds []disturbance, without parts) *world {
+func (c course) play(seed uint64, kinds []disruption, without parts) *world {
 	w := newWorld(seed, c.gateways, c.limit, without)
 	w.run(20*time.Second, c.perSecond, kinds)
 	return w
 }
 
-// disturbEvery is the mean time between two disturbances.
-const disturbEvery = 700 * time.Millisecond
+// disruptEvery is the mean time between two disruptions.
+const disruptEvery = 700 * time.Millisecond
 
 // seedsPerCourse is the number of seeds with which each course is played.
 const seedsPerCourse = 4
@@ -33,7 +33,7 @@
 	for _, c := range courses {
 		worst := 0
 		for seed := range uint64(seedsPerCourse) {
-			for _, kinds := range [][]disturbance{allDisturbances, {swappingLists}, {laggingCoordinator}, {lostCandidates}} {
+			for _, kinds := range [][]disruption{allDisruptions, {swappingLists}, {laggingCoordinator}, {lostCandidates}} {
 				w := c.play(seed, kinds, parts{})
 				worst = max(worst, w.mostInWindow())
 				assert.Check(t, w.mostInWindow() <= w.bound(), "%+v, seed %d: %d sends within %v, %d are allowed", c, seed, w.mostInWindow(), window, w.bound())
@@ -66,7 +66,7 @@
 func findsFault(without parts) bool {
 	for seed := range uint64(4 * seedsPerCourse) {
 		for _, c := range courses {
-			for _, kinds := range [][]disturbance{allDisturbances, {swappingLists}, {laggingCoordinator}, {lostCandidates}} {
+			for _, kinds := range [][]disruption{allDisruptions, {swappingLists}, {laggingCoordinator}, {lostCandidates}} {
 				if w := c.play(seed, kinds, without); w.mostInWindow() > w.bound() {
 					return true
 				}
--- a/core/ratelimit/ways_test.go
+++ b/core/ratelimit/ways_test.go
@@ -22,7 +22,7 @@
 			used := float64(calm.all) / (c.limit * calm.now.Seconds())
 			worst := 0.0
 			for seed := range uint64(seedsPerCourse) {
-				w := c.play(seed, allDisturbances, way.part)
+				w := c.play(seed, allDisruptions, way.part)
 				worst = max(worst, float64(w.mostInWindow())/float64(w.bound()))
 			}
 			t.Logf("%-28s %3d gateways, limit %3v: %.2f used in calm, at most %.2f of the bound", way.name, c.gateways, c.limit, used, worst)
--- a/core/ratelimit/world_test.go
+++ b/core/ratelimit/world_test.go
@@ -14,7 +14,7 @@
 	window       = 4 * time.Second
 	windowFactor = 1.5
 	windowSlack  = 5
-	// excuseTime is how long after a disturbance the sends of a gateway don't count.
+	// excuseTime is how long after a disruption the sends of a gateway don't count.
 	excuseTime = 3 * time.Second
 )
 
@@ -48,10 +48,10 @@
 	candidates  *Candidates
 	voter       Voter
 	coordinator *Coordinator
-	// disturbedUntil is the end of the gateway's last disturbance, frozenUntil and cutUntil those of a
+	// disruptedUntil is the end of the gateway's last disruption, frozenUntil and cutUntil those of a
 	// freeze and a cut; slowUntil is the end of a time in which it takes long to use permits. From
 	// lagsFrom to lagsUntil its messages take longer and longer, and then they arrive together.
-	disturbedUntil, frozenUntil, cutUntil, slowUntil, lagsFrom, lagsUntil time.Duration
+	disruptedUntil, frozenUntil, cutUntil, slowUntil, lagsFrom, lagsUntil time.Duration
 	// asks holds to whom each open ask was sent.
 	asks     map[uint64]Candidate
 	lastAsk  uint64
@@ -317,18 +317,18 @@
 				return
 			}
 			w.all++
-			if w.now >= g.disturbedUntil+excuseTime {
+			if w.now >= g.disruptedUntil+excuseTime {
 				w.sends = append(w.sends, w.now)
 			}
 		})
 	})
 }
 
-// disturbance is a kind of disturbance.
-type disturbance int
+// disruption is a kind of disruption.
+type disruption int
 
 const (
-	freeze disturbance = iota
+	freeze disruption = iota
 	cut
 	restart
 	slowGateway
@@ -343,21 +343,21 @@
 	laggingCoordinator
 )
 
-var allDisturbances = []disturbance{freeze, cut, restart, slowGateway, differingLists, swappingLists, lostCandidates, slowUpstream, laggingCoordinator}
+var allDisruptions = []disruption{freeze, cut, restart, slowGateway, differingLists, swappingLists, lostCandidates, slowUpstream, laggingCoordinator}
 
-// disturb lets one of several things happen to gateways.
-func (w *world) disturb(kinds []disturbance) {
+// disrupt lets one of several things happen to gateways.
+func (w *world) disrupt(kinds []disruption) {
 	g := w.gateways[w.random.IntN(len(w.gateways))]
 	length := w.within(4 * time.Second)
 	switch kinds[w.random.IntN(len(kinds))] {
 	case freeze:
-		g.disturbedUntil = w.now + length
-		g.frozenUntil = g.disturbedUntil
+		g.disruptedUntil = w.now + length
+		g.frozenUntil = g.disruptedUntil
 	case cut:
-		g.disturbedUntil = w.now + length
-		g.cutUntil = g.disturbedUntil
+		g.disruptedUntil = w.now + length
+		g.cutUntil = g.disruptedUntil
 	case restart:
-		g.disturbedUntil = w.now
+		g.disruptedUntil = w.now
 		w.restart(g)
 		w.after(w.within(2*time.Second), func() { w.updateAll(0) })
 	case slowGateway:
@@ -376,7 +376,7 @@
 	case laggingCoordinator:
 		if c := w.find(g.candidates.Choose(modelService)); c != nil && w.now >= c.lagsUntil+window {
 			c.lagsFrom, c.lagsUntil = w.now, w.now+2*window+length
-			c.disturbedUntil = c.lagsUntil
+			c.disruptedUntil = c.lagsUntil
 		}
 	}
 }
@@ -386,8 +386,8 @@
 	ranked := w.gateways[0].candidates.rank(modelService)
 	for _, candidate := range ranked[:min(len(ranked), maxSilent+1)] {
 		if g := w.find(candidate); g != nil {
-			g.disturbedUntil = w.now + length
-			g.cutUntil = g.disturbedUntil
+			g.disruptedUntil = w.now + length
+			g.cutUntil = g.disruptedUntil
 		}
 	}
 }
@@ -395,9 +395,9 @@
 // step is how far the model's time advances at once.
 const step = 5 * time.Millisecond
 
-// run plays a course in which requests arrive at a rate and disturbances at an interval.
-func (w *world) run(length time.Duration, perSecond float64, kinds []disturbance) {
-	nextDisturbance := 2 * time.Second
+// run plays a course in which requests arrive at a rate and disruptions at an interval.
+func (w *world) run(length time.Duration, perSecond float64, kinds []disruption) {
+	nextDisruption := 2 * time.Second
 	for ; w.now < length; w.now += step {
 		w.runEvents()
 		for _, g := range w.gateways {
@@ -422,9 +422,9 @@
 				w.request(g)
 			}
 		}
-		if len(kinds) > 0 && w.now >= nextDisturbance {
-			nextDisturbance += w.within(2 * disturbEvery)
-			w.disturb(kinds)
+		if len(kinds) > 0 && w.now >= nextDisruption {
+			nextDisruption += w.within(2 * disruptEvery)
+			w.disrupt(kinds)
 		}
 	}
 }
