--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -19,8 +19,7 @@
 const MemberKind = "acaciawinch-gateways"
 
 // Waits of the watches. A watch without a change ends after its wait, which proves that
-// nothing had changed when it began. Longer waits mean fewer calls to the store: these
-// make 1.1 calls a second in each reader.
+// nothing had changed when it began. Longer waits mean fewer calls to the store.
 const (
 	// configWait bounds how long a store that stopped responding goes unnoticed. watchWait reduces
 	// the wait to 1/confirmDivisor of the time for which keys are trusted, so that two watches and
--- a/standin/gatewaytest/limit_test.go
+++ b/standin/gatewaytest/limit_test.go
@@ -109,6 +109,7 @@
 // assertLimit checks what arrived at a worker that has named a limit since a given time.
 func assertLimit(t *testing.T, w *worker.Worker, perSecond float64, since time.Time) {
 	t.Helper()
+	assert.Check(t, len(w.Arrivals()) > 0, "nothing reached %s, so that the limit was not tried", w.ID)
 	most := worker.MostWithin(w.Arrivals(), since.Add(learnTime), limitWindow)
 	assert.Check(t, most <= allowed(perSecond), "%s named a limit of %v a second and got %d requests in %v; %d are allowed", w.ID, perSecond, most, limitWindow, allowed(perSecond))
 }
