--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -139,7 +139,7 @@
 
 // registerIn writes the entry of a worker in a zone.
 func (f *fleet) registerIn(zone string, w *worker.Worker, service, state string) {
-	f.store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: zone, Slots: 8, State: state})
+	f.store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: zone, Slots: 8, State: state, Version: w.Version})
 }
 
 // baseConfig returns a configuration with a route of each kind.
--- a/standin/platformdoc/document.go
+++ b/standin/platformdoc/document.go
@@ -11,6 +11,8 @@
 	State   string `json:"state"`
 	// ColdLeftMS is for how many more ms the worker is cold.
 	ColdLeftMS int `json:"cold_left_ms"`
+	// Version is the version of the worker's software; workers of older builds leave it out.
+	Version string `json:"version,omitempty"`
 }
 
 // Document is the configuration that the operator writes.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -62,8 +62,14 @@
 type Worker struct {
 	ID   string
 	Kind Kind
+	// Version is the version of the worker's software. It is part of each event of its streams, unless it is
+	// empty. It is set before the worker is used.
+	Version string
 	// Events is the number of events of a stream.
 	Events int
+	// BreakAfter is the number of events after which each stream that resumes none is broken off; 0 for no
+	// break. It is set before the worker is used.
+	BreakAfter int
 	// CallTime is how long a stage call takes, WorkTime how long other requests take until their
 	// response starts.
 	CallTime, WorkTime time.Duration
@@ -320,12 +326,21 @@
 		numbers = numbers[:(len(numbers)+1)/2]
 	}
 	for _, number := range numbers {
-		if cut && number > first+1 {
+		breaks := w.BreakAfter > 0 && first == 0 && number > w.BreakAfter
+		if breaks || cut && number > first+1 {
 			_, _ = io.WriteString(out, "id: ")          // a part of an event before the connection is closed
 			_ = http.NewResponseController(out).Flush() // a caller that has disconnected needs no event
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s %d\n\n", number, r.Header.Get("X-Attempt-Id"), number) // a caller that has disconnected needs no event
-		_ = http.NewResponseController(out).Flush()                                                      // the server notices a caller that has disconnected
+		_, _ = io.WriteString(out, w.event(r.Header.Get("X-Attempt-Id"), number)) // a caller that has disconnected needs no event
+		_ = http.NewResponseController(out).Flush()                               // the server notices a caller that has disconnected
 	}
 }
+
+// event returns one event of the stream of a request.
+func (w *Worker) event(id string, number int) string {
+	if w.Version == "" {
+		return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, id, number)
+	}
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", number, id, number, w.Version)
+}
