Keep a stream at the software version of its service that began it

Cause: an upstream's version and the attempt that a client names when it takes a stream up were read nowhere, and a gateway can't know where another one began a stream. Class: what one gateway knows of a request's past decides at another.

The store holds a register for each service: the only version at which streams begin, or that several do. A gateway begins a stream at another version only after the register said so. While it names one version, nothing is kept outside of the gateway; a client that comes back costs one read. While there are several, the first event waits until two other gateways hold the record, of two zones where there are. What nobody knows is refused: 421 if it can't be known later, 503 if it may.

--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -77,6 +77,9 @@
 	Regions Regions
 }
 
+// CanResume reports whether a stream of the route may be resumed at another upstream.
+func (r *Route) CanResume() bool { return r.Stream && r.RetryPolicy == Resumable }
+
 // Pool describes the upstreams of a stage service.
 type Pool struct {
 	// Slots is how many calls an upstream runs at once, Queue how many can wait there.
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -16,6 +17,8 @@
 	services      map[string]*Service
 	keys          map[string]*Workspace
 	hasWorkspaces bool
+	// resumable holds the services of the routes whose streams may be resumed.
+	resumable []string
 }
 
 // NewTable returns the Table of a validated configuration.
@@ -30,6 +33,7 @@
 	}
 	for _, route := range list {
 		t.hosts[route.Host] = append(t.hosts[route.Host], route)
+		t.addResumable(route)
 	}
 	for _, ofHost := range t.hosts {
 		sort.SliceStable(ofHost, func(i, j int) bool { return len(ofHost[i].Prefix) > len(ofHost[j].Prefix) })
@@ -45,6 +49,22 @@
 	return t
 }
 
+// addResumable adds the services of a route whose streams may be resumed.
+func (t *Table) addResumable(route *Route) {
+	if !route.CanResume() {
+		return
+	}
+	for _, target := range route.Targets {
+		if !slices.Contains(t.resumable, target.Service) {
+			t.resumable = append(t.resumable, target.Service)
+		}
+	}
+}
+
+// ResumableServices returns the services of the routes whose streams may be resumed. The caller must not change
+// the slice.
+func (t *Table) ResumableServices() []string { return t.resumable }
+
 // Find returns the route with the longest prefix of path among those of the host in a Host
 // header, or nil if there is none. The path is matched as the client sent it.
 func (t *Table) Find(hostHeader, path string) *Route {
--- a/core/routes/upstream.go
+++ b/core/routes/upstream.go
@@ -19,6 +19,9 @@
 	// Region is the region of its zone, empty if unknown.
 	Region string
 	Slots  int
+	// Version is the version of its software, empty if its entry does not say. What two versions write does
+	// not fit together.
+	Version string
 	// Leaving is set while the upstream reports that it leaves: it gets no new work.
 	Leaving bool
 	// BackoffUntil is the time before which this process sends the upstream no new work, as the
@@ -87,6 +90,18 @@
 // not change the slice.
 func (u *Upstreams) Of(service string) []Upstream { return u.byService[service] }
 
+// Versions returns the distinct software versions of the upstreams of a service, sorted.
+func (u *Upstreams) Versions(service string) []string {
+	var versions []string
+	for _, upstream := range u.byService[service] {
+		if !slices.Contains(versions, upstream.Version) {
+			versions = append(versions, upstream.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
 // Evacuated reports whether a service has upstreams and all of them are in evacuated zones, so
 // that its work can't be done until the evacuation of a zone ends.
 func (u *Upstreams) Evacuated(service string) bool {
@@ -133,10 +148,10 @@
 }
 
 // StillTakesWork reports whether an upstream that was chosen from an earlier snapshot takes new work, and
-// has not been replaced by another incarnation.
+// has not been replaced by another incarnation or software version.
 func (u *Upstreams) StillTakesWork(chosen Upstream, now time.Time) bool {
 	current, known := u.byID[chosen.ID]
-	return known && current.Incarnation == chosen.Incarnation && current.TakesWork(now)
+	return known && current.Incarnation == chosen.Incarnation && current.Version == chosen.Version && current.TakesWork(now)
 }
 
 // Each calls visit for each upstream, in no order.
@@ -150,5 +165,11 @@
 // is none.
 func (u *Upstreams) ZoneOf(address string) string { return u.byAddress[address].Zone }
 
+// At returns the upstream at an address, and false if there is none.
+func (u *Upstreams) At(address string) (Upstream, bool) {
+	upstream, known := u.byAddress[address]
+	return upstream, known
+}
+
 // IDOf returns the ID of the upstream at an address, empty if there is none.
 func (u *Upstreams) IDOf(address string) string { return u.byAddress[address].ID }
--- a/gateway/flow/choose.go
+++ b/gateway/flow/choose.go
@@ -24,6 +24,8 @@
 	// empty, is the one incarnation that it must be sent to.
 	excluded []string
 	only     string
+	// versions are the software versions that the upstream may have; nil allows all.
+	versions []string
 	// unlimited is set if the request must be sent to an upstream without a known limit.
 	unlimited bool
 	// keepTogether is set if copies of the request that run at the same time should run at one
@@ -41,7 +43,7 @@
 	if rq.workspace != nil {
 		regions = append(regions, rq.workspace.Regions)
 	}
-	return requirements{service: rq.table.Service(rq.service), serviceName: rq.service, sharedPrefixID: rq.hdr.SharedPrefixID, tried: rq.tried, excluded: rq.crashPass.Ended, only: rq.crashPass.Upstream, allowedRegions: regions,
+	return requirements{versions: rq.versions(), service: rq.table.Service(rq.service), serviceName: rq.service, sharedPrefixID: rq.hdr.SharedPrefixID, tried: rq.tried, excluded: rq.crashPass.Ended, only: rq.crashPass.Upstream, allowedRegions: regions,
 		keepTogether: !rq.Guard.IsProven(rq.fingerprint), request: rq.fingerprint}
 }
 
@@ -50,6 +52,11 @@
 	return !slices.ContainsFunc(needs.allowedRegions, func(regions routes.Regions) bool { return !regions.Allow(region) })
 }
 
+// allowsVersion reports whether an upstream of a software version may run the request.
+func (needs requirements) allowsVersion(version string) bool {
+	return needs.versions == nil || slices.Contains(needs.versions, version)
+}
+
 // isExcluded reports whether the request must not be sent to this incarnation of an upstream.
 func (needs requirements) isExcluded(upstream routes.Upstream) bool {
 	if len(needs.excluded) == 0 && needs.only == "" {
@@ -89,18 +96,32 @@
 func (s *Server) best(needs requirements, now time.Time) (selection.Choice, bool) {
 	list := s.usable(needs, now)
 	if needs.service != nil && needs.service.Engine != nil {
-		return s.chooser.Choose(list, needs.sharedPrefixID, needs.tried, now)
+		choice, found := s.chooser.Choose(list, needs.sharedPrefixID, needs.tried, now)
+		return s.withoutForeignCopy(choice), found
 	}
 	return s.chooser.LeastLoaded(list, s.Zone, needs.tried, now)
 }
 
+// withoutForeignCopy drops the upstream to copy cached parts of the prompt from if its software version is another
+// one: what two versions write does not fit together.
+func (s *Server) withoutForeignCopy(choice selection.Choice) selection.Choice {
+	if choice.CopyFrom == "" {
+		return choice
+	}
+	from, known := s.View.Upstreams().At(choice.CopyFrom)
+	if known && from.Version != choice.Upstream.Version {
+		choice.CopyFrom = ""
+	}
+	return choice
+}
+
 // usable returns the upstreams of a request's service, without those in regions that may not run
-// the request, excluded incarnations, and cold upstreams to which this process may send nothing
+// the request, of other software versions than it may go on at, excluded incarnations, and cold upstreams to which this process may send nothing
 // now. s.mu must be held.
 func (s *Server) usable(needs requirements, now time.Time) []routes.Upstream {
 	list := s.View.Upstreams().Of(needs.serviceName)
 	skip := func(upstream routes.Upstream) bool {
-		return !needs.allows(upstream.Region) || needs.isExcluded(upstream) || needs.unlimited && s.Limits.Limited(upstream) || s.isColdUpstream(needs.service, upstream, now) && !s.allowsCold(needs.service, upstream, now)
+		return !needs.allows(upstream.Region) || !needs.allowsVersion(upstream.Version) || needs.isExcluded(upstream) || needs.unlimited && s.Limits.Limited(upstream) || s.isColdUpstream(needs.service, upstream, now) && !s.allowsCold(needs.service, upstream, now)
 	}
 	if slices.ContainsFunc(list, skip) {
 		list = slices.DeleteFunc(slices.Clone(list), skip)
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -109,6 +109,10 @@
 	isPastLast   bool
 	events       int
 	firstEventAt time.Time
+	// software is the version at which the stream must go on; nil before its first event.
+	software *string
+	// recorded is set once the version of the stream was recorded.
+	recorded bool
 	// results are the results of the stages; nil before the stages start, and on routes
 	// without stages.
 	results *results
@@ -224,7 +228,7 @@
 
 // plan sets the request's service, class, value, deadlines and last event.
 func (rq *request) plan() {
-	rq.service = pickTarget(rq.route.Targets, rq.hdr.ID)
+	rq.service = pickTarget(rq.route.Targets, rq.streamKey().Attempt)
 	if rq.route.RetryPolicy == routes.Resumable {
 		rq.lastEvent = rq.hdr.LastEvent // upstreams of other routes need not heed it
 	}
@@ -309,6 +313,9 @@
 
 // serve runs the stages and sends the request, with retries, until the client has a response.
 func (rq *request) serve() {
+	if !rq.bindVersion() {
+		return
+	}
 	if reason, retryAfter := rq.unavailable(); reason != "" {
 		rq.refuse(http.StatusServiceUnavailable, "request.choose", reason, retryAfter)
 		return
@@ -375,7 +382,7 @@
 		if upstreams.Evacuated(service) {
 			return "all upstreams of " + service + " are in evacuated zones", retryAfterBusy
 		}
-		if availableAt := upstreams.AvailableAt(service, now); availableAt.After(rq.startBy) {
+		if availableAt := rq.availableAt(service, now); availableAt.After(rq.startBy) {
 			return "all upstreams of " + service + " are backed off", availableAt.Sub(now)
 		}
 	}
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -132,7 +132,7 @@
 // during the same burst and are refused again.
 func (rq *request) estimateRetryAfter() time.Duration {
 	now := time.Now()
-	longest := max(retryAfterBusy, rq.View.Upstreams().AvailableAt(rq.service, now).Sub(now))
+	longest := max(retryAfterBusy, rq.availableAt(rq.service, now).Sub(now))
 	for _, stage := range rq.route.Stages {
 		longest = max(longest, pool.LateWaitFactor*rq.Dispatcher.Backlog(stage.Service))
 	}
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -134,7 +134,7 @@
 // afterwards.
 func (rq *request) awaitBackoff() {
 	now := time.Now()
-	availableAt := rq.View.Upstreams().AvailableAt(rq.service, now)
+	availableAt := rq.availableAt(rq.service, now)
 	if rq.results != nil && availableAt.After(now) && availableAt.Before(rq.startBy.Add(-firstEventAllowance)) {
 		clock.Sleep(rq.ctx, availableAt.Sub(now))
 	}
@@ -275,7 +275,7 @@
 func (rq *request) recordSend(choice selection.Choice) {
 	rq.Metrics.sendStarted(rq.service, len(rq.tried) > 1)
 	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.hdr.ID, "fingerprint": rq.fingerprint.String(), "route": rq.route.Name, "version": rq.table.Version,
-		"service": rq.service, "upstream": choice.Upstream.ID, "attempt": len(rq.tried), "reason": choice.Reason,
+		"service": rq.service, "upstream": choice.Upstream.ID, "software": choice.Upstream.Version, "attempt": len(rq.tried), "reason": choice.Reason,
 		"load": fmt.Sprintf("%.1f", choice.Load), "cold": rq.isCold(choice.Upstream), "idle": choice.Idle, "copy_from": choice.CopyFrom,
 		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
 }
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -20,6 +20,7 @@
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/ratelimit"
+	"acaciawinch/gateway/streamversion"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 )
@@ -38,6 +39,7 @@
 	Client     *httpconn.Client
 	Guard      *quarantine.Guard
 	Limits     *ratelimit.Limiter
+	Versions   *streamversion.Keeper
 	Logger     *observe.Logger
 	Metrics    *Metrics
 	Zone       string
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -43,6 +43,7 @@
 			rq.streamBroke(false)
 			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
 		}
+		rq.recordVersion(upstream)
 		if err := rq.writeEvent(next, out); err != nil {
 			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
 		}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -20,6 +20,7 @@
 	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/ratelimit"
 	"acaciawinch/gateway/relay"
+	"acaciawinch/gateway/streamversion"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
@@ -49,6 +50,7 @@
 	flow       *flow.Server
 	guard      *quarantine.Guard
 	limits     *ratelimit.Limiter
+	versions   *streamversion.Keeper
 	client     *httpconn.Client
 	rpc        *link.Server
 	relay      *relay.Server
@@ -131,6 +133,10 @@
 	if err := wirepb.DRPCRegisterRateLimit(p.rpc.Mux(), ratelimit.NewServer(p.limits)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
+	p.versions = streamversion.New(streamversion.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Lifetime: runCtx, Logger: logger, Scope: p.metrics.Scope()})
+	if err := wirepb.DRPCRegisterStreamVersion(p.rpc.Mux(), streamversion.NewServer(p.versions)); err != nil {
+		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
+	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
@@ -147,6 +153,7 @@
 		Client:     p.client,
 		Guard:      p.guard,
 		Limits:     p.limits,
+		Versions:   p.versions,
 		Logger:     logger,
 		Metrics:    flow.NewMetrics(p.metrics.Scope()),
 		Zone:       settings.Process.Zone,
@@ -157,6 +164,7 @@
 		ColdSlack:   settings.Bounds.ColdSlack,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
+	p.view.OnChange(p.versions.FleetChanged)
 	p.view.OnChange(p.owner.Refresh)
 	p.view.OnChange(p.flow.FleetChanged)
 	p.view.OnChange(p.follower.Wake)
@@ -212,7 +220,7 @@
 func (p *process) serve(ctx, runCtx context.Context, stop context.CancelFunc, ports listeners) error {
 	servers := newServers(p, ports)
 	group, runCtx := errgroup.WithContext(runCtx)
-	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.versions.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return loop(runCtx) })
 	}
 	group.Go(func() error { return p.rpc.Serve(runCtx, ports.fleet) })
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -104,6 +104,7 @@
 	p.dispatcher.Leave()
 	p.owner.Leave()
 	p.limits.Leave()
+	p.versions.Leave()
 	grace := time.Duration(p.settings.Bounds.GraceSeconds*float64(time.Second)) - graceMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- /dev/null
+++ b/gateway/streamversion/server.go
@@ -0,0 +1,49 @@
+package streamversion
+
+import (
+	"context"
+
+	core "acaciawinch/core/streamversion"
+	"acaciawinch/gateway/clock"
+	"acaciawinch/wire/wirepb"
+)
+
+// Server serves a Keeper to the other gateways.
+type Server struct {
+	wirepb.DRPCStreamVersionUnimplementedServer
+	keeper *Keeper
+}
+
+// NewServer returns a Server for a Keeper.
+func NewServer(keeper *Keeper) *Server { return &Server{keeper: keeper} }
+
+// Record implements wirepb.DRPCStreamVersionServer.
+func (s *Server) Record(_ context.Context, m *wirepb.StreamRecords) (*wirepb.StreamRecordsReply, error) {
+	k := s.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := clock.Boot()
+	for _, record := range m.GetRecords() {
+		k.held.Put(recordOf(record, now))
+	}
+	return &wirepb.StreamRecordsReply{}, nil
+}
+
+// Lookup implements wirepb.DRPCStreamVersionServer.
+func (s *Server) Lookup(_ context.Context, m *wirepb.StreamLookup) (*wirepb.StreamLookupReply, error) {
+	k := s.keeper
+	fresh := k.isFresh()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	reply := &wirepb.StreamLookupReply{}
+	now := clock.Boot()
+	key := core.Key{Workspace: m.GetWorkspace(), Attempt: m.GetAttempt()}
+	if record, found := k.find(key, now); found {
+		reply.Record = recordMessage(record, now)
+	}
+	if known := k.services[m.GetService()]; known != nil && fresh {
+		_, reply.Settled = known.state.Settled()
+		reply.Usable = known.state.Usable()
+	}
+	return reply, nil
+}
--- a/gateway/view/upstreams.go
+++ b/gateway/view/upstreams.go
@@ -107,6 +107,10 @@
 // after an outage of the store, or after its return from an older copy.
 const entryRestoreTime = 3 * time.Second
 
+// ListsAll reports whether discovery lists all upstreams that run, as far as this process can know: after an outage of
+// the store, entries may be missing for a while.
+func (v *View) ListsAll() bool { return v.proof.unbrokenFor(entryRestoreTime) }
+
 // Leaves reports whether an incarnation of an upstream has announced that it leaves, or is no longer in
 // discovery. It returns false if its entry may only be missing because of an outage of the store, or
 // another incarnation has taken the entry over.
@@ -240,10 +244,10 @@
 	}
 	r.known[upstream.ID] = upstream
 	r.checkHold(upstream, object.Revision)
-	if !known || old.Leaving != upstream.Leaving || old.Incarnation != upstream.Incarnation || old.Cold == 0 && upstream.Cold > 0 {
+	if !known || old.Leaving != upstream.Leaving || old.Incarnation != upstream.Incarnation || old.Cold == 0 && upstream.Cold > 0 || old.Version != upstream.Version {
 		r.unlogged.add(event.UpstreamChanged, observe.Fields{
 			"upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
-			"leaving": upstream.Leaving, "born": upstream.Incarnation, "cold_ms": upstream.Cold.Milliseconds(), "revision": object.Revision})
+			"software": upstream.Version, "leaving": upstream.Leaving, "born": upstream.Incarnation, "cold_ms": upstream.Cold.Milliseconds(), "revision": object.Revision})
 	}
 }
 
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -7,7 +7,7 @@
 	WatchHistoryGone     = define(10003, "watch_history_gone", "The store no longer has the changes since a revision; all objects of the kind are listed again.", "kind", "revision")
 	TableInForce         = define(10004, "table_in_force", "A newer configuration is in force in this process.", "version", "revision")
 	TableRefused         = define(10005, "table_refused", "A configuration can't be decoded; the previous one stays in force.", "revision", "error")
-	UpstreamChanged      = define(10006, "upstream_changed", "An upstream was added, restarted, or reported that it is leaving or cold.", "upstream", "service", "address", "leaving", "born", "cold_ms", "revision")
+	UpstreamChanged      = define(10006, "upstream_changed", "An upstream was added, restarted, or reported that it is leaving or cold, or its software version changed.", "upstream", "service", "address", "software", "leaving", "born", "cold_ms", "revision")
 	UpstreamGone         = define(10007, "upstream_gone", "An upstream's entry was removed; it gets no new work.", "upstream", "service", "address")
 	UpstreamUnreadable   = define(10008, "upstream_unreadable", "An upstream's entry can't be decoded; the upstream is not used.", "upstream", "revision", "error")
 	MembersChanged       = define(10009, "members_changed", "The list of the other gateways changed.", "members")
@@ -43,7 +43,7 @@
 // Events of requests at a gateway: 10020 to 10049.
 var (
 	GatewayRefused  = define(10020, "gateway_refused", "The gateway responded to a request itself; with status 429 or 503 no part of the request ran.", "request", "route", "status", "step", "detail", "version", "retry_after_ms", "duration_us")
-	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream. Attempts with one fingerprint have the same workspace, target and body.", "request", "fingerprint", "route", "version", "service", "upstream", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
+	GatewaySent     = define(10021, "gateway_sent", "A request was sent to an upstream. Attempts with one fingerprint have the same workspace, target and body.", "request", "fingerprint", "route", "version", "service", "upstream", "software", "attempt", "reason", "load", "cold", "idle", "copy_from", "used_ms", "value", "remaining_ms", "after")
 	GatewayFailed   = define(10022, "gateway_failed", "A request sent to an upstream got no usable response.", "request", "fingerprint", "upstream", "attempt", "step", "ran", "error")
 	GatewayAnswered = define(10023, "gateway_answered", "A response was sent to the client up to its end; proved reports whether that end is known to be the end of the upstream's response.", "request", "route", "status", "upstream", "events", "proved", "first_us", "used_ms", "objective_ms", "duration_us")
 	GatewayBroken   = define(10024, "gateway_broken", "A response could not be completed; the client's connection was closed.", "request", "route", "upstream", "events", "error", "duration_us")
@@ -95,3 +95,14 @@
 	RateLimitNoticeLost  = define(10116, "rate_limit_notice_lost", "A gateway could not be told the limits of a service; it is told again later.", "service", "peer", "error")
 	RateLimitWithheld    = define(10115, "rate_limit_withheld", "A request was not written, as its upstream has named a limit since it was chosen, or its permit had expired.", "request", "upstream", "per_second", "permit_age_ms")
 )
+
+// Events of the software versions of streams: 10120 to 10129.
+var (
+	StreamVersionsChanged  = define(10120, "stream_versions_changed", "This process read, wrote or learned at which software versions streams of a service may begin; settled is set if that is only one. Source is the store or a gateway.", "service", "settled", "usable", "listed", "source", "revision")
+	StreamRegisterUnsynced = define(10121, "stream_register_unsynced", "The register of a service's software versions could not be read or written; what was known stays in use.", "service", "error")
+	StreamRecordCopied     = define(10122, "stream_record_copied", "Other gateways hold the software version at which a stream began; its first event is passed on.", "request", "stream", "service", "software", "copies", "needed", "waited_us")
+	StreamRecordUncopied   = define(10123, "stream_record_uncopied", "Too few gateways hold the software version at which a stream began, and its first event is passed on; the client may be refused if it takes the stream up elsewhere.", "request", "stream", "service", "software", "copies", "needed", "waited_us")
+	StreamTakenUp          = define(10124, "stream_taken_up", "A client took a stream up. Outcome is goes_on if the software version that began it is known, not_now if it may be known later, refused otherwise; source is the gateway that had the record, or the store if only one version serves.", "request", "stream", "after", "service", "outcome", "software", "reason", "source", "asked", "silent", "waited_us")
+	StreamRecordsSent      = define(10125, "stream_records_sent", "Records of streams were copied to another gateway, as several versions serve now (reason mixed) or the gateways have changed (reason gateways).", "peer", "records", "reason")
+	StreamRecordsUnsent    = define(10126, "stream_records_unsent", "Records of streams could not be copied to another gateway.", "peer", "records", "reason", "error")
+)
