Settle a register only when no gateway can have begun streams at another version, and model both rules

Now a register is settling for as long as a stream may last before it settles, whoever clears another version takes that back, a version is cleared only while it is listed without a break, and what a gateway knew before it was without the store for 30 s is forgotten.

--- a/core/streamversion/doc.go
+++ b/core/streamversion/doc.go
@@ -13,8 +13,11 @@
 // its State, or if the State is mixed and has cleared the version. A version is cleared by a read or write of
 // the register that found or made it mixed after the version was listed. So the register was mixed before the
 // first event of a stream at any other version than the settled one. It settles again only when a gateway has
-// listed a single version for SettleTime, which exceeds MaxStreamTime and the age up to which a State may be
-// used together: every stream that is still taken up then is of that version. Therefore a read of the
+// listed a single version for SettleTime, wrote that the register is settling, and found that unchanged SettleTime
+// later. Who clears another version meanwhile reads that and takes it back. A version that was cleared before stays
+// so only while it is listed without a break, so that the gateway that settles lists it as well, or its streams
+// began so early that none is taken up any more: SettleTime exceeds MaxStreamTime and MaxStateAge together.
+// A State that was without the store for longer than MaxStateAge knows nothing. Therefore a read of the
 // register, begun after a client came back and found settled, proves the version of each stream that has no
 // record. While the register is mixed, a stream without a record is refused. The loss of records can't
 // cause a wrong decision, only a refusal.
--- a/core/streamversion/register.go
+++ b/core/streamversion/register.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,8 +11,9 @@
 	MaxStreamTime = 10 * time.Minute
 	// MaxStateAge is the age of the last word of the store up to which a State may be used.
 	MaxStateAge = 30 * time.Second
-	// SettleTime is how long a single version must have been listed before the register settles. The
-	// remainder over MaxStreamTime and MaxStateAge is for clocks that differ in speed.
+	// SettleTime is how long a single version must have been listed before a gateway writes that the register is
+	// settling, and how long that must stand before it settles. The remainder over MaxStreamTime and
+	// MaxStateAge is for clocks that differ in speed.
 	SettleTime = 12 * time.Minute
 )
 
@@ -19,7 +21,9 @@
 type Register struct {
 	// Settled is set if all streams that may go on have begun at Version.
 	Settled bool
-	Version string
+	// Settling is set if the register is still mixed, and settles at Version unless a gateway lists another version.
+	Settling bool
+	Version  string
 }
 
 // phase is what a gateway knows of a register.
@@ -37,13 +41,20 @@
 type State struct {
 	phase   phase
 	version string
-	// cleared holds the versions at which streams may begin while the register is mixed.
+	// cleared holds the versions at which streams may begin while the register is mixed. One that is no longer
+	// listed must be cleared again.
 	cleared map[string]bool
 	// lastListed holds when each version was last listed; versions are those listed now.
 	lastListed map[string]time.Duration
 	versions   []string
-	// firstListed is when versions were first listed.
+	// firstListed is when versions were first listed, or were listed again after a time without the store.
 	firstListed time.Duration
+	// confirmed is when the store last responded to this gateway.
+	confirmed time.Duration
+	// settlingRevision is the revision of the register if it was last found settling, 0 if not; settlingSince is when
+	// that was first found.
+	settlingRevision int64
+	settlingSince    time.Duration
 }
 
 // NewState returns a State that knows nothing.
@@ -58,6 +69,7 @@
 	}
 	s.Tick(now)
 	s.versions = versions
+	maps.DeleteFunc(s.cleared, func(version string, _ bool) bool { return !slices.Contains(versions, version) })
 	for _, version := range versions {
 		s.lastListed[version] = now
 	}
@@ -71,11 +83,21 @@
 	for version, last := range s.lastListed {
 		if now-last >= SettleTime {
 			delete(s.lastListed, version)
-			delete(s.cleared, version)
 		}
 	}
 }
 
+// Confirmed takes the time of the store's last word to this gateway. A State that was without one for longer than
+// MaxStateAge knows nothing: meanwhile the register may have settled at another version, and other versions may have
+// been listed.
+func (s *State) Confirmed(at time.Duration) {
+	if at-s.confirmed > MaxStateAge {
+		s.phase, s.version, s.firstListed, s.settlingRevision = unknown, "", at, 0
+		clear(s.cleared)
+	}
+	s.confirmed = max(s.confirmed, at)
+}
+
 // Versions returns the versions that are listed now.
 func (s *State) Versions() []string { return s.versions }
 
@@ -100,14 +122,16 @@
 	}
 }
 
-// Usable returns the versions at which streams may begin, those that are not listed included.
+// Usable returns the versions at which streams may begin; it is never nil.
 func (s *State) Usable() []string {
 	if s.phase == settled {
 		return []string{s.version}
 	}
-	var usable []string
-	for version := range s.cleared {
-		usable = append(usable, version)
+	usable := make([]string, 0, len(s.cleared))
+	for version, cleared := range s.cleared {
+		if cleared {
+			usable = append(usable, version)
+		}
 	}
 	slices.Sort(usable)
 	return usable
@@ -119,36 +143,47 @@
 	case settled:
 		return slices.ContainsFunc(s.versions, func(version string) bool { return version != s.version })
 	case mixed:
-		return s.settles(now) || slices.ContainsFunc(s.versions, func(version string) bool { return !s.cleared[version] })
+		return s.maySettle(now) && (s.settlingRevision == 0 || s.hasSettled(now)) || slices.ContainsFunc(s.versions, func(version string) bool { return !s.cleared[version] })
 	default:
 		return len(s.versions) > 0
 	}
 }
 
-// Desired returns what the register must become, given its present content; exists is false if the store has
-// none. The second result is false if the register may stay as it is. A register is made mixed as soon as another
+// Desired returns what the register must become, given its present content and revision; the revision is 0 if the
+// store has none. The second result is false if the register may stay as it is. A register is made mixed as soon as another
 // version than the settled one is listed.
-func (s *State) Desired(now time.Duration, current Register, exists bool) (Register, bool) {
+func (s *State) Desired(now time.Duration, current Register, revision int64) (Register, bool) {
 	single := len(s.lastListed) == 1
 	switch {
 	case len(s.lastListed) == 0:
 		return current, false
-	case !exists:
+	case revision == 0:
 		return Register{Settled: single, Version: s.single()}, true
 	case current.Settled && (!single || s.single() != current.Version):
 		return Register{}, true
-	case !current.Settled && s.settles(now):
-		return Register{Settled: true, Version: s.single()}, true
+	case current.Settling && (!single || s.single() != current.Version):
+		return Register{}, true
+	case current.Settled || !s.maySettle(now):
+		return current, false
+	case !current.Settling:
+		return Register{Settling: true, Version: s.single()}, true
+	case revision == s.settlingRevision && s.hasSettled(now):
+		return Register{Settled: true, Version: current.Version}, true
 	default:
 		return current, false
 	}
 }
 
-// settles reports whether a single version was listed for SettleTime.
-func (s *State) settles(now time.Duration) bool {
+// maySettle reports whether a single version was listed for SettleTime.
+func (s *State) maySettle(now time.Duration) bool {
 	return len(s.lastListed) == 1 && now-s.firstListed >= SettleTime
 }
 
+// hasSettled reports whether the register was found settling, and not changed since, for SettleTime.
+func (s *State) hasSettled(now time.Duration) bool {
+	return s.settlingRevision != 0 && now-s.settlingSince >= SettleTime
+}
+
 // single returns the version if only one was listed within SettleTime, else an empty string.
 func (s *State) single() string {
 	if len(s.lastListed) != 1 {
@@ -160,11 +195,17 @@
 	return ""
 }
 
-// Learned takes the content of the register after a read, or after the write that Desired asked for. Listed
+// Learned takes the content and revision of the register after a read, or after the write that Desired asked for. Listed
 // holds the versions that were listed before the read was sent. It reports whether the register has become mixed:
 // the records of this gateway's streams must then be copied.
-func (s *State) Learned(r Register, listed []string) bool {
+func (s *State) Learned(now time.Duration, r Register, revision int64, listed []string) bool {
 	before := s.phase
+	switch {
+	case !r.Settling:
+		s.settlingRevision = 0
+	case revision != s.settlingRevision:
+		s.settlingRevision, s.settlingSince = revision, now
+	}
 	if r.Settled {
 		s.phase, s.version = settled, r.Version
 		clear(s.cleared)
@@ -172,7 +213,9 @@
 	}
 	s.phase, s.version = mixed, ""
 	for _, version := range listed {
-		s.cleared[version] = true
+		if slices.Contains(s.versions, version) {
+			s.cleared[version] = true
+		}
 	}
 	return before != mixed
 }
@@ -183,8 +226,11 @@
 		return
 	}
 	if isSettled {
-		s.Learned(Register{Settled: true, Version: usable[0]}, nil)
+		s.phase, s.version = settled, usable[0]
 		return
 	}
-	s.Learned(Register{}, usable)
+	s.phase = mixed
+	for _, version := range usable {
+		s.cleared[version] = slices.Contains(s.versions, version)
+	}
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -169,6 +169,7 @@
 	p.view.OnChange(p.flow.FleetChanged)
 	p.view.OnChange(p.follower.Wake)
 	p.view.OnEra(p.guard.StoreReturned)
+	p.view.OnEra(p.versions.StoreReturned)
 	return p, nil
 }
 
--- a/gateway/streamversion/keeper.go
+++ b/gateway/streamversion/keeper.go
@@ -69,7 +69,7 @@
 	begun, held *core.Table
 	// gateways are this process and the others, members the others by incarnation.
 	memberList []view.Member
-	gateways   []core.Gateway
+	gateways   core.Fleet
 	members    map[string]view.Member
 	// leaving is set on a planned stop.
 	leaving bool
@@ -81,7 +81,7 @@
 	state *core.State
 	// usable holds the versions at which streams may begin; nil until the register is known.
 	usable atomic.Pointer[[]string]
-	// known is closed when usable is set first.
+	// known is closed when usable is set; it is replaced when usable is reset.
 	known chan struct{}
 	// mixedAt is when a register that was settled became mixed; 0 if it never did.
 	mixedAt time.Duration
@@ -98,7 +98,7 @@
 		services: make(map[string]*service),
 		begun:    core.NewTable(maxRecords),
 		held:     core.NewTable(maxRecords),
-		gateways: []core.Gateway{gatewayOf(options.Self)},
+		gateways: core.NewFleet([]core.Gateway{gatewayOf(options.Self)}),
 		members:  make(map[string]view.Member),
 	}
 }
@@ -131,6 +131,7 @@
 	k.held.Expire(now)
 	k.metrics.begun.Update(float64(k.begun.Len()))
 	k.metrics.held.Update(float64(k.held.Len()))
+	k.confirm()
 	for _, s := range k.services {
 		s.state.Tick(now)
 		k.syncIfNeeded(s, now)
@@ -155,6 +156,7 @@
 			continue
 		}
 		s.state.Listed(now, versions)
+		k.publish(s)
 		k.syncIfNeeded(s, now)
 	}
 }
@@ -188,7 +190,7 @@
 
 // gatewaysOf returns the gateways that may hold records: this process, unless it leaves, and others. k.mu must be
 // held.
-func (k *Keeper) gatewaysOf(list []view.Member) []core.Gateway {
+func (k *Keeper) gatewaysOf(list []view.Member) core.Fleet {
 	var gateways []core.Gateway
 	if !k.leaving {
 		gateways = append(gateways, gatewayOf(k.options.Self))
@@ -196,7 +198,7 @@
 	for _, member := range list {
 		gateways = append(gateways, gatewayOf(member))
 	}
-	return gateways
+	return core.NewFleet(gateways)
 }
 
 // Usable returns the versions at which streams of a service may begin now. It waits a moment for the first read
@@ -206,7 +208,9 @@
 		return nil, fault.New(fault.Unavailable, "stream.begin", name, "the software versions were not confirmed for %v", core.MaxStateAge)
 	}
 	k.mu.Lock()
+	k.confirm()
 	s := k.service(name)
+	known := s.known
 	k.mu.Unlock()
 	if usable := s.usable.Load(); usable != nil {
 		return *usable, nil
@@ -214,14 +218,44 @@
 	wait := time.NewTimer(stateWait)
 	defer wait.Stop()
 	select {
-	case <-s.known:
-		return *s.usable.Load(), nil
+	case <-known:
+		if usable := s.usable.Load(); usable != nil {
+			return *usable, nil
+		}
 	case <-wait.C:
 	case <-ctx.Done():
 	}
 	return nil, fault.New(fault.Unavailable, "stream.begin", name, "the software versions of the service are not known yet")
 }
 
+// confirm takes the time of the store's last word, and forgets what may have changed since the one before. k.mu must
+// be held.
+func (k *Keeper) confirm() {
+	age, known := k.options.Fleet.ProofAge()
+	if !known {
+		return
+	}
+	at := clock.Boot() - age
+	for _, s := range k.services {
+		s.state.Confirmed(at)
+		if !s.state.Known() && s.usable.Load() != nil {
+			s.usable.Store(nil)
+			s.known = make(chan struct{})
+			k.startSync(s)
+		}
+	}
+}
+
+// StoreReturned must be called when the store has returned from an older copy: its registers may be older than what
+// this process knows, and are written again if they have to be.
+func (k *Keeper) StoreReturned(int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.services {
+		k.startSync(s)
+	}
+}
+
 // Leave hands the records to the gateways that hold them without this process.
 func (k *Keeper) Leave() {
 	k.mu.Lock()
--- a/gateway/streamversion/records.go
+++ b/gateway/streamversion/records.go
@@ -50,7 +50,7 @@
 		k.mu.Unlock()
 		return
 	}
-	targets, spare := k.targets(core.Holders(record.Key, k.gateways))
+	targets, spare := k.targets(k.gateways.Candidates(record.Key))
 	k.mu.Unlock()
 	k.copyFirst(ctx, stream, record, targets, spare)
 }
@@ -96,7 +96,7 @@
 // targets returns the other gateways that get a copy at first, and those that may take the place of one of them.
 // k.mu must be held.
 func (k *Keeper) targets(order []core.Gateway) (targets, spare []view.Member) {
-	for place, g := range order[:min(core.Candidates, len(order))] {
+	for place, g := range order {
 		member, other := k.members[g.Incarnation]
 		switch {
 		case !other:
@@ -132,23 +132,23 @@
 
 // copyToNewHolders copies the records of services with several versions to the gateways that hold them by the
 // present list of gateways and did not by the one before. k.mu must be held.
-func (k *Keeper) copyToNewHolders(before []core.Gateway) {
+func (k *Keeper) copyToNewHolders(before core.Fleet) {
 	records := slices.Concat(k.held.All(""), k.begun.All(""))
 	records = slices.DeleteFunc(records, func(r core.Record) bool { return !k.service(r.Service).state.Mixed() })
-	k.copyAll(records, before, "gateways")
+	k.copyAll(records, &before, "gateways")
 }
 
 // copyAll copies records to their holders in the background, but for those that held them by an earlier list of
 // gateways. k.mu must be held.
-func (k *Keeper) copyAll(records []core.Record, before []core.Gateway, reason string) {
+func (k *Keeper) copyAll(records []core.Record, before *core.Fleet, reason string) {
 	now := clock.Boot()
 	batches := make(map[string][]*wirepb.StreamRecord)
 	for _, record := range records {
 		var old []core.Gateway
 		if before != nil {
-			old = firstHolders(record.Key, before)
+			old = before.Holders(record.Key)
 		}
-		for _, holder := range firstHolders(record.Key, k.gateways) {
+		for _, holder := range k.gateways.Holders(record.Key) {
 			if _, other := k.members[holder.Incarnation]; other && !slices.Contains(old, holder) {
 				batches[holder.Incarnation] = append(batches[holder.Incarnation], recordMessage(record, now))
 			}
@@ -159,12 +159,6 @@
 	}
 }
 
-// firstHolders returns the gateways that hold a record.
-func firstHolders(key core.Key, gateways []core.Gateway) []core.Gateway {
-	order := core.Holders(key, gateways)
-	return order[:min(core.Copies, len(order))]
-}
-
 // sendBatch stores records at another gateway, in messages of bounded size.
 func (k *Keeper) sendBatch(to view.Member, batch []*wirepb.StreamRecord, reason string) {
 	for part := range slices.Chunk(batch, maxBatch) {
--- a/gateway/streamversion/register.go
+++ b/gateway/streamversion/register.go
@@ -29,17 +29,18 @@
 
 // registerSpec is the stored form of a register.
 type registerSpec struct {
-	Settled bool   `json:"settled"`
-	Version string `json:"version"`
+	Settled  bool   `json:"settled"`
+	Settling bool   `json:"settling,omitempty"`
+	Version  string `json:"version"`
 }
 
 // syncCall is one read of a register, and the write that it showed to be needed.
 type syncCall struct {
 	done chan struct{}
-	// found is the register as it was read, before the write; read is set if there was one.
-	found core.Register
-	read  bool
-	err   error
+	// found is the register as it was read, before the write; read is set if there was one, changed if it was written.
+	found         core.Register
+	read, changed bool
+	err           error
 }
 
 // syncIfNeeded begins a sync if the state needs one and none runs. k.mu must be held.
@@ -108,7 +109,7 @@
 		return err
 	}
 	k.mu.Lock()
-	desired, write := s.state.Desired(clock.Boot(), found, revision > 0)
+	desired, write := s.state.Desired(clock.Boot(), found, revision)
 	k.mu.Unlock()
 	if revision == 0 {
 		found = desired // streams begin only once there is a register
@@ -119,6 +120,7 @@
 		if revision, err = k.writeRegister(s.name, revision, desired); err != nil {
 			return err
 		}
+		call.changed = true
 	}
 	if revision == 0 {
 		return fault.New(fault.Unavailable, "stream.register", s.name, "no upstream of the service is listed")
@@ -143,13 +145,13 @@
 	if err := json.Unmarshal(object.Spec, &spec); err != nil {
 		return core.Register{}, 0, fault.Wrap(fault.Invalid, "stream.register", name, err)
 	}
-	return core.Register{Settled: spec.Settled, Version: spec.Version}, object.Revision, nil
+	return core.Register{Settled: spec.Settled, Settling: spec.Settling, Version: spec.Version}, object.Revision, nil
 }
 
 // writeRegister creates the register of a service, or replaces it if it has the given revision, and returns
 // its new revision.
 func (k *Keeper) writeRegister(name string, revision int64, r core.Register) (int64, error) {
-	spec := registerSpec{Settled: r.Settled, Version: r.Version}
+	spec := registerSpec{Settled: r.Settled, Settling: r.Settling, Version: r.Version}
 	if revision == 0 {
 		object, err := k.options.Fleet.Store().Create(k.options.Lifetime, RegisterKind, name, spec)
 		return object.Revision, err
@@ -163,8 +165,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, wasSettled := s.state.Settled()
-	becameMixed := s.state.Learned(r, listed)
-	k.publish(s, "store", revision)
+	becameMixed := s.state.Learned(clock.Boot(), r, revision, listed)
+	k.publish(s)
+	k.logVersions(s, "store", revision)
 	if becameMixed {
 		k.copyAll(k.begun.All(s.name), nil, "mixed")
 	}
@@ -176,9 +179,8 @@
 	}
 }
 
-// publish makes the versions at which streams may begin visible to Usable, and logs them if they have changed. k.mu
-// must be held.
-func (k *Keeper) publish(s *service, source string, revision int64) {
+// publish makes the versions at which streams may begin visible to Usable. k.mu must be held.
+func (k *Keeper) publish(s *service) {
 	if !s.state.Known() {
 		return
 	}
@@ -187,8 +189,12 @@
 	if before == nil {
 		close(s.known)
 	}
+}
+
+// logVersions logs what is known of a service's versions. k.mu must be held.
+func (k *Keeper) logVersions(s *service, source string, revision int64) {
 	_, settled := s.state.Settled()
-	k.options.Logger.Event(event.StreamVersionsChanged, observe.Fields{"service": s.name, "settled": settled, "usable": usable,
+	k.options.Logger.Event(event.StreamVersionsChanged, observe.Fields{"service": s.name, "settled": settled, "usable": s.state.Usable(),
 		"listed": s.state.Versions(), "source": source, "revision": revision})
 }
 
@@ -207,7 +213,8 @@
 		}
 		k.mu.Lock()
 		s.state.Adopt(reply.GetSettled(), reply.GetUsable())
-		k.publish(s, member.Name, 0)
+		k.publish(s)
+		k.logVersions(s, member.Name, 0)
 		k.mu.Unlock()
 		return
 	}
--- a/gateway/streamversion/resume.go
+++ b/gateway/streamversion/resume.go
@@ -97,8 +97,10 @@
 	} else {
 		k.awaitSync(ctx, call, &found)
 	}
-	if found.RegisterKnown && found.Register.Settled {
+	if found.Register.Settled {
 		found.source = "store"
+	}
+	if found.Register.Settled && !call.changed {
 		return found
 	}
 	k.lookUp(ctx, stream, &found)
@@ -145,7 +147,7 @@
 		return // the client does not name the attempt
 	}
 	k.mu.Lock()
-	targets, spare := k.targets(core.Holders(stream.Key, k.gateways))
+	targets, spare := k.targets(k.gateways.Candidates(stream.Key))
 	k.mu.Unlock()
 	asked := append(targets, spare...)
 	found.asked = len(asked)
