Roll software versions in the soak, let its clients take streams up, and judge both rules

Engines of two versions serve side by side, are replaced by others of any version, and clients take up what broke off at the next gateway. A calm phase breaks 24 streams off and kills a gateway.

--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -54,6 +54,10 @@
 	Complete, Signed bool
 	// Stamp is that signature. It names the upstream that sent the head of the response.
 	Stamp string
+	// Stream is the ID of the attempt that brought the first event of the stream that the request takes up, empty if it
+	// takes up none; After is the number of the last event that the client has.
+	Stream string
+	After  int
 	// Err says why the response is missing or incomplete.
 	Err string
 }
@@ -64,6 +68,8 @@
 	random   *rand.Rand
 	gateways []string
 	report   func(Outcome)
+	// takesUp is set if the client takes up streams that broke off.
+	takesUp bool
 
 	gateway int
 	conn    net.Conn
@@ -88,17 +94,24 @@
 	if c.random.IntN(6) == 0 {
 		o.Key = spareKey
 	}
-	c.send(ctx, o)
+	sentOutcome := c.send(ctx, o)
+	for try := 1; c.takesUp && try <= maxTakeUps && ctx.Err() == nil; try++ {
+		next, broken := takeUpOf(sentOutcome, fmt.Sprintf("%s-t%d", o.ID, try))
+		if !broken {
+			return
+		}
+		sentOutcome = c.send(ctx, next)
+	}
 }
 
 // send sends a request. If it can't connect, the client switches to the next gateway, as a load balancer
-// would.
-func (c *client) send(ctx context.Context, o Outcome) {
+// would. It returns what became of the request.
+func (c *client) send(ctx context.Context, o Outcome) Outcome {
 	if c.conn == nil {
 		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.gateways[c.gateway])
 		if err != nil {
 			c.gateway = (c.gateway + 1) % len(c.gateways)
-			return
+			return o
 		}
 		c.conn = conn
 		c.resetReader()
@@ -111,6 +124,7 @@
 		c.close()
 		c.gateway = (c.gateway + 1) % len(c.gateways)
 	}
+	return o
 }
 
 // resetReader sets the reader of a new connection.
@@ -166,6 +180,9 @@
 		head = append(head, fmt.Sprintf("X-Pieces: %d,%d", encodeItems, rankItems), "X-Piece-Key: k",
 			"X-Prompt-Prefix: aa:100,bb:20", "X-Token-Counts: 120,15")
 	}
+	if o.Stream != "" {
+		head = append(head, "Resumes: "+o.Stream, fmt.Sprintf("Last-Event-Id: %d", o.After))
+	}
 	if o.RequestBody != "" {
 		head = append(head, fmt.Sprintf("Content-Length: %d", len(o.RequestBody)))
 	}
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -34,7 +34,8 @@
 	plan := append(Plan(o.Seed, o.Steps), planWorkers(o.Seed)...)
 	plan = append(plan, planReturns(o.Seed, o.Returns)...)
 	plan = append(plan, planDisorder(o.Seed, o.Disorders)...)
-	return append(plan, planLimits(o.Seed, o.Limits)...)
+	plan = append(plan, planLimits(o.Seed, o.Limits)...)
+	return append(plan, planVersions(o.Seed, o.Versions)...)
 }
 
 // Timing of a return.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -46,6 +46,8 @@
 		s.leaveWorker(ctx, step)
 	case BackOffWorker:
 		s.backOffWorker(ctx, step)
+	case RollWorker:
+		s.rollWorker(ctx, step)
 	case LimitWorker:
 		s.limitWorker(ctx, step)
 	case DisorderWorker:
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -54,6 +54,11 @@
 	if s.options.Limits > 0 {
 		s.limitAll(ctx)
 	}
+	if s.options.Versions > 0 {
+		if err := s.takeUpAfterLoss(ctx); err != nil {
+			return err
+		}
+	}
 	return s.rollingStop(ctx)
 }
 
--- /dev/null
+++ b/standin/soak/versions.go
@@ -0,0 +1,216 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"sync"
+
+	"acaciawinch/standin/platformfleet"
+	"acaciawinch/standin/worker"
+)
+
+// RollWorker replaces an engine by one of another software version, which may be one that nobody has yet.
+const RollWorker Kind = "roll worker"
+
+// Promises about streams and software versions, in the platform's published form: at most
+// mixedStreamsAllowed streams hold events of two versions, and of the streams that are taken up while two
+// workers of their version serve, the share that goes on is at least continuedShare of the share of new
+// streams that begin.
+const (
+	mixedStreamsAllowed = 2
+	continuedShare      = 0.5
+)
+
+// rolls is how many engines a run replaces by such of another version.
+const rolls = 3
+
+// planVersions returns the steps of a seed on software versions. They are drawn from a random source of their
+// own, so that the plans of older seeds do not change.
+func planVersions(seed uint64, versions int) []Step {
+	if versions == 0 {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, seed^0x1b873593))
+	var plan []Step
+	for range rolls {
+		plan = append(plan, Step{At: between(random, 0, faultsFor), For: between(random, shortestStep, longestStep), Kind: RollWorker,
+			Target: random.IntN(1 << 16), Choice: random.IntN(1 << 16)})
+	}
+	return plan
+}
+
+// rollWorker makes an engine leave. The next incarnation has another version.
+func (s *soak) rollWorker(ctx context.Context, step Step) {
+	for range len(s.fleetWorkers()) {
+		if s.worker(step.Target).Kind == worker.Engine {
+			s.leaveWorker(ctx, step)
+			return
+		}
+		step.Target++
+	}
+}
+
+// fleetWorkers returns the current incarnations of the workers.
+func (s *soak) fleetWorkers() []registeredWorker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]registeredWorker(nil), s.workers...)
+}
+
+// nextVersion returns the software version of the next incarnation of a worker.
+func (s *soak) nextVersion(ended registeredWorker, choice int) string {
+	if ended.Version == "" {
+		return ""
+	}
+	return platformfleet.VersionName(choice % (s.options.Versions + 1))
+}
+
+// maxTakeUps is how often a client takes a stream up.
+const maxTakeUps = 2
+
+// eventText matches a whole event with the version of its worker.
+var eventText = regexp.MustCompile(`id: (\d+)\ndata: (\S+) (\d+) (v\S+)\n\n`)
+
+// withoutVersions returns the events of a stream as a worker without a version sends them.
+func withoutVersions(body string) string {
+	return eventText.ReplaceAllString(body, "id: $1\ndata: $2 $3\n\n")
+}
+
+// versionsIn returns the software versions of the whole events of a stream.
+func versionsIn(body string) []string {
+	var versions []string
+	for _, match := range eventText.FindAllStringSubmatch(body, -1) {
+		versions = append(versions, match[4])
+	}
+	return versions
+}
+
+// takeUpOf returns the request that takes up the stream of an outcome, and false if that did not break off after a
+// whole event.
+func takeUpOf(o Outcome, id string) (Outcome, bool) {
+	events := len(versionsIn(o.Body))
+	isBroken := o.Route == streamingRoute && o.Status == http.StatusOK && o.After+events < streamEvents && o.Err != ""
+	if !isBroken || o.After+events == 0 {
+		return Outcome{}, false
+	}
+	next := Outcome{ID: id, Route: o.Route, Key: o.Key, RequestBody: o.RequestBody, Stream: o.Stream, After: o.After + events}
+	if next.Stream == "" {
+		next.Stream = o.ID
+	}
+	return next, true
+}
+
+// judgeVersions returns a violation if too many streams hold events of two software versions.
+func (e *evidence) judgeVersions() []string {
+	versions := make(map[string]string)
+	mixed := make(map[string]bool)
+	for _, o := range e.outcomes {
+		stream := o.ID
+		if o.Stream != "" {
+			stream = o.Stream
+		}
+		for _, version := range versionsIn(o.Body) {
+			if before := versions[stream]; before != "" && before != version {
+				mixed[stream] = true
+			}
+			versions[stream] = version
+		}
+	}
+	if len(mixed) <= mixedStreamsAllowed {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d streams hold events of two software versions; %d are allowed", len(mixed), mixedStreamsAllowed)}
+}
+
+// takenUpStreams is the number of streams that are broken off and taken up while no other fault is active.
+const takenUpStreams = 24
+
+// takeUpAfterLoss breaks streams off while no fault is active, kills a gateway, and checks that enough of those
+// whose version has two engines go on at the others.
+func (s *soak) takeUpAfterLoss(ctx context.Context) error {
+	if len(s.fleet.Gateways) < 2 {
+		return nil
+	}
+	begun := s.beginBroken()
+	defer s.beginDisruption(0, true)()
+	lost := s.fleet.Gateways[0]
+	lost.Kill()
+	offered, began, takenUp, wentOn := len(begun), 0, 0, 0
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	for number, o := range begun {
+		clients.Go(func() {
+			next, broken := takeUpOf(o, fmt.Sprintf("%sup%d", probePrefix, number))
+			if !broken {
+				return
+			}
+			counts := s.enginesOf(versionsIn(o.Body)[0]) >= 2
+			gateway := 1 + number%(len(s.fleet.Gateways)-1)
+			got := s.sendDirectly(gateway, next)
+			mu.Lock()
+			defer mu.Unlock()
+			began++
+			if counts {
+				takenUp++
+			}
+			if counts && got.Status == http.StatusOK && len(versionsIn(got.Body)) > 0 {
+				wentOn++
+			}
+		})
+	}
+	clients.Wait()
+	if takenUp >= takenUpStreams/2 && float64(wentOn)/float64(takenUp) < continuedShare*float64(began)/float64(offered) {
+		s.addViolation("%d of %d streams that were taken up went on after the loss of a gateway; %d of %d new ones began", wentOn, takenUp, began, offered)
+	}
+	s.note(fmt.Sprintf("%d of %d streams went on after the loss of a gateway; %d of %d began", wentOn, takenUp, began, offered))
+	if err := lost.Start(); err != nil {
+		return err
+	}
+	return lost.AwaitReady(ctx)
+}
+
+// beginBroken begins streams at all gateways, whose engines break each response off.
+func (s *soak) beginBroken() []Outcome {
+	for _, w := range s.fleetWorkers() {
+		if w.Kind == worker.Engine {
+			w.SetFaults(worker.Faults{Cut: 1 << 20})
+			defer w.SetFaults(worker.Faults{})
+		}
+	}
+	begun := make([]Outcome, takenUpStreams)
+	var clients sync.WaitGroup
+	for number := range begun {
+		clients.Go(func() {
+			id := fmt.Sprintf("%sbegin%d", probePrefix, number)
+			begun[number] = s.sendDirectly(number%len(s.fleet.Gateways), Outcome{ID: id, Route: streamingRoute, Key: platformfleet.Key, RequestBody: id})
+		})
+	}
+	clients.Wait()
+	return begun
+}
+
+// sendDirectly sends a request to a gateway, not through its relay, records what became of it and returns that.
+func (s *soak) sendDirectly(gateway int, o Outcome) Outcome {
+	c := &client{gateways: []string{s.fleet.Gateways[gateway].Clients}, report: func(Outcome) {}}
+	defer c.close()
+	o = c.send(context.Background(), o)
+	o.Gateway = gateway
+	s.record(o)
+	return o
+}
+
+// enginesOf returns how many engines of a software version take work.
+func (s *soak) enginesOf(version string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, w := range s.workers {
+		if w.Version == version && s.states[w.ID] == "ready" {
+			count++
+		}
+	}
+	return count
+}
