--- a/gateway/streamversion/keeper.go
+++ b/gateway/streamversion/keeper.go
@@ -88,6 +88,8 @@
 	// next is the sync that begins when the present one has ended; syncing is set while one runs.
 	next    *syncCall
 	syncing bool
+	// logged is what the last log line on the versions said.
+	logged string
 }
 
 // New returns a Keeper. The caller must call Run.
--- a/gateway/streamversion/register.go
+++ b/gateway/streamversion/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"acaciawinch/core/fault"
@@ -191,9 +192,14 @@
 	}
 }
 
-// logVersions logs what is known of a service's versions. k.mu must be held.
+// logVersions logs what is known of a service's versions, if that has changed. k.mu must be held.
 func (k *Keeper) logVersions(s *service, source string, revision int64) {
 	_, settled := s.state.Settled()
+	logged := fmt.Sprint(settled, s.state.Usable(), revision)
+	if s.logged == logged {
+		return
+	}
+	s.logged = logged
 	k.options.Logger.Event(event.StreamVersionsChanged, observe.Fields{"service": s.name, "settled": settled, "usable": s.state.Usable(),
 		"listed": s.state.Versions(), "source": source, "revision": revision})
 }
