Keep what a gateway knows of software versions at the first word of the store, and be ready only with it

Cause: the age of the store's word was counted from the start of the machine at first, so that the first check forgot the state, and the store was silent when it was read again. TestTheFirstWordOfTheStoreForgetsNothing failed before. A gateway is also ready only when it knows the versions, for 2 s at most, and one that starts asks three others besides the store; a client that takes a stream up waits a second at most for the store.

--- a/core/streamversion/register.go
+++ b/core/streamversion/register.go
@@ -49,8 +49,9 @@
 	versions   []string
 	// firstListed is when versions were first listed, or were listed again after a time without the store.
 	firstListed time.Duration
-	// confirmed is when the store last responded to this gateway.
+	// confirmed is when the store last responded to this gateway; heard is set once it has.
 	confirmed time.Duration
+	heard     bool
 	// settlingRevision is the revision of the register if it was last found settling, 0 if not; settlingSince is when
 	// that was first found.
 	settlingRevision int64
@@ -91,11 +92,11 @@
 // MaxStateAge knows nothing: meanwhile the register may have settled at another version, and other versions may have
 // been listed.
 func (s *State) Confirmed(at time.Duration) {
-	if at-s.confirmed > MaxStateAge {
+	if s.heard && at-s.confirmed > MaxStateAge {
 		s.phase, s.version, s.firstListed, s.settlingRevision = unknown, "", at, 0
 		clear(s.cleared)
 	}
-	s.confirmed = max(s.confirmed, at)
+	s.confirmed, s.heard = max(s.confirmed, at), true
 }
 
 // Versions returns the versions that are listed now.
--- a/core/streamversion/state_test.go
+++ b/core/streamversion/state_test.go
@@ -74,6 +74,15 @@
 	assert.Assert(t, !s.Known() && !s.MayBegin("v1") && s.NeedsSync(MaxStateAge+time.Second))
 }
 
+// TestTheFirstWordOfTheStoreForgetsNothing: the clock counts from the start of the machine.
+func TestTheFirstWordOfTheStoreForgetsNothing(t *testing.T) {
+	s := NewState()
+	s.Listed(time.Hour, []string{"v1"})
+	s.Learned(time.Hour, Register{Settled: true, Version: "v1"}, 1, s.Versions())
+	s.Confirmed(time.Hour)
+	assert.Assert(t, s.MayBegin("v1"))
+}
+
 func TestAStateOfAnotherGatewayIsTakenOnlyWhereNothingIsKnown(t *testing.T) {
 	s := NewState()
 	s.Listed(0, []string{"v1", "v3"})
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -64,7 +64,7 @@
 
 // ready handles the readiness probes of the platform's load balancer.
 func (s *servers) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() || !s.process.view.AcceptsConnections() {
+	if s.draining.Load() || !s.process.view.AcceptsConnections() || !s.process.versions.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/streamversion/keeper.go
+++ b/gateway/streamversion/keeper.go
@@ -29,6 +29,8 @@
 	tickInterval = time.Second
 	// stateWait bounds how long a stream waits for the first read of a register.
 	stateWait = 300 * time.Millisecond
+	// readyTimeout bounds the time for which the first reads of registers keep this process from being ready.
+	readyTimeout = 2 * time.Second
 	// changingTime is how long after a register became mixed other gateways may still copy records of streams that
 	// had begun before: discovery, a call of the store and a copy.
 	changingTime = 2 * time.Second
@@ -73,6 +75,9 @@
 	members    map[string]view.Member
 	// leaving is set on a planned stop.
 	leaving bool
+	// firstTableAt is when Ready first found a configuration; ready is set once it returned true.
+	firstTableAt time.Duration
+	ready        atomic.Bool
 }
 
 // service is what a Keeper knows of one service. The Keeper's lock guards all but usable.
@@ -203,6 +208,33 @@
 	return core.NewFleet(gateways)
 }
 
+// Ready reports whether streams of all services with upstreams may begin, or readyTimeout has passed since the first
+// configuration: without the versions, this process would refuse streams that other gateways serve.
+func (k *Keeper) Ready() bool {
+	if k.ready.Load() {
+		return true
+	}
+	table := k.options.Fleet.Table()
+	if table == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := clock.Boot()
+	if k.firstTableAt == 0 {
+		k.firstTableAt = now
+	}
+	waits := slices.ContainsFunc(table.ResumableServices(), func(name string) bool {
+		s := k.service(name)
+		return len(s.state.Versions()) > 0 && !s.state.Known()
+	})
+	if waits && now-k.firstTableAt < readyTimeout {
+		return false
+	}
+	k.ready.Store(true)
+	return true
+}
+
 // Usable returns the versions at which streams of a service may begin now. It waits a moment for the first read
 // of the service's register. The error has code Unavailable if they are not known.
 func (k *Keeper) Usable(ctx context.Context, name string) ([]string, error) {
--- a/gateway/streamversion/register.go
+++ b/gateway/streamversion/register.go
@@ -21,7 +21,7 @@
 const (
 	// maxConflicts bounds the writes of one sync that other gateways forestall.
 	maxConflicts = 4
-	// maxPeersAsked bounds the gateways that are asked for the versions while the store does not respond.
+	// maxPeersAsked bounds the gateways that one which has just started asks for the versions.
 	maxPeersAsked = 3
 	// peerTimeout bounds one call to another gateway. The rest is for busy processors: calls take a few
 	// milliseconds.
@@ -85,6 +85,7 @@
 // sync reads the register of a service, writes it if that is needed, and takes the outcome.
 func (k *Keeper) sync(s *service, call *syncCall) {
 	k.metrics.syncs.Inc(1)
+	k.adopt(s)
 	for range maxConflicts {
 		call.err = k.syncOnce(s, call)
 		if !fault.Is(call.err, fault.Conflict) {
@@ -96,7 +97,6 @@
 	}
 	k.metrics.syncsFailed.Inc(1)
 	k.options.Logger.Warn(event.StreamRegisterUnsynced, observe.Fields{"service": s.name, "error": call.err.Error()})
-	k.adopt(s)
 }
 
 // syncOnce is sync without repetition: it returns an error with code Conflict if another gateway wrote between the
@@ -204,26 +204,33 @@
 		"listed": s.state.Versions(), "source": source, "revision": revision})
 }
 
-// adopt takes what another gateway knows of a service, if this one knows nothing and the store does not respond.
+// adopt asks other gateways what they know of a service, if this one knows nothing: the store may be away. It does not
+// wait for them.
 func (k *Keeper) adopt(s *service) {
 	k.mu.Lock()
-	known, members := s.state.Known(), k.memberList
-	k.mu.Unlock()
-	if known {
+	defer k.mu.Unlock()
+	if s.state.Known() {
 		return
 	}
-	for _, member := range members[:min(maxPeersAsked, len(members))] {
-		reply, err := k.ask(member, &wirepb.StreamLookup{Service: s.name})
-		if err != nil || len(reply.GetUsable()) == 0 {
-			continue
-		}
-		k.mu.Lock()
-		s.state.Adopt(reply.GetSettled(), reply.GetUsable())
-		k.publish(s)
-		k.logVersions(s, member.Name, 0)
-		k.mu.Unlock()
+	for _, member := range k.memberList[:min(maxPeersAsked, len(k.memberList))] {
+		go k.adoptFrom(s, member)
+	}
+}
+
+// adoptFrom takes what another gateway knows of a service, unless this one has learned something meanwhile.
+func (k *Keeper) adoptFrom(s *service, member view.Member) {
+	reply, err := k.ask(member, &wirepb.StreamLookup{Service: s.name})
+	if err != nil || len(reply.GetUsable()) == 0 {
+		return // the store, or another gateway, may tell
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.state.Known() {
 		return
 	}
+	s.state.Adopt(reply.GetSettled(), reply.GetUsable())
+	k.publish(s)
+	k.logVersions(s, member.Name, 0)
 }
 
 // ask makes a lookup at another gateway.
--- a/gateway/streamversion/resume.go
+++ b/gateway/streamversion/resume.go
@@ -14,6 +14,10 @@
 	"acaciawinch/wire/wirepb"
 )
 
+// resumeWait bounds how long a client that takes a stream up waits for the version: it abandons a stream after two
+// seconds without an event, and another gateway may know more.
+const resumeWait = time.Second
+
 // Origin is where a stream began that a client takes up.
 type Origin struct {
 	// Service is the service that began it, empty if only the version is known.
@@ -44,7 +48,9 @@
 // Resume returns where a stream began that a client takes up. Its error is a *Refusal.
 func (k *Keeper) Resume(ctx context.Context, stream TakenUp) (Origin, error) {
 	started := time.Now()
-	found := k.gather(ctx, stream)
+	waiting, cancel := context.WithTimeout(ctx, resumeWait)
+	defer cancel()
+	found := k.gather(waiting, stream)
 	decision := core.Decide(found.Evidence)
 	k.options.Logger.Event(event.StreamTakenUp, observe.Fields{"request": stream.Request, "stream": stream.Key.Attempt, "after": stream.After, "service": stream.Service,
 		"outcome": outcomeNames[decision.Outcome], "software": decision.Version, "reason": decision.Reason, "source": found.source, "asked": found.asked, "silent": found.Silent,
