Stop waiting for copies that can't come, and notice that another gateway found several versions

Read again: with all holders of a record down, the first event waited for 150 ms in vain; a gateway that missed a version that was listed only for a moment went on without records, and its streams were refused elsewhere.

--- a/gateway/streamversion/records.go
+++ b/gateway/streamversion/records.go
@@ -55,42 +55,66 @@
 	k.copyFirst(ctx, stream, record, targets, spare)
 }
 
+// copyRound copies the record of one stream to gateways.
+type copyRound struct {
+	keeper  *Keeper
+	message *wirepb.StreamRecords
+	// spare are the gateways that may take the place of one that has no copy.
+	spare []view.Member
+	// acks receives whether a gateway has stored the record; pending counts those that have not responded, acked those
+	// that have stored it.
+	acks           chan bool
+	pending, acked int
+}
+
 // copyFirst copies the record of a stream to its holders and waits for as many as needed.
 func (k *Keeper) copyFirst(ctx context.Context, stream Stream, record core.Record, targets, spare []view.Member) {
 	started := time.Now()
-	needed := min(neededCopies, len(targets)+len(spare))
-	acks := make(chan bool, len(targets)+len(spare))
-	message := &wirepb.StreamRecords{Records: []*wirepb.StreamRecord{recordMessage(record, clock.Boot())}}
-	send := func(to view.Member) { acks <- k.sendRecords(to, message) == nil }
+	round := copyRound{keeper: k, spare: spare, acks: make(chan bool, len(targets)+len(spare)),
+		message: &wirepb.StreamRecords{Records: []*wirepb.StreamRecord{recordMessage(record, clock.Boot())}}}
 	for _, target := range targets {
-		go send(target)
+		round.send(target)
+	}
+	needed := min(neededCopies, len(targets)+len(spare))
+	ctx, cancel := context.WithTimeout(ctx, copyWait)
+	defer cancel()
+	round.wait(ctx, needed)
+	k.recordCopies(stream, round.acked, needed, time.Since(started))
+}
+
+// send stores the record at a gateway.
+func (r *copyRound) send(to view.Member) {
+	r.pending++
+	go func() { r.acks <- r.keeper.sendRecords(to, r.message) == nil }()
+}
+
+// sendSpare stores the record at a further gateway, if there is one.
+func (r *copyRound) sendSpare() {
+	if len(r.spare) > 0 {
+		r.send(r.spare[0])
+		r.spare = r.spare[1:]
 	}
-	limit := time.NewTimer(copyWait)
-	defer limit.Stop()
+}
+
+// wait waits until enough gateways have stored the record, none is left that may, or ctx ends.
+func (r *copyRound) wait(ctx context.Context, needed int) {
 	next := time.NewTicker(nextHolderDelay)
 	defer next.Stop()
-	acked := 0
-	for waiting := true; waiting && acked < needed; {
-		failed := false
+	for r.acked < needed && r.pending > 0 {
 		select {
-		case stored := <-acks:
-			failed = !stored
+		case stored := <-r.acks:
+			r.pending--
 			if stored {
-				acked++
+				r.acked++
+			} else {
+				r.sendSpare()
 			}
 		case <-next.C:
-			failed = true
-		case <-limit.C:
-			waiting = false
+			r.sendSpare()
 		case <-ctx.Done():
-			waiting = false
-		}
-		if failed && len(spare) > 0 {
-			go send(spare[0])
-			spare = spare[1:]
+			return
 		}
 	}
-	k.recordCopies(stream, acked, needed, time.Since(started))
 }
 
 // targets returns the other gateways that get a copy at first, and those that may take the place of one of them.
--- a/gateway/streamversion/server.go
+++ b/gateway/streamversion/server.go
@@ -25,10 +25,20 @@
 	now := clock.Boot()
 	for _, record := range m.GetRecords() {
 		k.held.Put(recordOf(record, now))
+		k.hearMixed(record.GetService())
 	}
 	return &wirepb.StreamRecordsReply{}, nil
 }
 
+// hearMixed reads the register of a service of which another gateway copies records, as it is mixed there: the other
+// version may have been listed too briefly for this gateway to notice. k.mu must be held.
+func (k *Keeper) hearMixed(name string) {
+	s := k.service(name)
+	if _, settled := s.state.Settled(); settled && !s.syncing {
+		k.startSync(s)
+	}
+}
+
 // Lookup implements wirepb.DRPCStreamVersionServer.
 func (s *Server) Lookup(_ context.Context, m *wirepb.StreamLookup) (*wirepb.StreamLookupReply, error) {
 	k := s.keeper
