--- a/standin/gatewaytest/version_test.go
+++ b/standin/gatewaytest/version_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/streamversion"
+	"acaciawinch/standin/metastore"
 	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
 )
@@ -196,6 +198,7 @@
 			went++
 		}
 	}
+	t.Logf("%d of %d streams went on", went, begun)
 	assert.Check(t, begun >= 12, "%d streams began", begun)
 	assert.Check(t, float64(went) >= continuedShare*float64(begun), "%d of %d streams went on", went, begun)
 }
@@ -364,3 +367,21 @@
 		assert.Check(t, s.complete(), "status %d", s.status)
 	}
 }
+
+// TestStreamsAreTakenUpWhileTheStoreIsSilent: the version of a stream can't be read from the store then, and a part of the
+// gateways that began the streams is gone.
+func TestStreamsAreTakenUpWhileTheStoreIsSilent(t *testing.T) {
+	f := newFleet(t)
+	f.startVersion("v1", 3)
+	f.apply(versionConfig())
+	gateways := f.startMany(5)
+	streams := f.beginMany(40, gateways, "before")
+	f.store.SetFaults(metastore.Faults{Silent: true})
+	time.Sleep(streamversion.SilentTime + 2*time.Second) // and the interval in which gateways notice
+	streams = append(streams, f.beginMany(40, gateways, "during")...)
+	f.stopOne(gateways[0])
+	f.stopOne(gateways[1])
+	f.takeUpAll(streams, gateways[2:], "b")
+	assertVersions(t, streams)
+	assertContinued(t, streams)
+}
