--- a/standin/gatewaytest/version_test.go
+++ b/standin/gatewaytest/version_test.go
@@ -60,6 +60,15 @@
 	return started
 }
 
+// startTwoVersions starts five gateways and two engines of each of two versions.
+func startTwoVersions(t *testing.T) (*fleet, []*runningGateway) {
+	f := newFleet(t)
+	f.startVersion("v1", 2)
+	f.startVersion("v1.1", 2)
+	f.apply(versionConfig())
+	return f, f.startMany(5)
+}
+
 // retire removes the entries of workers and stops them.
 func (f *fleet) retire(workers []*worker.Worker) {
 	for _, w := range workers {
@@ -239,11 +248,7 @@
 
 // TestASecondTakeUpStaysAtTheSoftwareVersion: both later attempts name the one that brought the first event.
 func TestASecondTakeUpStaysAtTheSoftwareVersion(t *testing.T) {
-	f := newFleet(t)
-	f.startVersion("v1", 2)
-	f.startVersion("v1.1", 2)
-	f.apply(versionConfig())
-	gateways := f.startMany(5)
+	f, gateways := startTwoVersions(t)
 	streams := f.beginMany(40, gateways, "a")
 	for _, s := range streams {
 		s.last = 1 // as if the rest had been lost on the way
@@ -259,11 +264,7 @@
 
 // TestAStreamKeepsItsSoftwareVersionOverARestartOfAllGateways: none of the gateways that began the streams is left.
 func TestAStreamKeepsItsSoftwareVersionOverARestartOfAllGateways(t *testing.T) {
-	f := newFleet(t)
-	f.startVersion("v1", 2)
-	f.startVersion("v1.1", 2)
-	f.apply(versionConfig())
-	gateways := f.startMany(5)
+	f, gateways := startTwoVersions(t)
 	streams := f.beginMany(60, gateways, "a")
 	for i, g := range gateways {
 		f.stopOne(g)
@@ -276,11 +277,7 @@
 
 // TestAStreamKeepsItsSoftwareVersionOverTheLossOfGateways: two gateways stop at the same time.
 func TestAStreamKeepsItsSoftwareVersionOverTheLossOfGateways(t *testing.T) {
-	f := newFleet(t)
-	f.startVersion("v1", 2)
-	f.startVersion("v1.1", 2)
-	f.apply(versionConfig())
-	gateways := f.startMany(5)
+	f, gateways := startTwoVersions(t)
 	streams := f.beginMany(60, gateways, "a")
 	var stops sync.WaitGroup
 	for _, g := range gateways[:2] {
@@ -341,11 +338,7 @@
 
 // TestAStreamThatNobodyKnowsIsRefusedWhileVersionsDiffer: a gateway that can't know the version does not guess.
 func TestAStreamThatNobodyKnowsIsRefusedWhileVersionsDiffer(t *testing.T) {
-	f := newFleet(t)
-	f.startVersion("v1", 2)
-	f.startVersion("v1.1", 2)
-	f.apply(versionConfig())
-	gateways := f.startMany(5)
+	f, gateways := startTwoVersions(t)
 	f.beginMany(10, gateways, "a")
 	for number := range 10 {
 		s := &stream{first: fmt.Sprintf("unknown%d", number), last: 3, versions: map[string]bool{}}
