--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -67,30 +67,42 @@
 func (s *soak) awaitService(ctx context.Context, index int) {
 	newest := fmt.Sprintf("extra-%d", s.version)
 	for _, route := range append([]string{newest}, routes...) {
-		for try := 0; !s.probe(index, route, try); try++ {
-			if ctx.Err() != nil {
-				s.addViolation("gateway %d does not serve %s %v after the last fault", index+1, route, recoverWithin)
-				return
-			}
-			sleep(ctx, probeInterval)
+		s.awaitRoute(ctx, index, route)
+	}
+}
+
+// awaitRoute waits until a gateway serves a route. A violation says how often it was tried and how the last try
+// ended, as one that took long leaves no time for others.
+func (s *soak) awaitRoute(ctx context.Context, index int, route string) {
+	for try := 0; ; try++ {
+		began := time.Now()
+		o := s.probe(index, route, try)
+		if o.Status == http.StatusOK && o.Complete {
+			return
 		}
+		if ctx.Err() != nil {
+			s.addViolation("gateway %d does not serve %s %v after the last fault; of %d tries the last ended after %v with status %d %q",
+				index+1, route, recoverWithin, try+1, time.Since(began).Round(time.Millisecond), o.Status, o.Err)
+			return
+		}
+		sleep(ctx, probeInterval)
 	}
 }
 
-// probe sends one request directly to a gateway, not through its relay, and reports whether it was
-// served.
-func (s *soak) probe(index int, route string, try int) bool {
+// probe sends one request directly to a gateway, not through its relay.
+func (s *soak) probe(index int, route string, try int) Outcome {
+	o := Outcome{ID: fmt.Sprintf("%s%d-%s-%d", probePrefix, index, route, try), Route: route, Key: platformfleet.Key}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.Dial("tcp", s.fleet.Gateways[index].Clients)
 	if err != nil {
-		return false
+		o.Err = err.Error()
+		return o
 	}
 	c := &client{conn: conn}
 	defer c.close()
 	c.resetReader()
-	o := Outcome{ID: fmt.Sprintf("%s%d-%s-%d", probePrefix, index, route, try), Route: route, Key: platformfleet.Key}
 	c.exchange(&o)
-	return o.Status == http.StatusOK && o.Complete
+	return o
 }
 
 // drainOne drains a plain worker and checks that it gets nothing new once drainWithin is over.
