--- a/core/streamversion/doc.go
+++ b/core/streamversion/doc.go
@@ -7,8 +7,7 @@
 //   - The Register of a service, one object in the platform's store: the only version at which streams begin
 //     (settled), or that several do (mixed). While it is settled, nothing is kept outside of the gateway that
 //     began a stream.
-//   - Records, the versions of single streams, copied to other gateways (Holders) while the register is mixed or
-//     the store is silent.
+//   - Records, the versions of single streams, copied to other gateways (Holders) while the register is mixed.
 //
 // Why no stream changes its version. A gateway begins a stream at a version only if it is the settled one by
 // its State, or if the State is mixed and has cleared the version. A version is cleared by a read or write of
--- a/core/streamversion/model_courses_test.go
+++ b/core/streamversion/model_courses_test.go
@@ -100,20 +100,6 @@
 	w.takeUpAll()
 }
 
-// loseWhileTheStoreIsSilent ends three gateways while one version serves and the store is silent. Half of the streams
-// began before that.
-func loseWhileTheStoreIsSilent(w *world) {
-	w.beginMany()
-	for _, g := range w.gateways {
-		g.cutUntil = w.now + time.Minute
-	}
-	w.now += SilentTime
-	w.learnAll()
-	w.beginMany()
-	w.loseThree()
-	w.takeUpAll()
-}
-
 // staleReader takes streams up at a gateway that was cut from the store right before another version came.
 func staleReader(w *world) {
 	cut := w.gateways[4]
--- a/core/streamversion/model_promises_test.go
+++ b/core/streamversion/model_promises_test.go
@@ -15,11 +15,6 @@
 	return w.takenUp >= 12 && float64(w.went)/float64(w.takenUp) < 0.5*float64(w.begun)/float64(w.offered)
 }
 
-// lostOutOfTouch is lost for all gateways, also those that are not in touch. New streams begin at all of them.
-func (w *world) lostOutOfTouch() bool {
-	return w.returned >= 12 && float64(w.wentOn)/float64(w.returned) < 0.5
-}
-
 // calmStep is the step of a calm; the age of the store's last word stays below MaxStateAge.
 const calmStep = 5 * time.Second
 
@@ -65,17 +60,6 @@
 	}
 }
 
-// TestStreamsAreTakenUpWhileTheStoreIsSilent: nobody can read then that one version serves.
-func TestStreamsAreTakenUpWhileTheStoreIsSilent(t *testing.T) {
-	for seed := range uint64(modelSeeds) {
-		w := newWorld(seed, 5, nothing)
-		w.now += inTouchAfter
-		w.learnAll()
-		loseWhileTheStoreIsSilent(w)
-		assert.Check(t, w.returned >= 12 && !w.order() && !w.lostOutOfTouch(), "seed %d: %d of two versions, %d of %d went on", seed, w.mixedStreams, w.wentOn, w.returned)
-	}
-}
-
 // TestAVersionThatComesBackIsNotUsedBeforeItsRegisterSays: the gateway that lists it first must not trust what it
 // knew of the register when that version was last listed.
 func TestAVersionThatComesBackIsNotUsedBeforeItsRegisterSays(t *testing.T) {
@@ -103,7 +87,6 @@
 		{copyingToHolders, restartAll, (*world).lost},
 		{spreadingCopies, loseFourOfFive, (*world).lost},
 		{inferring, loseWhileOneServes, (*world).lost},
-		{copyingInSilence, loseWhileTheStoreIsSilent, (*world).lostOutOfTouch},
 	} {
 		t.Run(string(c.without), func(t *testing.T) {
 			found, worst, most := 0, 1.0, 0
@@ -115,7 +98,7 @@
 				if c.breaks(w) {
 					found++
 				}
-				worst = min(worst, float64(w.wentOn)/float64(max(1, w.returned)))
+				worst = min(worst, float64(w.went)/float64(max(1, w.takenUp)))
 				most = max(most, w.mixedStreams)
 			}
 			t.Logf("found in %d of %d courses; least share %.2f, most of two versions %d", found, modelSeeds, worst, most)
--- a/core/streamversion/model_test.go
+++ b/core/streamversion/model_test.go
@@ -23,7 +23,6 @@
 	settlingLate     part = "the register settles only after SettleTime"
 	freshness        part = "an old state is not used"
 	clearing         part = "each version is cleared by the register"
-	copyingInSilence part = "records are copied while the store is silent"
 )
 
 // Timing of the model.
@@ -62,8 +61,6 @@
 	// disturbed.
 	frozenUntil, cutUntil, calmSince time.Duration
 	up                               bool
-	// silent is set if the store was silent when this gateway last ran.
-	silent bool
 }
 
 // modelStream is a stream with its client.
@@ -96,8 +93,8 @@
 	membersNumber int
 
 	// mixedStreams counts the streams that went on at another version. Of the others, offered and begun count the
-	// new ones, takenUp and went those taken up, at gateways in touch; returned and wentOn count those taken up at any.
-	mixedStreams, offered, begun, takenUp, went, returned, wentOn int
+	// new ones, takenUp and went those taken up, at gateways in touch; wentOn counts all that went on.
+	mixedStreams, offered, begun, takenUp, went, wentOn int
 }
 
 // newWorld returns a world with a number of gateways in three zones, and one version.
@@ -182,7 +179,6 @@
 
 // learnAt brings what one gateway knows up to date: discovery, members and its state, or only the store's last word.
 func (w *world) learnAt(g *modelGateway, all bool) {
-	w.noticeSilence(g)
 	if !w.reachesStore(g) {
 		return
 	}
@@ -203,18 +199,6 @@
 	w.takeMembers(g)
 }
 
-// noticeSilence copies the records of a gateway's streams when the store has become silent.
-func (w *world) noticeSilence(g *modelGateway) {
-	if !w.runs(g) {
-		return
-	}
-	before := g.silent
-	g.silent = g.state.StoreSilent(w.now)
-	if g.silent && !before && w.mustCopy(g) {
-		w.copyAll(g, g.begun.All(""))
-	}
-}
-
 // listMembers makes the present gateways the list in the store: those that were killed stay until they start again.
 func (w *world) listMembers() {
 	var list []Gateway
@@ -234,7 +218,7 @@
 	}
 	before := g.known
 	g.known, g.knownNumber = w.members, w.membersNumber
-	if w.mustCopy(g) && w.without != copyingToHolders {
+	if g.state.Mixed() && w.without != copyingToHolders {
 		w.copyToNewHolders(g, before)
 	}
 }
@@ -332,19 +316,11 @@
 func (w *world) record(g *modelGateway, s *modelStream) {
 	r := Record{Key: s.key, Version: s.version, Expires: s.begun + streamTime}
 	g.begun.Put(r)
-	if w.mustCopy(g) {
+	if g.state.Mixed() {
 		w.copyAll(g, []Record{r})
 	}
 }
 
-// mustCopy reports whether a gateway copies records to others.
-func (w *world) mustCopy(g *modelGateway) bool {
-	if w.without == copyingInSilence {
-		return g.state.Mixed()
-	}
-	return g.state.Copies(w.now)
-}
-
 // takeUp takes a stream up at a random gateway.
 func (w *world) takeUp(s *modelStream) {
 	g := w.gateways[w.random.IntN(len(w.gateways))]
@@ -357,7 +333,6 @@
 func (w *world) takeUpAt(g *modelGateway, s *modelStream) {
 	s.returnsAt = 0
 	s.gateway = nil
-	w.returned++
 	counts := w.inTouch(g) && w.runningOf(s.version) >= 2
 	if counts {
 		w.takenUp++
@@ -458,7 +433,7 @@
 // restart replaces a gateway by one that has just started. A planned one hands its records over first.
 func (w *world) restart(place int, planned bool) {
 	old := w.gateways[place]
-	if planned && w.runs(old) && w.without != copyingToHolders && w.mustCopy(old) {
+	if planned && w.runs(old) && w.without != copyingToHolders && old.state.Mixed() {
 		before := old.known
 		old.known = NewFleet(slices.DeleteFunc(slices.Clone(before.gateways), func(g Gateway) bool { return g == old.Gateway }))
 		w.copyToNewHolders(old, before)
--- a/core/streamversion/register.go
+++ b/core/streamversion/register.go
@@ -11,9 +11,6 @@
 	MaxStreamTime = 10 * time.Minute
 	// MaxStateAge is the age of the last word of the store up to which a State may be used.
 	MaxStateAge = 30 * time.Second
-	// SilentTime is the age of the last word of the store from which on a gateway copies records while a single
-	// version serves: nobody can read from the register then that one does.
-	SilentTime = 3 * time.Second
 	// SettleTime is how long a single version must have been listed before a gateway writes that the register is
 	// settling, and how long that must stand before it settles. The remainder over MaxStreamTime and
 	// MaxStateAge is for clocks that differ in speed.
@@ -114,13 +111,6 @@
 // Mixed reports whether the register is mixed.
 func (s *State) Mixed() bool { return s.phase == mixed }
 
-// StoreSilent reports whether the store has not responded to this gateway for SilentTime.
-func (s *State) StoreSilent(now time.Duration) bool { return s.heard && now-s.confirmed > SilentTime }
-
-// Copies reports whether other gateways must hold the records of this gateway's streams, as the register does not tell
-// their version.
-func (s *State) Copies(now time.Duration) bool { return s.Mixed() || s.StoreSilent(now) }
-
 // MayBegin reports whether a stream may begin at a version.
 func (s *State) MayBegin(version string) bool {
 	switch s.phase {
--- a/core/streamversion/state_test.go
+++ b/core/streamversion/state_test.go
@@ -173,17 +173,3 @@
 		fleet.Candidates(Key{Attempt: "9c41d07be2a35f68"})
 	}
 }
-
-// TestRecordsAreCopiedWhileTheRegisterTellsNothing: it is mixed, or the store is silent.
-func TestRecordsAreCopiedWhileTheRegisterTellsNothing(t *testing.T) {
-	s := NewState()
-	s.Listed(0, []string{"v1"})
-	s.Confirmed(0)
-	s.Learned(0, Register{Settled: true, Version: "v1"}, 1, []string{"v1"})
-	assert.Check(t, !s.Copies(SilentTime), "settled, and the store has responded")
-	assert.Check(t, s.Copies(SilentTime+1), "the store is silent")
-	s.Confirmed(2 * SilentTime)
-	assert.Check(t, !s.Copies(2*SilentTime), "the store has responded again")
-	s.Learned(2*SilentTime, Register{}, 2, []string{"v1"})
-	assert.Check(t, s.Copies(2*SilentTime), "mixed")
-}
--- a/gateway/streamversion/keeper.go
+++ b/gateway/streamversion/keeper.go
@@ -90,8 +90,6 @@
 	known chan struct{}
 	// mixedAt is when a register that was settled became mixed; 0 if it never did.
 	mixedAt time.Duration
-	// silent is set if the store was silent at the last tick.
-	silent bool
 	// next is the sync that begins when the present one has ended; syncing is set while one runs.
 	next    *syncCall
 	syncing bool
@@ -143,21 +141,10 @@
 	k.confirm()
 	for _, s := range k.services {
 		s.state.Tick(now)
-		k.noticeSilence(s, now)
 		k.syncIfNeeded(s, now)
 	}
 }
 
-// noticeSilence copies the records of the streams that this gateway had begun before the store became silent. k.mu must
-// be held.
-func (k *Keeper) noticeSilence(s *service, now time.Duration) {
-	before := s.silent
-	s.silent = s.state.StoreSilent(now)
-	if s.silent && !before && !s.state.Mixed() {
-		k.copyAll(k.begun.All(s.name), nil, "silence")
-	}
-}
-
 // FleetChanged takes the present configuration, upstreams and gateways. It must be called when one of them
 // changes.
 func (k *Keeper) FleetChanged() {
--- a/gateway/streamversion/records.go
+++ b/gateway/streamversion/records.go
@@ -40,25 +40,18 @@
 }
 
 // Begun must be called right before an event of a stream is first passed to the client by this process. While
-// several versions serve, it returns once other gateways hold the record, or after copyWait. While one serves and the
-// store is silent, it does not wait for them: without a record the client is told to come back.
+// several versions serve, it returns once other gateways hold the record, or after copyWait.
 func (k *Keeper) Begun(ctx context.Context, stream Stream) {
 	lifetime := min(stream.Lifetime+recordMargin, core.MaxStreamTime)
 	record := core.Record{Key: stream.Key, Service: stream.Service, Version: stream.Version, Expires: clock.Boot() + lifetime}
 	k.mu.Lock()
 	k.begun.Put(record)
-	state := k.service(stream.Service).state
-	if !state.Copies(clock.Boot()) {
+	if !k.service(stream.Service).state.Mixed() {
 		k.mu.Unlock()
 		return
 	}
-	mixed := state.Mixed()
 	targets, spare := k.targets(k.gateways.Candidates(record.Key))
 	k.mu.Unlock()
-	if !mixed {
-		go k.copyFirst(k.options.Lifetime, stream, record, targets, spare)
-		return
-	}
 	k.copyFirst(ctx, stream, record, targets, spare)
 }
 
@@ -161,12 +154,11 @@
 	return fault.Wrap(fault.Unavailable, "stream.record", to.Name, err)
 }
 
-// copyToNewHolders copies the records that other gateways must hold to those that hold them by the present list of
-// gateways and did not by the one before. k.mu must be held.
+// copyToNewHolders copies the records of services with several versions to the gateways that hold them by the
+// present list of gateways and did not by the one before. k.mu must be held.
 func (k *Keeper) copyToNewHolders(before core.Fleet) {
-	now := clock.Boot()
 	records := slices.Concat(k.held.All(""), k.begun.All(""))
-	records = slices.DeleteFunc(records, func(r core.Record) bool { return !k.service(r.Service).state.Copies(now) })
+	records = slices.DeleteFunc(records, func(r core.Record) bool { return !k.service(r.Service).state.Mixed() })
 	k.copyAll(records, &before, "gateways")
 }
 
--- a/gateway/streamversion/register.go
+++ b/gateway/streamversion/register.go
@@ -44,18 +44,6 @@
 	err           error
 }
 
-// endsWithin waits for the end of the call, for wait at most, and reports whether it has ended.
-func (c *syncCall) endsWithin(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-c.done:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // syncIfNeeded begins a sync if the state needs one and none runs. k.mu must be held.
 func (k *Keeper) syncIfNeeded(s *service, now time.Duration) {
 	if s.syncing || !s.state.NeedsSync(now) {
--- a/gateway/streamversion/resume.go
+++ b/gateway/streamversion/resume.go
@@ -18,10 +18,6 @@
 // seconds without an event, and another gateway may know more.
 const resumeWait = time.Second
 
-// registerWait is how long a read of the register may take before other gateways are asked for a record as well. The
-// store responds in a few milliseconds; if it is known to be silent, they are asked at once.
-const registerWait = 200 * time.Millisecond
-
 // Origin is where a stream began that a client takes up.
 type Origin struct {
 	// Service is the service that began it, empty if only the version is known.
@@ -87,53 +83,37 @@
 }
 
 // gather collects the evidence on a stream: this process's own records, the register unless it is known to be
-// mixed, and the records of other gateways if the register does not tell the version, or not soon.
+// mixed, and the records of other gateways.
 func (k *Keeper) gather(ctx context.Context, stream TakenUp) evidence {
 	var found evidence
 	k.mu.Lock()
-	k.confirm()
 	s := k.service(stream.Service)
 	if record, known := k.find(stream.Key, clock.Boot()); known {
 		k.mu.Unlock()
 		found.Record, found.source = &record, k.options.Self.Name
 		return found
 	}
-	if s.state.Mixed() {
-		k.mu.Unlock()
-		found.RegisterKnown = true
-		k.askHolders(ctx, s, stream, &found)
-		return found
-	}
-	call := k.startSync(s)
-	wait := registerWait
-	if s.state.StoreSilent(clock.Boot()) {
-		wait = 0
+	var call *syncCall
+	if !s.state.Mixed() {
+		call = k.startSync(s)
 	}
 	k.mu.Unlock()
-	if !call.endsWithin(wait) {
-		k.lookUp(ctx, stream, &found)
-	}
-	if found.Record != nil {
-		return found
+	if call == nil {
+		found.RegisterKnown = true
+	} else {
+		k.awaitSync(ctx, call, &found)
 	}
-	k.awaitSync(ctx, call, &found)
 	if found.Register.Settled {
 		found.source = "store"
 	}
-	settled := found.Register.Settled && !call.changed
-	hopeless := !found.RegisterKnown && found.asked > 0
-	if !settled && !hopeless {
-		k.askHolders(ctx, s, stream, &found)
+	if found.Register.Settled && !call.changed {
+		return found
 	}
-	return found
-}
-
-// askHolders asks the gateways that may hold the record of a stream, as the register does not tell its version.
-func (k *Keeper) askHolders(ctx context.Context, s *service, stream TakenUp, found *evidence) {
-	k.lookUp(ctx, stream, found)
+	k.lookUp(ctx, stream, &found)
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	found.Changing = s.mixedAt > 0 && clock.Boot()-s.mixedAt < changingTime
+	k.mu.Unlock()
+	return found
 }
 
 // find returns a record of this process, and false if it has none. k.mu must be held.
@@ -176,7 +156,7 @@
 	targets, spare := k.targets(k.gateways.Candidates(stream.Key))
 	k.mu.Unlock()
 	asked := append(targets, spare...)
-	found.asked, found.Silent = len(asked), 0
+	found.asked = len(asked)
 	replies := make(chan lookupReply, len(asked))
 	lookup := &wirepb.StreamLookup{Workspace: stream.Key.Workspace, Attempt: stream.Key.Attempt, Service: stream.Service}
 	for _, member := range asked {
--- a/standin/gatewaytest/version_test.go
+++ b/standin/gatewaytest/version_test.go
@@ -10,7 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"acaciawinch/core/streamversion"
 	"acaciawinch/standin/metastore"
 	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
@@ -207,7 +206,6 @@
 			went++
 		}
 	}
-	t.Logf("%d of %d streams went on", went, begun)
 	assert.Check(t, begun >= 12, "%d streams began", begun)
 	assert.Check(t, float64(went) >= continuedShare*float64(begun), "%d of %d streams went on", went, begun)
 }
@@ -361,6 +359,9 @@
 	}
 }
 
+// storeSilence is a silence of the store that all gateways have noticed.
+const storeSilence = 5 * time.Second
+
 // TestStreamsAreTakenUpWhileTheStoreIsSilent: the version of a stream can't be read from the store then, and a part of the
 // gateways that began the streams is gone.
 func TestStreamsAreTakenUpWhileTheStoreIsSilent(t *testing.T) {
@@ -370,7 +371,7 @@
 	gateways := f.startMany(5)
 	streams := f.beginMany(40, gateways, "before")
 	f.store.SetFaults(metastore.Faults{Silent: true})
-	time.Sleep(streamversion.SilentTime + 2*time.Second) // and the interval in which gateways notice
+	time.Sleep(storeSilence)
 	streams = append(streams, f.beginMany(40, gateways, "during")...)
 	f.stopOne(gateways[0])
 	f.stopOne(gateways[1])
