Read a register once a second at most for the records of other gateways

A gateway that knows a settled register takes a copied record for a sign that the register is mixed, and reads it. Where the read fails, or still finds it settled, the next record began another one: a gateway cut off from the store while another version comes would call the store once for each stream of all others.

A read for that reason now begins a second after the one before, and is made up for by the next tick, so that what was heard is not forgotten.

--- a/gateway/streamversion/keeper.go
+++ b/gateway/streamversion/keeper.go
@@ -90,6 +90,9 @@
 	known chan struct{}
 	// mixedAt is when a register that was settled became mixed; 0 if it never did.
 	mixedAt time.Duration
+	// heard is set if another gateway copied records since the register was last read for that, at heardAt.
+	heard   bool
+	heardAt time.Duration
 	// next is the sync that begins when the present one has ended; syncing is set while one runs.
 	next    *syncCall
 	syncing bool
@@ -142,6 +145,7 @@
 	for _, s := range k.services {
 		s.state.Tick(now)
 		k.syncIfNeeded(s, now)
+		k.readIfHeard(s, now)
 	}
 }
 
--- a/gateway/streamversion/server.go
+++ b/gateway/streamversion/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	core "acaciawinch/core/streamversion"
 	"acaciawinch/gateway/clock"
@@ -30,13 +31,28 @@
 	return &wirepb.StreamRecordsReply{}, nil
 }
 
+// hearInterval is the least time between two reads of a register for records of other gateways: while this one is cut
+// off from the store, each stream of the others would cause a read that fails.
+const hearInterval = time.Second
+
 // hearMixed reads the register of a service of which another gateway copies records, as it is mixed there: the other
 // version may have been listed too briefly for this gateway to notice. k.mu must be held.
 func (k *Keeper) hearMixed(name string) {
 	s := k.service(name)
-	if _, settled := s.state.Settled(); settled && !s.syncing {
-		k.startSync(s)
+	s.heard = true
+	k.readIfHeard(s, clock.Boot())
+}
+
+// readIfHeard is hearMixed for what was heard within hearInterval of a read. k.mu must be held.
+func (k *Keeper) readIfHeard(s *service, now time.Duration) {
+	if _, settled := s.state.Settled(); !settled {
+		s.heard = false
+	}
+	if !s.heard || s.syncing || now-s.heardAt < hearInterval {
+		return
 	}
+	s.heard, s.heardAt = false, now
+	k.startSync(s)
 }
 
 // Lookup implements wirepb.DRPCStreamVersionServer.
