--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,6 +24,7 @@
 	Store   StoreSettings   `toml:"store"`
 	Bounds  BoundSettings   `toml:"bounds"`
 	Fleet   FleetSettings   `toml:"fleet"`
+	Load    LoadSettings    `toml:"load"`
 	Log     LogSettings     `toml:"log"`
 }
 
@@ -88,6 +89,44 @@
 	FirstStart bool `toml:"first_start"`
 }
 
+// Modes of the decisions in LoadSettings.
+const (
+	// ModeAuto means that the configuration and the upstreams' reports decide whether a decision acts.
+	ModeAuto = "auto"
+	// ModeOff means that a decision never acts.
+	ModeOff = "off"
+)
+
+// LoadSettings switch decisions under load. Each is ModeAuto or ModeOff.
+type LoadSettings struct {
+	// EnginePace leaves engines aside that would miss the objectives of a request.
+	EnginePace string `toml:"engine_pace"`
+	// LateWork keeps late tasks of pools for the capacity that is free after a burst.
+	LateWork string `toml:"late_work"`
+	// ReturnPlaces keeps the places of refused clients, and shares full pools between workspaces.
+	ReturnPlaces string `toml:"return_places"`
+	// RepeatSilent sends a request that may be repeated to another upstream if the first is silent.
+	RepeatSilent string `toml:"repeat_silent"`
+}
+
+// Validate implements settings.Validator.
+func (l *LoadSettings) Validate() error {
+	return errors.Join(
+		checkMode("engine_pace", l.EnginePace),
+		checkMode("late_work", l.LateWork),
+		checkMode("return_places", l.ReturnPlaces),
+		checkMode("repeat_silent", l.RepeatSilent),
+	)
+}
+
+// checkMode checks that a key's value is a mode.
+func checkMode(key, value string) error {
+	if value != ModeAuto && value != ModeOff {
+		return settings.Invalid(key, "must be %s or %s, is %q", ModeAuto, ModeOff, value)
+	}
+	return nil
+}
+
 // LogSettings configure the log.
 type LogSettings struct {
 	// Level is debug, info, warn or error.
@@ -96,7 +135,7 @@
 
 // Defaults returns the values of the keys that a settings file may leave out.
 func Defaults() Settings {
-	return Settings{Log: LogSettings{Level: "info"}, Bounds: BoundSettings{ConfigApplyMS: defaultConfigApplyMS, ColdOverrun: defaultColdOverrun}}
+	return Settings{Log: LogSettings{Level: "info"}, Load: LoadSettings{EnginePace: ModeAuto, LateWork: ModeAuto, ReturnPlaces: ModeAuto, RepeatSilent: ModeAuto}, Bounds: BoundSettings{ConfigApplyMS: defaultConfigApplyMS, ColdOverrun: defaultColdOverrun}}
 }
 
 // defaultConfigApplyMS is the shortest config_apply_ms of the known deployments.
