Exclude engines that would exceed a request's limits by their pace

Cause: requests went to engines that were known to violate their longest pause while others had room. Change: ChooseWithin excludes an engine if it is clearly slower than others and expected to exceed a limit, and another engine within the load bound meets all limits. The order by prefix and the load bound are unchanged, and so is Choose. LeastLoadedWithin weighs the share of slots in use by pace where upstreams report a fourth figure. Result: choices without limits, with engines alike and with a slow fleet equal those of Choose; the existing tests pass unchanged.

--- a/core/selection/chooser.go
+++ b/core/selection/chooser.go
@@ -67,7 +67,7 @@
 // Choice is an upstream and the reason for its choice.
 type Choice struct {
 	Upstream routes.Upstream
-	// Reason is "prefix", "load" or "only".
+	// Reason is "prefix", "load", "pace" or "only".
 	Reason string
 	// Load is the estimated number of requests at the upstream.
 	Load float64
@@ -76,32 +76,13 @@
 	// CopyFrom is the address of an engine that may have cached more of the prompt, empty if
 	// none is known.
 	CopyFrom string
+	Expectation
 }
 
 // Choose returns the engine for a request whose prompt begins with the shared prefix of the
 // given ID, or false if there is none. Engines in tried are skipped.
 func (c *Chooser) Choose(list []routes.Upstream, prefixID string, tried []string, now time.Time) (Choice, bool) {
-	candidates := c.candidates(list, tried, now)
-	if len(candidates) == 0 {
-		return Choice{}, false
-	}
-	var total float64
-	for _, u := range candidates {
-		total += c.estimatedLoad(u, now)
-	}
-	bound := loadBoundFactor*total/float64(len(candidates)) + loadSlack
-	prefixHash := rendezvous.Hash(prefixID)
-	first := highestScored(candidates, prefixHash, func(routes.Upstream) bool { return true })
-	within := highestScored(candidates, prefixHash, func(u routes.Upstream) bool { return c.estimatedLoad(u, now) <= bound })
-	chosen, reason := within, "prefix"
-	switch {
-	case within < 0:
-		chosen, reason = first, "only"
-	case within != first:
-		reason = "load"
-	}
-	u := candidates[chosen]
-	return Choice{Upstream: u, Reason: reason, Load: c.estimatedLoad(u, now), Idle: within >= 0 && c.idle(u, list, now), CopyFrom: c.copySource(candidates, prefixID, u, now)}, true
+	return c.ChooseWithin(list, prefixID, tried, Limits{}, now)
 }
 
 // highestScored returns the index of the engine with the highest score for the hash of a prefix
@@ -159,23 +140,13 @@
 // is none. Of those with equal shares, upstreams in nearZone go first, then the one to which this
 // process has sent the fewest requests. Upstreams in tried are skipped.
 func (c *Chooser) LeastLoaded(list []routes.Upstream, nearZone string, tried []string, now time.Time) (Choice, bool) {
-	candidates := c.candidates(list, tried, now)
-	if len(candidates) == 0 {
-		return Choice{}, false
-	}
-	best := candidates[0]
-	for _, u := range candidates[1:] {
-		if c.lessLoaded(u, best, nearZone, now) {
-			best = u
-		}
-	}
-	return Choice{Upstream: best, Reason: "load", Load: c.estimatedLoad(best, now)}, true
+	return c.LeastLoadedWithin(list, nearZone, tried, Limits{}, now)
 }
 
 // lessLoaded reports whether LeastLoaded prefers a to b.
-func (c *Chooser) lessLoaded(a, b routes.Upstream, nearZone string, now time.Time) bool {
-	shareA := c.estimatedLoad(a, now) / float64(max(1, a.Slots))
-	shareB := c.estimatedLoad(b, now) / float64(max(1, b.Slots))
+func (c *Chooser) lessLoaded(a, b routes.Upstream, nearZone string, limits Limits, now time.Time) bool {
+	shareA := c.shareInUse(a, limits, now)
+	shareB := c.shareInUse(b, limits, now)
 	if shareA != shareB {
 		return shareA < shareB
 	}
