Observe the pace of upstreams and pass the limits of requests to the choice

Cause: the estimates of core/pace had no observations, and the choice no limits. Change: the gateway observes the arrivals of streams and the load reports, passes what remains of the objective, the longest pause and the prompt's tokens to the choice, and logs the expected times and the number of excluded engines with each send. Observations are not shared yet.

--- a/gateway/flow/choose.go
+++ b/gateway/flow/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciawinch/core/fingerprint"
+	"acaciawinch/core/pace"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
 	"acaciawinch/gateway/quarantine"
@@ -35,6 +36,8 @@
 	// allowedRegions holds the lists of regions that may run the request; a region must be allowed
 	// by all of them.
 	allowedRegions []routes.Regions
+	// limits are what the request needs of the pace of its upstream.
+	limits pace.Limits
 }
 
 // requirements returns what the request needs of its upstream now.
@@ -44,7 +47,7 @@
 		regions = append(regions, rq.workspace.Regions)
 	}
 	return requirements{versions: rq.versions(), service: rq.table.Service(rq.service), serviceName: rq.service, sharedPrefixID: rq.hdr.SharedPrefixID, tried: rq.tried, excluded: rq.crashPass.Ended, only: rq.crashPass.Upstream, allowedRegions: regions,
-		keepTogether: !rq.Guard.IsProven(rq.fingerprint), request: rq.fingerprint}
+		keepTogether: !rq.Guard.IsProven(rq.fingerprint), request: rq.fingerprint, limits: rq.paceLimits(time.Now())}
 }
 
 // allows reports whether a region may run the request.
@@ -81,6 +84,7 @@
 			s.copies.Started(needs.request, quarantine.IncarnationOf(choice.Upstream), now)
 		}
 		s.chooser.SentPrefix(needs.sharedPrefixID, choice.Upstream.ID, now)
+		s.recordTrial(needs, choice, now)
 	}
 	return choice, found
 }
@@ -93,13 +97,17 @@
 }
 
 // best returns the best upstream for a request. s.mu must be held.
-func (s *Server) best(needs requirements, now time.Time) (selection.Choice, bool) {
+func (s *Server) best(needs requirements, now time.Time) (choice selection.Choice, found bool) {
 	list := s.usable(needs, now)
-	if needs.service != nil && needs.service.Engine != nil {
-		choice, found := s.chooser.Choose(list, needs.sharedPrefixID, needs.tried, now)
-		return s.withoutForeignCopy(choice), found
-	}
-	return s.chooser.LeastLoaded(list, s.Zone, needs.tried, now)
+	s.withPaces(needs, func(limits selection.Limits) {
+		if needs.service != nil && needs.service.Engine != nil {
+			choice, found = s.chooser.ChooseWithin(list, needs.sharedPrefixID, needs.tried, limits, now)
+			choice = s.withoutForeignCopy(choice)
+			return
+		}
+		choice, found = s.chooser.LeastLoadedWithin(list, s.Zone, needs.tried, limits, now)
+	})
+	return choice, found
 }
 
 // withoutForeignCopy drops the upstream to copy cached parts of the prompt from if its software version is another
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -116,6 +116,8 @@
 	software *string
 	// recorded is set once the version of the stream was recorded.
 	recorded bool
+	// probe observes the pace of the upstream of the current send.
+	probe paceProbe
 	// results are the results of the stages; nil before the stages start, and on routes
 	// without stages.
 	results *results
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -244,6 +244,7 @@
 		return rq.handleNotRun(upstream, response, info.Replaced)
 	}
 	rq.mayHaveRun = true
+	rq.paceReported(upstream, info.Load)
 	switch {
 	case response.Status/100 == 2 && info.Signature == "":
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", response.Status)}
@@ -275,10 +276,12 @@
 // recordSend logs a send and records it in the metrics.
 func (rq *request) recordSend(choice selection.Choice) {
 	rq.Metrics.sendStarted(rq.service, len(rq.tried) > 1)
+	rq.paceSent(choice)
 	rq.Logger.Event(event.GatewaySent, observe.Fields{"request": rq.hdr.ID, "fingerprint": rq.fingerprint.String(), "parts": strings.Join(rq.hdr.SharedParts, ","), "route": rq.route.Name, "version": rq.table.Version,
 		"service": rq.service, "upstream": choice.Upstream.ID, "software": choice.Upstream.Version, "attempt": len(rq.tried), "reason": choice.Reason,
 		"load": fmt.Sprintf("%.1f", choice.Load), "cold": rq.isCold(choice.Upstream), "idle": choice.Idle, "copy_from": choice.CopyFrom,
-		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent})
+		"used_ms": rq.started.Sub(rq.clientStarted).Milliseconds(), "value": fmt.Sprintf("%.1f", rq.value), "remaining_ms": time.Until(rq.deadline).Milliseconds(), "after": rq.lastEvent,
+		"expected_first_ms": choice.FirstEvent.Milliseconds(), "expected_pause_ms": choice.Pause.Milliseconds(), "excluded": choice.Excluded})
 }
 
 // recordSendFailure logs a failed send. Unless the request itself has ended, or only the proof of a
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -17,6 +17,7 @@
 	"acaciawinch/core/selection"
 	"acaciawinch/core/slowstart"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/pace"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/ratelimit"
@@ -40,10 +41,12 @@
 	Guard      *quarantine.Guard
 	Limits     *ratelimit.Limiter
 	Versions   *streamversion.Keeper
-	Logger     *observe.Logger
-	Metrics    *Metrics
-	Zone       string
-	Retries    Retries
+	// Paces holds the paces of upstreams; nil if they do not matter.
+	Paces   *pace.Keeper
+	Logger  *observe.Logger
+	Metrics *Metrics
+	Zone    string
+	Retries Retries
 	// Name is the name of this process among the gateways.
 	Name string
 	// ColdOverrun and ColdSlack bound the requests that a cold upstream may get in any second:
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -28,7 +28,9 @@
 		}
 	}
 	out := http.NewResponseController(rq.w)
-	reader := events.NewReader(response.Body)
+	arrivals := rq.observeArrivals(upstream, response)
+	defer arrivals.ended()
+	reader := events.NewReader(arrivals)
 	for {
 		next, err := reader.Next()
 		if err == io.EOF {
@@ -43,6 +45,7 @@
 			rq.streamBroke(false)
 			return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.stream", id, "event %s follows event %s", next.ID, rq.lastEvent)}
 		}
+		arrivals.event()
 		rq.recordVersion(upstream)
 		if err := rq.writeEvent(next, out); err != nil {
 			return &sendFailure{mayHaveRun: true, err: fault.Wrap(fault.Cancelled, "answer.write", id, err)}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -16,6 +16,7 @@
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/flow"
 	"acaciawinch/gateway/httpconn"
+	"acaciawinch/gateway/pace"
 	"acaciawinch/gateway/pools"
 	"acaciawinch/gateway/quarantine"
 	"acaciawinch/gateway/ratelimit"
@@ -51,6 +52,7 @@
 	guard      *quarantine.Guard
 	limits     *ratelimit.Limiter
 	versions   *streamversion.Keeper
+	paces      *pace.Keeper
 	client     *httpconn.Client
 	rpc        *link.Server
 	relay      *relay.Server
@@ -137,6 +139,9 @@
 	if err := wirepb.DRPCRegisterStreamVersion(p.rpc.Mux(), streamversion.NewServer(p.versions)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
+	if settings.Load.EnginePace != ModeOff {
+		p.paces = pace.New(pace.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope()})
+	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
@@ -154,6 +159,7 @@
 		Guard:      p.guard,
 		Limits:     p.limits,
 		Versions:   p.versions,
+		Paces:      p.paces,
 		Logger:     logger,
 		Metrics:    flow.NewMetrics(p.metrics.Scope()),
 		Zone:       settings.Process.Zone,
@@ -221,7 +227,7 @@
 func (p *process) serve(ctx, runCtx context.Context, stop context.CancelFunc, ports listeners) error {
 	servers := newServers(p, ports)
 	group, runCtx := errgroup.WithContext(runCtx)
-	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.versions.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.versions.Run, p.paces.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return loop(runCtx) })
 	}
 	group.Go(func() error { return p.rpc.Serve(runCtx, ports.fleet) })
