Share the paces of engines between the gateways

Cause: one gateway of many sends too few requests to each engine to know its pace, and each would find out by itself that an engine is slow. Change: once a second, each gateway sends its new observations of a service's engines to the holder, the first gateway that responds in the order by rendezvous hash, and applies the merged values that it lacks. If the holder fails, the last values and own observations stay in use and the digest goes to the next one. Engines that are not listed are dropped.

--- a/core/pace/digest.go
+++ b/core/pace/digest.go
@@ -62,6 +62,19 @@
 	return digest
 }
 
+// Return adds a digest that did not arrive to the next one.
+func (t *Table) Return(digest []Summary) {
+	for _, d := range digest {
+		s := t.engines[d.Engine]
+		if s == nil {
+			continue
+		}
+		s.pending.gaps.add(d.Gap.Seconds(), d.Gaps)
+		s.pending.firsts.add(d.First, d.Firsts)
+		s.pending.worst = max(s.pending.worst, d.Worst)
+	}
+}
+
 // Apply replaces what is known of engines by the values that all processes have observed together.
 func (t *Table) Apply(merged []Summary, now time.Time) {
 	for _, m := range merged {
--- a/gateway/pace/keeper.go
+++ b/gateway/pace/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	core "acaciawinch/core/pace"
+	"acaciawinch/core/ratelimit"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/view"
 	"acaciawinch/observe"
@@ -46,14 +47,28 @@
 
 	mu       sync.Mutex
 	services map[string]*core.Table
+	// mergers holds the values of the services of which this process is the holder, shares the state of the
+	// exchange on each service with engines.
+	mergers map[string]*core.Merger
+	shares  map[string]*sharing
+	// memberList is the last list of the other gateways, candidates are those that may be holders.
+	memberList []view.Member
+	candidates *ratelimit.Candidates
 }
 
 // New returns a Keeper. The caller must call Run.
 func New(options Options) *Keeper {
-	return &Keeper{options: options, metrics: newMetrics(options.Scope), services: make(map[string]*core.Table)}
+	return &Keeper{
+		options:    options,
+		metrics:    newMetrics(options.Scope),
+		services:   make(map[string]*core.Table),
+		mergers:    make(map[string]*core.Merger),
+		shares:     make(map[string]*sharing),
+		candidates: ratelimit.NewCandidates(candidateOf(options.Self)),
+	}
 }
 
-// Run logs changes until ctx ends.
+// Run shares observations and logs changes until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	if k == nil {
 		return nil
@@ -66,6 +81,9 @@
 			return nil
 		case <-ticker.C:
 			k.tick(time.Now())
+			for _, service := range k.engineServices() {
+				k.exchange(ctx, service)
+			}
 		}
 	}
 }
@@ -114,7 +132,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.forget()
-	members := len(k.options.Fleet.Members()) + 1
+	k.takeMembers()
+	members := k.candidates.Count()
 	for service, table := range k.services {
 		table.SetMembers(members)
 		for _, change := range table.Changes(now) {
@@ -130,19 +149,31 @@
 	if upstreams == nil {
 		return
 	}
-	listed := func(engine core.Engine) bool {
-		upstream, known := upstreams.Find(engine.ID)
-		return known && upstream.Incarnation == engine.Incarnation
+	listed := listedIn(upstreams)
+	for service, merger := range k.mergers {
+		merger.Keep(listed)
+		if len(upstreams.Of(service)) == 0 {
+			delete(k.mergers, service)
+		}
 	}
 	for service, table := range k.services {
 		table.Keep(listed)
 		if len(upstreams.Of(service)) == 0 {
 			k.metrics.slow(service, 0)
 			delete(k.services, service)
+			delete(k.shares, service)
 		}
 	}
 }
 
+// listedIn returns a function that reports whether an incarnation of an engine is listed.
+func listedIn(upstreams *routes.Upstreams) func(core.Engine) bool {
+	return func(engine core.Engine) bool {
+		upstream, known := upstreams.Find(engine.ID)
+		return known && upstream.Incarnation == engine.Incarnation
+	}
+}
+
 // logChange logs that the exclusion of an engine began or ended.
 func (k *Keeper) logChange(service string, change core.Change) {
 	fields := observe.Fields{"service": service, "upstream": change.Engine.ID, "pace_us": change.Gap.Microseconds(),
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -142,6 +142,9 @@
 	if settings.Load.EnginePace != ModeOff {
 		p.paces = pace.New(pace.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope()})
 	}
+	if err := wirepb.DRPCRegisterEnginePace(p.rpc.Mux(), pace.NewServer(p.paces)); err != nil {
+		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
+	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -105,6 +105,7 @@
 	p.owner.Leave()
 	p.limits.Leave()
 	p.versions.Leave()
+	p.paces.Leave()
 	grace := time.Duration(p.settings.Bounds.GraceSeconds*float64(time.Second)) - graceMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
