--- a/core/pace/samples.go
+++ b/core/pace/samples.go
@@ -11,8 +11,8 @@
 	sampleTTL = 30 * time.Second
 	// maxSamples bounds the samples kept: the 95th percentile of 256 samples rests on 12 values.
 	maxSamples = 256
-	// minSamples is how many samples a percentile needs.
-	minSamples = 20
+	// minSamples is how many samples a percentile needs. Some gateways see only a stream in three seconds.
+	minSamples = 10
 	// percentileRank is the rank of the percentile that stands for the usual worst value.
 	percentileRank = 0.95
 )
--- a/core/pace/table.go
+++ b/core/pace/table.go
@@ -25,9 +25,9 @@
 	// usualFirstWeight is the weight of the assumption that an engine's time to the first event is the usual one.
 	// Few streams say little, as their times depend on what is cached and queued.
 	usualFirstWeight = 2
-	// maxExtra bounds the assumed time of one prefill chunk, in multiples of the pace. Longer pauses have other
-	// causes, such as a stall of this process.
-	maxExtra = 2
+	// maxExtra bounds the assumed time of one prefill chunk, in multiples of the pace. Prompts of 3,000 tokens take as
+	// long as one event on the engines known; longer pauses have other causes, such as a stall of this process.
+	maxExtra = 1.5
 	// summaryTTL is how long the values that all engines have in common are used before they are computed again.
 	summaryTTL = 200 * time.Millisecond
 )
--- a/standin/platformdoc/document.go
+++ b/standin/platformdoc/document.go
@@ -36,6 +36,8 @@
 	Service     string `json:"service"`
 	MaxAttempts int    `json:"max_attempts"`
 	Resumable   bool   `json:"resumable"`
+	// GapGoalMS is the longest time allowed between two events of a stream, 0 if none is set.
+	GapGoalMS int `json:"gap_goal_ms,omitempty"`
 	// AllowedRegions are the regions that may process its requests; empty for all.
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
 	Stages         []Stage  `json:"stages,omitempty"`
