Send repeatable requests elsewhere when their upstream is silent

Clients waited until their deadline for an engine that had accepted a request and sent nothing. A send that may be repeated is now watched: if no byte of its response comes within the limit of core/silence, or no event within that of pauses, its connection is closed, the upstream is avoided, and the request goes to another one, within max_attempts and the retry budget. Results that the engine reads are kept until its first event where a pool at its full rate has room for them. load.repeat_silent = "off" disables both.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -119,6 +119,8 @@
 	// results are the results of the stages; nil before the stages start, and on routes
 	// without stages.
 	results *results
+	// silence is what the request knows of the silence of its upstreams.
+	silence silenceState
 }
 
 // ServeHTTP implements http.Handler for client requests.
--- a/gateway/flow/metrics.go
+++ b/gateway/flow/metrics.go
@@ -39,6 +39,16 @@
 	m.scope.Tagged(map[string]string{"service": service}).Counter(name).Inc(1)
 }
 
+// silentGivenUp counts one send that was given up as its upstream was silent.
+func (m *Metrics) silentGivenUp(service string) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("silent_given_up").Inc(1)
+}
+
+// silentServed counts one request that was served by another upstream after a silent one.
+func (m *Metrics) silentServed(service string) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("silent_served_elsewhere").Inc(1)
+}
+
 // firstEvent records the time until a stream's first event.
 func (m *Metrics) firstEvent(took time.Duration) {
 	m.scope.Histogram("first_event_seconds", latencyBuckets).RecordDuration(took)
--- a/gateway/flow/results.go
+++ b/gateway/flow/results.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"acaciawinch/core/stages"
 )
@@ -13,6 +14,9 @@
 	progress *stages.Progress
 	mu       sync.Mutex
 	freed    bool
+	// keptUntil is the time until which the request's own results are kept at least, unless they are
+	// freed; zero before the first send.
+	keptUntil time.Time
 }
 
 // handles returns the handles of the results that the request itself uses.
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -37,7 +37,7 @@
 		// until discovery drops these. Giving up would lose the results of all stages.
 		return rq.mayReachAnother() && rq.withdraw()
 	}
-	return rq.sends < rq.route.MaxAttempts && rq.withdraw()
+	return rq.sends < rq.route.MaxAttempts && (f.withdrawn || rq.withdraw())
 }
 
 // withdraw withdraws a retry from the budget of the request's service. Only a part of the budget is for
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -35,7 +35,9 @@
 	closedByUpstream bool
 	// unproved is set if a stream was passed on up to an end that does not prove it to be complete.
 	unproved bool
-	err      error
+	// withdrawn is set if the retry after the failure was already withdrawn from the budget.
+	withdrawn bool
+	err       error
 }
 
 // closedByUpstream reports whether a send failed because the upstream closed the connection.
@@ -72,6 +74,7 @@
 	rq.recordSend(choice)
 	ctx, cancel := context.WithCancel(rq.ctx)
 	defer cancel()
+	watch := rq.watchSend(ctx, cancel, choice.Upstream)
 	cancelFree := rq.freeWhenRead(choice)
 	defer cancelFree()
 	sent := clock.Boot()
@@ -84,9 +87,11 @@
 			return false
 		}
 		withheld = !rq.Limits.MaySend(choice.Upstream, permit, rq.hdr.ID)
+		watch.begin()
 		return !withheld
 	}
 	response, err := rq.Client.Do(ctx, choice.Upstream.Address, message)
+	err = watch.head(response, err)
 	if err == nil {
 		rq.countSend()
 		defer response.Close()
@@ -95,6 +100,7 @@
 	} else {
 		err = rq.classifySendError(err)
 	}
+	err = watch.ended(err)
 	if err != nil {
 		rq.recordSendFailure(choice.Upstream, err)
 	}
@@ -147,10 +153,10 @@
 const readAllowance = 50 * time.Millisecond
 
 // freeWhenRead frees the results of the stages as soon as the engine must have read them, if the
-// engine is known to be idle. Otherwise they are kept until its first event. The returned function
-// cancels the timer.
+// engine is known to be idle and they need not be kept for another send. Otherwise they are kept until
+// its first event. The returned function cancels the timer.
 func (rq *request) freeWhenRead(choice selection.Choice) func() {
-	if rq.results == nil || !choice.Idle {
+	if rq.results == nil || !choice.Idle || rq.keepsResults() {
 		return func() {}
 	}
 	timer := time.AfterFunc(readAllowance, rq.results.free)
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -49,6 +49,9 @@
 	// ColdOverrun and ColdSlack bound the requests that a cold upstream may get in any second:
 	// its configured rate × ColdOverrun + ColdSlack.
 	ColdOverrun, ColdSlack float64
+	// RepeatSilent is set if a request that may be repeated is sent to another upstream when the first
+	// one is silent.
+	RepeatSilent bool
 }
 
 // Server serves client requests. It is safe for concurrent use.
@@ -62,6 +65,8 @@
 	budgets map[string]*budget.Budget
 	// clientTimes holds, by route name, the timeouts that clients announce.
 	clientTimes map[string]*elapsed.Estimator
+	// silences has a lock of its own.
+	silences *silences
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -70,7 +75,7 @@
 
 // New returns a Server.
 func New(options Options) *Server {
-	return &Server{Options: options, chooser: selection.New(), cold: slowstart.New(options.Name), copies: copies.New(), budgets: make(map[string]*budget.Budget), clientTimes: make(map[string]*elapsed.Estimator)}
+	return &Server{Options: options, chooser: selection.New(), cold: slowstart.New(options.Name), copies: copies.New(), budgets: make(map[string]*budget.Budget), clientTimes: make(map[string]*elapsed.Estimator), silences: newSilences()}
 }
 
 // SetRetries replaces the bounds on retries. If they change, all budgets are reset.
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -30,7 +30,7 @@
 	out := http.NewResponseController(rq.w)
 	reader := events.NewReader(response.Body)
 	for {
-		next, err := reader.Next()
+		next, err := rq.silence.watch.next(reader)
 		if err == io.EOF {
 			return rq.endStream(upstream, response)
 		}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -162,6 +162,8 @@
 
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
+
+		RepeatSilent: settings.Load.RepeatSilent != ModeOff,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -50,6 +50,7 @@
 	GatewayLeft     = define(10025, "gateway_left", "The client disconnected before its response; the work was cancelled.", "request", "route", "step", "duration_us")
 	GatewayUnproved = define(10028, "gateway_unproved", "A stream ended with its upstream's connection, which does not prove that it is complete; another upstream is asked for the remainder if that is allowed.", "request", "upstream", "attempt", "events", "last")
 	GatewayDisorder = define(10029, "gateway_disorder", "An event of an upstream's stream had an ID that is not above that of the last event that the client has; nothing more of that upstream is passed on.", "request", "upstream", "attempt", "events", "last", "got")
+	GatewaySilent   = define(10040, "gateway_silent", "A send was given up, as its upstream was silent for longer than the limit that follows from the usual time of the other upstreams; the request is sent to another one. Events is the number of events that came from the silent one, last the last event that the client has.", "request", "route", "service", "upstream", "attempt", "events", "last", "waited_ms", "limit_ms", "usual_ms", "client_waits_ms")
 	StageDone       = define(10026, "stage_done", "A stage of a request completed with results.", "request", "stage", "service", "owner", "pieces", "duration_us")
 	StageFailed     = define(10027, "stage_failed", "A stage of a request ended without results.", "request", "stage", "service", "owner", "reason", "duration_us")
 )
--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -33,6 +33,8 @@
 	address string
 	log     *logBuffer
 	ports   *harness.Ports
+	// adjust changes the settings of gateways that start; nil changes nothing.
+	adjust func(*gateway.Settings)
 
 	mu       sync.Mutex
 	gateways []*runningGateway
@@ -199,6 +201,9 @@
 	settings.Store.Address = f.address
 	settings.Bounds = gateway.BoundSettings{RevokeMS: 5000, ConfigApplyMS: 2000, EvacuateMS: 5000, ColdOverrun: 1.5, ColdSlack: 5, GraceSeconds: graceSeconds, RetryRatio: 0.2, RetrySlack: 50}
 	settings.Fleet.Key = "test"
+	if f.adjust != nil {
+		f.adjust(&settings)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	g := &runningGateway{settings: settings, stop: stop, ended: make(chan error, 1)}
 	go func() {
