--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -32,7 +32,7 @@
 	defer arrivals.ended()
 	reader := events.NewReader(arrivals)
 	for {
-		next, err := reader.Next()
+		next, err := rq.silence.watch.next(reader)
 		if err == io.EOF {
 			return rq.endStream(upstream, response)
 		}
