Free the results of gateways that are gone

After the loss of 19 of 27 gateways, the results that these had been handed took room until they expired, and 1,468 to 2,140 items of the others found none. The owner did not know whose results it counted.

A caller now names its process in the first message of its stream, and the owner keeps it with each result. Results stay when a session ends, since the gateway may have lost its link only. They are freed once the list of gateways no longer names that incarnation, unless it has an open session or said that it leaves as planned. Callers of earlier versions name nothing; their results expire as before.

--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -79,11 +79,14 @@
 }
 
 // Leave makes other gateways, if there are any, the owners for this process's tasks from now
-// on.
+// on, and tells the present owners that this process leaves.
 func (d *Dispatcher) Leave() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leaving = true
+	for _, l := range d.links {
+		l.enqueue(callerMessage(d.self, true))
+	}
 }
 
 // tryOwner submits a task to the current owner of its part and waits for the result.
@@ -226,6 +229,7 @@
 		return l
 	}
 	l := newOwnerLink(d, owner)
+	l.enqueue(callerMessage(d.self, d.leaving))
 	d.links[owner.Name] = l
 	go l.run(d.lifetime)
 	return l
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -196,8 +196,11 @@
 // recordResult records one result. The last result of a task ends the task; a result whose task
 // has already ended is freed.
 func (o *Owner) recordResult(p *ownedPart, item *pool.Item, handle string, kept keptResult) {
-	p.results[handle] = kept
 	task := p.tasks[item.Task.Ticket]
+	if task != nil {
+		kept.caller = task.session.caller
+	}
+	p.results[handle] = kept
 	if task == nil {
 		p.free([]string{handle})
 		return
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
@@ -22,6 +24,8 @@
 type Fleet interface {
 	Table() *routes.Table
 	Upstreams() *routes.Upstreams
+	// Members returns the other gateways. The slice is replaced when they change.
+	Members() []view.Member
 	// RecordUpstreamReport takes what an upstream requested in a response: a drain or a backoff.
 	// It may call Refresh.
 	RecordUpstreamReport(report view.UpstreamReport)
@@ -47,6 +51,12 @@
 	earlyTasks []earlyTask
 	// earlyFrees holds requests to free results that arrived before then.
 	earlyFrees []earlyFree
+	// callers holds the processes of other gateways by incarnation; memberList is the last list of the other
+	// gateways and listed holds the incarnations in it.
+	callers    map[string]*caller
+	memberList []view.Member
+	listed     map[string]bool
+	metrics    metrics
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -95,6 +105,8 @@
 	item     itemKey
 	bytes    int64
 	until    time.Time
+	// caller is the process that it was handed to; nil if that is this process or unknown.
+	caller *caller
 }
 
 // pendingFree holds the results that one upstream is to drop.
@@ -108,9 +120,13 @@
 
 // NewOwner returns an Owner. Run must be called before tasks are submitted.
 func NewOwner(lifetime context.Context, fleet Fleet, client *httpconn.Client, limits *ratelimit.Limiter, logger *observe.Logger) *Owner {
-	return &Owner{fleet: fleet, client: client, limits: limits, logger: logger, pools: make(map[Part]*ownedPart), lifetime: lifetime}
+	return &Owner{fleet: fleet, client: client, limits: limits, logger: logger, pools: make(map[Part]*ownedPart), lifetime: lifetime,
+		callers: make(map[string]*caller), metrics: newMetrics(tally.NoopScope)}
 }
 
+// Observe makes the Owner report its metrics to scope. It must be called before Run.
+func (o *Owner) Observe(scope tally.Scope) { o.metrics = newMetrics(scope) }
+
 // Run drops expired tasks and results until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -145,6 +161,7 @@
 		o.sendFrees(p, now)
 		o.sendCalls(p, now)
 	}
+	o.forgetCallers(now)
 }
 
 // empty reports whether the part has no tasks, results or pending frees.
@@ -172,6 +189,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.processEarly()
+	o.membersChanged(o.fleet.Members(), time.Now())
 	for _, p := range o.pools {
 		o.configure(p)
 		o.sendCalls(p, time.Now())
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -31,6 +31,9 @@
 // Table implements Fleet.
 func (k staticFleet) Table() *routes.Table { return k.table }
 
+// Members implements Fleet.
+func (k staticFleet) Members() []view.Member { return nil }
+
 // Upstreams implements Fleet.
 func (k staticFleet) Upstreams() *routes.Upstreams { return k.upstreams }
 
@@ -273,6 +276,9 @@
 	return l.fleet.Table()
 }
 
+// Members implements Fleet.
+func (l *pendingFleet) Members() []view.Member { return l.fleet.Members() }
+
 // RecordUpstreamReport implements Fleet.
 func (l *pendingFleet) RecordUpstreamReport(view.UpstreamReport) {}
 
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciawinch/core/pool"
+	"acaciawinch/gateway/view"
 	"acaciawinch/wire/wirepb"
 )
 
@@ -77,6 +78,8 @@
 		session.Cancel(kind.Cancel)
 	case *wirepb.PoolRequest_Free:
 		session.Free(partOf(kind.Free), kind.Free.GetHandles())
+	case *wirepb.PoolRequest_Caller:
+		session.Identify(kind.Caller.GetName(), kind.Caller.GetIncarnation(), kind.Caller.GetLeaving())
 	case *wirepb.PoolRequest_Ping:
 		reply(&wirepb.PoolReply{Kind: &wirepb.PoolReply_Pong{Pong: kind.Ping}})
 	}
@@ -130,6 +133,11 @@
 	return list
 }
 
+// callerMessage encodes the caller of a stream.
+func callerMessage(self view.Member, leaving bool) *wirepb.PoolRequest {
+	return &wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Caller{Caller: &wirepb.PoolCaller{Name: self.Name, Incarnation: self.Incarnation, Leaving: leaving}}}
+}
+
 // taskMessage encodes a task.
 func taskMessage(number uint64, t Task) *wirepb.PoolTask {
 	return &wirepb.PoolTask{
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -1,6 +1,10 @@
 package pools
 
-import "acaciawinch/core/pool"
+import (
+	"time"
+
+	"acaciawinch/core/pool"
+)
 
 // Session is one caller's session with an owner. Ending it cancels its open tasks. The Owner's
 // lock guards its state.
@@ -11,6 +15,8 @@
 	local bool
 	tasks map[uint64]taskRef
 	ended bool
+	// caller is the process at the other end; nil if it is this process or unknown.
+	caller *caller
 }
 
 // taskRef locates a caller's task at the owner.
@@ -65,12 +71,17 @@
 	s.owner.free(part, handles)
 }
 
-// End cancels all open tasks.
+// End cancels all open tasks. The results that were handed to the caller stay until it frees them over
+// another session, they expire or the caller turns out to be gone.
 func (s *Session) End() {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
+	if s.ended {
+		return
+	}
 	s.ended = true
 	for _, ref := range s.tasks {
 		ref.part.cancel(ref.ticket)
 	}
+	s.owner.leave(s.caller, time.Now())
 }
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -63,6 +63,7 @@
 	PoolFreeFailed    = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
 	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
 	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
+	PoolCallerGone    = define(10064, "pool_caller_gone", "A gateway is gone from the list of gateways, ended_ms after its last link here broke; the results that it had been handed were freed.", "caller", "incarnation", "results", "bytes", "ended_ms")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
