Tell a new owner of a pool which results its upstreams store

A new owner knew nothing of the results of its predecessor's calls.

A gateway now keeps the handles, sizes and expiry of the results that it uses, up to 16,384, and names those of a part to its new owner before its first task there, or when the link to the last owner breaks. The owner counts them as used room until they are freed or expire; one that it knows, or that two gateways name, counts once.

The new owner also asks each upstream once for its room (GET /report), as results of lost calls are known to no gateway. It is not asked for in a fleet's first start, without work, or of upstreams that take no work; those with limits get it with a permit. Bad replies change nothing and are logged.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -45,7 +45,7 @@
 		case !s.upstream.TakesWork(now):
 		case now.Before(s.avoidUntil):
 			avoided = append(avoided, s)
-		case s.calls >= max(1, p.settings.Slots), !s.isPermitted(now):
+		case s.calls >= max(1, p.settings.Slots), !s.isPermitted(now), s.room.awaitsReport(now):
 			busy++
 		default:
 			usable = append(usable, s)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -149,6 +149,7 @@
 	// inferred from lack of room; it counts until unaccountedUntil.
 	unaccountedBytes int64
 	unaccountedUntil time.Time
+	room             roomState
 	// busyUntil is when the running call is expected to end.
 	busyUntil time.Time
 	// slowdown is a moving average of the ratio of measured to configured call time.
@@ -262,7 +263,7 @@
 // held back for results above the configured size: that would cost more items per call than
 // the few that find no room and are retried.
 func (p *Pool) availableBytes(s *upstreamState, now time.Time) int64 {
-	available := p.settings.RoomBytes - s.usedBytes
+	available := p.settings.RoomBytes - s.usedBytes - s.room.unaccountedAt(now)
 	if now.Before(s.unaccountedUntil) {
 		available -= s.unaccountedBytes
 	}
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -34,6 +34,7 @@
 	// leaving is set on a planned stop: from then on other gateways are the owners.
 	leaving    bool
 	waits      *waits
+	held       *held
 	lastNumber uint64
 }
 
@@ -50,6 +51,7 @@
 		links:    make(map[string]*ownerLink),
 		suspects: make(map[string]time.Time),
 		waits:    newWaits(),
+		held:     newHeld(),
 	}
 }
 
@@ -96,17 +98,17 @@
 	number := d.nextNumber()
 	notify := Notify{InputsRead: inputsRead, Done: func(r Result) { results <- r }}
 	var cancel func()
-	if owner.Name == d.self.Name {
+	if to := d.introduce(task.Part, owner); to == nil {
 		d.local.Submit(number, task, notify)
 		cancel = func() { d.local.Cancel(number) }
 	} else {
-		to := d.link(owner)
 		to.submit(number, task, notify)
 		cancel = func() { to.cancel(number) }
 	}
 	select {
 	case result := <-results:
 		d.recordEstimates(task, result)
+		d.hold(task, result.Handles)
 		if result.Failure == OwnerLeft {
 			d.suspect(owner)
 		}
@@ -122,6 +124,7 @@
 	if len(handles) == 0 {
 		return
 	}
+	d.drop(handles)
 	for part, own := range byPart(d.view.Upstreams(), service, handles) {
 		owner := d.owner(part, time.Now())
 		if owner.Name == d.self.Name {
@@ -257,4 +260,5 @@
 	d.mu.Unlock()
 	d.suspect(l.owner)
 	d.logger.Warn(event.PoolOwnerLost, observe.Fields{"owner": l.owner.Name, "tasks": tasks, "error": err.Error()})
+	d.tellNextOwners(l.incarnation)
 }
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"acaciawinch/core/fault"
@@ -138,7 +137,9 @@
 	if !hints.Replaced {
 		o.limits.Responded(to, known, hints.Limit, "")
 	}
-	o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
+	if hints.Leaving || hints.RetryAfter > 0 {
+		o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
 	if err != nil && response.Status == http.StatusOK {
 		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
@@ -220,7 +221,7 @@
 		if handle == "" {
 			continue
 		}
-		address, _, _ := strings.Cut(handle, "/")
+		address := addressOf(handle)
 		pending := p.pendingFrees[address]
 		if pending == nil {
 			pending = &pendingFree{until: time.Now().Add(p.keepTime)}
--- a/gateway/pools/early.go
+++ b/gateway/pools/early.go
@@ -53,12 +53,17 @@
 	o.earlyFrees = append(o.earlyFrees, earlyFree{part: part, handles: handles})
 }
 
-// processEarly frees the results and queues the tasks that were held, once the configuration is
+// processEarly records and frees the results and queues the tasks that were held, once the configuration is
 // known. o.mu must be held.
 func (o *Owner) processEarly() {
 	if !o.configKnown() {
 		return
 	}
+	helds := o.earlyHelds
+	o.earlyHelds = nil
+	for _, report := range helds {
+		o.takeHeld(report)
+	}
 	frees := o.earlyFrees
 	o.earlyFrees = nil
 	for _, free := range frees {
--- a/gateway/pools/handover.go
+++ b/gateway/pools/handover.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Run hands over parts that other processes own, until ctx ends. Without it, after a crash of
+// Run hands over parts that other processes own, and forgets expired results, until ctx ends. Without the handover, after a crash of
 // many processes a pool could have two owners, each with seconds of queued work. Their calls
 // would make each other wait at the upstreams, and their results would take each other's room.
 func (d *Dispatcher) Run(ctx context.Context) error {
@@ -56,10 +56,18 @@
 			return nil
 		case now := <-ticker.C:
 			d.handOver(h, now)
+			d.expireHeld(now)
 		}
 	}
 }
 
+// expireHeld forgets the results that their upstreams no longer keep.
+func (d *Dispatcher) expireHeld(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held.expire(now)
+}
+
 // handOver hands over the parts that are due.
 func (d *Dispatcher) handOver(h *handover, now time.Time) {
 	for _, part := range d.local.owner.busyParts() {
--- /dev/null
+++ b/gateway/pools/held.go
@@ -0,0 +1,168 @@
+package pools
+
+import (
+	"strings"
+	"time"
+
+	"acaciawinch/core/routes"
+	"acaciawinch/gateway/view"
+)
+
+// maxHeld bounds the results of which a process keeps what a new owner must be told: some 100 requests a
+// second with 18 results each, all kept for the 4 s after which upstreams drop them, need 7,200. Results
+// beyond it are only unknown to the next owner.
+const maxHeld = 16384
+
+// held holds the results that this process still uses, and which owners know of them. It is not safe for
+// concurrent use.
+type held struct {
+	results map[string]heldResult
+	// owners holds the incarnation of the owner that a task of a part was last submitted to.
+	owners map[Part]string
+}
+
+// heldResult is a result that this process still uses.
+type heldResult struct {
+	service string
+	bytes   int64
+	// until is when its upstream drops it by itself; incarnation is that of the upstream, which lost all
+	// results if another one has taken its place.
+	until       time.Time
+	incarnation int64
+}
+
+// newHeld returns held without results.
+func newHeld() *held {
+	return &held{results: make(map[string]heldResult), owners: make(map[Part]string)}
+}
+
+// add records the results of a task, up to maxHeld.
+func (h *held) add(upstreams *routes.Upstreams, task Task, handles []string, until time.Time) {
+	for _, handle := range handles {
+		if len(h.results) >= maxHeld {
+			return
+		}
+		upstream, _ := upstreams.At(addressOf(handle))
+		h.results[handle] = heldResult{service: task.Service, bytes: task.ResultBytes, until: until, incarnation: upstream.Incarnation}
+	}
+}
+
+// remove forgets results that are no longer used.
+func (h *held) remove(handles []string) {
+	for _, handle := range handles {
+		delete(h.results, handle)
+	}
+}
+
+// expire forgets the results that their upstreams no longer keep.
+func (h *held) expire(now time.Time) {
+	for handle, result := range h.results {
+		if now.After(result.until) {
+			delete(h.results, handle)
+		}
+	}
+}
+
+// of returns the results of a part that their upstreams still keep, with their sizes.
+func (h *held) of(part Part, upstreams *routes.Upstreams, now time.Time) (handles []string, bytes []uint64) {
+	for handle, result := range h.results {
+		upstream, found := upstreams.At(addressOf(handle))
+		if result.service != part.Service || now.After(result.until) || !found || upstream.Incarnation != result.incarnation || !part.Has(upstream.ID) {
+			continue
+		}
+		handles = append(handles, handle)
+		bytes = append(bytes, uint64(max(0, result.bytes)))
+	}
+	return handles, bytes
+}
+
+// ownedBy returns the parts whose last owner has an incarnation.
+func (h *held) ownedBy(incarnation string) []Part {
+	var parts []Part
+	for part, owner := range h.owners {
+		if owner == incarnation {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// addressOf returns the address of the upstream that keeps a result.
+func addressOf(handle string) string {
+	address, _, _ := strings.Cut(handle, "/")
+	return address
+}
+
+// hold records that this process uses the results of a task.
+func (d *Dispatcher) hold(task Task, handles []string) {
+	table := d.view.Table()
+	if len(handles) == 0 || table == nil {
+		return
+	}
+	service := table.Service(task.Service)
+	if service == nil || service.Pool == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held.add(d.view.Upstreams(), task, handles, time.Now().Add(service.Pool.KeepTime))
+}
+
+// drop records that this process no longer uses results.
+func (d *Dispatcher) drop(handles []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held.remove(handles)
+}
+
+// tellHeld tells the owner of a part which results of the part this process uses, if another one was the
+// owner before. Without it the new owner fills calls as if its upstreams stored nothing. The list may be
+// empty: the owner then learns of the change.
+func (d *Dispatcher) tellHeld(part Part, owner view.Member, send func(handles []string, bytes []uint64)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	incarnation := owner.Incarnation
+	if owner.Name == d.self.Name {
+		incarnation = d.self.Incarnation
+	}
+	before, changed := d.held.owners[part]
+	if before == incarnation {
+		return
+	}
+	d.held.owners[part] = incarnation
+	if handles, bytes := d.held.of(part, d.view.Upstreams(), time.Now()); changed || len(handles) > 0 {
+		send(handles, bytes) // under the lock, so that no task of the part is submitted before it
+	}
+}
+
+// tellNextOwners tells the next owners of the parts that a lost one owned. Otherwise they would learn of
+// results only from those gateways that have further tasks.
+func (d *Dispatcher) tellNextOwners(lost string) {
+	if d.lifetime.Err() != nil {
+		return // this process has ended its links itself
+	}
+	now := time.Now()
+	d.mu.Lock()
+	parts := d.held.ownedBy(lost)
+	d.mu.Unlock()
+	for _, part := range parts {
+		d.mu.Lock()
+		handles, _ := d.held.of(part, d.view.Upstreams(), now)
+		d.mu.Unlock()
+		if len(handles) > 0 {
+			d.introduce(part, d.owner(part, now))
+		}
+	}
+}
+
+// introduce makes sure that an owner knows which results of a part this process uses, and returns the
+// link to it; nil if the owner is this process.
+func (d *Dispatcher) introduce(part Part, owner view.Member) *ownerLink {
+	if owner.Name == d.self.Name {
+		d.tellHeld(part, owner, func(handles []string, bytes []uint64) { d.local.Held(part, handles, bytes) })
+		return nil
+	}
+	to := d.link(owner)
+	d.tellHeld(part, owner, func(handles []string, bytes []uint64) { to.held(part, handles, bytes) })
+	return to
+}
--- a/gateway/pools/link.go
+++ b/gateway/pools/link.go
@@ -101,6 +101,23 @@
 	}}})
 }
 
+// heldPerMessage bounds the results in one message: some 40 KB.
+const heldPerMessage = 1024
+
+// held tells the owner which results of a part this process uses. Without results, it sends an empty list.
+func (l *ownerLink) held(part Part, handles []string, bytes []uint64) {
+	for start := 0; start == 0 || start < len(handles); start += heldPerMessage {
+		end := min(start+heldPerMessage, len(handles))
+		l.enqueue(&wirepb.PoolRequest{Kind: &wirepb.PoolRequest_Held{Held: &wirepb.PoolHeld{
+			Service: part.Service,
+			Part:    uint32(part.Index),
+			Parts:   uint32(part.Count),
+			Handles: handles[start:end],
+			Bytes:   bytes[start:end],
+		}}})
+	}
+}
+
 // run carries messages until the link breaks, and then fails the open tasks.
 func (l *ownerLink) run(lifetime context.Context) {
 	ctx, cancel := context.WithCancelCause(lifetime)
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -51,12 +51,19 @@
 	earlyTasks []earlyTask
 	// earlyFrees holds requests to free results that arrived before then.
 	earlyFrees []earlyFree
+	// earlyHelds holds reports on results that arrived before then.
+	earlyHelds []earlyHeld
 	// callers holds the processes of other gateways by incarnation; memberList is the last list of the other
 	// gateways and listed holds the incarnations in it.
 	callers    map[string]*caller
 	memberList []view.Member
 	listed     map[string]bool
 	metrics    metrics
+	// firstStartUntil is until when this process counts as part of the first start of its fleet; the zero
+	// time if it is not part of one.
+	firstStartUntil time.Time
+	// reportWait is how long work waits for a report on the room.
+	reportWait time.Duration
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -80,6 +87,10 @@
 	nextFree map[string]time.Time
 	// ownedSince is when this process became the owner.
 	ownedSince time.Time
+	// askRoom is set while the upstreams are to be asked for their room; roomAskedAt is when they were last
+	// asked.
+	askRoom     bool
+	roomAskedAt time.Time
 }
 
 // openTask is a task that has not ended.
@@ -121,7 +132,7 @@
 // NewOwner returns an Owner. Run must be called before tasks are submitted.
 func NewOwner(lifetime context.Context, fleet Fleet, client *httpconn.Client, limits *ratelimit.Limiter, logger *observe.Logger) *Owner {
 	return &Owner{fleet: fleet, client: client, limits: limits, logger: logger, pools: make(map[Part]*ownedPart), lifetime: lifetime,
-		callers: make(map[string]*caller), metrics: newMetrics(tally.NoopScope)}
+		callers: make(map[string]*caller), metrics: newMetrics(tally.NoopScope), reportWait: reportWait}
 }
 
 // Observe makes the Owner report its metrics to scope. It must be called before Run.
@@ -214,6 +225,7 @@
 		nextFree:     make(map[string]time.Time),
 		ownedSince:   time.Now(),
 	}
+	p.askRoom = !p.ownedSince.Before(o.firstStartUntil)
 	if !o.configure(p) {
 		return nil
 	}
@@ -374,6 +386,7 @@
 // sendCalls sends all calls that can be sent now.
 func (o *Owner) sendCalls(p *ownedPart, now time.Time) {
 	o.applyLimits(p)
+	o.askRooms(p, now)
 	defer o.askPermits(p, now)
 	for {
 		call := p.queue.Next(now)
--- a/gateway/pools/part.go
+++ b/gateway/pools/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
@@ -61,7 +60,7 @@
 	for _, handle := range handles {
 		part := Part{Service: service, Count: count}
 		if count > 1 {
-			address, _, _ := strings.Cut(handle, "/")
+			address := addressOf(handle)
 			part.Index = int(rendezvous.Hash(upstreams.IDOf(address)) % uint64(count))
 		}
 		grouped[part] = append(grouped[part], handle)
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -78,6 +78,8 @@
 		session.Cancel(kind.Cancel)
 	case *wirepb.PoolRequest_Free:
 		session.Free(partOf(kind.Free), kind.Free.GetHandles())
+	case *wirepb.PoolRequest_Held:
+		session.Held(partOf(kind.Held), kind.Held.GetHandles(), kind.Held.GetBytes())
 	case *wirepb.PoolRequest_Caller:
 		session.Identify(kind.Caller.GetName(), kind.Caller.GetIncarnation(), kind.Caller.GetLeaving())
 	case *wirepb.PoolRequest_Ping:
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -139,6 +139,9 @@
 	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	p.owner.Observe(p.metrics.Scope())
+	if settings.Fleet.FirstStart {
+		p.owner.StartsFirst()
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -64,6 +64,9 @@
 	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
 	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
 	PoolCallerGone    = define(10064, "pool_caller_gone", "A gateway is gone from the list of gateways, ended_ms after its last link here broke; the results that it had been handed were freed.", "caller", "incarnation", "results", "bytes", "ended_ms")
+	PoolHeldLearned   = define(10065, "pool_held_learned", "A gateway told this new owner of a part of a pool which results it uses; new counts those that this owner did not know, and bytes is their size, which counts as used room.", "service", "part", "caller", "results", "new", "bytes")
+	PoolRoomLearned   = define(10066, "pool_room_learned", "An upstream told a new owner of its part how much room for results it has. What it stores beyond the known results counts as used until results stored then have expired.", "service", "part", "upstream", "free_bytes", "known_bytes", "unaccounted_bytes", "duration_us")
+	PoolRoomUnknown   = define(10067, "pool_room_unknown", "An upstream did not tell a new owner of its part how much room it has; only the known results count.", "service", "part", "upstream", "error", "duration_us")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
--- a/standin/worker/stage.go
+++ b/standin/worker/stage.go
@@ -87,3 +87,12 @@
 		delete(w.kept, strings.TrimSpace(handle))
 	}
 }
+
+// roomMB is the room for results that a worker reports, in MB. Its results have no size, so all of it is free.
+const roomMB = 1000
+
+// report handles a call that asks for the worker's room.
+func (w *Worker) report(out http.ResponseWriter) {
+	out.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(out, `{"queued":0,"busy":0,"free_mb":%d}`, roomMB) // a caller that has disconnected needs no response
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -250,6 +250,8 @@
 		w.runStage(out, body)
 	case w.Kind == Stage && r.URL.Path == "/stage-free":
 		w.free(out, body)
+	case w.Kind == Stage && r.URL.Path == "/report":
+		w.report(out)
 	default:
 		w.run(out, r, string(body))
 	}
