Carry estimates of later pools, the fingerprint and the workspace with a task

An owner could not tell whether the results of a late task would wait for a full pool further along the chain. Tasks now carry the sender's newest estimates, and results the owner's forecast; the owner does not use them yet.

--- a/core/stages/progress.go
+++ b/core/stages/progress.go
@@ -183,3 +183,27 @@
 // IsLast reports whether no other stage depends on a stage, so that the request itself uses its
 // results.
 func (p *Progress) IsLast(stage int) bool { return len(p.dependents(stage)) == 0 }
+
+// Following returns the stages with items that depend on a stage, directly or through others, in
+// the order of their numbers.
+func (p *Progress) Following(stage int) []int {
+	follows := make([]bool, len(p.graph))
+	p.markFollowing(stage, follows)
+	var found []int
+	for later, marked := range follows {
+		if marked && p.items[later] > 0 {
+			found = append(found, later)
+		}
+	}
+	return found
+}
+
+// markFollowing marks the stages that depend on a stage, directly or through others.
+func (p *Progress) markFollowing(stage int, follows []bool) {
+	for _, later := range p.dependents(stage) {
+		if !follows[later] {
+			follows[later] = true
+			p.markFollowing(later, follows)
+		}
+	}
+}
--- a/core/stages/progress_test.go
+++ b/core/stages/progress_test.go
@@ -59,3 +59,12 @@
 	assert.Equal(t, p.Remaining(each), 2*time.Second)
 	assert.Assert(t, p.IsLast(0) && p.IsLast(3) && !p.IsLast(1))
 }
+
+// TestFollowingStagesAreThoseThatStillUseAPool guards against tasks that carry no estimate of a
+// pool further along their chain, or one of a stage that is skipped.
+func TestFollowingStagesAreThoseThatStillUseAPool(t *testing.T) {
+	graph := []routes.Stage{{}, {}, {After: []int{0}}, {After: []int{1, 2}}}
+	assert.DeepEqual(t, New(graph, []int{1, 1, 1, 1}).Following(0), []int{2, 3})
+	assert.DeepEqual(t, New(graph, []int{1, 1, 0, 1}).Following(0), []int{3})
+	assert.Equal(t, len(New(graph, []int{1, 1, 1, 1}).Following(3)), 0)
+}
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -148,14 +148,14 @@
 		}
 		run.running++
 		run.startedAt[stage] = time.Now()
-		go run.runStage(stage, run.times(stage), run.progress.Inputs(stage))
+		go run.runStage(stage, run.times(stage), run.later(stage), run.progress.Inputs(stage))
 	}
 	run.waiting = delayed
 	return wait
 }
 
 // runStage submits one stage to the owner of its pool and waits for it to end.
-func (run *stageRun) runStage(stage int, times stageTimes, inputs []string) {
+func (run *stageRun) runStage(stage int, times stageTimes, later []pools.LaterWait, inputs []string) {
 	spec := run.route.Stages[stage]
 	started := time.Now()
 	result, owner, err := run.Dispatcher.Do(run.ctx, pools.Task{
@@ -171,6 +171,9 @@
 		Class:       run.class,
 		Value:       run.value,
 		Transfers:   run.transfers(stage, run.progress.IsLast(stage), inputs),
+		Later:       later,
+		Fingerprint: run.fingerprint[:],
+		Workspace:   run.workspaceName(),
 	}, func() { run.updates <- stageUpdate{stage: stage, inputsRead: true} })
 	run.updates <- stageUpdate{stage: stage, result: result, owner: owner, took: time.Since(started), err: err}
 }
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -97,6 +97,9 @@
 		Class:       Class{Rank: int(m.GetRank())},
 		Value:       m.GetValue(),
 		Transfers:   transfersOf(m.GetPulls()),
+		Later:       laterOf(m.GetLater()),
+		Fingerprint: m.GetFingerprint(),
+		Workspace:   m.GetWorkspace(),
 	}
 }
 
@@ -148,26 +151,33 @@
 		Pulls:       transferMessages(t.Transfers),
 		Part:        uint32(t.Index),
 		Parts:       uint32(t.Count),
+		Later:       laterMessages(t.Later),
+		Fingerprint: t.Fingerprint,
+		Workspace:   t.Workspace,
 	}
 }
 
 // resultMessage encodes a result.
 func resultMessage(number uint64, r Result) *wirepb.PoolResult {
 	return &wirepb.PoolResult{
-		Ticket:    number,
-		Handles:   r.Handles,
-		Failure:   string(r.Failure),
-		WaitMs:    uint64(r.Wait.Milliseconds()),
-		BacklogMs: uint64(r.Backlog.Milliseconds()),
+		Ticket:       number,
+		Handles:      r.Handles,
+		Failure:      string(r.Failure),
+		WaitMs:       uint64(r.Wait.Milliseconds()),
+		BacklogMs:    uint64(r.Backlog.Milliseconds()),
+		RetryAfterMs: uint64(r.RetryAfter.Milliseconds()),
+		LateRefused:  r.LateRefused,
 	}
 }
 
 // resultOf decodes a result.
 func resultOf(m *wirepb.PoolResult) Result {
 	return Result{
-		Handles: m.GetHandles(),
-		Failure: Failure(m.GetFailure()),
-		Wait:    time.Duration(m.GetWaitMs()) * time.Millisecond,
-		Backlog: time.Duration(m.GetBacklogMs()) * time.Millisecond,
+		Handles:     m.GetHandles(),
+		Failure:     Failure(m.GetFailure()),
+		Wait:        time.Duration(m.GetWaitMs()) * time.Millisecond,
+		Backlog:     time.Duration(m.GetBacklogMs()) * time.Millisecond,
+		RetryAfter:  time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		LateRefused: m.GetLateRefused(),
 	}
 }
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -45,6 +45,23 @@
 	// Transfers are the bytes that each item moves between zones: where its inputs are and where
 	// its result is needed.
 	Transfers []pool.Transfer
+	// Later holds the sender's newest estimates for the later pools of the request's chain.
+	Later []LaterWait
+	// Fingerprint is equal for all attempts of a client at the same request; empty if unknown.
+	Fingerprint []byte
+	// Workspace is the workspace of the request; empty if it has none.
+	Workspace string
+}
+
+// LaterWait is an estimate of the wait of a task in time at a later pool of a chain.
+type LaterWait struct {
+	Service string
+	// Wait is the time until the call ends that serves such a task; 0 if it is unknown.
+	Wait time.Duration
+	// Age is the time since the estimate was made.
+	Age time.Duration
+	// Shortest is the shortest time that the stage takes at that pool.
+	Shortest time.Duration
 }
 
 // Class groups requests that share an estimate of the wait.
@@ -84,6 +101,12 @@
 	// Wait is the owner's estimate of the time that a task of the same class takes if it is
 	// queued now and is in time; Backlog is the estimate for a task queued behind all others.
 	Wait, Backlog time.Duration
+	// RetryAfter is the time after which a task that was refused as late would be served if it came
+	// back; 0 if not before its deadline or if unknown.
+	RetryAfter time.Duration
+	// LateRefused is set if the owner would refuse a late task that has the time that this task has
+	// left.
+	LateRefused bool
 }
 
 // Notify holds the callbacks with which an owner reports on a task. Both are called while the
