Share full pools between workspaces and keep returning clients in pools

In a burst of one large workspace the others were served as badly as it. A full pool now serves tasks in time of workspaces over twice their equal share behind others of their rank and class.

Nothing sets these fields yet.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -116,6 +116,7 @@
 	for _, item := range call.Items {
 		item.attempts++
 	}
+	p.recordServed(call)
 	call.Expected = time.Duration(s.slowdown * float64(p.callTime(len(call.Items))))
 	call.Timeout = p.timeout(s, len(call.Items))
 	s.calls++
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -12,7 +12,9 @@
 
 // sort orders the queue. Tasks that are in time go before late ones: in a burst, time
 // spent on late tasks makes the others late too. Tasks in time are ordered by rank, then by
-// value class, then by due time, the latest first.
+// value class, then by due time, the latest first. Within a class, those of workspaces over their share
+// of a full pool go last, and those of clients that have returned to their places go first: they have
+// less time left than others, and the latest due time first would put them last.
 func (p *Pool) sort(now time.Time) {
 	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
 	for _, q := range p.queue {
@@ -21,7 +23,9 @@
 		}
 	}
 	p.classify()
+	p.markOverShare(now)
 	sort.SliceStable(p.queue, func(i, j int) bool { return less(p.queue[i], p.queue[j]) })
+	p.recordPassedOver()
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
@@ -61,6 +65,10 @@
 		return a.Due.Before(b.Due)
 	case !a.late && a.class != b.class:
 		return a.class < b.class
+	case !a.late && a.overShare != b.overShare:
+		return b.overShare
+	case !a.late && a.isReturned() != b.isReturned():
+		return a.isReturned()
 	case !a.Due.Equal(b.Due):
 		return a.Due.After(b.Due)
 	default:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"acaciawinch/core/fairshare"
 	"acaciawinch/core/routes"
 )
 
@@ -42,9 +43,19 @@
 	Bytes int64
 	// Transfers are the transfers of each item.
 	Transfers []Transfer
+	// Workspace is the workspace of the request; empty if it has none.
+	Workspace string
+	// Arrived is when the client was first here, if it was refused then and has returned to its
+	// place; zero for other tasks.
+	Arrived time.Time
+	// Promised is set if the client was told to return now. The task is not refused because of
+	// others ahead of it.
+	Promised bool
 
 	// late is set once the task can no longer be done when it is due.
 	late bool
+	// passedOver is set once the task went behind others because of its workspace's share.
+	passedOver bool
 }
 
 // crossZoneBytes returns how many bytes of an item cross zones if it runs in zone.
@@ -133,6 +144,12 @@
 	// meanFullCallItems is a moving average of the number of items in calls that left other
 	// items waiting; 0 before the first such call.
 	meanFullCallItems float64
+	// shares holds the shares of workspaces; nil if the pool is not shared between them.
+	shares *fairshare.Shares
+	// passedOver holds the tasks that TakePassedOver returns next.
+	passedOver []Ticket
+	// reserved counts the items of refused clients that were told to return soon.
+	reserved int
 }
 
 // upstreamState is the state of one upstream.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -13,6 +13,8 @@
 	items []*Item
 	// class is the number of the task's value class, set by classify; the lowest goes first.
 	class int
+	// overShare is set if the task's workspace is over its share of a full pool.
+	overShare bool
 }
 
 // Add queues the items of a task.
@@ -53,7 +55,7 @@
 	available, allLimited := p.availableAt(now), p.allLimited()
 	ahead := 0
 	return p.removeMatching(func(q *queuedTask) bool {
-		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead))) {
+		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || q.late && !q.Promised && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead+p.reserved))) {
 			return true
 		}
 		ahead += len(q.items)
