Keep places of refused clients and refuse hopeless requests before their stages

Refused clients returned within the same burst, together and behind newer tasks, and requests that could not end before their deadlines still occupied the first pools of their chains.

Owners keep a place for a first stage that is refused as late. Gateways refuse before the first stage what the pools can't serve before the deadline, and tell clients that are refused as late to return when the owner expects room, within what clients honour and spread by the request's ID. With load.return_places off, all of this is as before.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -25,26 +25,36 @@
 
 // Forecast holds the expected times of a request. The times of its stages are those of its longest path.
 type Forecast struct {
-	// Waits is the time of all stages if their tasks are in time: the estimates of the waits, at least
-	// the shortest calls.
-	Waits time.Duration
+	// Shortest is the time of all stages if no task waits, Waiting the time if each waits behind the
+	// tasks in time of its pool.
+	Shortest, Waiting time.Duration
 	// Engine is the time allowed for the engine.
 	Engine time.Duration
 	// ToObjective and ToDeadline are the times until the objective and the deadline of the request.
 	ToObjective, ToDeadline time.Duration
 }
 
-// Decide returns the verdict on a request. A task in time goes before late ones, so that a request which
-// misses its deadline with the waits of tasks in time is refused by the pools as well. Backlogs are not
-// part of a Forecast: many late tasks leave the queue before they are served, so that a backlog above
-// the time that remains does not show that a request can't be served.
+// Decide returns the verdict on a request. It refuses only what the pools would refuse too:
+//
+//   - A request that can be in time without waits is not refused for them. Pools serve the task that is
+//     due last first, so that it may go before those that the waits are computed from.
+//   - A request that can only be late waits behind all tasks in time. Late tasks do not count, as many
+//     leave the queue before they are served.
 func Decide(f Forecast) Verdict {
-	switch total := f.Waits + f.Engine; {
-	case total > f.ToDeadline:
+	switch {
+	case f.Shortest+f.Engine > f.ToDeadline:
 		return Never
-	case total > f.ToObjective:
-		return OnlyLate
-	default:
+	case f.Shortest+f.Engine <= f.ToObjective:
 		return InTime
+	case f.Waiting+f.Engine > f.ToDeadline:
+		return Never
+	default:
+		return OnlyLate
 	}
 }
+
+// StageTime returns the time of a stage whose task waits behind the tasks in time of its pool. The wait
+// includes a full call; the shortest call takes its place, as the last call need not be full.
+func StageTime(wait, fullCall, shortest time.Duration) time.Duration {
+	return shortest + max(0, wait-fullCall)
+}
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -343,6 +343,10 @@
 		rq.giveUp(err)
 		return
 	}
+	if err := rq.refusedAtAdmission(); err != nil {
+		rq.giveUp(err)
+		return
+	}
 	defer func() { rq.results.free() }()
 	defer func() { rq.Guard.ReturnTrial(rq.hdr.ID, rq.crashPass, false) }()
 	rq.countRequest(rq.service, rq.started)
--- a/gateway/flow/metrics.go
+++ b/gateway/flow/metrics.go
@@ -24,6 +24,9 @@
 	tagged.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// notAdmitted counts one request that is refused before its stages.
+func (m *Metrics) notAdmitted() { m.scope.Counter("requests_not_admitted").Inc(1) }
+
 // stageEnded records one stage of a request.
 func (m *Metrics) stageEnded(service string, failure string, took time.Duration) {
 	tagged := m.scope.Tagged(map[string]string{"service": service, "failure": failure})
--- a/gateway/flow/prepare.go
+++ b/gateway/flow/prepare.go
@@ -174,6 +174,7 @@
 		Later:       later,
 		Fingerprint: run.fingerprint[:],
 		Workspace:   run.workspaceName(),
+		Ends:        run.startBy.Sub(started) - firstEventAllowance,
 	}, func() { run.updates <- stageUpdate{stage: stage, inputsRead: true} })
 	run.updates <- stageUpdate{stage: stage, result: result, owner: owner, took: time.Since(started), err: err}
 }
@@ -194,6 +195,8 @@
 		return end.err
 	case end.result.Failure == pools.Gone:
 		return nil
+	case end.result.Failure == pools.Late:
+		return fault.Wrap(fault.Unavailable, "stage.wait", end.owner, lateStage(end.stage, end.result))
 	default:
 		return fault.New(fault.Unavailable, "stage.wait", end.owner, "stage %d: %s", end.stage, end.result.Failure)
 	}
--- a/gateway/flow/retry.go
+++ b/gateway/flow/retry.go
@@ -122,7 +122,12 @@
 	if errors.As(err, &limited) {
 		return limited.RetryAfter
 	}
-	return rq.estimateRetryAfter()
+	estimate := rq.estimateRetryAfter()
+	var lacking *noCapacity
+	if rq.ReturnPlaces && errors.As(err, &lacking) {
+		return rq.comeBackAfter(lacking, estimate)
+	}
+	return estimate
 }
 
 // estimateRetryAfter estimates how long it takes until a request that found no capacity can be
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -49,6 +49,9 @@
 	// ColdOverrun and ColdSlack bound the requests that a cold upstream may get in any second:
 	// its configured rate × ColdOverrun + ColdSlack.
 	ColdOverrun, ColdSlack float64
+	// ReturnPlaces is set if requests that can't be served are refused before their stages, and if
+	// refused clients are told to return when there is room for them.
+	ReturnPlaces bool
 }
 
 // Server serves client requests. It is safe for concurrent use.
--- a/gateway/flow/times.go
+++ b/gateway/flow/times.go
@@ -25,8 +25,8 @@
 }
 
 // shortestCall returns the duration of a call with one item at the pool with a name.
-func (run *stageRun) shortestCall(name string) time.Duration {
-	service := run.table.Service(name)
+func (rq *request) shortestCall(name string) time.Duration {
+	service := rq.table.Service(name)
 	if service == nil || service.Pool == nil {
 		return 0
 	}
--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -68,7 +68,7 @@
 	var owner string
 	for range maxOwnerTries {
 		elapsed := time.Since(start)
-		task.Remaining, task.Due = original.Remaining-elapsed, original.Due-elapsed
+		task.Remaining, task.Due, task.Ends = original.Remaining-elapsed, original.Due-elapsed, original.Ends-elapsed
 		var err error
 		result, owner, err = d.tryOwner(ctx, task, inputsRead)
 		if err != nil || result.Failure != OwnerLost && result.Failure != OwnerLeft {
--- a/gateway/pools/early.go
+++ b/gateway/pools/early.go
@@ -78,6 +78,7 @@
 		waited := time.Since(held.arrived)
 		held.task.Remaining -= waited
 		held.task.Due -= waited
+		held.task.Ends -= waited
 		held.session.submit(held.number, held.task, held.notify)
 	}
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"acaciawinch/core/comeback"
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
@@ -47,6 +48,8 @@
 	earlyTasks []earlyTask
 	// earlyFrees holds requests to free results that arrived before then.
 	earlyFrees []earlyFree
+	// placeCounters is set if places are kept and full pools shared between workspaces.
+	placeCounters *placeCounters
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -70,12 +73,16 @@
 	nextFree map[string]time.Time
 	// ownedSince is when this process became the owner.
 	ownedSince time.Time
+	// places holds the places of refused clients; nil if none are kept.
+	places *comeback.Places
 }
 
 // openTask is a task that has not ended.
 type openTask struct {
 	Task
-	queued  *pool.Task
+	queued *pool.Task
+	// endsAt is when the last stage of the request must be complete.
+	endsAt  time.Time
 	handles []string
 	// pending is the number of items without a result.
 	pending int
@@ -134,6 +141,7 @@
 			delete(o.pools, part) // the pool is divided into other parts now
 			continue
 		}
+		o.refreshPlaces(p, now)
 		expired := Late
 		if p.queue.Evacuated() {
 			expired = Evacuated
@@ -199,6 +207,7 @@
 	if !o.configure(p) {
 		return nil
 	}
+	o.preparePlaces(p)
 	o.pools[part] = p
 	return p
 }
@@ -299,6 +308,7 @@
 		notify:  notify,
 		session: session,
 		number:  number,
+		endsAt:  now.Add(task.Ends),
 		queued: &pool.Task{
 			Ticket:    o.lastTicket,
 			Rank:      task.Class.Rank,
@@ -307,8 +317,10 @@
 			Deadline:  now.Add(task.Remaining),
 			Bytes:     task.ResultBytes,
 			Transfers: task.Transfers,
+			Workspace: task.Workspace,
 		},
 	}
+	o.takePlace(p, open, now)
 	p.tasks[o.lastTicket] = open
 	session.tasks[number] = taskRef{part: p, ticket: o.lastTicket}
 	o.applyLimits(p)
@@ -470,7 +482,9 @@
 		return
 	}
 	p.free(task.handles)
-	task.notify.Done(Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
+	result := Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()}
+	o.keepPlace(p, task, result)
+	task.notify.Done(result)
 }
 
 // cancel ends a task that nobody waits for. The Owner's lock must be held.
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -100,6 +100,7 @@
 		Later:       laterOf(m.GetLater()),
 		Fingerprint: m.GetFingerprint(),
 		Workspace:   m.GetWorkspace(),
+		Ends:        time.Duration(m.GetEndsMs()) * time.Millisecond,
 	}
 }
 
@@ -154,6 +155,7 @@
 		Later:       laterMessages(t.Later),
 		Fingerprint: t.Fingerprint,
 		Workspace:   t.Workspace,
+		EndsMs:      t.Ends.Milliseconds(),
 	}
 }
 
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -51,6 +51,9 @@
 	Fingerprint []byte
 	// Workspace is the workspace of the request; empty if it has none.
 	Workspace string
+	// Ends is the time until the last stage must be complete for the request to be served; Remaining
+	// leaves time for the stages that follow, as the sender expects them. 0 if unknown.
+	Ends time.Duration
 }
 
 // LaterWait is an estimate of the wait of a task in time at a later pool of a chain.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -138,6 +138,9 @@
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
+	if settings.Load.ReturnPlaces != ModeOff {
+		p.owner.KeepPlaces(p.metrics.Scope())
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -162,6 +165,8 @@
 
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
+
+		ReturnPlaces: settings.Load.ReturnPlaces != ModeOff,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
