--- a/gateway/pools/later_test.go
+++ b/gateway/pools/later_test.go
@@ -10,12 +10,13 @@
 // TestTaskKeepsItsFieldsOnTheWire guards against an owner in another process that schedules a
 // task without its estimates or identity.
 func TestTaskKeepsItsFieldsOnTheWire(t *testing.T) {
-	sent := Task{Part: Part{Service: "enc", Count: 1}, Fingerprint: []byte{1, 2}, Workspace: "w",
+	sent := Task{Part: Part{Service: "enc", Count: 1}, Fingerprint: []byte{1, 2}, Workspace: "w", Ends: 5 * time.Second,
 		Later: []LaterWait{{Service: "rank", Wait: 700 * time.Millisecond, Age: 30 * time.Millisecond, Shortest: 210 * time.Millisecond}}}
 	received := taskOf(taskMessage(1, sent))
 	assert.DeepEqual(t, received.Later, sent.Later)
 	assert.DeepEqual(t, received.Fingerprint, sent.Fingerprint)
 	assert.Equal(t, received.Workspace, sent.Workspace)
+	assert.Equal(t, received.Ends, sent.Ends)
 }
 
 // TestResultKeepsItsForecastOnTheWire guards against gateways that never learn that an owner
