--- a/core/comeback/comeback.go
+++ b/core/comeback/comeback.go
@@ -3,7 +3,18 @@
 // time than they have.
 //
 // A place is known by the fingerprint of the request, ends with the request's deadline and is used
-// once. If the client was told when to return, the place also reserves its work until then.
+// once. What it gives depends on what the client was told:
+//
+//   - A client that returns in time for its objective goes first among the tasks of its rank and class.
+//     Pools serve the task that is due last first, which would put it behind all others.
+//   - A client that returns late is queued among the late tasks by its deadline, which is earlier than those
+//     of clients that have arrived since. That order is enough; a place before it would help clients
+//     that can't be served.
+//   - A client that was told when to return, because room was expected for it, is not refused for the work
+//     ahead of it when it does, and its work counts as late work until then. Others are therefore not
+//     told of the same room. Without this, both would be told and one refused again.
+//
+// A place never lets a task run whose deadline can't be met, and never goes before another rank or class.
 //
 // The package does no I/O and reads no clock. It is not safe for concurrent use.
 package comeback
--- a/gateway/flow/comeback.go
+++ b/gateway/flow/comeback.go
@@ -43,6 +43,15 @@
 	})
 }
 
+// retryAfterDecimals returns the number of decimals of a Retry-After value in seconds. Values that are spread
+// need ms: with two decimals, clients that were refused together often got the same one.
+func (rq *request) retryAfterDecimals() int {
+	if rq.ReturnPlaces {
+		return 3
+	}
+	return 2
+}
+
 // shortestChain returns the shortest time of the request's stages.
 func (rq *request) shortestChain() time.Duration {
 	return rq.longestPath(func(stage int) time.Duration { return rq.shortestCall(rq.route.Stages[stage].Service) })
--- a/gateway/flow/refuse.go
+++ b/gateway/flow/refuse.go
@@ -28,7 +28,7 @@
 	h.Set("Content-Type", "application/problem+json")
 	header.Echo(h, rq.hdr.ID)
 	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', rq.retryAfterDecimals(), 64))
 	}
 	body, err := json.Marshal(problem{Title: http.StatusText(status), Status: status, Detail: detail})
 	if err != nil {
