--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -55,6 +55,9 @@
 	// RepeatSilent is set if a request that may be repeated is sent to another upstream when the first
 	// one is silent.
 	RepeatSilent bool
+	// ReturnPlaces is set if requests that can't be served are refused before their stages, and if
+	// refused clients are told to return when there is room for them.
+	ReturnPlaces bool
 }
 
 // Server serves client requests. It is safe for concurrent use.
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"acaciawinch/core/comeback"
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
@@ -64,6 +65,8 @@
 	firstStartUntil time.Time
 	// reportWait is how long work waits for a report on the room.
 	reportWait time.Duration
+	// placeCounters is set if places are kept and full pools shared between workspaces.
+	placeCounters *placeCounters
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -91,12 +94,16 @@
 	// asked.
 	askRoom     bool
 	roomAskedAt time.Time
+	// places holds the places of refused clients; nil if none are kept.
+	places *comeback.Places
 }
 
 // openTask is a task that has not ended.
 type openTask struct {
 	Task
-	queued  *pool.Task
+	queued *pool.Task
+	// endsAt is when the last stage of the request must be complete.
+	endsAt  time.Time
 	handles []string
 	// pending is the number of items without a result.
 	pending int
@@ -161,6 +168,7 @@
 			delete(o.pools, part) // the pool is divided into other parts now
 			continue
 		}
+		o.refreshPlaces(p, now)
 		expired := Late
 		if p.queue.Evacuated() {
 			expired = Evacuated
@@ -229,6 +237,7 @@
 	if !o.configure(p) {
 		return nil
 	}
+	o.preparePlaces(p)
 	o.pools[part] = p
 	return p
 }
@@ -329,6 +338,7 @@
 		notify:  notify,
 		session: session,
 		number:  number,
+		endsAt:  now.Add(task.Ends),
 		queued: &pool.Task{
 			Ticket:    o.lastTicket,
 			Rank:      task.Class.Rank,
@@ -337,8 +347,10 @@
 			Deadline:  now.Add(task.Remaining),
 			Bytes:     task.ResultBytes,
 			Transfers: task.Transfers,
+			Workspace: task.Workspace,
 		},
 	}
+	o.takePlace(p, open, now)
 	p.tasks[o.lastTicket] = open
 	session.tasks[number] = taskRef{part: p, ticket: o.lastTicket}
 	o.applyLimits(p)
@@ -501,7 +513,9 @@
 		return
 	}
 	p.free(task.handles)
-	task.notify.Done(Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
+	result := Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()}
+	o.keepPlace(p, task, result)
+	task.notify.Done(result)
 }
 
 // cancel ends a task that nobody waits for. The Owner's lock must be held.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -150,6 +150,9 @@
 	if settings.Fleet.FirstStart {
 		p.owner.StartsFirst()
 	}
+	if settings.Load.ReturnPlaces != ModeOff {
+		p.owner.KeepPlaces(p.metrics.Scope())
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -177,6 +180,7 @@
 		ColdSlack:   settings.Bounds.ColdSlack,
 
 		RepeatSilent: settings.Load.RepeatSilent != ModeOff,
+		ReturnPlaces: settings.Load.ReturnPlaces != ModeOff,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
