Tell a changed owner of results in use without waiting for the next task

A gateway whose requests all run on their results submits nothing more, and named them to the next owner of the pool only with a further task, if it had one before they were freed. It now names them when the list of gateways or a lost link makes another gateway the owner. TestTheNextOwnerLearnsWhichResultsAreInUse plays it with three gateways.

--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -32,9 +32,11 @@
 	// suspects holds the time until which an owner is skipped, by its incarnation.
 	suspects map[string]time.Time
 	// leaving is set on a planned stop: from then on other gateways are the owners.
-	leaving    bool
-	waits      *waits
-	held       *held
+	leaving bool
+	waits   *waits
+	held    *held
+	// memberList is the last list of gateways by which owners were told of results; only Run uses it.
+	memberList []view.Member
 	lastNumber uint64
 }
 
@@ -260,5 +262,5 @@
 	d.mu.Unlock()
 	d.suspect(l.owner)
 	d.logger.Warn(event.PoolOwnerLost, observe.Fields{"owner": l.owner.Name, "tasks": tasks, "error": err.Error()})
-	d.tellNextOwners(l.incarnation)
+	d.tellNextOwners()
 }
--- a/gateway/pools/handover.go
+++ b/gateway/pools/handover.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Run hands over parts that other processes own, and forgets expired results, until ctx ends. Without the handover, after a crash of
+// Run hands over parts that other processes own, forgets expired results and tells changed owners of the others, until ctx ends. Without the handover, after a crash of
 // many processes a pool could have two owners, each with seconds of queued work. Their calls
 // would make each other wait at the upstreams, and their results would take each other's room.
 func (d *Dispatcher) Run(ctx context.Context) error {
@@ -57,6 +57,7 @@
 		case now := <-ticker.C:
 			d.handOver(h, now)
 			d.expireHeld(now)
+			d.followMembers()
 		}
 	}
 }
--- a/gateway/pools/held.go
+++ b/gateway/pools/held.go
@@ -76,17 +76,6 @@
 	return handles, bytes
 }
 
-// ownedBy returns the parts whose last owner has an incarnation.
-func (h *held) ownedBy(incarnation string) []Part {
-	var parts []Part
-	for part, owner := range h.owners {
-		if owner == incarnation {
-			parts = append(parts, part)
-		}
-	}
-	return parts
-}
-
 // addressOf returns the address of the upstream that keeps a result.
 func addressOf(handle string) string {
 	address, _, _ := strings.Cut(handle, "/")
@@ -135,24 +124,43 @@
 	}
 }
 
-// tellNextOwners tells the next owners of the parts that a lost one owned. Otherwise they would learn of
-// results only from those gateways that have further tasks.
-func (d *Dispatcher) tellNextOwners(lost string) {
+// tellNextOwners tells the owners of the parts of which this process uses results, where they have changed.
+// Otherwise they would learn of results only from those gateways that have further tasks.
+func (d *Dispatcher) tellNextOwners() {
 	if d.lifetime.Err() != nil {
 		return // this process has ended its links itself
 	}
 	now := time.Now()
+	for _, part := range d.heldParts(now) {
+		d.introduce(part, d.owner(part, now))
+	}
+}
+
+// heldParts returns the parts that tasks were submitted to and of which this process uses results.
+func (d *Dispatcher) heldParts(now time.Time) []Part {
 	d.mu.Lock()
-	parts := d.held.ownedBy(lost)
-	d.mu.Unlock()
-	for _, part := range parts {
-		d.mu.Lock()
-		handles, _ := d.held.of(part, d.view.Upstreams(), now)
-		d.mu.Unlock()
-		if len(handles) > 0 {
-			d.introduce(part, d.owner(part, now))
+	defer d.mu.Unlock()
+	if len(d.held.results) == 0 {
+		return nil
+	}
+	var parts []Part
+	for part := range d.held.owners {
+		if handles, _ := d.held.of(part, d.view.Upstreams(), now); len(handles) > 0 {
+			parts = append(parts, part)
 		}
 	}
+	return parts
+}
+
+// followMembers tells the owners that a changed list of gateways makes of the results that this process
+// uses.
+func (d *Dispatcher) followMembers() {
+	list := d.view.Members()
+	if len(list) == len(d.memberList) && (len(list) == 0 || &list[0] == &d.memberList[0]) {
+		return
+	}
+	d.memberList = list
+	d.tellNextOwners()
 }
 
 // introduce makes sure that an owner knows which results of a part this process uses, and returns the
--- a/gateway/pools/rooms.go
+++ b/gateway/pools/rooms.go
@@ -73,6 +73,9 @@
 			size += bytes
 		}
 	}
+	if len(report.handles) == 0 {
+		return // it only tells of the change of owner
+	}
 	name := ""
 	if report.session.caller != nil {
 		name = report.session.caller.name
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -92,6 +92,46 @@
 	}
 }
 
+// TestTheNextOwnerLearnsWhichResultsAreInUse: the owner of a pool leaves while requests of two other gateways
+// run on their results and none needs the pool any more. The next owner must learn of the results from both,
+// or its first calls would leave them no room.
+func TestTheNextOwnerLearnsWhichResultsAreInUse(t *testing.T) {
+	const perGateway = 4
+	f := newFleet(t)
+	llm := f.startWorker("llm-1", "llm", worker.Engine)
+	f.startWorker("enc-1", "enc", worker.Stage)
+	config := baseConfig(1)
+	config.Services[2].Pieces.HandleS = 60 // no result expires during the test
+	f.apply(config)
+	users := []*runningGateway{f.start("g1"), f.start("g2")}
+	owner := f.start("g3") // the hashes of the names make it the owner
+	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2","g3"]`)
+	f.waitLines(1, "members_changed", `"process":"g2"`, `["g1","g3"]`)
+	release := llm.Hold() // the engine's load is unknown, so results are kept until its first event
+	var clients sync.WaitGroup
+	for number, g := range users {
+		for i := range perGateway {
+			clients.Go(func() {
+				id := fmt.Sprint("r", number, "-", i)
+				assert.Check(t, f.sendStream(g, id).body == streamBody(id), id)
+			})
+		}
+	}
+	f.waitLines(4*perGateway, "stage_done", `"owner":"g3"`)
+	f.waitUntil(func() bool { return len(llm.Runs()) == 2*perGateway }, "all requests run on their results")
+	owner.stop()
+	f.waitUntil(func() bool {
+		lines, _ := f.log.lines("pool_held_learned")
+		learned := 0
+		for _, line := range lines {
+			learned += int(logField(t, line, "new").(float64))
+		}
+		return learned == 2*perGateway
+	}, "the next owner knows the results of both gateways")
+	release()
+	clients.Wait()
+}
+
 func TestRejectedItemsAndLostInputsAreRetried(t *testing.T) {
 	f := newFleet(t)
 	f.startWorker("llm-1", "llm", worker.Engine)
