See a service that falls silent as a whole before its requests end

In a trial with three silent upstreams, 19 of 24 requests were sent again: the cut sends raised the usual time, so that the other upstreams no longer counted as late. Sends that still wait now count against the limit of the one that is decided on, and each decision waits 50 ms for those that were sent at the same time. The same trial repeats none.

--- a/core/silence/series.go
+++ b/core/silence/series.go
@@ -70,16 +70,23 @@
 	return list[len(list)-1].Took
 }
 
-// isSlow reports whether the whole service is slow: more than maxSlowShare of the last sends to other
-// upstreams have reached a limit.
-func (s *series) isSlow(upstream string, limit time.Duration, now time.Time) bool {
-	list := s.others(upstream, now)
-	list = list[max(0, len(list)-recentCount):]
+// isSlow reports whether the whole service is slow: of the last sends to other upstreams, more than maxSlowShare have
+// reached a limit. Those that still wait count once they have. A send that was cut after half of the limit counts too,
+// since it was given up at an earlier limit, or would have taken longer.
+func (s *series) isSlow(send Send, limit time.Duration, now time.Time) bool {
 	slow := 0
-	for _, one := range list {
-		if one.Took >= limit {
+	for _, one := range send.Waiting {
+		if one.Upstream != send.Upstream && one.Took >= limit {
+			slow++
+		}
+	}
+	ended := s.others(send.Upstream, now)
+	ended = ended[max(0, len(ended)-max(0, recentCount-slow)):]
+	count := slow + len(ended)
+	for _, one := range ended {
+		if one.Took >= limit || one.Cut && one.Took >= limit/2 {
 			slow++
 		}
 	}
-	return float64(slow) > maxSlowShare*float64(len(list))
+	return float64(slow) > maxSlowShare*float64(count)
 }
--- a/core/silence/silence.go
+++ b/core/silence/silence.go
@@ -53,6 +53,18 @@
 	After time.Duration
 	// Usual is the usual time of the other upstreams, from which After follows.
 	Usual time.Duration
+	// ServiceSlow is set if many sends to other upstreams have reached the limit too. Nothing is given up then.
+	ServiceSlow bool
+}
+
+// Send is what is asked about: a send whose upstream is silent.
+type Send struct {
+	Upstream string
+	// Left is the time from the beginning of the silence until the client gives up.
+	Left time.Duration
+	// Waiting are the sends that wait for the same now, with the times that they have waited. They show that a
+	// service has fallen silent as a whole before any of them ends.
+	Waiting []Observation
 }
 
 // Table holds the observations of a process.
@@ -77,31 +89,32 @@
 }
 
 // First returns after which time from its send a request is given up at an upstream that has sent nothing,
-// or false if it is not given up. Left is the time from the send until the client gives up.
-func (t *Table) First(key Key, upstream string, left time.Duration, now time.Time) (Limit, bool) {
-	usual, known := t.Usual(key, upstream, now)
+// or false if it never is.
+func (t *Table) First(key Key, send Send, now time.Time) (Limit, bool) {
+	usual, known := t.Usual(key, send.Upstream, now)
 	if !known {
 		return Limit{}, false
 	}
-	limit, inTime := usualLimit(usual, 0).before(left - usual)
-	return limit, inTime && !t.firsts[key].isSlow(upstream, limit.After, now)
+	limit, inTime := usualLimit(usual, 0).before(send.Left - usual)
+	limit.ServiceSlow = t.firsts[key].isSlow(send, limit.After, now)
+	return limit, inTime
 }
 
-// Pause returns after which time without an event a stream is given up at an upstream, or false if it is not
-// given up. Allowed is the longest pause that the route allows; left is the time from the last event until
-// the client gives up.
-func (t *Table) Pause(key Key, upstream string, allowed, left time.Duration, now time.Time) (Limit, bool) {
-	first, known := t.Usual(key, upstream, now)
+// Pause returns after which time without an event a stream is given up at an upstream, or false if it never
+// is. Allowed is the longest pause that the route allows.
+func (t *Table) Pause(key Key, send Send, allowed time.Duration, now time.Time) (Limit, bool) {
+	first, known := t.Usual(key, send.Upstream, now)
 	pauses := t.pauses[key]
 	if !known || pauses == nil {
 		return Limit{}, false
 	}
-	usual, known := pauses.usual(upstream, now)
+	usual, known := pauses.usual(send.Upstream, now)
 	if !known {
 		return Limit{}, false
 	}
-	limit, inTime := usualLimit(usual, pauseFactor*allowed).before(left - first)
-	return limit, inTime && !pauses.isSlow(upstream, limit.After, now)
+	limit, inTime := usualLimit(usual, pauseFactor*allowed).before(send.Left - first)
+	limit.ServiceSlow = pauses.isSlow(send, limit.After, now)
+	return limit, inTime
 }
 
 // Usual returns within which time nine of ten sends to other upstreams get the first byte of their response,
--- a/core/silence/silence_test.go
+++ b/core/silence/silence_test.go
@@ -46,9 +46,9 @@
 	if takes == 0 {
 		takes = left
 	}
-	limit, given := r.table.First(key, upstream, left, r.now)
+	limit, given := r.table.First(key, silence.Send{Upstream: upstream, Left: left}, r.now)
 	switch {
-	case given && limit.After < takes:
+	case given && !limit.ServiceSlow && limit.After < takes:
 		r.givenUp[upstream]++
 		r.longest = max(r.longest, limit.After)
 		r.table.ObserveFirst(key, silence.Observation{Upstream: upstream, Took: limit.After, Cut: true}, r.now)
@@ -111,6 +111,25 @@
 	assert.Assert(t, r.total() <= 15, "%v", r.givenUp)
 }
 
+// TestAServiceThatFallsSilentAtOnceIsNotRepeated guards against a burst of repeated requests when all upstreams of
+// a service stop together: the sends that wait show it before any of them has ended.
+func TestAServiceThatFallsSilentAtOnceIsNotRepeated(t *testing.T) {
+	r := newReplay()
+	r.run(200, func(int) time.Duration { return r.usual() })
+	var waiting []silence.Observation
+	for i := range 10 {
+		waiting = append(waiting, silence.Observation{Upstream: fmt.Sprint(i), Took: time.Second, Cut: true})
+	}
+	limit, given := r.table.First(key, silence.Send{Upstream: "3", Left: left, Waiting: waiting}, r.now)
+	assert.Assert(t, given && limit.After < time.Second)
+	assert.Assert(t, limit.ServiceSlow)
+	for i := range waiting {
+		waiting[i].Upstream = "3"
+	}
+	limit, given = r.table.First(key, silence.Send{Upstream: "3", Left: left, Waiting: waiting}, r.now)
+	assert.Assert(t, given && !limit.ServiceSlow)
+}
+
 // TestCutSendsCountAsLong guards against an estimate that sees only the sends which were not given up: the
 // limit would stay at the time of the fast ones for ever.
 func TestCutSendsCountAsLong(t *testing.T) {
@@ -164,12 +183,12 @@
 	for range 19 {
 		r.send("4", r.usual())
 	}
-	_, given := r.table.First(key, "3", left, r.now)
+	_, given := r.table.First(key, silence.Send{Upstream: "3", Left: left}, r.now)
 	assert.Assert(t, !given)
 	r.send("4", r.usual())
-	_, given = r.table.First(key, "3", left, r.now)
+	_, given = r.table.First(key, silence.Send{Upstream: "3", Left: left}, r.now)
 	assert.Assert(t, given)
-	_, given = r.table.First(key, "3", left, r.now.Add(2*time.Minute))
+	_, given = r.table.First(key, silence.Send{Upstream: "3", Left: left}, r.now.Add(2*time.Minute))
 	assert.Assert(t, !given)
 }
 
@@ -180,13 +199,13 @@
 	for i := range 100 {
 		r.table.ObserveFirst(key, silence.Observation{Upstream: fmt.Sprint(i % 10), Took: 500 * time.Millisecond}, r.now)
 	}
-	limit, given := r.table.First(key, "3", 4*time.Second, r.now)
+	limit, given := r.table.First(key, silence.Send{Upstream: "3", Left: 4 * time.Second}, r.now)
 	assert.Assert(t, given)
 	assert.Equal(t, limit.After, 1500*time.Millisecond)
-	limit, given = r.table.First(key, "3", 1700*time.Millisecond, r.now)
+	limit, given = r.table.First(key, silence.Send{Upstream: "3", Left: 1700 * time.Millisecond}, r.now)
 	assert.Assert(t, given)
 	assert.Equal(t, limit.After, 1200*time.Millisecond)
-	_, given = r.table.First(key, "3", 1300*time.Millisecond, r.now)
+	_, given = r.table.First(key, silence.Send{Upstream: "3", Left: 1300 * time.Millisecond}, r.now)
 	assert.Assert(t, !given)
 }
 
@@ -195,18 +214,18 @@
 func TestAPauseMayTakeSeveralTimesTheAllowedOne(t *testing.T) {
 	r := newReplay()
 	r.run(100, func(int) time.Duration { return r.usual() })
-	_, given := r.table.Pause(key, "3", allowed, left, r.now)
+	_, given := r.table.Pause(key, silence.Send{Upstream: "3", Left: left}, allowed, r.now)
 	assert.Assert(t, !given)
 	for i := range 100 {
 		r.table.ObservePause(key, silence.Observation{Upstream: fmt.Sprint(i % 10), Took: 20 * time.Millisecond}, r.now)
 	}
-	limit, given := r.table.Pause(key, "3", allowed, left, r.now)
+	limit, given := r.table.Pause(key, silence.Send{Upstream: "3", Left: left}, allowed, r.now)
 	assert.Assert(t, given)
 	assert.Equal(t, limit.After, 4*allowed)
 	for i := range 100 {
 		r.table.ObservePause(key, silence.Observation{Upstream: fmt.Sprint(i % 10), Took: 2 * allowed}, r.now)
 	}
-	limit, given = r.table.Pause(key, "3", allowed, left, r.now)
+	limit, given = r.table.Pause(key, silence.Send{Upstream: "3", Left: left}, allowed, r.now)
 	assert.Assert(t, given)
 	assert.Equal(t, limit.After, 6*allowed)
 }
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -75,6 +75,7 @@
 	ctx, cancel := context.WithCancel(rq.ctx)
 	defer cancel()
 	watch := rq.watchSend(ctx, cancel, choice.Upstream)
+	defer watch.close()
 	cancelFree := rq.freeWhenRead(choice)
 	defer cancelFree()
 	sent := clock.Boot()
--- a/gateway/flow/silence.go
+++ b/gateway/flow/silence.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciawinch/core/fault"
@@ -24,16 +24,64 @@
 	// timerSlack is how late a check may run. If it is later, this process had no processor time, and
 	// the response may wait in the connection's buffer: the reader gets the same time again.
 	timerSlack = 20 * time.Millisecond
+	// confirmDelay is the time between the end of a limit and the decision. If a whole service falls silent,
+	// the sends to its other upstreams reach their limits meanwhile.
+	confirmDelay = 50 * time.Millisecond
+	// decisionTime is the time from the end of a limit to the second send, with two late timers.
+	decisionTime = confirmDelay + 2*timerSlack
 )
 
-// silences are the times that upstreams of this process's requests took. They are safe for concurrent use.
+// silences are the times that upstreams of this process's requests took, and the sends that are watched now. They are
+// safe for concurrent use.
 type silences struct {
 	mu    sync.Mutex
 	table *silence.Table
+	// watched holds the sends that have not ended.
+	watched map[silence.Key]map[*sendWatch]struct{}
 }
 
 // newSilences returns silences without observations.
-func newSilences() *silences { return &silences{table: silence.NewTable()} }
+func newSilences() *silences {
+	return &silences{table: silence.NewTable(), watched: make(map[silence.Key]map[*sendWatch]struct{})}
+}
+
+// add records a send that begins.
+func (s *silences) add(w *sendWatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watched[w.key] == nil {
+		s.watched[w.key] = make(map[*sendWatch]struct{})
+	}
+	s.watched[w.key][w] = struct{}{}
+}
+
+// remove forgets a send that has ended.
+func (s *silences) remove(w *sendWatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watched[w.key], w)
+	if len(s.watched[w.key]) == 0 {
+		delete(s.watched, w.key)
+	}
+}
+
+// waiting returns the sends that wait for a first byte, or for a further event, with the times that they have waited.
+// s.mu must be held.
+func (s *silences) waiting(key silence.Key, isFirst bool, now time.Time) []silence.Observation {
+	var list []silence.Observation
+	for w := range s.watched[key] {
+		if silent := w.silent.Load(); silent != nil && silent.isFirst == isFirst {
+			list = append(list, silence.Observation{Upstream: w.upstream.ID, Took: now.Sub(silent.since), Cut: true})
+		}
+	}
+	return list
+}
+
+// silentSpan is a silence that goes on: its beginning, and whether it is that before the first byte or event.
+type silentSpan struct {
+	since   time.Time
+	isFirst bool
+}
 
 // with calls a function that reads or changes the table.
 func (s *silences) with(use func(table *silence.Table)) {
@@ -63,6 +111,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// silent is the present silence, nil while the request does not wait for its upstream. The decisions on
+	// other sends read it.
+	silent atomic.Pointer[silentSpan]
+
 	mu    sync.Mutex
 	timer *time.Timer
 	// due is the time for which the timer is set.
@@ -70,12 +122,14 @@
 	// sentAt is when the connection was open, since when the present silence began.
 	sentAt, since time.Time
 	// waiting is set while the request waits for its upstream, answered once the head of the response has
-	// come, and ignored if the response says nothing about the usual time.
+	// come, and ignored if the response says nothing about the usual times.
 	waiting, answered, ignored bool
 	// events is the number of events that came, longest the longest silence before one of them but the
 	// first.
 	events  int
 	longest time.Duration
+	// lateSince is the beginning of the last silence that reached its limit.
+	lateSince time.Time
 	// gaveUp is set once the send is given up. Nothing that comes afterwards is used.
 	gaveUp bool
 }
@@ -101,7 +155,8 @@
 	defer w.mu.Unlock()
 	w.sentAt = time.Now()
 	w.since = w.sentAt
-	w.waiting = true
+	w.wait()
+	w.rq.silences.add(w)
 	w.due = w.sentAt.Add(silenceCheck)
 	w.timer = time.AfterFunc(silenceCheck, w.check)
 }
@@ -119,7 +174,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
+	w.endWait()
 	switch {
 	case w.gaveUp && err == nil:
 		response.Close()
@@ -130,9 +185,9 @@
 		return err
 	}
 	w.answered = true
-	w.ignored = response.Status/100 != http.StatusOK/100
+	w.ignored = response.Status/100 != 2
 	if !w.ignored && !w.rq.route.Stream {
-		w.observeFirst(time.Now(), false)
+		w.observe(time.Since(w.sentAt), false)
 	}
 	return nil
 }
@@ -157,20 +212,32 @@
 	if w.events > 0 {
 		w.since = time.Now()
 	}
+	w.wait()
+}
+
+// wait begins a wait for the upstream. w.mu must be held.
+func (w *sendWatch) wait() {
 	w.waiting = true
+	w.silent.Store(&silentSpan{since: w.since, isFirst: w.events == 0})
+}
+
+// endWait ends the wait for the upstream. w.mu must be held.
+func (w *sendWatch) endWait() {
+	w.waiting = false
+	w.silent.Store(nil)
 }
 
 // heard ends the wait for an event. It returns false if the send was given up meanwhile.
 func (w *sendWatch) heard(err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
+	w.endWait()
 	if w.gaveUp || err != nil {
 		return !w.gaveUp
 	}
 	now := time.Now()
 	if w.events == 0 {
-		w.observeFirst(now, false)
+		w.observe(now.Sub(w.sentAt), false)
 	} else {
 		w.longest = max(w.longest, now.Sub(w.since))
 	}
@@ -187,13 +254,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	w.observeEnd(err)
+	w.endWait()
 	var failure *sendFailure
-	if w.gaveUp && errors.As(err, &failure) {
+	if !errors.As(err, &failure) || !failure.unsent {
+		w.observeEnd(err != nil)
+	}
+	if w.gaveUp && failure != nil {
 		failure.withdrawn = true
 		w.rq.dropExpired()
 	}
@@ -203,34 +269,46 @@
 	return err
 }
 
-// observeFirst records the time until the first byte or event. w.mu must be held.
-func (w *sendWatch) observeFirst(now time.Time, cut bool) {
-	o := silence.Observation{Upstream: w.upstream.ID, Took: now.Sub(w.sentAt), Cut: cut}
-	w.rq.silences.with(func(table *silence.Table) { table.ObserveFirst(w.key, o, now) })
-}
-
-// observeEnd records what the end of the send says about the usual times. Responses other than 2xx come sooner than
-// those for which the upstream worked. w.mu must be held.
-func (w *sendWatch) observeEnd(err error) {
-	var failure *sendFailure
-	wasUnsent := errors.As(err, &failure) && failure.unsent
-	if w.sentAt.IsZero() || wasUnsent || w.ignored {
+// close releases what the watch holds.
+func (w *sendWatch) close() {
+	if w == nil {
 		return
 	}
-	now := time.Now()
-	if w.events == 0 {
-		if !w.answered || w.rq.route.Stream {
-			w.observeFirst(now, err != nil)
+	w.rq.silences.remove(w)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// observe records a time until the first byte or event or, after it, the longest pause. Cut is set if it has not
+// ended with one. w.mu must be held.
+func (w *sendWatch) observe(took time.Duration, cut bool) {
+	o, now := silence.Observation{Upstream: w.upstream.ID, Took: took, Cut: cut}, time.Now()
+	w.rq.silences.with(func(table *silence.Table) {
+		if w.events == 0 {
+			table.ObserveFirst(w.key, o, now)
+			return
 		}
+		table.ObservePause(w.key, o, now)
+	})
+}
+
+// observeEnd records what the end of the send says about the usual times; cut is set if the response did not come to
+// its end. Responses other than 2xx come sooner than those for which the upstream worked. w.mu must be held.
+func (w *sendWatch) observeEnd(cut bool) {
+	if w.sentAt.IsZero() || w.ignored || w.answered && !w.rq.route.Stream {
 		return
 	}
-	longest := w.longest
-	if err != nil {
-		longest = max(longest, now.Sub(w.since))
-	}
-	if longest > 0 {
-		o := silence.Observation{Upstream: w.upstream.ID, Took: longest, Cut: err != nil}
-		w.rq.silences.with(func(table *silence.Table) { table.ObservePause(w.key, o, now) })
+	silent := time.Since(w.since)
+	switch {
+	case w.events == 0:
+		w.observe(silent, cut)
+	case cut:
+		w.observe(max(w.longest, silent), true)
+	case w.longest > 0:
+		w.observe(w.longest, false)
 	}
 }
 
@@ -258,7 +336,10 @@
 		w.setTimer(now, silenceCheck)
 	case silent < limit.After:
 		w.setTimer(now, limit.After-silent)
-	case !w.rq.mayRepeat(w, now):
+	case !w.lateSince.Equal(w.since):
+		w.lateSince = w.since
+		w.setTimer(now, confirmDelay)
+	case limit.ServiceSlow, !w.rq.mayRepeat(w, now):
 		w.setTimer(now, silenceCheck)
 	default:
 		w.giveUp(limit, silent)
@@ -271,15 +352,16 @@
 	w.timer.Reset(wait)
 }
 
-// limit returns after which silence the send is given up, or false if it is not. w.mu must be held.
+// limit returns after which silence the send is given up, or false if it never is. w.mu must be held.
 func (w *sendWatch) limit(now time.Time) (limit silence.Limit, given bool) {
-	left := w.rq.clientWaitsUntil().Sub(w.since) - w.rq.stagesAgain(now)
+	left := w.rq.clientWaitsUntil().Sub(w.since) - w.rq.stagesAgain(now) - decisionTime
 	w.rq.silences.with(func(table *silence.Table) {
+		send := silence.Send{Upstream: w.upstream.ID, Left: left, Waiting: w.rq.silences.waiting(w.key, w.events == 0, now)}
 		if w.events == 0 {
-			limit, given = table.First(w.key, w.upstream.ID, left, now)
+			limit, given = table.First(w.key, send, now)
 			return
 		}
-		limit, given = table.Pause(w.key, w.upstream.ID, w.rq.route.GapObjective, left, now)
+		limit, given = table.Pause(w.key, send, w.rq.route.GapObjective, now)
 	})
 	return limit, given
 }
@@ -288,7 +370,7 @@
 func (w *sendWatch) giveUp(limit silence.Limit, silent time.Duration) {
 	rq := w.rq
 	w.gaveUp = true
-	w.waiting = false
+	w.waiting = false // it counts as waiting until the reader has returned
 	w.cancel()
 	rq.silence.givenUp++
 	rq.Metrics.silentGivenUp(rq.service)
--- a/standin/gatewaytest/silence_test.go
+++ b/standin/gatewaytest/silence_test.go
@@ -133,14 +133,17 @@
 // TestAServiceThatIsSilentAsAWholeIsNotRepeated guards against repeated requests that add to the load of a service
 // of which no upstream responds.
 func TestAServiceThatIsSilentAsAWholeIsNotRepeated(t *testing.T) {
-	c := startSilence(t, "desk", "/safe/", func(d *platformdoc.Document, _ *gateway.Settings) { d.Routes[1].TimeoutMS = 2000 })
+	c := startSilence(t, "desk", "/safe/", func(d *platformdoc.Document, settings *gateway.Settings) {
+		d.Routes[1].TimeoutMS = 2000
+		settings.Bounds.RetrySlack = 1000 // the budget alone would allow all
+	})
 	const requests = 24
 	for range 2 * requests {
 		c.script.answers = append(c.script.answers, answer{frame: silent})
 	}
 	statuses := make(chan int, requests)
 	for i := range requests {
-		go func() { statuses <- c.ask(fmt.Sprintf("r-%d", i), "/safe/x").status }()
+		go func() { statuses <- c.ask(fmt.Sprintf("r-%d", i), fmt.Sprintf("/safe/x-%d", i)).status }()
 	}
 	for range requests {
 		assert.Equal(t, <-statuses, http.StatusGatewayTimeout)
