--- a/gateway/flow/silence.go
+++ b/gateway/flow/silence.go
@@ -3,45 +3,17 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/silence"
-	"acaciawinch/core/stages"
 	"acaciawinch/gateway/events"
 	"acaciawinch/gateway/httpconn"
-	"acaciawinch/observe"
-	"acaciawinch/observe/event"
 )
 
-const (
-	// silenceCheck is the time between two checks of a silent upstream that can't be given up now: the
-	// retry budget gains tokens, and other upstreams begin to take work.
-	silenceCheck = 200 * time.Millisecond
-	// timerSlack is how late a check may run. If it is later, this process had no processor time, and
-	// the response may wait in the connection's buffer: the reader gets the same time again.
-	timerSlack = 20 * time.Millisecond
-)
-
-// silences are the times that upstreams of this process's requests took. They are safe for concurrent use.
-type silences struct {
-	mu    sync.Mutex
-	table *silence.Table
-}
-
-// newSilences returns silences without observations.
-func newSilences() *silences { return &silences{table: silence.NewTable()} }
-
-// with calls a function that reads or changes the table.
-func (s *silences) with(use func(table *silence.Table)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	use(s.table)
-}
-
 // silenceState is what a request knows of the silence of its upstreams.
 type silenceState struct {
 	// watch watches the present send; nil if it is never given up.
@@ -63,6 +35,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// silent is the present silence, nil while the request does not wait for its upstream. The decisions on
+	// other sends read it.
+	silent atomic.Pointer[silentSpan]
+
 	mu    sync.Mutex
 	timer *time.Timer
 	// due is the time for which the timer is set.
@@ -70,12 +46,14 @@
 	// sentAt is when the connection was open, since when the present silence began.
 	sentAt, since time.Time
 	// waiting is set while the request waits for its upstream, answered once the head of the response has
-	// come, and ignored if the response says nothing about the usual time.
+	// come, and ignored if the response says nothing about the usual times.
 	waiting, answered, ignored bool
 	// events is the number of events that came, longest the longest silence before one of them but the
 	// first.
 	events  int
 	longest time.Duration
+	// lateSince is the beginning of the last silence that reached its limit.
+	lateSince time.Time
 	// gaveUp is set once the send is given up. Nothing that comes afterwards is used.
 	gaveUp bool
 }
@@ -101,7 +79,8 @@
 	defer w.mu.Unlock()
 	w.sentAt = time.Now()
 	w.since = w.sentAt
-	w.waiting = true
+	w.wait()
+	w.rq.silences.add(w)
 	w.due = w.sentAt.Add(silenceCheck)
 	w.timer = time.AfterFunc(silenceCheck, w.check)
 }
@@ -119,7 +98,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
+	w.endWait()
 	switch {
 	case w.gaveUp && err == nil:
 		response.Close()
@@ -130,9 +109,9 @@
 		return err
 	}
 	w.answered = true
-	w.ignored = response.Status/100 != http.StatusOK/100
+	w.ignored = response.Status/100 != 2
 	if !w.ignored && !w.rq.route.Stream {
-		w.observeFirst(time.Now(), false)
+		w.observe(time.Since(w.sentAt), false)
 	}
 	return nil
 }
@@ -157,20 +136,32 @@
 	if w.events > 0 {
 		w.since = time.Now()
 	}
+	w.wait()
+}
+
+// wait begins a wait for the upstream. w.mu must be held.
+func (w *sendWatch) wait() {
 	w.waiting = true
+	w.silent.Store(&silentSpan{since: w.since, isFirst: w.events == 0})
+}
+
+// endWait ends the wait for the upstream. w.mu must be held.
+func (w *sendWatch) endWait() {
+	w.waiting = false
+	w.silent.Store(nil)
 }
 
 // heard ends the wait for an event. It returns false if the send was given up meanwhile.
 func (w *sendWatch) heard(err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
+	w.endWait()
 	if w.gaveUp || err != nil {
 		return !w.gaveUp
 	}
 	now := time.Now()
 	if w.events == 0 {
-		w.observeFirst(now, false)
+		w.observe(now.Sub(w.sentAt), false)
 	} else {
 		w.longest = max(w.longest, now.Sub(w.since))
 	}
@@ -187,13 +178,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	w.observeEnd(err)
+	w.endWait()
 	var failure *sendFailure
-	if w.gaveUp && errors.As(err, &failure) {
+	if !errors.As(err, &failure) || !failure.unsent {
+		w.observeEnd(err != nil)
+	}
+	if w.gaveUp && failure != nil {
 		failure.withdrawn = true
 		w.rq.dropExpired()
 	}
@@ -203,196 +193,45 @@
 	return err
 }
 
-// observeFirst records the time until the first byte or event. w.mu must be held.
-func (w *sendWatch) observeFirst(now time.Time, cut bool) {
-	o := silence.Observation{Upstream: w.upstream.ID, Took: now.Sub(w.sentAt), Cut: cut}
-	w.rq.silences.with(func(table *silence.Table) { table.ObserveFirst(w.key, o, now) })
-}
-
-// observeEnd records what the end of the send says about the usual times. Responses other than 2xx come sooner than
-// those for which the upstream worked. w.mu must be held.
-func (w *sendWatch) observeEnd(err error) {
-	var failure *sendFailure
-	wasUnsent := errors.As(err, &failure) && failure.unsent
-	if w.sentAt.IsZero() || wasUnsent || w.ignored {
-		return
-	}
-	now := time.Now()
-	if w.events == 0 {
-		if !w.answered || w.rq.route.Stream {
-			w.observeFirst(now, err != nil)
-		}
+// close releases what the watch holds.
+func (w *sendWatch) close() {
+	if w == nil {
 		return
 	}
-	longest := w.longest
-	if err != nil {
-		longest = max(longest, now.Sub(w.since))
-	}
-	if longest > 0 {
-		o := silence.Observation{Upstream: w.upstream.ID, Took: longest, Cut: err != nil}
-		w.rq.silences.with(func(table *silence.Table) { table.ObservePause(w.key, o, now) })
-	}
-}
-
-// check runs when the timer ends. It gives the send up if its upstream has been silent for too long, or sets the
-// timer again.
-func (w *sendWatch) check() {
+	w.rq.silences.remove(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ctx.Err() != nil {
-		return // the send has ended
-	}
-	now := time.Now()
-	if now.Sub(w.due) > timerSlack {
-		w.setTimer(now, timerSlack)
-		return
-	}
-	if !w.waiting {
-		w.setTimer(now, silenceCheck)
-		return
-	}
-	limit, known := w.limit(now)
-	silent := now.Sub(w.since)
-	switch {
-	case !known:
-		w.setTimer(now, silenceCheck)
-	case silent < limit.After:
-		w.setTimer(now, limit.After-silent)
-	case !w.rq.mayRepeat(w, now):
-		w.setTimer(now, silenceCheck)
-	default:
-		w.giveUp(limit, silent)
+	if w.timer != nil {
+		w.timer.Stop()
 	}
 }
 
-// setTimer sets the timer. w.mu must be held.
-func (w *sendWatch) setTimer(now time.Time, wait time.Duration) {
-	w.due = now.Add(wait)
-	w.timer.Reset(wait)
-}
-
-// limit returns after which silence the send is given up, or false if it is not. w.mu must be held.
-func (w *sendWatch) limit(now time.Time) (limit silence.Limit, given bool) {
-	left := w.rq.clientWaitsUntil().Sub(w.since) - w.rq.stagesAgain(now)
+// observe records a time until the first byte or event or, after it, the longest pause. Cut is set if it has not
+// ended with one. w.mu must be held.
+func (w *sendWatch) observe(took time.Duration, cut bool) {
+	o, now := silence.Observation{Upstream: w.upstream.ID, Took: took, Cut: cut}, time.Now()
 	w.rq.silences.with(func(table *silence.Table) {
 		if w.events == 0 {
-			limit, given = table.First(w.key, w.upstream.ID, left, now)
+			table.ObserveFirst(w.key, o, now)
 			return
 		}
-		limit, given = table.Pause(w.key, w.upstream.ID, w.rq.route.GapObjective, left, now)
+		table.ObservePause(w.key, o, now)
 	})
-	return limit, given
-}
-
-// giveUp cancels the send, which closes its connection, so that the upstream stops its work. w.mu must be held.
-func (w *sendWatch) giveUp(limit silence.Limit, silent time.Duration) {
-	rq := w.rq
-	w.gaveUp = true
-	w.waiting = false
-	w.cancel()
-	rq.silence.givenUp++
-	rq.Metrics.silentGivenUp(rq.service)
-	rq.Logger.Event(event.GatewaySilent, observe.Fields{"request": rq.hdr.ID, "route": rq.route.Name, "service": rq.service, "upstream": w.upstream.ID,
-		"attempt": len(rq.tried), "events": w.events, "last": rq.lastEvent, "waited_ms": silent.Milliseconds(), "limit_ms": limit.After.Milliseconds(),
-		"usual_ms": limit.Usual.Milliseconds(), "client_waits_ms": time.Until(rq.clientWaitsUntil()).Milliseconds()})
-}
-
-// clientWaitsUntil returns when the client gives up if it gets nothing more.
-func (rq *request) clientWaitsUntil() time.Time {
-	if rq.events > 0 && !rq.silence.eventAt.IsZero() {
-		return rq.startLimit(rq.silence.eventAt)
-	}
-	return rq.startBy
-}
-
-// mayRepeat reports whether the request can be served by another upstream if its present send is given up now. If
-// so, it withdraws the retry from the budget.
-func (rq *request) mayRepeat(w *sendWatch, now time.Time) bool {
-	sends := rq.sends
-	if !w.answered {
-		sends++ // the present send is counted when it ends
-	}
-	if sends >= rq.route.MaxAttempts || rq.headSent && !rq.canResume() {
-		return false
-	}
-	var usual time.Duration
-	rq.silences.with(func(table *silence.Table) { usual, _ = table.Usual(w.key, w.upstream.ID, now) })
-	if rq.clientWaitsUntil().Sub(now) < usual+rq.stagesAgain(now) {
-		return false
-	}
-	needs := rq.requirements()
-	needs.unlimited = true // a permit may take long
-	if _, found := rq.preview(needs); !found {
-		return false
-	}
-	return rq.withdraw()
 }
 
-// noteKept notes until when the results of the request's stages are kept at least, at its first send.
-func (rq *request) noteKept() {
-	if rq.results == nil || !rq.results.keptUntil.IsZero() {
+// observeEnd records what the end of the send says about the usual times; cut is set if the response did not come to
+// its end. Responses other than 2xx come sooner than those for which the upstream worked. w.mu must be held.
+func (w *sendWatch) observeEnd(cut bool) {
+	if w.sentAt.IsZero() || w.ignored || w.answered && !w.rq.route.Stream {
 		return
 	}
-	kept := rq.deadline
-	for stage, spec := range rq.route.Stages {
-		service := rq.table.Service(spec.Service)
-		if service == nil || service.Pool == nil || rq.hdr.Items[stage] == 0 || !rq.results.progress.IsLast(stage) {
-			continue
-		}
-		if until := time.Now().Add(service.Pool.KeepTime - expiryMargin); until.Before(kept) {
-			kept = until
-		}
-	}
-	rq.results.keptUntil = kept
-}
-
-// stagesAgain returns how long the stages of the request take if it is sent again, 0 if it has no stages or their
-// results are still kept. Results that expire before another upstream has read them count as lost.
-func (rq *request) stagesAgain(now time.Time) time.Duration {
-	if rq.results == nil || !rq.results.isFreed() && now.Add(readAllowance).Before(rq.results.keptUntil) {
-		return 0
-	}
-	run := &stageRun{request: rq, progress: stages.New(rq.route.Stages, rq.hdr.Items)}
-	return run.progress.Remaining(run.remaining)
-}
-
-// dropExpired frees the results of the stages if they expire before another upstream has read them, so that the
-// stages run again at once and not after the next upstream has missed an input.
-func (rq *request) dropExpired() {
-	if rq.results != nil && rq.stagesAgain(time.Now()) > 0 {
-		rq.results.free()
-	}
-}
-
-// keepsResults reports whether the results that the engine reads are kept until its first event, since the request
-// may be sent again.
-func (rq *request) keepsResults() bool {
-	if !rq.RepeatSilent || rq.route.RetryPolicy == routes.AtMostOnce || rq.sends+1 >= rq.route.MaxAttempts {
-		return false
-	}
-	for stage, spec := range rq.route.Stages {
-		if rq.hdr.Items[stage] == 0 || !rq.results.progress.IsLast(stage) {
-			continue
-		}
-		service := rq.table.Service(spec.Service)
-		if service == nil || service.Pool == nil || !hasRoomToKeep(*service.Pool, spec.ResultBytes) {
-			return false
-		}
-	}
-	return true
-}
-
-// hasRoomToKeep reports whether the upstreams of a pool have room for results that are kept until an engine's first
-// event. An upstream that works at its full rate has reserved the room of its running calls, and keeps what it made in
-// the time until they are read and the first event comes. If both fit, kept results never delay a call, whatever the
-// load.
-func hasRoomToKeep(pool routes.Pool, resultBytes int64) bool {
-	calls := max(1, pool.Slots)
-	running := float64(int64(calls*pool.Batch) * resultBytes)
-	callTime := pool.CallTime + time.Duration(pool.Batch)*pool.ItemTime
-	if callTime <= 0 {
-		return false
+	silent := time.Since(w.since)
+	switch {
+	case w.events == 0:
+		w.observe(silent, cut)
+	case cut:
+		w.observe(max(w.longest, silent), true)
+	case w.longest > 0:
+		w.observe(w.longest, false)
 	}
-	kept := running * float64(readAllowance+firstEventAllowance) / float64(callTime)
-	return running+kept <= float64(pool.RoomBytes)
 }
