--- a/core/selection/pace.go
+++ b/core/selection/pace.go
@@ -39,9 +39,9 @@
 		return Choice{}, false
 	}
 	bound := c.loadBound(candidates, now)
-	excluded, due := c.excluded(candidates, limits, bound, now)
-	choice := c.chooseFrom(candidates, excluded, list, prefixID, bound, now)
-	choice.Excluded = len(excluded)
+	allowed, due := c.allowed(candidates, limits, bound, now)
+	choice := c.chooseFrom(candidates, allowed, list, prefixID, bound, now)
+	choice.Excluded = len(candidates) - len(allowed)
 	choice.Trial = slices.Contains(due, choice.Upstream.ID)
 	if limits.Paces != nil {
 		choice.FirstEvent, choice.Pause, _ = limits.Paces.Expected(PaceKey(choice.Upstream), limits.Tokens, now)
@@ -58,56 +58,56 @@
 	return loadBoundFactor*total/float64(len(candidates)) + loadSlack
 }
 
-// chooseFrom returns the choice among the candidates that are not excluded. An excluded engine may still be the
-// one to copy cached parts of the prompt from.
-func (c *Chooser) chooseFrom(candidates []routes.Upstream, excluded []string, list []routes.Upstream, prefixID string, bound float64, now time.Time) Choice {
+// chooseFrom returns the choice among the allowed candidates. An engine that is not allowed may still be the one to
+// copy cached parts of the prompt from.
+func (c *Chooser) chooseFrom(candidates, allowed, list []routes.Upstream, prefixID string, bound float64, now time.Time) Choice {
 	prefixHash := rendezvous.Hash(prefixID)
 	first := highestScored(candidates, prefixHash, func(routes.Upstream) bool { return true })
-	allowed := func(u routes.Upstream) bool { return !slices.Contains(excluded, u.ID) }
-	firstAllowed := highestScored(candidates, prefixHash, allowed)
-	within := highestScored(candidates, prefixHash, func(u routes.Upstream) bool { return allowed(u) && c.estimatedLoad(u, now) <= bound })
-	chosen, reason := within, "prefix"
+	u, reason := candidates[first], "prefix"
+	if len(allowed) < len(candidates) {
+		firstAllowed := allowed[highestScored(allowed, prefixHash, func(routes.Upstream) bool { return true })]
+		if firstAllowed.ID != u.ID {
+			u, reason = firstAllowed, "pace"
+		}
+	}
+	within := highestScored(allowed, prefixHash, func(u routes.Upstream) bool { return c.estimatedLoad(u, now) <= bound })
 	switch {
 	case within < 0:
-		chosen, reason = first, "only"
-	case within != firstAllowed:
-		reason = "load"
-	case within != first:
-		reason = "pace"
+		u, reason = candidates[first], "only"
+	case allowed[within].ID != u.ID:
+		u, reason = allowed[within], "load"
 	}
-	u := candidates[chosen]
 	return Choice{Upstream: u, Reason: reason, Load: c.estimatedLoad(u, now), Idle: within >= 0 && c.idle(u, list, now), CopyFrom: c.copySource(candidates, prefixID, u, now)}
 }
 
-// excluded returns the IDs of the engines that a request must not be sent to because of their pace, and those
-// that it may be sent to only because they are due to be measured again. There are none if no engine within the
-// load bound meets the limits: the others would get more than they can serve.
-func (c *Chooser) excluded(candidates []routes.Upstream, limits Limits, bound float64, now time.Time) (excluded, due []string) {
+// allowed returns the engines that a request may be sent to, and the IDs of those among them that would be
+// excluded but are due to be measured again. All are allowed if no engine within the load bound meets the limits:
+// the others would get more than they can serve.
+func (c *Chooser) allowed(candidates []routes.Upstream, limits Limits, bound float64, now time.Time) (allowed []routes.Upstream, due []string) {
 	paces := limits.Paces
 	if paces == nil || !paces.Uneven(now) {
-		return nil, nil
+		return candidates, nil
 	}
+	exceeds := make([]bool, len(candidates))
 	alternative := false
-	var exceeding []routes.Upstream
-	for _, u := range candidates {
-		if paces.Exceeds(PaceKey(u), limits.Limits, now) {
-			exceeding = append(exceeding, u)
-			continue
-		}
-		alternative = alternative || c.estimatedLoad(u, now) <= bound && paces.Meets(PaceKey(u), limits.Limits, now)
+	for i, u := range candidates {
+		exceeds[i] = paces.Exceeds(PaceKey(u), limits.Limits, now)
+		alternative = alternative || !exceeds[i] && c.estimatedLoad(u, now) <= bound && paces.Meets(PaceKey(u), limits.Limits, now)
 	}
 	if !alternative {
-		return nil, nil
+		return candidates, nil
 	}
-	for _, u := range exceeding {
+	for i, u := range candidates {
+		if !exceeds[i] {
+			allowed = append(allowed, u)
+			continue
+		}
 		paces.Excluded(PaceKey(u), now)
 		if paces.TrialDue(PaceKey(u), limits.Limits, now) {
-			due = append(due, u.ID)
-			continue
+			allowed, due = append(allowed, u), append(due, u.ID)
 		}
-		excluded = append(excluded, u.ID)
 	}
-	return excluded, due
+	return allowed, due
 }
 
 // LeastLoadedWithin is LeastLoaded for a service whose upstreams differ in pace: the share of the slots in use of
--- a/gateway/pace/exchange_test.go
+++ b/gateway/pace/exchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/fault"
 	core "acaciawinch/core/pace"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/view"
@@ -160,3 +161,14 @@
 	assert.Equal(t, len(g.services), 1)
 	assert.Equal(t, len(g.merge(&wirepb.PaceDigest{Service: "llm"}, time.Now()).GetEngines()), len(engines))
 }
+
+// TestGatewayWithoutPacesKnowsNone guards against load.engine_pace = "off" acting on requests, or breaking a gateway that
+// takes it for the holder.
+func TestGatewayWithoutPacesKnowsNone(t *testing.T) {
+	var off *Keeper
+	off.Observe(engines[0], core.Observation{FirstEvent: time.Second})
+	off.Use("llm", func(table *core.Table) { assert.Assert(t, table == nil) })
+	assert.NilError(t, off.Run(context.Background()))
+	_, err := NewServer(off).Exchange(context.Background(), &wirepb.PaceDigest{Service: "llm"})
+	assert.Assert(t, fault.Is(err, fault.Refused))
+}
