Keep late tasks of a pool for the capacity that a forecast expects to be free

A task that was late for its objective was dropped unless it had four times its estimated wait left, although a burst of some seconds is followed by spare capacity. The forecast takes the mean demand of 30 s from the pool's full rate; late tasks wait by earliest deadline for what is left, and start only while no later pool of their chain is full. Saturated pools split tasks where that fills a call and the room is not the limit.

Counting only the tasks in time of a later pool as its load made more items in vain than before, so that its late tasks count too. Late tasks that the forecast does not serve stay under the former rule: without it an overload of 30 s served fewer requests than before. Calls that begin with a late task are spaced, since otherwise they occupy all free upstreams at once.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -26,9 +26,16 @@
 	}
 	p.sort(now)
 	first := p.queue[0].Task
+	late := p.keepsLate && p.queue[0].late && !p.queue[0].split
+	if late && now.Sub(p.lastLateCall) < p.lateCallInterval() {
+		return nil
+	}
 	sort.Slice(usable, func(i, j int) bool { return preferred(usable[i], usable[j], first) })
 	for _, s := range usable {
 		if call := p.closeBatch(s, now); call != nil {
+			if late {
+				p.lastLateCall = now
+			}
 			return call
 		}
 	}
@@ -91,14 +98,24 @@
 func (p *Pool) closeBatch(s *upstreamState, now time.Time) *Call {
 	call := &Call{Upstream: s.upstream, StartedAt: now}
 	room := p.availableBytes(s, now)
+	split := p.mayFill(now)
+	held := 0
 	for _, q := range p.queue {
 		if len(call.Items) >= p.settings.Batch {
 			break
 		}
-		if len(q.items) == 0 || !p.meetsDeadline(q.Task, now) || p.shouldWaitForNearer(q.Task, s, now) {
+		if len(q.items) == 0 || !p.meetsDeadline(q.Task, now) || !q.split && p.shouldWaitForNearer(q.Task, s, now) {
+			continue
+		}
+		if p.isHeld(q, now) {
+			held += len(q.items)
 			continue
 		}
-		count := p.itemsThatFit(call, q, room-call.bytes)
+		count := p.itemsThatFit(call, q, room-call.bytes, split)
+		if count == 0 {
+			continue
+		}
+		p.recordLateStart(q, now)
 		call.Items = append(call.Items, p.dequeue(q, count)...)
 		call.bytes += int64(count) * q.Bytes
 	}
@@ -106,7 +123,8 @@
 		return nil
 	}
 	p.removeMatching(func(*queuedTask) bool { return false })
-	p.updateItemsPerCall(len(call.Items))
+	p.updateItemsPerCall(len(call.Items), held)
+	p.updateRoomBound(s, call, room, held)
 	p.recordStart(call, s)
 	return call
 }
@@ -127,16 +145,25 @@
 
 // itemsThatFit returns how many items of a task go into a call for whose results room bytes
 // are available. A task is split only if not even an empty call takes all of it: the first
-// results of a split task are stored, and use room that others need, until the last are done.
-func (p *Pool) itemsThatFit(call *Call, q *queuedTask, room int64) int {
+// results of a split task are stored, and use room that others need, until the last are done. If split
+// is set and its results fit, a task is also split to fill the call.
+func (p *Pool) itemsThatFit(call *Call, q *queuedTask, room int64, split bool) int {
 	places := p.settings.Batch - len(call.Items)
+	byRoom := places
 	if q.Bytes > 0 {
-		places = min(places, int(max(0, room)/q.Bytes))
-	}
-	if places < len(q.items) && len(call.Items) > 0 {
+		byRoom = min(places, int(max(0, room)/q.Bytes))
+	}
+	switch {
+	case byRoom >= len(q.items):
+		return len(q.items)
+	case len(call.Items) == 0:
+		return byRoom
+	case split && byRoom == places:
+		q.split = true
+		return places
+	default:
 		return 0
 	}
-	return min(places, len(q.items))
 }
 
 // shouldWaitForNearer reports whether the items of a task should wait for an upstream that
--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -72,13 +72,17 @@
 	if p.settings.Batch == 0 {
 		return 0
 	}
-	items := p.itemsPerCall()
-	full := float64(p.settings.CallTime+time.Duration(items*float64(p.settings.ItemTime))) * p.slowdown
-	usable := p.capacity(time.Duration(full))
+	full := p.fullCall()
+	usable := p.capacity(full)
 	if usable == 0 {
 		return 0
 	}
-	return time.Duration(full * (float64(ahead)/items/usable + 1))
+	return time.Duration(float64(full) * (float64(ahead)/p.itemsPerCall()/usable + 1))
+}
+
+// fullCall returns the expected duration of a call when more items are waiting than fit.
+func (p *Pool) fullCall() time.Duration {
+	return time.Duration(float64(p.settings.CallTime+time.Duration(p.itemsPerCall()*float64(p.settings.ItemTime))) * p.slowdown)
 }
 
 // itemsPerCall returns how many items a call takes when more are waiting than fit: the
@@ -90,9 +94,10 @@
 	return min(p.meanFullCallItems, float64(p.settings.Batch))
 }
 
-// updateItemsPerCall updates the average of itemsPerCall after a call was closed.
-func (p *Pool) updateItemsPerCall(items int) {
-	if p.waiting < p.settings.Batch {
+// updateItemsPerCall updates the average of itemsPerCall after a call was closed while a number of waiting
+// items were held for later pools.
+func (p *Pool) updateItemsPerCall(items, held int) {
+	if p.waiting-held < p.settings.Batch {
 		return
 	}
 	p.meanFullCallItems = p.itemsPerCall()
--- /dev/null
+++ b/core/pool/late.go
@@ -0,0 +1,176 @@
+package pool
+
+import (
+	"time"
+
+	"acaciawinch/core/forecast"
+)
+
+// maxLaterAge is the age beyond which an estimate of a later pool says nothing: a pool works off the tasks in time
+// of a burst in about a second.
+const maxLaterAge = time.Second
+
+// fullWaitFactor is the wait at which a later pool counts as full, in full calls: half a call until an upstream is
+// free, and the call itself. Upstreams that work all the time are free after half a call on average.
+const fullWaitFactor = 1.5
+
+// laterPool is the newest estimate of the wait at a later pool.
+type laterPool struct {
+	wait, fullCall time.Duration
+	at             time.Time
+}
+
+// isFull reports whether a task that is queued behind all others waits for more than half a full call before its
+// own call. Late tasks that wait there count: with the tasks in time alone, a chain made two
+// thirds more items for requests that were not served (TestBurstOnAChainServesMoreAndWastesLess).
+func (l laterPool) isFull(now time.Time) bool {
+	age := now.Sub(l.at)
+	return age <= maxLaterAge && l.wait-age > time.Duration(fullWaitFactor*float64(l.fullCall))
+}
+
+// KeepLate makes the pool keep late tasks for the capacity that the forecast expects to be free. With nil,
+// or while the forecast knows too little or all upstreams have limits, late tasks are kept by
+// LateWaitFactor.
+func (p *Pool) KeepLate(f *forecast.Forecast) { p.forecast = f }
+
+// ObserveLater records an estimate that was made at a time: the wait of a task that is queued behind
+// all others at a later pool, of which a full call takes fullCall. The newest estimate counts.
+func (p *Pool) ObserveLater(service string, wait, fullCall time.Duration, at time.Time) {
+	if known, found := p.later[service]; found && known.at.After(at) {
+		return
+	}
+	p.later[service] = laterPool{wait: wait, fullCall: fullCall, at: at}
+}
+
+// laterPoolIsFull reports whether a later pool of the task's chain is full.
+func (p *Pool) laterPoolIsFull(t *Task, now time.Time) bool {
+	for _, service := range t.Later {
+		if p.later[service].isFull(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// forecasts reports whether late tasks are kept by the forecast now. With limits, no upstream becomes
+// free sooner than expected.
+func (p *Pool) forecasts(now time.Time) bool {
+	if p.forecast == nil || p.allLimited() {
+		return false
+	}
+	p.forecast.SetFullRate(p.fullRate())
+	p.forecast.Observe(now)
+	return p.forecast.Known(now)
+}
+
+// fullRate returns the number of items a second that the pool does when more wait than fit.
+func (p *Pool) fullRate() float64 {
+	full := p.fullCall()
+	if full <= 0 {
+		return 0
+	}
+	return p.itemsPerCall() / full.Seconds() * p.capacity(full)
+}
+
+// FreeRate returns the number of items a second that the forecast expects to be free, and false
+// if late tasks are not kept by it.
+func (p *Pool) FreeRate(now time.Time) (float64, bool) {
+	if !p.forecasts(now) {
+		return 0, false
+	}
+	return p.forecast.Free(now), true
+}
+
+// lateQueue follows the late tasks of a pool in their order.
+type lateQueue struct {
+	// free is the forecast in items a second.
+	free float64
+	// fullCall is the duration of a full call, which a late task is expected to be part of.
+	fullCall time.Duration
+	// inTime and ahead are the numbers of items in time and of late items seen so far.
+	inTime, ahead int
+}
+
+// lateQueue returns the empty queue of late tasks.
+func (p *Pool) lateQueue(now time.Time) *lateQueue {
+	return &lateQueue{free: p.forecast.Free(now), fullCall: p.fullCall()}
+}
+
+// serves reports whether the free capacity until the last call that ends before the deadline
+// exceeds the late work ahead of some items and these.
+func (l *lateQueue) serves(items int, deadline, now time.Time) bool {
+	left := deadline.Sub(now) - l.fullCall
+	return left > 0 && l.free*left.Seconds() > float64(l.ahead+items)
+}
+
+// keeps reports whether a late task stays in the queue behind the tasks seen so far: the forecast serves
+// it, or it has LateWaitFactor times its estimated wait left. In an overload that lasts, the
+// forecast is 0, and the second keeps the few late tasks that fill calls.
+func (p *Pool) keeps(late *lateQueue, t *Task, items int, now time.Time) bool {
+	if late.serves(items, t.Deadline, now) {
+		return true
+	}
+	return t.Deadline.Sub(now) >= time.Duration(LateWaitFactor*float64(p.waitBehind(late.inTime+late.ahead)))
+}
+
+// lateCallSpacing is the least time between the starts of two calls that begin with a late task, relative to
+// the time between the starts of calls if all upstreams are busy. If all free upstreams started such calls
+// at once, tasks in time that arrive next would wait for up to a full call; with the spacing, some
+// upstream is free soon.
+const lateCallSpacing = 0.75
+
+// lateCallInterval returns the least time between the starts of two calls that begin with a late
+// task.
+func (p *Pool) lateCallInterval() time.Duration {
+	full := p.fullCall()
+	return time.Duration(lateCallSpacing * float64(full) / max(1, p.capacity(full)))
+}
+
+// LateForecast is what the forecast says about a task if it is late.
+type LateForecast struct {
+	// Known is set if late tasks are kept by the forecast.
+	Known bool
+	// Kept is set if the task would be kept.
+	Kept bool
+	// After is the time until the forecast serves the late work ahead of the task and the task; 0 if
+	// not before its deadline.
+	After time.Duration
+}
+
+// ForecastLate returns the forecast for a task that has a number of items if it is late.
+func (p *Pool) ForecastLate(t *Task, items int, now time.Time) LateForecast {
+	if !p.forecasts(now) {
+		return LateForecast{}
+	}
+	queue := p.lateQueue(now)
+	for _, q := range p.queue {
+		switch {
+		case q.Ticket == t.Ticket:
+		case !q.late:
+			queue.inTime += len(q.items)
+		case !q.Deadline.After(t.Deadline):
+			queue.ahead += len(q.items)
+		}
+	}
+	found := LateForecast{Known: true, Kept: p.keeps(queue, t, items, now)}
+	if queue.serves(items, t.Deadline, now) {
+		found.After = time.Duration(float64(queue.ahead+items) / queue.free * float64(time.Second))
+	}
+	return found
+}
+
+// isHeld reports whether a late task must wait because a later pool of its chain is full: its
+// results would occupy room while they wait there. A split task has results already.
+func (p *Pool) isHeld(q *queuedTask, now time.Time) bool {
+	return p.keepsLate && q.late && !q.split && p.laterPoolIsFull(q.Task, now)
+}
+
+// lateChainFactor is how many full calls a late task is given for each later stage of its chain: half a call until
+// an upstream is free, since it starts only while the later pools are not full, and its own call.
+const lateChainFactor = 1.5
+
+// LateChainTime returns the time to be left for the later stages of a late task whose full calls
+// take the given time together.
+func LateChainTime(fullCalls time.Duration) time.Duration {
+	return time.Duration(lateChainFactor * float64(fullCalls))
+}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -14,6 +14,7 @@
 // spent on late tasks makes the others late too. Tasks in time are ordered by rank, then by
 // value class, then by due time, the latest first.
 func (p *Pool) sort(now time.Time) {
+	p.keepsLate = p.forecasts(now)
 	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
 	for _, q := range p.queue {
 		if now.Add(shortest).After(q.Due) {
@@ -21,7 +22,7 @@
 		}
 	}
 	p.classify()
-	sort.SliceStable(p.queue, func(i, j int) bool { return less(p.queue[i], p.queue[j]) })
+	sort.SliceStable(p.queue, func(i, j int) bool { return p.less(p.queue[i], p.queue[j]) })
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
@@ -48,13 +49,18 @@
 // valuePerItem returns the value of the task divided by the number of its waiting items.
 func (q *queuedTask) valuePerItem() float64 { return q.Value / float64(max(1, len(q.items))) }
 
-// less reports whether a goes before b. Of two tasks of a class that are in time, the one
+// less reports whether a goes before b. The rest of a split task goes first. Of two tasks of a class that are in time, the one
 // that is due later goes first: in the opposite order a burst leaves each task just in time
 // at one pool and late at the next (TestBurstOnAChainLeavesMostOfItsCapacityInTime).
-func less(a, b *queuedTask) bool {
+// Late tasks that are kept by the forecast go by their deadlines.
+func (p *Pool) less(a, b *queuedTask) bool {
 	switch {
+	case a.split != b.split:
+		return a.split
 	case a.late != b.late:
 		return b.late
+	case a.late && p.keepsLate && !a.Deadline.Equal(b.Deadline):
+		return a.Deadline.Before(b.Deadline)
 	case a.late && a.Rank != b.Rank:
 		return a.Rank < b.Rank
 	case a.late && !a.Due.Equal(b.Due):
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"acaciawinch/core/forecast"
 	"acaciawinch/core/routes"
 )
 
@@ -42,6 +43,8 @@
 	Bytes int64
 	// Transfers are the transfers of each item.
 	Transfers []Transfer
+	// Later names the services of the later pools of the task's chain.
+	Later []string
 
 	// late is set once the task can no longer be done when it is due.
 	late bool
@@ -133,6 +136,19 @@
 	// meanFullCallItems is a moving average of the number of items in calls that left other
 	// items waiting; 0 before the first such call.
 	meanFullCallItems float64
+	// forecast expects the capacity for late tasks; nil if they are kept by LateWaitFactor only.
+	forecast *forecast.Forecast
+	// keepsLate is set by sort if late tasks are kept by the forecast.
+	keepsLate bool
+	// later holds the newest estimate for each later pool, by the name of its service.
+	later map[string]laterPool
+	// decisions holds the decisions about late tasks that were not taken yet.
+	decisions []LateDecision
+	// roomBound is a moving average of the share of calls that the room and not the number of items
+	// limited.
+	roomBound float64
+	// lastLateCall is when the last call that begins with a late task was closed.
+	lastLateCall time.Time
 }
 
 // upstreamState is the state of one upstream.
@@ -164,7 +180,8 @@
 
 // New returns an empty Pool.
 func New(settings routes.Pool) *Pool {
-	return &Pool{settings: settings, upstreams: make(map[string]*upstreamState), queuedByTicket: make(map[Ticket]*queuedTask), slowdown: 1}
+	return &Pool{settings: settings, upstreams: make(map[string]*upstreamState), queuedByTicket: make(map[Ticket]*queuedTask), slowdown: 1,
+		later: make(map[string]laterPool), roomBound: 1}
 }
 
 // Configure replaces the settings.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -13,6 +13,12 @@
 	items []*Item
 	// class is the number of the task's value class, set by classify; the lowest goes first.
 	class int
+	// split is set once some of the items are in a call that the task was split to fill.
+	split bool
+	// keptAt is when the forecast first kept the task; zero if it did not.
+	keptAt time.Time
+	// started is set once items that were kept are in a call.
+	started bool
 }
 
 // Add queues the items of a task.
@@ -50,10 +56,13 @@
 		return p.removeMatching(func(*queuedTask) bool { return true })
 	}
 	p.sort(now)
+	if p.keepsLate {
+		return p.expireByForecast(now)
+	}
 	available, allLimited := p.availableAt(now), p.allLimited()
 	ahead := 0
 	return p.removeMatching(func(q *queuedTask) bool {
-		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead))) {
+		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || !q.split && q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead))) {
 			return true
 		}
 		ahead += len(q.items)
@@ -61,6 +70,32 @@
 	})
 }
 
+// expireByForecast drops and returns the waiting items that can't be done before the deadline of
+// their request, and the late ones that neither the forecast nor LateWaitFactor keeps. The rest
+// of a split task stays, since it goes first.
+func (p *Pool) expireByForecast(now time.Time) []*Item {
+	available, late := p.availableAt(now), p.lateQueue(now)
+	return p.removeMatching(func(q *queuedTask) bool {
+		if !q.late || q.split {
+			if !p.meetsDeadline(q.Task, available) {
+				return true
+			}
+			late.inTime += len(q.items)
+			return false
+		}
+		if !p.meetsDeadline(q.Task, available) || !p.keeps(late, q.Task, len(q.items), now) {
+			p.decide(LateRefused, q, late, now)
+			return true
+		}
+		if q.keptAt.IsZero() {
+			q.keptAt = now
+			p.decide(LateKept, q, late, now)
+		}
+		late.ahead += len(q.items)
+		return false
+	})
+}
+
 // CanFinish reports whether a call of a task ends before the deadline of its request if it
 // starts as soon as an upstream accepts calls and, where all have limits, it has its turn.
 func (p *Pool) CanFinish(t *Task, now time.Time) bool {
--- /dev/null
+++ b/core/pool/split.go
@@ -0,0 +1,48 @@
+package pool
+
+import "time"
+
+const (
+	// fillBacklog is the number of full calls of items that must wait for each upstream for tasks to be
+	// split. The rest of a split task waits until the next upstream is free, which takes a full
+	// call if the pool has one upstream: not longer than the items behind it wait anyway.
+	fillBacklog = 1
+	// maxRoomBound is the share of calls limited by room up to which tasks are split. A split task
+	// uses room until its rest is done, which costs more items per call than a full call gains.
+	maxRoomBound = 0.1
+)
+
+// mayFill reports whether a task may be split to fill a call: the pool is saturated, and calls have lately
+// been limited by the number of items.
+func (p *Pool) mayFill(now time.Time) bool {
+	if !p.keepsLate || p.roomBound > maxRoomBound {
+		return false
+	}
+	saturated := fillBacklog * float64(p.settings.Batch) * max(1, p.capacity(p.fullCall()))
+	return float64(p.waiting) > saturated && float64(p.waiting-p.heldItems(now)) > saturated
+}
+
+// heldItems returns the number of items that are held for later pools.
+func (p *Pool) heldItems(now time.Time) int {
+	held := 0
+	for _, q := range p.queue {
+		if p.isHeld(q, now) {
+			held += len(q.items)
+		}
+	}
+	return held
+}
+
+// updateRoomBound updates the average of roomBound after a call was closed for an upstream, with the
+// room before it, while a number of waiting items were held. Only a call that left as many
+// items waiting as fit, at an upstream that stores results already, shows what limits calls.
+func (p *Pool) updateRoomBound(s *upstreamState, call *Call, room int64, held int) {
+	if p.waiting-held < p.settings.Batch || s.usedBytes == 0 {
+		return
+	}
+	bound := 0.0
+	if mean := call.bytes / int64(len(call.Items)); mean*int64(p.settings.Batch) > room {
+		bound = 1
+	}
+	p.roomBound += averageWeight * (bound - p.roomBound)
+}
