Let owners keep late tasks, and senders leave them the time of their chain

With load.late_work on, an owner feeds the forecast of each part with arrivals and completions, logs and counts its decisions about late tasks, and says in results when a refused task would be served.

--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -49,6 +49,8 @@
 	// ColdOverrun and ColdSlack bound the requests that a cold upstream may get in any second:
 	// its configured rate × ColdOverrun + ColdSlack.
 	ColdOverrun, ColdSlack float64
+	// LateWork is set if pools keep late tasks for the capacity that is expected to be free.
+	LateWork bool
 }
 
 // Server serves client requests. It is safe for concurrent use.
--- a/gateway/flow/times.go
+++ b/gateway/flow/times.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"acaciawinch/core/pool"
 )
 
 // firstEventAllowance is the time between the end of the last stage and the first event, by
@@ -70,14 +68,13 @@
 
 // times returns the times of a stage that starts now. The stages after it wait among the tasks of
 // their pools that are in time. If this stage is already late, those after it wait behind all other
-// tasks: then pool.LateWaitFactor times their backlog must remain for them, as their pools drop
-// late tasks that have less time, and the work of this stage would be lost.
+// tasks, and lateTail must remain for them.
 func (run *stageRun) times(stage int) stageTimes {
 	now := time.Now()
 	tail := run.progress.CriticalPathAfter(stage, run.estimate)
 	due := run.clientStarted.Add(run.route.Objective - firstEventAllowance - tail).Sub(now)
 	if due < run.estimate(stage) {
-		tail = pool.LateWaitFactor * run.progress.CriticalPathAfter(stage, run.backlog)
+		tail = run.lateTail(stage)
 	}
 	return stageTimes{
 		due:       due,
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -44,6 +44,7 @@
 		p.queue.Fail(b.Call, now)
 	}
 	made := o.finish(p, b, results, now)
+	p.late.completed(made, now)
 	if err != nil {
 		o.logger.Warn(event.PoolCallFailed, observe.Fields{"service": p.Service, "upstream": b.Upstream.ID,
 			"items": len(b.body), "made": made, "error": err.Error(), "duration_us": took.Microseconds()})
@@ -206,7 +207,7 @@
 	task.pending--
 	if task.pending == 0 {
 		p.end(item.Task.Ticket)
-		task.notify.Done(Result{Handles: task.handles, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
+		task.notify.Done(p.resultOf(task, Result{Handles: task.handles}, time.Now()))
 	}
 }
 
--- a/gateway/pools/later.go
+++ b/gateway/pools/later.go
@@ -34,28 +34,29 @@
 	return list
 }
 
-// estimateOf returns the estimate for a service among its parts and classes that is the longest at
-// the given time, and when it was received. A short estimate for an urgent class says nothing
-// about a late task, which waits behind the tasks in time of all classes.
-func (w *waits) estimateOf(service string, now time.Time) (estimate, bool) {
-	var longest estimate
-	known := false
-	for key, e := range w.byClass {
-		if key.Service == service && (!known || e.remaining(now) > longest.remaining(now)) {
-			longest, known = e, true
-		}
-	}
-	return longest, known
-}
-
 // Later returns the newest estimate for a service; its Shortest is left to the caller.
 func (d *Dispatcher) Later(service string) LaterWait {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e, known := d.waits.estimateOf(service, now)
+	newest, known := d.waits.byService[service]
 	if !known {
 		return LaterWait{Service: service}
 	}
-	return LaterWait{Service: service, Wait: e.wait, Age: now.Sub(e.at)}
+	return LaterWait{Service: service, Wait: newest.wait, Age: now.Sub(newest.at)}
+}
+
+// observeLater passes on the estimates that come with a task to the queue of its part. o.mu must be
+// held.
+func (o *Owner) observeLater(p *ownedPart, later []LaterWait, now time.Time) []string {
+	services := make([]string, 0, len(later))
+	for _, l := range later {
+		services = append(services, l.Service)
+		service := o.fleet.Table().Service(l.Service)
+		if l.Wait > 0 && service != nil && service.Pool != nil {
+			full := service.Pool.CallTime + time.Duration(service.Pool.Batch)*service.Pool.ItemTime
+			p.queue.ObserveLater(l.Service, l.Wait, full, now.Add(-l.Age))
+		}
+	}
+	return services
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -47,6 +47,8 @@
 	earlyTasks []earlyTask
 	// earlyFrees holds requests to free results that arrived before then.
 	earlyFrees []earlyFree
+	// late is set if late tasks are kept for the capacity that is expected to be free.
+	late *lateMetrics
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -68,6 +70,8 @@
 	hasLimits bool
 	// nextFree holds the earliest time of the next call that frees results, by the ID of the upstream.
 	nextFree map[string]time.Time
+	// late follows the late tasks; nil if they are not kept for the capacity that is expected to be free.
+	late *lateWork
 	// ownedSince is when this process became the owner.
 	ownedSince time.Time
 }
@@ -138,7 +142,9 @@
 		if p.queue.Evacuated() {
 			expired = Evacuated
 		}
-		for _, item := range p.queue.Expire(now) {
+		items := p.queue.Expire(now)
+		o.recordLate(p, now)
+		for _, item := range items {
 			o.fail(p, item.Task.Ticket, expired)
 		}
 		p.dropExpired(now)
@@ -199,6 +205,7 @@
 	if !o.configure(p) {
 		return nil
 	}
+	o.startLateWork(p)
 	o.pools[part] = p
 	return p
 }
@@ -307,8 +314,10 @@
 			Deadline:  now.Add(task.Remaining),
 			Bytes:     task.ResultBytes,
 			Transfers: task.Transfers,
+			Later:     o.observeLater(p, task.Later, now),
 		},
 	}
+	p.late.arrived(task, now)
 	p.tasks[o.lastTicket] = open
 	session.tasks[number] = taskRef{part: p, ticket: o.lastTicket}
 	o.applyLimits(p)
@@ -357,6 +366,7 @@
 func (o *Owner) sendCalls(p *ownedPart, now time.Time) {
 	o.applyLimits(p)
 	defer o.askPermits(p, now)
+	defer o.recordLate(p, now)
 	for {
 		call := p.queue.Next(now)
 		if call == nil {
@@ -470,7 +480,11 @@
 		return
 	}
 	p.free(task.handles)
-	task.notify.Done(Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()})
+	now := time.Now()
+	if failure == Late {
+		p.late.refused(task.Task, now)
+	}
+	task.notify.Done(p.resultOf(task, Result{Failure: failure}, now))
 }
 
 // cancel ends a task that nobody waits for. The Owner's lock must be held.
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -53,10 +53,11 @@
 	Workspace string
 }
 
-// LaterWait is an estimate of the wait of a task in time at a later pool of a chain.
+// LaterWait is an estimate of the wait of a task at a later pool of a chain.
 type LaterWait struct {
 	Service string
-	// Wait is the time until the call ends that serves such a task; 0 if it is unknown.
+	// Wait is the time until the call ends that serves a task queued behind all others, as a late
+	// task is; 0 if it is unknown.
 	Wait time.Duration
 	// Age is the time since the estimate was made.
 	Age time.Duration
--- a/gateway/pools/waits.go
+++ b/gateway/pools/waits.go
@@ -9,6 +9,8 @@
 type waits struct {
 	byClass map[partClass]estimate
 	byPart  map[Part]estimate
+	// byService holds the newest estimate of the wait behind all queued tasks of any part.
+	byService map[string]estimate
 }
 
 // partClass identifies the tasks of one class at a part of a pool.
@@ -28,7 +30,7 @@
 
 // newWaits returns waits without estimates.
 func newWaits() *waits {
-	return &waits{byClass: make(map[partClass]estimate), byPart: make(map[Part]estimate)}
+	return &waits{byClass: make(map[partClass]estimate), byPart: make(map[Part]estimate), byService: make(map[string]estimate)}
 }
 
 // record records the estimates that came with a result.
@@ -38,6 +40,7 @@
 	}
 	if result.Backlog > 0 {
 		w.byPart[part] = estimate{wait: result.Backlog, at: now}
+		w.byService[part.Service] = estimate{wait: result.Backlog, at: now}
 	}
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -138,6 +138,10 @@
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
+	lateWork := settings.Load.LateWork == ModeAuto
+	if lateWork {
+		p.owner.KeepLateWork(p.metrics.Scope())
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -162,6 +166,7 @@
 
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
+		LateWork:    lateWork,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -63,6 +63,9 @@
 	PoolFreeFailed    = define(10054, "pool_free_failed", "Results could not be freed; the upstream drops them itself when they expire.", "upstream", "handles", "error")
 	PoolHandedOver    = define(10055, "pool_handed_over", "Tasks queued here were handed over to the new owner of the pool.", "service", "part", "owner", "tasks")
 	PoolCallWithdrawn = define(10056, "pool_call_withdrawn", "A batch was not sent, because its upstream took no new work any more once the connection was open; its items are queued again.", "service", "upstream", "items", "duration_us")
+	PoolLateKept      = define(10066, "pool_late_kept", "Since the last such line of a part of a pool, tasks that can't be in time any more were kept for the capacity that is expected to be free after the tasks in time; free is that forecast in items a second, waiting the number of all waiting items.", "service", "part", "tasks", "items", "waiting", "free")
+	PoolLateStarted   = define(10067, "pool_late_started", "Items of a late task that was kept are in a call; ahead is the number of late items ahead of it, free the forecast in items a second.", "request", "stage", "service", "part", "items", "ahead", "free", "remaining_ms", "kept_ms")
+	PoolLateRefused   = define(10068, "pool_late_refused", "A late task was refused: the free capacity until its deadline does not exceed the late items ahead of it, or too little time remains.", "request", "stage", "service", "part", "items", "ahead", "free", "remaining_ms", "kept_ms")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
