Sort the queue of a pool without reflection, and keep its order when grouping by value

Late tasks may wait in the queue for seconds, and each arrival at a pool with a free upstream sorts it twice.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -1,7 +1,8 @@
 package pool
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -22,28 +23,39 @@
 		}
 	}
 	p.classify()
-	sort.SliceStable(p.queue, func(i, j int) bool { return p.less(p.queue[i], p.queue[j]) })
+	slices.SortFunc(p.queue, func(a, b *queuedTask) int {
+		switch {
+		case p.less(a, b):
+			return -1
+		case p.less(b, a):
+			return 1
+		default:
+			return 0
+		}
+	})
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
 // pool that can't do all tasks in time thus does those of the highest value per item
-// (TestOverloadedPoolServesTheMostValue).
+// (TestOverloadedPoolServesTheMostValue). It leaves the queue in its order, so that sorting it costs little
+// when few tasks have been added: late tasks may wait in it for seconds.
 func (p *Pool) classify() {
-	sort.SliceStable(p.queue, func(i, j int) bool {
-		a, b := p.queue[i], p.queue[j]
+	p.byValue = append(p.byValue[:0], p.queue...)
+	slices.SortFunc(p.byValue, func(a, b *queuedTask) int {
 		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
+			return cmp.Compare(a.Rank, b.Rank)
 		}
-		return a.valuePerItem() > b.valuePerItem()
+		return cmp.Compare(b.valuePerItem(), a.valuePerItem())
 	})
 	class, rank, highest := 0, 0, 0.0
-	for i, q := range p.queue {
+	for i, q := range p.byValue {
 		if i == 0 || q.Rank != rank || q.valuePerItem()*classFactor < highest {
 			class++
 			rank, highest = q.Rank, q.valuePerItem()
 		}
 		q.class = class
 	}
+	clear(p.byValue)
 }
 
 // valuePerItem returns the value of the task divided by the number of its waiting items.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -127,6 +127,8 @@
 	// those added since. queuedByTicket holds the same tasks by ticket.
 	queue          []*queuedTask
 	queuedByTicket map[Ticket]*queuedTask
+	// byValue is the space in which classify sorts the queue.
+	byValue []*queuedTask
 	// waiting counts the waiting items.
 	waiting int
 	// lastCall is when the last call was closed.
