--- a/core/pool/late_test.go
+++ b/core/pool/late_test.go
@@ -26,6 +26,14 @@
 	{chainStage{upstreams: 15, batch: 52, itemMS: 3.3, items: 10}, 0.69, 6_000},
 }
 
+// competingChain holds the stages of a reply on the deployment with too little capacity: the second pool
+// does 269 tasks a second, the third 261 and the first 361.
+var competingChain = []lateStage{
+	{chainStage{upstreams: 19, batch: 14, itemMS: 12, items: 2}, 32, 8_000},
+	{chainStage{upstreams: 15, batch: 40, itemMS: 4.3, items: 6}, 5.2, 60_000},
+	{chainStage{upstreams: 18, batch: 54, itemMS: 3.2, items: 10}, 0.72, 6_000},
+}
+
 // Times of a reply, of its gateway and of its upstreams.
 const (
 	replyObjective  = 1700 * time.Millisecond
@@ -284,12 +292,12 @@
 }
 
 // replayBurst plays a burst with each of some seeds and returns the sum of the outcomes.
-func replayBurst(b burst, late bool) outcome {
+func replayBurst(stages []lateStage, b burst, late bool) outcome {
 	const seeds = 3
 	outcomes := make(chan outcome, seeds)
 	for seed := range uint64(seeds) {
 		go func() {
-			run := newLateRun(unevenChain, late)
+			run := newLateRun(stages, late)
 			run.seed = seed
 			at := run.offer(b.base, start, 40*time.Second)
 			at = run.offer(b.rate, at, b.length)
@@ -311,8 +319,9 @@
 
 // compareBurst replays a burst with late work off and on, and requires that with it more requests are
 // served, fewer items are made in vain and not clearly fewer requests are in time.
-func compareBurst(t *testing.T, b burst) {
-	off, on := replayBurst(b, false), replayBurst(b, true)
+func compareBurst(t *testing.T, stages []lateStage, b burst) {
+	t.Helper()
+	off, on := replayBurst(stages, b, false), replayBurst(stages, b, true)
 	t.Logf("off %+v, on %+v", off, on)
 	assert.Assert(t, on.served > off.served, "%d served, %d without late work", on.served, off.served)
 	assert.Assert(t, on.vain < off.vain, "%d items in vain, %d without late work", on.vain, off.vain)
@@ -323,17 +332,23 @@
 // of a chain does, and guards against dropping late requests that the capacity after the burst serves,
 // and against work at the first pools for requests that the third can't serve.
 func TestBurstOnAChainServesMoreAndWastesLess(t *testing.T) {
-	compareBurst(t, burst{base: 126, rate: 315, length: 6500 * time.Millisecond})
+	compareBurst(t, unevenChain, burst{base: 126, rate: 315, length: 6500 * time.Millisecond})
 }
 
 // TestBurstOverAHighBaseLoadServesMoreAndWastesLess guards against late work that delays the requests
 // after a burst: three quarters of the third pool's capacity are in use without it.
 func TestBurstOverAHighBaseLoadServesMoreAndWastesLess(t *testing.T) {
-	compareBurst(t, burst{base: 160, rate: 294, length: 6 * time.Second})
+	compareBurst(t, unevenChain, burst{base: 160, rate: 294, length: 6 * time.Second})
 }
 
 // TestOverloadThatLastsIsNotServedWorse replays 1.4 times what the third pool does for 30 s, in which
 // waiting benefits no request, and guards against late work that displaces work in time.
 func TestOverloadThatLastsIsNotServedWorse(t *testing.T) {
-	compareBurst(t, burst{base: 126, rate: 294, length: 30 * time.Second})
+	compareBurst(t, unevenChain, burst{base: 126, rate: 294, length: 30 * time.Second})
+}
+
+// TestBurstAtTwoPoolsServesMoreAndWastesLess guards against late work that a pool in the middle of a chain
+// keeps although the pool after it is full as well.
+func TestBurstAtTwoPoolsServesMoreAndWastesLess(t *testing.T) {
+	compareBurst(t, competingChain, burst{base: 150, rate: 330, length: 6 * time.Second})
 }
