--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"acaciawinch/core/fairshare"
+	"acaciawinch/core/forecast"
 	"acaciawinch/core/routes"
 )
 
@@ -51,6 +52,8 @@
 	// Promised is set if the client was told to return now. The task is not refused because of
 	// others ahead of it.
 	Promised bool
+	// Later names the services of the later pools of the task's chain.
+	Later []string
 
 	// late is set once the task can no longer be done when it is due.
 	late bool
@@ -135,6 +138,8 @@
 	// those added since. queuedByTicket holds the same tasks by ticket.
 	queue          []*queuedTask
 	queuedByTicket map[Ticket]*queuedTask
+	// byValue is the space in which classify sorts the queue.
+	byValue []*queuedTask
 	// waiting counts the waiting items.
 	waiting int
 	// lastCall is when the last call was closed.
@@ -150,6 +155,19 @@
 	passedOver []Ticket
 	// reserved counts the items of refused clients that were told to return soon.
 	reserved int
+	// forecast expects the capacity for late tasks; nil if they are kept by LateWaitFactor only.
+	forecast *forecast.Forecast
+	// keepsLate is set by sort if late tasks are kept by the forecast.
+	keepsLate bool
+	// later holds the newest estimate for each later pool, by the name of its service.
+	later map[string]laterPool
+	// decisions holds the decisions about late tasks that were not taken yet.
+	decisions []LateDecision
+	// roomBound is a moving average of the share of calls that the room and not the number of items
+	// limited.
+	roomBound float64
+	// lastLateCall is when the last call that begins with a late task was closed.
+	lastLateCall time.Time
 }
 
 // upstreamState is the state of one upstream.
@@ -181,7 +199,8 @@
 
 // New returns an empty Pool.
 func New(settings routes.Pool) *Pool {
-	return &Pool{settings: settings, upstreams: make(map[string]*upstreamState), queuedByTicket: make(map[Ticket]*queuedTask), slowdown: 1}
+	return &Pool{settings: settings, upstreams: make(map[string]*upstreamState), queuedByTicket: make(map[Ticket]*queuedTask), slowdown: 1,
+		later: make(map[string]laterPool), roomBound: 1}
 }
 
 // Configure replaces the settings.
--- a/core/pool/share.go
+++ b/core/pool/share.go
@@ -64,8 +64,8 @@
 	class := 0
 	var earliest time.Time // due time of the last task of the class that is within its share
 	for _, q := range p.queue {
-		if q.late {
-			return
+		if q.late || q.split {
+			continue // their order does not depend on shares
 		}
 		if q.class != class {
 			class, earliest = q.class, time.Time{}
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -52,6 +52,8 @@
 	// ReturnPlaces is set if requests that can't be served are refused before their stages, and if
 	// refused clients are told to return when there is room for them.
 	ReturnPlaces bool
+	// LateWork is set if pools keep late tasks for the capacity that is expected to be free.
+	LateWork bool
 }
 
 // Server serves client requests. It is safe for concurrent use.
--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -58,8 +58,7 @@
 
 // keepPlace keeps the place of a task that is refused as late. If the owner expects room for it, its items
 // are reserved until the client returns. o.mu must be held.
-func (o *Owner) keepPlace(p *ownedPart, task *openTask, result Result) {
-	now := time.Now()
+func (o *Owner) keepPlace(p *ownedPart, task *openTask, result Result, now time.Time) {
 	key, ok := placeKey(task.Task)
 	if p.places == nil || !ok || result.Failure != Late || !now.Before(task.endsAt) {
 		return
--- a/gateway/pools/places_test.go
+++ b/gateway/pools/places_test.go
@@ -57,7 +57,7 @@
 	open.Items = 6
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.keepPlace(p, open, Result{Failure: Late, RetryAfter: 5 * time.Second})
+	o.keepPlace(p, open, Result{Failure: Late, RetryAfter: 5 * time.Second}, now)
 	assert.Equal(t, p.places.Reserved(now.Add(1900*time.Millisecond)), 6)
 	assert.Equal(t, p.places.Reserved(now.Add(3*time.Second)), 0, "clients return after a third of their time")
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -138,9 +138,14 @@
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
-	if settings.Load.ReturnPlaces != ModeOff {
+	returnPlaces := settings.Load.ReturnPlaces == ModeAuto
+	if returnPlaces {
 		p.owner.KeepPlaces(p.metrics.Scope())
 	}
+	lateWork := settings.Load.LateWork == ModeAuto
+	if lateWork {
+		p.owner.KeepLateWork(p.metrics.Scope())
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -165,8 +170,9 @@
 
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
+		LateWork:    lateWork,
 
-		ReturnPlaces: settings.Load.ReturnPlaces != ModeOff,
+		ReturnPlaces: returnPlaces,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
