--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -76,9 +76,7 @@
 		"retry_after_ms": result.RetryAfter.Milliseconds(), "ends_ms": remaining.Milliseconds(), "places": p.places.Len(), "dropped": dropped})
 }
 
-// takePlace returns a task to the place of its client, if there is one. A client that was told when to
-// return was refused for the sender's estimates of the later pools too; now only the shortest times of
-// these count against its deadline. o.mu must be held.
+// takePlace returns a task to the place of its client, if there is one. o.mu must be held.
 func (o *Owner) takePlace(p *ownedPart, task *openTask, now time.Time) {
 	key, ok := placeKey(task.Task)
 	if p.places == nil || !ok {
@@ -89,24 +87,12 @@
 		return
 	}
 	task.queued.Arrived, task.queued.Promised = arrived, told
-	if told {
-		task.queued.Deadline = later(task.queued.Deadline, task.endsAt.Add(-shortestAfter(task.Task)))
-	}
 	o.placeCounters.used.Inc(1)
 	o.logger.Event(event.PoolPlaceUsed, observe.Fields{"service": p.Service, "request": task.Request, "workspace": task.Workspace,
 		"since_ms": now.Sub(arrived).Milliseconds(), "told": told, "due_ms": task.Due.Milliseconds(),
 		"remaining_ms": task.queued.Deadline.Sub(now).Milliseconds(), "places": p.places.Len()})
 }
 
-// shortestAfter returns the shortest time of the stages that follow a task.
-func shortestAfter(task Task) time.Duration {
-	var total time.Duration
-	for _, next := range task.Later {
-		total += next.Shortest
-	}
-	return total
-}
-
 // refreshPlaces drops places that have ended, and tells the queue how much work is reserved. o.mu must
 // be held.
 func (o *Owner) refreshPlaces(p *ownedPart, now time.Time) {
