--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -1,7 +1,8 @@
 package pool
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 // of a full pool go last, and those of clients that have returned to their places go first: they have
 // less time left than others, and the latest due time first would put them last.
 func (p *Pool) sort(now time.Time) {
+	p.keepsLate = p.forecasts(now)
 	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
 	for _, q := range p.queue {
 		if now.Add(shortest).After(q.Due) {
@@ -24,41 +26,57 @@
 	}
 	p.classify()
 	p.markOverShare(now)
-	sort.SliceStable(p.queue, func(i, j int) bool { return less(p.queue[i], p.queue[j]) })
+	slices.SortFunc(p.queue, func(a, b *queuedTask) int {
+		switch {
+		case p.less(a, b):
+			return -1
+		case p.less(b, a):
+			return 1
+		default:
+			return 0
+		}
+	})
 	p.recordPassedOver()
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
 // pool that can't do all tasks in time thus does those of the highest value per item
-// (TestOverloadedPoolServesTheMostValue).
+// (TestOverloadedPoolServesTheMostValue). It leaves the queue in its order, so that sorting it costs little
+// when few tasks have been added: late tasks may wait in it for seconds.
 func (p *Pool) classify() {
-	sort.SliceStable(p.queue, func(i, j int) bool {
-		a, b := p.queue[i], p.queue[j]
+	p.byValue = append(p.byValue[:0], p.queue...)
+	slices.SortFunc(p.byValue, func(a, b *queuedTask) int {
 		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
+			return cmp.Compare(a.Rank, b.Rank)
 		}
-		return a.valuePerItem() > b.valuePerItem()
+		return cmp.Compare(b.valuePerItem(), a.valuePerItem())
 	})
 	class, rank, highest := 0, 0, 0.0
-	for i, q := range p.queue {
+	for i, q := range p.byValue {
 		if i == 0 || q.Rank != rank || q.valuePerItem()*classFactor < highest {
 			class++
 			rank, highest = q.Rank, q.valuePerItem()
 		}
 		q.class = class
 	}
+	clear(p.byValue)
 }
 
 // valuePerItem returns the value of the task divided by the number of its waiting items.
 func (q *queuedTask) valuePerItem() float64 { return q.Value / float64(max(1, len(q.items))) }
 
-// less reports whether a goes before b. Of two tasks of a class that are in time, the one
+// less reports whether a goes before b. The rest of a split task goes first. Of two tasks of a class that are in time, the one
 // that is due later goes first: in the opposite order a burst leaves each task just in time
 // at one pool and late at the next (TestBurstOnAChainLeavesMostOfItsCapacityInTime).
-func less(a, b *queuedTask) bool {
+// Late tasks that are kept by the forecast go by their deadlines.
+func (p *Pool) less(a, b *queuedTask) bool {
 	switch {
+	case a.split != b.split:
+		return a.split
 	case a.late != b.late:
 		return b.late
+	case a.late && p.keepsLate && !a.Deadline.Equal(b.Deadline):
+		return a.Deadline.Before(b.Deadline)
 	case a.late && a.Rank != b.Rank:
 		return a.Rank < b.Rank
 	case a.late && !a.Due.Equal(b.Due):
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -15,6 +15,12 @@
 	class int
 	// overShare is set if the task's workspace is over its share of a full pool.
 	overShare bool
+	// split is set once some of the items are in a call that the task was split to fill.
+	split bool
+	// keptAt is when the forecast first kept the task; zero if it did not.
+	keptAt time.Time
+	// started is set once items that were kept are in a call.
+	started bool
 }
 
 // Add queues the items of a task.
@@ -52,10 +58,13 @@
 		return p.removeMatching(func(*queuedTask) bool { return true })
 	}
 	p.sort(now)
+	if p.keepsLate {
+		return p.expireByForecast(now)
+	}
 	available, allLimited := p.availableAt(now), p.allLimited()
 	ahead := 0
 	return p.removeMatching(func(q *queuedTask) bool {
-		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || q.late && !q.Promised && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead+p.reserved))) {
+		if !p.meetsDeadline(q.Task, available) || allLimited && p.endsTooLate(q.Task, ahead, now) || !q.split && !q.Promised && q.late && q.Deadline.Sub(now) < time.Duration(LateWaitFactor*float64(p.waitBehind(ahead+p.reserved))) {
 			return true
 		}
 		ahead += len(q.items)
@@ -63,6 +72,32 @@
 	})
 }
 
+// expireByForecast drops and returns the waiting items that can't be done before the deadline of
+// their request, and the late ones that neither the forecast nor LateWaitFactor keeps. The rest
+// of a split task stays, since it goes first.
+func (p *Pool) expireByForecast(now time.Time) []*Item {
+	available, late := p.availableAt(now), p.lateQueue(now)
+	return p.removeMatching(func(q *queuedTask) bool {
+		if !q.late || q.split {
+			if !p.meetsDeadline(q.Task, available) {
+				return true
+			}
+			late.inTime += len(q.items)
+			return false
+		}
+		if !p.meetsDeadline(q.Task, available) || !q.Promised && !p.keeps(late, q.Task, len(q.items), now) {
+			p.decide(LateRefused, q, late, now)
+			return true
+		}
+		if q.keptAt.IsZero() {
+			q.keptAt = now
+			p.decide(LateKept, q, late, now)
+		}
+		late.ahead += len(q.items)
+		return false
+	})
+}
+
 // CanFinish reports whether a call of a task ends before the deadline of its request if it
 // starts as soon as an upstream accepts calls and, where all have limits, it has its turn.
 func (p *Pool) CanFinish(t *Task, now time.Time) bool {
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -67,6 +67,8 @@
 	reportWait time.Duration
 	// placeCounters is set if places are kept and full pools shared between workspaces.
 	placeCounters *placeCounters
+	// late is set if late tasks are kept for the capacity that is expected to be free.
+	late *lateMetrics
 }
 
 // ownedPart is one part of a pool at its owner. The Owner's lock guards it.
@@ -88,6 +90,8 @@
 	hasLimits bool
 	// nextFree holds the earliest time of the next call that frees results, by the ID of the upstream.
 	nextFree map[string]time.Time
+	// late follows the late tasks; nil if they are not kept for the capacity that is expected to be free.
+	late *lateWork
 	// ownedSince is when this process became the owner.
 	ownedSince time.Time
 	// askRoom is set while the upstreams are to be asked for their room; roomAskedAt is when they were last
@@ -173,7 +177,9 @@
 		if p.queue.Evacuated() {
 			expired = Evacuated
 		}
-		for _, item := range p.queue.Expire(now) {
+		items := p.queue.Expire(now)
+		o.recordLate(p, now)
+		for _, item := range items {
 			o.fail(p, item.Task.Ticket, expired)
 		}
 		p.dropExpired(now)
@@ -238,6 +244,7 @@
 		return nil
 	}
 	o.preparePlaces(p)
+	o.startLateWork(p)
 	o.pools[part] = p
 	return p
 }
@@ -348,9 +355,11 @@
 			Bytes:     task.ResultBytes,
 			Transfers: task.Transfers,
 			Workspace: task.Workspace,
+			Later:     o.observeLater(p, task.Later, now),
 		},
 	}
 	o.takePlace(p, open, now)
+	p.late.arrived(task, now)
 	p.tasks[o.lastTicket] = open
 	session.tasks[number] = taskRef{part: p, ticket: o.lastTicket}
 	o.applyLimits(p)
@@ -400,6 +409,7 @@
 	o.applyLimits(p)
 	o.askRooms(p, now)
 	defer o.askPermits(p, now)
+	defer o.recordLate(p, now)
 	for {
 		call := p.queue.Next(now)
 		if call == nil {
@@ -513,8 +523,12 @@
 		return
 	}
 	p.free(task.handles)
-	result := Result{Failure: failure, Wait: p.queue.Wait(task.Class.Rank, task.Value), Backlog: p.queue.Backlog()}
-	o.keepPlace(p, task, result)
+	now := time.Now()
+	if failure == Late {
+		p.late.refused(task.Task, now)
+	}
+	result := p.resultOf(task, Result{Failure: failure}, now)
+	o.keepPlace(p, task, result, now)
 	task.notify.Done(result)
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -150,9 +150,14 @@
 	if settings.Fleet.FirstStart {
 		p.owner.StartsFirst()
 	}
-	if settings.Load.ReturnPlaces != ModeOff {
+	returnPlaces := settings.Load.ReturnPlaces == ModeAuto
+	if returnPlaces {
 		p.owner.KeepPlaces(p.metrics.Scope())
 	}
+	lateWork := settings.Load.LateWork == ModeAuto
+	if lateWork {
+		p.owner.KeepLateWork(p.metrics.Scope())
+	}
 	if err := wirepb.DRPCRegisterPool(p.rpc.Mux(), pools.NewServer(p.owner)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
@@ -178,9 +183,10 @@
 
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
+		LateWork:    lateWork,
 
 		RepeatSilent: settings.Load.RepeatSilent != ModeOff,
-		ReturnPlaces: settings.Load.ReturnPlaces != ModeOff,
+		ReturnPlaces: returnPlaces,
 	})
 	p.view.OnChange(p.limits.FleetChanged)
 	p.view.OnChange(p.versions.FleetChanged)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -68,6 +68,9 @@
 	PoolHeldLearned   = define(10065, "pool_held_learned", "A gateway told this new owner of a part of a pool which results it uses; new counts those that this owner did not know, and bytes is their size, which counts as used room.", "service", "part", "caller", "results", "new", "bytes")
 	PoolRoomLearned   = define(10066, "pool_room_learned", "An upstream told a new owner of its part how much room for results it has. What it stores beyond the known results counts as used until results stored then have expired.", "service", "part", "upstream", "free_bytes", "known_bytes", "unaccounted_bytes", "duration_us")
 	PoolRoomUnknown   = define(10067, "pool_room_unknown", "An upstream did not tell a new owner of its part how much room it has; only the known results count.", "service", "part", "upstream", "error", "duration_us")
+	PoolLateKept      = define(10057, "pool_late_kept", "Since the last such line of a part of a pool, tasks that can't be in time any more were kept for the capacity that is expected to be free after the tasks in time; free is that forecast in items a second, waiting the number of all waiting items.", "service", "part", "tasks", "items", "waiting", "free")
+	PoolLateStarted   = define(10058, "pool_late_started", "Items of a late task that was kept are in a call; ahead is the number of late items ahead of it, free the forecast in items a second.", "request", "stage", "service", "part", "items", "ahead", "free", "remaining_ms", "kept_ms")
+	PoolLateRefused   = define(10059, "pool_late_refused", "A late task was refused: the free capacity until its deadline does not exceed the late items ahead of it, or too little time remains.", "request", "stage", "service", "part", "items", "ahead", "free", "remaining_ms", "kept_ms")
 )
 
 // Events of requests that crash upstreams: 10070 to 10079.
