Measure slow engines by few trials, and know them between trials

Cause: an engine that violates a pause at any time got no trials, and with each fading of its observations several requests at once; processes started their trials closer together than they learn of each other's.

--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -178,6 +178,25 @@
 	assert.Assert(t, !r.table.Exceeds(engineOf(0), limits, r.now))
 }
 
+// TestVerySlowEngineIsKnownByItsTrialsAlone guards against requests that go to an engine all at once each time that its
+// observations have faded: it violates the limit at any time, so that no request is better suited than others.
+func TestVerySlowEngineIsKnownByItsTrialsAlone(t *testing.T) {
+	r := newReplay(2, 10, func(i int) bool { return i == 0 })
+	limits := Limits{Pause: 200 * time.Millisecond}
+	r.run(8*time.Second, all)
+	trials := 0
+	for range 1200 {
+		r.run(100*time.Millisecond, func(i int) bool { return i != 0 })
+		assert.Assert(t, r.table.Exceeds(engineOf(0), limits, r.now), "after %d trials", trials)
+		if r.table.TrialDue(engineOf(0), limits, r.now) {
+			trials++
+			r.table.Tried(engineOf(0), r.now)
+			r.stream(0)
+		}
+	}
+	assert.Assert(t, trials >= 7 && trials <= 12, "%d trials in two minutes", trials)
+}
+
 // TestOldObservationsFade guards against decisions by observations of long ago.
 func TestOldObservationsFade(t *testing.T) {
 	r := newReplay(2, 2.4, isThird)
--- a/core/pace/samples.go
+++ b/core/pace/samples.go
@@ -39,6 +39,17 @@
 	s.next = (s.next + 1) % maxSamples
 }
 
+// fresh returns the number of fresh values.
+func (s *samples) fresh(now time.Time) int {
+	count := 0
+	for _, one := range s.ring {
+		if now.Sub(one.at) <= sampleTTL {
+			count++
+		}
+	}
+	return count
+}
+
 // percentile returns the 95th percentile of the fresh values, and false if there are too few.
 func (s *samples) percentile(now time.Time) (float64, bool) {
 	var fresh []float64
--- a/core/pace/table.go
+++ b/core/pace/table.go
@@ -21,25 +21,10 @@
 	maxGapWeight, maxFirstWeight = 96, 48
 	// minGapWeight and minFirstWeight are what must be left of them for the values to count. With less, the engine
 	// is taken to be a usual one.
-	minGapWeight, minFirstWeight = 12, 8
+	minGapWeight, minFirstWeight = 6, 8
 	// usualFirstWeight is the weight of the assumption that an engine's time to the first event is the usual one.
 	// Few streams say little, as their times depend on what is cached and queued.
 	usualFirstWeight = 2
-	// maxExtra bounds the assumed time of one prefill chunk, in multiples of the pace. Prompts of 3,000 tokens take as
-	// long as one event on the engines known; longer pauses have other causes, such as a stall of this process.
-	maxExtra = 1.5
-	// summaryTTL is how long the values that all engines have in common are used before they are computed again.
-	summaryTTL = 200 * time.Millisecond
-)
-
-// An engine is slow from these ratios to the fast quarter of the engines. The slow engines observed take 2.4 times
-// as long as the others. Engines that differ by 1.3 are left alone: the limit of some request always lies between
-// two of them, and it would give up its cached prefix for little.
-const (
-	slowerPace = 1.5
-	// slowerFirst is larger, as the time to the first event depends on what is cached and queued too, and on the
-	// machine's speed at that moment where engines don't report it.
-	slowerFirst = 1.8
 )
 
 // Table holds the paces of the engines of one service.
@@ -68,18 +53,6 @@
 	logged                          bool
 }
 
-// summary holds what is derived from all engines.
-type summary struct {
-	at time.Time
-	// worst is the usual worst fourth figure as a factor, extra the time of a prefill chunk in paces.
-	worst, extra float64
-	// fastGap and fastFirst are the quartiles of the paces and ratios of the engines, usualGap the median pace in
-	// seconds; 0 if no pace is known.
-	fastGap, fastFirst, usualGap float64
-	// uneven is set if an engine is clearly slower than the fast quarter.
-	uneven bool
-}
-
 // NewTable returns an empty table for the process of the given name.
 func NewTable(name string) *Table {
 	return &Table{engines: make(map[Engine]*state), stagger: stagger{name: name, members: 1}}
@@ -175,15 +148,6 @@
 	return s.slower(common, now)
 }
 
-// slower is Slower for a state.
-func (s *state) slower(common summary, now time.Time) (pause, firstEvent bool) {
-	gap, gapKnown := s.pace(now)
-	ratio, ratioKnown := s.ratio(now)
-	pause = gapKnown && gap >= slowerPace*common.fastGap
-	firstEvent = ratioKnown && common.fastFirst > 0 && ratio >= slowerFirst*common.fastFirst
-	return pause, firstEvent
-}
-
 // Weight returns the factor by which the share of slots in use of a plain upstream counts: the ratio of its
 // response times to those of the fast quarter if its service reports fourth figures and the upstream is clearly
 // slower, else 1.
@@ -226,62 +190,3 @@
 	}
 	return s
 }
-
-// summary returns what is derived from all engines, at most summaryTTL old.
-func (t *Table) summary(now time.Time) summary {
-	if age := now.Sub(t.common.at); t.common.at.IsZero() || age < 0 || age >= summaryTTL {
-		t.common = t.summarise(now)
-	}
-	return t.common
-}
-
-// summarise computes what is derived from all engines.
-func (t *Table) summarise(now time.Time) summary {
-	var gaps, ratios []float64
-	for _, s := range t.engines {
-		if gap, known := s.pace(now); known {
-			gaps = append(gaps, gap)
-		}
-		if ratio, known := s.ratio(now); known {
-			ratios = append(ratios, ratio)
-		}
-	}
-	slices.Sort(gaps)
-	slices.Sort(ratios)
-	common := summary{at: now, worst: t.worstFigure(now), fastGap: quantile(gaps, 4), usualGap: quantile(gaps, 2), fastFirst: quantile(ratios, 4)}
-	if extra, known := t.extras.percentile(now); known {
-		common.extra = min(extra, maxExtra)
-	}
-	for _, s := range t.engines {
-		pause, first := s.slower(common, now)
-		common.uneven = common.uneven || pause || first
-	}
-	return common
-}
-
-// quantile returns the value below which one part of a sorted list lies, 0 if the list is empty.
-func quantile(sorted []float64, parts int) float64 {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[len(sorted)/parts]
-}
-
-// worstFigure returns the usual worst fourth figure as a factor: that of the responses to this process or, if
-// these are few, of the largest figures of the engines.
-func (t *Table) worstFigure(now time.Time) float64 {
-	if worst, known := t.figures.percentile(now); known {
-		return max(1, worst/usualPercent)
-	}
-	var largest []float64
-	for _, s := range t.engines {
-		if s.worst > 0 && now.Sub(s.observedAt) <= sampleTTL {
-			largest = append(largest, float64(s.worst))
-		}
-	}
-	if len(largest) == 0 {
-		return 1
-	}
-	slices.Sort(largest)
-	return max(1, largest[int(percentileRank*float64(len(largest)))]/usualPercent)
-}
--- a/core/pace/trial.go
+++ b/core/pace/trial.go
@@ -7,12 +7,15 @@
 )
 
 const (
-	// trialAfter is how long after its last observation an excluded engine is tried again. It is shorter than the
-	// time in which its observations fade, after which several requests would go there at once.
+	// trialAfter is how long after its last observation an excluded engine is tried again by a request that meets its
+	// limits there if the machine has its usual speed.
 	trialAfter = 6 * time.Second
-	// trialSpread is the mean time between the first trials of two processes. The result of a trial is known to the
-	// others about as much later.
-	trialSpread = 1500 * time.Millisecond
+	// anyTrialAfter is the same for other requests. It is shorter than the time in which the observations of one trial
+	// fade, after which several requests would go there at once.
+	anyTrialAfter = 10 * time.Second
+	// trialSpread is the mean time between the trials of two processes. The others know of a trial some two seconds
+	// after it began.
+	trialSpread = 3 * time.Second
 	// excludedTime is how long an engine counts as excluded after the last request for which it was.
 	excludedTime = 5 * time.Second
 )
@@ -66,19 +69,19 @@
 // Excluded records that an engine is excluded for a request.
 func (t *Table) Excluded(engine Engine, now time.Time) { t.stateOf(engine).excludedAt = now }
 
-// TrialDue reports whether a request should go to an excluded engine to measure it again. The request must meet
-// its limits there if the machine has its usual speed.
+// TrialDue reports whether a request should go to an excluded engine to measure it again. Requests that meet their
+// limits there if the machine has its usual speed go first.
 func (t *Table) TrialDue(engine Engine, limits Limits, now time.Time) bool {
 	s := t.engines[engine]
 	if s == nil {
 		return false
 	}
-	wait := trialAfter + t.stagger.delay(engine)
-	if now.Sub(s.observedAt) < wait || now.Sub(s.triedAt) < wait {
-		return false
+	wait := trialAfter
+	if firstEvent, pause, _ := t.expected(engine, limits.Tokens, now, 1); !limits.within(firstEvent, pause) {
+		wait = anyTrialAfter
 	}
-	firstEvent, pause, _ := t.expected(engine, limits.Tokens, now, 1)
-	return limits.within(firstEvent, pause)
+	wait += t.stagger.delay(engine)
+	return now.Sub(s.observedAt) >= wait && now.Sub(s.triedAt) >= wait
 }
 
 // Tried records that a request was sent to an excluded engine.
--- a/standin/gatewaytest/pace_test.go
+++ b/standin/gatewaytest/pace_test.go
@@ -91,8 +91,10 @@
 		assert.Assert(t, number < 100, "the second gateway excludes nothing")
 	}
 	before := e.slowRequests()
+	var sent sync.WaitGroup // together, as an excluded engine is tried again after some seconds
 	for number := range 24 {
-		send(gateways[1], "then", number)
+		sent.Go(func() { send(gateways[1], "then", number) })
 	}
+	sent.Wait()
 	assert.Equal(t, e.slowRequests(), before)
 }
