Let the earliest due go first in a busy pool whose queue is short

Large soaks refused requests with "stage 1: late" 8 s after the last fault. The owner was right, its upstreams had room and were used back to back, and none was avoided: 80 clients that send their next request when the last is done keep some 45 tasks queued, which the pool does in 0.4 s. As the latest due went first, the first of them were passed by all that came later until they were late, after 1.7 s, and were refused.

Among tasks in time of one class, those that are all done within a quarter of the time until they are due now go with the earliest due first, if a call is short against that time. In TestABusyPoolWithAShortQueueLeavesNoTaskBehind, 40 of 45 clients' tasks became late before, and none does now.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -22,6 +22,7 @@
 	}
 	p.classify()
 	sort.SliceStable(p.queue, func(i, j int) bool { return less(p.queue[i], p.queue[j]) })
+	p.orderUnhurried(now)
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
