--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -37,6 +37,7 @@
 		}
 	})
 	p.recordPassedOver()
+	p.orderUnhurried(now)
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
