--- a/core/comeback/comeback.go
+++ b/core/comeback/comeback.go
@@ -5,8 +5,9 @@
 // A place is known by the fingerprint of the request, ends with the request's deadline and is used
 // once. What it gives depends on what the client was told:
 //
-//   - A client that returns in time for its objective goes first among the tasks of its rank and class.
-//     Pools serve the task that is due last first, which would put it behind all others.
+//   - A client that returns in time for its objective is queued by its due time as others are, behind those
+//     that are due later. If it went first, it would be just in time at this pool and late at the
+//     next one, and fewer requests of a chain would be in time.
 //   - A client that returns late is queued among the late tasks by its deadline, which is earlier than those
 //     of clients that have arrived since. That order is enough; a place before it would help clients
 //     that can't be served.
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -14,8 +14,7 @@
 // sort orders the queue. Tasks that are in time go before late ones: in a burst, time
 // spent on late tasks makes the others late too. Tasks in time are ordered by rank, then by
 // value class, then by due time, the latest first. Within a class, those of workspaces over their share
-// of a full pool go last, and those of clients that have returned to their places go first: they have
-// less time left than others, and the latest due time first would put them last.
+// of a full pool go last.
 func (p *Pool) sort(now time.Time) {
 	p.keepsLate = p.forecasts(now)
 	shortest := time.Duration(float64(p.callTime(p.settings.Batch)) * p.slowdown)
@@ -85,8 +84,6 @@
 		return a.class < b.class
 	case !a.late && a.overShare != b.overShare:
 		return b.overShare
-	case !a.late && a.isReturned() != b.isReturned():
-		return a.isReturned()
 	case !a.Due.Equal(b.Due):
 		return a.Due.After(b.Due)
 	default:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -46,9 +46,6 @@
 	Transfers []Transfer
 	// Workspace is the workspace of the request; empty if it has none.
 	Workspace string
-	// Arrived is when the client was first here, if it was refused then and has returned to its
-	// place; zero for other tasks.
-	Arrived time.Time
 	// Promised is set if the client was told to return now. The task is not refused because of
 	// others ahead of it.
 	Promised bool
--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -86,7 +86,7 @@
 	if !known {
 		return
 	}
-	task.queued.Arrived, task.queued.Promised = arrived, told
+	task.queued.Promised = told
 	o.placeCounters.used.Inc(1)
 	o.logger.Event(event.PoolPlaceUsed, observe.Fields{"service": p.Service, "request": task.Request, "workspace": task.Workspace,
 		"since_ms": now.Sub(arrived).Milliseconds(), "told": told, "due_ms": task.Due.Milliseconds(),
