--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -86,8 +86,10 @@
 	Task
 	queued *pool.Task
 	// endsAt is when the last stage of the request must be complete.
-	endsAt  time.Time
-	handles []string
+	endsAt time.Time
+	// hadPlace is set if the client has returned to its place.
+	hadPlace bool
+	handles  []string
 	// pending is the number of items without a result.
 	pending int
 	notify  Notify
--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -57,10 +57,11 @@
 const honouredPart = 3
 
 // keepPlace keeps the place of a task that is refused as late. If the owner expects room for it, its items
-// are reserved until the client returns. o.mu must be held.
+// are reserved until the client returns. A client that has returned to its place gets no other one. o.mu
+// must be held.
 func (o *Owner) keepPlace(p *ownedPart, task *openTask, result Result, now time.Time) {
 	key, ok := placeKey(task.Task)
-	if p.places == nil || !ok || result.Failure != Late || !now.Before(task.endsAt) {
+	if p.places == nil || !ok || result.Failure != Late || task.hadPlace || !now.Before(task.endsAt) {
 		return
 	}
 	remaining := task.endsAt.Sub(now)
@@ -86,7 +87,7 @@
 	if !known {
 		return
 	}
-	task.queued.Promised = told
+	task.hadPlace, task.queued.Promised = true, told
 	o.placeCounters.used.Inc(1)
 	o.logger.Event(event.PoolPlaceUsed, observe.Fields{"service": p.Service, "request": task.Request, "workspace": task.Workspace,
 		"since_ms": now.Sub(arrived).Milliseconds(), "told": told, "due_ms": task.Due.Milliseconds(),
