--- a/core/pool/late.go
+++ b/core/pool/late.go
@@ -152,11 +152,21 @@
 			queue.ahead += len(q.items)
 		}
 	}
-	found := LateForecast{Known: true, Kept: p.keeps(queue, t, items, now)}
-	if queue.serves(items, t.Deadline, now) {
-		found.After = time.Duration(float64(queue.ahead+items) / queue.free * float64(time.Second))
+	return LateForecast{Known: true, Kept: p.keeps(queue, t, items, now), After: p.servedAfter(queue, t, items, now)}
+}
+
+// servedAfter returns the time until the forecast serves the late work ahead of a task and the task; 0 if a
+// call that starts then ends after its deadline.
+func (p *Pool) servedAfter(late *lateQueue, t *Task, items int, now time.Time) time.Duration {
+	work := float64(late.ahead + items)
+	if work > late.free*t.Deadline.Sub(now).Seconds() {
+		return 0
+	}
+	after := time.Duration(work / late.free * float64(time.Second))
+	if !p.meetsDeadline(t, now.Add(after)) {
+		return 0
 	}
-	return found
+	return after
 }
 
 // isHeld reports whether a late task must wait because a later pool of its chain is full: its
