--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -25,6 +25,10 @@
 		return nil // sorting the queue at each arrival would take most of an owner's CPU time
 	}
 	p.sort(now)
+	p.holdLate(now)
+	if p.held == p.waiting {
+		return nil
+	}
 	first := p.queue[0].Task
 	late := p.keepsLate && p.queue[0].late && !p.queue[0].split
 	if late && now.Sub(p.lastLateCall) < p.lateCallInterval() {
@@ -98,17 +102,12 @@
 func (p *Pool) closeBatch(s *upstreamState, now time.Time) *Call {
 	call := &Call{Upstream: s.upstream, StartedAt: now}
 	room := p.availableBytes(s, now)
-	split := p.mayFill(now)
-	held := 0
+	split := p.mayFill()
 	for _, q := range p.queue {
 		if len(call.Items) >= p.settings.Batch {
 			break
 		}
-		if len(q.items) == 0 || !p.meetsDeadline(q.Task, now) || !q.split && p.shouldWaitForNearer(q.Task, s, now) {
-			continue
-		}
-		if p.isHeld(q, now) {
-			held += len(q.items)
+		if len(q.items) == 0 || q.held || !p.meetsDeadline(q.Task, now) || !q.split && p.shouldWaitForNearer(q.Task, s, now) {
 			continue
 		}
 		count := p.itemsThatFit(call, q, room-call.bytes, split)
@@ -123,8 +122,8 @@
 		return nil
 	}
 	p.removeMatching(func(*queuedTask) bool { return false })
-	p.updateItemsPerCall(len(call.Items), held)
-	p.updateRoomBound(s, call, room, held)
+	p.updateItemsPerCall(len(call.Items))
+	p.updateRoomBound(s, call, room)
 	p.recordStart(call, s)
 	return call
 }
--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -94,10 +94,9 @@
 	return min(p.meanFullCallItems, float64(p.settings.Batch))
 }
 
-// updateItemsPerCall updates the average of itemsPerCall after a call was closed while a number of waiting
-// items were held for later pools.
-func (p *Pool) updateItemsPerCall(items, held int) {
-	if p.waiting-held < p.settings.Batch {
+// updateItemsPerCall updates the average of itemsPerCall after a call was closed.
+func (p *Pool) updateItemsPerCall(items int) {
+	if p.waiting-p.held < p.settings.Batch {
 		return
 	}
 	p.meanFullCallItems = p.itemsPerCall()
--- a/core/pool/late.go
+++ b/core/pool/late.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"acaciawinch/core/forecast"
@@ -42,16 +43,6 @@
 	p.later[service] = laterPool{wait: wait, fullCall: fullCall, at: at}
 }
 
-// laterPoolIsFull reports whether a later pool of the task's chain is full.
-func (p *Pool) laterPoolIsFull(t *Task, now time.Time) bool {
-	for _, service := range t.Later {
-		if p.later[service].isFull(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // forecasts reports whether late tasks are kept by the forecast now. With limits, no upstream becomes
 // free sooner than expected.
 func (p *Pool) forecasts(now time.Time) bool {
@@ -169,10 +160,37 @@
 	return after
 }
 
-// isHeld reports whether a late task must wait because a later pool of its chain is full: its
-// results would occupy room while they wait there. A split task has results already.
-func (p *Pool) isHeld(q *queuedTask, now time.Time) bool {
-	return p.keepsLate && q.late && !q.split && p.laterPoolIsFull(q.Task, now)
+// holdLate marks the late tasks that must wait because a later pool of their chain is full: their results
+// would occupy room while they wait there. A split task has results already.
+func (p *Pool) holdLate(now time.Time) {
+	p.held = 0
+	full := p.fullLaterPools(now)
+	for _, q := range p.queue {
+		q.held = len(full) > 0 && q.late && !q.split && usesAny(q.Later, full)
+		if q.held {
+			p.held += len(q.items)
+		}
+	}
+}
+
+// fullLaterPools returns the services of the later pools that are full; none if late tasks are not kept by
+// the forecast.
+func (p *Pool) fullLaterPools(now time.Time) []string {
+	if !p.keepsLate {
+		return nil
+	}
+	var full []string
+	for service, later := range p.later {
+		if later.isFull(now) {
+			full = append(full, service)
+		}
+	}
+	return full
+}
+
+// usesAny reports whether one of the later pools of a chain is among those that are full.
+func usesAny(later, full []string) bool {
+	return slices.ContainsFunc(later, func(service string) bool { return slices.Contains(full, service) })
 }
 
 // lateChainFactor is how many full calls a late task is given for each later stage of its chain: half a call until
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -129,8 +129,9 @@
 	queuedByTicket map[Ticket]*queuedTask
 	// byValue is the space in which classify sorts the queue.
 	byValue []*queuedTask
-	// waiting counts the waiting items.
-	waiting int
+	// waiting counts the waiting items, held those of them that were held for later pools at the last attempt to
+	// close a batch.
+	waiting, held int
 	// lastCall is when the last call was closed.
 	lastCall time.Time
 	// slowdown is a moving average of the ratio of measured to configured call time.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -15,6 +15,8 @@
 	class int
 	// split is set once some of the items are in a call that the task was split to fill.
 	split bool
+	// held is set by holdLate if the task must wait for a later pool.
+	held bool
 	// keptAt is when the forecast first kept the task; zero if it did not.
 	keptAt time.Time
 	// started is set once items that were kept are in a call.
--- a/core/pool/split.go
+++ b/core/pool/split.go
@@ -1,7 +1,5 @@
 package pool
 
-import "time"
-
 const (
 	// fillBacklog is the number of full calls of items that must wait for each upstream for tasks to be
 	// split. The rest of a split task waits until the next upstream is free, which takes a full
@@ -14,30 +12,18 @@
 
 // mayFill reports whether a task may be split to fill a call: the pool is saturated, and calls have lately
 // been limited by the number of items.
-func (p *Pool) mayFill(now time.Time) bool {
+func (p *Pool) mayFill() bool {
 	if !p.keepsLate || p.roomBound > maxRoomBound {
 		return false
 	}
-	saturated := fillBacklog * float64(p.settings.Batch) * max(1, p.capacity(p.fullCall()))
-	return float64(p.waiting) > saturated && float64(p.waiting-p.heldItems(now)) > saturated
-}
-
-// heldItems returns the number of items that are held for later pools.
-func (p *Pool) heldItems(now time.Time) int {
-	held := 0
-	for _, q := range p.queue {
-		if p.isHeld(q, now) {
-			held += len(q.items)
-		}
-	}
-	return held
+	return float64(p.waiting-p.held) > fillBacklog*float64(p.settings.Batch)*max(1, p.capacity(p.fullCall()))
 }
 
-// updateRoomBound updates the average of roomBound after a call was closed for an upstream, with the
-// room before it, while a number of waiting items were held. Only a call that left as many
-// items waiting as fit, at an upstream that stores results already, shows what limits calls.
-func (p *Pool) updateRoomBound(s *upstreamState, call *Call, room int64, held int) {
-	if p.waiting-held < p.settings.Batch || s.usedBytes == 0 {
+// updateRoomBound updates the average of roomBound after a call was closed for an upstream that had some
+// room before it. Only a call that left as many items waiting as fit, at an upstream that stores
+// results already, shows what limits calls.
+func (p *Pool) updateRoomBound(s *upstreamState, call *Call, room int64) {
+	if p.waiting-p.held < p.settings.Batch || s.usedBytes == 0 {
 		return
 	}
 	bound := 0.0
