--- a/core/pool/keep_test.go
+++ b/core/pool/keep_test.go
@@ -169,3 +169,25 @@
 	found = p.ForecastLate(lateTask(3, 700*time.Millisecond), settings.Batch, start)
 	assert.Assert(t, !found.Kept && found.After == 0)
 }
+
+// TestLateWorkLeavesStandardRatesAndBurstsInTime guards against late work that costs tasks in time their
+// objective, on the pools and at the rates that are replayed without it.
+func TestLateWorkLeavesStandardRatesAndBurstsInTime(t *testing.T) {
+	inTime := func(load deploymentPool, rate float64, limit time.Duration, late bool) float64 {
+		p := New(load.pool)
+		if late {
+			f := forecast.New()
+			f.Observe(start.Add(-time.Minute))
+			p.KeepLate(f)
+		}
+		share, _ := replayOn(p, load, rate, limit)
+		return share
+	}
+	for _, load := range standardRates {
+		standard := inTime(load, 1, 900*time.Millisecond, true)
+		assert.Assert(t, standard > 0.97, "%s: %.3f in time", load.name, standard)
+		off, on := inTime(load, 3.5, 1100*time.Millisecond, false), inTime(load, 3.5, 1100*time.Millisecond, true)
+		t.Logf("%s: %.3f of a burst in time, %.3f without late work", load.name, on, off)
+		assert.Assert(t, on > off-0.01, "%s: %.3f of a burst in time, %.3f without late work", load.name, on, off)
+	}
+}
--- a/core/pool/replay_test.go
+++ b/core/pool/replay_test.go
@@ -44,7 +44,12 @@
 // replay offers a multiple of the standard rate for 20 s and returns the share of tasks done
 // within limit, and the mean number of items per call.
 func replay(load deploymentPool, rate float64, limit time.Duration) (inTime, itemsPerCall float64) {
-	sim := &simulation{load: load, pool: New(load.pool), random: rand.New(rand.NewPCG(1, 2)), now: start, limit: limit}
+	return replayOn(New(load.pool), load, rate, limit)
+}
+
+// replayOn does the same as replay on an empty pool with the settings of the load.
+func replayOn(p *Pool, load deploymentPool, rate float64, limit time.Duration) (inTime, itemsPerCall float64) {
+	sim := &simulation{load: load, pool: p, random: rand.New(rand.NewPCG(1, 2)), now: start, limit: limit}
 	list := upstreams(load.upstreams)
 	sim.pool.SetUpstreams(list)
 	gap := time.Duration(float64(load.itemsPerTask) / (load.itemsPerSecond * rate) * float64(time.Second))
