--- a/core/forecast/forecast_test.go
+++ b/core/forecast/forecast_test.go
@@ -27,50 +27,37 @@
 	return from.Add(length)
 }
 
-// newForecast returns a forecast of a pool with the given load for a time.
-func newForecast(share float64, length time.Duration) (*Forecast, time.Time) {
-	f := New()
-	f.SetFullRate(fullRate)
-	return f, load(f, share, start, length)
-}
-
-// TestFreeCapacityRemainsInABurst guards against dropping late work in a burst of 6 s, although
-// the pool can do it soon after.
-func TestFreeCapacityRemainsInABurst(t *testing.T) {
-	f, at := newForecast(0.6, time.Minute)
-	assert.Assert(t, f.Free(at) > 0.35*fullRate, "%.0f", f.Free(at))
-	for range 6 {
-		at = load(f, 1.4, at, time.Second)
-		assert.Assert(t, f.Free(at) > 0.2*fullRate, "%.0f", f.Free(at))
+// TestFreeFollowsTheLoad guards against dropping late work in a burst of 6 s although the pool can do it soon after,
+// against keeping clients waiting in an overload that lasts, and against a new owner that takes the little that
+// it has seen for spare capacity.
+func TestFreeFollowsTheLoad(t *testing.T) {
+	type phase struct {
+		share  float64
+		length time.Duration
+	}
+	for name, c := range map[string]struct {
+		phases    []phase
+		low, high float64
+	}{
+		"base load":                {[]phase{{0.6, time.Minute}}, 0.39, 0.41},
+		"half of a burst":          {[]phase{{0.6, time.Minute}, {1.4, 3 * time.Second}}, 0.3, 0.35},
+		"end of a burst":           {[]phase{{0.6, time.Minute}, {1.4, 6 * time.Second}}, 0.2, 0.3},
+		"after a burst":            {[]phase{{0.6, time.Minute}, {1.4, 6 * time.Second}, {0.6, 31 * time.Second}}, 0.39, 0.41},
+		"16 s of overload":         {[]phase{{0.6, time.Minute}, {1.4, 16 * time.Second}}, 0, 0},
+		"minutes of overload":      {[]phase{{1.4, 3 * time.Minute}}, 0, 0},
+		"new owner in an overload": {[]phase{{1.4, 6 * time.Second}}, 0, 0},
+		"new owner, idle":          {[]phase{{0, 6 * time.Second}}, maxUnprovenShare, maxUnprovenShare},
+		"new owner, too soon":      {[]phase{{0, time.Second}}, 0, 0},
+		"idle for a window":        {[]phase{{0, window + time.Second}}, 1, 1},
+	} {
+		f, at := New(), start
+		f.SetFullRate(fullRate)
+		for _, p := range c.phases {
+			at = load(f, p.share, at, p.length)
+		}
+		free := f.Free(at) / fullRate
+		assert.Assert(t, free >= c.low && free <= c.high, "%s: %.2f", name, free)
 	}
-	at = load(f, 0.6, at, 31*time.Second)
-	assert.Assert(t, f.Free(at) > 0.35*fullRate, "%.0f", f.Free(at))
-}
-
-// TestNothingIsFreeInAnOverloadThatLasts guards against keeping clients waiting for capacity that
-// never becomes free.
-func TestNothingIsFreeInAnOverloadThatLasts(t *testing.T) {
-	f, at := newForecast(0.6, time.Minute)
-	at = load(f, 1.4, at, 16*time.Second)
-	assert.Equal(t, f.Free(at), 0.0)
-	at = load(f, 1.4, at, time.Minute)
-	assert.Equal(t, f.Free(at), 0.0)
-}
-
-// TestNewOwnerAssumesOnlyWhatItSeesIdle guards against an owner that has just started in a burst
-// and takes its short history for spare capacity.
-func TestNewOwnerAssumesOnlyWhatItSeesIdle(t *testing.T) {
-	f, at := newForecast(1.4, 6*time.Second)
-	assert.Assert(t, f.Known(at))
-	assert.Equal(t, f.Free(at), 0.0)
-
-	f, at = newForecast(0, 6*time.Second)
-	assert.Equal(t, f.Free(at), 0.5*fullRate, "at most half is assumed")
-	at = load(f, 0, at, window)
-	assert.Equal(t, f.Free(at), float64(fullRate))
-
-	f, at = newForecast(0, time.Second)
-	assert.Assert(t, !f.Known(at) && f.Free(at) == 0)
 }
 
 // TestWorkDoneTwiceCountsAsDemand guards against a forecast that counts a returning request once
@@ -84,12 +71,5 @@
 		f.Completed(4, at)
 	}
 	assert.Assert(t, f.Free(at) < 0.65*fullRate, "%.0f", f.Free(at))
-}
-
-// TestHistoryIsForgotten guards against demand from before a pause that counts again when the buckets
-// are reused.
-func TestHistoryIsForgotten(t *testing.T) {
-	f, at := newForecast(1, window)
-	assert.Equal(t, f.Free(at.Add(10*window)), float64(fullRate))
-	assert.Assert(t, f.Free(at) >= 0, "time may go back")
+	assert.Equal(t, f.Free(at.Add(10*window)), float64(fullRate), "the buckets are cleared before they are used again")
 }
--- a/core/pool/chain_test.go
+++ b/core/pool/chain_test.go
@@ -130,12 +130,17 @@
 		tasks++
 		c.schedule(at, func() { c.add(0, c.now) })
 	}
+	c.drain()
+	return float64(tasks) / length.Seconds(), float64(c.timely) / length.Seconds()
+}
+
+// drain runs the scheduled functions until none is left.
+func (c *chainRun) drain() {
 	for len(c.events) > 0 {
 		event := heap.Pop(&c.events).(chainEvent)
 		c.now = event.at
 		event.run()
 	}
-	return float64(tasks) / length.Seconds(), float64(c.timely) / length.Seconds()
 }
 
 // TestBurstOnAChainLeavesMostOfItsCapacityInTime replays a burst of 282 tasks a second for
--- a/core/pool/keep_test.go
+++ b/core/pool/keep_test.go
@@ -76,51 +76,40 @@
 	assert.Assert(t, !refused[1] && !refused[2] && refused[4], "as without a forecast: %v", refused)
 	_, known := p.FreeRate(start)
 	assert.Assert(t, !known)
-}
 
-// TestForecastIsNotUsedWhereAllUpstreamsHaveLimits guards against keeping tasks for capacity that a limit
-// withholds.
-func TestForecastIsNotUsedWhereAllUpstreamsHaveLimits(t *testing.T) {
-	p := newLatePool(t, 0)
-	p.SetLimits(map[string]float64{"a": 2})
-	_, known := p.FreeRate(start)
-	assert.Assert(t, !known)
+	limited := newLatePool(t, 0)
+	limited.SetLimits(map[string]float64{"a": 2})
+	_, known = limited.FreeRate(start)
+	assert.Assert(t, !known, "a limit withholds the capacity")
 }
 
-// TestLateTaskWaitsWhileALaterPoolIsFull guards against results of late tasks that occupy room while they wait
-// for a full pool, and against a task that waits for an estimate from a sender that is gone.
+// TestLateTaskWaitsWhileALaterPoolIsFull guards against results of late tasks that occupy room while they wait for a full
+// pool, against tasks in time that wait too, and against a task that waits for an estimate from a sender that is gone.
 func TestLateTaskWaitsWhileALaterPoolIsFull(t *testing.T) {
 	p := newLatePool(t, 0)
 	p.SetUpstreams(upstreams(2))
 	late := lateTask(2, 5*time.Second)
 	late.Later = []string{"rank"}
+	timely := task(3, time.Minute)
+	timely.Later = late.Later
 	p.Add(late, 1)
+	p.Add(timely, 1)
 	const full = 400 * time.Millisecond
 	p.ObserveLater("rank", 900*time.Millisecond, full, start)
 	p.ObserveLater("rank", full, full, start.Add(-time.Millisecond)) // older: does not count
+	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{3})
+	p.SetUpstreams(upstreams(3))
 	assert.Assert(t, p.Next(start) == nil)
-
 	p.ObserveLater("rank", full, full, start.Add(10*time.Millisecond))
 	assert.DeepEqual(t, tickets(p.Next(start.Add(10*time.Millisecond))), []Ticket{2})
 
 	p.Add(late, 1)
 	p.ObserveLater("rank", time.Minute, full, start.Add(20*time.Millisecond))
-	p.SetUpstreams(upstreams(3))
+	p.SetUpstreams(upstreams(4))
 	assert.Assert(t, p.Next(start.Add(time.Second)) == nil)
 	assert.DeepEqual(t, tickets(p.Next(start.Add(1100*time.Millisecond))), []Ticket{2})
 }
 
-// TestTaskInTimeDoesNotWaitForALaterPool guards against a changed schedule of tasks in time.
-func TestTaskInTimeDoesNotWaitForALaterPool(t *testing.T) {
-	p := newLatePool(t, 0)
-	p.SetUpstreams(upstreams(2))
-	timely := task(2, time.Minute)
-	timely.Later = []string{"rank"}
-	p.Add(timely, 1)
-	p.ObserveLater("rank", time.Minute, time.Second, start)
-	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{2})
-}
-
 // TestCallsOfLateTasksLeaveUpstreamsFree guards against late work that occupies all upstreams at once after a
 // burst, so that tasks in time wait for a full call.
 func TestCallsOfLateTasksLeaveUpstreamsFree(t *testing.T) {
--- a/core/pool/split_test.go
+++ b/core/pool/split_test.go
@@ -10,101 +10,56 @@
 	"acaciawinch/core/routes"
 )
 
-// overloadedPool returns a pool of two upstreams with 40 items a call and a history, and more tasks
-// of 6 items than it can do soon.
-func overloadedPool(t *testing.T, fullCalls float64) *Pool {
-	t.Helper()
+// playTasksOfSix queues tasks of 6 items, makes calls of at most 40 one after the other on two upstreams with room for
+// 2.17 full calls, whose results are read after a time, and returns the number of items of each call.
+func playTasksOfSix(f *forecast.Forecast, tasks, calls int, read time.Duration) (items []int) {
 	const bytes = 60_000
-	p := New(routes.Pool{Slots: 1, Batch: 40, CallTime: 200 * time.Millisecond, ItemTime: 4300 * time.Microsecond,
-		RoomBytes: int64(fullCalls * 40 * bytes)})
+	p := New(routes.Pool{Slots: 1, Batch: 40, CallTime: 200 * time.Millisecond, ItemTime: 4300 * time.Microsecond, RoomBytes: 2.17 * 40 * bytes})
 	p.SetUpstreams(upstreams(2))
-	f := forecast.New()
-	f.Observe(start.Add(-time.Minute))
 	p.KeepLate(f)
-	for ticket := Ticket(1); ticket <= 400; ticket++ {
-		queued := task(ticket, time.Hour)
-		queued.Deadline, queued.Bytes = start.Add(2*time.Hour), bytes
-		p.Add(queued, 6)
-	}
-	return p
-}
-
-// playCalls makes calls one after the other, each of 372 ms, whose results are read after a time, and
-// returns the items of the calls.
-func playCalls(p *Pool, calls int, read time.Duration) (items []int, tasks map[Ticket]int) {
-	type freed struct {
-		at   time.Time
-		call *Call
-	}
-	var running []*Call
-	var stored []freed
-	tasks = make(map[Ticket]int)
-	for now := start; len(items) < calls; now = now.Add(20 * time.Millisecond) {
-		for len(running) > 0 && now.Sub(running[0].StartedAt) >= 372*time.Millisecond {
-			p.Finish(running[0], sameOutcomes(running[0], Done), now)
-			p.Succeed(running[0], now)
-			stored = append(stored, freed{now.Add(read), running[0]})
-			running = running[1:]
-		}
-		for len(stored) > 0 && !now.Before(stored[0].at) {
-			p.Free(stored[0].call.Upstream, stored[0].call.bytes)
-			stored = stored[1:]
-		}
-		for call := p.Next(now); call != nil; call = p.Next(now) {
-			running, items = append(running, call), append(items, len(call.Items))
-			for _, item := range call.Items {
-				tasks[item.Task.Ticket]++
-			}
-		}
+	for ticket := range Ticket(tasks) {
+		p.Add(&Task{Ticket: ticket, Due: start.Add(time.Hour), Deadline: start.Add(2 * time.Hour), Bytes: bytes}, 6)
 	}
-	return items, tasks
-}
-
-// TestOverloadedPoolFillsItsCalls guards against calls of 36 of 40 items in a burst because tasks of 6 items
-// are not split, although the room holds the results of 2.17 full calls.
-func TestOverloadedPoolFillsItsCalls(t *testing.T) {
-	items, tasks := playCalls(overloadedPool(t, 2.17), 40, 150*time.Millisecond)
-	for _, count := range items[20:] {
-		assert.Equal(t, count, 40, "%v", items)
-	}
-	unfinished := 0
-	for _, count := range tasks {
-		if count < 6 {
-			unfinished++
+	run := &chainRun{now: start}
+	var dispatch func()
+	dispatch = func() {
+		for call := p.Next(run.now); call != nil && len(items) < calls; call = p.Next(run.now) {
+			items = append(items, len(call.Items))
+			run.schedule(run.now.Add(p.callTime(len(call.Items))), func() {
+				p.Finish(call, sameOutcomes(call, Done), run.now)
+				p.Succeed(call, run.now)
+				run.schedule(run.now.Add(read), func() { p.Free(call.Upstream, call.bytes); dispatch() })
+				dispatch()
+			})
 		}
 	}
-	assert.Assert(t, unfinished <= 1, "%d tasks have waiting items: the rest of a split task goes first", unfinished)
+	dispatch()
+	run.drain()
+	return items
 }
 
-// TestPoolLimitedByRoomDoesNotSplit guards against split tasks whose first results take the room that
-// limits the calls of a pool.
-func TestPoolLimitedByRoomDoesNotSplit(t *testing.T) {
-	p := overloadedPool(t, 2.17)
-	items, tasks := playCalls(p, 60, 700*time.Millisecond)
-	for _, count := range items {
-		assert.Equal(t, count%6, 0, "%v", items)
-	}
-	for ticket, count := range tasks {
-		assert.Equal(t, count, 6, "task %d", ticket)
+// TestSaturatedPoolFillsItsCallsUnlessRoomIsTheLimit guards against calls of 36 of 40 items in a burst because tasks of
+// 6 items are not split, and against split tasks whose first results take the room that limits calls.
+func TestSaturatedPoolFillsItsCallsUnlessRoomIsTheLimit(t *testing.T) {
+	f := forecast.New()
+	f.Observe(start.Add(-time.Minute))
+	for _, count := range playTasksOfSix(f, 400, 40, 150*time.Millisecond)[20:] {
+		assert.Equal(t, count, 40)
 	}
+	const long = 700 * time.Millisecond
+	assert.DeepEqual(t, playTasksOfSix(f, 400, 60, long), playTasksOfSix(nil, 400, 60, long))
+	assert.DeepEqual(t, playTasksOfSix(f, 13, 2, long), []int{36, 36})
 }
 
-// TestPoolWithFewWaitingDoesNotSplit guards against delaying part of a task when calls are not the limit.
-func TestPoolWithFewWaitingDoesNotSplit(t *testing.T) {
-	p := overloadedPool(t, 10)
+// TestRestOfASplitTaskGoesFirst guards against results that occupy room while their task waits in the queue.
+func TestRestOfASplitTaskGoesFirst(t *testing.T) {
+	p := newLatePool(t, 0)
+	p.SetUpstreams(upstreams(3))
 	p.roomBound = 0
-	for ticket := Ticket(11); ticket <= 400; ticket++ {
-		p.Cancel(ticket)
-	}
-	assert.Equal(t, len(p.Next(start).Items), 36)
-}
-
-// TestTasksAreNotSplitWithLateWorkOff guards against a changed schedule where late work is off.
-func TestTasksAreNotSplitWithLateWorkOff(t *testing.T) {
-	p := overloadedPool(t, 2.17)
-	p.KeepLate(nil)
-	items, _ := playCalls(p, 40, 150*time.Millisecond)
-	for _, count := range items {
-		assert.Equal(t, count, 36)
+	for ticket := Ticket(2); ticket <= 9; ticket++ {
+		p.Add(task(ticket, time.Duration(100-ticket)*time.Second), 5)
 	}
+	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{2, 2, 2, 2, 2, 3, 3, 3})
+	p.Add(task(10, time.Hour), 1)
+	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{3, 3, 10, 4, 4, 4, 4, 4})
 }
--- a/gateway/pools/late.go
+++ b/gateway/pools/late.go
@@ -65,7 +65,7 @@
 	l.forecast.Arrived(task.Items, now)
 }
 
-// refused remembers a task that was refused as late.
+// refused remembers a task that was refused as late, or cancelled because another stage was.
 func (l *lateWork) refused(task Task, now time.Time) {
 	if l != nil && len(task.Fingerprint) > 0 {
 		l.refusals.add(refusalKey{string(task.Fingerprint), task.Stage}, now.Add(task.Remaining))
--- a/gateway/pools/late_test.go
+++ b/gateway/pools/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/forecast"
 	"acaciawinch/platform/stagecall"
 )
 
@@ -42,12 +43,13 @@
 	return sum
 }
 
-// TestOwnerKeepsAndServesALateTask guards against an owner that has a forecast and does not use it: by the
-// wait at its busy worker alone, the task would be kept too, but not reported.
+// TestOwnerKeepsAndServesALateTask guards against an owner that has a forecast and does not use it, and against a task
+// with a later stage on the same pool that waits for the backlog that it is part of.
 func TestOwnerKeepsAndServesALateTask(t *testing.T) {
 	o, s, release, scope := newLateOwner(t)
 	late := task("late")
 	late.Due = -time.Second
+	late.Later = []LaterWait{{Service: "enc", Wait: time.Hour}}
 	served := submit(s, 2, late, nil)
 	o.tick(time.Now())
 	assert.Equal(t, counted(scope, "kept"), int64(1))
@@ -60,13 +62,17 @@
 // refused clients return.
 func TestRefusedRequestCountsAsDemandOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newRefusals()
-	key := refusalKey{"fingerprint", 1}
-	r.add(key, now.Add(time.Second))
-	assert.Assert(t, r.take(key, now.Add(500*time.Millisecond)))
-	assert.Assert(t, !r.take(key, now.Add(500*time.Millisecond)), "it is forgotten once it has returned")
-	r.add(key, now.Add(time.Second))
-	assert.Assert(t, !r.take(refusalKey{"fingerprint", 0}, now))
-	assert.Assert(t, !r.take(key, now.Add(3*time.Second)))
-	assert.Equal(t, len(r.until), 0, "expired ones are dropped")
+	l := &lateWork{forecast: forecast.New(), refusals: newRefusals()}
+	l.forecast.SetFullRate(10)
+	l.forecast.Observe(now.Add(-time.Minute))
+	returning := Task{Items: 30, Fingerprint: []byte{1}, Remaining: 4 * time.Second}
+	l.arrived(returning, now)
+	l.refused(returning, now)
+	l.arrived(returning, now.Add(time.Second))
+	assert.Equal(t, l.forecast.Free(now.Add(time.Second)), 9.0)
+	l.arrived(returning, now.Add(2*time.Second))
+	assert.Equal(t, l.forecast.Free(now.Add(2*time.Second)), 8.0, "the same work is requested again after it was done")
+	l.refused(returning, now)
+	l.refusals.take(refusalKey{}, now.Add(time.Minute))
+	assert.Equal(t, len(l.refusals.until), 0, "those past their deadline are forgotten")
 }
--- a/gateway/pools/later.go
+++ b/gateway/pools/later.go
@@ -46,11 +46,15 @@
 	return LaterWait{Service: service, Wait: newest.wait, Age: now.Sub(newest.at)}
 }
 
-// observeLater passes on the estimates that come with a task to the queue of its part. o.mu must be
-// held.
+// observeLater passes on the estimates that come with a task to the queue of its part, and returns the services of the
+// later pools. A later stage on the same pool is left out: the tasks that wait here would hold each
+// other. o.mu must be held.
 func (o *Owner) observeLater(p *ownedPart, later []LaterWait, now time.Time) []string {
 	services := make([]string, 0, len(later))
 	for _, l := range later {
+		if l.Service == p.Service {
+			continue
+		}
 		services = append(services, l.Service)
 		service := o.fleet.Table().Service(l.Service)
 		if l.Wait > 0 && service != nil && service.Pool != nil {
--- a/gateway/pools/later_test.go
+++ b/gateway/pools/later_test.go
@@ -7,23 +7,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestTaskKeepsItsFieldsOnTheWire guards against an owner in another process that schedules a
-// task without its estimates or identity.
-func TestTaskKeepsItsFieldsOnTheWire(t *testing.T) {
+// TestFieldsOfLateWorkStayOnTheWire guards against an owner in another process that schedules a task without its
+// estimates or identity, and against gateways that never learn that it refuses late tasks.
+func TestFieldsOfLateWorkStayOnTheWire(t *testing.T) {
 	sent := Task{Part: Part{Service: "enc", Count: 1}, Fingerprint: []byte{1, 2}, Workspace: "w",
 		Later: []LaterWait{{Service: "rank", Wait: 700 * time.Millisecond, Age: 30 * time.Millisecond, Shortest: 210 * time.Millisecond}}}
 	received := taskOf(taskMessage(1, sent))
 	assert.DeepEqual(t, received.Later, sent.Later)
 	assert.DeepEqual(t, received.Fingerprint, sent.Fingerprint)
 	assert.Equal(t, received.Workspace, sent.Workspace)
-}
-
-// TestResultKeepsItsForecastOnTheWire guards against gateways that never learn that an owner
-// refuses late tasks.
-func TestResultKeepsItsForecastOnTheWire(t *testing.T) {
-	received := resultOf(resultMessage(1, Result{Failure: Late, RetryAfter: 1200 * time.Millisecond, LateRefused: true}))
-	assert.Equal(t, received.RetryAfter, 1200*time.Millisecond)
-	assert.Assert(t, received.LateRefused)
+	result := resultOf(resultMessage(1, Result{Failure: Late, RetryAfter: 1200 * time.Millisecond, LateRefused: true}))
+	assert.Assert(t, result.RetryAfter == 1200*time.Millisecond && result.LateRefused)
 }
 
 // TestNewestEstimateOfAServiceIsSent guards against a late task that is held by the estimate of a part
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -490,6 +490,7 @@
 // cancel ends a task that nobody waits for. The Owner's lock must be held.
 func (p *ownedPart) cancel(ticket pool.Ticket) {
 	if task := p.end(ticket); task != nil {
+		p.late.refused(task.Task, time.Now())
 		p.free(task.handles)
 	}
 }
