Leave held tasks out of the backlog that other pools see

The late tasks of two pools that follow each other in different chains could hold each other until they were refused.

--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -63,8 +63,10 @@
 	return q.Value*classFactor < value
 }
 
-// Backlog estimates the time until the call ends that serves a task queued behind all others.
-func (p *Pool) Backlog() time.Duration { return p.waitBehind(p.waiting) }
+// Backlog estimates the time until the call ends that serves a task queued behind all others. Tasks that are held for
+// later pools don't count: if they did, the late tasks of two pools that follow each other in different
+// chains would hold each other.
+func (p *Pool) Backlog() time.Duration { return p.waitBehind(max(0, p.waiting-p.held)) }
 
 // waitBehind estimates the time until the call ends that serves an item with the given number
 // of items ahead of it.
--- a/core/pool/keep_test.go
+++ b/core/pool/keep_test.go
@@ -100,6 +100,7 @@
 	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{3})
 	p.SetUpstreams(upstreams(3))
 	assert.Assert(t, p.Next(start) == nil)
+	assert.Equal(t, p.Backlog(), p.waitBehind(0), "held tasks would hold those of a pool that follows in another chain")
 	p.ObserveLater("rank", full, full, start.Add(10*time.Millisecond))
 	assert.DeepEqual(t, tickets(p.Next(start.Add(10*time.Millisecond))), []Ticket{2})
 
