--- a/gateway/pools/late.go
+++ b/gateway/pools/late.go
@@ -1,6 +1,7 @@
 package pools
 
 import (
+	"math"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -122,9 +123,12 @@
 		request, stage = task.Request, task.Stage
 	}
 	return observe.Fields{"request": request, "stage": stage, "service": p.Service, "part": p.Index, "items": decision.Items, "ahead": decision.Ahead,
-		"free": decision.Free, "remaining_ms": decision.Remaining.Milliseconds(), "kept_ms": decision.Kept.Milliseconds()}
+		"free": tenths(decision.Free), "remaining_ms": decision.Remaining.Milliseconds(), "kept_ms": decision.Kept.Milliseconds()}
 }
 
+// tenths rounds a rate for the log.
+func tenths(rate float64) float64 { return math.Round(10*rate) / 10 }
+
 // recordKept logs the tasks that a part has begun to keep since the last line. o.mu must be held.
 func (o *Owner) recordKept(p *ownedPart, now time.Time) {
 	p.late.logged = now
@@ -136,6 +140,6 @@
 		return
 	}
 	o.logger.Event(event.PoolLateKept, observe.Fields{"service": p.Service, "part": p.Index, "tasks": p.late.kept, "items": p.late.keptItems,
-		"waiting": p.queue.Waiting(), "free": free})
+		"waiting": p.queue.Waiting(), "free": tenths(free)})
 	p.late.kept, p.late.keptItems = 0, 0
 }
