--- a/core/pool/estimate.go
+++ b/core/pool/estimate.go
@@ -63,8 +63,10 @@
 	return q.Value*classFactor < value
 }
 
-// Backlog estimates the time until the call ends that serves a task queued behind all others.
-func (p *Pool) Backlog() time.Duration { return p.waitBehind(p.waiting) }
+// Backlog estimates the time until the call ends that serves a task queued behind all others. Tasks that are held for
+// later pools don't count: if they did, the late tasks of two pools that follow each other in different
+// chains would hold each other.
+func (p *Pool) Backlog() time.Duration { return p.waitBehind(max(0, p.waiting-p.held)) }
 
 // waitBehind estimates the time until the call ends that serves an item with the given number
 // of items ahead of it.
@@ -94,10 +96,9 @@
 	return min(p.meanFullCallItems, float64(p.settings.Batch))
 }
 
-// updateItemsPerCall updates the average of itemsPerCall after a call was closed while a number of waiting
-// items were held for later pools.
-func (p *Pool) updateItemsPerCall(items, held int) {
-	if p.waiting-held < p.settings.Batch {
+// updateItemsPerCall updates the average of itemsPerCall after a call was closed.
+func (p *Pool) updateItemsPerCall(items int) {
+	if p.waiting-p.held < p.settings.Batch {
 		return
 	}
 	p.meanFullCallItems = p.itemsPerCall()
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -46,9 +46,6 @@
 	Transfers []Transfer
 	// Workspace is the workspace of the request; empty if it has none.
 	Workspace string
-	// Arrived is when the client was first here, if it was refused then and has returned to its
-	// place; zero for other tasks.
-	Arrived time.Time
 	// Promised is set if the client was told to return now. The task is not refused because of
 	// others ahead of it.
 	Promised bool
@@ -140,8 +137,9 @@
 	queuedByTicket map[Ticket]*queuedTask
 	// byValue is the space in which classify sorts the queue.
 	byValue []*queuedTask
-	// waiting counts the waiting items.
-	waiting int
+	// waiting counts the waiting items, held those of them that were held for later pools at the last attempt to
+	// close a batch.
+	waiting, held int
 	// lastCall is when the last call was closed.
 	lastCall time.Time
 	// slowdown is a moving average of the ratio of measured to configured call time.
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -107,8 +107,10 @@
 	Task
 	queued *pool.Task
 	// endsAt is when the last stage of the request must be complete.
-	endsAt  time.Time
-	handles []string
+	endsAt time.Time
+	// hadPlace is set if the client has returned to its place.
+	hadPlace bool
+	handles  []string
 	// pending is the number of items without a result.
 	pending int
 	notify  Notify
@@ -535,6 +537,7 @@
 // cancel ends a task that nobody waits for. The Owner's lock must be held.
 func (p *ownedPart) cancel(ticket pool.Ticket) {
 	if task := p.end(ticket); task != nil {
+		p.late.refused(task.Task, time.Now())
 		p.free(task.handles)
 	}
 }
