Observe only successful responses of plain services

Cause: an error takes less time than a result, so that upstreams that fail would make the others look slow. Change: only responses with a status of 200 to 299 are observed. A test shows that a limit which has passed takes no part in the choice.

--- a/gateway/flow/pace.go
+++ b/gateway/flow/pace.go
@@ -63,11 +63,11 @@
 }
 
 // paceReported records the load report in the head of a response. The response of a plain service is observed
-// here: it has no events.
-func (rq *request) paceReported(upstream routes.Upstream, load header.Load) {
+// here, as it has no events, unless it is an error, which takes less time.
+func (rq *request) paceReported(upstream routes.Upstream, status int, load header.Load) {
 	rq.probe.reportedAt, rq.probe.figure = time.Now(), load.Pace
 	service := rq.table.Service(rq.service)
-	if load.Pace > 0 && (service == nil || service.Engine == nil) {
+	if status/100 == 2 && load.Pace > 0 && (service == nil || service.Engine == nil) {
 		rq.Paces.Observe(upstream, pacing.Observation{FirstEvent: rq.probe.reportedAt.Sub(rq.probe.sentAt), Pace: load.Pace})
 	}
 }
--- a/gateway/flow/pace_test.go
+++ b/gateway/flow/pace_test.go
@@ -54,3 +54,17 @@
 		{Time: at(30), Events: 1, Age: at(130)},
 	})
 }
+
+// TestLimitsAreThoseThatCanStillBeMet guards against a time that has passed taking part in the choice: no engine meets it,
+// so that slow engines would not be excluded for their pauses either.
+func TestLimitsAreThoseThatCanStillBeMet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	route := &routes.Route{Stream: true, Objective: time.Second, GapObjective: 200 * time.Millisecond}
+	rq := &request{route: route, clientStarted: now.Add(-400 * time.Millisecond)}
+	assert.DeepEqual(t, rq.paceLimits(now), pacing.Limits{FirstEvent: 600 * time.Millisecond, Pause: 200 * time.Millisecond})
+	assert.DeepEqual(t, rq.paceLimits(now.Add(time.Second)), pacing.Limits{Pause: 200 * time.Millisecond})
+	rq.events = 3 // the client has the first event
+	assert.DeepEqual(t, rq.paceLimits(now), pacing.Limits{Pause: 200 * time.Millisecond})
+	rq.route = &routes.Route{Objective: time.Second}
+	assert.DeepEqual(t, rq.paceLimits(now), pacing.Limits{})
+}
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -244,7 +244,7 @@
 		return rq.handleNotRun(upstream, response, info.Replaced)
 	}
 	rq.mayHaveRun = true
-	rq.paceReported(upstream, info.Load)
+	rq.paceReported(upstream, response.Status, info.Load)
 	switch {
 	case response.Status/100 == 2 && info.Signature == "":
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d without a signature", response.Status)}
