Keep the rest of split tasks first in a busy pool with a short queue

Two parts met: tasks that can all be done soon go by the earliest due, and the rest of a split task goes first. The rest now stays first. The test of split tasks had due times of more than a minute, for which the earliest due goes first in a pool with calls of milliseconds; it now has due times of seconds, and checks the same order.

--- a/core/pool/split_test.go
+++ b/core/pool/split_test.go
@@ -57,9 +57,9 @@
 	p.SetUpstreams(upstreams(3))
 	p.roomBound = 0
 	for ticket := Ticket(2); ticket <= 9; ticket++ {
-		p.Add(task(ticket, time.Duration(100-ticket)*time.Second), 5)
+		p.Add(task(ticket, 3*time.Second-time.Duration(ticket)*10*time.Millisecond), 5)
 	}
 	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{2, 2, 2, 2, 2, 3, 3, 3})
-	p.Add(task(10, time.Hour), 1)
+	p.Add(task(10, 4*time.Second), 1)
 	assert.DeepEqual(t, tickets(p.Next(start)), []Ticket{3, 3, 10, 4, 4, 4, 4, 4})
 }
--- a/core/pool/unhurried.go
+++ b/core/pool/unhurried.go
@@ -30,8 +30,12 @@
 	if perItem <= 0 {
 		return
 	}
-	ahead := 0
-	for from := 0; from < len(p.queue) && !p.queue[from].late; {
+	ahead, start := 0, 0
+	for start < len(p.queue) && p.queue[start].split {
+		ahead += len(p.queue[start].items)
+		start++
+	}
+	for from := start; from < len(p.queue) && !p.queue[from].late; {
 		to, items := from, 0
 		for ; to < len(p.queue) && !p.queue[to].late && p.queue[to].class == p.queue[from].class; to++ {
 			items += len(p.queue[to].items)
