--- a/core/pool/place_test.go
+++ b/core/pool/place_test.go
@@ -17,9 +17,8 @@
 type returning struct {
 	*simulation
 	places *comeback.Places
-	// returns holds the refused clients, and returnAts the times at which they return.
-	returns   []*Task
-	returnAts []time.Time
+	// returnAts holds the times at which refused clients return.
+	returnAts map[*Task]time.Time
 	// wasRefused holds the clients that were refused once, and isTold those told when to return.
 	wasRefused, isTold map[Ticket]bool
 }
@@ -38,13 +37,9 @@
 	if r.places != nil {
 		r.pool.SetReserved(r.places.Reserved(r.now))
 	}
-	dropped := make(map[Ticket]*Task)
 	for _, item := range r.pool.Expire(r.now) {
-		dropped[item.Task.Ticket] = item.Task
-	}
-	for ticket := Ticket(1); ticket <= Ticket(r.tasks); ticket++ {
-		if lost := dropped[ticket]; lost != nil && !r.wasRefused[ticket] && len(r.wasRefused) < maxRefused {
-			r.refuse(lost)
+		if !r.wasRefused[item.Task.Ticket] && len(r.wasRefused) < maxRefused {
+			r.refuse(item.Task)
 		}
 	}
 }
@@ -60,14 +55,14 @@
 			r.places.Reserve(identity(lost.Ticket), r.load.itemsPerTask, returnAt)
 		}
 	}
-	r.returns, r.returnAts = append(r.returns, lost), append(r.returnAts, returnAt)
+	r.returnAts[lost] = returnAt
 }
 
 // comeBack queues the clients that return now.
 func (r *returning) comeBack() {
-	for i, at := range r.returnAts {
-		if lost := r.returns[i]; lost != nil && !r.now.Before(at) {
-			r.returns[i] = nil
+	for lost, at := range r.returnAts {
+		if !r.now.Before(at) {
+			delete(r.returnAts, lost)
 			retry := &Task{Ticket: lost.Ticket, Due: lost.Due, Deadline: lost.Deadline, Bytes: lost.Bytes}
 			if r.places != nil {
 				_, retry.Promised, _ = r.places.Take(identity(lost.Ticket), r.now)
@@ -78,11 +73,11 @@
 	r.dispatch()
 }
 
-// served replays a burst of 6 s at a pool whose late tasks are kept by a forecast, if there is one, and returns how many of the clients that were told when to return, and of
-// all that returned, are served.
+// served replays a burst of 6 s at a pool whose late tasks are kept by a forecast, if there is one, and
+// returns how many of the clients that were told when to return, and of all that returned, are served.
 func served(load deploymentPool, places *comeback.Places, f *forecast.Forecast) (ofTold, ofAll int) {
 	r := &returning{simulation: &simulation{load: load, pool: New(load.pool), random: rand.New(rand.NewPCG(1, 2)), now: start, remaining: make(map[Ticket]int)},
-		places: places, wasRefused: make(map[Ticket]bool), isTold: make(map[Ticket]bool)}
+		places: places, returnAts: make(map[*Task]time.Time), wasRefused: make(map[Ticket]bool), isTold: make(map[Ticket]bool)}
 	r.pool.SetUpstreams(upstreams(load.upstreams))
 	r.pool.KeepLate(f)
 	gap := float64(load.itemsPerTask) / (load.itemsPerSecond * 5) * float64(time.Second)
