--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -35,11 +35,14 @@
 	Estimate time.Duration
 }
 
+// Honoured returns how long a client waits at most if it has a time left.
+func Honoured(remaining time.Duration) time.Duration { return remaining / honouredPart }
+
 // Value returns how long the client is told to wait, never more than clients honour. If there will
 // be no room by then, it is the latest time at which the request can still be served: other requests
 // may end earlier than expected.
 func Value(r Refusal) time.Duration {
-	honoured := r.Remaining / honouredPart
+	honoured := Honoured(r.Remaining)
 	latest := min(honoured, r.Remaining-r.Chain)
 	value := min(r.Estimate, honoured)
 	switch {
--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -8,6 +8,7 @@
 	"acaciawinch/core/comeback"
 	"acaciawinch/core/fingerprint"
 	"acaciawinch/core/pool"
+	"acaciawinch/core/retryafter"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -53,9 +54,6 @@
 	return key, true
 }
 
-// honouredPart is the part of its remaining time that a client waits at most before it returns.
-const honouredPart = 3
-
 // keepPlace keeps the place of a task that is refused as late. If the owner expects room for it, its items
 // are reserved until the client returns. A client that has returned to its place gets no other one. o.mu
 // must be held.
@@ -67,7 +65,7 @@
 	remaining := task.endsAt.Sub(now)
 	dropped := p.places.Refused(key, now, task.endsAt)
 	if result.RetryAfter > 0 {
-		p.places.Reserve(key, task.Items, now.Add(min(result.RetryAfter, remaining/honouredPart)))
+		p.places.Reserve(key, task.Items, now.Add(min(result.RetryAfter, retryafter.Honoured(remaining))))
 	}
 	o.placeCounters.kept.Inc(1)
 	if dropped {
