--- a/core/pool/share_test.go
+++ b/core/pool/share_test.go
@@ -10,8 +10,8 @@
 )
 
 // sharedReplay offers a multiple of the standard rate for 20 s, of which the named workspaces have the
-// given parts, and returns the tasks of each workspace and those of them that were done in time.
-func sharedReplay(load deploymentPool, rate float64, parts map[string]int, shared bool) (offered, inTime map[string]int, calls int) {
+// given parts, and returns the tasks of each workspace that were done in time, and the number of calls.
+func sharedReplay(load deploymentPool, rate float64, parts map[string]int, shared bool) (inTime map[string]int, calls int) {
 	sim := &simulation{load: load, pool: New(load.pool), random: rand.New(rand.NewPCG(1, 2)), now: start, remaining: make(map[Ticket]int)}
 	sim.pool.SetUpstreams(upstreams(load.upstreams))
 	if shared {
@@ -22,7 +22,7 @@
 		names = append(names, slices.Repeat([]string{name}, part)...)
 	}
 	slices.Sort(names)
-	offered, inTime = make(map[string]int), make(map[string]int)
+	inTime = make(map[string]int)
 	workspaces := make(map[Ticket]string)
 	sim.done = func(ticket Ticket) { inTime[workspaces[ticket]]++ }
 	gap := float64(load.itemsPerTask) / (load.itemsPerSecond * rate) * float64(time.Second)
@@ -31,13 +31,12 @@
 		sim.tasks++
 		ticket, workspace := Ticket(sim.tasks), names[sim.random.IntN(len(names))]
 		workspaces[ticket] = workspace
-		offered[workspace]++
 		sim.remaining[ticket] = load.itemsPerTask
 		sim.pool.Add(&Task{Ticket: ticket, Workspace: workspace, Due: arrival.Add(1100 * time.Millisecond), Deadline: arrival.Add(11 * time.Second), Bytes: load.resultBytes}, load.itemsPerTask)
 		sim.dispatch()
 	}
 	sim.advance(start.Add(40 * time.Second))
-	return offered, inTime, sim.calls
+	return inTime, sim.calls
 }
 
 // TestOneLargeWorkspaceLeavesTheOthersTheirShares replays 3.5 times the standard rate of each pool, of
@@ -47,7 +46,7 @@
 	parts := map[string]int{"large": 10, "a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1, "g": 1, "h": 1, "i": 1}
 	for _, load := range standardRates {
 		inTimeOf := func(shared bool) (large, all int) {
-			_, inTime, _ := sharedReplay(load, 3.5, parts, shared)
+			inTime, _ := sharedReplay(load, 3.5, parts, shared)
 			for name := range parts {
 				all += inTime[name]
 			}
@@ -69,8 +68,8 @@
 		rate  float64
 		parts map[string]int
 	}{{3.5, map[string]int{"only": 1}}, {3.5, map[string]int{"": 1}}, {0.5, map[string]int{"large": 10, "a": 1, "b": 1}}} {
-		_, before, callsBefore := sharedReplay(standardRates[0], c.rate, c.parts, false)
-		_, after, calls := sharedReplay(standardRates[0], c.rate, c.parts, true)
+		before, callsBefore := sharedReplay(standardRates[0], c.rate, c.parts, false)
+		after, calls := sharedReplay(standardRates[0], c.rate, c.parts, true)
 		assert.DeepEqual(t, after, before)
 		assert.Equal(t, calls, callsBefore)
 	}
