Know the pace of excluded engines between trials, and allow for the longest pause of a stream

Change: a pace is known for 30 s, a trial after 5 s of silence counts twice what was known before, and the expected pause is 1.7 times that of an event.

--- a/core/pace/average.go
+++ b/core/pace/average.go
@@ -36,5 +36,14 @@
 	}
 }
 
+// addRare adds a pace. If it is the first one for rareAfter, as that of a trial of an excluded engine, what was
+// known before counts half as much as it, so that one trial shows that an engine has recovered.
+func (a *average) addRare(value, weight float64, now time.Time) {
+	if now.Sub(a.at) >= rareAfter {
+		a.weight = min(a.weight, weight/2)
+	}
+	a.add(value, weight, now, halfLife, maxGapWeight)
+}
+
 // value returns the mean.
 func (a *average) value() float64 { return math.Exp(a.logMean) }
--- a/core/pace/merger.go
+++ b/core/pace/merger.go
@@ -62,7 +62,7 @@
 // add adds the observations of one process.
 func (e *merged) add(s Summary, now time.Time) {
 	age := max(0, s.Age)
-	e.gap.add(s.Gap.Seconds(), s.Gaps*math.Exp2(-float64(age)/float64(halfLife)), now, halfLife, maxGapWeight)
+	e.gap.addRare(s.Gap.Seconds(), s.Gaps*math.Exp2(-float64(age)/float64(halfLife)), now)
 	e.first.add(s.First, s.Firsts*math.Exp2(-float64(age)/float64(firstHalfLife)), now, firstHalfLife, maxFirstWeight)
 	if s.Worst > 0 && (s.Worst >= e.worst || now.Sub(e.worstAt) > sampleTTL) {
 		e.worst, e.worstAt = s.Worst, now
--- a/core/pace/table.go
+++ b/core/pace/table.go
@@ -22,6 +22,13 @@
 	// minGapWeight and minFirstWeight are what must be left of them for the values to count. With less, the engine
 	// is taken to be a usual one.
 	minGapWeight, minFirstWeight = 6, 8
+	// forgetAfter is how long the pace of an engine is known after its last observation. Excluded engines are
+	// measured by trials only, which are further apart than the half-life: without it, each trial would be followed by
+	// seconds in which the engine counts as usual and gets its share of the requests.
+	forgetAfter = 30 * time.Second
+	// tailFactor is how much longer the longest pause of a stream is than the expected one. A stream has dozens of
+	// pauses, and prompts that are prefilled meanwhile take several chunks.
+	tailFactor = 1.7
 	// usualFirstWeight is the weight of the assumption that an engine's time to the first event is the usual one.
 	// Few streams say little, as their times depend on what is cached and queued.
 	usualFirstWeight = 2
@@ -67,7 +74,7 @@
 		s.pending.worst = max(s.pending.worst, o.Pace)
 	}
 	if gap, events := o.pace(); events > 0 {
-		s.gap.add(gap.Seconds(), float64(events), now, halfLife, maxGapWeight)
+		s.gap.addRare(gap.Seconds(), float64(events), now)
 		s.pending.gaps.add(gap.Seconds(), float64(events))
 		if extra, known := o.extra(gap); known {
 			t.extras.add(extra, now)
@@ -102,7 +109,7 @@
 
 // pace returns an engine's pace in seconds, and false if it is not known.
 func (s *state) pace(now time.Time) (float64, bool) {
-	if s.gap.weightAt(now, halfLife) < minGapWeight {
+	if s.gap.weight < minGapWeight || now.Sub(s.gap.at) > forgetAfter {
 		return 0, false
 	}
 	return s.gap.value(), true
@@ -125,7 +132,7 @@
 			gap = own
 		}
 	}
-	pause = seconds(gap * figure * (1 + common.extra)) // a slow machine takes longer for the prefill chunk too
+	pause = seconds(tailFactor * gap * figure * (1 + common.extra)) // a slow machine takes longer for the prefill chunk too
 	if usual, ok := t.usual.seconds(tokens, now); ok {
 		firstEvent = seconds(usual * ratio)
 	}
