Name results of a former owner's last calls to the present one

Calls that run while another gateway becomes the owner end after the change, and the new owner had been told of the earlier results only. A gateway now tells it of results that come from another owner. TestResultsOfTheLastCallsOfAnOwnerAreNamedToTheNext plays it.

--- a/gateway/pools/asker.go
+++ b/gateway/pools/asker.go
@@ -110,7 +110,7 @@
 	select {
 	case result := <-results:
 		d.recordEstimates(task, result)
-		d.hold(task, result.Handles)
+		d.hold(task, result.Handles, owner)
 		if result.Failure == OwnerLeft {
 			d.suspect(owner)
 		}
--- a/gateway/pools/held.go
+++ b/gateway/pools/held.go
@@ -82,8 +82,9 @@
 	return address
 }
 
-// hold records that this process uses the results of a task.
-func (d *Dispatcher) hold(task Task, handles []string) {
+// hold records that this process uses the results of a task, which came from an owner. If another gateway is
+// the owner by now, it is told of them: the calls that run at a change of owner end after it.
+func (d *Dispatcher) hold(task Task, handles []string, from view.Member) {
 	table := d.view.Table()
 	if len(handles) == 0 || table == nil {
 		return
@@ -93,8 +94,39 @@
 		return
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.held.add(d.view.Upstreams(), task, handles, time.Now().Add(service.Pool.KeepTime))
+	told := d.held.owners[task.Part]
+	d.mu.Unlock()
+	present := d.owner(task.Part, time.Now())
+	switch d.incarnationOf(present) {
+	case d.incarnationOf(from):
+	case told:
+		d.tellLate(task, handles, present)
+	default:
+		d.introduce(task.Part, present)
+	}
+}
+
+// tellLate tells an owner that knows of earlier results of a part of further ones.
+func (d *Dispatcher) tellLate(task Task, handles []string, owner view.Member) {
+	bytes := make([]uint64, len(handles))
+	for i := range bytes {
+		bytes[i] = uint64(max(0, task.ResultBytes))
+	}
+	if owner.Name == d.self.Name {
+		d.local.Held(task.Part, handles, bytes)
+		return
+	}
+	d.link(owner).held(task.Part, handles, bytes)
+}
+
+// incarnationOf returns the incarnation of an owner, also if it is this process in the place of a missing
+// one.
+func (d *Dispatcher) incarnationOf(owner view.Member) string {
+	if owner.Name == d.self.Name {
+		return d.self.Incarnation
+	}
+	return owner.Incarnation
 }
 
 // drop records that this process no longer uses results.
@@ -110,10 +142,7 @@
 func (d *Dispatcher) tellHeld(part Part, owner view.Member, send func(handles []string, bytes []uint64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	incarnation := owner.Incarnation
-	if owner.Name == d.self.Name {
-		incarnation = d.self.Incarnation
-	}
+	incarnation := d.incarnationOf(owner)
 	before, changed := d.held.owners[part]
 	if before == incarnation {
 		return
--- a/standin/gatewaytest/fleetwide_test.go
+++ b/standin/gatewaytest/fleetwide_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/gateway/pools"
+	"acaciawinch/platform/stagecall"
 	"acaciawinch/standin/metastore"
 	"acaciawinch/standin/worker"
 )
@@ -132,6 +134,34 @@
 	clients.Wait()
 }
 
+// TestResultsOfTheLastCallsOfAnOwnerAreNamedToTheNext: another gateway becomes the owner of a pool while a call
+// of the present one runs. The result comes after the change, and the next owner must learn of it too.
+func TestResultsOfTheLastCallsOfAnOwnerAreNamedToTheNext(t *testing.T) {
+	f := newFleet(t)
+	llm := f.startWorker("llm-1", "llm", worker.Engine)
+	enc := f.startWorker("enc-1", "enc", worker.Stage)
+	config := baseConfig(1)
+	config.Services[2].Pieces.CallMS, config.Services[2].Pieces.HandleS = 1000, 60
+	enc.CallTime = time.Second // the next owner starts within some 0.1 s
+	f.apply(config)
+	g := f.start("g1")
+	f.start("g2") // the hashes of the names make it the owner, and later g3
+	f.waitLines(1, "members_changed", `"process":"g1"`, `["g2"]`)
+	release := llm.Hold()
+	var client sync.WaitGroup
+	client.Go(func() {
+		assert.Check(t, f.send(g, "r", "POST", "/stream/x", "p", "X-Pieces", "1,0", "X-Piece-Key", "k").body == streamBody("r"))
+	})
+	f.waitUntil(func() bool {
+		return slices.ContainsFunc(enc.Arrivals(), func(a worker.Arrival) bool { return a.Path == stagecall.RunPath })
+	}, "the owner's call runs")
+	f.start("g3")
+	f.waitLines(1, "stage_done", `"owner":"g2"`, `"request":"r"`)
+	f.waitLines(1, "pool_held_learned", `"new":1`, `"process":"g3"`)
+	release()
+	client.Wait()
+}
+
 func TestRejectedItemsAndLostInputsAreRetried(t *testing.T) {
 	f := newFleet(t)
 	f.startWorker("llm-1", "llm", worker.Engine)
