Wait for the reports of all upstreams before the first calls

The first upstream to report its room got the first calls of a new owner, whichever was preferred, and kept them: once measured, it counted as faster than one that had not been called. TestAnUpstreamThatAsksForAPauseGetsNothingUntilItEnds failed once of three runs, as its preferred upstream got no call. Calls now wait until all have reported, for at most 50 ms in place of 100 ms, as one silent upstream delays all.

--- a/core/pool/batch.go
+++ b/core/pool/batch.go
@@ -17,7 +17,7 @@
 // Next closes a batch for a free upstream and returns it, or nil if nothing can be
 // sent now.
 func (p *Pool) Next(now time.Time) *Call {
-	if p.waiting == 0 {
+	if p.waiting == 0 || p.awaitsReports(now) {
 		return nil
 	}
 	usable := p.usableUpstreams(now)
@@ -45,7 +45,7 @@
 		case !s.upstream.TakesWork(now):
 		case now.Before(s.avoidUntil):
 			avoided = append(avoided, s)
-		case s.calls >= max(1, p.settings.Slots), !s.isPermitted(now), s.room.awaitsReport(now):
+		case s.calls >= max(1, p.settings.Slots), !s.isPermitted(now):
 			busy++
 		default:
 			usable = append(usable, s)
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -27,14 +27,14 @@
 	}
 }
 
-// AwaitReport keeps calls from an upstream until it has reported its room, or until due.
+// AwaitReport keeps calls back until an upstream has reported its room, or until due.
 func (p *Pool) AwaitReport(upstream routes.Upstream, due time.Time) {
 	if s := p.stateOf(upstream); s != nil {
 		s.room.reportDue = due
 	}
 }
 
-// EndReport lets calls go to an upstream without its report.
+// EndReport lets calls go without the report of an upstream.
 func (p *Pool) EndReport(upstream routes.Upstream) { p.AwaitReport(upstream, time.Time{}) }
 
 // ReportRoom records how many bytes of results an upstream can still store. What it can store less than is
@@ -58,5 +58,13 @@
 	return 0
 }
 
-// awaitsReport reports whether calls wait for a report.
-func (r roomState) awaitsReport(now time.Time) bool { return now.Before(r.reportDue) }
+// awaitsReports reports whether calls wait for the report of an upstream that takes work. All wait for the last
+// one: the first upstream to report would otherwise get the first calls, whichever is preferred.
+func (p *Pool) awaitsReports(now time.Time) bool {
+	for _, s := range p.upstreams {
+		if now.Before(s.room.reportDue) && s.upstream.TakesWork(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/pools/rooms.go
+++ b/gateway/pools/rooms.go
@@ -16,8 +16,8 @@
 	// reportTimeout bounds a call that asks an upstream how much room it has.
 	reportTimeout = time.Second
 	// reportWait is how long work waits for that report: an upstream answers within some ms while it runs a
-	// call, and a call whose results find no room costs 200 ms and more.
-	reportWait = 100 * time.Millisecond
+	// call, and a call whose results find no room costs 200 ms and more. One that is silent delays all.
+	reportWait = 50 * time.Millisecond
 	// firstStartTime is how long after the start of a process it counts as part of the first start of its
 	// fleet, in which upstreams store nothing: all gateways are up and have chosen owners by then.
 	firstStartTime = 10 * time.Second
