Mend what a review of the parts found

Each was found by reading. Late tasks that are held for a later pool no longer count as work ahead of others, and are refused once they would have too little time left when that pool has room. Work that is reserved for a refused client counts at once, so that clients that are refused together are told different times. The versions of a stream are not looked up within the timer that gives a silent send up: that could take 0.3 s while an event waited. Values of a new holder of engine paces that stand for too little no longer replace better ones, which made slow engines count as usual. The forecast for a refused task is worked out for refused tasks only. The expected pause allows for 1.8 times that of an event, and engines count as slow from 1.35 times the pace of the fast quarter: measured paces of slow engines were 33 ms beside 20 to 23 ms, just at the bounds of before.

--- a/core/pace/digest.go
+++ b/core/pace/digest.go
@@ -75,15 +75,16 @@
 	}
 }
 
-// Apply replaces what is known of engines by the values that all processes have observed together.
+// Apply replaces what is known of engines by the values that all processes have observed together. Those of a new
+// holder may stand for too little to count at first: they don't replace better ones.
 func (t *Table) Apply(merged []Summary, now time.Time) {
 	for _, m := range merged {
 		s := t.stateOf(m.Engine)
 		at := now.Add(-m.Age)
-		if m.Gaps > 0 && m.Gap > 0 {
+		if m.Gap > 0 && (m.Gaps >= minGapWeight || s.gap.weightAt(now, halfLife) < minGapWeight) {
 			s.gap = average{logMean: math.Log(m.Gap.Seconds()), weight: min(m.Gaps, maxGapWeight), at: now}
 		}
-		if m.Firsts > 0 && m.First > 0 {
+		if m.First > 0 && (m.Firsts >= minFirstWeight || s.first.weightAt(now, firstHalfLife) < minFirstWeight) {
 			s.first = average{logMean: math.Log(m.First), weight: min(m.Firsts, maxFirstWeight), at: now}
 		}
 		if m.Worst > 0 {
--- a/core/pace/summary.go
+++ b/core/pace/summary.go
@@ -17,7 +17,7 @@
 // as long as the others. Engines that differ by 1.3 are left alone: the limit of some request always lies between
 // two of them, and it would give up its cached prefix for little.
 const (
-	slowerPace = 1.5
+	slowerPace = 1.35
 	// slowerFirst is larger, as the time to the first event depends on what is cached and queued too, and on the
 	// machine's speed at that moment where engines don't report it.
 	slowerFirst = 1.8
--- a/core/pace/table.go
+++ b/core/pace/table.go
@@ -27,8 +27,8 @@
 	// seconds in which the engine counts as usual and gets its share of the requests.
 	forgetAfter = 30 * time.Second
 	// tailFactor is how much longer the longest pause of a stream is than the expected one. A stream has dozens of
-	// pauses, and prompts that are prefilled meanwhile take several chunks.
-	tailFactor = 1.7
+	// pauses, prompts that are prefilled meanwhile take several chunks, and paces are estimated from the shorter pauses.
+	tailFactor = 1.8
 	// usualFirstWeight is the weight of the assumption that an engine's time to the first event is the usual one.
 	// Few streams say little, as their times depend on what is cached and queued.
 	usualFirstWeight = 2
--- a/core/pool/late.go
+++ b/core/pool/late.go
@@ -138,6 +138,7 @@
 	for _, q := range p.queue {
 		switch {
 		case q.Ticket == t.Ticket:
+		case q.held:
 		case !q.late:
 			queue.inTime += len(q.items)
 		case !q.Deadline.After(t.Deadline):
@@ -174,6 +175,21 @@
 	}
 }
 
+// isHeldInVain reports whether a held task would have too little time left once the later pools of its chain are no
+// longer full. A client that waits for it to the end could not come back.
+func (p *Pool) isHeldInVain(q *queuedTask, now time.Time) bool {
+	if !q.held {
+		return false
+	}
+	var longest time.Duration
+	for _, service := range q.Later {
+		if later := p.later[service]; now.Sub(later.at) <= maxLaterAge {
+			longest = max(longest, later.wait-now.Sub(later.at)-time.Duration(fullWaitFactor*float64(later.fullCall)))
+		}
+	}
+	return q.Deadline.Sub(now) < longest+p.fullCall()
+}
+
 // fullLaterPools returns the services of the later pools that are full; none if late tasks are not kept by
 // the forecast.
 func (p *Pool) fullLaterPools(now time.Time) []string {
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -35,8 +35,8 @@
 			return 0
 		}
 	})
-	p.recordPassedOver()
 	p.orderUnhurried(now)
+	p.recordPassedOver()
 }
 
 // classify groups the tasks of each rank into classes of about the same value per item. A
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -87,7 +87,7 @@
 			late.inTime += len(q.items)
 			return false
 		}
-		if !p.meetsDeadline(q.Task, available) || !q.Promised && !p.keeps(late, q.Task, len(q.items), now) {
+		if !p.meetsDeadline(q.Task, available) || p.isHeldInVain(q, now) || !q.Promised && !p.keeps(late, q.Task, len(q.items), now) {
 			p.decide(LateRefused, q, late, now)
 			return true
 		}
@@ -95,7 +95,9 @@
 			q.keptAt = now
 			p.decide(LateKept, q, late, now)
 		}
-		late.ahead += len(q.items)
+		if !q.held {
+			late.ahead += len(q.items)
+		}
 		return false
 	})
 }
--- a/gateway/flow/giveup.go
+++ b/gateway/flow/giveup.go
@@ -112,7 +112,8 @@
 	if rq.clientWaitsUntil().Sub(now) < usual+rq.stagesAgain(now) {
 		return false
 	}
-	needs := rq.requirements()
+	needs := w.needs
+	needs.tried, needs.versions = rq.tried, rq.knownVersions(needs.versions)
 	needs.unlimited = true // a permit may take long
 	if _, found := rq.preview(needs); !found {
 		return false
--- a/gateway/flow/send.go
+++ b/gateway/flow/send.go
@@ -74,7 +74,7 @@
 	rq.recordSend(choice)
 	ctx, cancel := context.WithCancel(rq.ctx)
 	defer cancel()
-	watch := rq.watchSend(ctx, cancel, choice.Upstream)
+	watch := rq.watchSend(ctx, cancel, choice.Upstream, needs)
 	defer watch.close()
 	cancelFree := rq.freeWhenRead(choice)
 	defer cancelFree()
--- a/gateway/flow/silence.go
+++ b/gateway/flow/silence.go
@@ -30,7 +30,9 @@
 type sendWatch struct {
 	rq       *request
 	upstream routes.Upstream
-	key      silence.Key
+	// needs are those of the request when it was sent: to determine them anew may take time.
+	needs requirements
+	key   silence.Key
 	// ctx ends with the send, also if cancel is called.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,13 +62,13 @@
 
 // watchSend returns the watch of a send with a context that cancel ends, nil if the request can't be sent again. The outcome
 // of a trial would not be known if it were given up.
-func (rq *request) watchSend(ctx context.Context, cancel context.CancelFunc, upstream routes.Upstream) *sendWatch {
+func (rq *request) watchSend(ctx context.Context, cancel context.CancelFunc, upstream routes.Upstream, needs requirements) *sendWatch {
 	rq.silence.watch = nil
 	if !rq.RepeatSilent || rq.route.RetryPolicy == routes.AtMostOnce || rq.route.MaxAttempts < 2 || rq.crashPass.IsTrial() {
 		return nil
 	}
 	rq.noteKept()
-	rq.silence.watch = &sendWatch{rq: rq, upstream: upstream, key: silence.Key{Service: rq.service, Route: rq.route.Name}, ctx: ctx, cancel: cancel}
+	rq.silence.watch = &sendWatch{rq: rq, upstream: upstream, needs: needs, key: silence.Key{Service: rq.service, Route: rq.route.Name}, ctx: ctx, cancel: cancel}
 	return rq.silence.watch
 }
 
--- a/gateway/flow/version.go
+++ b/gateway/flow/version.go
@@ -81,6 +81,15 @@
 	})
 }
 
+// knownVersions returns the software versions that the upstream of the request may have, given those that were
+// known when it was sent. It never waits.
+func (rq *request) knownVersions(sent []string) []string {
+	if rq.software != nil {
+		return []string{*rq.software}
+	}
+	return sent
+}
+
 // versions returns the software versions that the upstream of the request may have; nil allows all.
 func (rq *request) versions() []string {
 	if rq.software != nil {
--- a/gateway/pools/late.go
+++ b/gateway/pools/late.go
@@ -83,14 +83,12 @@
 // resultOf adds the owner's estimates to the result of a task. The Owner's lock must be held.
 func (p *ownedPart) resultOf(task *openTask, result Result, now time.Time) Result {
 	result.Wait, result.Backlog = p.queue.Wait(task.Class.Rank, task.Value), p.queue.Backlog()
-	if p.late == nil {
+	if p.late == nil || result.Failure != Late {
 		return result
 	}
 	late := p.queue.ForecastLate(task.queued, task.Items, now)
 	result.LateRefused = late.Known && !late.Kept
-	if result.Failure == Late {
-		result.RetryAfter = late.After
-	}
+	result.RetryAfter = late.After
 	return result
 }
 
--- a/gateway/pools/places.go
+++ b/gateway/pools/places.go
@@ -66,6 +66,7 @@
 	dropped := p.places.Refused(key, now, task.endsAt)
 	if result.RetryAfter > 0 {
 		p.places.Reserve(key, task.Items, now.Add(min(result.RetryAfter, retryafter.Honoured(remaining))))
+		p.queue.AddReserved(task.Items) // others that are refused now are told later times
 	}
 	o.placeCounters.kept.Inc(1)
 	if dropped {
