--- a/core/pace/average.go
+++ b/core/pace/average.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// addRare adds a pace. If it is the first one for rareAfter, as that of a trial of an excluded engine, what was
+// addAfterGap adds a pace. If it is the first one for rareAfter, as that of a trial of an excluded engine, what was
 // known before counts half as much as it, so that one trial shows that an engine has recovered.
-func (a *average) addRare(value, weight float64, now time.Time) {
+func (a *average) addAfterGap(value, weight float64, now time.Time) {
 	if now.Sub(a.at) >= rareAfter {
 		a.weight = min(a.weight, weight/2)
 	}
--- a/core/pace/merger.go
+++ b/core/pace/merger.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// changedBy is the change of a mean, as the difference of logarithms, from which it is told at once. It is well
+	// changedBy is the change of a mean, as the difference of logarithms, from which it is sent at once. It is well
 	// below the difference that makes an engine slow.
 	changedBy = 0.1
 	// weightGrowth is the factor by which the weight of the observations must exceed what is left of the weight last
-	// told. At the largest weight this is the case every 13 s, so that some 90 of 1,100 engines are told in a second,
+	// sent. At the largest weight this is the case every 13 s, so that some 90 of 1,100 engines are sent in a second,
 	// and the weight at other processes stays above the least one that counts.
 	weightGrowth = 3
-	// rareAfter is the time without an observation after which the next one is told at once: the engine may be
+	// rareAfter is the time without an observation after which the next one is sent at once: the engine may be
 	// excluded, and each process would try it again. It is shorter than trialAfter.
 	rareAfter = 5 * time.Second
 )
@@ -31,9 +31,9 @@
 	worst      int
 	worstAt    time.Time
 	observedAt time.Time
-	// toldGap and toldFirst are the values that were last told, in the table of the given number.
+	// sentGap and sentFirst are the values that were last sent, in the table of the given number.
 	number             uint64
-	toldGap, toldFirst average
+	sentGap, sentFirst average
 }
 
 // NewMerger returns a Merger that knows no engine.
@@ -53,8 +53,8 @@
 		}
 		before := e.observedAt
 		e.add(s, now)
-		if e.isNews(before, now) {
-			e.number, e.toldGap, e.toldFirst = m.number, e.gap, e.first
+		if e.hasChanged(before, now) {
+			e.number, e.sentGap, e.sentFirst = m.number, e.gap, e.first
 		}
 	}
 }
@@ -62,7 +62,7 @@
 // add adds the observations of one process.
 func (e *merged) add(s Summary, now time.Time) {
 	age := max(0, s.Age)
-	e.gap.addRare(s.Gap.Seconds(), s.Gaps*math.Exp2(-float64(age)/float64(halfLife)), now)
+	e.gap.addAfterGap(s.Gap.Seconds(), s.Gaps*math.Exp2(-float64(age)/float64(halfLife)), now)
 	e.first.add(s.First, s.Firsts*math.Exp2(-float64(age)/float64(firstHalfLife)), now, firstHalfLife, maxFirstWeight)
 	if s.Worst > 0 && (s.Worst >= e.worst || now.Sub(e.worstAt) > sampleTTL) {
 		e.worst, e.worstAt = s.Worst, now
@@ -72,23 +72,23 @@
 	}
 }
 
-// isNews reports whether the values must be told after an observation; before is when the one before it was made.
-func (e *merged) isNews(before, now time.Time) bool {
+// hasChanged reports whether the values must be sent after an observation; before is when the one before it was made.
+func (e *merged) hasChanged(before, now time.Time) bool {
 	return e.number == 0 || e.observedAt.Sub(before) >= rareAfter ||
-		differs(&e.gap, &e.toldGap, now, halfLife) || differs(&e.first, &e.toldFirst, now, firstHalfLife)
+		differs(&e.gap, &e.sentGap, now, halfLife) || differs(&e.first, &e.sentFirst, now, firstHalfLife)
 }
 
-// differs reports whether a mean has changed since it was told, or rests on many more observations.
-func differs(mean, told *average, now time.Time, halfLife time.Duration) bool {
-	return math.Abs(mean.logMean-told.logMean) >= changedBy || mean.weightAt(now, halfLife) > weightGrowth*told.weightAt(now, halfLife)
+// differs reports whether a mean has changed since it was sent, or rests on many more observations.
+func differs(mean, sent *average, now time.Time, halfLife time.Duration) bool {
+	return math.Abs(mean.logMean-sent.logMean) >= changedBy || mean.weightAt(now, halfLife) > weightGrowth*sent.weightAt(now, halfLife)
 }
 
 // Number returns the number of the newest table.
 func (m *Merger) Number() uint64 { return m.number }
 
-// Since returns the values that were told after the table of a number.
+// Since returns the values that have changed after the table of a number.
 func (m *Merger) Since(number uint64, now time.Time) []Summary {
-	var told []Summary
+	var changed []Summary
 	for engine, e := range m.engines {
 		if e.number <= number {
 			continue
@@ -103,9 +103,9 @@
 		if now.Sub(e.worstAt) <= sampleTTL {
 			s.Worst = e.worst
 		}
-		told = append(told, s)
+		changed = append(changed, s)
 	}
-	return told
+	return changed
 }
 
 // Keep drops all engines but the listed ones.
--- a/core/pace/summary.go
+++ b/core/pace/summary.go
@@ -13,7 +13,7 @@
 	summaryTTL = 200 * time.Millisecond
 )
 
-// An engine is slow from these ratios to the fast quarter of the engines. The slow engines observed take 2.4 times
+// An engine is slow from these ratios to the fast quarter of the engines. Slow engines take some 2.4 times
 // as long as the others. Engines that differ by 1.3 are left alone: the limit of some request always lies between
 // two of them, and it would give up its cached prefix for little.
 const (
--- a/core/pace/table.go
+++ b/core/pace/table.go
@@ -74,7 +74,7 @@
 		s.pending.worst = max(s.pending.worst, o.Pace)
 	}
 	if gap, events := o.pace(); events > 0 {
-		s.gap.addRare(gap.Seconds(), float64(events), now)
+		s.gap.addAfterGap(gap.Seconds(), float64(events), now)
 		s.pending.gaps.add(gap.Seconds(), float64(events))
 		if extra, known := o.extra(gap); known {
 			t.extras.add(extra, now)
--- a/core/pool/late.go
+++ b/core/pool/late.go
@@ -22,8 +22,8 @@
 }
 
 // isFull reports whether a task that is queued behind all others waits for more than half a full call before its
-// own call. Late tasks that wait there count: with the tasks in time alone, a chain made two
-// thirds more items for requests that were not served (TestBurstOnAChainServesMoreAndWastesLess).
+// own call. Late tasks that wait there count: if they did not, a chain
+// would make two thirds more items for requests that are not served (TestBurstOnAChainServesMoreAndWastesLess).
 func (l laterPool) isFull(now time.Time) bool {
 	age := now.Sub(l.at)
 	return age <= maxLaterAge && l.wait-age > time.Duration(fullWaitFactor*float64(l.fullCall))
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -35,7 +35,7 @@
 			return 0
 		}
 	})
-	p.orderUnhurried(now)
+	p.orderEarliestDueFirst(now)
 	p.recordPassedOver()
 }
 
