--- a/standin/worker/stage.go
+++ b/standin/worker/stage.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"time"
 )
 
 // batch is the body of a stage call.
@@ -35,7 +34,7 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(w.CallTime)
+	w.work(w.CallTime)
 	var response results
 	w.mu.Lock()
 	w.batches = append(w.batches, call.Items)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -46,6 +46,9 @@
 	Unmarked int
 	// Repeat sends an event of a stream twice. Restart begins a stream again in its middle.
 	Repeat, Restart int
+	// Silent runs the request and sends nothing while the connection stays open, Stalled sends nothing after the
+	// first event of a stream.
+	Silent, Stalled int
 }
 
 // Run is a request that a worker started to run.
@@ -73,6 +76,10 @@
 	// CallTime is how long a stage call takes, WorkTime how long other requests take until their
 	// response starts.
 	CallTime, WorkTime time.Duration
+	// EventTime is how long each event of a stream takes, and Machine the machine that the worker runs on; nil for
+	// one that is never slower and reports no pace. Both are set before the worker is used.
+	EventTime time.Duration
+	Machine   *Machine
 	// CrashBody is the body of requests that crash the worker as soon as it runs them; empty for none.
 	// With CrashUnframed the worker first sends a header without a length and a part of the body, so that
 	// the response looks complete. Both are set before the worker is used.
@@ -293,12 +300,15 @@
 			return
 		}
 	}
-	time.Sleep(w.WorkTime)
+	if w.consume(&w.faults.Silent) {
+		w.stayOpen(r)
+	}
+	w.work(w.WorkTime)
 	if w.consume(&w.faults.Foreign) {
 		sendForeign(out)
 	}
 	out.Header().Set("X-Attempt-Id", id)
-	out.Header().Set("X-Instance-Load", "1,0,8")
+	out.Header().Set("X-Instance-Load", w.load(time.Now()))
 	if !w.consume(&w.faults.Unsigned) {
 		out.Header().Set("X-Response-Stamp", Stamp(w.ID))
 	}
@@ -333,7 +343,7 @@
 		first = n
 	}
 	out.Header().Set("Content-Type", "text/event-stream")
-	cut, unmarked := w.consume(&w.faults.Cut), w.consume(&w.faults.Unmarked)
+	cut, unmarked, stalled := w.consume(&w.faults.Cut), w.consume(&w.faults.Unmarked), w.consume(&w.faults.Stalled)
 	numbers := eventNumbers(first+1, w.Events, w.consume(&w.faults.Repeat), w.consume(&w.faults.Restart))
 	if w.Unframed {
 		removeMark(out)
@@ -349,6 +359,10 @@
 			_ = http.NewResponseController(out).Flush() // a caller that has disconnected needs no event
 			panic(http.ErrAbortHandler)
 		}
+		if stalled && number > first+1 {
+			w.stayOpen(r)
+		}
+		w.work(w.EventTime)
 		_, _ = io.WriteString(out, w.event(r.Header.Get("X-Attempt-Id"), number)) // a caller that has disconnected needs no event
 		_ = http.NewResponseController(out).Flush()                               // the server notices a caller that has disconnected
 	}
