Draw uneven engines and silences in the soak

The soak's runs had engines of one pace that always responded. The checks are unchanged and made under the new load too.

--- a/standin/platformfleet/fleet.go
+++ b/standin/platformfleet/fleet.go
@@ -69,6 +69,8 @@
 	// Versions is the number of software versions of the engines, with enginesPerVersion engines each; 0 for engines
 	// without a version.
 	Versions int
+	// Prepare sets fields of a worker before it is used; number is its number in its service. Nil for none.
+	Prepare func(number int, w *worker.Worker)
 	// Proxy starts a proxy in front of a target and returns the address of the proxy. It is called
 	// for each worker with the id of the worker, and for the store once for each gateway with the name
 	// of the gateway. Nil for no proxies.
@@ -166,6 +168,9 @@
 		if service == engines && o.Versions > 0 {
 			w.Version = VersionName(i % o.Versions)
 		}
+		if o.Prepare != nil {
+			o.Prepare(i, w)
+		}
 		f.Add(service, w)
 		if w.Advertised, err = o.proxied(w.ID, w.ListenAddress()); err != nil {
 			return err
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -35,7 +35,8 @@
 	plan = append(plan, planReturns(o.Seed, o.Returns)...)
 	plan = append(plan, planDisorder(o.Seed, o.Disorders)...)
 	plan = append(plan, planLimits(o.Seed, o.Limits)...)
-	return append(plan, planVersions(o.Seed, o.Versions)...)
+	plan = append(plan, planVersions(o.Seed, o.Versions)...)
+	return append(plan, planSilences(o.Seed, o.Silences)...)
 }
 
 // Timing of a return.
@@ -102,7 +103,7 @@
 
 // putConfiguration writes the newest configuration. s.mu must be held.
 func (s *soak) putConfiguration() {
-	s.fleet.Store.Put("config", "main", configuration(s.version, s.spareRevoked))
+	s.fleet.Store.Put("config", "main", s.limitGaps(configuration(s.version, s.spareRevoked)))
 }
 
 // removeEnded removes the entries of the incarnations of workers that have ended. s.mu must be held.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -52,6 +52,8 @@
 		s.limitWorker(ctx, step)
 	case DisorderWorker:
 		s.disorderWorker(ctx, step)
+	case SilenceEngine:
+		s.silenceEngine(ctx, step)
 	case ReturnStore:
 		s.returnStore(ctx, step)
 	case ChangeConfiguration, RevokeKey:
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -14,6 +14,10 @@
 	Versions int
 	// Parts is the number of parts of prompts that crash engines.
 	Parts int
+	// Silences is how often an engine falls silent.
+	Silences int
+	// Uneven is the number of engines of which one is slow; 0 for engines of the same pace.
+	Uneven int
 }
 
 // Regressions are the seeds that failed once.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -36,6 +36,11 @@
 	Versions int
 	// Parts is the number of parts of prompts that crash engines; 0 for prompts without such parts.
 	Parts int
+	// Silences is how often an engine falls silent.
+	Silences int
+	// Uneven is the number of engines of which one is slow, in a run whose machines are slower at times; 0 for
+	// engines and machines of the same pace.
+	Uneven int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
@@ -123,7 +128,8 @@
 // start starts the fleet with a relay in front of each of its parts.
 func (s *soak) start(ctx context.Context) error {
 	fleet, err := platformfleet.Start(ctx, platformfleet.Options{
-		Bin: s.options.Bin, Gateways: s.options.Gateways, WorkTime: workTime, CrashBody: crashBody, Versions: s.options.Versions, CrashParts: crashParts(s.options.Parts), Proxy: s.addRelay})
+		Bin: s.options.Bin, Gateways: s.options.Gateways, WorkTime: workTime, CrashBody: crashBody, Versions: s.options.Versions, CrashParts: crashParts(s.options.Parts),
+		Prepare: prepareUneven(s.options.Seed, s.options.Uneven, time.Now()), Proxy: s.addRelay})
 	if err != nil {
 		return err
 	}
--- a/standin/soak/workers.go
+++ b/standin/soak/workers.go
@@ -107,6 +107,7 @@
 		return
 	}
 	restarted.Advertised, restarted.CallTime, restarted.WorkTime, restarted.CrashBody, restarted.CrashParts = ended.Advertised, ended.CallTime, ended.WorkTime, ended.CrashBody, ended.CrashParts
+	restarted.EventTime, restarted.Machine = ended.EventTime, ended.Machine
 	restarted.Version = s.nextVersion(ended, choice)
 	next := registeredWorker{Worker: restarted, service: ended.service}
 	s.fleet.Add(ended.service, restarted)
