--- a/standin/soak/uneven.go
+++ b/standin/soak/uneven.go
@@ -25,12 +25,16 @@
 	gapGoalMS = 100
 )
 
-// planSilences returns the steps of a seed on silent engines.
+// shortestSilence is above the 0.45 s to 0.56 s after which gateways gave up silent engines in runs.
+const shortestSilence = time.Second
+
+// planSilences returns the steps of a seed on silent engines, in the second half of the faults: a gateway knows
+// the usual time to the first event from 20 streams on.
 func planSilences(seed uint64, count int) []Step {
 	random := rand.New(rand.NewPCG(seed, seed^0x27d4eb2f))
 	var plan []Step
 	for range count {
-		plan = append(plan, Step{At: between(random, 0, faultsFor), For: between(random, shortestStep, longestStep), Kind: SilenceEngine,
+		plan = append(plan, Step{At: between(random, faultsFor/2, faultsFor), For: between(random, shortestSilence, longestStep), Kind: SilenceEngine,
 			Target: random.IntN(1 << 16), Choice: random.IntN(1 << 16)})
 	}
 	return plan
