review: case 5, an unsafe request that runs is answered 503

A worker that serves a stage and a route is full and rejects a call of the stage, twice. The gateway takes the second copy for the answer to the unsafe request that comes next on the channel, and tells the client that it has not run (REFUSED), or sends it to another worker too (TWICE).

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -13,7 +13,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases CASE ROOT FOLDER")
 		os.Exit(2)
 	}
-	play := map[string]func(root string, r *record, trouble bool) int{"mixed": mixed, "memory": memory, "silence": silence}[os.Args[1]]
+	play := map[string]func(root string, r *record, trouble bool) int{"mixed": mixed, "memory": memory, "silence": silence, "twice": twice}[os.Args[1]]
 	r, err := newRecord(filepath.Join(os.Args[3], "record.txt"))
 	if err != nil || play == nil {
 		fmt.Fprintln(os.Stderr, "can't run:", err)
--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -24,7 +24,7 @@
 	if !trouble {
 		burst = 1
 	}
-	f, err := startFleet(root, r, 1, func(s *store) error {
+	f, err := startFleet(root, r, 1, configuration(), func(s *store) error {
 		for i := range 3 {
 			w, err := startWorker(fmt.Sprintf("i-desk%d", i+1), "plain", 6, r)
 			if err != nil {
--- a/review/standins-2/mixed.go
+++ b/review/standins-2/mixed.go
@@ -52,7 +52,7 @@
 }
 
 // startFleet starts the store, the workers that register registers, and some gateways.
-func startFleet(root string, r *record, gateways int, register func(s *store) error) (*fleet, error) {
+func startFleet(root string, r *record, gateways int, config map[string]any, register func(s *store) error) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -64,7 +64,7 @@
 	if err := register(f.store); err != nil {
 		return f, err
 	}
-	f.store.put("config", "main", configuration())
+	f.store.put("config", "main", config)
 	for i := range gateways {
 		zone := []string{"hall-a", "hall-b", "annex"}[i%3]
 		g, err := startGateway(root, folder, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, f.store.address())
@@ -136,7 +136,7 @@
 // mixed sends groups of drafts for each pool while its worker sends an extra copy of a few answers.
 func mixed(root string, r *record, trouble bool) int {
 	var stages []*worker
-	f, err := startFleet(root, r, 2, func(s *store) error {
+	f, err := startFleet(root, r, 2, configuration(), func(s *store) error {
 		for _, pool := range pools {
 			w, err := startWorker("i-"+pool, "stage", 1, r)
 			if err != nil {
--- a/review/standins-2/silence.go
+++ b/review/standins-2/silence.go
@@ -31,7 +31,7 @@
 		s.put("servers", w.id, w.entry("orderdesk", "hall-a", "ready"))
 		return w, nil
 	}
-	f, err := startFleet(root, r, 2, func(s *store) error {
+	f, err := startFleet(root, r, 2, configuration(), func(s *store) error {
 		for range 3 + silences {
 			if _, err := desk(s); err != nil {
 				return err
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,6 +37,13 @@
 	calls, extras int
 
 	draining bool
+
+	// queue is how many requests may wait for a slot beyond those that run, 0 for any number; held counts both.
+	queue, held int
+	// doubleRejections is set if rejections of calls of a stage are sent twice, as far as extraShare allows;
+	// answers counts all answers, rejected the rejections of such calls.
+	doubleRejections  bool
+	answers, rejected int
 }
 
 // piece is one piece of a request's stage.
@@ -88,14 +96,17 @@
 		if err != nil {
 			return
 		}
-		if late != nil {
-			w.record.add("%s sends the extra copy of an answer on channel %s, where the answer to %s is expected", w.id, c.RemoteAddr(), r.URL.Path)
-			if _, err := c.Write(late); err != nil {
-				return
+		copied := late
+		late = nil
+		sendCopy := func() {
+			if copied != nil {
+				w.record.add("%s sends the extra copy of an answer on channel %s, where the answer to %s %s is expected", w.id, c.RemoteAddr(), r.URL.Path, r.Header.Get("X-Attempt-Id"))
+				_, _ = c.Write(copied) // if the caller has gone, the next write fails too
+				copied = nil
 			}
-			late = nil
 		}
-		answer := w.handle(c, r, body, &late)
+		answer := w.handle(channel{c, reader, sendCopy, &late}, r, body)
+		sendCopy()
 		if answer != nil {
 			if _, err := c.Write(answer); err != nil {
 				return
@@ -104,10 +115,37 @@
 	}
 }
 
+// channel is a channel on which a request has come.
+type channel struct {
+	net.Conn
+	reader *bufio.Reader
+	// sendCopy sends the extra copy of the answer before, if there is one. It is called when the request has begun
+	// to run, or right before its answer.
+	sendCopy func()
+	// late takes a copy of the answer that is sent once more at the next request.
+	late *[]byte
+}
+
+// takeSlot waits for a free slot. It returns false if the channel was closed while the request waited.
+func (w *worker) takeSlot(c channel) bool {
+	select {
+	case w.busy <- struct{}{}:
+		return true
+	default:
+	}
+	w.busy <- struct{}{}
+	if isClosed(c.Conn, c.reader) {
+		<-w.busy
+		return false
+	}
+	return true
+}
+
 // answerOf encodes an answer with a length.
 func (w *worker) answerOf(status int, headers map[string]string, body []byte) []byte {
 	w.mu.Lock()
 	leaving := w.draining
+	w.answers++
 	w.mu.Unlock()
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\nX-Instance-Load: %d,0,%d\r\nKeep-Alive: timeout=15\r\n", status, http.StatusText(status), len(body), len(w.busy), w.slots)
@@ -123,7 +161,7 @@
 }
 
 // handle handles one request and returns the answer.
-func (w *worker) handle(c net.Conn, r *http.Request, body []byte, late *[]byte) []byte {
+func (w *worker) handle(c channel, r *http.Request, body []byte) []byte {
 	id := r.Header.Get("X-Attempt-Id")
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
 		return w.answerOf(421, map[string]string{"X-Instance-Id": w.id, "X-Not-Executed": "1", "X-Attempt-Id": id}, nil)
@@ -131,7 +169,7 @@
 	json1 := map[string]string{"Content-Type": "application/json"}
 	switch {
 	case w.kind == "stage" && r.URL.Path == "/stage-run":
-		return w.runStage(c, body, late)
+		return w.runStage(c, body)
 	case w.kind == "stage" && r.URL.Path == "/stage-free":
 		w.record.add("%s frees %s on channel %s", w.id, body, c.RemoteAddr())
 		return w.answerOf(200, json1, []byte("{}"))
@@ -140,10 +178,19 @@
 	case r.URL.Path == "/healthz":
 		return w.answerOf(200, map[string]string{"X-Instance-Id": w.id}, nil)
 	}
+	if !w.enter() {
+		w.record.add("%s is full and rejects %s on channel %s", w.id, id, c.RemoteAddr())
+		return w.answerOf(503, map[string]string{"X-Not-Executed": "1", "X-Attempt-Id": id}, nil)
+	}
+	defer w.leave()
+	if !w.takeSlot(c) {
+		w.record.add("%s drops %s before it runs: its channel is closed", w.id, id)
+		return nil
+	}
+	defer func() { <-w.busy }()
 	w.record.arrived(w, r, body)
+	c.sendCopy()
 	echo := map[string]string{"X-Attempt-Id": id, "X-Response-Stamp": "stamp." + w.id + "." + id}
-	w.busy <- struct{}{}
-	defer func() { <-w.busy }()
 	time.Sleep(w.workTime)
 	if w.kind != "model" {
 		return w.answerOf(200, echo, []byte("answer of "+id))
@@ -153,7 +200,7 @@
 }
 
 // stream sends a stream of three events.
-func (w *worker) stream(c net.Conn, headers map[string]string, id string) {
+func (w *worker) stream(c io.Writer, headers map[string]string, id string) {
 	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=15\r\n"
 	for name, value := range headers {
 		head += name + ": " + value + "\r\n"
@@ -171,6 +218,33 @@
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+// isClosed reports whether the caller has closed a channel.
+func isClosed(c net.Conn, reader *bufio.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := reader.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var late net.Error
+	return err != nil && !(errors.As(err, &late) && late.Timeout())
+}
+
+// enter takes a place for a request, or reports that the worker is full.
+func (w *worker) enter() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queue > 0 && w.held >= w.slots+w.queue {
+		return false
+	}
+	w.held++
+	return true
+}
+
+// leave gives the place of a request back.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held--
+}
+
 // doubleNext makes the worker send its next answer to a call of a stage twice, if that is at most a share of
 // its answers.
 func (w *worker) doubleNext(share float64) {
@@ -180,15 +254,31 @@
 }
 
 // runStage runs a call of a stage.
-func (w *worker) runStage(c net.Conn, body []byte, late *[]byte) []byte {
+func (w *worker) runStage(c channel, body []byte) []byte {
 	var call struct {
 		Items []piece `json:"items"`
 	}
 	if err := json.Unmarshal(body, &call); err != nil {
 		return w.answerOf(400, nil, nil)
 	}
-	w.busy <- struct{}{}
+	if !w.enter() {
+		w.record.add("%s is full and rejects a call of a stage on channel %s", w.id, c.RemoteAddr())
+		answer := w.answerOf(503, map[string]string{"X-Not-Executed": "1"}, nil)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.rejected++
+		if w.doubleRejections && float64(w.extras+1) <= extraShare*float64(w.answers) {
+			w.extras++
+			*c.late = answer
+		}
+		return answer
+	}
+	defer w.leave()
+	if !w.takeSlot(c) {
+		return nil
+	}
 	defer func() { <-w.busy }()
+	c.sendCopy()
 	for _, item := range call.Items {
 		w.record.checkInputs(w, item)
 	}
@@ -213,7 +303,7 @@
 	content, _ := json.Marshal(map[string]any{"items": results})
 	answer := w.answerOf(200, map[string]string{"Content-Type": "application/json"}, content)
 	if doubled {
-		*late = answer
+		*c.late = answer
 	}
 	return answer
 }
