review: case 4 within the share and length of its disruption

It had garbled answers at all three workers through the whole run; a share of 0.6 for 5 s is allowed. Now one worker of three does for 5 s at a time. A process that can't listen is started again.

--- a/review/standins-2/gateway.go
+++ b/review/standins-2/gateway.go
@@ -117,6 +117,16 @@
 	return fmt.Errorf("%s is not ready", g.name)
 }
 
+// endsAtOnce reports whether the process ends within 300 ms of its start.
+func (g *gateway) endsAtOnce() bool {
+	select {
+	case <-g.ended:
+		return true
+	case <-time.After(300 * time.Millisecond):
+		return false
+	}
+}
+
 // running reports whether the process has not ended.
 func (g *gateway) running() bool {
 	select {
--- a/review/standins-2/mixed.go
+++ b/review/standins-2/mixed.go
@@ -65,16 +65,20 @@
 		return f, err
 	}
 	f.store.put("config", "main", config)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
 	for i := range gateways {
 		zone := []string{"hall-a", "hall-b", "annex"}[i%3]
 		g, err := startGateway(root, folder, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, f.store.address())
+		// Another program may have taken one of the ports before the process listens on it.
+		for tries := 0; err == nil && tries < 3 && g.endsAtOnce(); tries++ {
+			g, err = startGateway(root, folder, g.name, zone, f.store.address())
+		}
 		if err != nil {
 			return f, err
 		}
 		f.gateways = append(f.gateways, g)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
 	for _, g := range f.gateways {
 		if err := g.awaitReady(ctx); err != nil {
 			return f, err
--- a/review/standins-2/twice.go
+++ b/review/standins-2/twice.go
@@ -14,7 +14,10 @@
 	// mill is a service that runs a stage of one route and all requests of another one.
 	mill = "mill"
 	// twiceTime is how long requests are sent.
-	twiceTime = 40 * time.Second
+	twiceTime = 95 * time.Second
+	// garbleTime is how long one worker of three garbles its answers, garblePause the pause until another one does:
+	// the site file has a share of 0.6 for 5 s.
+	garbleTime, garblePause = 5 * time.Second, 2 * time.Second
 	// orderClients and draftClients are the clients of the two routes, which ask after each answer again.
 	orderClients, draftClients = 9, 4
 )
@@ -48,7 +51,6 @@
 				return err
 			}
 			w.queue = 2
-			w.doubleRejections = trouble
 			workers = append(workers, w)
 			s.put("servers", w.id, w.entry(mill, "hall-a", "ready"))
 		}
@@ -89,6 +91,19 @@
 			}
 		})
 	}
+	if trouble {
+		all.Go(func() {
+			for i := 0; time.Now().Add(garbleTime).Before(end); i++ {
+				w := workers[i%len(workers)]
+				r.add("%s begins to garble its answers", w.id)
+				w.garble(true)
+				time.Sleep(garbleTime)
+				w.garble(false)
+				r.add("%s garbles its answers no longer", w.id)
+				time.Sleep(garblePause)
+			}
+		})
+	}
 	for i := range draftClients {
 		all.Go(func() {
 			for time.Now().Before(end) {
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -40,10 +40,11 @@
 
 	// queue is how many requests may wait for a slot beyond those that run, 0 for any number; held counts both.
 	queue, held int
-	// doubleRejections is set if rejections of calls of a stage are sent twice, as far as extraShare allows;
-	// answers counts all answers, rejected the rejections of such calls.
-	doubleRejections  bool
-	answers, rejected int
+	// doubleRejections is set while rejections of calls of a stage are sent twice, as far as extraShare of the
+	// answers since then allows; answers counts all answers, rejected the rejections of such calls.
+	doubleRejections            bool
+	answers, rejected           int
+	answersBefore, extrasBefore int
 }
 
 // piece is one piece of a request's stage.
@@ -245,6 +246,13 @@
 	w.held--
 }
 
+// garble makes the worker send rejections of calls of a stage twice, or ends that.
+func (w *worker) garble(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.doubleRejections, w.answersBefore, w.extrasBefore = on, w.answers, w.extras
+}
+
 // doubleNext makes the worker send its next answer to a call of a stage twice, if that is at most a share of
 // its answers.
 func (w *worker) doubleNext(share float64) {
@@ -267,7 +275,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.rejected++
-		if w.doubleRejections && float64(w.extras+1) <= extraShare*float64(w.answers) {
+		if w.doubleRejections && float64(w.extras-w.extrasBefore+1) <= extraShare*float64(w.answers-w.answersBefore) {
 			w.extras++
 			*c.late = answer
 		}
