httpconn: a response goes to the one call that it answers, or its connection is closed

Cause: httpconn told responses apart by the ID of a request, but only if its caller had given one. Calls of stages (run, free, report) had none and took whatever response came next on a kept connection. After one copy the connection stayed one response behind. The owner of a pool recognised some copies by their handles, if it still knew these, but the connection had been kept by then, as its body had been read to the end. Calls shared connections with clients' requests, where an unnamed rejection counted as that of the request, and an ID was forgotten after eight requests.

So an ID alone can't be the rule.

Fix: every request has an ID; Do draws one where the caller has none. A response answers a call if it echoes its ID, which no other request on the connection had, or if it has none and nothing else was ever sent there. Anything else closes the connection. So calls to an upstream that does not echo take a connection each; frees, whose responses say nothing, share one on which no response is given to anybody (Notify). Nothing in the package goes around matching.go. What is skipped or closed is logged (10041) and counted.

The stand-in left out the ID in rejections, against the protocol; it now echoes it, can send responses twice, at once or late, and can be told not to echo. Three tests relied on unnamed rejections and are unchanged.

--- a/gateway/flow/silence_test.go
+++ b/gateway/flow/silence_test.go
@@ -54,9 +54,12 @@
 		close(closed)
 	}))
 	defer upstream.Close()
-	client := httpconn.New(func(int, http.Header) httpconn.ResponseInfo { return httpconn.ResponseInfo{} })
+	client := httpconn.New(httpconn.Codec{
+		SetID:    func(http.Header, string) {},
+		ReadInfo: func(int, http.Header) httpconn.ResponseInfo { return httpconn.ResponseInfo{} },
+	}, nil)
 	defer client.Close()
-	response, err := client.Do(context.Background(), strings.TrimPrefix(upstream.URL, "http://"), httpconn.Request{Method: "GET", Target: "/", Host: "h"})
+	response, err := client.Do(context.Background(), strings.TrimPrefix(upstream.URL, "http://"), httpconn.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	assert.NilError(t, err)
 
 	w := &sendWatch{gaveUp: true}
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -3,8 +3,8 @@
 // Transport retries some requests by itself when a kept-alive connection fails; it does not
 // report whether any byte of a request was sent; and it returns responses that belong to an
 // earlier request on the connection. This package never sends a request twice, the code of
-// every error shows whether the request may have run, and a response that does not echo the
-// ID of the request is never returned.
+// every error shows whether the request may have run, and a response is given to the one call
+// that it answers, or its connection is closed (matching.go).
 package httpconn
 
 import (
@@ -49,68 +49,111 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID must be echoed by the response; empty if no echo is expected.
+	// ID is the ID of the client's request, which is in Header already and must be echoed by the response. If it
+	// is empty, Do draws an ID. An upstream need not echo that one, but each call to an upstream that does not
+	// takes a connection of its own.
 	ID string
 	// ShouldSend, if not nil, is called once a connection is open and reports whether the request
 	// is still to be sent: opening a connection may take long, and the upstream may meanwhile
 	// have asked for backoff or begun to stop.
 	ShouldSend func() bool
+
+	// drawn is set if Do has drawn the ID, and oneWay by Notify.
+	drawn, oneWay bool
+}
+
+// use returns what a connection is used for that carries the request. Whether an upstream echoes drawn IDs
+// may depend on the target, and is known only of the targets for which it did.
+func (r Request) use() string {
+	switch {
+	case r.oneWay:
+		return notifying
+	case r.drawn:
+		return r.Target
+	default:
+		return forwarding
+	}
 }
 
+// Uses of connections other than the target of a request.
+const (
+	// forwarding is the use for the requests of clients.
+	forwarding = ""
+	// notifying is the use for requests whose responses are given to no call.
+	notifying = "notify"
+)
+
 // ErrWithdrawn reports that ShouldSend withdrew a request; nothing was sent.
 var ErrWithdrawn = errors.New("upstream no longer accepts requests")
 
 // Client sends requests to upstreams and keeps idle connections. It is safe for concurrent use.
 type Client struct {
-	// readInfo reads the head of a response.
-	readInfo func(status int, h http.Header) ResponseInfo
+	codec Codec
+	// onAnomaly is called with each anomaly; it may be nil.
+	onAnomaly func(Anomaly)
 
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	idle   map[idleKey][]*conn
 	closed bool
 }
 
+// idleKey is what idle connections are kept by.
+type idleKey struct{ addr, use string }
+
+// Codec converts between headers and what the package needs of them.
+type Codec struct {
+	// SetID sets the ID of a request in its headers.
+	SetID func(h http.Header, id string)
+	// ReadInfo reads the head of a response.
+	ReadInfo func(status int, h http.Header) ResponseInfo
+}
+
 // ResponseInfo is what the head of a response says about its request and its connection.
 type ResponseInfo struct {
 	// ID is the ID of the request; empty if the response has none.
 	ID string
-	// NotRun is set if the upstream says that it did not run the request. Such a response
-	// need not echo the ID.
+	// NotRun is set if the upstream says that it did not run the request.
 	NotRun bool
 	// Idle is how long the upstream keeps an idle connection; 0 if it does not say.
 	Idle time.Duration
 }
 
-// New returns a Client that reads the heads of responses with readInfo.
-func New(readInfo func(status int, h http.Header) ResponseInfo) *Client {
-	return &Client{readInfo: readInfo, idle: make(map[string][]*conn)}
+// New returns a Client. It calls onAnomaly, which may be nil, for each anomaly of an upstream.
+func New(codec Codec, onAnomaly func(Anomaly)) *Client {
+	return &Client{codec: codec, onAnomaly: onAnomaly, idle: make(map[idleKey][]*conn)}
 }
 
-// acquire returns a usable idle connection for a request with an ID, or opens a new one. A connection
-// that has carried a request with this ID before is not usable: the upstream may send its response to
-// that request once more, and nothing would distinguish it from the expected one.
-func (c *Client) acquire(ctx context.Context, addr, id string) (*conn, error) {
+// acquire returns a usable idle connection for a request, or opens a new one.
+func (c *Client) acquire(ctx context.Context, addr string, r Request) (*conn, error) {
 	for {
-		kept := c.popIdle(addr, id)
+		kept := c.popIdle(idleKey{addr, r.use()}, r.ID)
 		if kept == nil {
-			return c.dial(ctx, addr)
+			break
 		}
 		if kept.usable(time.Now()) {
 			return kept, nil
 		}
+		if kept.pending() == someBytes {
+			c.observe(Anomaly{Address: addr, Kind: Unasked})
+		}
 		kept.close()
 	}
+	opened, err := c.dial(ctx, addr)
+	if err == nil {
+		opened.use = r.use()
+	}
+	return opened, err
 }
 
-// popIdle removes and returns the most recently used idle connection that has not carried a request
-// with an ID, or nil.
-func (c *Client) popIdle(addr, id string) *conn {
+// popIdle removes and returns the most recently used idle connection that accepts a request with an ID, or
+// nil.
+func (c *Client) popIdle(key idleKey, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[addr]
+	list := c.idle[key]
 	for i, kept := range slices.Backward(list) {
-		if !kept.hasCarried(id) {
-			c.idle[addr] = slices.Delete(list, i, i+1)
+		if kept.history.accepts(id) {
+			c.idle[key] = slices.Delete(list, i, i+1)
 			return kept
 		}
 	}
@@ -125,7 +168,8 @@
 		kept.close()
 		return
 	}
-	c.idle[kept.addr] = append(c.idle[kept.addr], kept)
+	key := idleKey{kept.addr, kept.use}
+	c.idle[key] = append(c.idle[key], kept)
 }
 
 // dial opens a connection. Its errors have the code Unavailable, as nothing was sent.
@@ -162,7 +206,7 @@
 		return false
 	case <-settle.C:
 	}
-	if !opened.nothingToRead() {
+	if opened.pending() != nothing {
 		opened.close()
 		return false
 	}
@@ -192,7 +236,7 @@
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, list := range c.idle {
+	for key, list := range c.idle {
 		kept := list[:0]
 		for _, idle := range list {
 			if idle.expired(now) {
@@ -202,9 +246,9 @@
 			kept = append(kept, idle)
 		}
 		clear(list[len(kept):])
-		c.idle[addr] = kept
+		c.idle[key] = kept
 		if len(kept) == 0 {
-			delete(c.idle, addr)
+			delete(c.idle, key)
 		}
 	}
 }
@@ -219,5 +263,5 @@
 			idle.close()
 		}
 	}
-	c.idle = make(map[string][]*conn)
+	c.idle = make(map[idleKey][]*conn)
 }
--- a/gateway/httpconn/client_test.go
+++ b/gateway/httpconn/client_test.go
@@ -82,9 +82,12 @@
 
 // newClient returns a client that reads the request ID from the header Id.
 func newClient(t *testing.T) *Client {
-	c := New(func(status int, h http.Header) ResponseInfo {
-		return ResponseInfo{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
-	})
+	c := New(Codec{
+		SetID: func(h http.Header, id string) { h.Set("Id", id) },
+		ReadInfo: func(_ int, h http.Header) ResponseInfo {
+			return ResponseInfo{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+		},
+	}, nil)
 	t.Cleanup(c.Close)
 	return c
 }
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -40,7 +40,7 @@
 
 	client   *Client
 	conn     *conn
-	body     io.ReadCloser
+	body     io.Reader
 	idle     time.Duration
 	reusable bool
 	writer   *requestWriter
@@ -51,7 +51,12 @@
 // Do sends a request and waits for the head of its response until ctx ends. If an error
 // has the code Unavailable, nothing was sent; with any other code the request may have run.
 func (c *Client) Do(ctx context.Context, addr string, r Request) (*Response, error) {
-	acquired, err := c.acquire(ctx, addr, r.ID)
+	if r.ID == "" {
+		r.ID, r.drawn = newID(), true
+		r.Header = r.Header.Clone()
+		c.codec.SetID(r.Header, r.ID)
+	}
+	acquired, err := c.acquire(ctx, addr, r)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +64,7 @@
 		c.release(acquired)
 		return nil, fault.Wrap(fault.Unavailable, "upstream.send", addr, ErrWithdrawn)
 	}
-	acquired.carry(r.ID)
+	acquired.history.record(r.Method, r.ID)
 	stop := context.AfterFunc(ctx, acquired.close)
 	writer := startWrite(acquired, r)
 	response, err := c.receive(acquired, r, writer)
@@ -78,6 +83,27 @@
 	return response, nil
 }
 
+// maxNotifyBytes bounds the body of the response to a notification.
+const maxNotifyBytes = 64 << 10
+
+// Notify sends a request whose response tells its caller nothing. It returns when a response has come,
+// which may be that to an earlier notification, and an error if none came or its status is not 2xx.
+func (c *Client) Notify(ctx context.Context, addr string, r Request) error {
+	r.oneWay, r.ID = true, ""
+	response, err := c.Do(ctx, addr, r)
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxNotifyBytes)); err != nil {
+		return err
+	}
+	if response.Status/100 != 2 {
+		return fault.New(fault.Refused, "upstream.notify", addr, "status %d", response.Status)
+	}
+	return nil
+}
+
 // requestWriter writes one request.
 type requestWriter struct {
 	written atomic.Int64
@@ -161,14 +187,15 @@
 		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		info := c.readInfo(resp.StatusCode, resp.Header)
-		if r.ID == "" || info.ID == r.ID || (info.ID == "" && info.NotRun) {
-			response := c.newResponse(from, resp, info, writer)
-			if r.ID != "" && info.ID == "" {
-				response.reusable = false // it might come once more, and the next request could not tell
-			}
-			return response, nil
+		info := c.codec.ReadInfo(resp.StatusCode, resp.Header)
+		switch from.history.owner(r, info) {
+		case ownResponse:
+			return c.newResponse(from, resp, r, info, writer), nil
+		case unknownResponse:
+			c.observe(Anomaly{Address: from.addr, Kind: Unmatched, Status: resp.StatusCode})
+			return nil, fault.New(fault.Ambiguous, "upstream.receive", from.addr, "a response with status %d may belong to another request", resp.StatusCode)
 		}
+		c.observe(Anomaly{Address: from.addr, Kind: Foreign, Status: resp.StatusCode})
 		if err := discardBody(resp); err != nil {
 			return nil, err
 		}
@@ -179,18 +206,18 @@
 // discardBody reads the response to another request to its end. It returns an error if that
 // response closes the connection, as the expected response can't follow then.
 func discardBody(resp *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
-	if err != nil {
-		return err
-	}
-	if n == maxSkippedBytes || resp.Close {
+	if resp.Close {
 		return io.ErrUnexpectedEOF
 	}
-	return nil
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // newResponse returns the Response for resp, whose body is unread.
-func (c *Client) newResponse(from *conn, resp *http.Response, info ResponseInfo, writer *requestWriter) *Response {
+func (c *Client) newResponse(from *conn, resp *http.Response, r Request, info ResponseInfo, writer *requestWriter) *Response {
 	response := &Response{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
@@ -200,7 +227,7 @@
 		conn:     from,
 		body:     resp.Body,
 		idle:     info.Idle,
-		reusable: !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols,
+		reusable: !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && (info.ID != "" || r.oneWay) && !from.history.isFull(),
 		writer:   writer,
 	}
 	response.Body = &responseBody{response: response}
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -276,7 +276,7 @@
 	if err == nil {
 		request := o.message(upstream, stagecall.FreePath, body, freeTimeout)
 		request.ShouldSend = func() bool { return o.limits.MaySend(upstream, permit, "") }
-		_, err = o.post(ctx, upstream, request)
+		err = o.client.Notify(ctx, upstream.Address, request)
 	}
 	if errors.Is(err, httpconn.ErrWithdrawn) {
 		o.freeLater(p, upstream, pending)
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -125,7 +125,10 @@
 	pool := &routes.Pool{Slots: 1, Batch: 4, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, RoomBytes: 1 << 20, KeepTime: 4 * time.Second}
 	logger, err := observe.NewLogger(io.Discard, "test", "error")
 	assert.NilError(t, err)
-	client := httpconn.New(func(int, http.Header) httpconn.ResponseInfo { return httpconn.ResponseInfo{} })
+	client := httpconn.New(httpconn.Codec{
+		SetID:    func(http.Header, string) {},
+		ReadInfo: func(int, http.Header) httpconn.ResponseInfo { return httpconn.ResponseInfo{} },
+	}, nil)
 	o := NewOwner(ctx, staticFleet{
 		table:     routes.NewTable(1, routes.Limits{}, nil, []*routes.Service{{Name: "enc", Pool: pool}}, nil),
 		upstreams: routes.NewUpstreams([]routes.Upstream{{ID: "w", Service: "enc", Address: strings.TrimPrefix(server.URL, "http://")}}),
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -98,7 +98,7 @@
 	}
 	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation()}
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
-	p.client = httpconn.New(readResponseInfo)
+	p.client = httpconn.New(httpconn.Codec{SetID: header.SetID, ReadInfo: readResponseInfo}, newAnomalies(logger, p.metrics.Scope()).record)
 	self := view.Member{
 		Name:        settings.Process.Name,
 		Address:     settings.Listen.Fleet,
--- /dev/null
+++ b/observe/event/matching.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of what peers sent that is given to no call: 10041 to 10049.
+var (
+	GatewayUnmatched = define(10041, "gateway_unmatched", "An upstream sent something that is given to no call: kind foreign is a response with the ID of another request, which was skipped; after unmatched, a response that may belong to another request, and unasked, bytes while no request was in flight, the connection was closed.", "address", "kind", "status")
+)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -24,7 +24,7 @@
 	Engine
 )
 
-// Faults are the faults of the next requests of a worker. Each field but RetryAfter counts the
+// Faults are the faults of the next requests of a worker. Each field but RetryAfter and LateAfter counts the
 // requests or items that the fault still strikes.
 type Faults struct {
 	// Reject responds with 503 without running the request, with RetryAfter as Retry-After if set.
@@ -46,6 +46,11 @@
 	Unmarked int
 	// Repeat sends an event of a stream twice. Restart begins a stream again in its middle.
 	Repeat, Restart int
+	// Extra sends a response twice at once. ExtraLate sends it once more when the next request has come on its
+	// connection, if that was idle for LateAfter by then. Both strike
+	// rejections and calls that run items too.
+	Extra, ExtraLate int
+	LateAfter        time.Duration
 	// Silent runs the request and sends nothing while the connection stays open, Stalled sends nothing after the
 	// first event of a stream.
 	Silent, Stalled int
@@ -90,6 +95,9 @@
 	// Unframed is set if all streams end with their connection, with neither a length nor chunks. It is set
 	// before the worker is used.
 	Unframed bool
+	// EchoesCalls is set if the worker echoes the IDs of stage calls as it does those of requests, and NamesNoRejection
+	// if it echoes none in rejections. Both are set before the worker is used.
+	EchoesCalls, NamesNoRejection bool
 	// Advertised is the IP:port that callers use if a proxy stands in front of the worker; empty for
 	// none. It is set before the worker is used.
 	Advertised string
@@ -115,6 +123,8 @@
 	madeCount int
 	// hold, if set, delays responses until it is closed.
 	hold chan struct{}
+	// doubledAtOnce and doubledLate count the responses that were sent twice.
+	doubledAtOnce, doubledLate int
 	// abandoned counts the callers that disconnected before their response.
 	abandoned int
 	// crashed is closed when the worker has crashed; crashedBy is the request that crashed it.
@@ -149,8 +159,8 @@
 // StartOn starts a worker on a listener. Close closes the listener.
 func StartOn(listener net.Listener, id string, kind Kind) *Worker {
 	w := &Worker{ID: id, Kind: kind, Events: 5, listener: listener, kept: make(map[string]bool), madeFor: make(map[string]Item), crashed: make(chan struct{})}
-	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(listener) }() // it returns when Close closes the server
+	w.server = &http.Server{Handler: w, ConnContext: withConn, ConnState: connChanged}
+	go func() { _ = w.server.Serve(doublingListener{listener}) }() // it returns when Close closes the server
 	return w
 }
 
@@ -238,9 +248,25 @@
 	return true
 }
 
+// stagePaths are the paths of the calls to a worker of a stage pool.
+var stagePaths = map[string]bool{runPath: true, "/stage-free": true, "/report": true}
+
+// runPath is the path of the call that runs items.
+const runPath = "/stage-run"
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	conn := connOf(r)
+	if conn.begin() {
+		w.mu.Lock()
+		w.doubledLate++
+		w.mu.Unlock()
+	}
 	w.recordArrival(out, r)
+	isCall := w.Kind == Stage && stagePaths[r.URL.Path]
+	if id := r.Header.Get("X-Attempt-Id"); id != "" && (!isCall && !w.NamesNoRejection || isCall && w.EchoesCalls) {
+		out.Header().Set("X-Attempt-Id", id)
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.ID {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -249,11 +275,14 @@
 	if err != nil {
 		return
 	}
+	if !isCall || r.URL.Path == runPath {
+		w.doubleResponse(conn)
+	}
 	if w.isLeaving() {
 		out.Header().Set("Server-Leaving", "1")
 	}
 	switch {
-	case w.Kind == Stage && r.URL.Path == "/stage-run":
+	case w.Kind == Stage && r.URL.Path == runPath:
 		w.runStage(out, body)
 	case w.Kind == Stage && r.URL.Path == "/stage-free":
 		w.free(out, body)
