Bound head, trailer and body of every response that a gateway reads

Callers of a gateway next to a faulty upstream could lose everything that it had in flight: one head without end took the memory of the process until it was killed for it.

Cause: http.ReadResponse reads a head from a reader without a bound. Bodies that are passed on had a bound on what is buffered, but none on the whole; the reader of events returned at 1 MiB, which is too much for many streams at once; the clients of the store and of the older roles took the 10 MB of net/http for heads.

Fix: named limits, each with the connection closed, a log line (10042) and a counter (responses_over_limit, by peer and part): upstreams 32 KiB of head, 4 KiB of trailer, 64 MiB of body (1 MiB for results, 64 KiB for reports and notifications, 1 MiB for a response that is skipped) and 256 KiB for an event; the store 64 KiB, 4 KiB and 8 MiB; other gateways 4 MiB for a message, which was the default of drpc and now has a name and a report. A length over the limit is an error at once, and a body that is cut at its limit never looks whole. A body error closes its connection at once. Errors no longer quote a whole head into the log.

Now each of 15 endless responses of TestAnEndlessResponseIsCutOff allocates under 16 MiB, freed memory included, and ends within 5 s; eight requests each with six kinds of endless responses leave a heap under 90 MiB.

--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -9,8 +9,8 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// MaxEventBytes bounds one event.
+const MaxEventBytes = 256 << 10
 
 // Event is one event in wire format, including the empty line that ends it.
 type Event struct {
@@ -50,7 +50,8 @@
 func (r *Reader) WithinEvent() bool { return len(r.buffer) > 0 }
 
 // Next returns the next event, which is valid until the next call. It returns io.EOF only if
-// the stream ended after a complete event, and io.ErrUnexpectedEOF if it ended within one.
+// the stream ended after a complete event, io.ErrUnexpectedEOF if it ended within one, and bufio.ErrTooLong for an
+// event over MaxEventBytes.
 func (r *Reader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
 	event := Event{}
@@ -59,13 +60,15 @@
 		line, err := r.reader.ReadSlice('\n')
 		r.buffer = append(r.buffer, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(r.buffer) <= maxEventBytes:
+		case err == bufio.ErrBufferFull && len(r.buffer) <= MaxEventBytes:
 			continue
+		case err == bufio.ErrBufferFull:
+			return Event{}, bufio.ErrTooLong
 		case err == io.EOF && len(r.buffer) > 0:
 			return Event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return Event{}, err
-		case len(r.buffer) > maxEventBytes:
+		case len(r.buffer) > MaxEventBytes:
 			return Event{}, bufio.ErrTooLong
 		}
 		text := bytes.TrimRight(r.buffer[lineStart:], "\r\n")
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -1,8 +1,10 @@
 package flow
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -37,6 +39,9 @@
 			return rq.endStream(upstream, response)
 		}
 		if err != nil {
+			if errors.Is(err, bufio.ErrTooLong) {
+				response.OverLimit(httpconn.Event, events.MaxEventBytes)
+			}
 			rq.streamBroke(reader.WithinEvent())
 			return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.stream", id, err)}
 		}
--- a/gateway/httpconn/anomaly.go
+++ b/gateway/httpconn/anomaly.go
@@ -1,5 +1,11 @@
 package httpconn
 
+import (
+	"errors"
+
+	"acaciawinch/core/fault"
+)
+
 // Kind is a kind of anomaly.
 type Kind string
 
@@ -11,6 +17,8 @@
 	Unmatched Kind = "unmatched"
 	// Unasked: bytes came while no request was in flight. The connection was closed.
 	Unasked Kind = "unasked"
+	// OverLimit: a part of a response exceeds its limit. The connection was closed.
+	OverLimit Kind = "over_limit"
 )
 
 // Anomaly is something that an upstream sent and that is given to no call.
@@ -20,6 +28,9 @@
 	Kind    Kind
 	// Status is the status of the response, 0 if it was not read.
 	Status int
+	// Part and Limit are set for the kind OverLimit.
+	Part  Part
+	Limit int64
 }
 
 // observe reports an anomaly.
@@ -28,3 +39,19 @@
 		c.onAnomaly(a)
 	}
 }
+
+// OverLimit reports a part of the body that exceeds a limit of the caller in bytes, and closes the connection.
+func (r *Response) OverLimit(part Part, limit int64) {
+	r.client.observe(Anomaly{Address: r.conn.addr, Kind: OverLimit, Part: part, Limit: limit})
+	r.Close()
+}
+
+// observeLimit reports err if it is a LimitError. It returns err.
+func (c *Client) observeLimit(from *conn, err error) error {
+	var over *LimitError
+	if errors.As(err, &over) {
+		c.observe(Anomaly{Address: from.addr, Kind: OverLimit, Part: over.Part, Limit: over.Limit})
+		return fault.Wrap(fault.Ambiguous, "upstream.receive", from.addr, err)
+	}
+	return err
+}
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -53,6 +53,8 @@
 	// is empty, Do draws an ID. An upstream need not echo that one, but each call to an upstream that does not
 	// takes a connection of its own.
 	ID string
+	// MaxBody bounds the body of the response in bytes; 0 stands for MaxBodyBytes.
+	MaxBody int64
 	// ShouldSend, if not nil, is called once a connection is open and reports whether the request
 	// is still to be sent: opening a connection may take long, and the upstream may meanwhile
 	// have asked for backoff or begun to stop.
--- a/gateway/httpconn/conn.go
+++ b/gateway/httpconn/conn.go
@@ -20,6 +20,8 @@
 	// use is what the connection is used for; see Request.use.
 	use    string
 	reader *bufio.Reader
+	// limited is what reader reads from.
+	limited *limitedReader
 	// expires is the time after which an idle connection must not be used.
 	expires time.Time
 	history history
@@ -27,7 +29,8 @@
 
 // newConn wraps an open connection.
 func newConn(opened net.Conn, addr string) *conn {
-	return &conn{Conn: opened, addr: addr, reader: bufio.NewReaderSize(opened, readBufferBytes)}
+	limited := &limitedReader{source: opened, remaining: maxHeadBytes}
+	return &conn{Conn: opened, addr: addr, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}
 }
 
 // close closes the connection. Errors are ignored, as the connection is not used again.
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -89,13 +90,13 @@
 // Notify sends a request whose response tells its caller nothing. It returns when a response has come,
 // which may be that to an earlier notification, and an error if none came or its status is not 2xx.
 func (c *Client) Notify(ctx context.Context, addr string, r Request) error {
-	r.oneWay, r.ID = true, ""
+	r.oneWay, r.ID, r.MaxBody = true, "", maxNotifyBytes
 	response, err := c.Do(ctx, addr, r)
 	if err != nil {
 		return err
 	}
 	defer response.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxNotifyBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return err
 	}
 	if response.Status/100 != 2 {
@@ -180,9 +181,9 @@
 // those to other requests.
 func (c *Client) receive(from *conn, r Request, writer *requestWriter) (*Response, error) {
 	for range maxSkipped {
-		resp, err := http.ReadResponse(from.reader, &http.Request{Method: r.Method})
+		resp, err := from.readHead(r.Method)
 		if err != nil {
-			return nil, err
+			return nil, c.observeLimit(from, err)
 		}
 		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
@@ -190,19 +191,41 @@
 		info := c.codec.ReadInfo(resp.StatusCode, resp.Header)
 		switch from.history.owner(r, info) {
 		case ownResponse:
-			return c.newResponse(from, resp, r, info, writer), nil
+			return c.newResponse(from, resp, r, info, writer)
 		case unknownResponse:
 			c.observe(Anomaly{Address: from.addr, Kind: Unmatched, Status: resp.StatusCode})
 			return nil, fault.New(fault.Ambiguous, "upstream.receive", from.addr, "a response with status %d may belong to another request", resp.StatusCode)
 		}
 		c.observe(Anomaly{Address: from.addr, Kind: Foreign, Status: resp.StatusCode})
 		if err := discardBody(resp); err != nil {
-			return nil, err
+			return nil, c.observeLimit(from, err)
 		}
 	}
 	return nil, fault.New(fault.Ambiguous, "upstream.receive", from.addr, "%d responses belong to other requests", maxSkipped)
 }
 
+// readHead reads the head of a response to a request with a method.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limited.beginHead()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.limited.remaining <= 0 {
+		return nil, &LimitError{Part: Head, Limit: maxHeadBytes}
+	}
+	c.limited.endHead()
+	return resp, shorten(err)
+}
+
+// maxErrorText bounds the text of an error in bytes. Errors of net/http quote what they could not read.
+const maxErrorText = 200
+
+// shorten returns err, or an error with the beginning of its text if that is long.
+func shorten(err error) error {
+	if err == nil || len(err.Error()) <= maxErrorText {
+		return err
+	}
+	return errors.New(err.Error()[:maxErrorText])
+}
+
 // discardBody reads the response to another request to its end. It returns an error if that
 // response closes the connection, as the expected response can't follow then.
 func discardBody(resp *http.Response) error {
@@ -211,13 +234,20 @@
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
 	if err == nil && n > maxSkippedBytes {
-		err = io.ErrUnexpectedEOF
+		err = &LimitError{Part: Body, Limit: maxSkippedBytes}
 	}
 	return err
 }
 
 // newResponse returns the Response for resp, whose body is unread.
-func (c *Client) newResponse(from *conn, resp *http.Response, r Request, info ResponseInfo, writer *requestWriter) *Response {
+func (c *Client) newResponse(from *conn, resp *http.Response, r Request, info ResponseInfo, writer *requestWriter) (*Response, error) {
+	limit := r.MaxBody
+	if limit == 0 {
+		limit = MaxBodyBytes
+	}
+	if resp.ContentLength > limit {
+		return nil, c.observeLimit(from, &LimitError{Part: Body, Limit: limit})
+	}
 	response := &Response{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
@@ -225,13 +255,13 @@
 		Length:   resp.ContentLength,
 		client:   c,
 		conn:     from,
-		body:     resp.Body,
+		body:     &limitedBody{source: resp.Body, limit: limit, remaining: limit},
 		idle:     info.Idle,
 		reusable: !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && (info.ID != "" || r.oneWay) && !from.history.isFull(),
 		writer:   writer,
 	}
 	response.Body = &responseBody{response: response}
-	return response
+	return response, nil
 }
 
 // responseBody reads the body of a response and releases its connection at the end.
@@ -240,8 +270,12 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.response.body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.response.finish()
+	case err != nil:
+		b.response.Close()
+		err = b.response.client.observeLimit(b.response.conn, err)
 	}
 	return n, err
 }
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -20,8 +20,13 @@
 	"acaciawinch/platform/stagecall"
 )
 
-// maxResultBytes bounds how much of a response is read; a full batch of handles fits into it.
-const maxResultBytes = 1 << 20
+// Limits of the body of a response.
+const (
+	// maxResultBytes bounds the response to a run call; a full batch of handles fits into it.
+	maxResultBytes = 1 << 20
+	// maxReportBytes bounds the response to a report call.
+	maxReportBytes = 64 << 10
+)
 
 // call makes one call and records its outcome.
 func (o *Owner) call(p *ownedPart, b *batch) {
@@ -95,6 +100,7 @@
 	}
 	defer b.permit.Release()
 	request := o.message(b.Upstream, stagecall.RunPath, body, b.maxRemaining)
+	request.MaxBody = maxResultBytes
 	request.ShouldSend = func() bool {
 		if !o.fleet.Upstreams().StillTakesWork(b.Upstream, time.Now()) || !o.limits.MaySend(b.Upstream, b.permit, "") {
 			return false
@@ -141,7 +147,7 @@
 	if hints.Leaving || hints.RetryAfter > 0 {
 		o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes))
+	content, err := io.ReadAll(response.Body)
 	if err != nil && response.Status == http.StatusOK {
 		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
 	}
--- a/gateway/pools/rooms.go
+++ b/gateway/pools/rooms.go
@@ -165,7 +165,7 @@
 	}
 	defer permit.Release()
 	request := o.message(upstream, stagecall.ReportPath, nil, 0)
-	request.Method = http.MethodGet
+	request.Method, request.MaxBody = http.MethodGet, maxReportBytes
 	request.ShouldSend = func() bool {
 		return o.fleet.Upstreams().StillTakesWork(upstream, time.Now()) && o.limits.MaySend(upstream, permit, "")
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -98,7 +98,8 @@
 	}
 	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation()}
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
-	p.client = httpconn.New(httpconn.Codec{SetID: header.SetID, ReadInfo: readResponseInfo}, newAnomalies(logger, p.metrics.Scope()).record)
+	seen := anomalies{logger: logger, scope: p.metrics.Scope()}
+	p.client = httpconn.New(httpconn.Codec{SetID: header.SetID, ReadInfo: readResponseInfo}, seen.ofUpstream)
 	self := view.Member{
 		Name:        settings.Process.Name,
 		Address:     settings.Listen.Fleet,
@@ -128,9 +129,13 @@
 		Store:   settings.storeOptions(),
 		Regions: regions,
 		Records: []view.Records{{Kind: quarantine.RecordKind, Receiver: p.guard}},
+
+		StoreOverLimit: seen.ofStore,
 	})
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
+	p.rpc.OnOverLimit(seen.ofGateway)
+	p.dialer.OnOverLimit(seen.ofGateway)
 	p.limits = ratelimit.New(ratelimit.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Lifetime: runCtx, Logger: logger, Scope: p.metrics.Scope()})
 	if err := wirepb.DRPCRegisterRateLimit(p.rpc.Mux(), ratelimit.NewServer(p.limits)); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -50,6 +50,9 @@
 	Regions map[string]string
 	// Records are further kinds of objects, each with its receiver.
 	Records []Records
+	// StoreOverLimit is called with the store's address and each part of a response of it that exceeds its limit
+	// in bytes; it may be nil.
+	StoreOverLimit func(address, part string, limit int64)
 }
 
 // Records is a kind of objects that gateways write and whose content the View does not read.
@@ -172,6 +175,9 @@
 			v.hearStoreEra(era)
 		}
 	})
+	if v.options.StoreOverLimit != nil {
+		client.OnOverLimit(func(part string, limit int64) { v.options.StoreOverLimit(client.Address(), part, limit) })
+	}
 	v.store.Store(client)
 	if old != nil {
 		v.moveStore()
--- a/wire/link/call.go
+++ b/wire/link/call.go
@@ -15,13 +15,15 @@
 // a unary call together with the end of the stream in one write.
 type callConn struct {
 	*drpcconn.Conn
+	// onOverLimit is called when a message exceeds its limit.
+	onOverLimit func()
 }
 
 // Invoke implements drpc.Conn. Unlike drpc's own Invoke it waits for the end of the
 // stream, which follows the reply in the same write. Otherwise this end would mostly send
 // a message of its own to end the stream, which costs two segments.
 func (c callConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	stream, err := c.NewStream(ctx, rpc, enc)
+	stream, err := c.Conn.NewStream(ctx, shortName(rpc), enc)
 	if err != nil {
 		return err
 	}
@@ -36,6 +38,9 @@
 		return err
 	}
 	if err := stream.MsgRecv(out, enc); err != nil {
+		if isOverLimit(err) {
+			c.onOverLimit()
+		}
 		return noReplyError(err, rpc)
 	}
 	_, _ = stream.(rawReceiver).RawRecv() // only the end of the stream can follow
@@ -59,5 +64,9 @@
 
 // NewStream implements drpc.Conn.
 func (c callConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
-	return c.Conn.NewStream(ctx, shortName(rpc), enc)
+	stream, err := c.Conn.NewStream(ctx, shortName(rpc), enc)
+	if err != nil {
+		return nil, err
+	}
+	return limitedStream{Stream: stream, report: c.onOverLimit}, nil
 }
--- a/wire/link/call_test.go
+++ b/wire/link/call_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-	"storj.io/drpc/drpcconn"
 
 	"acaciawinch/core/fault"
 	"acaciawinch/wire/wirepb"
@@ -97,7 +96,7 @@
 	assert.NilError(t, clientHandshake(bare, fleetKey))
 	var own countingListener
 	var traffic Traffic
-	conn := callConn{drpcconn.New(countedConn{writeCountingConn{bare, &own}, &traffic})}
+	conn := callConn{newConn(countedConn{writeCountingConn{bare, &own}, &traffic}), func() {}}
 	defer conn.Close()
 	for calls := range int64(3) {
 		_, err := wirepb.NewDRPCSideClient(conn).Probe(t.Context(), &wirepb.ProbeRequest{})
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"acaciawinch/core/fault"
@@ -31,6 +30,8 @@
 	handshakeTimeout time.Duration
 	pool             *drpcpool.Pool[string, drpcpool.Conn]
 	traffic          Traffic
+	// onOverLimit is called with the address of a peer whose message exceeded MaxMessageBytes.
+	onOverLimit func(addr string)
 }
 
 // NewDialer returns a Dialer that authenticates its connections with key.
@@ -49,6 +50,17 @@
 // Traffic returns the byte counts of all connections that the Dialer opened.
 func (d *Dialer) Traffic() *Traffic { return &d.traffic }
 
+// OnOverLimit sets a function to call with the address of a peer whose message exceeded MaxMessageBytes; its
+// connection is closed. OnOverLimit must be called before the first call.
+func (d *Dialer) OnOverLimit(call func(addr string)) { d.onOverLimit = call }
+
+// overLimit reports a message over MaxMessageBytes.
+func (d *Dialer) overLimit(addr string) {
+	if d.onOverLimit != nil {
+		d.onOverLimit(addr)
+	}
+}
+
 // Conn returns a connection to addr (IP:port) for use with a generated client.
 // Each call takes an idle connection or opens a new one; Conn itself does no I/O.
 // A call's context also bounds the opening.
@@ -79,5 +91,5 @@
 		_ = conn.Close() // the returned error says more
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
-	return callConn{drpcconn.New(conn)}, nil
+	return callConn{newConn(conn), func() { d.overLimit(addr) }}, nil
 }
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -47,6 +47,9 @@
 	// handshakes holds one element for each connection in the handshake.
 	handshakes chan struct{}
 
+	// onOverLimit is called with the address of a peer whose message exceeded MaxMessageBytes.
+	onOverLimit func(addr string)
+
 	onRefused    func(Refusal)
 	refusedTotal atomic.Uint64
 	// lastReport is the time of the last call of onRefused, in Unix nanoseconds.
@@ -75,6 +78,10 @@
 // It must be called before Serve; report may be called by several goroutines.
 func (s *Server) OnRefused(report func(Refusal)) { s.onRefused = report }
 
+// OnOverLimit sets a function to call with the address of a peer whose message exceeded MaxMessageBytes; its
+// connection is closed. It must be called before Serve, and may be called by several goroutines.
+func (s *Server) OnOverLimit(call func(addr string)) { s.onOverLimit = call }
+
 // Serve accepts and serves connections until ctx ends. It closes listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -85,7 +92,7 @@
 		stop()
 		connections.Wait()
 	}()
-	calls := drpcserver.New(handler{next: s.mux})
+	calls := newCalls(handler{next: s.mux})
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -122,7 +129,7 @@
 // ServeConn serves one connection, which the caller has accepted, until the connection
 // or ctx ends.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
-	s.serveConn(ctx, drpcserver.New(handler{next: s.mux}), conn)
+	s.serveConn(ctx, newCalls(handler{next: s.mux}), conn)
 }
 
 // serveConn makes the handshake and serves the calls of one connection.
@@ -133,7 +140,9 @@
 		s.report(ctx, conn.RemoteAddr().String(), err)
 		return
 	}
-	_ = calls.ServeOne(ctx, conn) // how the connection ends is no error of the server
+	if err := calls.ServeOne(ctx, conn); isOverLimit(err) && s.onOverLimit != nil {
+		s.onOverLimit(conn.RemoteAddr().String())
+	}
 }
 
 // handshake makes the handshake with a client, unless maxHandshakes others are in
