soak: responses that come twice, at once or after a pause, and rejections twice

Half of the workers echo the IDs of calls. The judge now looks at the results with which requests ran at engines. A run reports how many responses came twice.

--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"acaciawinch/standin/platformfleet"
@@ -68,6 +69,8 @@
 	random   *rand.Rand
 	gateways []string
 	report   func(Outcome)
+	// streamPauses is above 0 while the client sends no streaming requests.
+	streamPauses *atomic.Int32
 	// takesUp is set if the client takes up streams that broke off, sharesParts if its prompts share parts with others.
 	takesUp, sharesParts bool
 
@@ -91,6 +94,9 @@
 // sendNext sends a request with a random route and key.
 func (c *client) sendNext(ctx context.Context, sent int) {
 	o := Outcome{ID: fmt.Sprintf("c%d-%d", c.number, sent), Route: routes[c.random.IntN(len(routes))], Key: platformfleet.Key}
+	if o.Route == streamingRoute && c.streamPauses.Load() > 0 {
+		o.Route = safeRoute
+	}
 	if c.random.IntN(6) == 0 {
 		o.Key = spareKey
 	}
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -36,7 +36,8 @@
 	plan = append(plan, planDisorder(o.Seed, o.Disorders)...)
 	plan = append(plan, planLimits(o.Seed, o.Limits)...)
 	plan = append(plan, planVersions(o.Seed, o.Versions)...)
-	return append(plan, planSilences(o.Seed, o.Silences)...)
+	plan = append(plan, planSilences(o.Seed, o.Silences)...)
+	return append(plan, planDoubles(o.Seed, o.Doubles)...)
 }
 
 // Timing of a return.
@@ -103,7 +104,7 @@
 
 // putConfiguration writes the newest configuration. s.mu must be held.
 func (s *soak) putConfiguration() {
-	s.fleet.Store.Put("config", "main", s.limitGaps(configuration(s.version, s.spareRevoked)))
+	s.fleet.Store.Put("config", "main", s.shortenResults(s.limitGaps(configuration(s.version, s.spareRevoked))))
 }
 
 // removeEnded removes the entries of the incarnations of workers that have ended. s.mu must be held.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -52,6 +52,10 @@
 		s.limitWorker(ctx, step)
 	case DisorderWorker:
 		s.disorderWorker(ctx, step)
+	case DoubleWorker:
+		s.doubleWorker(ctx, step)
+	case DoubleAfterPause:
+		s.doubleAfterPause(ctx, step)
 	case SilenceEngine:
 		s.silenceEngine(ctx, step)
 	case ReturnStore:
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -80,6 +80,7 @@
 	found = append(found, e.judgeWorkers(outcomes)...)
 	found = append(found, e.judgeLimits(outcomes)...)
 	found = append(found, e.judgeVersions()...)
+	found = append(found, e.judgeInputs()...)
 	for id := range e.runs {
 		if _, known := outcomes[id]; all && !known && !strings.HasPrefix(id, probePrefix) {
 			found = append(found, id+" ran and no client had its outcome")
--- a/standin/soak/plan_test.go
+++ b/standin/soak/plan_test.go
@@ -33,6 +33,7 @@
 	501:                 "db348f1ecf41",
 	47001:               "5e321d59d692",
 	41002:               "4885a016b884",
+	77001:               "420b59adaf49",
 	1796260130301604318: "29a34059f1aa",
 }
 
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -18,6 +18,8 @@
 	Silences int
 	// Uneven is the number of engines of which one is slow; 0 for engines of the same pace.
 	Uneven int
+	// Doubles is how often a worker sends responses twice.
+	Doubles int
 }
 
 // Regressions are the seeds that failed once.
@@ -40,5 +42,6 @@
 	{Seed: 41002, Returns: 1, Disorders: 4, Limits: 3, Cause: "workers that named 0.4 and 1 requests a second got up to 118 and 234 in 4 s"},
 	{Seed: 501, Returns: 1, Disorders: 4, Limits: 3, Versions: 2, Cause: "clients and gateways let 36 streams go on at another software version than the one that began them"},
 	{Seed: 47001, Returns: 1, Disorders: 4, Limits: 3, Versions: 2, Parts: 1, Cause: "requests with one part in their prompts crashed 101 engines, and no gateway served the route 8 s after the last fault"},
+	{Seed: 77001, Doubles: 8, Cause: "stage workers sent responses once more after a pause, and engines ran five requests with results of other requests"},
 	{Seed: 1796260130301604318, Cause: "a relay's port, found free a moment before, was taken; by whom was not found"},
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -41,6 +41,8 @@
 	// Uneven is the number of engines of which one is slow, in a run whose machines are slower at times; 0 for
 	// engines and machines of the same pace.
 	Uneven int
+	// Doubles is how often a worker sends responses twice.
+	Doubles int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
@@ -51,6 +53,8 @@
 type Report struct {
 	// Sent counts all requests, Served the complete successful responses.
 	Sent, Served int
+	// DoubledAtOnce and DoubledLate count the responses that workers sent twice.
+	DoubledAtOnce, DoubledLate int
 	// Violations are the promises that were broken.
 	Violations []string
 }
@@ -75,6 +79,8 @@
 	// has ended since its last start.
 	processes    []sync.Mutex
 	endedBySteps []atomic.Bool
+	// streamPauses counts the steps during which clients send no streaming requests.
+	streamPauses atomic.Int32
 	// away is locked while the store returns from a copy, and locked for reading by other steps on the
 	// store and by writes of the operator and the workers.
 	away sync.RWMutex
@@ -129,7 +135,7 @@
 func (s *soak) start(ctx context.Context) error {
 	fleet, err := platformfleet.Start(ctx, platformfleet.Options{
 		Bin: s.options.Bin, Gateways: s.options.Gateways, WorkTime: workTime, CrashBody: crashBody, Versions: s.options.Versions, CrashParts: crashParts(s.options.Parts),
-		Prepare: prepareUneven(s.options.Seed, s.options.Uneven, time.Now()), Proxy: s.addRelay})
+		Prepare: s.prepareWorker(prepareUneven(s.options.Seed, s.options.Uneven, time.Now())), Proxy: s.addRelay})
 	if err != nil {
 		return err
 	}
@@ -170,7 +176,7 @@
 	defer clients.Wait()
 	defer stopSending()
 	for number := range s.options.Clients {
-		c := &client{number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))), gateways: addresses, report: s.record, takesUp: s.options.Versions > 0, sharesParts: s.options.Parts > 0}
+		c := &client{number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))), gateways: addresses, report: s.record, takesUp: s.options.Versions > 0, sharesParts: s.options.Parts > 0, streamPauses: &s.streamPauses}
 		clients.Go(func() { c.run(sending) })
 	}
 	defer s.crashWatches.Wait()
@@ -267,6 +273,11 @@
 			report.Served++
 		}
 	}
+	s.fleet.Each(func(_ string, w *worker.Worker) {
+		atOnce, late := w.Doubled()
+		report.DoubledAtOnce += atOnce
+		report.DoubledLate += late
+	})
 	for violation := range s.violations {
 		report.Violations = append(report.Violations, violation)
 	}
--- a/standin/soak/uneven.go
+++ b/standin/soak/uneven.go
@@ -46,21 +46,21 @@
 // silenceEngine makes an engine silent for the time of the step. Requests that it got meanwhile stay without a
 // response.
 func (s *soak) silenceEngine(ctx context.Context, step Step) {
-	w := s.engine(step.Target)
+	w := s.workerOfKind(worker.Engine, step.Target)
 	w.SetFaults(silences[step.Choice%len(silences)])
 	sleep(ctx, step.For)
 	w.SetFaults(worker.Faults{})
 }
 
-// engine returns the current incarnation of the engine that a step targets.
-func (s *soak) engine(target int) registeredWorker {
-	var engines []registeredWorker
+// workerOfKind returns the current incarnation of the worker of a kind that a step targets.
+func (s *soak) workerOfKind(kind worker.Kind, target int) registeredWorker {
+	var ofKind []registeredWorker
 	for _, w := range s.fleetWorkers() {
-		if w.Kind == worker.Engine {
-			engines = append(engines, w)
+		if w.Kind == kind {
+			ofKind = append(ofKind, w)
 		}
 	}
-	return engines[target%len(engines)]
+	return ofKind[target%len(ofKind)]
 }
 
 // prepareUneven returns a function that draws the pace of a worker by the seed: one of every so many engines is slow,
--- a/standin/soak/workers.go
+++ b/standin/soak/workers.go
@@ -108,6 +108,7 @@
 	}
 	restarted.Advertised, restarted.CallTime, restarted.WorkTime, restarted.CrashBody, restarted.CrashParts = ended.Advertised, ended.CallTime, ended.WorkTime, ended.CrashBody, ended.CrashParts
 	restarted.EventTime, restarted.Machine = ended.EventTime, ended.Machine
+	s.prepareDoubles(restarted)
 	restarted.Version = s.nextVersion(ended, choice)
 	next := registeredWorker{Worker: restarted, service: ended.service}
 	s.fleet.Add(ended.service, restarted)
--- a/standin/worker/doubles.go
+++ b/standin/worker/doubles.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// doublingListener accepts connections that can send the last response once more.
+// doublingListener accepts connections that can send responses once more.
 type doublingListener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -20,18 +20,20 @@
 	return &doublingConn{Conn: conn}, nil
 }
 
-// doublingConn is a connection that records its last response.
+// doublingConn is a connection that can send responses once more.
 type doublingConn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// last is what was sent since the last request came.
 	last []byte
-	// atOnce and late are set if last is to be sent again as soon as it is complete, or when the next request
-	// has come. Late copies are sent only on a connection that was idle for pause.
+	// atOnce and late are set if last is to be sent again as soon as it is complete, or later.
 	atOnce, late bool
-	pause        time.Duration
-	idleSince    time.Time
+	// lateCopy is a response that is to be sent again when another request has come on a connection that was idle
+	// for pause; nil for none.
+	lateCopy  []byte
+	pause     time.Duration
+	idleSince time.Time
 }
 
 // Write implements net.Conn.
@@ -42,16 +44,18 @@
 	return c.Conn.Write(p)
 }
 
-// begin is called when a request has come. It sends the late copy of the response to the request before.
-func (c *doublingConn) begin() (sent bool) {
+// begin is called when a request has come. It sends the late copy of an earlier response if takesCopy is set, and reports
+// whether it did.
+func (c *doublingConn) begin(takesCopy bool) (sent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.late && time.Since(c.idleSince) >= c.pause {
-		_, _ = c.Conn.Write(c.last) // a caller that has disconnected needs no response
-		sent = true
+	c.last = nil
+	if c.lateCopy == nil || !takesCopy || time.Since(c.idleSince) < c.pause {
+		return false
 	}
-	c.last, c.late = nil, false
-	return sent
+	_, _ = c.Conn.Write(c.lateCopy) // a caller that has disconnected needs no response
+	c.lateCopy = nil
+	return true
 }
 
 // end is called when a response is complete. It sends the copy that is due at once.
@@ -61,8 +65,11 @@
 	c.idleSince = time.Now()
 	if c.atOnce {
 		_, _ = c.Conn.Write(c.last) // a caller that has disconnected needs no response
-		c.atOnce = false
 	}
+	if c.late {
+		c.lateCopy = c.last
+	}
+	c.atOnce, c.late = false, false
 }
 
 // double makes the response that is being sent come twice.
@@ -80,8 +87,13 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// connOf returns the connection of a request.
-func connOf(r *http.Request) *doublingConn { return r.Context().Value(connKey{}).(*doublingConn) }
+// connOf returns the connection of a request, or one that sends nothing if the worker's handler runs in a server of a test.
+func connOf(r *http.Request) *doublingConn {
+	if conn, ok := r.Context().Value(connKey{}).(*doublingConn); ok {
+		return conn
+	}
+	return &doublingConn{}
+}
 
 // connChanged is called when the state of a connection changes.
 func connChanged(conn net.Conn, state http.ConnState) {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -46,8 +46,8 @@
 	Unmarked int
 	// Repeat sends an event of a stream twice. Restart begins a stream again in its middle.
 	Repeat, Restart int
-	// Extra sends a response twice at once. ExtraLate sends it once more when the next request has come on its
-	// connection, if that was idle for LateAfter by then. Both strike
+	// Extra sends a response twice at once. ExtraLate sends it once more when another request has come on its
+	// connection after an idle time of LateAfter. Both strike
 	// rejections and calls that run items too.
 	Extra, ExtraLate int
 	LateAfter        time.Duration
@@ -98,6 +98,9 @@
 	// EchoesCalls is set if the worker echoes the IDs of stage calls as it does those of requests, and NamesNoRejection
 	// if it echoes none in rejections. Both are set before the worker is used.
 	EchoesCalls, NamesNoRejection bool
+	// KeepAlive is the idle timeout of connections that responses name; 0 for none. It is set before the worker is
+	// used.
+	KeepAlive time.Duration
 	// Advertised is the IP:port that callers use if a proxy stands in front of the worker; empty for
 	// none. It is set before the worker is used.
 	Advertised string
@@ -257,13 +260,17 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	conn := connOf(r)
-	if conn.begin() {
+	isCall := w.Kind == Stage && stagePaths[r.URL.Path]
+	isRun := !isCall || r.URL.Path == runPath
+	if conn.begin(isRun) {
 		w.mu.Lock()
 		w.doubledLate++
 		w.mu.Unlock()
 	}
 	w.recordArrival(out, r)
-	isCall := w.Kind == Stage && stagePaths[r.URL.Path]
+	if w.KeepAlive > 0 {
+		out.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(w.KeepAlive.Seconds())))
+	}
 	if id := r.Header.Get("X-Attempt-Id"); id != "" && (!isCall && !w.NamesNoRejection || isCall && w.EchoesCalls) {
 		out.Header().Set("X-Attempt-Id", id)
 	}
@@ -275,7 +282,7 @@
 	if err != nil {
 		return
 	}
-	if !isCall || r.URL.Path == runPath {
+	if isRun {
 		w.doubleResponse(conn)
 	}
 	if w.isLeaving() {
