--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -49,12 +49,13 @@
 	e.runs, e.itemByHandle, e.items = fleet.Runs(), make(map[string]worker.Item), nil
 	e.workers = nil
 	fleet.Each(func(_ string, w *worker.Worker) {
-		maps.Copy(e.itemByHandle, w.Made())
 		for _, batch := range w.Batches() {
 			e.items = append(e.items, batch...)
 		}
 		e.workers = append(e.workers, workerEvidenceOf(w))
 	})
+	// Results are read last: a worker records a result before anybody can use it.
+	fleet.Each(func(_ string, w *worker.Worker) { maps.Copy(e.itemByHandle, w.Made()) })
 }
 
 // violations returns the broken promises. If all is set, the outcomes of all requests are known, and
