httpconn: log and count bytes that come behind a response or on an idle connection

One function closes such a connection now and reports it. A body that exceeds its limit is reported once, also if its reader reads on.

TestAnExtraResponseIsReported failed before (no report), passed 20 times with the race detector.

--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -135,10 +135,7 @@
 		if kept.usable(time.Now()) {
 			return kept, nil
 		}
-		if kept.pending() == someBytes {
-			c.observe(Anomaly{Address: addr, Kind: Unasked})
-		}
-		kept.close()
+		c.drop(kept)
 	}
 	opened, err := c.dial(ctx, addr)
 	if err == nil {
@@ -147,6 +144,14 @@
 	return opened, err
 }
 
+// drop closes an idle connection. It reports bytes that came on it.
+func (c *Client) drop(kept *conn) {
+	if kept.pending() == someBytes {
+		c.observe(Anomaly{Address: kept.addr, Kind: Unasked})
+	}
+	kept.close()
+}
+
 // popIdle removes and returns the most recently used idle connection that accepts a request with an ID, or
 // nil.
 func (c *Client) popIdle(key idleKey, id string) *conn {
@@ -242,7 +247,7 @@
 		kept := list[:0]
 		for _, idle := range list {
 			if idle.expired(now) {
-				idle.close()
+				c.drop(idle)
 				continue
 			}
 			kept = append(kept, idle)
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -273,7 +273,7 @@
 	switch {
 	case err == io.EOF:
 		b.response.finish()
-	case err != nil:
+	case err != nil && !b.response.finished.Load():
 		b.response.Close()
 		err = b.response.client.observeLimit(b.response.conn, err)
 	}
@@ -288,7 +288,7 @@
 	}
 	active := r.stop == nil || r.stop()
 	if !active || !r.reusable || !r.writer.wroteAll() || r.conn.reader.Buffered() > 0 {
-		r.conn.close()
+		r.client.drop(r.conn)
 		return
 	}
 	idle := r.idle
--- a/gateway/httpconn/matching_test.go
+++ b/gateway/httpconn/matching_test.go
@@ -225,3 +225,33 @@
 	err := newClient(t).Notify(t.Context(), address, call("/free"))
 	assert.Assert(t, fault.Is(err, fault.Refused), "%v", err)
 }
+
+// TestAnExtraResponseIsReported guards against copies that operators can't see: one that comes at once ends the connection of
+// the response before it, or of the next request, without an error for any caller.
+func TestAnExtraResponseIsReported(t *testing.T) {
+	for name, handle := range map[string]handler{
+		"with the response": respondAndWait(response1 + response1),
+		"while idle": func(t *testing.T, conn net.Conn, reader *bufio.Reader) {
+			respondWith(response1)(t, conn, reader)
+			_, err := io.WriteString(conn, response1)
+			assert.Check(t, err)
+			respondWith(response2)(t, conn, reader) // the copy may come after the next request
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := upstream(t, handle, respondWith(response2))
+			seen := make(chan Anomaly, 4)
+			c := newClient(t)
+			c.onAnomaly = func(a Anomaly) { seen <- a }
+			for _, id := range []string{"1", "2"} {
+				response, err := c.Do(t.Context(), address, request(id))
+				assert.NilError(t, err)
+				readAll(t, response)
+			}
+			assert.Equal(t, len(seen), 1)
+			a := <-seen
+			assert.Equal(t, a.Address, address)
+			assert.Assert(t, a.Kind == Unasked || a.Kind == Foreign, "%v", a)
+		})
+	}
+}
