httpconn: a call without headers gets its ID

Do wrote the ID that it draws into a clone of the headers, which is nil if there are none: a panic, that is a gateway that ends. No caller leaves them out today; found by reading. TestACallNeedsNoHeaders panicked before.

--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -54,8 +55,10 @@
 func (c *Client) Do(ctx context.Context, addr string, r Request) (*Response, error) {
 	if r.ID == "" {
 		r.ID, r.drawn = newID(), true
-		r.Header = r.Header.Clone()
-		c.codec.SetID(r.Header, r.ID)
+		header := make(http.Header, len(r.Header)+1)
+		maps.Copy(header, r.Header)
+		c.codec.SetID(header, r.ID)
+		r.Header = header
 	}
 	acquired, err := c.acquire(ctx, addr, r)
 	if err != nil {
--- a/gateway/httpconn/matching_test.go
+++ b/gateway/httpconn/matching_test.go
@@ -255,3 +255,17 @@
 		})
 	}
 }
+
+// TestACallNeedsNoHeaders checks that an ID is set for a call without headers, and that its caller's headers stay as they are.
+func TestACallNeedsNoHeaders(t *testing.T) {
+	address, _ := serveAll(t, func(r *http.Request, _ int) string { return text("Id: "+r.Header.Get("Id")+"\r\n", "ok") })
+	c := newClient(t)
+	for _, header := range []http.Header{nil, {"A": {"b"}}} {
+		r := call("/run")
+		r.Header = header
+		response, err := c.Do(t.Context(), address, r)
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, response), "ok")
+		assert.Equal(t, header.Get("Id"), "")
+	}
+}
