pools: the connection of the next call is opened while a call runs

Since a call to an upstream that echoes no IDs opens its connection when it is sent, so that a stage worker waits a round trip longer between two calls, and pools serve less in bursts.

Once a call is written and other items wait, the owner has the next connection opened, one for an upstream at a time. A prepared connection is new, so the rule of matching.go holds for it unchanged: nothing was ever sent there. No request is sent to open it, so limits and the quarantine have no part in it, and it is opened only to an upstream that takes work. In a quiet pool nothing waits and nothing is opened.

--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -221,6 +221,27 @@
 	return true
 }
 
+// Prepare opens a connection for the next call to a target, unless one is idle. A call to an upstream that echoes no
+// IDs needs a new connection, and would otherwise begin a round trip later.
+func (c *Client) Prepare(ctx context.Context, addr, target string) {
+	if c.hasIdle(idleKey{addr, target}) {
+		return
+	}
+	opened, err := c.dial(ctx, addr)
+	if err != nil {
+		return // the call opens one itself, or fails for the same reason
+	}
+	opened.use = target
+	c.release(opened)
+}
+
+// hasIdle reports whether a connection is idle.
+func (c *Client) hasIdle(key idleKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle[key]) > 0
+}
+
 // release keeps a connection on which nothing was sent. If it was just opened, the upstream has
 // not sent its idle limit yet and defaultIdle applies.
 func (c *Client) release(unused *conn) {
--- a/gateway/httpconn/matching_test.go
+++ b/gateway/httpconn/matching_test.go
@@ -269,3 +269,17 @@
 		assert.Equal(t, header.Get("Id"), "")
 	}
 }
+
+// TestThePreparedConnectionCarriesTheNextCall checks that a call which needs a new connection finds it open, and that no second
+// one is prepared.
+func TestThePreparedConnectionCarriesTheNextCall(t *testing.T) {
+	address, connections := serveAll(t, func(*http.Request, int) string { return text("", "ran") })
+	c := newClient(t)
+	c.Prepare(t.Context(), address, "/run")
+	c.Prepare(t.Context(), address, "/run")
+	response, err := c.Do(t.Context(), address, call("/run"))
+	assert.NilError(t, err)
+	assert.Equal(t, readAll(t, response), "ran")
+	assert.Equal(t, connections.Load(), int64(1))
+	assert.Assert(t, !c.hasIdle(idleKey{address, "/run"}), "the response had no ID")
+}
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -106,6 +106,9 @@
 			return false
 		}
 		o.reportInputsRead(p, b.inputsOf)
+		if b.hasNext {
+			go o.client.Prepare(o.lifetime, b.Upstream.Address, stagecall.RunPath)
+		}
 		return true
 	}
 	content, err := o.post(ctx, b.Upstream, request)
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -419,6 +419,7 @@
 		}
 		b := &batch{Call: call, inputsOf: o.inputsReadBy(p, call), permit: p.takePermit(call.Upstream)}
 		b.body, b.maxRemaining = p.encode(call, now)
+		b.hasNext = p.queue.Waiting() > 0
 		go o.call(p, b)
 	}
 }
@@ -433,6 +434,8 @@
 	permit *ratelimit.Permit
 	// inputsOf holds the tasks whose inputs have all been read soon after the batch is sent.
 	inputsOf []pool.Ticket
+	// hasNext is set if other items wait, so that another call to the upstream will follow.
+	hasNext bool
 }
 
 // inputReadTime is how long after a call was sent its inputs are certain to have been read. An
--- a/gateway/pools/owner_test.go
+++ b/gateway/pools/owner_test.go
@@ -120,7 +120,12 @@
 // newOwnerOf returns an owner with one worker, whose calls handler serves.
 func newOwnerOf(t *testing.T, handler http.Handler) *Owner {
 	t.Helper()
-	server := httptest.NewServer(handler)
+	return newOwnerAt(t, httptest.NewServer(handler))
+}
+
+// newOwnerAt returns an owner with one worker, whose calls a server that has been started serves.
+func newOwnerAt(t *testing.T, server *httptest.Server) *Owner {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := &routes.Pool{Slots: 1, Batch: 4, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, RoomBytes: 1 << 20, KeepTime: 4 * time.Second}
 	logger, err := observe.NewLogger(io.Discard, "test", "error")
