view: a watch that missed a change is made again

What callers saw: requests ran at an upstream up to 3.6 s after it had said that it leaves, and in an evacuated zone for 13 s, some seconds after a short silence of the store.

Cause: a call that begins while the store is silent never gets an answer and looks like a watch that waits. Only the timeout of the watch ended it, after 6.7 s for upstreams and 20.7 s for evacuations and gateways; the watch of the configuration, whose failure makes all others begin again, is not touched by a silence shorter than its wait. Ruled out: TCP, whose probes the store's host acknowledges; followers, whose sources were as deaf.

Evidence: TestAChangeIsKnownAfterAnUnansweredWatch and TestAnAnswerThatIsLostHidesNoChange failed on the code before, for each kind, with watch_lost after 6.7 s or no change within 20 s.

If an answer about any kind names a change that no watch has returned, those that lack it are made again after 0.5 s (upstreams) or 1 s, with a short wait whose answer proves them. The answers about the configuration come every 0.5 s and cost nothing more.

--- a/gateway/view/era.go
+++ b/gateway/view/era.go
@@ -56,6 +56,7 @@
 	for _, k := range v.replicas {
 		k.displace()
 	}
+	v.audit.forget()
 	v.restartWatchers()
 }
 
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -39,17 +40,12 @@
 	//    waited for configWait, the proof would get so old that all followers would look for
 	//    another source.
 	shortWait = 100 * time.Millisecond
-	// upstreamWait and memberWait are long, since these watches are restarted when the watch of
-	// the configuration succeeds again after a failure.
-	upstreamWait = 6 * time.Second
-	memberWait   = 20 * time.Second
-	// evacuationWait is long too: evacuations are rare, and the TCP keep-alive probes of the client
-	// detect a silent connection within 3 s.
+	// The waits of the other watches do not bound how long a lost call or response hides a change:
+	// audit makes a watch again that missed one.
+	upstreamWait   = 6 * time.Second
+	memberWait     = 20 * time.Second
 	evacuationWait = 20 * time.Second
-	// recordWait bounds how long a lost response hides a record: a store that lost a response to one
-	// watch may still respond to all others, and the connection stays open. With the timeout of a call
-	// it is below the 8 s within which a request that crashes nothing must be served again.
-	recordWait = 5 * time.Second
+	recordWait     = 5 * time.Second
 )
 
 // Delays between a watch that returned changes and the next one, so that the next one returns all
@@ -85,7 +81,7 @@
 func (v *View) Read(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	upstreams := v.newWatcher(document.UpstreamKind, upstreamWait)
-	upstreams.batchDelay = upstreamBatchDelay
+	upstreams.batchDelay, upstreams.auditDelay = upstreamBatchDelay, upstreamAuditDelay
 	members := v.newWatcher(MemberKind, memberWait)
 	members.batchDelay = memberBatchDelay
 	others := []*watcher{upstreams, members}
@@ -101,7 +97,7 @@
 		others = append(others, w)
 	}
 	config := v.newWatcher(document.ConfigKind, configWait)
-	config.maxBackoff = configMaxBackoff
+	config.maxBackoff, config.auditDelay = configMaxBackoff, 0
 	config.trustDivisor = confirmDivisor
 	config.shortNext = true
 	config.onRecovered = func() {
@@ -110,6 +106,7 @@
 		}
 	}
 	v.setWatchers(append(others, config))
+	v.audit.start(append(others, config))
 	defer v.setWatchers(nil)
 	responded := make(chan struct{})
 	config.onFirstSuccess = func() { close(responded) }
@@ -161,6 +158,13 @@
 	trustDivisor int
 	// batchDelay is the delay after a call that returned changes.
 	batchDelay time.Duration
+	// auditDelay is how long changes of which the store has told may be missing before the watch is made
+	// again; 0 if it is not made again. auditPending belongs to the audit.
+	auditDelay   time.Duration
+	auditPending bool
+	// verify is set if the next watch waits for shortWait only, to prove that the store answers it.
+	verify atomic.Bool
+	phase  phase
 	// relist is set if the store's history no longer reaches back to the present revision.
 	relist bool
 	// justListed is set from a list until the next watch that succeeds.
@@ -183,7 +187,7 @@
 
 // newWatcher returns a watcher that has made no call.
 func (v *View) newWatcher(kind string, wait time.Duration) *watcher {
-	return &watcher{view: v, replica: v.replicaOf(kind), wait: wait, backoff: initialBackoff, maxBackoff: defaultMaxBackoff, restart: make(chan struct{}, 1)}
+	return &watcher{view: v, replica: v.replicaOf(kind), wait: wait, auditDelay: defaultAuditDelay, backoff: initialBackoff, maxBackoff: defaultMaxBackoff, restart: make(chan struct{}, 1)}
 }
 
 // runAfter runs the watcher once the store has responded for another kind: a store that is down
@@ -264,6 +268,7 @@
 // list lists all objects.
 func (w *watcher) list(ctx context.Context) error {
 	began, client := clock.Boot(), w.view.store.Load()
+	w.view.audit.began(w.replica.name, w.replica.position())
 	found, err := client.List(ctx, w.replica.name)
 	if err == nil {
 		err = w.view.checkEra(client, found.Era, began)
@@ -275,7 +280,7 @@
 	for i, object := range found.Objects {
 		changes[i] = replica.Change{Object: object}
 	}
-	if err := w.replica.apply(replica.Delta{Reset: true, Era: found.Era, Revision: found.Revision, Changes: changes}); err != nil {
+	if err := w.applyAnswer(replica.Delta{Reset: true, Era: found.Era, Revision: found.Revision, Changes: changes}); err != nil {
 		return err
 	}
 	w.relist, w.justListed = false, true
@@ -287,14 +292,19 @@
 func (w *watcher) watch(ctx context.Context, position replica.Position) error {
 	began, wait, after := clock.Boot(), w.watchWait(), position.Revision
 	client := w.view.store.Load()
+	w.view.audit.began(w.replica.name, position)
+	if wait > shortWait {
+		w.phase.enter()
+	}
 	found, err := client.Watch(ctx, w.replica.name, after, wait)
+	w.phase.leave()
 	if err == nil {
 		err = w.view.checkEra(client, found.Era, began)
 	}
 	if err != nil {
 		return err
 	}
-	if err := w.replica.apply(replica.Delta{Era: found.Era, After: after, Revision: max(after, found.Revision), Changes: found.Changes}); err != nil {
+	if err := w.applyAnswer(replica.Delta{Era: found.Era, After: after, Revision: max(after, found.Revision), Changes: found.Changes}); err != nil {
 		return err
 	}
 	w.justListed = false
@@ -306,6 +316,15 @@
 	return nil
 }
 
+// applyAnswer applies what the store has answered.
+func (w *watcher) applyAnswer(d replica.Delta) error {
+	if err := w.replica.apply(d); err != nil {
+		return err
+	}
+	w.view.audit.answered(w.replica.name, d)
+	return nil
+}
+
 // confirm records a freshness proof of the configuration, which holds the keys, unless the copy is
 // of another era by now. It does nothing for other kinds.
 func (w *watcher) confirm(at time.Duration, era int64) {
@@ -321,6 +340,8 @@
 // watchWait returns how long the next watch waits.
 func (w *watcher) watchWait() time.Duration {
 	switch {
+	case w.verify.Swap(false):
+		return shortWait
 	case w.trustDivisor == 0:
 		return w.wait
 	case w.lost || w.shortNext:
@@ -381,6 +402,8 @@
 func (w *watcher) backOff(ctx context.Context) {
 	timer := time.NewTimer(w.backoff)
 	defer timer.Stop()
+	w.phase.enter()
+	defer w.phase.leave()
 	select {
 	case <-ctx.Done():
 	case <-w.restart:
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -122,11 +122,14 @@
 	onChange []func()
 	// watchers are those of the present call of Read.
 	watchers []*watcher
+	// audit has a lock of its own.
+	audit *audit
 }
 
 // New returns a View without data.
 func New(options Options) *View {
 	v := &View{options: options, proof: newProofTracker(), ownOutdated: make(chan time.Duration, 1)}
+	v.audit = newAudit(v)
 	upstreams := newUpstreamReceiver(v)
 	v.upstreamEntries = upstreams
 	v.replicas = []*kindReplica{
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -30,10 +30,11 @@
 	ZoneEvacuationKept = define(10092, "zone_evacuation_kept", "The store returned from an older copy that lacks the evacuation of a zone; it stays in force until the operator writes it again or the hold ends.", "zone", "hold_ms")
 )
 
-// Events of a store that has returned from an older copy of itself: 10100 to 10109.
+// Events of a store that has returned from an older copy of itself, and of watches that it does not answer: 10100 to 10109.
 var (
 	StoreEraChanged  = define(10100, "store_era_changed", "The store has returned from an older copy of itself: the objects of a kind were replaced by those that it holds now.", "kind", "old_era", "old_revision", "era", "revision", "objects_before", "objects")
 	StoreDataIgnored = define(10101, "store_data_ignored", "A list or changes of a kind were ignored, as the copy is newer.", "kind", "list", "era", "revision", "known_era", "known_revision")
+	WatchUnanswered  = define(10106, "watch_unanswered", "The store made a change that neither the watch of a kind nor that of another one has returned; the watch is made again.", "kind", "revision", "store_revision", "waited_ms")
 	StoreEraForeign  = define(10102, "store_era_foreign", "Another gateway reported an era that the store of this process has not reached; all kinds are listed again.", "era", "heard")
 	ProofHeldOff     = define(10103, "proof_held_off", "Proofs do not count for API keys yet: the store may lack what it had acknowledged before its return.", "era", "from", "hops", "age_ms")
 	FollowerRefused  = define(10105, "follower_refused", "A gateway of an older build, which knows no eras of the store, was refused as a follower.", "peer", "era")
--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -15,20 +15,21 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, found := splitPath(r.URL.Path)
 	s.mu.Lock()
 	s.calls++
+	s.kindCalls[kind]++
 	faults, era := s.faults, s.era
 	s.mu.Unlock()
 	w = &eraWriter{ResponseWriter: w, store: s, era: era}
 	switch {
-	case faults.Silent:
+	case faults.Silent, faults.Unheard:
 		hang(r)
 		return
 	case faults.Refuse != 0:
 		w.WriteHeader(faults.Refuse)
 		return
 	}
-	kind, name, found := splitPath(r.URL.Path)
 	switch {
 	case faults.SilentKind != "" && kind == faults.SilentKind:
 		hang(r)
@@ -113,8 +114,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
 	found, current, gone := s.watch(ctx, kind, revision, era)
+	s.awaitHeard(r.Context())
 	switch {
-	case s.silent():
+	case s.silent(), s.losesAnswer(kind, found):
 		<-r.Context().Done()
 	case s.faulty():
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -47,6 +47,10 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     int
+	// kindCalls counts the calls for the objects of each kind.
+	kindCalls map[string]int
+	// loses holds the kinds of which the next answer with changes gets lost.
+	loses map[string]bool
 	// era rises each time the store returns from a copy. kept is the latest copy.
 	era  int64
 	kept copied
@@ -65,6 +69,9 @@
 	Refuse int
 	// Silent leaves all calls without a response.
 	Silent bool
+	// Unheard leaves calls that begin meanwhile without a response. Watches that began before are answered
+	// after it.
+	Unheard bool
 	// SilentKind leaves the calls for one kind of objects without a response; empty for none.
 	SilentKind string
 	// LoseWrites carries out writes and closes their connections without a response.
@@ -73,7 +80,7 @@
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{revision: 1, era: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Store{revision: 1, era: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), kindCalls: make(map[string]int), loses: make(map[string]bool)}
 }
 
 // SetFaults replaces the faults and wakes the waiting watches, which end if calls fail now.
@@ -151,6 +158,31 @@
 	return s.calls
 }
 
+// CallsFor returns the number of calls for the objects of a kind so far.
+func (s *Store) CallsFor(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kindCalls[kind]
+}
+
+// LoseNextAnswer makes the next answer to a watch of a kind that has changes get lost.
+func (s *Store) LoseNextAnswer(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loses[kind] = true
+}
+
+// losesAnswer reports whether an answer to a watch of a kind gets lost.
+func (s *Store) losesAnswer(kind string, found []Event) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loses := s.loses[kind] && len(found) > 0
+	if loses {
+		delete(s.loses, kind)
+	}
+	return loses
+}
+
 // notifyWatches wakes the watches that wait for a change. The caller holds the lock.
 func (s *Store) notifyWatches() {
 	close(s.changed)
@@ -271,6 +303,23 @@
 	return s.faults.Refuse != 0 || s.faults.Silent
 }
 
+// awaitHeard waits until calls are heard again or ctx ends.
+func (s *Store) awaitHeard(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		unheard, changed := s.faults.Unheard, s.changed
+		s.mu.Unlock()
+		if !unheard {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // silent reports whether calls get no response now.
 func (s *Store) silent() bool {
 	s.mu.Lock()
