memory: what peers can make grow is reserved before it is read

What callers saw: when 60 clients sent bodies of the longest allowed length at once, the gateway exceeded its memory and was killed; 9 to 16 small requests that upstreams ran got a closed connection.

Cause: a body counted only once it had been read, so that the check against the 32 MB for all bodies passed for any number of bodies that came at the same time; io.ReadAll held more than their length besides. Responses, heads, events, results, messages and lists had limits of their own, but none together.

Fix: core/memory holds one budget for the process, from its memory setting: 0.9 of what is left of the runtime's limit (0.6 of the setting) after 32 MiB. Connections, heads, bodies, responses, events, results of stages, the store's responses, messages and lists of other gateways reserve in it before they are read or allocated. New long requests may fill 80% of it, small ones 90%, work that has begun the whole. A body with a length is reserved whole, one in chunks up to the body limit once it exceeds 64 KiB: of many that grow together, those that begin can end. What finds no room is refused with 503 and a Retry-After before it runs; a response that has run is passed on without being read ahead. A client that sends less than 1 KiB in 2 s, or too slowly to end before its deadline, gets 408; one that does not read its response is cut 1 s after its deadline.

--- a/gateway/events/reader.go
+++ b/gateway/events/reader.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"io"
 	"strconv"
+
+	"acaciawinch/core/memory"
 )
 
 // MaxEventBytes bounds one event.
@@ -41,24 +43,49 @@
 type Reader struct {
 	reader *bufio.Reader
 	buffer []byte
+	room   *memory.Reservation
 }
 
 // NewReader returns a Reader for the body of a stream.
-func NewReader(body io.Reader) *Reader { return &Reader{reader: bufio.NewReaderSize(body, 4096)} }
+func NewReader(body io.Reader) *Reader { return &Reader{reader: bufio.NewReaderSize(body, lineBytes)} }
+
+// ReserveIn makes the Reader reserve the memory of long events in room. It must be called before Next.
+func (r *Reader) ReserveIn(room *memory.Reservation) { r.room = room }
+
+// lineBytes is the size of a buffer that holds the usual events; only larger ones are reserved.
+const lineBytes = 4096
+
+// append adds a part of an event to the buffer, and reserves a larger buffer before it is allocated.
+func (r *Reader) append(part []byte) error {
+	if needed := len(r.buffer) + len(part); needed > cap(r.buffer) {
+		size := max(lineBytes, min(2*cap(r.buffer), MaxEventBytes+lineBytes), needed)
+		if size > lineBytes {
+			if err := r.room.Grow(int64(size)); err != nil {
+				return err
+			}
+			defer r.room.Shrink(int64(cap(r.buffer)))
+		}
+		r.buffer = append(make([]byte, 0, size), r.buffer...)
+	}
+	r.buffer = append(r.buffer, part...)
+	return nil
+}
 
 // WithinEvent reports whether a part of an event came before the error that Next returned last.
 func (r *Reader) WithinEvent() bool { return len(r.buffer) > 0 }
 
 // Next returns the next event, which is valid until the next call. It returns io.EOF only if
-// the stream ended after a complete event, io.ErrUnexpectedEOF if it ended within one, and bufio.ErrTooLong for an
-// event over MaxEventBytes.
+// the stream ended after a complete event, io.ErrUnexpectedEOF if it ended within one, bufio.ErrTooLong for an
+// event over MaxEventBytes, and a *memory.NoRoomError for one that finds no room.
 func (r *Reader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
 	event := Event{}
 	lineStart := 0
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
+		if noRoom := r.append(line); noRoom != nil {
+			return Event{}, noRoom
+		}
 		switch {
 		case err == bufio.ErrBufferFull && len(r.buffer) <= MaxEventBytes:
 			continue
--- /dev/null
+++ b/gateway/flow/body.go
@@ -0,0 +1,145 @@
+package flow
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"acaciawinch/core/memory"
+	"acaciawinch/gateway/framing"
+)
+
+// Bounds on the time in which a client sends a body. A client that stalls holds its memory no longer
+// than stallTime, and one that sends slowly no longer than until its deadline.
+const (
+	// stallTime is the time within which at least leastProgress bytes must come.
+	stallTime     = 2 * time.Second
+	leastProgress = 1 << 10
+	// paceTime is how long the pace of a body is observed before it counts.
+	paceTime = time.Second
+	// lateSlack allows for a pace that varies: a body whose end is expected later than the deadline by less
+	// than that part of the remaining time may still come.
+	lateSlack = 0.25
+	// discardTime bounds how long the rest of the body of a refused request is read, so that the client
+	// reads the response.
+	discardTime = 500 * time.Millisecond
+	// arrivedTime is the time in which bytes are read that have come before a deadline.
+	arrivedTime = 10 * time.Millisecond
+	// writeGrace is how long after its deadline a response may still be written to a client that reads slowly.
+	writeGrace = time.Second
+)
+
+// slowBodyError reports a body that can't be complete in time.
+type slowBodyError struct{ detail string }
+
+// Error implements error.
+func (e *slowBodyError) Error() string { return e.detail }
+
+// pacedBody reads the body of a request within the bounds on its time.
+type pacedBody struct {
+	io.ReadCloser
+	// setDeadline sets the time until which a read may wait.
+	setDeadline func(time.Time) error
+	// length is the length of the body, below 0 if unknown. deadline is that of the request.
+	length   int64
+	deadline time.Time
+
+	began, windowBegan time.Time
+	read, windowRead   int64
+}
+
+// Read implements io.Reader.
+func (b *pacedBody) Read(p []byte) (int, error) {
+	now := time.Now()
+	if b.began.IsZero() {
+		b.began, b.windowBegan = now, now
+	}
+	n, err := b.readUntil(earlier(b.windowBegan.Add(stallTime), b.deadline), p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(b.deadline) {
+		// This process may have been stopped meanwhile: what has come is read first.
+		n, err = b.readUntil(time.Now().Add(arrivedTime), p)
+	}
+	b.read += int64(n)
+	b.windowRead += int64(n)
+	if err == nil {
+		err = b.check(time.Now())
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = &slowBodyError{"the client did not send the rest of the body in time"}
+	}
+	return n, err
+}
+
+// readUntil reads once, and waits no longer than until a time.
+func (b *pacedBody) readUntil(limit time.Time, p []byte) (int, error) {
+	if err := b.setDeadline(limit); err != nil {
+		return 0, err
+	}
+	return b.ReadCloser.Read(p)
+}
+
+// check returns an error if the body can't be complete in time.
+func (b *pacedBody) check(now time.Time) error {
+	if b.windowRead >= leastProgress {
+		b.windowBegan, b.windowRead = now, 0
+	}
+	took, missing := now.Sub(b.began), b.length-b.read
+	if took < paceTime || missing <= 0 {
+		return nil
+	}
+	needed := float64(took) / float64(b.read) * float64(missing)
+	if needed > (1+lateSlack)*float64(b.deadline.Sub(now)) {
+		return &slowBodyError{"at its pace the body would not be complete before the deadline"}
+	}
+	return nil
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// readInto reads a body of at most limit bytes into the memory of the request.
+func (rq *request) readInto(source io.Reader, limit int64) ([]byte, error) {
+	if rq.r.ContentLength < 0 {
+		return memory.ReadUpTo(rq.room, source, limit)
+	}
+	return memory.ReadAll(rq.room, source, rq.r.ContentLength)
+}
+
+// receiveBody reads the body of the request into memory that is reserved before. If it fails, it
+// responds to the client and returns false.
+func (rq *request) receiveBody(limit int64) bool {
+	out := http.NewResponseController(rq.w)
+	paced := &pacedBody{ReadCloser: rq.r.Body, setDeadline: out.SetReadDeadline, length: rq.r.ContentLength, deadline: rq.deadline}
+	body, err := rq.readInto(http.MaxBytesReader(rq.w, paced, limit), limit)
+	if err == nil {
+		rq.body = body
+		_ = out.SetReadDeadline(time.Time{}) // it fails on a closed connection only
+		return true
+	}
+	// net/http reads the rest of a short body before it closes or keeps the connection; of a longer one, what
+	// comes until the client has read the response.
+	_ = out.SetReadDeadline(time.Now().Add(discardTime))
+	_ = framing.EndInOrder(rq.r)
+	var tooLong *http.MaxBytesError
+	var noRoom *memory.NoRoomError
+	var slow *slowBodyError
+	switch {
+	case errors.As(err, &noRoom):
+		return rq.refuse(http.StatusServiceUnavailable, "request.body", err.Error(), retryAfterBusy)
+	case errors.As(err, &tooLong):
+		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "request body exceeds the size limit", 0)
+	case errors.As(err, &slow):
+		rq.w.Header().Set("Connection", "close")
+		return rq.refuse(http.StatusRequestTimeout, "request.body", err.Error(), 0)
+	default:
+		rq.w.Header().Set("Connection", "close")
+		return rq.refuse(http.StatusBadRequest, "request.body", err.Error(), 0)
+	}
+}
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fingerprint"
+	"acaciawinch/core/memory"
 	crash "acaciawinch/core/quarantine"
 	"acaciawinch/core/rendezvous"
 	"acaciawinch/core/routes"
@@ -25,9 +25,6 @@
 const (
 	// defaultBodyBytes is the body limit if the configuration sets none.
 	defaultBodyBytes = 4 << 20
-	// maxBufferedBodyBytes bounds the request bodies that are buffered at the same time: a
-	// fifth of the smallest machine's memory.
-	maxBufferedBodyBytes = 32 << 20
 	// responseMargin is how long before the client's timeout a request is ended, so that the
 	// response still reaches the client: the network path to clients takes about 3 ms.
 	responseMargin = 25 * time.Millisecond
@@ -60,6 +57,8 @@
 	// value is the weight of the request against others of the same rank.
 	value float64
 	body  []byte
+	// room is the memory of the body, answerRoom that of the response.
+	room, answerRoom *memory.Reservation
 	// fingerprint is equal for all attempts at the same request, subject also has the parts of its prompt that other
 	// requests may share.
 	fingerprint fingerprint.Fingerprint
@@ -129,13 +128,14 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	rq := &request{Server: s, w: w, r: r, started: time.Now()}
+	rq := &request{Server: s, w: w, r: r, started: time.Now(), room: s.Memory.Begin(memory.Bulk), answerRoom: s.Memory.Begin(memory.Completion)}
+	defer rq.room.Release()
+	defer rq.answerRoom.Release()
 	if !rq.admit() {
 		return
 	}
-	size := int64(len(rq.body))
-	s.bodies.Add(size)
-	defer s.bodies.Add(-size)
+	// A client that does not read its response must not hold the memory of its request.
+	_ = http.NewResponseController(w).SetWriteDeadline(rq.deadline.Add(writeGrace)) // a broken connection fails the write itself
 	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
 	defer cancel()
 	rq.ctx = ctx
@@ -292,19 +292,9 @@
 	if rq.r.ContentLength > limit {
 		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "request body exceeds the size limit", 0)
 	}
-	if rq.bodies.Load() > maxBufferedBodyBytes {
-		return rq.refuse(http.StatusServiceUnavailable, "request.body", "buffered request bodies exceed the memory limit", retryAfterBusy)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(rq.w, rq.r.Body, limit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "request body exceeds the size limit", 0)
-	case err != nil:
-		rq.w.Header().Set("Connection", "close")
-		return rq.refuse(http.StatusBadRequest, "request.body", err.Error(), 0)
+	if rq.r.ContentLength != 0 && !rq.receiveBody(limit) {
+		return false
 	}
-	rq.body = body
 	rq.fingerprint = rq.identify()
 	rq.subject = crash.Subject{Request: rq.fingerprint, Parts: identifyParts(rq.hdr.SharedParts)}
 	return true
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -1,12 +1,14 @@
 package flow
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
 	"acaciawinch/observe"
@@ -19,23 +21,23 @@
 const maxBufferedResponse = 256 << 10
 
 // relayWhole passes on a response that is not a stream. A response of up to maxBufferedResponse
-// bytes is read completely first.
+// bytes is read completely first, unless there is no memory for it: then it is passed on as it comes.
 func (rq *request) relayWhole(upstream routes.Upstream, response *httpconn.Response) error {
 	id := upstream.ID
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
+	content, whole, err := rq.readAhead(response)
 	if err != nil {
 		return &sendFailure{mayHaveRun: true, closedByUpstream: rq.wasClosedByUpstream(err), err: rq.readError("upstream.read", id, err)}
 	}
 	if response.Status/100 == 5 && rq.mayReplaceServerError() {
 		return &sendFailure{mayHaveRun: true, err: fault.New(fault.Ambiguous, "upstream.receive", id, "status %d", response.Status)}
 	}
-	if err := rq.frame(response, len(content)); err != nil {
+	if err := rq.frame(response, len(content), whole); err != nil {
 		return &sendFailure{mayHaveRun: true, err: err}
 	}
 	rq.copyHead(response)
 	rq.w.WriteHeader(response.Status)
 	_, err = rq.w.Write(content)
-	if err == nil && len(content) > maxBufferedResponse {
+	if err == nil && !whole {
 		_, err = io.Copy(rq.w, response.Body)
 	}
 	if err == nil {
@@ -48,11 +50,23 @@
 	return nil
 }
 
+// readAhead reads a response up to maxBufferedResponse, as far as there is memory for it, and reports
+// whether what it returns is the whole response.
+func (rq *request) readAhead(response *httpconn.Response) (content []byte, whole bool, err error) {
+	content, err = memory.ReadAll(rq.answerRoom, io.LimitReader(response.Body, maxBufferedResponse+1), -1)
+	var noRoom *memory.NoRoomError
+	if errors.As(err, &noRoom) {
+		return content, false, nil
+	}
+	return content, len(content) <= maxBufferedResponse, err
+}
+
 // frame sets how the end of the client's response is marked, of which the given number of bytes were
-// read: not at all if the upstream's head does not mark it, or else by a length where one is known.
-func (rq *request) frame(response *httpconn.Response, read int) error {
+// read, or the whole: not at all if the upstream's head does not mark it, or else by a length where one
+// is known.
+func (rq *request) frame(response *httpconn.Response, read int, whole bool) error {
 	length := response.Length
-	if read <= maxBufferedResponse {
+	if whole {
 		length = int64(read)
 	}
 	switch {
--- a/gateway/flow/server.go
+++ b/gateway/flow/server.go
@@ -13,6 +13,7 @@
 	"acaciawinch/core/budget"
 	"acaciawinch/core/copies"
 	"acaciawinch/core/elapsed"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/routes"
 	"acaciawinch/core/selection"
 	"acaciawinch/core/slowstart"
@@ -60,6 +61,8 @@
 	ReturnPlaces bool
 	// LateWork is set if pools keep late tasks for the capacity that is expected to be free.
 	LateWork bool
+	// Memory bounds the bodies of requests and responses; nil sets no bound.
+	Memory *memory.Budget
 }
 
 // Server serves client requests. It is safe for concurrent use.
@@ -78,7 +81,6 @@
 
 	draining atomic.Bool
 	inFlight atomic.Int64
-	bodies   atomic.Int64
 }
 
 // New returns a Server.
--- a/gateway/framing/framing.go
+++ b/gateway/framing/framing.go
@@ -1,4 +1,5 @@
-// Package framing detects requests whose head gives their body two lengths: a
+// Package framing is what a gateway's server does below net/http. It reserves memory for connections and
+// heads before it reads them, and detects requests whose head gives their body two lengths: a
 // Content-Length and a Transfer-Encoding. net/http's server accepts such a request and
 // ignores the Content-Length. A proxy in front of it may see the end of the body elsewhere,
 // and then treats the bytes in between as a second request that no client sent (request
@@ -8,25 +9,63 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"acaciawinch/core/memory"
 )
 
 // maxHeadBytes bounds how much of a head is inspected. It exceeds the server's own limit.
 const maxHeadBytes = 40 << 10
 
-// Listener accepts connections on which request heads are inspected.
-type Listener struct{ net.Listener }
+// Memory of a connection and its head.
+const (
+	// connBytes is the memory of a connection and of its request without the body: buffers, stacks and a
+	// head of up to freeHeadBytes.
+	connBytes     = 24 << 10
+	freeHeadBytes = 4 << 10
+	// headCopies is how often the bytes of a head are held: as read, in this package, and decoded.
+	headCopies = 3
+)
+
+// refusal is the response to a connection or head that finds no room. Nothing of a request was read, or
+// only a part of its head, so that it has not run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refusalTimeout bounds the sending of a refusal.
+const refusalTimeout = 100 * time.Millisecond
 
-// Accept implements net.Listener.
+// refuse sends a refusal.
+func refuse(to net.Conn) {
+	_ = to.SetWriteDeadline(time.Now().Add(refusalTimeout)) // if it fails, so does the write
+	_, _ = io.WriteString(to, refusal)                      // a client that has gone needs none
+}
+
+// Listener accepts connections on which request heads are inspected. Memory bounds the connections and
+// heads; nil sets no bound.
+type Listener struct {
+	net.Listener
+	Memory *memory.Budget
+}
+
+// Accept implements net.Listener. A connection that finds no room is refused and closed.
 func (l Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		room := l.Memory.Begin(memory.Small)
+		if room.Grow(connBytes) == nil {
+			return &conn{Conn: accepted, inHead: true, room: room}, nil
+		}
+		refuse(accepted)
+		_ = accepted.Close() // it was not used
 	}
-	return &conn{Conn: accepted, inHead: true}, nil
 }
 
 // conn inspects the head of each request. It does not see the head of a pipelined request,
@@ -39,6 +78,10 @@
 	inHead    bool
 	head      []byte
 	ambiguous bool
+	// headBytes is how many bytes of the present head were read.
+	headBytes int
+	// room is the memory of the connection, with that of its head.
+	room *memory.Reservation
 
 	// drains is set if Close must let the last response end in order.
 	drains atomic.Bool
@@ -49,12 +92,25 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inHead && n > 0 {
-		c.scan(p[:n])
+	if !c.inHead || n == 0 {
+		return n, err
 	}
+	if noRoom := c.growHead(n); noRoom != nil {
+		refuse(c.Conn)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: noRoom} // net/http sends nothing after an error of this type
+	}
+	c.scan(p[:n])
 	return n, err
 }
 
+// growHead reserves the memory of a part of a head. c.mu must be held.
+func (c *conn) growHead(n int) error {
+	beyond := func(bytes int) int { return max(0, bytes-freeHeadBytes) }
+	more := beyond(c.headBytes+n) - beyond(c.headBytes)
+	c.headBytes += n
+	return c.room.Grow(int64(headCopies * more))
+}
+
 // scan processes a part of a head. c.mu must be held.
 func (c *conn) scan(part []byte) {
 	c.head = append(c.head, part...)
@@ -81,7 +137,8 @@
 func (c *conn) nextRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHead, c.ambiguous, c.head = true, false, nil
+	c.inHead, c.ambiguous, c.head, c.headBytes = true, false, nil, 0
+	c.room.Shrink(c.room.Bytes() - connBytes)
 }
 
 // connKey is the context key of a request's connection.
--- a/gateway/framing/reset.go
+++ b/gateway/framing/reset.go
@@ -65,6 +65,7 @@
 // first and then read until the client closes it: closing a connection with unread bytes resets it, and
 // the end of the response would be lost.
 func (c *conn) Close() error {
+	defer c.room.Release()
 	if !c.drains.CompareAndSwap(true, false) {
 		return c.Conn.Close()
 	}
--- a/gateway/httpconn/client.go
+++ b/gateway/httpconn/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 )
 
 // Limits of connections.
@@ -93,6 +94,8 @@
 	codec Codec
 	// onAnomaly is called with each anomaly; it may be nil.
 	onAnomaly func(Anomaly)
+	// memory bounds the connections and the heads of responses; nil sets no bound.
+	memory *memory.Budget
 
 	mu     sync.Mutex
 	idle   map[idleKey][]*conn
@@ -125,6 +128,10 @@
 	return &Client{codec: codec, onAnomaly: onAnomaly, idle: make(map[idleKey][]*conn)}
 }
 
+// UseMemory makes connections and the heads of responses reserve their memory in a budget. It must be
+// called before the first request.
+func (c *Client) UseMemory(budget *memory.Budget) { c.memory = budget }
+
 // acquire returns a usable idle connection for a request, or opens a new one.
 func (c *Client) acquire(ctx context.Context, addr string, r Request) (*conn, error) {
 	for {
@@ -181,6 +188,10 @@
 
 // dial opens a connection. Its errors have the code Unavailable, as nothing was sent.
 func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+	room := c.memory.Begin(memory.Completion)
+	if err := room.Grow(connBytes); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, "upstream.dial", addr, err)
+	}
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -188,9 +199,10 @@
 	}
 	opened, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		room.Release()
 		return nil, fault.Wrap(fault.Unavailable, "upstream.dial", addr, err)
 	}
-	return newConn(opened, addr), nil
+	return newConn(opened, addr, room), nil
 }
 
 // listenSettleTime is how long a new connection must stay open to show that the upstream is
--- a/gateway/httpconn/conn.go
+++ b/gateway/httpconn/conn.go
@@ -7,12 +7,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"acaciawinch/core/memory"
 )
 
 // readBufferBytes is the size of a connection's read buffer. One read takes in a
 // response of a plain service, or about 20 stream events.
 const readBufferBytes = 4096
 
+// connBytes is the memory of a connection: its buffers, and the stacks of the goroutines that use it.
+const connBytes = 16 << 10
+
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
@@ -25,16 +30,21 @@
 	// expires is the time after which an idle connection must not be used.
 	expires time.Time
 	history history
+	// room is the memory of the connection, with that of the head of its response.
+	room *memory.Reservation
 }
 
-// newConn wraps an open connection.
-func newConn(opened net.Conn, addr string) *conn {
-	limited := &limitedReader{source: opened, remaining: maxHeadBytes}
-	return &conn{Conn: opened, addr: addr, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}
+// newConn wraps an open connection, which uses the memory that is reserved in room.
+func newConn(opened net.Conn, addr string, room *memory.Reservation) *conn {
+	limited := &limitedReader{source: opened, remaining: maxHeadBytes, room: room}
+	return &conn{room: room, Conn: opened, addr: addr, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}
 }
 
 // close closes the connection. Errors are ignored, as the connection is not used again.
-func (c *conn) close() { _ = c.Conn.Close() }
+func (c *conn) close() {
+	_ = c.Conn.Close()
+	c.room.Release()
+}
 
 // expired reports whether an idle connection is close to the upstream's idle limit.
 func (c *conn) expired(now time.Time) bool { return !now.Before(c.expires) }
--- a/gateway/httpconn/limits.go
+++ b/gateway/httpconn/limits.go
@@ -6,6 +6,8 @@
 	"io"
 	"math"
 	"strings"
+
+	"acaciawinch/core/memory"
 )
 
 // Limits of what is read of one response. Bytes beyond a limit close the connection. With them, the
@@ -50,10 +52,18 @@
 	source io.Reader
 	// remaining is the number of bytes that may be read until the end of the head.
 	remaining int64
+	// room gets the memory of a head that exceeds the read buffer; it is released with the next one.
+	room *memory.Reservation
 }
 
+// headCopies is how often the bytes of a head are held: as read, and decoded.
+const headCopies = 2
+
 // beginHead sets the limit of the head that is read next.
-func (l *limitedReader) beginHead() { l.remaining = maxHeadBytes }
+func (l *limitedReader) beginHead() {
+	l.remaining = maxHeadBytes
+	l.room.Shrink(l.room.Bytes() - connBytes)
+}
 
 // endHead removes the limit until the next head.
 func (l *limitedReader) endHead() { l.remaining = math.MaxInt64 }
@@ -63,6 +73,11 @@
 	if l.remaining <= 0 {
 		return 0, &LimitError{Part: Head, Limit: maxHeadBytes}
 	}
+	if inHead := maxHeadBytes - l.remaining; inHead >= readBufferBytes {
+		if err := l.room.Grow(headCopies * readBufferBytes); err != nil {
+			return 0, err
+		}
+	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
 	return n, err
--- a/gateway/pools/call.go
+++ b/gateway/pools/call.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/pool"
 	core "acaciawinch/core/ratelimit"
 	"acaciawinch/core/routes"
@@ -150,7 +150,9 @@
 	if hints.Leaving || hints.RetryAfter > 0 {
 		o.fleet.RecordUpstreamReport(view.UpstreamReport{Upstream: to, Leaving: hints.Leaving, Backoff: hints.RetryAfter})
 	}
-	content, err := io.ReadAll(response.Body)
+	room := o.memory.Begin(memory.Completion)
+	defer room.Release()
+	content, err := memory.ReadAll(room, response.Body, -1)
 	if err != nil && response.Status == http.StatusOK {
 		return content, fault.Wrap(fault.Ambiguous, "stage.read", to.ID, err)
 	}
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"acaciawinch/core/comeback"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/pool"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/httpconn"
@@ -39,6 +40,7 @@
 	client *httpconn.Client
 	limits *ratelimit.Limiter
 	logger *observe.Logger
+	memory *memory.Budget
 
 	mu         sync.Mutex
 	pools      map[Part]*ownedPart
@@ -148,6 +150,10 @@
 		callers: make(map[string]*caller), metrics: newMetrics(tally.NoopScope), reportWait: reportWait}
 }
 
+// UseMemory makes the responses to calls reserve their memory in a budget while they are read. It must be
+// called before Run.
+func (o *Owner) UseMemory(budget *memory.Budget) { o.memory = budget }
+
 // Observe makes the Owner report its metrics to scope. It must be called before Run.
 func (o *Owner) Observe(scope tally.Scope) { o.metrics = newMetrics(scope) }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/flow"
 	"acaciawinch/gateway/httpconn"
@@ -37,8 +38,23 @@
 	// limit of the garbage collector. The remainder is for kernel stacks and buffers,
 	// which the runtime does not count.
 	memoryLimitShare = 0.6
+	// baseMemory is what a gateway uses without clients: its code's data, its copy of the fleet's state
+	// and its connections to other gateways.
+	baseMemory = 32 << 20
+	// budgetShare is the share of the remaining memory that may be reserved. The rest is for what the
+	// garbage collector has not freed yet.
+	budgetShare = 0.9
+	// leastBudgetShare is the share of the memory setting that may be reserved if baseMemory leaves less.
+	leastBudgetShare = 0.125
 )
 
+// memoryBudget returns how many bytes may be reserved by all that clients, upstreams and other gateways
+// can make grow, for a memory setting in MB.
+func memoryBudget(memoryMB int) int64 {
+	all := float64(memoryMB) * (1 << 20)
+	return int64(max(budgetShare*(memoryLimitShare*all-baseMemory), leastBudgetShare*all))
+}
+
 // process is a running gateway.
 type process struct {
 	settings   Settings
@@ -58,6 +74,7 @@
 	relay      *relay.Server
 	follower   *relay.Follower
 	dialer     *link.Dialer
+	memory     *memory.Budget
 
 	reload *reloader
 
@@ -96,10 +113,11 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, "gateway.log", "", err)
 	}
-	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation()}
+	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation(), memory: memory.New(memoryBudget(settings.Process.MemoryMB))}
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
 	seen := anomalies{logger: logger, scope: p.metrics.Scope()}
 	p.client = httpconn.New(httpconn.Codec{SetID: header.SetID, ReadInfo: readResponseInfo}, seen.ofUpstream)
+	p.client.UseMemory(p.memory)
 	self := view.Member{
 		Name:        settings.Process.Name,
 		Address:     settings.Listen.Fleet,
@@ -131,9 +149,12 @@
 		Records: []view.Records{{Kind: quarantine.RecordKind, Receiver: p.guard}},
 
 		StoreOverLimit: seen.ofStore,
+		Memory:         p.memory,
 	})
 	p.rpc = link.NewServer(settings.Fleet.Key)
 	p.dialer = link.NewDialer(settings.Fleet.Key)
+	p.rpc.UseMemory(p.memory)
+	p.dialer.UseMemory(p.memory)
 	p.rpc.OnOverLimit(seen.ofGateway)
 	p.dialer.OnOverLimit(seen.ofGateway)
 	p.limits = ratelimit.New(ratelimit.Options{Fleet: p.view, Self: self, Dialer: p.dialer, Lifetime: runCtx, Logger: logger, Scope: p.metrics.Scope()})
@@ -152,6 +173,7 @@
 	}
 	p.owner = pools.NewOwner(runCtx, p.view, p.client, p.limits, logger)
 	p.owner.Observe(p.metrics.Scope())
+	p.owner.UseMemory(p.memory)
 	if settings.Fleet.FirstStart {
 		p.owner.StartsFirst()
 	}
@@ -170,7 +192,7 @@
 	if err := wirepb.DRPCRegisterFleet(p.rpc.Mux(), p.relay); err != nil {
 		return nil, fault.Wrap(fault.Internal, "gateway.register", "", err)
 	}
-	p.follower = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope(), FirstStart: settings.Fleet.FirstStart})
+	p.follower = relay.NewFollower(relay.Options{View: p.view, Self: self, Dialer: p.dialer, Logger: logger, Scope: p.metrics.Scope(), FirstStart: settings.Fleet.FirstStart, Memory: p.memory})
 	p.dispatcher = pools.NewDispatcher(runCtx, p.view, self, p.owner, p.dialer, logger)
 	p.flow = flow.New(flow.Options{
 		View:       p.view,
@@ -189,6 +211,7 @@
 		ColdOverrun: settings.Bounds.ColdOverrun,
 		ColdSlack:   settings.Bounds.ColdSlack,
 		LateWork:    lateWork,
+		Memory:      p.memory,
 
 		RepeatSilent: settings.Load.RepeatSilent != ModeOff,
 		ReturnPlaces: returnPlaces,
@@ -251,7 +274,7 @@
 func (p *process) serve(ctx, runCtx context.Context, stop context.CancelFunc, ports listeners) error {
 	servers := newServers(p, ports)
 	group, runCtx := errgroup.WithContext(runCtx)
-	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.versions.Run, p.paces.Run, p.reportDropped, p.reload.run, newZoneWatch(p).run} {
+	for _, loop := range []func(context.Context) error{p.follower.Run, p.view.Register, p.owner.Run, p.dispatcher.Run, p.flow.Sweep, p.guard.Run, p.guard.Sweep, p.limits.Run, p.versions.Run, p.paces.Run, p.reportDropped, p.reportMemory, p.reload.run, newZoneWatch(p).run} {
 		group.Go(func() error { return loop(runCtx) })
 	}
 	group.Go(func() error { return p.rpc.Serve(runCtx, ports.fleet) })
@@ -280,6 +303,31 @@
 	p.logger.Event(event.ProcessStopped, observe.Fields{"reason": "signal"})
 }
 
+// memoryReportInterval is the interval at which the memory budget is reported.
+const memoryReportInterval = time.Second
+
+// reportMemory updates the metrics of the memory budget, and logs refused reservations, until ctx is cancelled.
+func (p *process) reportMemory(ctx context.Context) error {
+	ticker := time.NewTicker(memoryReportInterval)
+	defer ticker.Stop()
+	scope, reported := p.metrics.Scope(), int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		usage := p.memory.Usage()
+		scope.Gauge("memory_reserved_bytes").Update(float64(usage.Used))
+		scope.Gauge("memory_reserved_peak_bytes").Update(float64(usage.Peak))
+		if usage.Refused > reported {
+			scope.Counter("memory_refused").Inc(usage.Refused - reported)
+			p.logger.Warn(event.MemoryRefused, observe.Fields{"refused": usage.Refused - reported, "reserved": usage.Used, "peak": usage.Peak, "budget": usage.Total})
+			reported = usage.Refused
+		}
+	}
+}
+
 // dropReportInterval is the interval at which dropped log lines are reported.
 const dropReportInterval = 5 * time.Second
 
--- a/gateway/relay/follower.go
+++ b/gateway/relay/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"acaciawinch/core/memory"
 	"acaciawinch/core/source"
 	"acaciawinch/gateway/clock"
 	"acaciawinch/gateway/view"
@@ -45,6 +46,7 @@
 	// metrics is safe for concurrent use.
 	metrics    metrics
 	firstStart bool
+	memory     *memory.Budget
 
 	// wake makes Run check the choice of a source.
 	wake chan struct{}
@@ -69,6 +71,8 @@
 	Scope  tally.Scope
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
+	// Memory bounds the lists that a source sends; nil sets no bound.
+	Memory *memory.Budget
 }
 
 // NewFollower returns a Follower. The caller must call Run.
@@ -80,6 +84,7 @@
 		logger:     options.Logger,
 		metrics:    newMetrics(options.Scope),
 		firstStart: options.FirstStart,
+		memory:     options.Memory,
 		wake:       make(chan struct{}, 1),
 	}
 }
@@ -220,7 +225,10 @@
 
 // runLink runs one link until it breaks or is replaced.
 func (f *Follower) runLink(ctx context.Context, to view.Member) {
-	err := (&link{follower: f, source: to, assembler: newAssembler()}).run(ctx)
+	pieces := newAssembler()
+	pieces.useMemory(f.memory)
+	defer pieces.close()
+	err := (&link{follower: f, source: to, assembler: pieces}).run(ctx)
 	if ctx.Err() != nil {
 		return // the link was replaced
 	}
--- a/gateway/relay/packed.go
+++ b/gateway/relay/packed.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 	"acaciawinch/gateway/view"
 	"acaciawinch/wire/wirepb"
 )
@@ -105,9 +106,9 @@
 }
 
 // decompress returns the changes in the joined pieces.
-func decompress(content []byte) ([]*wirepb.FollowChange, error) {
+func decompress(content []byte, room *memory.Reservation) ([]*wirepb.FollowChange, error) {
 	reader := flate.NewReader(bytes.NewReader(content))
-	plain, err := io.ReadAll(io.LimitReader(reader, maxListBytes+1))
+	plain, err := memory.ReadAll(room, io.LimitReader(reader, maxListBytes+1), -1)
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, "relay.unpack", "", err)
 	}
@@ -125,16 +126,30 @@
 type assembler struct {
 	// joined holds the pieces received so far of each kind.
 	joined map[string][]byte
+	// budget bounds the pieces and the lists in them; nil sets no bound. room is the memory of the pieces.
+	budget *memory.Budget
+	room   *memory.Reservation
 }
 
 // newAssembler returns an assembler without pieces.
 func newAssembler() *assembler { return &assembler{joined: make(map[string][]byte)} }
 
+// useMemory makes the assembler reserve the memory of pieces and lists in a budget. It must be called before add.
+func (a *assembler) useMemory(budget *memory.Budget) {
+	a.budget, a.room = budget, budget.Begin(memory.Completion)
+}
+
+// close releases the memory of the pieces.
+func (a *assembler) close() { a.room.Release() }
+
 // add adds one message. If the message completes a delta, add returns the delta and true.
 func (a *assembler) add(m *wirepb.FollowDelta) (view.KindDelta, bool, error) {
 	if len(m.GetPiece()) == 0 {
 		return deltaOf(m, m.GetChanges()), true, nil
 	}
+	if err := a.room.Grow(int64(len(m.GetPiece()))); err != nil {
+		return view.KindDelta{}, false, err
+	}
 	joined := append(a.joined[m.GetKind()], m.GetPiece()...)
 	if len(joined) > maxListBytes {
 		return view.KindDelta{}, false, fault.New(fault.Invalid, "relay.gather", "", "pieces exceed %d bytes", maxListBytes)
@@ -144,7 +159,10 @@
 		return view.KindDelta{}, false, nil
 	}
 	delete(a.joined, m.GetKind())
-	changes, err := decompress(joined)
+	defer a.room.Shrink(int64(len(joined)))
+	list := a.budget.Begin(memory.Completion)
+	defer list.Release()
+	changes, err := decompress(joined, list)
 	if err != nil {
 		return view.KindDelta{}, false, err
 	}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -82,7 +82,7 @@
 		}
 	}
 	return []func() error{
-		loop(s.clients, framing.Listener{Listener: s.ports.clients}),
+		loop(s.clients, framing.Listener{Listener: s.ports.clients, Memory: s.process.memory}),
 		loop(s.readiness, s.ports.readiness),
 		loop(s.metrics, s.ports.metrics),
 	}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciawinch/core/memory"
 	"acaciawinch/core/replica"
 	"acaciawinch/core/routes"
 	"acaciawinch/gateway/clock"
@@ -53,6 +54,8 @@
 	// StoreOverLimit is called with the store's address and each part of a response of it that exceeds its limit
 	// in bytes; it may be nil.
 	StoreOverLimit func(address, part string, limit int64)
+	// Memory bounds the store's responses; nil sets no bound.
+	Memory *memory.Budget
 }
 
 // Records is a kind of objects that gateways write and whose content the View does not read.
@@ -173,6 +176,7 @@
 		return
 	}
 	client := store.New(options.Store)
+	client.UseMemory(v.options.Memory)
 	client.OnEra(func(era int64) {
 		if v.store.Load() == client {
 			v.hearStoreEra(era)
--- a/observe/event/gateway.go
+++ b/observe/event/gateway.go
@@ -20,6 +20,7 @@
 	ZoneEmptied          = define(10017, "zone_emptied", "No request of this process is in flight in an evacuated zone any more.", "zone", "after_ms")
 	UpstreamBackoff      = define(10018, "upstream_asked", "An upstream's response announced that it is leaving or requested a backoff; it gets no new work from this process, or none until the backoff ends.", "upstream", "service", "request", "leaving", "retry_after_ms")
 	RegistrationOutdated = define(10019, "registration_outdated", "The store returned from an older copy without this process's own object, or with the one that this process had removed at its stop; the object is written or removed again.", "member", "present", "lost", "delay_ms")
+	MemoryRefused        = define(10107, "memory_refused", "Connections, heads, bodies, responses or messages were refused as they found no room in the memory budget, so often since the last line. Sizes are in bytes.", "refused", "reserved", "peak", "budget")
 	LinesDropped         = define(10013, "lines_dropped", "Log lines were dropped because standard output was too slow.", "lines")
 )
 
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	Load   loadCommand   `command:"load" description:"offer load to both deployments, under each policy"`
 	Spread spreadCommand `command:"spread" description:"time accepted changes until they are in force in a large fleet"`
+	Bodies bodiesCommand `command:"bodies" description:"send many long bodies to a gateway at once"`
 	Page   pageCommand   `command:"page" description:"write the page and the plots from earlier results"`
 }
 
--- /dev/null
+++ b/standin/gatewaytest/memory_test.go
@@ -0,0 +1,145 @@
+package gatewaytest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"acaciawinch/standin/platformdoc"
+)
+
+// longBodies is how many clients send a body of longBytes at once: three times what the memory of the gateway holds.
+const (
+	longBodies = 60
+	longBytes  = 4 << 20
+)
+
+// longBody is a body that clients share.
+var longBody = strings.Repeat("x", longBytes)
+
+// sendPart sends the head of a request, and a part of its body.
+func (f *fleet) sendPart(g *runningGateway, id, framing, part string) net.Conn {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", g.settings.Listen.Clients)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 20000\r\n%s\r\n\r\n%s", id, framing, part)
+	assert.NilError(f.t, err)
+	return conn
+}
+
+// startForLongBodies starts a gateway that takes long bodies, and a desk that drops them and counts its requests.
+func (f *fleet) startForLongBodies() (*runningGateway, *atomic.Int64) {
+	f.t.Helper()
+	runs := &atomic.Int64{}
+	desk := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_, err := io.Copy(io.Discard, r.Body)
+		assert.Check(f.t, err)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Stamp", "s")
+	}))
+	f.t.Cleanup(desk.Close)
+	f.store.Put("servers", "desk-1", platformdoc.Worker{Service: "desk", Address: strings.TrimPrefix(desk.URL, "http://"), Zone: "z1", Slots: 64, State: "ready"})
+	d := baseConfig(1)
+	d.Limits.MaxBodyBytes = longBytes
+	f.apply(d)
+	return f.start("g1"), runs
+}
+
+// readOne reads the response on a connection.
+func readOne(conn net.Conn) response {
+	_ = conn.SetReadDeadline(time.Now().Add(waitTimeout)) // if it fails, so does the read
+	return readResponse(bufio.NewReader(conn))
+}
+
+// statuses counts the statuses that clients get.
+type statuses struct {
+	mu     sync.Mutex
+	counts map[int]int
+	// undated counts the refusals without a Retry-After.
+	undated int
+}
+
+// add reads a response and counts it.
+func (s *statuses) add(got response) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[got.status]++
+	if got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") == "" {
+		s.undated++
+	}
+}
+
+// TestManyLongBodiesStayWithinTheMemory guards against clients that together send more than the gateway may hold: the
+// platform kills it then, with all requests in flight. Bodies come with a length or in chunks.
+func TestManyLongBodiesStayWithinTheMemory(t *testing.T) {
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", longBytes), "chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			g, runs := f.startForLongBodies()
+			seen := statuses{counts: make(map[int]int)}
+			var begun, clients sync.WaitGroup
+			begun.Add(longBodies)
+			for i := range longBodies {
+				clients.Go(func() {
+					prefix, rest := "", longBody[1:]
+					if name == "chunked" {
+						prefix, rest = fmt.Sprintf("%x\r\n", longBytes), longBody[1:]+"\r\n0\r\n\r\n"
+					}
+					conn := f.sendPart(g, fmt.Sprint(name, i), framing, prefix+longBody[:1])
+					begun.Done()
+					begun.Wait() // no body is complete before all have begun
+					go func() { _, _ = io.WriteString(conn, rest) }()
+					seen.add(readOne(conn))
+				})
+			}
+			clients.Wait()
+			assert.Equal(t, seen.counts[http.StatusOK]+seen.counts[http.StatusServiceUnavailable], longBodies, "%v", seen.counts)
+			assert.Assert(t, seen.counts[http.StatusOK] > 0 && seen.counts[http.StatusServiceUnavailable] > 0, "%v", seen.counts)
+			assert.Equal(t, seen.undated, 0)
+			assert.Equal(t, int(runs.Load()), seen.counts[http.StatusOK], "a refused request ran")
+		})
+	}
+}
+
+// TestSmallRequestsGoOnBesideLongBodies: clients that fill the memory with long bodies, and stall in them, keep no small
+// request from being served.
+func TestSmallRequestsGoOnBesideLongBodies(t *testing.T) {
+	f := newFleet(t)
+	g, _ := f.startForLongBodies()
+	for i := range longBodies {
+		f.sendPart(g, fmt.Sprint("stalls", i), fmt.Sprintf("Content-Length: %d", longBytes), "x")
+	}
+	f.waitLines(1, "gateway_refused", "no memory")
+	for i := range 20 {
+		assert.Equal(t, f.send(g, fmt.Sprint("small", i), "POST", "/once/x", "b").status, http.StatusOK)
+	}
+}
+
+// TestAClientThatStallsInItsBodyHoldsNoMemory guards against clients that announce a long body, stop sending, and keep the
+// memory that it needs from others.
+func TestAClientThatStallsInItsBodyHoldsNoMemory(t *testing.T) {
+	f := newFleet(t)
+	g, runs := f.startForLongBodies()
+	var stalling []net.Conn
+	for i := range longBodies {
+		stalling = append(stalling, f.sendPart(g, fmt.Sprint("stalls", i), fmt.Sprintf("Content-Length: %d", longBytes), "x"))
+	}
+	for _, conn := range stalling {
+		status := readOne(conn).status
+		assert.Assert(t, status == http.StatusRequestTimeout || status == http.StatusServiceUnavailable, "%d", status)
+	}
+	assert.Equal(t, f.send(g, "after", "POST", "/once/x", longBody).status, http.StatusOK)
+	assert.Equal(t, int(runs.Load()), 1)
+}
--- a/standin/platformfleet/fleet.go
+++ b/standin/platformfleet/fleet.go
@@ -202,6 +202,17 @@
 	}
 }
 
+// WorkerIDs returns the ids of the workers of a service.
+func (f *Fleet) WorkerIDs(service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for _, w := range f.workers[service] {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
 // Register writes the entry of a worker with a state.
 func (f *Fleet) Register(service string, w *worker.Worker, state string) {
 	f.Store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: "sala-inaquito", Slots: 8, State: state, Version: w.Version})
--- a/wire/link/call.go
+++ b/wire/link/call.go
@@ -19,6 +19,13 @@
 	onOverLimit func()
 }
 
+// received records that a message was received.
+func (c callConn) received() {
+	if transport, reserves := c.Conn.Transport().(*messageConn); reserves {
+		transport.received()
+	}
+}
+
 // Invoke implements drpc.Conn. Unlike drpc's own Invoke it waits for the end of the
 // stream, which follows the reply in the same write. Otherwise this end would mostly send
 // a message of its own to end the stream, which costs two segments.
@@ -37,7 +44,9 @@
 	if err := stream.CloseSend(); err != nil {
 		return err
 	}
-	if err := stream.MsgRecv(out, enc); err != nil {
+	err = stream.MsgRecv(out, enc)
+	c.received()
+	if err != nil {
 		if isOverLimit(err) {
 			c.onOverLimit()
 		}
@@ -68,5 +77,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return limitedStream{Stream: stream, report: c.onOverLimit}, nil
+	return limitedStream{Stream: stream, report: c.onOverLimit, received: c.received}, nil
 }
--- a/wire/link/dialer.go
+++ b/wire/link/dialer.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 )
 
 // stepDial names the opening of a connection in errors. An error with this step
@@ -32,6 +33,8 @@
 	traffic          Traffic
 	// onOverLimit is called with the address of a peer whose message exceeded MaxMessageBytes.
 	onOverLimit func(addr string)
+	// memory bounds the messages that come in at the same time; nil sets no bound.
+	memory *memory.Budget
 }
 
 // NewDialer returns a Dialer that authenticates its connections with key.
@@ -54,6 +57,10 @@
 // connection is closed. OnOverLimit must be called before the first call.
 func (d *Dialer) OnOverLimit(call func(addr string)) { d.onOverLimit = call }
 
+// UseMemory makes messages reserve their memory in a budget while they come in. It must be called before the first
+// call.
+func (d *Dialer) UseMemory(budget *memory.Budget) { d.memory = budget }
+
 // overLimit reports a message over MaxMessageBytes.
 func (d *Dialer) overLimit(addr string) {
 	if d.onOverLimit != nil {
@@ -91,5 +98,5 @@
 		_ = conn.Close() // the returned error says more
 		return nil, &fault.Error{Code: fault.Unavailable, Step: stepDial, Peer: addr, Err: err}
 	}
-	return callConn{newConn(conn), func() { d.overLimit(addr) }}, nil
+	return callConn{newConn(newMessageConn(conn, d.memory)), func() { d.overLimit(addr) }}, nil
 }
--- a/wire/link/handler.go
+++ b/wire/link/handler.go
@@ -45,6 +45,8 @@
 // segment.
 type handler struct {
 	next drpc.Handler
+	// received is called when a message was received; the end of the connection reports one over the limit.
+	received func()
 }
 
 // HandleRPC implements drpc.Handler.
@@ -53,5 +55,5 @@
 	if buffered, ok := stream.(flusher); ok && isUnary(rpc) {
 		buffered.SetManualFlush(true)
 	}
-	return h.next.HandleRPC(stream, rpc)
+	return h.next.HandleRPC(limitedStream{Stream: stream, report: func() {}, received: h.received}, rpc)
 }
--- a/wire/link/limits.go
+++ b/wire/link/limits.go
@@ -35,15 +35,16 @@
 // isOverLimit reports whether a connection ended because of a message over MaxMessageBytes.
 func isOverLimit(err error) bool { return err != nil && strings.Contains(err.Error(), longMessage) }
 
-// limitedStream is a stream that reports a message over the limit.
+// limitedStream is a stream that reports each message, and one over the limit.
 type limitedStream struct {
 	drpc.Stream
-	report func()
+	report, received func()
 }
 
 // MsgRecv implements drpc.Stream.
 func (s limitedStream) MsgRecv(message drpc.Message, enc drpc.Encoding) error {
 	err := s.Stream.MsgRecv(message, enc)
+	s.received()
 	if isOverLimit(err) {
 		s.report()
 	}
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/memory"
 )
 
 // Limits of a server.
@@ -49,6 +49,8 @@
 
 	// onOverLimit is called with the address of a peer whose message exceeded MaxMessageBytes.
 	onOverLimit func(addr string)
+	// memory bounds the messages that come in at the same time; nil sets no bound.
+	memory *memory.Budget
 
 	onRefused    func(Refusal)
 	refusedTotal atomic.Uint64
@@ -82,6 +84,9 @@
 // connection is closed. It must be called before Serve, and may be called by several goroutines.
 func (s *Server) OnOverLimit(call func(addr string)) { s.onOverLimit = call }
 
+// UseMemory makes messages reserve their memory in a budget while they come in. It must be called before Serve.
+func (s *Server) UseMemory(budget *memory.Budget) { s.memory = budget }
+
 // Serve accepts and serves connections until ctx ends. It closes listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -92,12 +97,11 @@
 		stop()
 		connections.Wait()
 	}()
-	calls := newCalls(handler{next: s.mux})
 	for {
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			connections.Go(func() { s.serveConn(ctx, calls, conn) })
+			connections.Go(func() { s.serveConn(ctx, conn) })
 		case ctx.Err() != nil:
 			return nil
 		case isTransient(err):
@@ -129,17 +133,18 @@
 // ServeConn serves one connection, which the caller has accepted, until the connection
 // or ctx ends.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
-	s.serveConn(ctx, newCalls(handler{next: s.mux}), conn)
+	s.serveConn(ctx, conn)
 }
 
 // serveConn makes the handshake and serves the calls of one connection.
-func (s *Server) serveConn(ctx context.Context, calls *drpcserver.Server, conn net.Conn) {
-	conn = countedConn{Conn: conn, traffic: &s.traffic}
+func (s *Server) serveConn(ctx context.Context, accepted net.Conn) {
+	conn := newMessageConn(countedConn{Conn: accepted, traffic: &s.traffic}, s.memory)
 	defer func() { _ = conn.Close() }() // its calls have ended
 	if err := s.handshake(ctx, conn); err != nil {
 		s.report(ctx, conn.RemoteAddr().String(), err)
 		return
 	}
+	calls := newCalls(handler{next: s.mux, received: conn.received})
 	if err := calls.ServeOne(ctx, conn); isOverLimit(err) && s.onOverLimit != nil {
 		s.onOverLimit(conn.RemoteAddr().String())
 	}
