--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -38,6 +38,7 @@
 	Uneven      int           `long:"uneven" default:"3" description:"one of so many engines is slow, and machines are slower at times; 0 for the same pace everywhere"`
 	Doubles     int           `long:"doubles" default:"4" description:"how often a worker sends responses twice, at once or late, in a run"`
 	Unheard     int           `long:"unheard" default:"2" description:"series of short silences of the store, each right after a change, in a run"`
+	Bodies      int           `long:"bodies" default:"1" description:"how often 60 to 240 clients send long bodies at once in a run"`
 	Timeout     time.Duration `long:"timeout" default:"2m" description:"limit of one run: 7 s in which faults start, the rest of the last faults, recovery, and a planned stop of each gateway"`
 	Keep        string        `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
 	Verbose     bool          `long:"verbose" description:"print the steps as they are made"`
@@ -59,7 +60,7 @@
 		first = uint64(time.Now().UnixNano())
 	}
 	for i := range o.Seeds {
-		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns, Disorders: o.Disorders, Limits: o.Limits, Versions: o.Versions, Parts: o.Parts, Silences: o.Silences, Uneven: o.Uneven, Doubles: o.Doubles, Unheard: o.Unheard})
+		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns, Disorders: o.Disorders, Limits: o.Limits, Versions: o.Versions, Parts: o.Parts, Silences: o.Silences, Uneven: o.Uneven, Doubles: o.Doubles, Unheard: o.Unheard, Bodies: o.Bodies})
 	}
 	return seeds
 }
@@ -100,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
 	seed := played.Seed
-	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Limits: played.Limits, Versions: played.Versions, Parts: played.Parts, Silences: played.Silences, Uneven: played.Uneven, Doubles: played.Doubles, Unheard: played.Unheard, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
+	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Limits: played.Limits, Versions: played.Versions, Parts: played.Parts, Silences: played.Silences, Uneven: played.Uneven, Doubles: played.Doubles, Unheard: played.Unheard, Bodies: played.Bodies, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
 		Keep: filepath.Join(o.Keep, fmt.Sprint(seed))}
 	if o.Verbose {
 		runOptions.Out = os.Stdout
--- a/standin/platformfleet/documents.go
+++ b/standin/platformfleet/documents.go
@@ -26,13 +26,16 @@
 	}
 }
 
+// MemoryMB is the memory in MB that a gateway may use.
+const MemoryMB = 284
+
 // settings returns the settings file of a gateway. The addresses are those for clients, readiness, the
 // fleet and metrics, in this order.
 func settings(name, store string, addresses [4]string) string {
 	return fmt.Sprintf(`[process]
 name = %q
 zone = "sala-inaquito"
-memory_mb = 284
+memory_mb = %d
 
 [listen]
 clients = %q
@@ -51,5 +54,5 @@
 
 [fleet]
 key = "demo"
-`, name, addresses[0], addresses[1], addresses[2], addresses[3], store)
+`, name, MemoryMB, addresses[0], addresses[1], addresses[2], addresses[3], store)
 }
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -37,7 +37,8 @@
 	plan = append(plan, planLimits(o.Seed, o.Limits)...)
 	plan = append(plan, planVersions(o.Seed, o.Versions)...)
 	plan = append(plan, planSilences(o.Seed, o.Silences)...)
-	return append(plan, planDoubles(o.Seed, o.Doubles)...)
+	plan = append(plan, planDoubles(o.Seed, o.Doubles)...)
+	return append(plan, planBodies(o.Seed, o.Bodies)...)
 }
 
 // Timing of a return.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -22,7 +22,7 @@
 // configuration returns the configuration of a version, without the spare key if revoked is set.
 func configuration(version int64, revoked bool) platformdoc.Document {
 	document := platformfleet.Configuration()
-	document.Version = version
+	document.Version, document.Limits.MaxBodyBytes = version, longBody
 	extra := document.Routes[1]
 	extra.Name, extra.Prefix = "extra", fmt.Sprintf("/extra-%d/", version)
 	document.Routes = append(document.Routes, extra)
@@ -56,6 +56,8 @@
 		s.doubleWorker(ctx, step)
 	case DoubleAfterPause:
 		s.doubleAfterPause(ctx, step)
+	case BurstBodies:
+		s.burstBodies(ctx, step)
 	case SilenceEngine:
 		s.silenceEngine(ctx, step)
 	case ReturnStore:
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -39,6 +39,7 @@
 			}
 		}
 	}
+	s.checkMemory()
 	s.configure(false)
 	limit, cancel := context.WithTimeout(ctx, recoverWithin)
 	defer cancel()
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -22,6 +22,8 @@
 	Doubles int
 	// Unheard is how many series of short silences of the store follow the faults.
 	Unheard int
+	// Bodies is how often many clients send long bodies at once.
+	Bodies int
 }
 
 // Regressions are the seeds that failed once.
@@ -46,5 +48,6 @@
 	{Seed: 47001, Returns: 1, Disorders: 4, Limits: 3, Versions: 2, Parts: 1, Cause: "requests with one part in their prompts crashed 101 engines, and no gateway served the route 8 s after the last fault"},
 	{Seed: 77001, Doubles: 8, Cause: "stage workers sent responses once more after a pause, and engines ran five requests with results of other requests"},
 	{Seed: 88001, Unheard: 3, Cause: "the store ignored calls for 0.1 to 0.8 s right after a change, and drained workers got up to 102 requests later than allowed"},
+	{Seed: 88010, Bodies: 3, Cause: "60 to 240 clients sent bodies of 4 MiB at once, and two gateways used 546 and 865 of 284 MB"},
 	{Seed: 1796260130301604318, Cause: "a relay's port, found free a moment before, was taken; by whom was not found"},
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -45,6 +45,8 @@
 	Doubles int
 	// Unheard is how many series of short silences of the store follow the faults.
 	Unheard int
+	// Bodies is how often many clients send long bodies at once.
+	Bodies int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
