--- a/core/missed/missed.go
+++ b/core/missed/missed.go
@@ -61,8 +61,11 @@
 // complete, and the revisions of the changes in it. An answer without changes proves all that the
 // store had done before the call began, as the store's answers are linearizable.
 func (l *Ledger) Answered(kind string, end replica.Position, changes []int64) {
+	if !l.enter(end.Era) {
+		return
+	}
 	p := l.kinds[kind]
-	if !l.enter(end.Era) || p == nil || l.kinds[kind] == nil {
+	if p == nil { // the call began in an earlier era
 		return
 	}
 	p.known = max(p.known, end.Revision)
--- a/gateway/ratelimit/limiter_test.go
+++ b/gateway/ratelimit/limiter_test.go
@@ -154,6 +154,27 @@
 	}
 }
 
+// TestAnAskOfASilentCoordinatorGoesToTheNext guards against asks that wait for a coordinator whose connections stay open
+// though it no longer runs.
+func TestAnAskOfASilentCoordinatorGoesToTheNext(t *testing.T) {
+	gateways := startGateways(t, "a", "b", "c")
+	gateways[0].Responded(limitedUpstream, core.Stamp{}, named(20), "r")
+	for _, g := range gateways {
+		awaitLimit(t, g, true)
+	}
+	silent := coordinatorOf(gateways, gateways[0])
+	silent.mu.Lock()
+	defer silent.mu.Unlock()
+	for _, g := range gateways {
+		if g == silent {
+			continue
+		}
+		permit, err := g.acquire(t, 5*silenceTimeout)
+		assert.NilError(t, err)
+		assert.Assert(t, g.MaySend(limitedUpstream, permit, "r"))
+	}
+}
+
 func TestAPermitAllowsOneSendForAShortTime(t *testing.T) {
 	g := startGateways(t, "a")[0]
 	assert.Assert(t, g.MaySend(limitedUpstream, nil, "r"), "no limit is known")
--- a/standin/gatewaytest/unheard_test.go
+++ b/standin/gatewaytest/unheard_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"acaciawinch/gateway/quarantine"
+	"acaciawinch/gateway/streamversion"
 	"acaciawinch/gateway/view"
 	"acaciawinch/platform/document"
 	"acaciawinch/standin/metastore"
@@ -81,15 +83,35 @@
 	assert.Equal(t, len(lost), 0)
 }
 
-// TestAWriteInASilenceIsMadeAgain guards against a gateway that is never listed, as the store never got its own object.
+// TestAWriteInASilenceIsMadeAgain guards against what the store never got: a gateway that is never listed, a crash that
+// no other gateway learns of, and software versions that are never settled.
 func TestAWriteInASilenceIsMadeAgain(t *testing.T) {
-	f := newFleet(t)
-	f.apply(baseConfig(1))
-	heard := f.unheard(view.MemberKind)
-	f.launchIn("g1", "z1")
-	f.waitLines(1, "register_failed")
-	heard()
-	f.waitUntil(func() bool { _, found := f.store.Get(view.MemberKind, "g1"); return found }, "the gateway is listed")
+	for _, test := range []struct {
+		kind string
+		// prepare comes before the silence, write makes the gateway write in it. The failure is logged, and the store holds
+		// want under a name at last.
+		prepare, write     func(f *fleet)
+		failed, name, want string
+	}{
+		{view.MemberKind, func(*fleet) {}, func(f *fleet) { f.launchIn("g1", "z1") }, "register_failed", "g1", "incarnation"},
+		{quarantine.RecordKind, func(f *fleet) { f.startCrashingEngines(3); f.start("g1") }, func(f *fleet) { f.send(f.gateways[0], "crash", "POST", "/strict/x", crashBody) },
+			"crash_record_unwritten", "g1", "llm-"},
+		{streamversion.RegisterKind, func(f *fleet) { f.startVersion("v1", 1) }, func(f *fleet) { f.launchIn("g1", "z1") }, "stream_register_unsynced", "llm", "v1"},
+	} {
+		t.Run(test.kind, func(t *testing.T) {
+			f := newFleet(t)
+			f.apply(baseConfig(1))
+			test.prepare(f)
+			heard := f.unheard(test.kind)
+			test.write(f)
+			f.waitLines(1, test.failed)
+			heard()
+			f.waitUntil(func() bool {
+				stored, _ := f.store.Get(test.kind, test.name)
+				return strings.Contains(string(stored.Spec), test.want)
+			}, "the store holds what was written")
+		})
+	}
 }
 
 // TestAnAnswerThatIsLostHidesNoChange guards against a watch that the store got and whose answer was lost.
