flow: a client is refused as too slow only if it is

Cause, from the log lines of these refusals: - The pace of a body was its mean since the first byte, so a client that paused once, while others were connecting, could not catch up. It is observed anew each second now, and two observations in a row must show that the body can't be complete. - What had come while the gateway did not run was read within 10 ms after the deadline of the read, or not at all. Setting the deadline and reading take longer in a busy process, and net/http then fails the read although bytes are there.

--- a/gateway/flow/body.go
+++ b/gateway/flow/body.go
@@ -12,21 +12,24 @@
 )
 
 // Bounds on the time in which a client sends a body. A client that stalls holds its memory no longer
-// than stallTime, and one that sends slowly no longer than until its deadline.
+// than stallTime and arrivedTime, and one that sends slowly no longer than until its deadline.
 const (
 	// stallTime is the time within which at least leastProgress bytes must come.
 	stallTime     = 2 * time.Second
 	leastProgress = 1 << 10
-	// paceTime is how long the pace of a body is observed before it counts.
-	paceTime = time.Second
+	// paceTime is how long the pace of a body is observed at a time. A client that pauses once and then
+	// sends fast is in time: maxSlowPaces observations in a row must show that the body can't be complete.
+	paceTime     = time.Second
+	maxSlowPaces = 2
 	// lateSlack allows for a pace that varies: a body whose end is expected later than the deadline by less
 	// than that part of the remaining time may still come.
 	lateSlack = 0.25
 	// discardTime bounds how long the rest of the body of a refused request is read, so that the client
 	// reads the response.
 	discardTime = 500 * time.Millisecond
-	// arrivedTime is the time in which bytes are read that have come before a deadline.
-	arrivedTime = 10 * time.Millisecond
+	// arrivedTime is the time in which bytes are read that have come before a deadline. A process that gets little
+	// processor time begins to read only after a part of it.
+	arrivedTime = 500 * time.Millisecond
 	// writeGrace is how long after its deadline a response may still be written to a client that reads slowly.
 	writeGrace = time.Second
 )
@@ -46,25 +49,38 @@
 	length   int64
 	deadline time.Time
 
-	began, windowBegan time.Time
-	read, windowRead   int64
+	// now is the clock.
+	now func() time.Time
+	// read is how many bytes were read.
+	read int64
+	// progress and pace began at a time, and count the bytes since then. slow is how many observations of
+	// the pace in a row were too slow.
+	progress, pace span
+	slow           int
+}
+
+// span counts the bytes since a time.
+type span struct {
+	began time.Time
+	bytes int64
 }
 
 // Read implements io.Reader.
 func (b *pacedBody) Read(p []byte) (int, error) {
-	now := time.Now()
-	if b.began.IsZero() {
-		b.began, b.windowBegan = now, now
+	if b.progress.began.IsZero() {
+		b.progress.began = b.now()
+		b.pace = b.progress
 	}
-	n, err := b.readUntil(earlier(b.windowBegan.Add(stallTime), b.deadline), p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(b.deadline) {
+	n, err := b.readUntil(earlier(b.progress.began.Add(stallTime), b.deadline), p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && b.now().Before(b.deadline) {
 		// This process may have been stopped meanwhile: what has come is read first.
-		n, err = b.readUntil(time.Now().Add(arrivedTime), p)
+		n, err = b.readUntil(b.now().Add(arrivedTime), p)
 	}
 	b.read += int64(n)
-	b.windowRead += int64(n)
+	b.progress.bytes += int64(n)
+	b.pace.bytes += int64(n)
 	if err == nil {
-		err = b.check(time.Now())
+		err = b.check(b.now())
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = &slowBodyError{"the client did not send the rest of the body in time"}
@@ -82,18 +98,23 @@
 
 // check returns an error if the body can't be complete in time.
 func (b *pacedBody) check(now time.Time) error {
-	if b.windowRead >= leastProgress {
-		b.windowBegan, b.windowRead = now, 0
+	if b.progress.bytes >= leastProgress {
+		b.progress = span{began: now}
 	}
-	took, missing := now.Sub(b.began), b.length-b.read
+	took, missing := now.Sub(b.pace.began), b.length-b.read
 	if took < paceTime || missing <= 0 {
 		return nil
 	}
-	needed := float64(took) / float64(b.read) * float64(missing)
-	if needed > (1+lateSlack)*float64(b.deadline.Sub(now)) {
-		return &slowBodyError{"at its pace the body would not be complete before the deadline"}
+	needed := float64(took) / float64(b.pace.bytes) * float64(missing)
+	b.pace = span{began: now}
+	if needed <= (1+lateSlack)*float64(b.deadline.Sub(now)) {
+		b.slow = 0
+		return nil
+	}
+	if b.slow++; b.slow < maxSlowPaces {
+		return nil
 	}
-	return nil
+	return &slowBodyError{"at its pace the body would not be complete before the deadline"}
 }
 
 // earlier returns the earlier of two times.
@@ -116,7 +137,7 @@
 // responds to the client and returns false.
 func (rq *request) receiveBody(limit int64) bool {
 	out := http.NewResponseController(rq.w)
-	paced := &pacedBody{ReadCloser: rq.r.Body, setDeadline: out.SetReadDeadline, length: rq.r.ContentLength, deadline: rq.deadline}
+	paced := &pacedBody{ReadCloser: rq.r.Body, setDeadline: out.SetReadDeadline, length: rq.r.ContentLength, deadline: rq.deadline, now: time.Now}
 	body, err := rq.readInto(http.MaxBytesReader(rq.w, paced, limit), limit)
 	if err == nil {
 		rq.body = body
@@ -125,8 +146,8 @@
 	}
 	// net/http reads the rest of a short body before it closes or keeps the connection; of a longer one, what
 	// comes until the client has read the response.
-	_ = out.SetReadDeadline(time.Now().Add(discardTime))
-	_ = framing.EndInOrder(rq.r)
+	_ = out.SetReadDeadline(time.Now().Add(discardTime)) // it fails on a closed connection only
+	_ = framing.EndInOrder(rq.r)                         // as above
 	var tooLong *http.MaxBytesError
 	var noRoom *memory.NoRoomError
 	var slow *slowBodyError
