memory: requests without a body find room beside many small bodies

What callers saw: with the memory full of bodies of up to 64 KiB whose clients stall, requests without a body on new connections got 503; a client whose connection or head was refused could be reset before it had read the refusal.

Cause: connections and bodies of up to 64 KiB shared one class, so that the bodies could take what the connections need. A refused connection was closed at once: closing one with unread bytes resets it.

Change: a class of its own for connections, heads and requests of up to 8 KiB, for which bulk and small bodies leave 10% of the budget. A refused connection is closed for writing, and then read until its client closes it or 0.5 s have passed; at most 256 at a time. A connection that is being closed keeps its reservation until then.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -2,15 +2,16 @@
 // grow is reserved before it is read; what finds no room is refused. One Budget bounds the whole
 // process, so that no number of clients, upstreams or gateways makes it exceed its memory.
 //
-// Bulk leaves room for Small, and both leave room for Completion, so that small requests go on and work
-// that has begun can end. Invariants: a reservation grows only if all reservations together stay within
-// the share of its class, and together they never exceed the budget.
+// Bulk leaves room for Small, both leave room for Tiny, and all leave room for Completion, so that small
+// requests go on and work that has begun can end. Invariants: a reservation grows only if all
+// reservations together stay within the share of its class, and together they never exceed the budget.
 package memory
 
 import (
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 )
@@ -21,17 +22,25 @@
 const (
 	// Bulk is for the parts of new requests beyond SmallBytes.
 	Bulk Class = iota
-	// Small is for connections and for new requests of up to SmallBytes.
+	// Small is for new requests of up to SmallBytes.
 	Small
+	// Tiny is for connections and for new requests of up to TinyBytes.
+	Tiny
 	// Completion is for what work that has begun brings: responses, results, messages, state of the fleet.
 	Completion
 )
 
 // shares holds the percentage of the budget up to which each class may fill it.
-var shares = [...]int64{Bulk: 80, Small: 90, Completion: 100}
+var shares = [...]int64{Bulk: 80, Small: 85, Tiny: 95, Completion: 100}
 
-// SmallBytes is the size up to which a request is small.
-const SmallBytes = 64 << 10
+// Sizes of new requests.
+const (
+	// SmallBytes is the size up to which a request is small.
+	SmallBytes = 64 << 10
+	// TinyBytes is the size up to which it is tiny: clients that send small bodies in great number leave room
+	// for those that send none.
+	TinyBytes = 8 << 10
+)
 
 // NoRoomError reports that the budget has no room for a reservation.
 type NoRoomError struct {
@@ -98,7 +107,7 @@
 }
 
 // Begin returns an empty Reservation. Bulk stands for new requests: one of up to SmallBytes counts as
-// Small.
+// Small, one of up to TinyBytes as Tiny.
 func (b *Budget) Begin(class Class) *Reservation {
 	if b == nil {
 		return nil
@@ -116,17 +125,25 @@
 	if r.ended {
 		return nil
 	}
-	class := r.class
-	if class == Bulk && r.bytes+bytes <= SmallBytes {
-		class = Small
-	}
-	if err := r.budget.add(class, bytes); err != nil {
+	if err := r.budget.add(r.classFor(r.bytes+bytes), bytes); err != nil {
 		return err
 	}
 	r.bytes += bytes
 	return nil
 }
 
+// classFor returns the class of the reservation if it has a size.
+func (r *Reservation) classFor(bytes int64) Class {
+	switch {
+	case r.class != Bulk || bytes > SmallBytes:
+		return r.class
+	case bytes > TinyBytes:
+		return Small
+	default:
+		return Tiny
+	}
+}
+
 // Shrink returns bytes to the budget, at most those that are reserved.
 func (r *Reservation) Shrink(bytes int64) {
 	if r == nil {
@@ -175,7 +192,8 @@
 // error; of content that is longer only that length is read.
 func ReadAll(r *Reservation, source io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
-		return readGrowing(r, source)
+		content, _, err := readGrowing(r, source, math.MaxInt)
+		return content, err
 	}
 	if err := r.Grow(length); err != nil {
 		return nil, err
@@ -191,8 +209,8 @@
 // ReadUpTo reads source, of at most a number of bytes, to its end. Content beyond SmallBytes is read only if there is
 // room for the most that it can be, which is reserved at once: of many that grow together, those that begin can end.
 func ReadUpTo(r *Reservation, source io.Reader, most int64) ([]byte, error) {
-	head, err := readGrowing(r, io.LimitReader(source, SmallBytes))
-	if err != nil || len(head) < SmallBytes {
+	head, ended, err := readGrowing(r, source, SmallBytes)
+	if err != nil || ended {
 		return head, err
 	}
 	// A buffer of up to most bytes and the one before, of half its size, exist at the same time.
@@ -200,31 +218,32 @@
 	if err := r.Grow(reserved); err != nil {
 		return head, err
 	}
-	content, err := readGrowing(nil, io.MultiReader(bytes.NewReader(head), source))
+	content, _, err := readGrowing(nil, io.MultiReader(bytes.NewReader(head), source), math.MaxInt)
 	r.Shrink(reserved + int64(cap(head)) - int64(cap(content)))
 	return content, err
 }
 
-// readGrowing reads content of unknown length into a buffer that doubles.
-func readGrowing(r *Reservation, source io.Reader) ([]byte, error) {
-	var content []byte
-	for {
+// readGrowing reads content of unknown length, up to a number of bytes, into a buffer that doubles. Ended is
+// set if the content ended before that.
+func readGrowing(r *Reservation, source io.Reader, most int) (content []byte, ended bool, err error) {
+	for len(content) < most {
 		if len(content) == cap(content) {
 			grown, err := enlarge(r, content)
 			if err != nil {
-				return content, err
+				return content, false, err
 			}
 			content = grown
 		}
-		n, err := source.Read(content[len(content):cap(content)])
+		n, err := source.Read(content[len(content):min(cap(content), most)])
 		content = content[:len(content)+n]
 		if err == io.EOF {
-			return content, nil
+			return content, true, nil
 		}
 		if err != nil {
-			return content, err
+			return content, false, err
 		}
 	}
+	return content, false, nil
 }
 
 // enlarge returns the content in a buffer of twice the size. Both buffers are reserved while they exist.
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -23,7 +23,7 @@
 		for range 2000 {
 			switch at := random.IntN(max(1, len(held))); {
 			case len(held) == 0 || random.IntN(4) == 0:
-				held = append(held, b.Begin(Class(random.IntN(3))))
+				held = append(held, b.Begin(Class(random.IntN(len(shares)))))
 			case random.IntN(3) == 0:
 				held[at].Release()
 				held = append(held[:at], held[at+1:]...)
@@ -54,12 +54,19 @@
 		for b.Begin(class).Grow(size) == nil {
 		}
 	}
+	noRoomFor := func(size int64) {
+		var noRoom *NoRoomError
+		err := b.Begin(Bulk).Grow(size)
+		assert.Assert(t, errors.As(err, &noRoom), "%d bytes: %v", size, err)
+	}
 	fill(Bulk, 1<<20)
+	noRoomFor(1 << 20)
 	assert.NilError(t, b.Begin(Bulk).Grow(SmallBytes))
 	fill(Small, 1<<10)
-	err := b.Begin(Bulk).Grow(SmallBytes)
-	var noRoom *NoRoomError
-	assert.Assert(t, errors.As(err, &noRoom), "%v", err)
+	noRoomFor(SmallBytes)
+	assert.NilError(t, b.Begin(Bulk).Grow(TinyBytes))
+	fill(Tiny, 1<<10)
+	noRoomFor(TinyBytes)
 	assert.NilError(t, b.Begin(Completion).Grow(1<<19))
 }
 
--- a/gateway/framing/framing.go
+++ b/gateway/framing/framing.go
@@ -36,8 +36,13 @@
 // only a part of its head, so that it has not run.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// refusalTimeout bounds the sending of a refusal.
-const refusalTimeout = 100 * time.Millisecond
+const (
+	// refusalTimeout bounds the sending of a refusal.
+	refusalTimeout = 100 * time.Millisecond
+	// maxRefused bounds the refused connections that are read until their client closes them. Others are
+	// closed at once, which may reset them before the client has read the refusal.
+	maxRefused = 256
+)
 
 // refuse sends a refusal.
 func refuse(to net.Conn) {
@@ -59,12 +64,25 @@
 		if err != nil {
 			return nil, err
 		}
-		room := l.Memory.Begin(memory.Small)
+		room := l.Memory.Begin(memory.Tiny)
 		if room.Grow(connBytes) == nil {
 			return &conn{Conn: accepted, inHead: true, room: room}, nil
 		}
 		refuse(accepted)
-		_ = accepted.Close() // it was not used
+		closeRefused(accepted)
+	}
+}
+
+// refused counts the refused connections of all listeners that are read until their clients close them.
+var refused = make(chan struct{}, maxRefused)
+
+// closeRefused closes a refused connection, in order if few others are being closed.
+func closeRefused(accepted net.Conn) {
+	select {
+	case refused <- struct{}{}:
+		_ = closeWhenRead(accepted, func() { <-refused }) // no response follows
+	default:
+		_ = accepted.Close() // no response follows
 	}
 }
 
@@ -97,6 +115,7 @@
 	}
 	if noRoom := c.growHead(n); noRoom != nil {
 		refuse(c.Conn)
+		c.drains.Store(true)                                                              // the client may still be sending
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: noRoom} // net/http sends nothing after an error of this type
 	}
 	c.scan(p[:n])
--- a/gateway/framing/memory_test.go
+++ b/gateway/framing/memory_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,6 +23,14 @@
 			budget := memory.New(8 * connBytes)
 			server := &http.Server{Handler: http.NotFoundHandler(), MaxHeaderBytes: 32 << 10}
 			Enable(server)
+			closed := make(chan struct{}, 24)
+			readied := server.ConnState
+			server.ConnState = func(c net.Conn, state http.ConnState) {
+				readied(c, state)
+				if state == http.StateClosed {
+					closed <- struct{}{}
+				}
+			}
 			go func() { _ = server.Serve(Listener{Listener: listener, Memory: budget}) }() // it returns when the server is closed
 			defer server.Close()
 			refused := make(chan *http.Response, 1)
@@ -49,7 +56,7 @@
 				_ = conn.Close() // some are closed already
 			}
 			for budget.Usage().Used > 0 {
-				time.Sleep(time.Millisecond)
+				<-closed
 			}
 		})
 	}
--- a/gateway/framing/reset.go
+++ b/gateway/framing/reset.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -65,17 +66,25 @@
 // first and then read until the client closes it: closing a connection with unread bytes resets it, and
 // the end of the response would be lost.
 func (c *conn) Close() error {
-	defer c.room.Release()
 	if !c.drains.CompareAndSwap(true, false) {
+		defer c.room.Release()
 		return c.Conn.Close()
 	}
-	writer, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || writer.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTime)) != nil {
-		return c.Conn.Close()
+	return closeWhenRead(c.Conn, c.room.Release)
+}
+
+// closeWhenRead closes a connection for writing, reads it until the client closes it or drainTime has
+// passed, and then closes it and calls closed. It does not wait for that.
+func closeWhenRead(from net.Conn, closed func()) error {
+	writer, ok := from.(interface{ CloseWrite() error })
+	if !ok || writer.CloseWrite() != nil || from.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		defer closed()
+		return from.Close()
 	}
 	go func() {
-		_, _ = io.Copy(io.Discard, c.Conn) // whatever ends it, the connection is closed
-		_ = c.Conn.Close()                 // no response is left to fail
+		defer closed()
+		_, _ = io.Copy(io.Discard, from) // whatever ends it, the connection is closed
+		_ = from.Close()                 // no response is left to fail
 	}()
 	return nil
 }
--- a/standin/bench/bodies/bodies.go
+++ b/standin/bench/bodies/bodies.go
@@ -38,8 +38,16 @@
 	sendTime   = 2500 * time.Millisecond
 	// patience is how long a client repeats a request that was refused.
 	patience = 12 * time.Second
+	// leastTime is the time that a client must have left to try again.
+	leastTime = time.Second
 	// smallClients send small requests one after the other.
 	smallClients = 16
+	// smallTimeout bounds a small request, smallPause is the time between two of a client.
+	smallTimeout = 3 * time.Second
+	smallPause   = 20 * time.Millisecond
+	// applyTime is longer than a change of the configuration takes, workTime is how long the upstream works.
+	applyTime = time.Second
+	workTime  = 50 * time.Millisecond
 	// memoryMB is that of the gateway's settings; a process above it is killed, as by the platform.
 	memoryMB = 284
 )
@@ -123,7 +131,7 @@
 	}
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Response-Stamp", "stamp")
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(workTime)
 }
 
 // prepare makes the configuration allow long bodies, and puts the upstream in the place of the stand-ins.
@@ -139,7 +147,7 @@
 		f.Store.Remove("servers", name)
 	}
 	f.Store.Put("servers", "bodies-1", platformdoc.Worker{Service: service, Address: upstream, Zone: "sala-inaquito", Slots: 512, State: "ready"})
-	time.Sleep(time.Second) // the change is in force well before
+	time.Sleep(applyTime)
 	return nil
 }
 
@@ -187,17 +195,17 @@
 		reader := bufio.NewReader(conn)
 		for ; err == nil && ctx.Err() == nil; try++ {
 			var status int
-			_ = conn.SetDeadline(time.Now().Add(3 * time.Second)) // if it fails, so does the write
-			if err = writeHead(conn, fmt.Sprintf("small-%d-%d", number, try), "Content-Length: 0\r\n", 3*time.Second); err == nil {
+			_ = conn.SetDeadline(time.Now().Add(smallTimeout)) // if it fails, so does the write
+			if err = writeHead(conn, fmt.Sprintf("small-%d-%d", number, try), "Content-Length: 0\r\n", smallTimeout); err == nil {
 				status, _, err = readStatus(reader)
 			}
 			r.countSmall(err == nil && status == http.StatusOK)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(smallPause)
 		}
 		if conn != nil {
 			_ = conn.Close() // it has failed, or the run is over
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(smallPause)
 	}
 }
 
@@ -216,7 +224,7 @@
 func (r *run) sendLong(number int) {
 	stalls := r.options.Mode == Stalling && number%2 == 0
 	status, began := 0, time.Now()
-	for try := 0; time.Since(began) < patience; try++ {
+	for try := 0; time.Since(began) < patience-leastTime; try++ {
 		var after time.Duration
 		var err error
 		status, after, err = r.tryLong(fmt.Sprintf("long-%d-%d", number, try), patience-time.Since(began), stalls)
--- a/standin/gatewaytest/memory_test.go
+++ b/standin/gatewaytest/memory_test.go
@@ -15,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"acaciawinch/core/memory"
+	"acaciawinch/gateway"
 	"acaciawinch/standin/platformdoc"
 )
 
@@ -113,17 +115,24 @@
 	}
 }
 
-// TestSmallRequestsGoOnBesideLongBodies: clients that fill the memory with long bodies, and stall in them, keep no small
-// request from being served.
+// TestSmallRequestsGoOnBesideLongBodies: clients that fill the memory with bodies, long ones or many small ones, and stall in
+// them, keep no request without such a body from being served, also on new connections.
 func TestSmallRequestsGoOnBesideLongBodies(t *testing.T) {
-	f := newFleet(t)
-	g, _ := f.startForLongBodies()
-	for i := range longBodies {
-		f.sendPart(g, fmt.Sprint("stalls", i), fmt.Sprintf("Content-Length: %d", longBytes), "x")
-	}
-	f.waitLines(1, "gateway_refused", "no memory")
-	for i := range 20 {
-		assert.Equal(t, f.send(g, fmt.Sprint("small", i), "POST", "/once/x", "b").status, http.StatusOK)
+	for name, bodyBytes := range map[string]int{"long": longBytes, "small": memory.SmallBytes} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.adjust = func(s *gateway.Settings) { s.Process.MemoryMB = 96 }
+			g, _ := f.startForLongBodies()
+			for i := 0; ; i++ {
+				f.sendPart(g, fmt.Sprint("stalls", i), fmt.Sprintf("Content-Length: %d", bodyBytes), "x")
+				if refused, _ := f.log.lines("gateway_refused", "no memory"); len(refused) > 0 && i >= longBodies {
+					break
+				}
+			}
+			for i := range 20 {
+				assert.Equal(t, f.send(g, fmt.Sprint("small", i), "POST", "/once/x", "b").status, http.StatusOK)
+			}
+		})
 	}
 }
 
