memory: tasks, their items and queued replies are reserved

What callers could do: a request of some hundred bytes names up to 10,000 items for each stage of its route, and its gateway and the owners of the pools keep a record and a handle of each. A few hundred such requests, from clients of any gateway, exceed the memory of one owner, which the platform kills with all requests in flight. Replies to a gateway that does not read wait in a queue that was bounded in number only.

Cause: the budget covered bytes that are read, and not what a few bytes make a gateway allocate.

Change: the items of a request are reserved with its body, before it; a request that finds no room gets 503 with Retry-After, and nothing of it has run. The owner of a pool reserves each task when it arrives, until it ends; a task without room fails at once ("no_memory"), and its request gets 503. A reply is reserved until it is sent; without room the caller's stream is closed, as when the queue is full.

Without the change nothing refuses a task.

--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -57,7 +57,7 @@
 	// value is the weight of the request against others of the same rank.
 	value float64
 	body  []byte
-	// room is the memory of the body, answerRoom that of the response.
+	// room is the memory of the body and of the items of the stages, answerRoom that of the response.
 	room, answerRoom *memory.Reservation
 	// fingerprint is equal for all attempts at the same request, subject also has the parts of its prompt that other
 	// requests may share.
@@ -292,6 +292,9 @@
 	if rq.r.ContentLength > limit {
 		return rq.refuse(http.StatusRequestEntityTooLarge, "request.body", "request body exceeds the size limit", 0)
 	}
+	if err := rq.room.Grow(rq.itemBytes()); err != nil {
+		return rq.refuse(http.StatusServiceUnavailable, "request.items", err.Error(), retryAfterBusy)
+	}
 	if rq.r.ContentLength != 0 && !rq.receiveBody(limit) {
 		return false
 	}
@@ -300,6 +303,15 @@
 	return true
 }
 
+// itemBytes returns the memory of the items of the request's stages, whose number the client chooses.
+func (rq *request) itemBytes() int64 {
+	items := 0
+	for _, count := range rq.hdr.Items {
+		items += count
+	}
+	return int64(items) * pools.ItemBytes
+}
+
 // identifyParts returns the fingerprints of parts of a prompt.
 func identifyParts(ids []string) []fingerprint.Fingerprint {
 	parts := make([]fingerprint.Fingerprint, len(ids))
--- a/gateway/pools/early.go
+++ b/gateway/pools/early.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"acaciawinch/core/memory"
 	"acaciawinch/observe"
 	"acaciawinch/observe/event"
 )
@@ -14,6 +15,7 @@
 	number  uint64
 	task    Task
 	notify  Notify
+	room    *memory.Reservation
 	arrived time.Time
 }
 
@@ -35,11 +37,11 @@
 // all gateways are lost at once, the first to restart submit tasks to an owner that does not
 // know its pools yet; a third of the tasks that such an owner refused at once could have been
 // served. o.mu must be held.
-func (o *Owner) holdEarlyTask(session *Session, number uint64, task Task, notify Notify) bool {
+func (o *Owner) holdEarlyTask(session *Session, number uint64, task Task, notify Notify, room *memory.Reservation) bool {
 	if o.configKnown() || o.leaving || len(o.earlyTasks) >= maxEarly {
 		return false
 	}
-	o.earlyTasks = append(o.earlyTasks, earlyTask{session: session, number: number, task: task, notify: notify, arrived: time.Now()})
+	o.earlyTasks = append(o.earlyTasks, earlyTask{session: session, number: number, task: task, notify: notify, room: room, arrived: time.Now()})
 	return true
 }
 
@@ -84,11 +86,17 @@
 		held.task.Remaining -= waited
 		held.task.Due -= waited
 		held.task.Ends -= waited
-		held.session.submit(held.number, held.task, held.notify)
+		held.session.submit(held.number, held.task, held.notify, held.room)
 	}
 }
 
 // dropEarlyTask drops a session's held task. o.mu must be held.
 func (o *Owner) dropEarlyTask(s *Session, number uint64) {
-	o.earlyTasks = slices.DeleteFunc(o.earlyTasks, func(held earlyTask) bool { return held.session == s && held.number == number })
+	o.earlyTasks = slices.DeleteFunc(o.earlyTasks, func(held earlyTask) bool {
+		dropped := held.session == s && held.number == number
+		if dropped {
+			held.room.Release()
+		}
+		return dropped
+	})
 }
--- a/gateway/pools/owner.go
+++ b/gateway/pools/owner.go
@@ -123,6 +123,8 @@
 	// number of the task.
 	session *Session
 	number  uint64
+	// room is the memory of the task, which its end releases.
+	room *memory.Reservation
 }
 
 // keptResult is a result that an upstream keeps.
@@ -150,8 +152,8 @@
 		callers: make(map[string]*caller), metrics: newMetrics(tally.NoopScope), reportWait: reportWait}
 }
 
-// UseMemory makes the responses to calls reserve their memory in a budget while they are read. It must be
-// called before Run.
+// UseMemory makes tasks, the responses to calls while they are read, and the replies to other gateways until they are
+// sent reserve their memory in a budget. It must be called before Run.
 func (o *Owner) UseMemory(budget *memory.Budget) { o.memory = budget }
 
 // Observe makes the Owner report its metrics to scope. It must be called before Run.
@@ -337,9 +339,9 @@
 	return calls
 }
 
-// submit queues a task for a session, and reports whether the configuration has its pool. o.mu
-// must be held.
-func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify) bool {
+// submit queues a task for a session, and reports whether the configuration has its pool; then the task
+// owns room. o.mu must be held.
+func (o *Owner) submit(session *Session, number uint64, task Task, notify Notify, room *memory.Reservation) bool {
 	p := o.pool(task.Part)
 	if p == nil {
 		return false
@@ -353,6 +355,7 @@
 		notify:  notify,
 		session: session,
 		number:  number,
+		room:    room,
 		endsAt:  now.Add(task.Ends),
 		queued: &pool.Task{
 			Ticket:    o.lastTicket,
@@ -408,6 +411,7 @@
 	}
 	delete(p.tasks, ticket)
 	delete(task.session.tasks, task.number)
+	task.room.Release()
 	p.queue.Cancel(ticket)
 	return task
 }
--- a/gateway/pools/serve.go
+++ b/gateway/pools/serve.go
@@ -10,7 +10,7 @@
 )
 
 // replyQueueSize bounds the replies queued for a slow caller. The stream of a caller that falls
-// further behind is closed; the caller then submits its tasks to another owner.
+// further behind, or for whose replies there is no memory, is closed; the caller then submits its tasks to another owner.
 const replyQueueSize = 1024
 
 // Server serves an Owner to the other gateways.
@@ -25,20 +25,19 @@
 // Work implements wirepb.DRPCPoolServer.
 func (s *Server) Work(stream wirepb.DRPCPool_WorkStream) error {
 	session := s.owner.Session(false)
+	queue := newReplyQueue(s.owner.memory)
+	defer queue.drop()
 	defer session.End()
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	replies := make(chan *wirepb.PoolReply, replyQueueSize)
-	go sendReplies(ctx, cancel, stream, replies)
+	go sendReplies(ctx, cancel, stream, queue)
 	for {
 		request, err := stream.Recv()
 		if err != nil {
 			return nil // a stream normally ends when the caller closes it
 		}
 		handleRequest(session, request, func(reply *wirepb.PoolReply) {
-			select {
-			case replies <- reply:
-			default:
+			if !queue.add(reply) {
 				cancel()
 			}
 		})
@@ -49,14 +48,16 @@
 }
 
 // sendReplies writes replies until ctx ends or the stream breaks.
-func sendReplies(ctx context.Context, cancel context.CancelFunc, stream wirepb.DRPCPool_WorkStream, replies <-chan *wirepb.PoolReply) {
+func sendReplies(ctx context.Context, cancel context.CancelFunc, stream wirepb.DRPCPool_WorkStream, queue *replyQueue) {
 	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case reply := <-replies:
-			if err := stream.Send(reply); err != nil {
+		case reply := <-queue.replies:
+			err := stream.Send(reply.message)
+			reply.room.Release()
+			if err != nil {
 				return // the caller is gone; Recv ends as well
 			}
 		}
--- a/gateway/pools/session.go
+++ b/gateway/pools/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciawinch/core/memory"
 	"acaciawinch/core/pool"
 )
 
@@ -30,26 +31,29 @@
 	return &Session{owner: o, local: local, tasks: make(map[uint64]taskRef)}
 }
 
-// Submit queues a task under the caller's number.
+// Submit queues a task under the caller's number. A task that finds no memory ends at once.
 func (s *Session) Submit(number uint64, task Task, notify Notify) {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
-	s.submit(number, task, notify)
-}
-
-// submit queues a task. The Owner's lock must be held.
-func (s *Session) submit(number uint64, task Task, notify Notify) {
-	if s.ended {
+	room := s.owner.memory.Begin(memory.Bulk)
+	if room.Grow(task.size()) != nil {
+		notify.Done(Result{Failure: NoMemory})
 		return
 	}
-	if s.owner.leaving && !s.local {
+	s.submit(number, task, notify, room)
+}
+
+// submit queues a task, whose memory is room. The Owner's lock must be held.
+func (s *Session) submit(number uint64, task Task, notify Notify, room *memory.Reservation) {
+	switch {
+	case s.ended:
+		room.Release()
+	case s.owner.leaving && !s.local:
+		room.Release()
 		notify.Done(Result{Failure: OwnerLeft})
-		return
-	}
-	if s.owner.holdEarlyTask(s, number, task, notify) {
-		return
-	}
-	if !s.owner.submit(s, number, task, notify) {
+	case s.owner.holdEarlyTask(s, number, task, notify, room):
+	case !s.owner.submit(s, number, task, notify, room):
+		room.Release()
 		notify.Done(Result{Failure: Failed})
 	}
 }
--- a/gateway/pools/task.go
+++ b/gateway/pools/task.go
@@ -90,6 +90,8 @@
 	Evacuated Failure = "evacuated"
 	// Failed: the upstreams failed.
 	Failed Failure = "failed"
+	// NoMemory: the owner has no memory for the task, of which nothing has run.
+	NoMemory Failure = "no_memory"
 	// OwnerLost: the owner stopped responding before the task ended.
 	OwnerLost Failure = "owner_lost"
 	// OwnerLeft: the owner is stopping or another gateway has become the owner, and none of the
--- a/standin/gatewaytest/memory_test.go
+++ b/standin/gatewaytest/memory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"acaciawinch/core/memory"
 	"acaciawinch/gateway"
 	"acaciawinch/standin/platformdoc"
+	"acaciawinch/standin/worker"
 )
 
 // longBodies is how many clients send a body of longBytes at once: three times what the memory of the gateway holds.
@@ -152,3 +154,24 @@
 	assert.Equal(t, f.send(g, "after", "POST", "/once/x", longBody).status, http.StatusOK)
 	assert.Equal(t, int(runs.Load()), 1)
 }
+
+// TestItemsThatFindNoMemoryAreRefused guards against a short request that names so many items for its stages that the gateway
+// can't hold them.
+func TestItemsThatFindNoMemoryAreRefused(t *testing.T) {
+	const stages, items = 16, "10000"
+	f := newFleet(t)
+	f.adjust = func(s *gateway.Settings) { s.Process.MemoryMB = 96 }
+	f.startWorker("llm-1", "llm", worker.Engine)
+	enc := f.startWorker("enc-1", "enc", worker.Stage)
+	d := baseConfig(1)
+	d.Routes[2].Stages = slices.Repeat([]platformdoc.Stage{{Service: "enc", After: []int{}, ByteCount: 1000}}, stages)
+	f.apply(d)
+	g := f.start("g1")
+	headers := []string{"X-Piece-Key", "k", "X-Pieces", strings.Join(slices.Repeat([]string{items}, stages), ",")}
+	got := f.send(g, "many", "POST", "/stream/x", "p", headers...)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "" && strings.Contains(got.body, "no memory"), "%s", got.body)
+	assert.Equal(t, len(enc.Batches()), 0)
+	few := f.send(g, "few", "POST", "/stream/x", "p", "X-Piece-Key", "k", "X-Pieces", "1")
+	assert.Equal(t, few.status, http.StatusOK)
+}
