memory: what the store and other gateways tell keeps room of its own

Found by reading: responses of the store, messages and lists of other gateways shared the last part of the budget with upstream connections, heads, events and responses that are read ahead. Clients and upstreams that fill it would keep a gateway from hearing of changes, and its links to other gateways would close.

Change: a class State, for which all others leave 5% of the budget. Reading a response ahead needs no memory, as it can be passed on as it comes: it leaves room for connections, heads, events and results now, as new small requests do. Bulk may fill 75% in place of 80%.

TestEachClassLeavesRoomForTheNext checks the order of the classes with the one that is new.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -2,9 +2,10 @@
 // grow is reserved before it is read; what finds no room is refused. One Budget bounds the whole
 // process, so that no number of clients, upstreams or gateways makes it exceed its memory.
 //
-// Bulk leaves room for Small, both leave room for Tiny, and all leave room for Completion, so that small
-// requests go on and work that has begun can end. Invariants: a reservation grows only if all
-// reservations together stay within the share of its class, and together they never exceed the budget.
+// Each class leaves room for those after it: Bulk, Small, Tiny, Completion, State. So small requests go
+// on beside long ones, work that has begun can end, and the process keeps hearing of the fleet.
+// Invariants: a reservation grows only if all reservations together stay within the share of its class,
+// and together they never exceed the budget.
 package memory
 
 import (
@@ -24,14 +25,16 @@
 	Bulk Class = iota
 	// Small is for new requests of up to SmallBytes.
 	Small
-	// Tiny is for connections and for new requests of up to TinyBytes.
+	// Tiny is for connections, for new requests of up to TinyBytes, and for responses that are read ahead.
 	Tiny
-	// Completion is for what work that has begun brings: responses, results, messages, state of the fleet.
+	// Completion is for what work that has begun needs: connections to upstreams, heads, events, results.
 	Completion
+	// State is for what the store and other gateways tell.
+	State
 )
 
 // shares holds the percentage of the budget up to which each class may fill it.
-var shares = [...]int64{Bulk: 80, Small: 85, Tiny: 95, Completion: 100}
+var shares = [...]int64{Bulk: 75, Small: 80, Tiny: 90, Completion: 95, State: 100}
 
 // Sizes of new requests.
 const (
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// TestSmallRequestsAndCompletionsFindRoomBesideBulk: neither new long bodies nor small requests keep work that has
-// begun from ending.
-func TestSmallRequestsAndCompletionsFindRoomBesideBulk(t *testing.T) {
+// TestEachClassLeavesRoomForTheNext: neither new long bodies nor small requests keep work that has begun from ending, and nothing
+// that clients and upstreams do keeps the process from hearing of the fleet.
+func TestEachClassLeavesRoomForTheNext(t *testing.T) {
 	b := New(10 << 20)
 	fill := func(class Class, size int64) {
 		for b.Begin(class).Grow(size) == nil {
@@ -67,7 +67,9 @@
 	assert.NilError(t, b.Begin(Bulk).Grow(TinyBytes))
 	fill(Tiny, 1<<10)
 	noRoomFor(TinyBytes)
-	assert.NilError(t, b.Begin(Completion).Grow(1<<19))
+	assert.NilError(t, b.Begin(Completion).Grow(1<<18))
+	fill(Completion, 1<<10)
+	assert.NilError(t, b.Begin(State).Grow(1<<18))
 }
 
 // TestReadAllReservesBeforeItReads: content without room is not read, and what was reserved is returned.
--- a/gateway/flow/handler.go
+++ b/gateway/flow/handler.go
@@ -57,8 +57,9 @@
 	// value is the weight of the request against others of the same rank.
 	value float64
 	body  []byte
-	// room is the memory of the body and of the items of the stages, answerRoom that of the response.
-	room, answerRoom *memory.Reservation
+	// room is the memory of the body and of the items of the stages, aheadRoom that of a response that is
+	// read ahead, and eventRoom that of the events of a stream.
+	room, aheadRoom, eventRoom *memory.Reservation
 	// fingerprint is equal for all attempts at the same request, subject also has the parts of its prompt that other
 	// requests may share.
 	fingerprint fingerprint.Fingerprint
@@ -128,9 +129,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	rq := &request{Server: s, w: w, r: r, started: time.Now(), room: s.Memory.Begin(memory.Bulk), answerRoom: s.Memory.Begin(memory.Completion)}
+	rq := &request{Server: s, w: w, r: r, started: time.Now(),
+		room: s.Memory.Begin(memory.Bulk), aheadRoom: s.Memory.Begin(memory.Tiny), eventRoom: s.Memory.Begin(memory.Completion)}
 	defer rq.room.Release()
-	defer rq.answerRoom.Release()
+	defer rq.aheadRoom.Release()
+	defer rq.eventRoom.Release()
 	if !rq.admit() {
 		return
 	}
--- a/gateway/flow/relay.go
+++ b/gateway/flow/relay.go
@@ -53,7 +53,7 @@
 // readAhead reads a response up to maxBufferedResponse, as far as there is memory for it, and reports
 // whether what it returns is the whole response.
 func (rq *request) readAhead(response *httpconn.Response) (content []byte, whole bool, err error) {
-	content, err = memory.ReadAll(rq.answerRoom, io.LimitReader(response.Body, maxBufferedResponse+1), -1)
+	content, err = memory.ReadAll(rq.aheadRoom, io.LimitReader(response.Body, maxBufferedResponse+1), -1)
 	var noRoom *memory.NoRoomError
 	if errors.As(err, &noRoom) {
 		return content, false, nil
--- a/gateway/flow/stream.go
+++ b/gateway/flow/stream.go
@@ -33,7 +33,7 @@
 	arrivals := rq.observeArrivals(upstream, response)
 	defer arrivals.ended()
 	reader := events.NewReader(arrivals)
-	reader.ReserveIn(rq.answerRoom)
+	reader.ReserveIn(rq.eventRoom)
 	for {
 		next, err := rq.silence.watch.next(reader)
 		if err == io.EOF {
--- a/gateway/relay/packed.go
+++ b/gateway/relay/packed.go
@@ -136,7 +136,7 @@
 
 // useMemory makes the assembler reserve the memory of pieces and lists in a budget. It must be called before add.
 func (a *assembler) useMemory(budget *memory.Budget) {
-	a.budget, a.room = budget, budget.Begin(memory.Completion)
+	a.budget, a.room = budget, budget.Begin(memory.State)
 }
 
 // close releases the memory of the pieces.
@@ -160,7 +160,7 @@
 	}
 	delete(a.joined, m.GetKind())
 	defer a.room.Shrink(int64(len(joined)))
-	list := a.budget.Begin(memory.Completion)
+	list := a.budget.Begin(memory.State)
 	defer list.Release()
 	changes, err := decompress(joined, list)
 	if err != nil {
--- a/wire/link/memory.go
+++ b/wire/link/memory.go
@@ -23,7 +23,7 @@
 
 // newMessageConn returns a messageConn that reserves in a budget; nil sets no bound.
 func newMessageConn(conn net.Conn, budget *memory.Budget) *messageConn {
-	return &messageConn{Conn: conn, room: budget.Begin(memory.Completion)}
+	return &messageConn{Conn: conn, room: budget.Begin(memory.State)}
 }
 
 // Read implements net.Conn.
