--- a/standin/soak/bodies.go
+++ b/standin/soak/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,7 +18,8 @@
 	"acaciawinch/standin/platformfleet"
 )
 
-// BurstBodies makes many clients send long bodies to a gateway at once; half of them stop within their body.
+// BurstBodies makes many clients send long bodies to a gateway at once, some of them in chunks; half of them stop within their
+// body.
 // Steps of this kind are drawn from a random source of their own, so that the plans of older seeds do not change.
 const BurstBodies Kind = "long bodies"
 
@@ -28,6 +30,8 @@
 	// fewestBodies and mostBodies bound the clients of a step; a gateway has memory for about 20 of them.
 	fewestBodies = 60
 	mostBodies   = 240
+	// chunkedEvery is how many clients there are for each one that sends its body in chunks.
+	chunkedEvery = 3
 	// bodyPause is the time between the first quarter of a body and the rest.
 	bodyPause = 300 * time.Millisecond
 	// bodyPatience bounds how long a client waits for its response.
@@ -47,14 +51,17 @@
 // burstBodies sends the bodies of a step and waits until all clients have a response or have given up.
 func (s *soak) burstBodies(ctx context.Context, step Step) {
 	address := s.fleet.Gateways[step.Target%len(s.fleet.Gateways)].Clients
-	body := strings.Repeat("x", longBody)
+	body := bytes.Repeat([]byte("x"), longBody)
 	var clients sync.WaitGroup
 	for number := range fewestBodies + step.Choice {
 		sent := body
 		if number%2 == 0 {
 			sent = body[:longBody/2]
 		}
-		clients.Go(func() { s.sendLong(ctx, address, fmt.Sprintf("%sbody-%d-%d", probePrefix, step.At, number), sent) })
+		chunked := number%chunkedEvery == 0
+		clients.Go(func() {
+			s.sendLong(ctx, address, fmt.Sprintf("%sbody-%d-%d", probePrefix, step.At, number), sent, chunked)
+		})
 	}
 	clients.Wait()
 	s.checkMemory()
@@ -62,7 +69,7 @@
 
 // sendLong sends the head of a request with a long body, and what its client sends of the body. A gateway that
 // faults strike gives no response.
-func (s *soak) sendLong(ctx context.Context, address, id, part string) {
+func (s *soak) sendLong(ctx context.Context, address, id string, part []byte, chunked bool) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -72,13 +79,20 @@
 	if conn.SetDeadline(time.Now().Add(bodyPatience)) != nil {
 		return
 	}
+	length, end := fmt.Sprintf("Content-Length: %d\r\n\r\n", longBody), ""
+	if chunked {
+		length, end = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", longBody), "\r\n0\r\n\r\n"
+	}
 	go func() {
-		_, _ = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-			safeRoute, platformfleet.Host, id, bodyPatience.Milliseconds(), platformfleet.Key, longBody)
+		_, _ = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s",
+			safeRoute, platformfleet.Host, id, bodyPatience.Milliseconds(), platformfleet.Key, length)
 		// All bodies have begun before the first one ends. A refused client is cut.
-		_, _ = io.WriteString(conn, part[:longBody/4])
+		_, _ = conn.Write(part[:longBody/4])
 		sleep(ctx, bodyPause)
-		_, _ = io.WriteString(conn, part[longBody/4:])
+		_, _ = conn.Write(part[longBody/4:])
+		if len(part) == longBody {
+			_, _ = io.WriteString(conn, end)
+		}
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
