--- a/standin/platformfleet/documents.go
+++ b/standin/platformfleet/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"acaciawinch/standin/platformdoc"
 )
@@ -29,12 +30,18 @@
 // MemoryMB is the memory in MB that a gateway may use.
 const MemoryMB = 284
 
+// zone is the availability zone of the gateways and of the workers.
+const zone = "sala-inaquito"
+
+// EvacuateWithin is the time after which an evacuated zone must get no new work.
+const EvacuateWithin = 5 * time.Second
+
 // settings returns the settings file of a gateway. The addresses are those for clients, readiness, the
 // fleet and metrics, in this order.
 func settings(name, store string, addresses [4]string) string {
 	return fmt.Sprintf(`[process]
 name = %q
-zone = "sala-inaquito"
+zone = %q
 memory_mb = %d
 
 [listen]
@@ -48,11 +55,12 @@
 
 [bounds]
 revoke_ms = 5000
+evacuate_ms = %d
 grace_s = 4
 retry_ratio = 0.2
 retry_slack = 54
 
 [fleet]
 key = "demo"
-`, name, MemoryMB, addresses[0], addresses[1], addresses[2], addresses[3], store)
+`, name, zone, MemoryMB, addresses[0], addresses[1], addresses[2], addresses[3], store, EvacuateWithin.Milliseconds())
 }
--- a/standin/platformfleet/fleet.go
+++ b/standin/platformfleet/fleet.go
@@ -215,9 +215,20 @@
 
 // Register writes the entry of a worker with a state.
 func (f *Fleet) Register(service string, w *worker.Worker, state string) {
-	f.Store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: "sala-inaquito", Slots: 8, State: state, Version: w.Version})
+	f.RegisterIn(zone, service, w, state)
 }
 
+// RegisterIn writes the entry of a worker that is in an availability zone.
+func (f *Fleet) RegisterIn(zone, service string, w *worker.Worker, state string) {
+	f.Store.Put("servers", w.ID, platformdoc.Worker{Service: service, Address: w.Address(), Zone: zone, Slots: 8, State: state, Version: w.Version})
+}
+
+// Evacuate starts the evacuation of an availability zone.
+func (f *Fleet) Evacuate(zone string) { f.Store.Put("evacuations", zone, struct{}{}) }
+
+// EndEvacuation ends the evacuation of an availability zone.
+func (f *Fleet) EndEvacuation(zone string) { f.Store.Remove("evacuations", zone) }
+
 // startGateway writes the settings of a gateway and starts its process.
 func (f *Fleet) startGateway(o Options, number int, store string) error {
 	var ports [4]string
