entry: bodies of callers and messages reserve their memory before they are read

What callers could do: the role entry bounded each body (1 MiB by default) and the number of requests in progress, and read a body before it asked for admission: 4,096 connections could send 4 GiB at once.

Change: the entry has the same budget, from a new setting process.memory_mb (1024 by default). A body without room gets 503 with a Retry-After, and the request has not run; messages of other processes reserve in it too. The shares of a process's memory and the reading of a body with or without a length, which both roles need, stand in core/memory now.

TestABodyThatFindsNoMemoryIsRefused: the option is new, so without the change it does not compile; with a length and in chunks.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -226,6 +226,14 @@
 	return content, err
 }
 
+// ReadBody reads the body of a request, of a length that is at most the limit, or below 0 if it is unknown.
+func ReadBody(r *Reservation, source io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 {
+		return ReadUpTo(r, source, limit)
+	}
+	return ReadAll(r, source, length)
+}
+
 // readGrowing reads content of unknown length, up to a number of bytes, into a buffer that doubles. Ended is
 // set if the content ended before that.
 func readGrowing(r *Reservation, source io.Reader, most int) (content []byte, ended bool, err error) {
--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -15,6 +15,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/request"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
@@ -259,3 +260,27 @@
 	assert.Equal(t, problemFrom(t, refused).Outcome, core.OutcomeNotRun)
 	assert.Equal(t, runner.calls, 1)
 }
+
+// TestABodyThatFindsNoMemoryIsRefused guards against callers whose bodies together exceed the memory of the entry: the request
+// did not run, and its caller is told when to come back.
+func TestABodyThatFindsNoMemoryIsRefused(t *testing.T) {
+	runner := &fakeRunner{result: pipeline.Result{Outcome: core.OutcomeAnswered}}
+	s, _ := newServer(runner)
+	s.opts.Memory = memory.New(1 << 10)
+	others := s.opts.Memory.Begin(memory.Tiny)
+	assert.NilError(t, others.Grow(900))
+	for _, length := range []int64{30, -1} {
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(`{"a":"bbbbbbbbbbbbbbbbbbbbbb"}`))
+		r.ContentLength = length
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		p := problemFrom(t, w)
+		assert.Equal(t, p.Status, http.StatusServiceUnavailable)
+		assert.Assert(t, p.Outcome == core.OutcomeNotRun && p.RetryAfterMS > 0 && p.Step == "admission.memory", "%+v", p)
+	}
+	assert.Equal(t, runner.calls, 0)
+	others.Release()
+	s.opts.Memory = memory.New(1 << 20)
+	assert.Equal(t, send(s, http.MethodPost, path, `{}`).Code, http.StatusOK)
+	assert.Equal(t, s.opts.Memory.Usage().Used, int64(0))
+}
--- a/entry/callers/server.go
+++ b/entry/callers/server.go
@@ -10,6 +10,7 @@
 
 	"acaciawinch/core"
 	"acaciawinch/core/config"
+	"acaciawinch/core/memory"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
 	"acaciawinch/entry/trace"
@@ -71,6 +72,8 @@
 	// BodyBytes and HeaderBytes bound the size of a request.
 	BodyBytes   int
 	HeaderBytes int
+	// Memory bounds the bodies of all requests together; nil sets no bound.
+	Memory *memory.Budget
 	// NewID returns the random part of a request id.
 	NewID func() uint64
 	Now   func() time.Time
--- a/entry/callers/submit.go
+++ b/entry/callers/submit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciawinch/core"
+	"acaciawinch/core/memory"
 	"acaciawinch/core/request"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/pipeline"
@@ -28,7 +29,9 @@
 // submit handles POST …/requests: it validates, admits and runs one request.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	started := s.opts.Now()
-	admitted, problem := s.validate(w, r)
+	room := s.opts.Memory.Begin(memory.Bulk)
+	defer room.Release()
+	admitted, problem := s.validate(w, r, room)
 	if problem != nil {
 		s.refuse(w, r, *problem)
 		return
--- a/entry/callers/validate.go
+++ b/entry/callers/validate.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +10,7 @@
 	"unicode/utf8"
 
 	"acaciawinch/core/config"
+	"acaciawinch/core/memory"
 	"acaciawinch/entry/pipeline"
 )
 
@@ -21,9 +21,9 @@
 // deadline.
 const fallbackDeadline = 3 * time.Second
 
-// validate reads a request and makes all checks that need no upstream. If a check fails,
-// it returns a problem with the outcome not_run.
-func (s *Server) validate(w http.ResponseWriter, r *http.Request) (pipeline.Request, *Problem) {
+// validate reads a request, whose body takes its memory from room, and makes all checks that need no
+// upstream. If a check fails, it returns a problem with the outcome not_run.
+func (s *Server) validate(w http.ResponseWriter, r *http.Request, room *memory.Reservation) (pipeline.Request, *Problem) {
 	state, revision, ok := s.opts.State()
 	if !ok {
 		p := newProblem(http.StatusServiceUnavailable, kindUnavailable, "admission.configuration", "no configuration has been loaded yet").withRetryAfter(retryWhenStarting)
@@ -44,7 +44,7 @@
 	if !utf8.ValidString(key) {
 		return pipeline.Request{}, invalid("admission.key", "the idempotency key is not valid UTF-8")
 	}
-	body, problem := s.readBody(w, r)
+	body, problem := s.readBody(w, r, room)
 	if problem != nil {
 		return pipeline.Request{}, problem
 	}
@@ -103,11 +103,17 @@
 	return deadline, nil
 }
 
-// readBody reads a JSON body of at most BodyBytes bytes.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.opts.BodyBytes)))
+// readBody reads a JSON body of at most BodyBytes bytes into memory that is reserved before.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, room *memory.Reservation) ([]byte, *Problem) {
+	limit := int64(s.opts.BodyBytes)
+	// A longer body is read up to the limit only, which reports that it is too large.
+	body, err := memory.ReadBody(room, http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit+1), limit)
 	var tooLarge *http.MaxBytesError
+	var noRoom *memory.NoRoomError
 	switch {
+	case errors.As(err, &noRoom):
+		p := newProblem(http.StatusServiceUnavailable, kindOverload, "admission.memory", err.Error()).withRetryAfter(retryWhenFull)
+		return nil, &p
 	case errors.As(err, &tooLarge):
 		p := newProblem(http.StatusRequestEntityTooLarge, kindTooLarge, "admission.body", "the body is larger than "+strconv.Itoa(s.opts.BodyBytes)+" bytes")
 		return nil, &p
--- a/entry/process.go
+++ b/entry/process.go
@@ -9,6 +9,7 @@
 	"acaciawinch/core/budget"
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fleet"
+	"acaciawinch/core/memory"
 	"acaciawinch/entry/admit"
 	"acaciawinch/entry/callers"
 	"acaciawinch/entry/claims"
@@ -51,6 +52,7 @@
 	limiter     *limit.Limiter
 	traces      *trace.Ring
 	finder      *finder
+	memory      *memory.Budget
 }
 
 // newProcess creates the components and connects them. It starts none of them.
@@ -70,7 +72,10 @@
 		rpc:         link.NewServer(settings.Fleet.Key),
 		gate:        admit.NewGate(admit.Limits{InFlight: settings.Limits.InFlight, Streams: settings.Limits.Streams}),
 		traces:      trace.NewRing(settings.Limits.Traces),
+		memory:      memory.New(memory.BudgetBytes(settings.Process.MemoryMB)),
 	}
+	p.dialer.UseMemory(p.memory)
+	p.rpc.UseMemory(p.memory)
 	store := objects.NewClient(settings.Platform.Objects)
 	p.addFeed(store)
 	p.addRouter()
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 
 	"golang.org/x/sync/errgroup"
 
 	"acaciawinch/core/fault"
 	"acaciawinch/core/fleet"
+	"acaciawinch/core/memory"
 	"acaciawinch/observe/lifecycle"
 )
 
 // Run runs an entry process until ctx ends, then refuses new requests, finishes those in
 // flight and returns nil. An error means that the process could not start or had to end.
 func Run(ctx context.Context, settings Settings) error {
+	debug.SetMemoryLimit(memory.RuntimeLimit(settings.Process.MemoryMB))
 	p, err := newProcess(settings)
 	if err != nil {
 		return err
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -56,6 +56,7 @@
 		Limiter:     permitLimiter{p.limiter},
 		BodyBytes:   limits.BodyBytes,
 		HeaderBytes: limits.HeaderBytes,
+		Memory:      p.memory,
 		NewID:       rand.Uint64,
 		Now:         time.Now,
 		Journal:     journal{logger: p.logger, scope: p.metrics.Scope()},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,6 +33,8 @@
 	Region string `toml:"region"`
 	// LogLevel is debug, info, warn or error; info if empty.
 	LogLevel string `toml:"log_level"`
+	// MemoryMB is the memory in MB that the process may use.
+	MemoryMB int `toml:"memory_mb"`
 }
 
 // ListenSettings are the IP:port addresses of the three listeners.
@@ -102,6 +104,7 @@
 
 // Defaults and upper bounds of the settings.
 const (
+	defaultMemoryMB     = 1024
 	defaultBodyBytes    = 1 << 20
 	defaultHeaderBytes  = 16 << 10
 	defaultConnections  = 4096
@@ -111,6 +114,7 @@
 	defaultDrainSeconds = 30
 	defaultHedgePercent = 2
 	defaultRetryPercent = 10
+	minMemoryMB         = 64
 	maxBodyBytes        = 16 << 20
 	maxHeaderBytes      = 1 << 20
 	maxCount            = 1 << 20
@@ -119,7 +123,7 @@
 // Defaults returns settings in which every optional field has its default.
 func Defaults() Settings {
 	return Settings{
-		Process: ProcessSettings{LogLevel: "info"},
+		Process: ProcessSettings{LogLevel: "info", MemoryMB: defaultMemoryMB},
 		Limits: LimitSettings{
 			BodyBytes:    defaultBodyBytes,
 			HeaderBytes:  defaultHeaderBytes,
@@ -150,6 +154,7 @@
 func (s Settings) Validate() error {
 	var problems []error
 	bounds := []bound{
+		{"process.memory_mb", s.Process.MemoryMB, minMemoryMB, maxCount},
 		{"limits.body_bytes", s.Limits.BodyBytes, 1, maxBodyBytes},
 		{"limits.header_bytes", s.Limits.HeaderBytes, 256, maxHeaderBytes},
 		{"limits.connections", s.Limits.Connections, 1, maxCount},
--- a/gateway/flow/body.go
+++ b/gateway/flow/body.go
@@ -125,20 +125,12 @@
 	return b
 }
 
-// readInto reads a body of at most limit bytes into the memory of the request.
-func (rq *request) readInto(source io.Reader, limit int64) ([]byte, error) {
-	if rq.r.ContentLength < 0 {
-		return memory.ReadUpTo(rq.room, source, limit)
-	}
-	return memory.ReadAll(rq.room, source, rq.r.ContentLength)
-}
-
 // receiveBody reads the body of the request into memory that is reserved before. If it fails, it
 // responds to the client and returns false.
 func (rq *request) receiveBody(limit int64) bool {
 	out := http.NewResponseController(rq.w)
 	paced := &pacedBody{ReadCloser: rq.r.Body, setDeadline: out.SetReadDeadline, length: rq.r.ContentLength, deadline: rq.deadline, now: time.Now}
-	body, err := rq.readInto(http.MaxBytesReader(rq.w, paced, limit), limit)
+	body, err := memory.ReadBody(rq.room, http.MaxBytesReader(rq.w, paced, limit), rq.r.ContentLength, limit)
 	if err == nil {
 		rq.body = body
 		_ = out.SetReadDeadline(time.Time{}) // it fails on a closed connection only
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -32,29 +32,6 @@
 	"acaciawinch/wire/wirepb"
 )
 
-// Memory limits of the Go runtime.
-const (
-	// memoryLimitShare is the share of the memory setting that becomes the soft memory
-	// limit of the garbage collector. The remainder is for kernel stacks and buffers,
-	// which the runtime does not count.
-	memoryLimitShare = 0.6
-	// baseMemory is what a gateway uses without clients: its code's data, its copy of the fleet's state
-	// and its connections to other gateways.
-	baseMemory = 32 << 20
-	// budgetShare is the share of the remaining memory that may be reserved. The rest is for what the
-	// garbage collector has not freed yet.
-	budgetShare = 0.9
-	// leastBudgetShare is the share of the memory setting that may be reserved if baseMemory leaves less.
-	leastBudgetShare = 0.125
-)
-
-// memoryBudget returns how many bytes may be reserved by all that clients, upstreams and other gateways
-// can make grow, for a memory setting in MB.
-func memoryBudget(memoryMB int) int64 {
-	all := float64(memoryMB) * (1 << 20)
-	return int64(max(budgetShare*(memoryLimitShare*all-baseMemory), leastBudgetShare*all))
-}
-
 // process is a running gateway.
 type process struct {
 	settings   Settings
@@ -85,7 +62,7 @@
 // returns nil. It calls load to reread the settings, and writes log lines to out. It
 // returns an error if the gateway could not start or had to stop early.
 func Run(ctx context.Context, settings Settings, load func() (Settings, error), out io.Writer) error {
-	debug.SetMemoryLimit(int64(float64(settings.Process.MemoryMB) * memoryLimitShare * (1 << 20)))
+	debug.SetMemoryLimit(memory.RuntimeLimit(settings.Process.MemoryMB))
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	p, err := newProcess(runCtx, settings, out)
@@ -113,7 +90,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, "gateway.log", "", err)
 	}
-	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation(), memory: memory.New(memoryBudget(settings.Process.MemoryMB))}
+	p := &process{settings: settings, queue: queue, logger: logger, incarnation: newIncarnation(), memory: memory.New(memory.BudgetBytes(settings.Process.MemoryMB))}
 	p.metrics = observe.NewMetrics("acaciawinch_gateway")
 	seen := anomalies{logger: logger, scope: p.metrics.Scope()}
 	p.client = httpconn.New(httpconn.Codec{SetID: header.SetID, ReadInfo: readResponseInfo}, seen.ofUpstream)
