--- a/entry/pipeline/calls.go
+++ b/entry/pipeline/calls.go
@@ -235,6 +235,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
+		// Without the acknowledgement the side keeps the result until it expires.
 		_ = f.call(ctx, addr, func(ctx context.Context, side wirepb.DRPCSideClient) error {
 			_, err := side.Acknowledge(ctx, message)
 			return err
--- a/standin/bench/bodies/bodies.go
+++ b/standin/bench/bodies/bodies.go
@@ -297,11 +297,11 @@
 			return
 		}
 		if r.options.Mode == Chunked {
-			_, _ = io.WriteString(conn, "\r\n")
+			_, _ = io.WriteString(conn, "\r\n") // the next write fails too
 		}
 	}
 	if r.options.Mode == Chunked {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		_, _ = io.WriteString(conn, "0\r\n\r\n") // a client that is cut gets its response, or none
 	}
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -182,7 +182,7 @@
 func (w *Worker) ListenAddress() string { return w.listener.Addr().String() }
 
 // Close stops the worker at once.
-func (w *Worker) Close() { _ = w.server.Close() }
+func (w *Worker) Close() { _ = w.server.Close() } // its connections are cut in any case
 
 // SetFaults replaces the faults.
 func (w *Worker) SetFaults(faults Faults) {
