httpconn: a response that ends while its request is being written is not whole

What callers saw: an upstream answered a long upload at once with a status, no length and a part of its body, and reset or closed the connection. Clients got the part as a complete answer, also as a complete failure.

Cause: without a length or chunks the end of the connection ends a response. A connection reports an error once, to the writer or the reader, whichever asks first. The writer of the request took the reset; the reader then saw an orderly end. The same holds for a connection that times out.

The end counts only if the whole request was written and acknowledged and the connection was neither reset nor failed. It holds for all calls to upstreams, which share this package, and does not depend on who saw the error first.

--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -34,8 +34,8 @@
 	// Body returns io.EOF only after the complete body was read.
 	Body io.Reader
 	// Framed is set if the head of the response marks the end of its body, by a length or as
-	// chunks. Otherwise the body ends with the connection, which can't be distinguished from a
-	// crash of the upstream's process.
+	// chunks. Otherwise the body ends with the connection, in order and after the whole request was received,
+	// which still can't be distinguished from a crash of the upstream's process.
 	Framed bool
 	// Length is the length of the body that the head of the response gives, -1 if it gives none.
 	Length int64
@@ -45,9 +45,11 @@
 	body     io.Reader
 	idle     time.Duration
 	reusable bool
-	writer   *requestWriter
-	stop     func() bool
-	finished atomic.Bool
+	// endsWithConn is set if only the end of the connection ends the body.
+	endsWithConn bool
+	writer       *requestWriter
+	stop         func() bool
+	finished     atomic.Bool
 }
 
 // Do sends a request and waits for the head of its response until ctx ends. If an error
@@ -263,16 +265,28 @@
 		reusable: !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && (info.ID != "" || r.oneWay) && !from.history.isFull(),
 		writer:   writer,
 	}
+	response.endsWithConn = !response.Framed && resp.Body != http.NoBody
 	response.Body = &responseBody{response: response}
 	return response, nil
 }
 
 // responseBody reads the body of a response and releases its connection at the end.
-type responseBody struct{ response *Response }
+type responseBody struct {
+	response *Response
+	// ended is the error that ended the body, nil before its end.
+	ended error
+}
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
 	n, err := b.response.body.Read(p)
+	if err == io.EOF && b.response.endsWithConn && !b.response.conn.endsInOrder(b.response.writer) {
+		err = errBrokenOff
+	}
+	b.ended = err
 	switch {
 	case err == io.EOF:
 		b.response.finish()
--- /dev/null
+++ b/standin/gatewaytest/broken_test.go
@@ -0,0 +1,71 @@
+package gatewaytest
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// uploadBytes exceeds the buffers of a connection, so that the upload is still being written when the response comes.
+const uploadBytes = 4 << 20
+
+// brokenTries is how often each request that is broken off is sent, as the order of the reset, the write and the read
+// varies.
+const brokenTries = 12
+
+// brokenTargets are the targets of a route of each kind without stages, with the service that gets the request.
+var brokenTargets = map[string]string{"/once/x": "desk", "/safe/x": "desk", "/stream/x": "llm", "/strict/x": "llm"}
+
+// TestAResponseThatBreaksOffAnUploadIsNotWhole guards against parts of responses that clients get as complete: an upstream
+// responds without a length while the request is still being written to it, and resets or closes the connection.
+func TestAResponseThatBreaksOffAnUploadIsNotWhole(t *testing.T) {
+	heads := []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 500 Internal Server Error"}
+	for target, service := range brokenTargets {
+		for _, head := range heads {
+			for _, reset := range []bool{true, false} {
+				t.Run(target+" "+head+" reset "+strconv.FormatBool(reset), func(t *testing.T) {
+					f := newFleet(t)
+					f.startRaw("broken", service, func(conn net.Conn, r *http.Request) {
+						_, _ = io.WriteString(conn, forRequest(head+"\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n\r\nid: 1\ndata: part\n\n", r))
+						if reset {
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+					})
+					f.apply(baseConfig(1))
+					g := f.start("g1")
+					body := strings.Repeat("b", uploadBytes)
+					for i := range brokenTries {
+						got := f.send(g, "r"+strconv.Itoa(i), "POST", target, body)
+						assert.Assert(t, got.truncated || got.header.Get("X-Response-Stamp") == "", "try %d: %d %q was given as whole", i, got.status, got.body)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestAnUploadThatWasReadEndsWithTheConnection: without a length, a response ends with the connection if the upstream has
+// read the whole request.
+func TestAnUploadThatWasReadEndsWithTheConnection(t *testing.T) {
+	for _, target := range []string{"/once/x", "/safe/x"} {
+		t.Run(target, func(t *testing.T) {
+			f := newFleet(t)
+			f.startRaw("whole", "desk", func(conn net.Conn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n\r\nwhole", r))
+			})
+			f.apply(baseConfig(1))
+			g := f.start("g1")
+			for i := range brokenTries {
+				got := f.send(g, "r"+strconv.Itoa(i), "POST", target, strings.Repeat("b", uploadBytes))
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Assert(t, !got.truncated && got.body == "whole", "%q", got.body)
+			}
+		})
+	}
+}
--- a/standin/gatewaytest/endless_test.go
+++ b/standin/gatewaytest/endless_test.go
@@ -1,7 +1,6 @@
 package gatewaytest
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -13,7 +12,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"acaciawinch/standin/platformdoc"
 	"acaciawinch/standin/worker"
 )
 
@@ -21,30 +19,12 @@
 // then sends another text again and again until its caller closes the connection.
 func (f *fleet) startEndless(id, service, begin, repeated string) {
 	f.t.Helper()
-	listener, err := f.ports.Listen()
-	assert.NilError(f.t, err)
-	f.t.Cleanup(func() { _ = listener.Close() })
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		_, err = io.WriteString(conn, strings.ReplaceAll(begin, "ID", r.Header.Get("X-Attempt-Id")))
+	f.startRaw(id, service, func(conn net.Conn, r *http.Request) {
+		_, err := io.WriteString(conn, forRequest(begin, r))
 		for block := strings.Repeat(repeated, 1+64<<10/len(repeated)); err == nil; {
 			_, err = io.WriteString(conn, block)
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	f.store.Put("servers", id, platformdoc.Worker{Service: service, Address: listener.Addr().String(), Zone: "z1", Slots: 8, State: "ready"})
+	})
 }
 
 // maxEndlessHeap bounds the heap that endless responses may take: half of the least memory of a gateway.
