httpconn: a response whose status is none is malformed

What callers saw: an upstream answered with the status 000 to 099, "+20" or "-00"; the connection of the client was closed without an answer. An unasked 101, which has no body, and 600 to 999 were passed on.

Cause: net/http reads any three characters that make a number of 0 or more, and panics if a handler sends a status below 100. A status of 101 was taken as an answer, though the gateway never asks to change the protocol. Statuses from 600 on are invalid by RFC 9110, and what they mean to a client is left to its library.

Fix: core/httphead checks the status line as it came. A response without a valid status is not used in any way, the connection is closed, and the call ends as one that may have run: it is retried where that is allowed, and otherwise the client gets a 502 of the gateway's own. The event gateway_unmatched has the kind malformed.

--- a/gateway/httpconn/anomaly.go
+++ b/gateway/httpconn/anomaly.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/httphead"
 )
 
 // Kind is a kind of anomaly.
@@ -17,6 +18,8 @@
 	Unmatched Kind = "unmatched"
 	// Unasked: bytes came while no request was in flight. The connection was closed.
 	Unasked Kind = "unasked"
+	// Malformed: the head of a response does not follow the protocol. The connection was closed.
+	Malformed Kind = "malformed"
 	// OverLimit: a part of a response exceeds its limit. The connection was closed.
 	OverLimit Kind = "over_limit"
 )
@@ -46,12 +49,16 @@
 	r.Close()
 }
 
-// observeLimit reports err if it is a LimitError. It returns err.
-func (c *Client) observeLimit(from *conn, err error) error {
+// observeError reports err if it is a LimitError or an httphead.ProtocolError. It returns err.
+func (c *Client) observeError(from *conn, err error) error {
 	var over *LimitError
 	if errors.As(err, &over) {
 		c.observe(Anomaly{Address: from.addr, Kind: OverLimit, Part: over.Part, Limit: over.Limit})
 		return fault.Wrap(fault.Ambiguous, "upstream.receive", from.addr, err)
 	}
+	var broken *httphead.ProtocolError
+	if errors.As(err, &broken) {
+		c.observe(Anomaly{Address: from.addr, Kind: Malformed})
+	}
 	return err
 }
--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"acaciawinch/core/fault"
+	"acaciawinch/core/httphead"
 )
 
 // Limits of a request and its response.
@@ -188,9 +189,9 @@
 	for range maxSkipped {
 		resp, err := from.readHead(r.Method)
 		if err != nil {
-			return nil, c.observeLimit(from, err)
+			return nil, c.observeError(from, err)
 		}
-		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode/100 == 1 {
 			continue
 		}
 		info := c.codec.ReadInfo(resp.StatusCode, resp.Header)
@@ -203,21 +204,33 @@
 		}
 		c.observe(Anomaly{Address: from.addr, Kind: Foreign, Status: resp.StatusCode})
 		if err := discardBody(resp); err != nil {
-			return nil, c.observeLimit(from, err)
+			return nil, c.observeError(from, err)
 		}
 	}
 	return nil, fault.New(fault.Ambiguous, "upstream.receive", from.addr, "%d responses belong to other requests", maxSkipped)
 }
 
-// readHead reads the head of a response to a request with a method.
+// readHead reads the head of a response to a request with a method. It returns an httphead.ProtocolError for a head that does not
+// follow the protocol.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limited.beginHead()
+	before, _ := c.reader.Peek(c.reader.Buffered()) // never fails for what is buffered
+	c.limited.beginHead(before)
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil && c.limited.remaining <= 0 {
 		return nil, &LimitError{Part: Head, Limit: maxHeadBytes}
 	}
-	c.limited.endHead()
-	return resp, shorten(err)
+	defer c.limited.endHead()
+	head, whole := httphead.Cut(c.limited.head)
+	if err != nil && !whole {
+		return nil, shorten(err)
+	}
+	if broken := httphead.Check(head); broken != nil {
+		return nil, broken
+	}
+	if err != nil {
+		return nil, httphead.Malformed("%v", shorten(err))
+	}
+	return resp, nil
 }
 
 // maxErrorText bounds the text of an error in bytes. Errors of net/http quote what they could not read.
@@ -251,7 +264,7 @@
 		limit = MaxBodyBytes
 	}
 	if resp.ContentLength > limit {
-		return nil, c.observeLimit(from, &LimitError{Part: Body, Limit: limit})
+		return nil, c.observeError(from, &LimitError{Part: Body, Limit: limit})
 	}
 	response := &Response{
 		Status:   resp.StatusCode,
@@ -262,7 +275,7 @@
 		conn:     from,
 		body:     &limitedBody{source: resp.Body, limit: limit, remaining: limit},
 		idle:     info.Idle,
-		reusable: !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && (info.ID != "" || r.oneWay) && !from.history.isFull(),
+		reusable: !resp.Close && (info.ID != "" || r.oneWay) && !from.history.isFull(),
 		writer:   writer,
 	}
 	response.endsWithConn = !response.Framed && resp.Body != http.NoBody
@@ -292,7 +305,7 @@
 		b.response.finish()
 	case err != nil && !b.response.finished.Load():
 		b.response.Close()
-		err = b.response.client.observeLimit(b.response.conn, err)
+		err = b.response.client.observeError(b.response.conn, err)
 	}
 	return n, err
 }
--- a/gateway/httpconn/limits.go
+++ b/gateway/httpconn/limits.go
@@ -52,6 +52,10 @@
 	source io.Reader
 	// remaining is the number of bytes that may be read until the end of the head.
 	remaining int64
+	// inHead is set while a head is read, of which head holds what was read of the connection until now, and perhaps
+	// what follows.
+	inHead bool
+	head   []byte
 	// room gets the memory of a head that exceeds the read buffer; it is released with the next one.
 	room *memory.Reservation
 }
@@ -59,14 +63,20 @@
 // headCopies is how often the bytes of a head are held: as read, and decoded.
 const headCopies = 2
 
-// beginHead sets the limit of the head that is read next.
-func (l *limitedReader) beginHead() {
+// beginHead sets the limit of the head that is read next, of which some bytes were read before.
+func (l *limitedReader) beginHead(before []byte) {
 	l.remaining = maxHeadBytes
 	l.room.Shrink(l.room.Bytes() - connBytes)
+	l.inHead, l.head = true, append(l.head[:0], before...)
 }
 
 // endHead removes the limit until the next head.
-func (l *limitedReader) endHead() { l.remaining = math.MaxInt64 }
+func (l *limitedReader) endHead() {
+	l.remaining, l.inHead = math.MaxInt64, false
+	if cap(l.head) > 2*readBufferBytes {
+		l.head = nil
+	}
+}
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -80,6 +90,9 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
+	if l.inHead {
+		l.head = append(l.head, p[:n]...)
+	}
 	return n, err
 }
 
--- a/standin/gatewaytest/broken_test.go
+++ b/standin/gatewaytest/broken_test.go
@@ -69,3 +69,40 @@
 		})
 	}
 }
+
+// startText starts an upstream that reads each request and responds with a text, in which ID stands for the ID of the
+// request.
+func (f *fleet) startText(id, service, text string) {
+	f.t.Helper()
+	f.startRaw(id, service, func(conn net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, forRequest(text, r)) // a gateway that has disconnected needs no response
+	})
+}
+
+// assertReplaced checks that clients of all kinds of routes get a complete failure of the gateway's own in place of the
+// response with a text, which all upstreams send.
+func assertReplaced(t *testing.T, text string) {
+	t.Helper()
+	f := newFleet(t)
+	f.startText("desk-1", "desk", text)
+	f.startText("llm-1", "llm", text)
+	f.apply(baseConfig(1))
+	g := f.start("g1")
+	for target := range brokenTargets {
+		got := f.send(g, "r-"+target[1:3], "POST", target, "b")
+		assert.Assert(t, !got.truncated, "%s: the connection was closed without a response", target)
+		assert.Equal(t, got.status, http.StatusBadGateway, target)
+		assert.Equal(t, got.header.Get("X-Response-Stamp"), "", target)
+	}
+}
+
+// TestAStatusThatIsNoneIsReplaced guards against connections that are closed without a response, and against answers with
+// a status that is none.
+func TestAStatusThatIsNoneIsReplaced(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "-00", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			assertReplaced(t, "HTTP/1.1 "+status+" Reason\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
