httpconn: a response with a blank in the name of a field is malformed

What callers saw: an upstream sent a field whose name held a blank, or a blank before the colon. Clients got a 200 without that line; if it was the length or the encoding, they got a body framed otherwise: the chunks themselves, or all bytes up to the end of the connection. A blank behind the name of the ID made a response one without an ID.

Cause: net/http keeps such names as they are, since some servers send them, and so does not know them as the fields that they look like. It also drops the encoding of an HTTP/1.0 response, whose chunks then are the body.

Fix: core/httphead checks the names in the head as it came, and refuses chunks in HTTP/1.0. The clients on net/http's Transport check the names that it has read.

--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -1,7 +1,8 @@
 // Package httphead decides whether the head of a response follows the protocol (RFC 9112).
 //
-// net/http also reads heads that don't, such as those with a status that can't be sent on. Nothing of such a response is
-// used.
+// net/http also reads heads that don't: statuses that can't be sent on, fields whose names hold a blank, which it then
+// doesn't know as the length or the ID of the response, and chunks in HTTP/1.0, which it takes for the body. Whose response
+// that is, and where it ends, is not certain, so nothing of it is used.
 package httphead
 
 import (
@@ -46,8 +47,24 @@
 
 // Check returns a ProtocolError if a head does not follow the protocol.
 func Check(head []byte) error {
-	status, _, _ := bytes.Cut(head, []byte("\n"))
-	return checkStatusLine(status)
+	status, fields, _ := bytes.Cut(head, []byte("\n"))
+	if err := checkStatusLine(status); err != nil {
+		return err
+	}
+	isOld := bytes.HasPrefix(status, []byte("HTTP/1.0"))
+	for line := range bytes.Lines(fields) {
+		if line[0] == ' ' || line[0] == '\t' {
+			continue // belongs to the value of the line before; net/http reads it so
+		}
+		name, _, found := bytes.Cut(line, []byte(":"))
+		switch {
+		case !found || !isToken(name):
+			return Malformed("the line %q does not begin with the name of a field", quoted(line))
+		case isOld && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			return Malformed("HTTP/1.0 has no transfer encodings")
+		}
+	}
+	return nil
 }
 
 // checkStatusLine returns an error if a line is not the status line of a response that a request may get. Statuses from 600 on
@@ -74,12 +91,28 @@
 
 // CheckParsed returns a ProtocolError if a head that net/http has read does not follow the protocol. It sees less than
 // Check: not what net/http has dropped.
-func CheckParsed(status int, _ http.Header) error {
+func CheckParsed(status int, fields http.Header) error {
 	if status < firstStatus || status > lastStatus || status == http.StatusSwitchingProtocols {
 		return Malformed("the status is %d", status)
 	}
+	for name := range fields {
+		if !isToken([]byte(name)) {
+			return Malformed("%q is not the name of a field", quoted([]byte(name)))
+		}
+	}
 	return nil
 }
 
 // isDigit reports whether a byte is a decimal digit.
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isToken reports whether a text may be the name of a field.
+func isToken(text []byte) bool {
+	for _, c := range text {
+		isLetter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !isLetter && !isDigit(c) && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(c)) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
--- a/standin/gatewaytest/broken_test.go
+++ b/standin/gatewaytest/broken_test.go
@@ -106,3 +106,21 @@
 		})
 	}
 }
+
+// TestAHeadWithABlankInANameIsReplaced guards against answers without a line that the upstream sent, and with another body
+// than its own.
+func TestAHeadWithABlankInANameIsReplaced(t *testing.T) {
+	const status, id, stamp, length = "HTTP/1.1 200 OK\r\n", "X-Attempt-Id: ID\r\n", "X-Response-Stamp: s\r\n", "Content-Length: 2\r\n"
+	for name, text := range map[string]string{
+		"name":               status + id + stamp + "X Field: a\r\n" + length + "\r\nok",
+		"length":             status + id + stamp + "Content-Length : 2\r\n\r\nok and more",
+		"encoding":           status + id + stamp + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"ID":                 status + "X-Attempt-Id : ID\r\n" + stamp + length + "\r\nok",
+		"failure":            "HTTP/1.1 404 Not Found\r\n" + id + stamp + "X Field: a\r\n" + length + "\r\nok",
+		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\n" + id + stamp + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"control byte":       status + id + stamp + "X\x01Field: a\r\n" + length + "\r\nok",
+		"zero byte":          status + id + stamp + "X-Field: a\x00b\r\n" + length + "\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) { assertReplaced(t, text) })
+	}
+}
