store: one object that can't be decoded hides no other

What callers saw: one entry nested 9,998 deep among those of the workers made the lists and watches of its kind fail for as long as it was there. A new worker was not used, a gateway that started did not serve, an evacuated zone still got requests, a configuration was not heard.

Cause: encoding/json decodes a page or the changes of a watch as one text, with a limit of 10,000 levels for all of it. What one object held, or an odd field of its metadata, decided whether the others were read.

The stand-in store writes objects without looking into them, so that it can hold them too.

--- a/standin/metastore/serve.go
+++ b/standin/metastore/serve.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -82,15 +83,15 @@
 
 // listResponse is the response to a list: one page of a kind.
 type listResponse struct {
-	Items    []Object `json:"items"`
-	HasMore  bool     `json:"has_more"`
-	Revision int64    `json:"store_revision"`
+	Items    []Object
+	HasMore  bool
+	Revision int64
 }
 
 // watchResponse is the response to a watch.
 type watchResponse struct {
-	Events   []Event `json:"events"`
-	Revision int64   `json:"store_revision"`
+	Events   []Event
+	Revision int64
 }
 
 // serveList handles a list.
@@ -182,8 +183,11 @@
 }
 
 // writeJSON writes a response.
-func writeJSON(w http.ResponseWriter, status int, content any) {
+func writeJSON(w http.ResponseWriter, status int, content encoded) {
+	var text bytes.Buffer
+	content.appendTo(&text)
+	text.WriteString("\n")
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(content) // a caller that has disconnected needs no response
+	_, _ = w.Write(text.Bytes()) // a caller that has disconnected needs no response
 }
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -12,7 +12,7 @@
 	"sync"
 )
 
-// Object is a stored object, in the form in which it is sent to clients.
+// Object is a stored object, in the form in which clients write it.
 type Object struct {
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
@@ -30,8 +30,8 @@
 
 // Event is a change of an object.
 type Event struct {
-	Object  Object `json:"object"`
-	Deleted bool   `json:"deleted"`
+	Object  Object
+	Deleted bool
 
 	kind string
 }
@@ -200,6 +200,13 @@
 	return s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: content}).Metadata.Revision
 }
 
+// PutText writes an object unconditionally whose spec is a text, which need not be what JSON decoders read.
+func (s *Store) PutText(kind, name, spec string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: json.RawMessage(spec)}).Metadata.Revision
+}
+
 // Get returns an object, and false if it does not exist.
 func (s *Store) Get(kind, name string) (Object, bool) {
 	s.mu.Lock()
