One odd entry hides no other: object API, host list, stage results, cache events

One object with an odd version or value made the lists and watches of its prefix fail, one odd host the whole host list, one odd cache event kept the cursor of its engine where it was for ever, and one odd result of a call made the results behind it, which are those of other requests, be made again.

Cause: as for the store, the lists were decoded as one text.

Fix: each list is split first (core/jsonspan) and its entries are decoded one by one. What can't be decoded is left out alone and logged as entry_unreadable; an object keeps its key and gets no value and the version 0, on which no write is conditional. A call with an odd result still counts as failed for its upstream, and that item is run again. Lists that are cut, or lack their keys, cursors or marks, stay errors.

What gateways and the feed tell each other needs no change: entries travel as bytes, or are encoded again from what was decoded.

--- a/core/jsonspan/jsonspan.go
+++ b/core/jsonspan/jsonspan.go
@@ -17,7 +17,8 @@
 var errEnd = errors.New("unexpected end of JSON text")
 
 // Members returns the texts of the members of an object that have the given names, in the order of the names; nil for a
-// member that is missing. Of members of the same name the last counts, as for encoding/json.
+// member that is missing. Of members of the same name the last counts, as for encoding/json. If the text is cut or broken, it
+// also returns the members before that, the last one perhaps in part, with an error.
 func Members(text []byte, names ...string) ([]json.RawMessage, error) {
 	values := make([]json.RawMessage, len(names))
 	s := scanner{text: text}
@@ -37,10 +38,7 @@
 	if err == nil {
 		err = s.end()
 	}
-	if err != nil {
-		return nil, err
-	}
-	return values, nil
+	return values, err
 }
 
 // Elements returns the texts of the elements of an array; none for null. If the text is cut or broken, it also returns the
--- a/core/jsonspan/jsonspan_test.go
+++ b/core/jsonspan/jsonspan_test.go
@@ -38,6 +38,9 @@
 		_, err := Members([]byte(text), "a")
 		assert.Assert(t, err != nil, text)
 	}
+	cut, err := Members([]byte(`{"b":2,"a":[1,{"x":"y`), "a", "b")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, string(cut[0])+string(cut[1]), `[1,{"x":"y2`)
 	for text, whole := range map[string]int{"": 0, "[": 0, "{}": 0, "[1,]": 1, "[1": 1, "[1,2 3]": 2, `[1,{"a":[`: 1, "[1] x": 1, "[,1]": 0, "[]]": 0} {
 		got, err := Elements([]byte(text))
 		assert.Assert(t, err != nil, text)
--- a/entry/process.go
+++ b/entry/process.go
@@ -21,6 +21,7 @@
 	"acaciawinch/entry/trace"
 	"acaciawinch/feed"
 	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 	"acaciawinch/observe/lifecycle"
 	"acaciawinch/platform/hosts"
 	"acaciawinch/platform/objects"
@@ -77,6 +78,7 @@
 	p.dialer.UseMemory(p.memory)
 	p.rpc.UseMemory(p.memory)
 	store := objects.NewClient(settings.Platform.Objects)
+	store.OnUnreadable(p.logUnreadable("objects"))
 	p.addFeed(store)
 	p.addRouter()
 	p.addClaims(store)
@@ -107,7 +109,7 @@
 		Role:          fleet.RoleEntry,
 		RelaysPerZone: p.settings.Feed.RelaysPerZone,
 		Objects:       store,
-		Hosts:         hosts.NewClient(p.settings.Platform.Hosts),
+		Hosts:         p.hostList(),
 		Dialer:        p.dialer,
 		Logger:        p.logger,
 		Metrics:       p.metrics.Scope(),
@@ -297,3 +299,17 @@
 	_ = p.dialer.Close()  // ignored: the process ends
 	_ = p.metrics.Close() // as above
 }
+
+// hostList returns the client of the host list.
+func (p *process) hostList() *hosts.Client {
+	client := hosts.NewClient(p.settings.Platform.Hosts)
+	client.OnUnreadable(p.logUnreadable("hosts"))
+	return client
+}
+
+// logUnreadable returns a function that logs an entry of a service which can't be decoded.
+func (p *process) logUnreadable(peer string) func(entry string, err error) {
+	return func(entry string, err error) {
+		p.logger.Warn(event.EntryUnreadable, observe.Fields{"peer": peer, "entry": entry, "error": err.Error()})
+	}
+}
--- a/side/monitor.go
+++ b/side/monitor.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"acaciawinch/core/gate"
+	"acaciawinch/observe"
+	"acaciawinch/observe/event"
 	"acaciawinch/platform/upstream"
 )
 
@@ -99,6 +101,9 @@
 // held.
 func (d *dispatcher) observeCache(events []upstream.CacheEvent) {
 	for _, e := range events {
+		if e.Unreadable != nil {
+			d.options.logger.Warn(event.EntryUnreadable, observe.Fields{"peer": "upstream", "entry": "cache event", "error": e.Unreadable.Error()})
+		}
 		switch e.Action {
 		case upstream.CacheStored:
 			d.prefixes.Use(e.Prefix)
--- a/side/process.go
+++ b/side/process.go
@@ -73,6 +73,7 @@
 		rpc:         link.NewServer(settings.Fleet.Key),
 		objects:     objects.NewClient(settings.Platform.Objects),
 	}
+	p.objects.OnUnreadable(p.logUnreadable("objects"))
 	p.feed = p.newFeed()
 	p.dispatcher = newDispatcher(p.dispatcherOptions())
 	p.meter = newMeter(p.metrics.Scope(), p.dispatcher, p.rpc.Traffic())
@@ -94,7 +95,7 @@
 		Region:  p.settings.Process.Region,
 		Role:    fleet.RoleUpstream,
 		Objects: p.objects,
-		Hosts:   hosts.NewClient(p.settings.Platform.Hosts),
+		Hosts:   p.hostList(),
 		Dialer:  p.dialer,
 		Logger:  p.logger,
 		Metrics: p.metrics.Scope(),
@@ -231,3 +232,17 @@
 	defer cancel()
 	<-ctx.Done()
 }
+
+// hostList returns the client of the host list.
+func (p *process) hostList() *hosts.Client {
+	client := hosts.NewClient(p.settings.Platform.Hosts)
+	client.OnUnreadable(p.logUnreadable("hosts"))
+	return client
+}
+
+// logUnreadable returns a function that logs an entry of a service which can't be decoded.
+func (p *process) logUnreadable(peer string) func(entry string, err error) {
+	return func(entry string, err error) {
+		p.logger.Warn(event.EntryUnreadable, observe.Fields{"peer": peer, "entry": entry, "error": err.Error()})
+	}
+}
