Tests: heads that are cut are no responses

This was handled before: net/http takes no beginning of a head for a whole one. The tests keep it so. 15 cuts on routes of all kinds end in a 502 of the gateway's own; cuts at every byte of three heads, among them HTTP/1.0 and one behind an informational head, are errors; the client of the store takes writes with such a response as ones that may have been done.

No change of the product.

--- a/gateway/httpconn/head_test.go
+++ b/gateway/httpconn/head_test.go
@@ -107,3 +107,18 @@
 		assert.Equal(t, len(found), 0)
 	}
 }
+
+// TestAHeadThatIsCutIsAnError: no beginning of a head is one, also behind an informational one.
+func TestAHeadThatIsCutIsAnError(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0 200 OK\nId: 1\nX-Field: a\n b\n\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for end := range head {
+			address, _ := upstream(t, respondWith(head[:end]))
+			response, err := newClient(t).Do(context.Background(), address, request("1"))
+			assert.Assert(t, fault.Is(err, fault.Ambiguous), "%q: %+v, %v", head[:end], response, err)
+		}
+	}
+}
--- a/standin/gatewaytest/broken_test.go
+++ b/standin/gatewaytest/broken_test.go
@@ -124,3 +124,13 @@
 		t.Run(name, func(t *testing.T) { assertReplaced(t, text) })
 	}
 }
+
+// TestAHeadThatIsCutIsReplaced guards against an answer with an empty or a short body in place of one whose upstream stopped
+// in the middle of its head.
+func TestAHeadThatIsCutIsReplaced(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: 40\r\n\r\n"
+	for _, until := range []string{"HTTP/1.1 2", "HTTP/1.1 200", "HTTP/1.1 200 OK", "OK\r", "OK\r\n", "ID", "ID\r\n", "Stamp:", "Stamp: s", "Stamp: s\r", "Stamp: s\r\n",
+		"event-stream\r\n", "Content-Length: 4", "Content-Length: 40\r\n", "Content-Length: 40\r\n\r"} {
+		t.Run(until, func(t *testing.T) { assertReplaced(t, head[:strings.Index(head, until)+len(until)]) })
+	}
+}
