soak: broken heads, uploads that are answered early, odd entries

Three kinds of steps, drawn from a random source of their own (`--broken`, 6 in a run by hand): a worker sends heads that break the protocol, or parts of heads; plain workers answer uploads before they have read them and reset the connections; an entry that can't be decoded, or has odd numbers, is written under all kinds of the store. A client that gets a part as whole, also where only the end of the connection marks it, and a status that is none are violations.

TestAMemberWithoutAnAddressGetsNoWork: 24 odd entries among those of the gateways did no harm before either.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -39,6 +39,7 @@
 	Doubles     int           `long:"doubles" default:"4" description:"how often a worker sends responses twice, at once or late, in a run"`
 	Unheard     int           `long:"unheard" default:"2" description:"series of short silences of the store, each right after a change, in a run"`
 	Bodies      int           `long:"bodies" default:"1" description:"how often 60 to 240 clients send long bodies at once in a run"`
+	Broken      int           `long:"broken" default:"6" description:"how often a worker sends broken heads, answers uploads before it has read them, or an entry of the store can't be decoded, in a run"`
 	Timeout     time.Duration `long:"timeout" default:"2m" description:"limit of one run: 7 s in which faults start, the rest of the last faults, recovery, and a planned stop of each gateway"`
 	Keep        string        `long:"keep" default:"soak-logs" description:"folder for the logs of runs in which a promise was broken"`
 	Verbose     bool          `long:"verbose" description:"print the steps as they are made"`
@@ -60,7 +61,7 @@
 		first = uint64(time.Now().UnixNano())
 	}
 	for i := range o.Seeds {
-		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns, Disorders: o.Disorders, Limits: o.Limits, Versions: o.Versions, Parts: o.Parts, Silences: o.Silences, Uneven: o.Uneven, Doubles: o.Doubles, Unheard: o.Unheard, Bodies: o.Bodies})
+		seeds = append(seeds, soak.Regression{Seed: first + uint64(i), Returns: o.Returns, Disorders: o.Disorders, Limits: o.Limits, Versions: o.Versions, Parts: o.Parts, Silences: o.Silences, Uneven: o.Uneven, Doubles: o.Doubles, Unheard: o.Unheard, Bodies: o.Bodies, Broken: o.Broken})
 	}
 	return seeds
 }
@@ -101,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
 	seed := played.Seed
-	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Limits: played.Limits, Versions: played.Versions, Parts: played.Parts, Silences: played.Silences, Uneven: played.Uneven, Doubles: played.Doubles, Unheard: played.Unheard, Bodies: played.Bodies, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
+	runOptions := soak.Options{Bin: o.Bin, Seed: seed, Returns: played.Returns, Disorders: played.Disorders, Limits: played.Limits, Versions: played.Versions, Parts: played.Parts, Silences: played.Silences, Uneven: played.Uneven, Doubles: played.Doubles, Unheard: played.Unheard, Bodies: played.Bodies, Broken: played.Broken, Gateways: o.Gateways, Clients: o.Clients, Steps: o.Steps,
 		Keep: filepath.Join(o.Keep, fmt.Sprint(seed))}
 	if o.Verbose {
 		runOptions.Out = os.Stdout
@@ -110,8 +111,8 @@
 	if err != nil {
 		return false, fmt.Errorf("seed %d: %w", seed, err)
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d responses doubled at once, %d late, %d promises broken\n",
-		seed, report.Sent, report.Served, report.DoubledAtOnce, report.DoubledLate, len(report.Violations))
+	fmt.Printf("seed %d: %d requests, %d served, %d responses doubled at once, %d late, %d uploads answered early, %d promises broken\n",
+		seed, report.Sent, report.Served, report.DoubledAtOnce, report.DoubledLate, report.Early, len(report.Violations))
 	for _, violation := range report.Violations {
 		fmt.Println("   ", violation)
 	}
--- a/standin/gatewaytest/odd_test.go
+++ b/standin/gatewaytest/odd_test.go
@@ -91,3 +91,24 @@
 	}
 	assert.Equal(t, len(w.Runs()), 20)
 }
+
+// TestAMemberWithoutAnAddressGetsNoWork: an object of a gateway that no gateway can have written would own a part of the
+// work of stages that nobody does.
+func TestAMemberWithoutAnAddressGetsNoWork(t *testing.T) {
+	f := newFleet(t)
+	f.startWorker("llm-1", "llm", worker.Engine)
+	f.startWorker("enc-1", "enc", worker.Stage)
+	odd := []string{`null`, `{}`, `{"address":"127.0.0.1:70000","incarnation":"i","zone":"z1"}`, `{"address":"localhost:80","incarnation":"i","zone":"z1"}`,
+		`{"address":"127.0.0.1","incarnation":"i","zone":"z1"}`, `{"address":"127.0.0.1:80","zone":"z1"}`}
+	for i, spec := range odd {
+		for n := range 4 {
+			f.store.PutText(view.MemberKind, fmt.Sprintf("odd-%d-%d", i, n), spec)
+		}
+	}
+	f.apply(baseConfig(1))
+	g := f.start("g1")
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		assert.Equal(t, f.sendStream(g, id).body, streamBody(id))
+	}
+}
--- a/standin/soak/doubles.go
+++ b/standin/soak/doubles.go
@@ -77,21 +77,12 @@
 
 // doubleAfterPause makes all stage workers send responses once more after a pause of all streams.
 func (s *soak) doubleAfterPause(ctx context.Context, step Step) {
-	s.setStageFaults(afterPause)
+	s.setFaultsOf(worker.Stage, afterPause)
 	s.streamPauses.Add(1)
 	sleep(ctx, idlePause+longestRequest)
 	s.streamPauses.Add(-1)
 	sleep(ctx, step.For)
-	s.setStageFaults(worker.Faults{})
-}
-
-// setStageFaults sets the faults of all stage workers.
-func (s *soak) setStageFaults(faults worker.Faults) {
-	for _, w := range s.fleetWorkers() {
-		if w.Kind == worker.Stage {
-			w.SetFaults(faults)
-		}
-	}
+	s.setFaultsOf(worker.Stage, worker.Faults{})
 }
 
 // longestRequest is how long streams that began before a pause mostly take.
--- a/standin/soak/era.go
+++ b/standin/soak/era.go
@@ -38,7 +38,8 @@
 	plan = append(plan, planVersions(o.Seed, o.Versions)...)
 	plan = append(plan, planSilences(o.Seed, o.Silences)...)
 	plan = append(plan, planDoubles(o.Seed, o.Doubles)...)
-	return append(plan, planBodies(o.Seed, o.Bodies)...)
+	plan = append(plan, planBodies(o.Seed, o.Bodies)...)
+	return append(plan, planBroken(o.Seed, o.Broken)...)
 }
 
 // Timing of a return.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -56,6 +56,12 @@
 		s.doubleWorker(ctx, step)
 	case DoubleAfterPause:
 		s.doubleAfterPause(ctx, step)
+	case BreakHeads:
+		s.breakHeads(ctx, step)
+	case BreakUploads:
+		s.breakUploads(ctx, step)
+	case OddEntry:
+		s.oddEntry(ctx, step)
 	case BurstBodies:
 		s.burstBodies(ctx, step)
 	case SilenceEngine:
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -90,6 +90,9 @@
 	return found
 }
 
+// lastStatus is the last status that a response may have.
+const lastStatus = 599
+
 // judge returns what is wrong with one outcome, or "".
 func (e *evidence) judge(o Outcome) string {
 	runs := e.runs[o.ID]
@@ -99,6 +102,8 @@
 		return fmt.Sprintf("ran %d times", runs)
 	case o.Route == unsafeRoute && refused && !o.Signed && runs > 0:
 		return "was refused and ran"
+	case o.Err == "" && (o.Status != 0 && o.Status < http.StatusOK || o.Status > lastStatus):
+		return "got a status that is none"
 	case o.Status == http.StatusUnauthorized && o.Key == platformfleet.Key, o.Status == http.StatusNotFound:
 		return "is allowed by every configuration"
 	case runs > 0 && o.Key == spareKey && !e.revoked.IsZero() && o.Sent.After(e.revoked.Add(revokeWithin)):
--- a/standin/soak/plan_test.go
+++ b/standin/soak/plan_test.go
@@ -36,6 +36,9 @@
 	77001:               "420b59adaf49",
 	88001:               "06df85a60434",
 	88010:               "70fb543fd12b",
+	99001:               "acfb1fc3514c",
+	99003:               "7adaedfba8f5",
+	99004:               "595b118e3109",
 	1796260130301604318: "29a34059f1aa",
 }
 
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -24,6 +24,8 @@
 	Unheard int
 	// Bodies is how often many clients send long bodies at once.
 	Bodies int
+	// Broken is how often responses or entries of the store are broken.
+	Broken int
 }
 
 // Regressions are the seeds that failed once.
@@ -49,5 +51,8 @@
 	{Seed: 77001, Doubles: 8, Cause: "stage workers sent responses once more after a pause, and engines ran five requests with results of other requests"},
 	{Seed: 88001, Unheard: 3, Cause: "the store ignored calls for 0.1 to 0.8 s right after a change, and drained workers got up to 102 requests later than allowed"},
 	{Seed: 88010, Bodies: 3, Cause: "60 to 240 clients sent bodies of 4 MiB at once, and two gateways used 546 and 865 of 284 MB"},
+	{Seed: 99001, Broken: 9, Cause: "a worker answered uploads before it had read them and reset their connections, and a client got the part as whole"},
+	{Seed: 99003, Broken: 9, Cause: "the statuses 101 and 600 were passed on, and the chunks of an HTTP/1.0 response as its body"},
+	{Seed: 99004, Broken: 9, Cause: "an entry of the store could not be decoded, and a gateway that started was never ready, as the watch told of the entry after its end too"},
 	{Seed: 1796260130301604318, Cause: "a relay's port, found free a moment before, was taken; by whom was not found"},
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -47,6 +47,8 @@
 	Unheard int
 	// Bodies is how often many clients send long bodies at once.
 	Bodies int
+	// Broken is how often responses or entries of the store are broken.
+	Broken int
 	// Keep is the folder to which the logs of the gateways are copied if the run fails; empty for none.
 	Keep string
 	// Out receives a line for each step when it starts; nil for none.
@@ -59,6 +61,8 @@
 	Sent, Served int
 	// DoubledAtOnce and DoubledLate count the responses that workers sent twice.
 	DoubledAtOnce, DoubledLate int
+	// Early counts the long bodies that workers answered before they had read them.
+	Early int
 	// Violations are the promises that were broken.
 	Violations []string
 }
@@ -281,6 +285,7 @@
 		atOnce, late := w.Doubled()
 		report.DoubledAtOnce += atOnce
 		report.DoubledLate += late
+		report.Early += w.Early()
 	})
 	for violation := range s.violations {
 		report.Violations = append(report.Violations, violation)
--- a/standin/worker/crash.go
+++ b/standin/worker/crash.go
@@ -93,10 +93,7 @@
 // sendUnframed writes the start of a response that ends with its connection, and closes the
 // connection.
 func (w *Worker) sendUnframed(out http.ResponseWriter, id string) {
-	conn, buffer, err := out.(http.Hijacker).Hijack()
-	if err != nil {
-		panic("worker: cannot hijack the connection: " + err.Error())
-	}
+	conn, buffer := hijack(out)
 	defer func() { _ = conn.Close() }()                                                                                      // the response is sent or its reader has disconnected
 	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s\r\n\r\nanswer", id, Stamp(w.ID)) // Flush returns the error
 	_ = buffer.Flush()                                                                                                       // a caller that has disconnected needs no response
@@ -105,10 +102,7 @@
 // sendForeign writes the complete response of another request and closes the connection. It panics to
 // abort the request that it serves, so it does not return.
 func sendForeign(out http.ResponseWriter) {
-	conn, buffer, err := out.(http.Hijacker).Hijack()
-	if err != nil {
-		panic("worker: cannot hijack the connection: " + err.Error())
-	}
+	conn, buffer := hijack(out)
 	defer func() { _ = conn.Close() }()                                                                                          // the response is sent or its reader has disconnected
 	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother") // Flush returns the error
 	_ = buffer.Flush()                                                                                                           // a caller that has disconnected needs no response
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -54,6 +54,12 @@
 	// Silent runs the request and sends nothing while the connection stays open, Stalled sends nothing after the
 	// first event of a stream.
 	Silent, Stalled int
+	// Broken runs the request and responds with one of BrokenHeads, or with a part of a head, in turn. It strikes calls that run
+	// items too.
+	Broken int
+	// Early strikes requests with long bodies: a part of a response without a length comes before the body is read, and the
+	// connection is reset.
+	Early int
 }
 
 // Run is a request that a worker started to run.
@@ -128,6 +134,8 @@
 	hold chan struct{}
 	// doubledAtOnce and doubledLate count the responses that were sent twice.
 	doubledAtOnce, doubledLate int
+	// brokenHeads counts the responses with broken heads, early those before the body was read.
+	brokenHeads, early int
 	// abandoned counts the callers that disconnected before their response.
 	abandoned int
 	// crashed is closed when the worker has crashed; crashedBy is the request that crashed it.
@@ -278,6 +286,12 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if isRun && r.ContentLength >= longUpload && w.consume(&w.faults.Early) {
+		w.mu.Lock()
+		w.early++
+		w.mu.Unlock()
+		w.respondEarly(out, r)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -288,6 +302,14 @@
 	if w.isLeaving() {
 		out.Header().Set("Server-Leaving", "1")
 	}
+	if isRun && w.consume(&w.faults.Broken) {
+		w.respondBroken(out, r, func(out http.ResponseWriter) { w.serve(out, r, body) })
+	}
+	w.serve(out, r, body)
+}
+
+// serve serves a request or a call whose body was read.
+func (w *Worker) serve(out http.ResponseWriter, r *http.Request, body []byte) {
 	switch {
 	case w.Kind == Stage && r.URL.Path == runPath:
 		w.runStage(out, body)
