--- a/gateway/httpconn/exchange.go
+++ b/gateway/httpconn/exchange.go
@@ -210,8 +210,8 @@
 	return nil, fault.New(fault.Ambiguous, "upstream.receive", from.addr, "%d responses belong to other requests", maxSkipped)
 }
 
-// readHead reads the head of a response to a request with a method. It returns an httphead.ProtocolError for a head that does not
-// follow the protocol.
+// readHead reads the head of a response to a request with a method. It returns an httphead.ProtocolError for a head that
+// does not follow the protocol.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	before, _ := c.reader.Peek(c.reader.Buffered()) // never fails for what is buffered
 	c.limited.beginHead(before)
@@ -299,7 +299,6 @@
 	if err == io.EOF && b.response.endsWithConn && !b.response.conn.endsInOrder(b.response.writer) {
 		err = errBrokenOff
 	}
-	b.ended = err
 	switch {
 	case err == io.EOF:
 		b.response.finish()
@@ -307,6 +306,7 @@
 		b.response.Close()
 		err = b.response.client.observeError(b.response.conn, err)
 	}
+	b.ended = err
 	return n, err
 }
 
--- a/gateway/httpconn/limits.go
+++ b/gateway/httpconn/limits.go
@@ -52,8 +52,7 @@
 	source io.Reader
 	// remaining is the number of bytes that may be read until the end of the head.
 	remaining int64
-	// inHead is set while a head is read, of which head holds what was read of the connection until now, and perhaps
-	// what follows.
+	// inHead is set while a head is read. head then holds what was read since its beginning, which may be more than the head.
 	inHead bool
 	head   []byte
 	// room gets the memory of a head that exceeds the read buffer; it is released with the next one.
