harness: a relay passes a reset on as a reset

The gateway had written the whole request, all of it was acknowledged and the connection was closed in order.

Cause: the relay between gateway and worker had received the whole upload when the worker's reset came, and closed the connection to the gateway in order: it held nothing unread, so its Close is no reset. Where it was still writing, its writer could take the error and its reader see an end, as the gateway's did.

Fix: the relay resets both sides on an error, and looks at the state of a connection whose end it reads, unless its own end was sent before. The gateway is not changed: what it got is what a complete response looks like.

--- a/standin/harness/relay.go
+++ b/standin/harness/relay.go
@@ -4,7 +4,11 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Direction is one direction of a connection through a relay.
@@ -131,8 +135,9 @@
 	}
 	defer r.untrack(client, target)
 	var done sync.WaitGroup
-	done.Go(func() { r.forward(target, client, ToTarget) })
-	done.Go(func() { r.forward(client, target, FromTarget) })
+	var clientEnded, targetEnded atomic.Bool
+	done.Go(func() { r.forward(target, client, ToTarget, &clientEnded, &targetEnded) })
+	done.Go(func() { r.forward(client, target, FromTarget, &targetEnded, &clientEnded) })
 	done.Wait()
 }
 
@@ -158,16 +163,19 @@
 	}
 }
 
-// forward copies one direction until the source ends, then closes the writing side of
-// the destination. On any other error it closes both connections.
-func (r *Relay) forward(destination, source net.Conn, d Direction) {
+// forward copies one direction until the source ends in order, then closes the writing side of
+// the destination. On any other error it resets both connections, as an orderly end would make what was
+// copied look whole. It sets sourceEnded at the end of the source; destinationEnded is set once the other direction
+// has ended.
+func (r *Relay) forward(destination, source net.Conn, d Direction, sourceEnded, destinationEnded *atomic.Bool) {
 	buffer := make([]byte, relayBuffer)
 	for {
 		n, err := source.Read(buffer)
 		if n > 0 && !r.forwardChunk(destination, buffer[:n], d) {
 			break
 		}
-		if err == io.EOF {
+		if err == io.EOF && (destinationEnded.Load() || !hasFailed(source)) {
+			sourceEnded.Store(true)
 			closeWrite(destination)
 			return
 		}
@@ -175,8 +183,34 @@
 			break
 		}
 	}
-	destination.Close()
-	source.Close()
+	reset(destination)
+	reset(source)
+}
+
+// reset closes a connection and tells its peer that it was broken off.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it is closed already if this fails
+	}
+	conn.Close()
+}
+
+// tcpClosed is the state of a connection that was reset or has failed.
+const tcpClosed = 7
+
+// hasFailed reports whether a connection whose end was read, and whose own end was not sent, was reset or has failed: the
+// error was returned to the other direction if that wrote to the connection.
+func hasFailed(conn net.Conn) bool {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	failed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		failed = err == nil && info.State == tcpClosed
+	})
+	return failed || err != nil
 }
 
 // forwardChunk writes one chunk unless its direction is silenced, after the relay's
