soak: half of a response that ends in order is allowed after an upload too

The judge of uploads took it for a part that was given as whole: "answer of probe-" in, which a worker with the fault Unmarked had sent after it had read the request. The gateway logged it as not proved, and gave it to the client without a mark of its end; for all other requests the soak allows that. Allowed is just that half, without a length or chunks; a part that is sent early is none.

--- a/standin/soak/broken_test.go
+++ b/standin/soak/broken_test.go
@@ -23,3 +23,13 @@
 		assert.Equal(t, found != "", broken, "%d: %s", status, found)
 	}
 }
+
+// TestAPartOfAResponseToAnUploadIsFound checks the judgement of uploads.
+func TestAPartOfAResponseToAnUploadIsFound(t *testing.T) {
+	o := Outcome{ID: "probe-upload-1-2", Route: unsafeRoute}
+	whole := wholeBody(o)
+	assert.Assert(t, isWholeUpload(o, whole, true) && isWholeUpload(o, whole, false))
+	assert.Assert(t, isWholeUpload(o, whole[:len(whole)/2], false), "nothing tells")
+	assert.Assert(t, !isWholeUpload(o, whole[:len(whole)/2], true))
+	assert.Assert(t, !isWholeUpload(o, "answer", false) && !isWholeUpload(o, "", false) && !isWholeUpload(o, "answer of others", false))
+}
