--- a/standin/worker/broken.go
+++ b/standin/worker/broken.go
@@ -10,9 +10,9 @@
 	"strings"
 )
 
-// BrokenHeads are beginnings of responses that break the protocol. In them ID stands for the ID of the request, STAMP for
+// malformedHeads are beginnings of responses that break the protocol. In them ID stands for the ID of the request, STAMP for
 // the signature and LENGTH for the length of the body, which follows.
-var BrokenHeads = []string{
+var malformedHeads = []string{
 	"HTTP/1.1 000 Reason\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: STAMP\r\nContent-Length: LENGTH\r\n\r\n",
 	"HTTP/1.1 +20 Reason\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: STAMP\r\nContent-Length: LENGTH\r\n\r\n",
 	"HTTP/1.1 101 Reason\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: STAMP\r\n\r\n",
@@ -35,8 +35,8 @@
 func (w *Worker) respondBroken(out http.ResponseWriter, r *http.Request, run func(out http.ResponseWriter)) {
 	w.mu.Lock()
 	head := cutHead
-	if number := w.brokenHeads % (len(BrokenHeads) + 1); number < len(BrokenHeads) {
-		head = BrokenHeads[number]
+	if number := w.brokenHeads % (len(malformedHeads) + 1); number < len(malformedHeads) {
+		head = malformedHeads[number]
 	}
 	w.brokenHeads++
 	w.mu.Unlock()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -54,7 +54,7 @@
 	// Silent runs the request and sends nothing while the connection stays open, Stalled sends nothing after the
 	// first event of a stream.
 	Silent, Stalled int
-	// Broken runs the request and responds with one of BrokenHeads, or with a part of a head, in turn. It strikes calls that run
+	// Broken runs the request and responds with one of malformedHeads, or with a part of a head, in turn. It strikes calls that run
 	// items too.
 	Broken int
 	// Early strikes requests with long bodies: a part of a response without a length comes before the body is read, and the
