Test of odd entries: the second upstream is registered in its own zone only

Trace of four failures in 240 plays with the race detector: "all upstreams of desk are in evacuated zones", with the entry of desk-2 at revision 21. The test wrote that entry twice, first in z1 and at revision 22 in z2, and evacuated z1 once both gateways knew the first. Between the two, the refusal is right. The entry is written once now, in z2; checks and bounds are as they were. 50 plays with the race detector passed.

--- a/standin/gatewaytest/fleet_test.go
+++ b/standin/gatewaytest/fleet_test.go
@@ -125,12 +125,19 @@
 
 // startWorker starts a worker in zone z1 and registers it. No other test gets its port once it has ended.
 func (f *fleet) startWorker(id, service string, kind worker.Kind) *worker.Worker {
+	f.t.Helper()
+	w := f.launchWorker(id, kind)
+	f.register(w, service, "ready")
+	return w
+}
+
+// launchWorker starts a worker and does not register it.
+func (f *fleet) launchWorker(id string, kind worker.Kind) *worker.Worker {
 	f.t.Helper()
 	listener, err := f.ports.Listen()
 	assert.NilError(f.t, err)
 	w := worker.StartOn(listener, id, kind)
 	f.t.Cleanup(w.Close)
-	f.register(w, service, "ready")
 	return w
 }
 
--- a/standin/gatewaytest/odd_test.go
+++ b/standin/gatewaytest/odd_test.go
@@ -46,7 +46,8 @@
 			gateways := []*runningGateway{f.start("g1"), f.start("g2")} // g2 follows g1
 			f.putOdd(spec)
 
-			second := f.startWorkerIn("z2", "desk-2", "desk", worker.Plain)
+			second := f.launchWorker("desk-2", worker.Plain)
+			f.registerIn("z2", second, "desk", "ready")
 			f.waitLines(2, "upstream_changed", `"upstream":"desk-2"`)
 			f.apply(baseConfig(2))
 			f.waitLines(2, "table_in_force", `"version":2`)
